--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and connections between entry and agent.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration, plans and the operators' HTTP interface.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service and object store.
--- /dev/null
+++ b/crates/policy/src/clock.rs
@@ -0,0 +1,33 @@
+//! Monotonic time as an interface.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Source of monotonic time, given as time since an arbitrary origin.
+///
+/// Readings never decrease. A process reads one clock for all its decisions, and readings of two processes are never
+/// compared.
+#[derive(Clone)]
+pub struct Clock {
+    read: Arc<dyn Fn() -> Duration + Send + Sync>,
+}
+
+impl Clock {
+    /// Makes a clock from a function that reads the time.
+    pub fn new(read: impl Fn() -> Duration + Send + Sync + 'static) -> Self {
+        Self { read: Arc::new(read) }
+    }
+
+    /// Reads the time since the clock's origin.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        (self.read)()
+    }
+}
+
+impl fmt::Debug for Clock {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Clock").field("now", &self.now()).finish()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/code.rs
@@ -0,0 +1,135 @@
+//! Numbered result codes, shared by answers to callers, links, logs and the operators' command.
+//!
+//! `docs/ERRORS.md` holds the table; a test compares it with [`Code::ALL`]. Numbers are stable: a code that is no
+//! longer used keeps its number.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $variant:ident = $number:literal, $text:literal;)*) => {
+        /// Reason for a refusal, a failure or an action of the scheduler.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Code {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl Code {
+            /// Every code, in the order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Stable number of the code.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$variant => $number,)* }
+            }
+
+            /// One line that names the reason.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$variant => $text,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    // 1000 to 1999: answers to callers.
+    /// The request names no configured service.
+    UnknownService = 1001, "unknown service";
+    /// No backend server of the service can take the request now.
+    NoBackendServer = 1002, "no backend server available";
+    /// The service is over its capacity.
+    Overloaded = 1003, "service overloaded";
+    /// The deadline passed before the request was started.
+    DeadlineBeforeStart = 1004, "deadline passed before start";
+    /// The backend server may have run the request; its answer was lost.
+    OutcomeUnknown = 1005, "outcome unknown";
+    /// The request body exceeds the limit.
+    BodyTooLarge = 1006, "request body too large";
+    /// The request head exceeds the limit or is malformed.
+    BadRequest = 1007, "malformed request";
+    /// The process is draining.
+    Draining = 1008, "draining";
+    /// The idempotency key can't be claimed while the platform is away.
+    KeyUnavailable = 1009, "idempotency key can't be claimed";
+    /// The idempotency key belongs to another request.
+    KeyInUse = 1010, "idempotency key already in use";
+    /// The process has no accepted configuration.
+    NoConfiguration = 1011, "no accepted configuration";
+    // 2000 to 2999: links between entry and agent.
+    /// The peer speaks a version that isn't supported.
+    LinkVersion = 2001, "unsupported link version";
+    /// The shared secret of the peer isn't valid.
+    LinkSecret = 2002, "invalid link secret";
+    /// A frame can't be decoded.
+    LinkFrame = 2003, "malformed frame";
+    /// The link was silent past its bound.
+    LinkSilent = 2004, "link silent";
+    // 3000 to 3999: batch tasks.
+    /// No worker could ever hold the task.
+    Unschedulable = 3001, "no worker can ever hold the task";
+    /// The worker lacks the resources now.
+    ResourcesExhausted = 3002, "worker has no room";
+    /// The task failed on as many workers as allowed.
+    FailedEverywhere = 3003, "task failed on several workers";
+    /// The task was cancelled.
+    Cancelled = 3004, "cancelled";
+    /// The lease ended before it could be renewed.
+    LeaseEnded = 3005, "lease ended";
+    /// The epoch of a message is older than the task's.
+    StaleEpoch = 3006, "stale epoch";
+    /// The task was evicted to protect request latency.
+    EvictedForLatency = 3007, "evicted to protect request latency";
+    /// The task was throttled to protect request latency.
+    ThrottledForLatency = 3008, "throttled to protect request latency";
+    // 4000 to 4999: configuration.
+    /// The configuration has faults.
+    ConfigurationInvalid = 4001, "configuration has faults";
+    /// Another plan was accepted first.
+    PlanConflict = 4002, "another plan was accepted first";
+    // 5000 to 5999: the platform.
+    /// The platform refused the call or can't be reached; nothing was written.
+    PlatformUnavailable = 5001, "platform unavailable";
+    /// The outcome of a write isn't known yet.
+    WriteUnknown = 5002, "outcome of a write unknown";
+    // 6000 to 6999: command line and settings.
+    /// The command line is wrong.
+    Usage = 6001, "wrong usage";
+    /// The settings file has faults.
+    SettingsInvalid = 6002, "settings have faults";
+}
+
+/// A number that belongs to no code.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnknownCode(pub u16);
+
+impl fmt::Display for UnknownCode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "no result code has the number {}", self.0)
+    }
+}
+
+impl std::error::Error for UnknownCode {}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = UnknownCode;
+
+    fn try_from(number: u16) -> Result<Self, Self::Error> {
+        Self::ALL.iter().copied().find(|code| code.number() == number).ok_or(UnknownCode(number))
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ({})", self.text(), self.number())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/id.rs
@@ -0,0 +1,79 @@
+//! Names and identifiers that travel between processes.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// Immutable name, shared between the structures that mention it.
+pub type Name = Arc<str>;
+
+/// Identifies one start of a process, so that a restarted process is never taken for its predecessor.
+#[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
+pub struct BootId(pub u64);
+
+/// Identifies one dispatch of a request; never reused.
+#[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
+pub struct RequestId {
+    /// Start of the entry that issued the identifier.
+    pub entry: BootId,
+    /// Strictly increasing within one start of the entry.
+    pub sequence: u64,
+}
+
+/// Reason why the text form of an identifier was refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ParseIdError {
+    /// The separator between start and sequence is absent.
+    MissingSeparator,
+    /// A part isn't a hexadecimal number.
+    Number(ParseIntError),
+}
+
+impl fmt::Display for ParseIdError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::MissingSeparator => formatter.write_str("identifier has no '-' separator"),
+            Self::Number(error) => write!(formatter, "identifier has a part that isn't hexadecimal: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ParseIdError {}
+
+impl From<ParseIntError> for ParseIdError {
+    fn from(error: ParseIntError) -> Self {
+        Self::Number(error)
+    }
+}
+
+impl fmt::Display for BootId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for BootId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(u64::from_str_radix(text, 16)?))
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}-{:x}", self.entry, self.sequence)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (entry, sequence) = text.split_once('-').ok_or(ParseIdError::MissingSeparator)?;
+        Ok(Self { entry: entry.parse()?, sequence: u64::from_str_radix(sequence, 16)? })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, the worker and a faulty network.
--- /dev/null
+++ b/crates/worker/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards the backend server and the worker's task runtime.
--- /dev/null
+++ b/src/bin/chervilledge.rs
@@ -0,0 +1,3 @@
+//! Operators' command.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduler for colocated latency-critical and batch work.
