--- a/crates/policy/src/clock.rs
+++ b/crates/policy/src/clock.rs
@@ -27,7 +27,7 @@
 }
 
 impl fmt::Debug for Clock {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Clock").field("now", &self.now()).finish()
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clock").field("now", &self.now()).finish()
     }
 }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -107,8 +107,8 @@
 pub struct UnknownCode(pub u16);
 
 impl fmt::Display for UnknownCode {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "no result code has the number {}", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no result code has the number {}", self.0)
     }
 }
 
@@ -129,7 +129,7 @@
 }
 
 impl fmt::Display for Code {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} ({})", self.text(), self.number())
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.text(), self.number())
     }
 }
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -33,10 +33,10 @@
 }
 
 impl fmt::Display for ParseIdError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::MissingSeparator => formatter.write_str("identifier has no '-' separator"),
-            Self::Number(error) => write!(formatter, "identifier has a part that isn't hexadecimal: {error}"),
+            Self::MissingSeparator => f.write_str("identifier has no '-' separator"),
+            Self::Number(error) => write!(f, "identifier has a part that isn't hexadecimal: {error}"),
         }
     }
 }
@@ -50,8 +50,8 @@
 }
 
 impl fmt::Display for BootId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
     }
 }
 
@@ -64,8 +64,8 @@
 }
 
 impl fmt::Display for RequestId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}-{:x}", self.entry, self.sequence)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.entry, self.sequence)
     }
 }
 
