--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,133 @@
+//! When a request is tried again, and when a caller is told to come back.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Limits on retries and hedges.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Dispatches of one request, the first and hedges among them; at least 1.
+    pub attempts_max: u32,
+    /// Retries that the budget earns with each request.
+    pub budget_ratio: f64,
+    /// Retries that the budget holds at most, and at the start.
+    pub budget_max: f64,
+    /// Mean delay before the first retry.
+    #[serde(rename = "backoff_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub backoff: Duration,
+    /// Longest delay before a retry.
+    #[serde(rename = "backoff_max_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub backoff_max: Duration,
+    /// Delay before an idempotent request is sent to a second backend server; absent: never.
+    #[serde(rename = "hedge_after_ms")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub hedge_after: Option<Duration>,
+    /// Shortest time after which a caller is told to come back.
+    #[serde(rename = "retry_after_min_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub retry_after_min: Duration,
+    /// Longest time after which a caller is told to come back.
+    #[serde(rename = "retry_after_max_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub retry_after_max: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            attempts_max: 3,
+            budget_ratio: 0.1,
+            budget_max: 20.0,
+            backoff: Duration::from_millis(2),
+            backoff_max: Duration::from_millis(100),
+            hedge_after: None,
+            retry_after_min: Duration::from_secs(1),
+            retry_after_max: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Retry budget and jitter of one service in one entry.
+#[derive(Clone, Debug)]
+pub struct Retries {
+    rng: StdRng,
+    settings: Settings,
+    /// Retries that may be spent; from 0 to `budget_max`.
+    tokens: f64,
+}
+
+impl Retries {
+    /// Makes a full budget.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self { rng: StdRng::seed_from_u64(seed), settings, tokens: settings.budget_max }
+    }
+
+    /// Limits in force.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Retries that may be spent now.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// Earns a part of a retry for a new request.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.settings.budget_ratio).min(self.settings.budget_max);
+    }
+
+    /// Spends one retry, or tells that none is left.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Delay before dispatch number `attempt`, counted from 1; zero for the first.
+    pub fn backoff(&mut self, attempt: u32) -> Duration {
+        const DOUBLINGS_MAX: u32 = 16;
+        if attempt <= 1 {
+            return Duration::ZERO;
+        }
+        let factor = 1 << (attempt - 2).min(DOUBLINGS_MAX);
+        let mean = self.settings.backoff.saturating_mul(factor).min(self.settings.backoff_max);
+        jitter(mean, &mut self.rng).min(self.settings.backoff_max)
+    }
+
+    /// Time after which a caller is told to come back, when `hint` is the expected wait.
+    pub fn retry_after(&mut self, hint: Duration) -> Duration {
+        retry_after(&self.settings, hint, &mut self.rng)
+    }
+}
+
+/// Time to drain `waiting` requests over `slots`, each taking `mean_service`.
+#[must_use]
+pub fn expected_wait(waiting: u32, slots: u32, mean_service: Duration) -> Duration {
+    mean_service.saturating_mul(waiting) / slots.max(1)
+}
+
+/// Time after which a caller is told to come back: the expected wait with jitter, within the bounds.
+pub fn retry_after(settings: &Settings, expected: Duration, rng: &mut impl Rng) -> Duration {
+    let floor = settings.retry_after_min.max(expected);
+    // Jitter is only added: callers that were refused together mustn't come back together, nor before the wait ends.
+    (floor + jitter(floor, rng) / 2).clamp(settings.retry_after_min, settings.retry_after_max)
+}
+
+/// Evenly distributed delay between half and three halves of `mean`.
+fn jitter(mean: Duration, rng: &mut impl Rng) -> Duration {
+    mean.mul_f64(rng.random_range(0.5..1.5))
+}
