Add the table client and the stand-ins of platform and worker, thin

Cause: the daemons need a table service and a backend server to run against. Ruled out: a client that retries writes by itself; a write sent twice could take effect twice, so hyper-util's retry of cancelled requests is off and a write is one attempt. Change: types and messages of the table; client with timeout, limit on concurrent calls, jittered backoff for reads and three results for writes; stand-in with atomic multi-row commits, objects and a ledger; echo backend; two binaries.

--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,94 @@
+//! Results of writes and errors of reads.
+
+use std::fmt;
+use std::time::Duration;
+
+use chervilledge_policy::code::Code;
+
+use crate::table::Conflict;
+
+/// Outcome of a write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The write took effect; new version of each row, in the order of the writes.
+    Done(Vec<u64>),
+    /// The write didn't take effect and never will.
+    NotDone(Reason),
+    /// The write may have taken effect, or may still do so.
+    Unknown,
+}
+
+/// Proof that a write didn't take effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reason {
+    /// A condition didn't hold.
+    Conflict(Conflict),
+    /// The platform refused the call because of its load.
+    Refused {
+        /// Time to wait before the next call.
+        retry_after: Duration,
+    },
+    /// The call never left the process.
+    NeverSent,
+    /// The platform can't accept a call of this form.
+    Invalid(String),
+    /// A later commit has made sure that the write can't take effect.
+    Fenced,
+}
+
+impl Reason {
+    /// Result code of the reason.
+    #[must_use]
+    pub fn code(&self) -> Code {
+        Code::PlatformUnavailable
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict(conflict) => write!(f, "condition on row {:?} doesn't hold", conflict.key),
+            Self::Refused { retry_after } => write!(f, "refused by the platform, retry after {retry_after:?}"),
+            Self::NeverSent => f.write_str("never sent to the platform"),
+            Self::Invalid(text) => write!(f, "invalid call: {text}"),
+            Self::Fenced => f.write_str("fenced by a later commit"),
+        }
+    }
+}
+
+/// Failure of a call that changes nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// No connection to the platform, or the connection was lost.
+    Unreachable,
+    /// No answer within the call's timeout.
+    TimedOut,
+    /// The platform refused the call because of its load.
+    Refused {
+        /// Time to wait before the next call.
+        retry_after: Duration,
+    },
+    /// The answer can't be understood.
+    Malformed(String),
+}
+
+impl Error {
+    /// Result code of the error.
+    #[must_use]
+    pub fn code(&self) -> Code {
+        Code::PlatformUnavailable
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable => f.write_str("platform can't be reached"),
+            Self::TimedOut => f.write_str("platform didn't answer in time"),
+            Self::Refused { retry_after } => write!(f, "platform refused the call, retry after {retry_after:?}"),
+            Self::Malformed(text) => write!(f, "answer of the platform can't be understood: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/platform/src/transport.rs
@@ -0,0 +1,107 @@
+//! One HTTP call to the platform, with what its failure proves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Wait when a refusal doesn't name one.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Whole answer to a call.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    /// Reads the wait that a refusal asks for.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let header = |name: &str| self.headers.get(name)?.to_str().ok()?.parse().ok();
+        header("retry-after-ms")
+            .map(Duration::from_millis)
+            .or_else(|| header("retry-after").map(Duration::from_secs))
+            .unwrap_or(DEFAULT_RETRY_AFTER)
+    }
+}
+
+/// Failure of a call, by what it proves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Failure {
+    /// Nothing left the process.
+    NeverSent,
+    /// The connection was lost after the call may have been sent.
+    Lost,
+    /// No whole answer within the timeout.
+    TimedOut,
+}
+
+/// Connections to the platform, with a limit on concurrent calls.
+#[derive(Debug)]
+pub(crate) struct Transport {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+    permits: Semaphore,
+    call_timeout: Duration,
+}
+
+impl Transport {
+    pub(crate) fn open(address: SocketAddr, concurrent_calls: usize, call_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        // Ends before the call does, so that a failed connect is told apart from a lost answer.
+        connector.set_connect_timeout(Some(call_timeout / 2));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            // A write that is sent twice could take effect twice.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { address, client, permits: Semaphore::new(concurrent_calls), call_timeout }
+    }
+
+    /// Sends one request and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, Failure> {
+        let deadline = Instant::now() + self.call_timeout;
+        let Ok(Ok(_permit)) = timeout_at(deadline, self.permits.acquire()).await else {
+            return Err(Failure::NeverSent);
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.headers_mut() = headers;
+        let Ok(uri) = format!("http://{}{path}", self.address).parse() else {
+            return Err(Failure::NeverSent);
+        };
+        *request.uri_mut() = uri;
+        timeout_at(deadline, self.exchange(request)).await.unwrap_or(Err(Failure::TimedOut))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|error| if error.is_connect() { Failure::NeverSent } else { Failure::Lost })?;
+        let (parts, body) = response.into_parts();
+        let Ok(body) = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await else {
+            return Err(Failure::Lost);
+        };
+        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,6 @@
 //! Stand-ins for the platform, the worker and a faulty network.
+
+pub mod platform;
+mod serve;
+mod store;
+pub mod worker;
