Give operators' listener, secrets, documents and rollout rules

Cause: the daemons need the configuration model, the listener and the rule that no process goes below a version before anything else. Ruled out: a Prometheus exporter package, since it isn't on the list and the text format is small; serde alone for checks, since it stops at the first fault (the check follows). The rollout rules and the overlay have no tests yet.

--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -90,6 +90,34 @@
     ConfigurationInvalid = 4001, "configuration has faults";
     /// Another plan was accepted first.
     PlanConflict = 4002, "another plan was accepted first";
+    /// Two configurations carry the same version with different checksums.
+    VersionContradiction = 4003, "two configurations carry one version";
+    /// The documents exceed the size that one row may hold.
+    DocumentTooLarge = 4004, "documents too large";
+    /// The plan doesn't belong to the documents sent with it.
+    PlanMismatch = 4005, "plan doesn't match the documents";
+    /// A document isn't JSON.
+    NotJson = 4101, "not JSON";
+    /// A field isn't part of the configuration.
+    UnknownField = 4102, "unknown field";
+    /// A required field is absent.
+    MissingField = 4103, "missing field";
+    /// A value has the wrong type or unit.
+    WrongType = 4104, "wrong type";
+    /// A value lies outside its range.
+    OutOfRange = 4105, "out of range";
+    /// An overlay belongs to no site of the base document.
+    UnknownSite = 4106, "unknown site";
+    /// An overlay names a service, team or batch kind that the base document lacks.
+    UnknownName = 4107, "name absent from the base document";
+    /// The quotas of all teams exceed what the site's workers hold.
+    QuotaExceedsSite = 4108, "quotas exceed the site's workers";
+    /// No worker of the site could ever hold what is declared.
+    ExceedsWorker = 4109, "exceeds every worker of the site";
+    /// Two values contradict each other.
+    Contradiction = 4110, "values contradict each other";
+    /// A key occurs twice in one object, or a value twice in one list.
+    Duplicate = 4111, "duplicate";
     // 5000 to 5999: the platform.
     /// The platform refused the call or can't be reached; nothing was written.
     PlatformUnavailable = 5001, "platform unavailable";
@@ -100,6 +128,22 @@
     Usage = 6001, "wrong usage";
     /// The settings file has faults.
     SettingsInvalid = 6002, "settings have faults";
+    /// The operator's secret is absent or isn't valid.
+    OperatorSecret = 6003, "invalid operator secret";
+    /// The listener has no such route.
+    UnknownRoute = 6004, "unknown route";
+    /// The route exists, but not for this method.
+    MethodNotAllowed = 6005, "method not allowed";
+    /// The operator's request exceeds a limit of the listener.
+    RequestTooLarge = 6006, "request too large";
+    /// The operator's request took longer than the listener allows.
+    RequestTimeout = 6007, "request timeout";
+    /// The operator's request is malformed.
+    RequestMalformed = 6008, "malformed request";
+    /// The entry can't be reached or broke off its answer.
+    EntryUnreachable = 6009, "entry unreachable";
+    /// A file can't be read.
+    FileUnreadable = 6010, "file unreadable";
 }
 
 /// A number that belongs to no code.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod code;
 pub mod collections;
 pub mod id;
+pub mod rollout;
