--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod outlier;
 pub mod request;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
