--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -85,6 +85,18 @@
     EvictedForLatency = 3007, "evicted to protect request latency";
     /// The task was throttled to protect request latency.
     ThrottledForLatency = 3008, "throttled to protect request latency";
+    /// A task that can be neither repeated nor fenced lost its lease; how far it got isn't known.
+    TaskOutcomeUnknown = 3009, "outcome of the task unknown";
+    /// The state of the task doesn't allow the change.
+    WrongTaskState = 3010, "change not allowed in the task's state";
+    /// The agent hasn't taken stock of its worker yet.
+    StockNotTaken = 3011, "worker's stock not taken";
+    /// The task is larger than the team's whole quota.
+    QuotaTooSmall = 3012, "task larger than the team's quota";
+    /// The task was stopped without a new checkpoint to protect request latency.
+    StoppedForLatency = 3013, "stopped to protect request latency";
+    /// Request latency has recovered.
+    LatencyRecovered = 3014, "request latency has recovered";
     // 4000 to 4999: configuration.
     /// The configuration has faults.
     ConfigurationInvalid = 4001, "configuration has faults";
--- /dev/null
+++ b/crates/policy/src/reservation.rs
@@ -0,0 +1,244 @@
+//! An agent's account of its worker's resources.
+//!
+//! The agent is the only authority on what its worker holds. Entries propose; the agent reserves before it starts a
+//! task, and releases after the worker has confirmed that nothing of the task executes or stays in memory. After a
+//! restart it admits nothing until it has taken stock of what the worker runs.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::capacity::Resources;
+use crate::code::Code;
+use crate::collections::Map;
+use crate::task::{Epoch, TaskId};
+
+/// Resources held for one task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reservation {
+    /// Task that holds them.
+    pub task: TaskId,
+    /// Epoch under which they are held.
+    pub epoch: Epoch,
+    /// Resources held.
+    pub resources: Resources,
+}
+
+/// Reason why a reservation was refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The agent hasn't taken stock of the worker yet.
+    StockNotTaken,
+    /// The worker's free resources don't cover it.
+    NoRoom {
+        /// What is free now.
+        free: Resources,
+    },
+    /// The agent knows a newer epoch, or was told that this one never starts.
+    StaleEpoch {
+        /// Oldest epoch that can still start.
+        current: Epoch,
+    },
+    /// An older epoch of the task is still held on this worker and must be released first.
+    OlderHeld {
+        /// Epoch that is held.
+        held: Epoch,
+    },
+    /// The same task and epoch is held with other resources.
+    Mismatch,
+}
+
+impl Refusal {
+    /// Result code of the refusal.
+    #[must_use]
+    pub const fn code(self) -> Code {
+        match self {
+            Self::StockNotTaken => Code::StockNotTaken,
+            Self::NoRoom { .. } | Self::OlderHeld { .. } => Code::ResourcesExhausted,
+            Self::StaleEpoch { .. } => Code::StaleEpoch,
+            Self::Mismatch => Code::WrongTaskState,
+        }
+    }
+}
+
+/// Result of a reservation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// The resources are reserved by this call; the task may be started.
+    Reserved,
+    /// The same task and epoch was reserved before; it must not be started again.
+    Duplicate,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    epoch: Epoch,
+    resources: Resources,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Fence {
+    /// Oldest epoch that can still start.
+    current: Epoch,
+    set_at: Duration,
+}
+
+/// Reservations on one worker.
+#[derive(Debug)]
+pub struct Reservations {
+    capacity: Resources,
+    /// Sum of `held`. Covered by `capacity` once stock has been taken.
+    reserved: Resources,
+    held: Map<TaskId, Held>,
+    /// Epochs that have ended here. Kept for as long as a delayed start can arrive.
+    fences: Map<TaskId, Fence>,
+    stock_taken: bool,
+}
+
+impl Reservations {
+    /// Opens the account of a worker of which nothing is known but its capacity.
+    #[must_use]
+    pub fn open(capacity: Resources) -> Self {
+        Self {
+            capacity,
+            reserved: Resources::default(),
+            held: Map::default(),
+            fences: Map::default(),
+            stock_taken: false,
+        }
+    }
+
+    /// Takes over what the worker says it runs, in place of all that was held before.
+    ///
+    /// # Errors
+    ///
+    /// Gives the tasks that exceed the capacity; the caller stops them and takes stock again. Until then nothing is
+    /// admitted.
+    pub fn take_stock(&mut self, running: Vec<Reservation>) -> Result<(), Vec<TaskId>> {
+        self.held.clear();
+        self.reserved = Resources::default();
+        let mut excess = Vec::new();
+        for reservation in running {
+            if !self.hold(&reservation) {
+                excess.push(reservation.task);
+            }
+        }
+        self.stock_taken = excess.is_empty();
+        if self.stock_taken { Ok(()) } else { Err(excess) }
+    }
+
+    /// Reserves resources before a task starts.
+    ///
+    /// # Errors
+    ///
+    /// Refuses before stock is taken, over capacity, and for an epoch that isn't the newest known.
+    pub fn reserve(&mut self, wanted: &Reservation) -> Result<Admission, Refusal> {
+        if !self.stock_taken {
+            return Err(Refusal::StockNotTaken);
+        }
+        if let Some(fence) = self.fences.get(&wanted.task).filter(|fence| wanted.epoch < fence.current) {
+            return Err(Refusal::StaleEpoch { current: fence.current });
+        }
+        if let Some(held) = self.held.get(&wanted.task) {
+            return compare(held, wanted);
+        }
+        if self.hold(wanted) { Ok(Admission::Reserved) } else { Err(Refusal::NoRoom { free: self.free() }) }
+    }
+
+    /// Releases a task's resources, after the worker has confirmed that it is gone; the epoch never starts again.
+    ///
+    /// Returns whether the resources were held.
+    pub fn release(&mut self, task: &TaskId, epoch: Epoch, now: Duration) -> bool {
+        self.fence(task, epoch.next(), now);
+        let Some(held) = self.held.get(task).copied().filter(|held| held.epoch == epoch) else {
+            return false;
+        };
+        self.held.remove(task);
+        self.reserved = self.reserved.checked_sub(&held.resources).unwrap_or_default();
+        true
+    }
+
+    /// Refuses from now on every epoch of the task that is older than `current`.
+    ///
+    /// An entry that has had no answer to a start asks for this, and may then end the claim without waiting for the
+    /// lease. Returns the epoch that is still held and must be stopped first.
+    pub fn fence(&mut self, task: &TaskId, current: Epoch, now: Duration) -> Option<Epoch> {
+        let fence = self.fences.entry(task.clone()).or_insert(Fence { current, set_at: now });
+        fence.current = fence.current.max(current);
+        fence.set_at = now;
+        let current = fence.current;
+        self.held.get(task).map(|held| held.epoch).filter(|epoch| *epoch < current)
+    }
+
+    /// Forgets fences set before `oldest`; no start from before that time can still be obeyed.
+    pub fn prune_fences(&mut self, oldest: Duration) {
+        self.fences.retain(|_, fence| fence.set_at >= oldest);
+    }
+
+    /// Resources that can still be reserved; none before stock is taken.
+    #[must_use]
+    pub fn free(&self) -> Resources {
+        if self.stock_taken {
+            self.capacity.checked_sub(&self.reserved).unwrap_or_default()
+        } else {
+            Resources::default()
+        }
+    }
+
+    /// Resources reserved now.
+    #[must_use]
+    pub const fn reserved(&self) -> Resources {
+        self.reserved
+    }
+
+    /// What the worker can hold.
+    #[must_use]
+    pub const fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
+    /// Tells whether stock has been taken since the agent started.
+    #[must_use]
+    pub const fn is_stock_taken(&self) -> bool {
+        self.stock_taken
+    }
+
+    /// Epoch held for a task.
+    #[must_use]
+    pub fn epoch_of(&self, task: &TaskId) -> Option<Epoch> {
+        self.held.get(task).map(|held| held.epoch)
+    }
+
+    /// Everything held now, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = Reservation> + '_ {
+        self.held.iter().map(|(task, held)| Reservation {
+            task: task.clone(),
+            epoch: held.epoch,
+            resources: held.resources,
+        })
+    }
+
+    /// Adds to the account if the capacity covers it.
+    fn hold(&mut self, wanted: &Reservation) -> bool {
+        if self.held.contains_key(&wanted.task) {
+            return false;
+        }
+        let Some(sum) = self.reserved.checked_add(&wanted.resources).filter(|sum| self.capacity.covers(sum)) else {
+            return false;
+        };
+        self.reserved = sum;
+        self.held.insert(wanted.task.clone(), Held { epoch: wanted.epoch, resources: wanted.resources });
+        true
+    }
+}
+
+fn compare(held: &Held, wanted: &Reservation) -> Result<Admission, Refusal> {
+    if wanted.epoch < held.epoch {
+        return Err(Refusal::StaleEpoch { current: held.epoch });
+    }
+    if wanted.epoch > held.epoch {
+        return Err(Refusal::OlderHeld { held: held.epoch });
+    }
+    if wanted.resources == held.resources { Ok(Admission::Duplicate) } else { Err(Refusal::Mismatch) }
+}
--- /dev/null
+++ b/crates/policy/src/task.rs
@@ -0,0 +1,409 @@
+//! Rows of jobs and tasks, and the transitions of a task.
+//!
+//! A task moves only by a conditional write of its row, and [`apply`] is the only function that makes the row to be
+//! written. Each transition names the epoch that it expects. Every end of a claim raises the epoch, so that an epoch
+//! has at most one claim, on one worker, and whatever still carries an older epoch is refused.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::capacity::Resources;
+use crate::code::Code;
+use crate::id::{BootId, Name};
+
+/// Fencing token of a task or of a shard; it never decreases.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// Epoch that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Identifies a task within the whole system.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskId {
+    /// Identifier of the job.
+    pub job: Name,
+    /// Position among the tasks of the job.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// Order in which teams' work is started.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Started within a bounded time.
+    Urgent,
+    /// Started after urgent work.
+    Normal,
+    /// Started when nothing else waits, or when it has waited long enough.
+    Background,
+}
+
+impl Priority {
+    /// Every priority, the most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Background];
+}
+
+/// What a second execution of the same work would do.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effects {
+    /// Repeating the work changes nothing.
+    Idempotent,
+    /// Effects are conditional on the epoch, so that only one epoch's effects take hold.
+    Fenced,
+    /// Effects can be neither repeated nor fenced: the task isn't run again unless it is known where it stopped.
+    AtMostOnce,
+}
+
+/// Row of a job: many tasks that were submitted together.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobRow {
+    /// Identifier of the job.
+    pub id: Name,
+    /// Key chosen by the submitter; two submissions with one key are one job.
+    pub submit_key: Name,
+    /// Team whose quota the job uses.
+    pub team: Name,
+    /// Order in which the job's tasks are started.
+    pub priority: Priority,
+    /// Kind of the work, the unit of learning about interference and usage.
+    pub kind: Name,
+    /// Resources of each task, as declared.
+    pub declared: Resources,
+    /// Run time of each task, as declared.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "run_time_ms")]
+    pub run_time: Duration,
+    /// What a second execution would do.
+    pub effects: Effects,
+    /// Number of tasks; their indices are `0..task_count`.
+    pub task_count: u32,
+    /// Attempts that may fail before a task stops.
+    pub attempts_max: u32,
+}
+
+impl JobRow {
+    /// Makes the row of one of the job's tasks, queued.
+    #[must_use]
+    pub fn task(&self, index: u32) -> TaskRow {
+        TaskRow {
+            id: TaskId { job: Name::clone(&self.id), index },
+            epoch: Epoch(1),
+            state: TaskState::Queued,
+            checkpoint: None,
+            effects: self.effects,
+            attempts: Vec::new(),
+            attempts_max: self.attempts_max,
+        }
+    }
+}
+
+/// Place of a checkpoint in the object store.
+///
+/// The key carries the epoch, so that a holder whose epoch has ended can't overwrite a newer checkpoint.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct CheckpointKey {
+    /// Task whose progress it is.
+    pub task: TaskId,
+    /// Epoch under which it was written.
+    pub epoch: Epoch,
+    /// Strictly increasing within an epoch.
+    pub sequence: u32,
+}
+
+impl fmt::Display for CheckpointKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "checkpoints/{}/{:016x}/{:08x}", self.task, self.epoch.0, self.sequence)
+    }
+}
+
+/// Who may run a task under one epoch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// The only worker that may run this epoch.
+    pub worker: Name,
+    /// Start of the entry whose lease covers the claim.
+    pub entry: BootId,
+}
+
+/// State of a task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// Waits for a worker.
+    Queued,
+    /// Given to a worker; whether it has started isn't known.
+    Claimed(Claim),
+    /// Started on the worker.
+    Running(Claim),
+    /// Completed.
+    Done,
+    /// Cancelled before it completed.
+    Cancelled,
+    /// Given up, with the reason.
+    Failed(Code),
+    /// No known worker can ever hold it; queued again when capacity grows.
+    Unschedulable(Code),
+}
+
+impl TaskState {
+    /// Tells whether no transition leads out of the state.
+    #[must_use]
+    pub const fn is_final(&self) -> bool {
+        matches!(self, Self::Done | Self::Cancelled | Self::Failed(_))
+    }
+
+    /// Claim under which the task may be running.
+    #[must_use]
+    pub const fn claim(&self) -> Option<&Claim> {
+        match self {
+            Self::Claimed(claim) | Self::Running(claim) => Some(claim),
+            _ => None,
+        }
+    }
+}
+
+/// One attempt that failed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Attempt {
+    /// Epoch of the attempt.
+    pub epoch: Epoch,
+    /// Worker of the attempt.
+    pub worker: Name,
+    /// Reason of the failure.
+    pub code: Code,
+}
+
+/// Row of a task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskRow {
+    /// Identifier of the task.
+    pub id: TaskId,
+    /// Epoch of the present or of the next claim. Never decreases, and rises at every end of a claim.
+    pub epoch: Epoch,
+    /// State of the task.
+    pub state: TaskState,
+    /// Newest recorded checkpoint. Its epoch is at most `epoch`.
+    pub checkpoint: Option<CheckpointKey>,
+    /// What a second execution would do.
+    pub effects: Effects,
+    /// Attempts that failed. Never longer than `attempts_max`.
+    pub attempts: Vec<Attempt>,
+    /// Attempts that may fail before the task stops.
+    pub attempts_max: u32,
+}
+
+/// Change of a task's row, with the epoch it is meant for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Transition {
+    /// Epoch that the row must have.
+    pub epoch: Epoch,
+    /// Change to make.
+    pub change: Change,
+}
+
+/// Kind of a transition.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Gives a queued task to a worker.
+    Claim(Claim),
+    /// Records that the agent has started the task.
+    Start,
+    /// Puts a claim under another entry's lease; worker and epoch stay the same.
+    Adopt(BootId),
+    /// Takes back a claim that the agent has refused and will never start.
+    Decline,
+    /// Records progress.
+    Checkpoint(CheckpointKey),
+    /// Records the completion.
+    Complete,
+    /// Queues a task that was stopped on purpose, to resume from the checkpoint, or from the last recorded one.
+    Evict(Option<CheckpointKey>),
+    /// Records an attempt that failed, and queues the task again or stops it.
+    Fail(Code),
+    /// Ends a claim whose lease has ended; what the worker did last isn't known.
+    Expire,
+    /// Cancels the task.
+    Cancel,
+    /// Names a queued task that no known worker can ever hold.
+    Reject(Code),
+    /// Queues an unschedulable task again.
+    Reconsider,
+}
+
+/// Reason why a transition was refused.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The row has another epoch.
+    StaleEpoch {
+        /// Epoch of the row.
+        current: Epoch,
+    },
+    /// The task has already ended.
+    Ended,
+    /// The state doesn't allow the change.
+    WrongState,
+    /// The checkpoint belongs to another task or epoch, or is older than the recorded one.
+    WrongCheckpoint,
+}
+
+impl Refusal {
+    /// Result code of the refusal.
+    #[must_use]
+    pub const fn code(self) -> Code {
+        match self {
+            Self::StaleEpoch { .. } => Code::StaleEpoch,
+            Self::Ended | Self::WrongState | Self::WrongCheckpoint => Code::WrongTaskState,
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::StaleEpoch { current } => write!(f, "the task is at epoch {}", current.0),
+            Self::Ended => f.write_str("the task has ended"),
+            Self::WrongState => f.write_str("the state of the task doesn't allow the change"),
+            Self::WrongCheckpoint => f.write_str("the checkpoint doesn't belong to this epoch of the task"),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// Makes the row that follows a transition.
+///
+/// # Errors
+///
+/// Refuses a transition for another epoch, out of a final state, or that the state doesn't allow.
+pub fn apply(row: &TaskRow, transition: Transition) -> Result<TaskRow, Refusal> {
+    if transition.epoch != row.epoch {
+        return Err(Refusal::StaleEpoch { current: row.epoch });
+    }
+    if row.state.is_final() {
+        return Err(Refusal::Ended);
+    }
+    match transition.change {
+        Change::Claim(claim) => from_queued(row, TaskState::Claimed(claim)),
+        Change::Reject(code) => from_queued(row, TaskState::Unschedulable(code)),
+        Change::Reconsider => reconsider(row),
+        Change::Start => start(row),
+        Change::Adopt(entry) => adopt(row, entry),
+        Change::Decline => decline(row),
+        Change::Checkpoint(key) => checkpoint(row, key),
+        Change::Complete => end_claim(row, TaskState::Done),
+        Change::Evict(key) => evict(row, key),
+        Change::Fail(code) => fail(row, code),
+        Change::Expire => expire(row),
+        Change::Cancel => Ok(TaskRow { epoch: row.epoch.next(), state: TaskState::Cancelled, ..row.clone() }),
+    }
+}
+
+fn from_queued(row: &TaskRow, state: TaskState) -> Result<TaskRow, Refusal> {
+    if row.state != TaskState::Queued {
+        return Err(Refusal::WrongState);
+    }
+    Ok(TaskRow { state, ..row.clone() })
+}
+
+fn reconsider(row: &TaskRow) -> Result<TaskRow, Refusal> {
+    if !matches!(row.state, TaskState::Unschedulable(_)) {
+        return Err(Refusal::WrongState);
+    }
+    Ok(TaskRow { state: TaskState::Queued, ..row.clone() })
+}
+
+fn start(row: &TaskRow) -> Result<TaskRow, Refusal> {
+    let TaskState::Claimed(claim) = &row.state else {
+        return Err(Refusal::WrongState);
+    };
+    Ok(TaskRow { state: TaskState::Running(claim.clone()), ..row.clone() })
+}
+
+fn adopt(row: &TaskRow, entry: BootId) -> Result<TaskRow, Refusal> {
+    let mut next = row.clone();
+    match &mut next.state {
+        TaskState::Claimed(claim) | TaskState::Running(claim) => claim.entry = entry,
+        _ => return Err(Refusal::WrongState),
+    }
+    Ok(next)
+}
+
+fn decline(row: &TaskRow) -> Result<TaskRow, Refusal> {
+    if !matches!(row.state, TaskState::Claimed(_)) {
+        return Err(Refusal::WrongState);
+    }
+    end_claim(row, TaskState::Queued)
+}
+
+fn checkpoint(row: &TaskRow, key: CheckpointKey) -> Result<TaskRow, Refusal> {
+    if row.state.claim().is_none() {
+        return Err(Refusal::WrongState);
+    }
+    check_checkpoint(row, &key)?;
+    Ok(TaskRow { checkpoint: Some(key), ..row.clone() })
+}
+
+fn evict(row: &TaskRow, key: Option<CheckpointKey>) -> Result<TaskRow, Refusal> {
+    let mut next = end_claim(row, TaskState::Queued)?;
+    if let Some(key) = key {
+        check_checkpoint(row, &key)?;
+        next.checkpoint = Some(key);
+    } else if row.effects == Effects::AtMostOnce {
+        next.state = TaskState::Failed(Code::TaskOutcomeUnknown);
+    }
+    Ok(next)
+}
+
+fn fail(row: &TaskRow, code: Code) -> Result<TaskRow, Refusal> {
+    let claim = row.state.claim().ok_or(Refusal::WrongState)?;
+    let attempt = Attempt { epoch: row.epoch, worker: Name::clone(&claim.worker), code };
+    let mut next = end_claim(row, TaskState::Queued)?;
+    next.attempts.push(attempt);
+    if next.attempts.len() >= row.attempts_max as usize {
+        next.state = TaskState::Failed(Code::FailedEverywhere);
+    } else if row.effects == Effects::AtMostOnce {
+        next.state = TaskState::Failed(Code::TaskOutcomeUnknown);
+    }
+    Ok(next)
+}
+
+fn expire(row: &TaskRow) -> Result<TaskRow, Refusal> {
+    let state = match row.effects {
+        Effects::Idempotent | Effects::Fenced => TaskState::Queued,
+        Effects::AtMostOnce => TaskState::Failed(Code::TaskOutcomeUnknown),
+    };
+    end_claim(row, state)
+}
+
+/// Ends the claim and raises the epoch.
+fn end_claim(row: &TaskRow, state: TaskState) -> Result<TaskRow, Refusal> {
+    if row.state.claim().is_none() {
+        return Err(Refusal::WrongState);
+    }
+    Ok(TaskRow { epoch: row.epoch.next(), state, ..row.clone() })
+}
+
+fn check_checkpoint(row: &TaskRow, key: &CheckpointKey) -> Result<(), Refusal> {
+    let newer = row.checkpoint.as_ref().is_none_or(|old| (old.epoch, old.sequence) <= (key.epoch, key.sequence));
+    if key.task == row.id && key.epoch == row.epoch && newer { Ok(()) } else { Err(Refusal::WrongCheckpoint) }
+}
