--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -68,6 +68,10 @@
     LinkFrame = 2003, "malformed frame";
     /// The link was silent past its bound.
     LinkSilent = 2004, "link silent";
+    /// The connection of the link ended.
+    LinkClosed = 2005, "link closed";
+    /// A newer start of the same agent is known.
+    LinkBoot = 2006, "newer start of the agent known";
     // 3000 to 3999: batch tasks.
     /// No worker could ever hold the task.
     Unschedulable = 3001, "no worker can ever hold the task";
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -1,1 +1,3 @@
 //! HTTP towards the backend server and the worker's task runtime.
+
+pub mod backend;
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,257 @@
+//! Agent: the process beside a backend server, and the only authority on what its worker holds.
+
+pub mod core;
+pub mod dial;
+pub mod exchange;
+pub mod links;
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_link::message::{Hello, VERSION};
+use chervilledge_operator::listen::{self, Routes};
+use chervilledge_operator::metrics::Reader;
+use chervilledge_operator::secret::{self, Secrets};
+use chervilledge_policy::admission::{self, Admission};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::{BootId, Name};
+use chervilledge_policy::membership::{Announcement, Load};
+use chervilledge_worker::backend;
+use ractor::{Actor, ActorRef, SpawnErr};
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::agent::core::{Arguments, Core, Message};
+use crate::settings;
+
+/// Time between two attempts to reach the backend server.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for one attempt to reach the backend server.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for the actor to answer a question.
+const ASK_TIMEOUT_MS: u64 = 1_000;
+
+/// Time between two looks at whether a drain has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Time that the last messages get to leave on the links.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// Reason why an agent can't start.
+#[derive(Debug)]
+pub enum Error {
+    /// The operators' listener can't be bound.
+    Bind(io::Error),
+    /// A secret can't be taken.
+    Secret(secret::Error),
+    /// The actor can't be started.
+    Spawn(SpawnErr),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind(error) => write!(f, "listener can't be bound: {error}"),
+            Self::Secret(error) => write!(f, "secret can't be taken: {error}"),
+            Self::Spawn(error) => write!(f, "actor can't be started: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Bind(error)
+    }
+}
+
+impl From<secret::Error> for Error {
+    fn from(error: secret::Error) -> Self {
+        Self::Secret(error)
+    }
+}
+
+impl From<SpawnErr> for Error {
+    fn from(error: SpawnErr) -> Self {
+        Self::Spawn(error)
+    }
+}
+
+/// Running agent; it ends at once when it is dropped.
+#[derive(Debug)]
+pub struct Agent {
+    core: ActorRef<Message>,
+    operators: listen::Handle,
+    tasks: Vec<JoinHandle<()>>,
+    drain_timeout: Duration,
+}
+
+/// Starts an agent.
+///
+/// # Errors
+///
+/// The reason why it can't start.
+pub async fn spawn(settings: settings::Agent, clock: Clock, boot: BootId) -> Result<Agent, Error> {
+    let link_secrets = Secrets::open(&settings.link_secrets)?;
+    let operator_secrets = Secrets::open(&settings.operator_secrets)?;
+    let backend_connections = settings.capacity.connections as usize;
+    let (entries, entries_heard) = mpsc::unbounded_channel();
+    let arguments = Arguments {
+        boot,
+        clock,
+        admission: Admission::open(boot, admission_settings(&settings)),
+        backend: backend::open(settings.backend_address, backend_connections),
+        entries,
+    };
+    let (core, _) = Actor::spawn(None, Core, arguments).await?;
+    let operators = listen::bind(
+        settings.operators_address,
+        listen::Settings::new(operator_secrets),
+        routes(&core, Name::clone(&settings.worker)),
+    )
+    .await?;
+    let tasks = vec![
+        spawn_ticks(core.clone(), settings.bounds.heartbeat_interval_ms),
+        spawn_probe(core.clone(), settings.backend_address),
+        spawn_links(&core, &settings, &link_secrets, boot, entries_heard),
+    ];
+    Ok(Agent { core, operators, tasks, drain_timeout: settings.bounds.drain_timeout_ms })
+}
+
+impl Agent {
+    /// Address of the operators' listener.
+    #[must_use]
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Takes no new work, finishes what is in progress within the drain timeout, and ends.
+    pub async fn drain(self) {
+        drop(self.core.cast(Message::Drain));
+        let drained = wait_drained(&self.core);
+        if tokio::time::timeout(self.drain_timeout, drained).await.is_err() {
+            log::warn!(event = "drain_timed_out"; "");
+        }
+        tokio::time::sleep(FLUSH_TIME).await;
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.core.kill();
+    }
+}
+
+async fn wait_drained(core: &ActorRef<Message>) {
+    while let Ok(false) = ractor::call_t!(core, Message::IsDrained, ASK_TIMEOUT_MS) {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+fn admission_settings(settings: &settings::Agent) -> admission::Settings {
+    admission::Settings {
+        slots: settings.capacity.slots,
+        connections: settings.capacity.connections,
+        queue: settings.bounds.agent_queue_max,
+        ..admission::Settings::default()
+    }
+}
+
+fn routes(core: &ActorRef<Message>, worker: Name) -> Routes {
+    let core = core.clone();
+    let dump = move |_| {
+        let core = core.clone();
+        let worker = Name::clone(&worker);
+        async move {
+            let state = ractor::call_t!(core, Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
+            Ok(json!({ "role": "agent", "name": worker, "agent": state }))
+        }
+    };
+    Routes::new().route(http::Method::GET, "/state", dump).metrics(Reader::new())
+}
+
+fn spawn_ticks(core: ActorRef<Message>, interval: Duration) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        while core.cast(Message::Tick).is_ok() {
+            tokio::time::sleep(interval).await;
+        }
+    })
+}
+
+/// Watches whether the backend server accepts connections.
+fn spawn_probe(core: ActorRef<Message>, backend: SocketAddr) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut was_ready = None;
+        loop {
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(backend)).await;
+            let is_ready = matches!(connected, Ok(Ok(_)));
+            if was_ready != Some(is_ready) {
+                log::info!(event = "backend_probed", ready = is_ready; "");
+                was_ready = Some(is_ready);
+            }
+            if core.cast(Message::Ready(is_ready)).is_err() {
+                return;
+            }
+            tokio::time::sleep(if is_ready { PROBE_INTERVAL * 10 } else { PROBE_INTERVAL }).await;
+        }
+    })
+}
+
+fn spawn_links(
+    core: &ActorRef<Message>,
+    settings: &settings::Agent,
+    secrets: &Secrets,
+    boot: BootId,
+    entries: mpsc::UnboundedReceiver<Vec<chervilledge_link::message::EntryAddress>>,
+) -> JoinHandle<()> {
+    let links = links::Settings {
+        worker: Name::clone(&settings.worker),
+        bootstrap: settings.entry_addresses.clone(),
+        links_max: settings.links_max,
+        secret: secrets.presented().to_owned(),
+        silence: settings.bounds.link_silence_ms,
+        backoff_max: settings.bounds.link_backoff_max_ms,
+    };
+    let announcement = Arc::new(announcement(settings, boot));
+    let hello_core = core.clone();
+    let hello = move || {
+        let core = hello_core.clone();
+        let announcement = Arc::clone(&announcement);
+        async move { hello(&core, &announcement).await }
+    };
+    let core = core.clone();
+    let events = move |event| {
+        // The actor stops with the process only.
+        drop(core.cast(Message::Dial(event)));
+    };
+    links::spawn(links, hello, events, entries)
+}
+
+async fn hello(core: &ActorRef<Message>, announcement: &Announcement) -> Hello {
+    let load =
+        ractor::call_t!(core, Message::Load, ASK_TIMEOUT_MS).unwrap_or(Load { draining: true, ..Load::default() });
+    Hello { version: VERSION, announcement: announcement.clone(), load, configuration: None }
+}
+
+fn announcement(settings: &settings::Agent, boot: BootId) -> Announcement {
+    Announcement {
+        agent_boot: boot,
+        capacity: settings.capacity,
+        failure_domain: Name::clone(&settings.failure_domain),
+        queue: settings.bounds.agent_queue_max,
+        rack: Name::clone(&settings.rack),
+        service: Name::clone(&settings.service),
+        worker: Name::clone(&settings.worker),
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,224 @@
+//! Entry: takes callers' requests and chooses where they run.
+
+pub mod exchange;
+pub mod fleet;
+pub mod links;
+pub mod requests;
+pub mod upload;
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use chervilledge_caller::listener;
+use chervilledge_link::message::{EntryAddress, Welcome};
+use chervilledge_operator::listen::{self, Routes};
+use chervilledge_operator::metrics::Reader;
+use chervilledge_operator::secret::{self, Secrets};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::{BootId, Name};
+use chervilledge_policy::membership;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+use crate::entry::exchange::{Context, Ends};
+use crate::entry::fleet::Fleet;
+use crate::entry::links::Listener as LinkListener;
+use crate::entry::requests::Requests;
+use crate::settings;
+
+/// Time between two sweeps of the fleet.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Silences after which a worker is forgotten, as a multiple of the bound on a link's silence.
+const REMOVE_AFTER_SILENCES: u32 = 20;
+
+/// Longest time for a request's head to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Reason why an entry can't start.
+#[derive(Debug)]
+pub enum Error {
+    /// A listener can't be bound.
+    Bind(io::Error),
+    /// A secret can't be taken.
+    Secret(secret::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind(error) => write!(f, "listener can't be bound: {error}"),
+            Self::Secret(error) => write!(f, "secret can't be taken: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Bind(error)
+    }
+}
+
+impl From<secret::Error> for Error {
+    fn from(error: secret::Error) -> Self {
+        Self::Secret(error)
+    }
+}
+
+/// Running entry; it ends at once when it is dropped.
+#[derive(Debug)]
+pub struct Entry {
+    callers: Option<listener::Listener>,
+    callers_address: SocketAddr,
+    links: LinkListener,
+    operators: listen::Handle,
+    requests: Arc<Requests>,
+    sweeper: JoinHandle<()>,
+    drain_timeout: Duration,
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// The reason why it can't start.
+pub async fn spawn(settings: settings::Entry, clock: Clock, boot: BootId) -> Result<Entry, Error> {
+    let link_secrets = Secrets::open(&settings.link_secrets)?;
+    let operator_secrets = Secrets::open(&settings.operator_secrets)?;
+    let bounds = &settings.bounds;
+    let silence = membership::Settings {
+        suspect_after: bounds.link_silence_ms,
+        remove_after: bounds.link_silence_ms * REMOVE_AFTER_SILENCES,
+    };
+    let fleet = Arc::new(Fleet::new(clock.clone(), Name::clone(&settings.failure_domain), silence, boot.0));
+    let links = bind_links(&settings, &fleet, link_secrets, boot).await?;
+    let context =
+        Context { fleet: Arc::clone(&fleet), clock, boot, sequence: AtomicU64::new(0), ends: Ends::default() };
+    let requests = Arc::new(Requests {
+        context: Arc::new(context),
+        bounds: settings.bounds.clone(),
+        is_draining: AtomicBool::new(false),
+    });
+    let operators = listen::bind(
+        settings.operators_address,
+        listen::Settings::new(operator_secrets),
+        routes(&requests, Name::clone(&settings.name)),
+    )
+    .await?;
+    let callers = bind_callers(&settings, &requests).await?;
+    let sweeper = spawn_sweeps(fleet);
+    Ok(Entry {
+        callers_address: callers.address(),
+        callers: Some(callers),
+        links,
+        operators,
+        requests,
+        sweeper,
+        drain_timeout: settings.bounds.drain_timeout_ms,
+    })
+}
+
+impl Entry {
+    /// Address for callers.
+    #[must_use]
+    pub const fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Address for agents' links.
+    #[must_use]
+    pub const fn links_address(&self) -> SocketAddr {
+        self.links.address()
+    }
+
+    /// Address of the operators' listener.
+    #[must_use]
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Takes no new requests, finishes those in progress within the drain timeout, and ends.
+    pub async fn drain(mut self) {
+        self.requests.is_draining.store(true, Ordering::Relaxed);
+        let Some(callers) = self.callers.take() else { return };
+        if tokio::time::timeout(self.drain_timeout, callers.drain()).await.is_err() {
+            log::warn!(event = "drain_timed_out"; "");
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.sweeper.abort();
+    }
+}
+
+async fn bind_links(
+    settings: &settings::Entry,
+    fleet: &Arc<Fleet>,
+    secrets: Secrets,
+    boot: BootId,
+) -> Result<LinkListener, io::Error> {
+    let context = links::Context {
+        fleet: Arc::clone(fleet),
+        secrets: Arc::new(secrets),
+        settings: links::Settings {
+            silence: settings.bounds.link_silence_ms,
+            heartbeat_interval: settings.bounds.heartbeat_interval_ms,
+        },
+        welcome: move || Welcome { entry: boot, entries: Vec::<EntryAddress>::new() },
+        on_tasks: |_: &_, _| {},
+        on_configuration: |_: &_, _| {},
+    };
+    links::bind(settings.links_address, context).await
+}
+
+async fn bind_callers(settings: &settings::Entry, requests: &Arc<Requests>) -> io::Result<listener::Listener> {
+    let bounds = listener::Settings {
+        head_bytes_max: settings.bounds.head_bytes_max,
+        head_timeout: HEAD_TIMEOUT,
+        connections_max: settings.bounds.caller_connections_max,
+    };
+    let requests = Arc::clone(requests);
+    let handler = move |request| {
+        let requests = Arc::clone(&requests);
+        async move { requests::serve(&requests, request).await }
+    };
+    listener::bind(settings.callers_address, bounds, handler).await
+}
+
+fn routes(requests: &Arc<Requests>, name: Name) -> Routes {
+    let requests = Arc::clone(requests);
+    let dump = move || json!({ "role": "entry", "name": name, "entry": dump(&requests) });
+    Routes::new().state(dump).metrics(Reader::new())
+}
+
+fn dump(requests: &Requests) -> Value {
+    let context = &requests.context;
+    let ends = &context.ends;
+    json!({
+        "boot": context.boot,
+        "draining": requests.is_draining.load(Ordering::Relaxed),
+        "answered": ends.answered.load(Ordering::Relaxed),
+        "not_run": ends.not_run.load(Ordering::Relaxed),
+        "unknown": ends.unknown.load(Ordering::Relaxed),
+        "retries": ends.retries.load(Ordering::Relaxed),
+        "dropped_replies": ends.dropped_replies.load(Ordering::Relaxed),
+        "fleet": context.fleet.dump(),
+    })
+}
+
+fn spawn_sweeps(fleet: Arc<Fleet>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            fleet.tick();
+        }
+    })
+}
--- /dev/null
+++ b/src/entry/exchange.rs
@@ -0,0 +1,510 @@
+//! Drives one caller's request: carries out the actions of [`chervilledge_policy::request::Request`].
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chervilledge_caller::answer::{Body, Broken};
+use chervilledge_caller::{Outcome, REQUEST_ID_HEADER, Refusal};
+use chervilledge_link::message::{Header, Reply, Start, StartBody, ToAgent};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::code::Code;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::{BootId, Name, RequestId};
+use chervilledge_policy::request::{Action, End, Event, Origin, Request, Spec};
+use chervilledge_policy::retry::Retries;
+use chervilledge_policy::routing::{Choice, Finished};
+use futures_util::stream;
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame as BodyFrame, Incoming};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+use crate::entry::fleet::{Fleet, Frame, Link, lock};
+use crate::entry::upload;
+
+/// Parts of an answer that may wait between the driver and the caller's connection.
+const ANSWER_QUEUE: usize = 2;
+
+/// Result of the part of an answer's body that goes to the caller.
+type Part = Result<Bytes, Broken>;
+
+/// What drivers of an entry share.
+#[derive(Debug)]
+pub struct Context {
+    /// Workers known to the entry.
+    pub fleet: Arc<Fleet>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Start of the entry.
+    pub boot: BootId,
+    /// Last sequence number of a request identifier.
+    pub sequence: AtomicU64,
+    /// How requests ended.
+    pub ends: Ends,
+}
+
+/// Counts of how requests ended.
+#[derive(Debug, Default)]
+pub struct Ends {
+    /// Requests whose whole answer was forwarded.
+    pub answered: AtomicU64,
+    /// Requests that were not run.
+    pub not_run: AtomicU64,
+    /// Requests that may have been run.
+    pub unknown: AtomicU64,
+    /// Dispatches beyond the first of a request.
+    pub retries: AtomicU64,
+    /// Late or duplicate replies that were dropped.
+    pub dropped_replies: AtomicU64,
+}
+
+/// Caller's request, as far as it is handed to an agent.
+#[derive(Debug)]
+pub struct Work {
+    /// Service that is to answer.
+    pub service: Name,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the backend server.
+    pub target: String,
+    /// Header fields to pass on.
+    pub headers: Vec<Header>,
+    /// Whether the request may be shed before others.
+    pub sheddable: bool,
+    /// Body of the request.
+    pub body: WorkBody,
+}
+
+/// Body of a caller's request.
+#[derive(Debug)]
+pub enum WorkBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is read from the caller while it is handed on.
+    Streamed(Streamed),
+}
+
+/// Body that is read from the caller while it is handed on.
+#[derive(Debug)]
+pub struct Streamed {
+    /// What was read already.
+    pub prefix: Bytes,
+    /// What wasn't; taken by the dispatch that is started.
+    pub rest: Option<Incoming>,
+    /// Largest whole body, in bytes.
+    pub bytes_max: u64,
+}
+
+/// Runs a request to its end and gives the answer for the caller.
+pub async fn run(context: Arc<Context>, work: Work, spec: Spec) -> Response<Body> {
+    let (head, head_taken) = oneshot::channel();
+    tokio::spawn(async move {
+        let mut driver = Driver::new(context, work, spec, head);
+        driver.run().await;
+    });
+    match head_taken.await {
+        Ok(response) => response,
+        // The driver always answers before it ends; a panic in it was reported.
+        Err(_) => refusal(Code::OutcomeUnknown, Outcome::Unknown, Duration::from_secs(1)).response(),
+    }
+}
+
+fn refusal(code: Code, outcome: Outcome, retry_after: Duration) -> Refusal {
+    Refusal { code, outcome, retry_after }
+}
+
+/// Where the answer goes.
+enum Caller {
+    /// Nothing was sent yet.
+    Waiting(oneshot::Sender<Response<Body>>),
+    /// The head was sent; parts of the body follow.
+    Receiving(mpsc::Sender<Part>),
+    /// Everything was sent, or the caller went away.
+    Gone,
+}
+
+/// One dispatch of the request.
+struct Dispatched {
+    choice: Choice,
+    link: Link,
+    sent_at: Duration,
+    /// Bytes of the request body that the agent lets the entry send.
+    credit: Arc<Semaphore>,
+}
+
+struct Driver {
+    context: Arc<Context>,
+    work: Work,
+    request: Request,
+    retries: Arc<Mutex<Retries>>,
+    caller: Caller,
+    frames: mpsc::UnboundedReceiver<Frame>,
+    frames_sender: mpsc::UnboundedSender<Frame>,
+    /// Events about links, from tasks that wait for one.
+    events: mpsc::UnboundedReceiver<Event>,
+    events_sender: mpsc::UnboundedSender<Event>,
+    dispatches: Map<RequestId, Dispatched>,
+    /// Parts that were received and not yet taken by the caller's connection.
+    parts: VecDeque<(RequestId, Bytes)>,
+    first_actions: Vec<Action>,
+    deadline: Duration,
+    /// The end, carried out once all parts were taken.
+    end: Option<End>,
+}
+
+impl Driver {
+    fn new(context: Arc<Context>, work: Work, spec: Spec, head: oneshot::Sender<Response<Body>>) -> Self {
+        let retries = context.fleet.retries(&work.service);
+        let (request, first_actions) = Request::open(context.clock.now(), spec, &mut lock(&retries));
+        let (frames_sender, frames) = mpsc::unbounded_channel();
+        let (events_sender, events) = mpsc::unbounded_channel();
+        Self {
+            context,
+            work,
+            request,
+            retries,
+            caller: Caller::Waiting(head),
+            frames,
+            frames_sender,
+            events,
+            events_sender,
+            dispatches: Map::default(),
+            parts: VecDeque::new(),
+            first_actions,
+            deadline: spec.deadline,
+            end: None,
+        }
+    }
+
+    async fn run(&mut self) {
+        let actions = std::mem::take(&mut self.first_actions);
+        self.perform(actions, None).await;
+        while self.end.is_none() || !self.parts.is_empty() {
+            if !self.step().await {
+                break;
+            }
+        }
+        self.finish();
+    }
+
+    /// Waits for the next event and carries out what follows; tells whether there is more to wait for.
+    async fn step(&mut self) -> bool {
+        let now = self.context.clock.now();
+        let wait = self.request.wake_at().map_or(Duration::MAX, |at| at.saturating_sub(now));
+        let has_parts = !self.parts.is_empty();
+        tokio::select! {
+            Some(frame) = self.frames.recv() => self.on_frame(frame).await,
+            Some(event) = self.events.recv() => self.on_event(&event, None).await,
+            is_taken = offer(&self.caller, has_parts) => {
+                if is_taken { self.pass_on().await } else { self.on_caller_gone().await }
+            }
+            () = tokio::time::sleep(wait) => self.on_event(&Event::Tick, None).await,
+        }
+        !matches!(self.caller, Caller::Gone)
+    }
+
+    async fn on_event(&mut self, event: &Event, bytes: Option<Content>) {
+        let now = self.context.clock.now();
+        let actions = self.request.on(now, event, &mut lock(&self.retries));
+        self.perform(actions, bytes).await;
+    }
+
+    async fn on_caller_gone(&mut self) {
+        self.on_event(&Event::CallerCancelled, None).await;
+        self.caller = Caller::Gone;
+    }
+
+    async fn on_frame(&mut self, frame: Frame) {
+        let reply = match frame {
+            Frame::LinkLost(id) => return self.on_event(&Event::LinkLost { id }, None).await,
+            Frame::Reply(reply) => reply,
+        };
+        match reply {
+            Reply::Started { request } => self.on_started(request),
+            Reply::Window { request, bytes } => self.on_window(request, bytes),
+            Reply::NotStarted { request, code, retry_after_ms } => {
+                self.leave(request, Finished::NotStarted);
+                let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+                self.on_event(&Event::NotStarted { id: request, code, retry_after }, None).await;
+            }
+            Reply::Head { origin, status, headers, length_bytes } => {
+                let event = Event::Head { origin, length_bytes };
+                self.on_event(&event, Some(Content::Head { origin, status, headers, length_bytes })).await;
+            }
+            Reply::Chunk { origin, offset_bytes, bytes } => {
+                let event = Event::Chunk { origin, offset_bytes, length_bytes: length(&bytes) };
+                self.on_event(&event, Some(Content::Part { origin, bytes: bytes.into() })).await;
+            }
+            Reply::End { origin, total_bytes } => {
+                self.leave(origin.id, Finished::Succeeded(self.latency(origin.id)));
+                self.on_event(&Event::End { origin, total_bytes }, None).await;
+            }
+            Reply::Broken { origin, .. } => {
+                self.leave(origin.id, Finished::Failed);
+                self.on_event(&Event::Broken { origin }, None).await;
+            }
+            Reply::Outcome { origin, outcome } => self.on_event(&Event::Outcome { origin, outcome }, None).await,
+        }
+    }
+
+    async fn perform(&mut self, actions: Vec<Action>, content: Option<Content>) {
+        let mut content = content;
+        let mut queue: VecDeque<Action> = actions.into();
+        while let Some(action) = queue.pop_front() {
+            match action {
+                Action::Dispatch => queue.extend(self.dispatch().await),
+                Action::AskOutcome { origin, choice } => self.ask(origin, choice),
+                Action::Cancel { id, choice } => self.cancel(id, &choice),
+                Action::ForwardHead => self.forward_head(content.take()),
+                Action::ForwardChunk => self.forward_part(content.take()),
+                Action::Finish(end) => self.end = Some(end),
+                Action::Drop => {
+                    self.context.ends.dropped_replies.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }
+    }
+
+    /// Chooses a backend server and hands the request over; gives the actions that follow.
+    async fn dispatch(&mut self) -> Vec<Action> {
+        if self.request.attempts() > 1 {
+            self.context.ends.retries.fetch_add(1, Ordering::Relaxed);
+        }
+        let (choice, link) = match self.context.fleet.choose(&self.work.service, self.request.excluded()) {
+            Ok(chosen) => chosen,
+            Err(code) => return self.not_dispatched(code),
+        };
+        let id = RequestId { entry: self.context.boot, sequence: self.next_sequence() };
+        if !link.expect(id, self.frames_sender.clone()) {
+            self.context.fleet.finished(&self.work.service, &choice, Finished::NotStarted);
+            return self.not_dispatched(Code::LinkClosed);
+        }
+        let now = self.context.clock.now();
+        let event = Event::Dispatched { id, choice: choice.clone() };
+        let actions = self.request.on(now, &event, &mut lock(&self.retries));
+        let start = self.start(id, choice.agent_boot, now);
+        let dispatched = Dispatched { choice, link: link.clone(), sent_at: now, credit: Arc::new(Semaphore::new(0)) };
+        self.dispatches.insert(id, dispatched);
+        // A link that ends before the message is written reports itself lost.
+        link.send(ToAgent::Start(Box::new(start))).await;
+        actions
+    }
+
+    fn not_dispatched(&mut self, code: Code) -> Vec<Action> {
+        let event = Event::NotDispatched { code, retry_after: Duration::ZERO };
+        self.request.on(self.context.clock.now(), &event, &mut lock(&self.retries))
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.context.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    fn start(&self, request: RequestId, agent: BootId, now: Duration) -> Start {
+        let body = match &self.work.body {
+            WorkBody::Whole(bytes) => StartBody::Inline(bytes.to_vec()),
+            WorkBody::Streamed(_) => StartBody::Streamed { length_bytes: None },
+        };
+        Start {
+            request,
+            remaining_ms: self.deadline.saturating_sub(now),
+            sheddable: self.work.sheddable,
+            method: self.work.method.clone(),
+            target: self.work.target.clone(),
+            headers: self.work.headers.clone(),
+            agent,
+            body,
+        }
+    }
+
+    /// Starts to hand on a streamed body, which happens for one dispatch at most.
+    fn on_started(&mut self, id: RequestId) {
+        let WorkBody::Streamed(streamed) = &mut self.work.body else { return };
+        let Some(dispatched) = self.dispatches.get(&id) else { return };
+        let Some(rest) = streamed.rest.take() else { return };
+        let upload = upload::Upload {
+            request: id,
+            link: dispatched.link.clone(),
+            credit: Arc::clone(&dispatched.credit),
+            prefix: std::mem::take(&mut streamed.prefix),
+            rest,
+            bytes_max: streamed.bytes_max,
+        };
+        let events = self.events_sender.clone();
+        tokio::spawn(async move {
+            if upload.run().await.is_err() {
+                // The driver may have ended with the request.
+                drop(events.send(Event::CallerCancelled));
+            }
+        });
+    }
+
+    fn on_window(&self, id: RequestId, bytes: u64) {
+        if let Some(dispatched) = self.dispatches.get(&id) {
+            upload::grant(&dispatched.credit, bytes);
+        }
+    }
+
+    /// Asks about a dispatch on the next link to the same start of the agent.
+    fn ask(&self, origin: Origin, choice: Choice) {
+        let Some(lost) = self.dispatches.get(&origin.id).map(|dispatched| dispatched.link.number) else { return };
+        let fleet = Arc::clone(&self.context.fleet);
+        let frames = self.frames_sender.clone();
+        let events = self.events_sender.clone();
+        tokio::spawn(async move {
+            let next = tokio::select! {
+                next = fleet.next_link(&choice.worker, choice.agent_boot, lost) => next,
+                () = events.closed() => return,
+            };
+            let Ok(link) = next else {
+                let outcome = chervilledge_policy::request::Outcome::UnknownBoot;
+                drop(events.send(Event::Outcome { origin, outcome }));
+                return;
+            };
+            if !link.expect(origin.id, frames) {
+                drop(events.send(Event::LinkLost { id: origin.id }));
+                return;
+            }
+            link.send(ToAgent::Ask { origin, agent: choice.agent_boot }).await;
+        });
+    }
+
+    fn cancel(&mut self, id: RequestId, choice: &Choice) {
+        self.leave(id, Finished::Cancelled);
+        if let Some(link) = self.context.fleet.link(&choice.worker) {
+            link.post(ToAgent::Cancel { request: id });
+            link.forget(id);
+        }
+    }
+
+    fn forward_head(&mut self, content: Option<Content>) {
+        let Some(Content::Head { origin, status, headers, length_bytes }) = content else { return };
+        let (sender, receiver) = mpsc::channel(ANSWER_QUEUE);
+        let response = answer_head(origin.id, status, &headers, length_bytes, receiver);
+        if let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Receiving(sender)) {
+            // A caller that went away is noticed at the next part.
+            drop(head.send(response));
+        }
+    }
+
+    fn forward_part(&mut self, content: Option<Content>) {
+        if let Some(Content::Part { origin, bytes }) = content {
+            self.parts.push_back((origin.id, bytes));
+        }
+    }
+
+    /// Passes the oldest part on to the caller's connection and lets the agent send as much again.
+    async fn pass_on(&mut self) {
+        let Caller::Receiving(sender) = &self.caller else { return };
+        let Some((id, bytes)) = self.parts.pop_front() else { return };
+        let count = length(&bytes);
+        if sender.send(Ok(bytes)).await.is_err() {
+            self.on_caller_gone().await;
+            return;
+        }
+        if let Some(dispatched) = self.dispatches.get(&id) {
+            dispatched.link.post(ToAgent::Window { request: id, bytes: count });
+        }
+    }
+
+    fn latency(&self, id: RequestId) -> Duration {
+        let now = self.context.clock.now();
+        self.dispatches.get(&id).map_or(Duration::ZERO, |dispatched| now.saturating_sub(dispatched.sent_at))
+    }
+
+    /// Counts the end of a dispatch.
+    fn leave(&mut self, id: RequestId, finished: Finished) {
+        if let Some(dispatched) = self.dispatches.remove(&id) {
+            self.context.fleet.finished(&self.work.service, &dispatched.choice, finished);
+            dispatched.link.forget(id);
+        }
+    }
+
+    /// Tells the caller the end and counts it.
+    fn finish(&mut self) {
+        let left: Vec<RequestId> = self.dispatches.keys().copied().collect();
+        for id in left {
+            self.leave(id, Finished::Cancelled);
+        }
+        let ends = &self.context.ends;
+        let (counter, refusal) = match self.end {
+            Some(End::Answered) => (&ends.answered, None),
+            Some(End::NotRun { code, retry_after }) => {
+                (&ends.not_run, Some(refusal(code, Outcome::NotRun, retry_after)))
+            }
+            Some(End::Unknown { code, retry_after, .. }) => {
+                (&ends.unknown, Some(refusal(code, Outcome::Unknown, retry_after)))
+            }
+            None => (&ends.unknown, None),
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let Some(refusal) = refusal else { return };
+        match std::mem::replace(&mut self.caller, Caller::Gone) {
+            Caller::Waiting(head) => drop(head.send(refusal.response())),
+            // The caller sees the break; an end without it would pass for a whole answer.
+            Caller::Receiving(sender) => break_off(sender, refusal.code),
+            Caller::Gone => {}
+        }
+    }
+}
+
+/// Content of a reply that an action may forward.
+enum Content {
+    Head { origin: Origin, status: u16, headers: Vec<Header>, length_bytes: Option<u64> },
+    Part { origin: Origin, bytes: Bytes },
+}
+
+/// Waits until the caller's connection takes a part (`true`) or the caller has gone away (`false`).
+async fn offer(caller: &Caller, has_parts: bool) -> bool {
+    match caller {
+        Caller::Waiting(_) | Caller::Gone => std::future::pending().await,
+        Caller::Receiving(sender) if has_parts => sender.reserve().await.is_ok(),
+        Caller::Receiving(sender) => {
+            sender.closed().await;
+            false
+        }
+    }
+}
+
+fn break_off(sender: mpsc::Sender<Part>, code: Code) {
+    tokio::spawn(async move {
+        // A caller that went away needs no break.
+        drop(sender.send(Err(Broken(code))).await);
+    });
+}
+
+fn answer_head(
+    id: RequestId,
+    status: u16,
+    headers: &[Header],
+    length_bytes: Option<u64>,
+    parts: mpsc::Receiver<Part>,
+) -> Response<Body> {
+    let parts = stream::unfold(parts, |mut parts| async move {
+        let part = parts.recv().await?;
+        Some((part.map(BodyFrame::data), parts))
+    });
+    let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let fields = response.headers_mut();
+    for header in headers {
+        let name = HeaderName::try_from(header.name.as_str());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    if let Some(length_bytes) = length_bytes {
+        fields.insert(http::header::CONTENT_LENGTH, HeaderValue::from(length_bytes));
+    }
+    if let Ok(value) = HeaderValue::try_from(id.to_string()) {
+        fields.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+    response
+}
+
+fn length(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/entry/fleet.rs
@@ -0,0 +1,382 @@
+//! Workers known to an entry, with the links to their agents.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chervilledge_link::connection::Sender;
+use chervilledge_link::message::{Hello, Reply, ToAgent};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::code::Code;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::{BootId, Name, RequestId};
+use chervilledge_policy::membership::{self, Announced, Change, Heard, Heartbeat, Member, Members};
+use chervilledge_policy::retry::{self, Retries};
+use chervilledge_policy::routing::{self, Choice, Finished, Table};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, watch};
+
+/// What the driver of a request hears of a dispatch.
+#[derive(Debug)]
+pub enum Frame {
+    /// The agent replied.
+    Reply(Reply),
+    /// The link that carried the dispatch has ended.
+    LinkLost(RequestId),
+}
+
+/// Dispatches that wait for replies on one link; `None` once the link has ended.
+type Pending = Option<Map<RequestId, mpsc::UnboundedSender<Frame>>>;
+
+/// Link to one agent.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Number of the link, unique within this process.
+    pub number: u64,
+    /// Worker of the agent.
+    pub worker: Name,
+    /// Start of the agent.
+    pub agent: BootId,
+    sender: Sender<ToAgent>,
+    pending: Arc<Mutex<Pending>>,
+}
+
+impl Link {
+    /// Makes a link that sends with `sender`.
+    #[must_use]
+    pub fn new(number: u64, worker: Name, agent: BootId, sender: Sender<ToAgent>) -> Self {
+        Self { number, worker, agent, sender, pending: Arc::new(Mutex::new(Some(Map::default()))) }
+    }
+
+    /// Routes replies about `request` to `frames`; tells whether the link is still open.
+    #[must_use]
+    pub fn expect(&self, request: RequestId, frames: mpsc::UnboundedSender<Frame>) -> bool {
+        match lock(&self.pending).as_mut() {
+            Some(pending) => {
+                pending.insert(request, frames);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Stops to route replies about `request`.
+    pub fn forget(&self, request: RequestId) {
+        if let Some(pending) = lock(&self.pending).as_mut() {
+            pending.remove(&request);
+        }
+    }
+
+    /// Routes a reply; tells whether a driver still waits for it.
+    #[must_use]
+    pub fn deliver(&self, reply: Reply) -> bool {
+        let frames = lock(&self.pending).as_ref().and_then(|pending| pending.get(&reply.request()).cloned());
+        frames.is_some_and(|frames| frames.send(Frame::Reply(reply)).is_ok())
+    }
+
+    /// Tells every driver that the link has ended.
+    pub fn close(&self) {
+        let pending = lock(&self.pending).take().unwrap_or_default();
+        for (request, frames) in pending {
+            // A driver that has ended no longer cares.
+            drop(frames.send(Frame::LinkLost(request)));
+        }
+    }
+
+    /// Sends a message, waiting while the queue of the link is full.
+    pub async fn send(&self, message: ToAgent) -> bool {
+        self.sender.send(message).await.is_ok()
+    }
+
+    /// Sends a message without waiting.
+    pub fn post(&self, message: ToAgent) {
+        self.sender.post(message);
+    }
+}
+
+/// Counters of an entry's links.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Links that were opened.
+    pub links_opened: u64,
+    /// Links that ended.
+    pub links_closed: u64,
+    /// Replies that no driver waited for.
+    pub late_replies: u64,
+}
+
+struct Inner {
+    members: Members,
+    tables: Map<Name, Table>,
+    links: Map<Name, Link>,
+    retries: Map<Name, Arc<Mutex<Retries>>>,
+    rng: SmallRng,
+    next_link: u64,
+    counters: Counters,
+}
+
+/// Workers known to an entry.
+pub struct Fleet {
+    inner: Mutex<Inner>,
+    clock: Clock,
+    own_domain: Name,
+    seed: u64,
+    /// Counts the links that were opened, so that drivers can wait for the next one.
+    opened: watch::Sender<u64>,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fleet").field("own_domain", &self.own_domain).finish_non_exhaustive()
+    }
+}
+
+/// Reason why no link to a start of an agent can be had.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkGone {
+    /// Another start of the agent has taken its place.
+    Replaced,
+}
+
+impl Fleet {
+    /// Makes an empty fleet for an entry in `own_domain`.
+    #[must_use]
+    pub fn new(clock: Clock, own_domain: Name, bounds: membership::Settings, seed: u64) -> Self {
+        let inner = Inner {
+            members: Members::new(bounds),
+            tables: Map::default(),
+            links: Map::default(),
+            retries: Map::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            next_link: 1,
+            counters: Counters::default(),
+        };
+        Self { inner: Mutex::new(inner), clock, own_domain, seed, opened: watch::Sender::new(0) }
+    }
+
+    /// Takes in the first message of a link.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::LinkBoot`] when a newer start of the agent is known.
+    pub fn open_link(&self, hello: &Hello, sender: Sender<ToAgent>) -> Result<Link, Code> {
+        let now = self.clock.now();
+        let announcement = &hello.announcement;
+        let mut inner = lock(&self.inner);
+        if inner.members.announce(now, announcement.clone()) == Announced::Stale {
+            return Err(Code::LinkBoot);
+        }
+        let worker = Name::clone(&announcement.worker);
+        let number = inner.next_link;
+        inner.next_link += 1;
+        inner.counters.links_opened += 1;
+        let link = Link::new(number, Name::clone(&worker), announcement.agent_boot, sender);
+        let own_domain = &self.own_domain;
+        let table = inner
+            .tables
+            .entry(Name::clone(&announcement.service))
+            .or_insert_with(|| Table::new(Name::clone(own_domain), routing::Settings::default()));
+        table.upsert(now, announcement);
+        table.set_load(&worker, &hello.load);
+        table.set_open(&worker, !hello.load.draining);
+        if hello.load.draining {
+            inner.members.drain(&worker, announcement.agent_boot);
+        }
+        let replaced = inner.links.insert(worker, link.clone());
+        drop(inner);
+        if let Some(replaced) = replaced {
+            replaced.close();
+        }
+        self.opened.send_modify(|count| *count += 1);
+        Ok(link)
+    }
+
+    /// Takes in a heartbeat; tells whether a full one is needed.
+    pub fn heartbeat(&self, link: &Link, heartbeat: &Heartbeat) -> bool {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        let heard = inner.members.heartbeat(now, &link.worker, heartbeat);
+        inner.refresh(&link.worker);
+        heard == Heard::NeedsFull
+    }
+
+    /// Takes in the end of a link.
+    pub fn close_link(&self, link: &Link) {
+        link.close();
+        let mut inner = lock(&self.inner);
+        inner.counters.links_closed += 1;
+        let is_current = inner.links.get(&link.worker).is_some_and(|current| current.number == link.number);
+        if is_current {
+            inner.links.remove(&link.worker);
+            inner.set_open(&link.worker, false);
+        }
+    }
+
+    /// Chooses a backend server of `service` that isn't on an excluded worker, and counts the request.
+    ///
+    /// # Errors
+    ///
+    /// The reason why none can be chosen.
+    pub fn choose(&self, service: &str, excluded: &[Name]) -> Result<(Choice, Link), Code> {
+        let now = self.clock.now();
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let table = inner.tables.get_mut(service).ok_or(Code::NoBackendServer)?;
+        let choice = table.choose(now, excluded, &mut inner.rng)?;
+        let link = inner.links.get(&choice.worker).cloned().ok_or(Code::NoBackendServer)?;
+        table.started(&choice);
+        Ok((choice, link))
+    }
+
+    /// Counts the end of a dispatch that [`Fleet::choose`] counted.
+    pub fn finished(&self, service: &str, choice: &Choice, finished: Finished) {
+        let now = self.clock.now();
+        let change = lock(&self.inner).tables.get_mut(service).and_then(|table| table.finished(now, choice, finished));
+        if let Some(change) = change {
+            log::warn!(event = "backend_outlier", worker = &*choice.worker, change:? = change; "");
+        }
+    }
+
+    /// Gives the retry budget of a service.
+    pub fn retries(&self, service: &Name) -> Arc<Mutex<Retries>> {
+        let mut inner = lock(&self.inner);
+        let seed = self.seed;
+        let retries = inner
+            .retries
+            .entry(Name::clone(service))
+            .or_insert_with(|| Arc::new(Mutex::new(Retries::new(retry::Settings::default(), seed))));
+        Arc::clone(retries)
+    }
+
+    /// Waits for an open link, other than `lost`, to the same start of an agent.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkGone::Replaced`] once another start of the agent is linked.
+    pub async fn next_link(&self, worker: &str, agent: BootId, lost: u64) -> Result<Link, LinkGone> {
+        let mut opened = self.opened.subscribe();
+        loop {
+            opened.mark_unchanged();
+            let link = lock(&self.inner).links.get(worker).cloned();
+            match link {
+                Some(link) if link.agent != agent => return Err(LinkGone::Replaced),
+                Some(link) if link.number != lost => return Ok(link),
+                _ => {}
+            }
+            // The sender lives as long as the fleet, so that this only ends with a new link.
+            drop(opened.changed().await);
+        }
+    }
+
+    /// Gives the open link to a worker's agent.
+    #[must_use]
+    pub fn link(&self, worker: &str) -> Option<Link> {
+        lock(&self.inner).links.get(worker).cloned()
+    }
+
+    /// Gives every open link.
+    #[must_use]
+    pub fn links(&self) -> Vec<Link> {
+        lock(&self.inner).links.values().cloned().collect()
+    }
+
+    /// Counts a reply that no driver waited for.
+    pub fn count_late_reply(&self) {
+        lock(&self.inner).counters.late_replies += 1;
+    }
+
+    /// Suspects and forgets silent workers, and brings back ejected backend servers.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        for change in inner.members.sweep(now) {
+            match change {
+                Change::Suspected(worker) => inner.set_open(&worker, false),
+                Change::Removed(worker) => inner.remove(&worker),
+            }
+        }
+        for table in inner.tables.values_mut() {
+            table.tick(now);
+        }
+    }
+
+    /// Gives a copy of what is known of each worker.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        lock(&self.inner).members.iter().cloned().collect()
+    }
+
+    /// Dumps the state as JSON.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        let now = self.clock.now();
+        let inner = lock(&self.inner);
+        let workers: Vec<Value> = inner.members.iter().map(|member| dump_member(now, member, &inner)).collect();
+        let counters = inner.counters;
+        json!({
+            "workers": workers,
+            "links_opened": counters.links_opened,
+            "links_closed": counters.links_closed,
+            "late_replies": counters.late_replies,
+        })
+    }
+}
+
+impl Inner {
+    fn set_open(&mut self, worker: &str, open: bool) {
+        let Some(member) = self.members.get(worker) else { return };
+        if let Some(table) = self.tables.get_mut(&member.announcement.service) {
+            table.set_open(worker, open);
+        }
+    }
+
+    /// Carries the state of a member over to the routing table.
+    fn refresh(&mut self, worker: &str) {
+        let Some(member) = self.members.get(worker) else { return };
+        let is_open = member.standing == membership::Standing::Live && self.links.contains_key(worker);
+        if let Some(table) = self.tables.get_mut(&member.announcement.service) {
+            table.set_load(worker, &member.load);
+            table.set_open(worker, is_open);
+        }
+    }
+
+    fn remove(&mut self, worker: &str) {
+        for table in self.tables.values_mut() {
+            table.remove(worker);
+        }
+    }
+}
+
+fn dump_member(now: Duration, member: &Member, inner: &Inner) -> Value {
+    let announcement = &member.announcement;
+    let view = inner
+        .tables
+        .get(&announcement.service)
+        .and_then(|table| table.iter().find(|view| view.choice.worker == announcement.worker));
+    json!({
+        "worker": announcement.worker,
+        "service": announcement.service,
+        "agent": announcement.agent_boot,
+        "failure_domain": announcement.failure_domain,
+        "rack": announcement.rack,
+        "capacity": announcement.capacity,
+        "standing": format!("{:?}", member.standing),
+        "load": member.load,
+        "silent_ms": millis(now.saturating_sub(member.heard)),
+        "link": inner.links.get(&announcement.worker).map(|link| link.number),
+        "own_in_progress": view.as_ref().map(|view| view.own),
+        "ejected": view.as_ref().map(|view| view.ejected),
+        "latency_us": view.and_then(|view| view.latency).map(|latency| latency.as_micros().to_string()),
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Locks a mutex whose data is valid between any two statements, so that a panic elsewhere can't break it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/entry/requests.rs
@@ -0,0 +1,95 @@
+//! Takes callers' requests in.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use chervilledge_caller::answer::Body;
+use chervilledge_caller::body::{self, Start};
+use chervilledge_caller::request::{Head, is_passed_on, read_head};
+use chervilledge_caller::{Outcome, Refusal};
+use chervilledge_link::message::Header;
+use chervilledge_policy::code::Code;
+use chervilledge_policy::id::Name;
+use chervilledge_policy::request::Spec;
+use http::request::Parts;
+use http::{Method, Request, Response};
+use hyper::body::{Body as _, Incoming};
+
+use crate::entry::exchange::{self, Context, Streamed, Work, WorkBody};
+use crate::settings::Bounds;
+
+/// Longest time for which an agent is asked what became of a request.
+const ASK_FOR: Duration = Duration::from_secs(5);
+
+/// Time after which a caller may come back when nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the listener for callers needs.
+#[derive(Debug)]
+pub struct Requests {
+    /// What drivers share.
+    pub context: Arc<Context>,
+    /// Bounds of the entry.
+    pub bounds: Bounds,
+    /// Whether new requests are refused.
+    pub is_draining: AtomicBool,
+}
+
+/// Answers a caller's request.
+pub async fn serve(requests: &Requests, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let prepared = prepare(requests, &parts, body).await;
+    match prepared {
+        Ok((work, spec)) => exchange::run(Arc::clone(&requests.context), work, spec).await,
+        Err(code) => {
+            requests.context.ends.not_run.fetch_add(1, Ordering::Relaxed);
+            Refusal { code, outcome: Outcome::NotRun, retry_after: RETRY_AFTER }.response()
+        }
+    }
+}
+
+async fn prepare(requests: &Requests, parts: &Parts, body: Incoming) -> Result<(Work, Spec), Code> {
+    if requests.is_draining.load(Ordering::Relaxed) {
+        return Err(Code::Draining);
+    }
+    let head = read_head(parts)?;
+    let arrived = requests.context.clock.now();
+    let bounds = &requests.bounds;
+    if body.size_hint().lower() > bounds.body_bytes_max {
+        return Err(Code::BodyTooLarge);
+    }
+    let body = match body::read_start(body, bounds.inline_body_bytes_max).await {
+        Ok(Start::Whole(bytes)) => WorkBody::Whole(bytes),
+        Ok(Start::Longer { prefix, rest }) => {
+            WorkBody::Streamed(Streamed { prefix, rest: Some(rest), bytes_max: bounds.body_bytes_max })
+        }
+        Err(_) => return Err(Code::BadRequest),
+    };
+    let timeout = head.timeout.unwrap_or(bounds.request_timeout_ms).min(bounds.request_timeout_max_ms);
+    // A body that was handed on in part can't be handed to another worker.
+    let idempotent = is_idempotent(&parts.method) && matches!(body, WorkBody::Whole(_));
+    let spec = Spec { idempotent, deadline: arrived + timeout, ask_for: ASK_FOR };
+    Ok((work(head, parts, body), spec))
+}
+
+fn work(head: Head, parts: &Parts, body: WorkBody) -> Work {
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| is_passed_on(name))
+        .map(|(name, value)| Header { name: name.as_str().to_owned(), value: value.as_bytes().to_vec() })
+        .collect();
+    Work {
+        service: Name::from(head.service),
+        method: parts.method.as_str().to_owned(),
+        target: head.target,
+        headers,
+        sheddable: false,
+        body,
+    }
+}
+
+fn is_idempotent(method: &Method) -> bool {
+    method.is_idempotent()
+}
--- /dev/null
+++ b/src/entry/upload.rs
@@ -0,0 +1,74 @@
+//! Hands a caller's long request body on to an agent.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chervilledge_caller::body;
+use chervilledge_link::message::{BodyChunk, CHUNK_BYTES, ToAgent};
+use chervilledge_policy::code::Code;
+use chervilledge_policy::id::RequestId;
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+
+use crate::entry::fleet::Link;
+
+/// Body that is to be handed on.
+#[derive(Debug)]
+pub struct Upload {
+    /// Request that the body belongs to.
+    pub request: RequestId,
+    /// Link to the agent.
+    pub link: Link,
+    /// Bytes that the agent lets the entry send.
+    pub credit: Arc<Semaphore>,
+    /// What was read of the body already.
+    pub prefix: Bytes,
+    /// What wasn't.
+    pub rest: Incoming,
+    /// Largest whole body, in bytes.
+    pub bytes_max: u64,
+}
+
+impl Upload {
+    /// Hands the whole body on.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BodyTooLarge`] when the body exceeds its bound, [`Code::BadRequest`] when the caller breaks it off,
+    /// [`Code::LinkClosed`] when the link ends.
+    pub async fn run(mut self) -> Result<(), Code> {
+        let mut offset_bytes = 0;
+        let prefix = std::mem::take(&mut self.prefix);
+        self.send(&mut offset_bytes, prefix).await?;
+        while let Some(bytes) = body::next_data(&mut self.rest).await.or(Err(Code::BadRequest))? {
+            self.send(&mut offset_bytes, bytes).await?;
+        }
+        let end = ToAgent::BodyEnd { request: self.request, total_bytes: offset_bytes };
+        if self.link.send(end).await { Ok(()) } else { Err(Code::LinkClosed) }
+    }
+
+    async fn send(&self, offset_bytes: &mut u64, mut bytes: Bytes) -> Result<(), Code> {
+        let end_bytes = offset_bytes.saturating_add(u64::try_from(bytes.len()).unwrap_or(u64::MAX));
+        if end_bytes > self.bytes_max {
+            return Err(Code::BodyTooLarge);
+        }
+        while !bytes.is_empty() {
+            let part = bytes.split_to(bytes.len().min(CHUNK_BYTES));
+            let count = u32::try_from(part.len()).unwrap_or(u32::MAX);
+            let permit = self.credit.acquire_many(count).await.or(Err(Code::LinkClosed))?;
+            permit.forget();
+            let chunk = BodyChunk { request: self.request, offset_bytes: *offset_bytes, bytes: part.to_vec() };
+            *offset_bytes += u64::from(count);
+            if !self.link.send(ToAgent::Body(chunk)).await {
+                return Err(Code::LinkClosed);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Lets a body's sender send `bytes` more.
+pub fn grant(credit: &Semaphore, bytes: u64) {
+    let free = Semaphore::MAX_PERMITS - credit.available_permits();
+    credit.add_permits(usize::try_from(bytes).unwrap_or(usize::MAX).min(free));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,11 @@
 //! Scheduler for colocated latency-critical and batch work.
+//!
+//! [`entry::spawn`] and [`agent::spawn`] start the two roles; the daemons are thin frames around them.
+
+pub mod agent;
+pub mod boot;
+pub mod clock;
+pub mod daemon;
+pub mod entry;
+pub mod logs;
+pub mod settings;
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,40 @@
+//! A request goes from a caller through entry and agent to a backend server and back.
+
+mod harness;
+
+use chervilledge_standins::{platform, worker};
+use harness::{WorkDir, agent_settings, entry_settings, send, spawn_agent, spawn_entry, wait_for_workers};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_answered_by_a_backend_server() {
+    let directory = WorkDir::new();
+    let any = "127.0.0.1:0".parse().expect("address");
+    let platform = platform::bind(any, platform::Settings::default()).await.expect("platform");
+    let backend = worker::bind(any, worker::Settings::default()).await.expect("worker");
+    let entry = spawn_entry(&directory, &entry_settings("entry-1", platform.address()));
+    let settings = agent_settings("worker-1", &[entry.address("links_address")], backend.address());
+    let _agent = spawn_agent(&directory, &settings);
+    wait_for_workers(&entry, 1).await;
+
+    let callers = entry.address("callers_address");
+    let answer = send(callers, "POST", "/portal/quotes?width_mm=900", &[], b"mesh".to_vec()).await.expect("answer");
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let echo = answer.json();
+    assert_eq!(echo["path"], "/quotes?width_mm=900");
+    assert_eq!(echo["body_length_bytes"], 4);
+    assert_eq!(echo["request_id"].as_str(), answer.headers.get("x-request-id").map(String::as_str));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_service_is_refused_at_once() {
+    let directory = WorkDir::new();
+    let any = "127.0.0.1:0".parse().expect("address");
+    let platform = platform::bind(any, platform::Settings::default()).await.expect("platform");
+    let entry = spawn_entry(&directory, &entry_settings("entry-1", platform.address()));
+
+    let answer = send(entry.address("callers_address"), "GET", "/nothing/here", &[], Vec::new()).await.expect("answer");
+
+    assert_eq!(answer.outcome(), Some("not-run"));
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
