Enforce one accepted configuration in both roles and follow the live entries

Cause: entries and agents had no common configuration, and agents knew no entry but the first. Conclusion: an accepted version reaches both roles as separate processes; a version that goes before is never replaced by an older one.

--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -7,6 +7,7 @@
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{Announcement, Heartbeat, Load};
 use chervilledge_policy::request::{Origin, Outcome};
+use chervilledge_policy::rollout::Stamp;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -41,7 +42,11 @@
     Request(Reply),
     /// Report on batch tasks of the worker.
     Tasks(Vec<TaskReport>),
-    /// Highest configuration version that the agent enforces.
+    /// Highest configuration version that the agent enforces, after a change.
+    Enforced(Stamp),
+    /// The agent lacks the documents of the version that was announced.
+    WantConfiguration,
+    /// Answer to [`ToAgent::WantConfiguration`].
     Configuration(Configuration),
 }
 
@@ -91,7 +96,11 @@
     },
     /// Commands for batch tasks of the worker.
     Tasks(Vec<TaskCommand>),
-    /// Accepted configuration.
+    /// Highest configuration version that the entry enforces, after a change; its documents go to whoever lacks them.
+    Enforced(Stamp),
+    /// The entry lacks the documents of the version that was announced.
+    WantConfiguration,
+    /// Answer to [`ToEntry::WantConfiguration`].
     Configuration(Configuration),
     /// Entries known to this one, after a change.
     Entries(Vec<EntryAddress>),
@@ -108,8 +117,8 @@
     pub announcement: Announcement,
     /// State of the worker, counted as heartbeat 0 of the link.
     pub load: Load,
-    /// Highest configuration that the agent enforces.
-    pub configuration: Option<Configuration>,
+    /// Highest configuration version that the agent enforces.
+    pub enforced: Option<Stamp>,
 }
 
 /// Answer to an accepted [`Hello`].
@@ -119,6 +128,8 @@
     pub entry: BootId,
     /// Entries known to this one, for further links.
     pub entries: Vec<EntryAddress>,
+    /// Highest configuration version that the entry enforces.
+    pub enforced: Option<Stamp>,
 }
 
 /// Where an entry accepts links.
@@ -343,10 +354,8 @@
 /// Accepted configuration as carried by links.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Configuration {
-    /// Version of the configuration, 1 for the first.
-    pub version: u64,
-    /// Checksum of the canonical documents.
-    pub checksum: Name,
-    /// Documents as canonical JSON.
-    pub documents: Name,
+    /// Version and checksum.
+    pub stamp: Stamp,
+    /// The accepted version with its documents, as JSON.
+    pub accepted: Name,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod outcomes;
 pub mod outlier;
+pub mod peers;
 pub mod placement;
 pub mod queue;
 pub mod request;
--- /dev/null
+++ b/crates/policy/tests/peers.rs
@@ -0,0 +1,59 @@
+//! Liveness of entries.
+
+use std::time::Duration;
+
+use chervilledge_policy::id::BootId;
+use chervilledge_policy::peers::{EntryRow, Peers};
+use rstest::rstest;
+
+const SILENCE: Duration = Duration::from_secs(10);
+
+fn row(name: &str, counter: u64) -> EntryRow {
+    EntryRow {
+        name: name.into(),
+        boot: BootId(1),
+        failure_domain: "hobart-1".into(),
+        address: "127.0.0.1:7000".into(),
+        counter,
+    }
+}
+
+fn names(peers: &Peers) -> Vec<&str> {
+    peers.live().iter().map(|row| &*row.name).collect()
+}
+
+#[test]
+fn entry_that_no_longer_renews_is_dropped_after_the_bound() {
+    let mut peers = Peers::new(SILENCE);
+    assert!(peers.observe(Duration::ZERO, vec![row("a", 1), row("b", 1)]));
+    assert!(!peers.observe(Duration::from_secs(9), vec![row("a", 2), row("b", 1)]));
+    assert_eq!(names(&peers), ["a", "b"]);
+    assert!(peers.observe(Duration::from_secs(10), vec![row("a", 3), row("b", 1)]));
+    assert_eq!(names(&peers), ["a"]);
+}
+
+#[test]
+fn entry_returns_with_its_next_renewal() {
+    let mut peers = Peers::new(SILENCE);
+    peers.observe(Duration::ZERO, vec![row("a", 1)]);
+    assert!(peers.observe(Duration::from_secs(10), vec![row("a", 1)]));
+    assert!(peers.observe(Duration::from_secs(11), vec![row("a", 2)]));
+    assert_eq!(names(&peers), ["a"]);
+}
+
+#[rstest]
+#[case::boot(EntryRow { boot: BootId(2), ..row("a", 1) })]
+#[case::address(EntryRow { address: "127.0.0.1:7001".into(), ..row("a", 1) })]
+fn another_start_or_address_is_a_change(#[case] changed: EntryRow) {
+    let mut peers = Peers::new(SILENCE);
+    peers.observe(Duration::ZERO, vec![row("a", 1)]);
+    assert!(peers.observe(Duration::from_secs(1), vec![changed]));
+}
+
+#[test]
+fn outage_between_two_reads_is_no_sign_of_death() {
+    let mut peers = Peers::new(SILENCE);
+    peers.observe(Duration::ZERO, vec![row("a", 1)]);
+    assert!(!peers.observe(Duration::from_secs(100), vec![row("a", 2)]));
+    assert_eq!(names(&peers), ["a"]);
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -19,6 +19,7 @@
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership::{Announcement, Load};
+use chervilledge_policy::rollout::Stamp;
 use chervilledge_worker::backend;
 use ractor::{Actor, ActorRef, SpawnErr};
 use serde_json::json;
@@ -27,6 +28,7 @@
 use tokio::task::JoinHandle;
 
 use crate::agent::core::{Arguments, Core, Message};
+use crate::rollout::Enforced;
 use crate::settings;
 
 /// Time between two attempts to reach the backend server.
@@ -104,8 +106,10 @@
     let operator_secrets = Secrets::open(&settings.operator_secrets)?;
     let backend_connections = settings.capacity.connections as usize;
     let (entries, entries_heard) = mpsc::unbounded_channel();
+    let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
     let arguments = Arguments {
         boot,
+        enforced: Arc::clone(&enforced),
         clock,
         admission: Admission::open(boot, admission_settings(&settings)),
         backend: backend::open(settings.backend_address, backend_connections),
@@ -121,7 +125,7 @@
     let tasks = vec![
         spawn_ticks(core.clone(), settings.bounds.heartbeat_interval_ms),
         spawn_probe(core.clone(), settings.backend_address),
-        spawn_links(&core, &settings, &link_secrets, boot, entries_heard),
+        spawn_links(&core, &settings, &link_secrets, boot, enforced, entries_heard),
     ];
     Ok(Agent { core, operators, tasks, drain_timeout: settings.bounds.drain_timeout_ms })
 }
@@ -213,6 +217,7 @@
     settings: &settings::Agent,
     secrets: &Secrets,
     boot: BootId,
+    enforced: Arc<Enforced>,
     entries: mpsc::UnboundedReceiver<Vec<chervilledge_link::message::EntryAddress>>,
 ) -> JoinHandle<()> {
     let links = links::Settings {
@@ -228,7 +233,8 @@
     let hello = move || {
         let core = hello_core.clone();
         let announcement = Arc::clone(&announcement);
-        async move { hello(&core, &announcement).await }
+        let enforced = enforced.stamp();
+        async move { hello(&core, &announcement, enforced).await }
     };
     let core = core.clone();
     let events = move |event| {
@@ -238,10 +244,10 @@
     links::spawn(links, hello, events, entries)
 }
 
-async fn hello(core: &ActorRef<Message>, announcement: &Announcement) -> Hello {
+async fn hello(core: &ActorRef<Message>, announcement: &Announcement, enforced: Option<Stamp>) -> Hello {
     let load =
         ractor::call_t!(core, Message::Load, ASK_TIMEOUT_MS).unwrap_or(Load { draining: true, ..Load::default() });
-    Hello { version: VERSION, announcement: announcement.clone(), load, configuration: None }
+    Hello { version: VERSION, announcement: announcement.clone(), load, enforced }
 }
 
 fn announcement(settings: &settings::Agent, boot: BootId) -> Announcement {
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -14,6 +14,7 @@
 use chervilledge_policy::id::{BootId, RequestId};
 use chervilledge_policy::membership::{Heartbeat, Load, LoadDelta};
 use chervilledge_policy::request::{Origin, Outcome};
+use chervilledge_policy::rollout::{Source, Stamp};
 use chervilledge_worker::backend::Backend;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::{Value, json};
@@ -21,6 +22,7 @@
 
 use crate::agent::dial::{self, LinkId};
 use crate::agent::exchange::{BodyPart, Exchange, Route, RouteAsked, open_credit};
+use crate::rollout::Enforced;
 
 /// Message to the actor.
 #[derive(Debug)]
@@ -66,6 +68,8 @@
     pub admission: Admission,
     /// Client of the backend server.
     pub backend: Backend,
+    /// Configuration that the agent enforces.
+    pub enforced: Arc<Enforced>,
     /// Takes entries that were heard of.
     pub entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
 }
@@ -107,6 +111,10 @@
     clock: Clock,
     admission: Admission,
     backend: Backend,
+    is_backend_ready: bool,
+    enforced: Arc<Enforced>,
+    /// Version whose documents were asked for, and the entry that was asked.
+    wanted: Option<(u64, BootId)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
     links: Map<BootId, Link>,
     held: Map<RequestId, Held>,
@@ -130,6 +138,9 @@
             clock: args.clock,
             admission: args.admission,
             backend: args.backend,
+            is_backend_ready: false,
+            enforced: args.enforced,
+            wanted: None,
             entries: args.entries,
             links: Map::default(),
             held: Map::default(),
@@ -147,7 +158,10 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             Message::Dial(event) => state.on_dial(&myself, event),
-            Message::Ready(is_ready) => state.admission.set_ready(is_ready),
+            Message::Ready(is_ready) => {
+                state.is_backend_ready = is_ready;
+                state.refresh_ready();
+            }
             Message::AnswerReady { request, asked } => state.on_answer_ready(request, asked),
             Message::Finished { request, finished } => state.on_finished(&myself, request, finished),
             Message::Tick => state.on_tick(&myself),
@@ -173,6 +187,9 @@
                 let link = Link { id, sender, sequence: 0, reported: hello_load, needs_whole: false };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
+                if let Some(stamp) = welcome.enforced {
+                    self.on_enforced(welcome.entry, stamp);
+                }
             }
             dial::Event::Message { entry, message } => self.on_message(myself, entry, message),
             dial::Event::Closed { link, entry, error } => {
@@ -223,11 +240,51 @@
             }
             ToAgent::Entries(entries) => self.hear_of(entries),
             ToAgent::Drain => self.on_drain(myself),
-            ToAgent::Heartbeat { .. } | ToAgent::Tasks(_) | ToAgent::Configuration(_) => {}
+            ToAgent::Enforced(stamp) => self.on_enforced(entry, stamp),
+            ToAgent::WantConfiguration => self.hand_on_configuration(entry),
+            ToAgent::Configuration(configuration) => {
+                self.enforced.offer_text(&configuration.accepted, Source::Peer);
+                self.apply_configuration();
+            }
+            ToAgent::Heartbeat { .. } | ToAgent::Tasks(_) => {}
             ToAgent::Welcome(_) | ToAgent::Refused(_) => self.dropped_messages += 1,
         }
     }
 
+    /// Asks for the documents of a version that goes before the one in force; one entry at a time is asked.
+    fn on_enforced(&mut self, entry: BootId, stamp: Stamp) {
+        let is_asked =
+            self.wanted.is_some_and(|(wanted, from)| wanted >= stamp.version && self.links.contains_key(&from));
+        if is_asked || !self.enforced.lacks(stamp) {
+            return;
+        }
+        if let Some(link) = self.links.get(&entry) {
+            self.wanted = Some((stamp.version, entry));
+            link.sender.post(ToEntry::WantConfiguration);
+        }
+    }
+
+    fn hand_on_configuration(&self, entry: BootId) {
+        if let (Some(link), Some(configuration)) = (self.links.get(&entry), self.enforced.to_hand_on()) {
+            link.sender.post(ToEntry::Configuration(configuration));
+        }
+    }
+
+    /// Puts the version in force to use and tells every entry of it.
+    fn apply_configuration(&mut self) {
+        self.wanted = None;
+        self.refresh_ready();
+        let Some(stamp) = self.enforced.stamp() else { return };
+        for link in self.links.values() {
+            link.sender.post(ToEntry::Enforced(stamp));
+        }
+    }
+
+    /// Lets requests in while the backend server takes them and a configuration is in force.
+    fn refresh_ready(&mut self) {
+        self.admission.set_ready(self.is_backend_ready && self.enforced.stamp().is_some());
+    }
+
     fn on_start(&mut self, myself: &ActorRef<Message>, entry: BootId, start: Box<Start>) {
         let Some(link) = self.links.get(&entry) else { return };
         let now = self.clock.now();
@@ -383,6 +440,7 @@
             .collect();
         json!({
             "boot": self.boot,
+            "configuration": self.enforced.dump(),
             "load": self.admission.load(),
             "outcomes_kept": self.admission.outcomes_len(),
             "links": links,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod links;
+pub mod peers;
 pub mod requests;
 pub mod upload;
 
@@ -14,20 +15,23 @@
 use std::time::Duration;
 
 use chervilledge_caller::listener;
-use chervilledge_link::message::{EntryAddress, Welcome};
 use chervilledge_operator::listen::{self, Routes};
 use chervilledge_operator::metrics::Reader;
 use chervilledge_operator::secret::{self, Secrets};
+use chervilledge_platform::client;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership;
+use chervilledge_policy::peers::EntryRow;
 use serde_json::{Value, json};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::entry::exchange::{Context, Ends};
 use crate::entry::fleet::Fleet;
-use crate::entry::links::Listener as LinkListener;
+use crate::entry::links::{Listener as LinkListener, OnTasks};
 use crate::entry::requests::Requests;
+use crate::rollout::Enforced;
 use crate::settings;
 
 /// Time between two sweeps of the fleet.
@@ -39,6 +43,9 @@
 /// Longest time for a request's head to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a draining entry tries to take its row away.
+const RETIRE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reason why an entry can't start.
 #[derive(Debug)]
 pub enum Error {
@@ -79,7 +86,8 @@
     links: LinkListener,
     operators: listen::Handle,
     requests: Arc<Requests>,
-    sweeper: JoinHandle<()>,
+    peers: peers::Context,
+    tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
 }
 
@@ -91,35 +99,51 @@
 pub async fn spawn(settings: settings::Entry, clock: Clock, boot: BootId) -> Result<Entry, Error> {
     let link_secrets = Secrets::open(&settings.link_secrets)?;
     let operator_secrets = Secrets::open(&settings.operator_secrets)?;
-    let bounds = &settings.bounds;
-    let silence = membership::Settings {
-        suspect_after: bounds.link_silence_ms,
-        remove_after: bounds.link_silence_ms * REMOVE_AFTER_SILENCES,
+    let fleet = Arc::new(open_fleet(&settings, &clock, boot));
+    let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
+    let live = watch::Sender::new(Vec::new());
+    let links = links::Context {
+        fleet: Arc::clone(&fleet),
+        secrets: Arc::new(link_secrets),
+        settings: links::Settings {
+            silence: settings.bounds.link_silence_ms,
+            heartbeat_interval: settings.bounds.heartbeat_interval_ms,
+        },
+        boot,
+        live: live.subscribe(),
+        enforced: Arc::clone(&enforced),
+        on_tasks: OnTasks(Arc::new(|_, _| {})),
     };
-    let fleet = Arc::new(Fleet::new(clock.clone(), Name::clone(&settings.failure_domain), silence, boot.0));
-    let links = bind_links(&settings, &fleet, link_secrets, boot).await?;
-    let context =
-        Context { fleet: Arc::clone(&fleet), clock, boot, sequence: AtomicU64::new(0), ends: Ends::default() };
-    let requests = Arc::new(Requests {
-        context: Arc::new(context),
-        bounds: settings.bounds.clone(),
-        is_draining: AtomicBool::new(false),
-    });
-    let operators = listen::bind(
-        settings.operators_address,
-        listen::Settings::new(operator_secrets),
-        routes(&requests, Name::clone(&settings.name)),
-    )
-    .await?;
+    let links = links::bind(settings.links_address, links).await?;
+    let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced));
+    let routes = routes(&requests, Name::clone(&settings.name));
+    let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
     let callers = bind_callers(&settings, &requests).await?;
-    let sweeper = spawn_sweeps(fleet);
+    let peers = peers::Context {
+        platform: client::open(platform_settings(&settings), boot, clock.clone()),
+        clock,
+        fleet: Arc::clone(&fleet),
+        enforced,
+        row: EntryRow {
+            name: Name::clone(&settings.name),
+            boot,
+            failure_domain: Name::clone(&settings.failure_domain),
+            address: Name::from(links.address().to_string()),
+            counter: 0,
+        },
+        live,
+    };
+    let mut tasks = peers::spawn_configuration(peers.clone());
+    tasks.push(peers::spawn_announcements(peers.clone()));
+    tasks.push(spawn_sweeps(fleet));
     Ok(Entry {
         callers_address: callers.address(),
         callers: Some(callers),
         links,
         operators,
         requests,
-        sweeper,
+        peers,
+        tasks,
         drain_timeout: settings.bounds.drain_timeout_ms,
     })
 }
@@ -146,37 +170,59 @@
     /// Takes no new requests, finishes those in progress within the drain timeout, and ends.
     pub async fn drain(mut self) {
         self.requests.is_draining.store(true, Ordering::Relaxed);
+        self.stop_tasks();
+        let retired = tokio::time::timeout(RETIRE_TIMEOUT, peers::retire(&self.peers));
         let Some(callers) = self.callers.take() else { return };
-        if tokio::time::timeout(self.drain_timeout, callers.drain()).await.is_err() {
+        let drained = tokio::time::timeout(self.drain_timeout, callers.drain());
+        let (_, drained) = tokio::join!(retired, drained);
+        if drained.is_err() {
             log::warn!(event = "drain_timed_out"; "");
         }
     }
+
+    fn stop_tasks(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.sweeper.abort();
+        self.stop_tasks();
     }
 }
 
-async fn bind_links(
+fn open_fleet(settings: &settings::Entry, clock: &Clock, boot: BootId) -> Fleet {
+    let silence = settings.bounds.link_silence_ms;
+    let bounds = membership::Settings { suspect_after: silence, remove_after: silence * REMOVE_AFTER_SILENCES };
+    Fleet::new(clock.clone(), Name::clone(&settings.failure_domain), bounds, boot.0)
+}
+
+fn open_requests(
     settings: &settings::Entry,
-    fleet: &Arc<Fleet>,
-    secrets: Secrets,
+    clock: &Clock,
     boot: BootId,
-) -> Result<LinkListener, io::Error> {
-    let context = links::Context {
+    fleet: &Arc<Fleet>,
+    enforced: &Arc<Enforced>,
+) -> Requests {
+    let context = Context {
         fleet: Arc::clone(fleet),
-        secrets: Arc::new(secrets),
-        settings: links::Settings {
-            silence: settings.bounds.link_silence_ms,
-            heartbeat_interval: settings.bounds.heartbeat_interval_ms,
-        },
-        welcome: move || Welcome { entry: boot, entries: Vec::<EntryAddress>::new() },
-        on_tasks: |_: &_, _| {},
-        on_configuration: |_: &_, _| {},
+        clock: clock.clone(),
+        boot,
+        sequence: AtomicU64::new(0),
+        ends: Ends::default(),
     };
-    links::bind(settings.links_address, context).await
+    Requests {
+        context: Arc::new(context),
+        enforced: Arc::clone(enforced),
+        bounds: settings.bounds.clone(),
+        is_draining: AtomicBool::new(false),
+    }
+}
+
+fn platform_settings(settings: &settings::Entry) -> client::Settings {
+    client::Settings { address: settings.platform_address, ..client::Settings::default() }
 }
 
 async fn bind_callers(settings: &settings::Entry, requests: &Arc<Requests>) -> io::Result<listener::Listener> {
@@ -210,6 +256,7 @@
         "unknown": ends.unknown.load(Ordering::Relaxed),
         "retries": ends.retries.load(Ordering::Relaxed),
         "dropped_replies": ends.dropped_replies.load(Ordering::Relaxed),
+        "configuration": requests.enforced.dump(),
         "fleet": context.fleet.dump(),
     })
 }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -12,6 +12,7 @@
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{self, Announced, Change, Heard, Heartbeat, Member, Members};
 use chervilledge_policy::retry::{self, Retries};
+use chervilledge_policy::rollout::{self, Stamp};
 use chervilledge_policy::routing::{self, Choice, Finished, Table};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -112,6 +113,7 @@
     tables: Map<Name, Table>,
     links: Map<Name, Link>,
     retries: Map<Name, Arc<Mutex<Retries>>>,
+    versions: rollout::Fleet,
     rng: SmallRng,
     next_link: u64,
     counters: Counters,
@@ -149,6 +151,7 @@
             tables: Map::default(),
             links: Map::default(),
             retries: Map::default(),
+            versions: rollout::Fleet::new(),
             rng: SmallRng::seed_from_u64(seed),
             next_link: 1,
             counters: Counters::default(),
@@ -202,6 +205,12 @@
         heard == Heard::NeedsFull
     }
 
+    /// Takes in the configuration version that an agent enforces.
+    pub fn enforces(&self, link: &Link, stamp: Stamp) {
+        let process = rollout::Process { name: Name::clone(&link.worker), boot: link.agent };
+        lock(&self.inner).versions.observe(self.clock.now(), process, Some(stamp));
+    }
+
     /// Takes in the end of a link.
     pub fn close_link(&self, link: &Link) {
         link.close();
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -1,5 +1,6 @@
 //! Listener for agents' links.
 
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,13 +8,19 @@
 
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_link::error::Error;
-use chervilledge_link::message::{Configuration, Hello, Reply, TaskReport, ToAgent, ToEntry, VERSION, Welcome};
+use chervilledge_link::message::{Hello, Reply, TaskReport, ToAgent, ToEntry, VERSION, Welcome};
 use chervilledge_operator::secret::Secrets;
 use chervilledge_policy::code::Code;
+use chervilledge_policy::id::BootId;
+use chervilledge_policy::peers::EntryRow;
+use chervilledge_policy::rollout::{Source, Stamp};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::entry::fleet::{Fleet, Link};
+use crate::entry::peers;
+use crate::rollout::Enforced;
 
 /// Pause after a failed accept, which is mostly a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -29,19 +36,34 @@
 
 /// What links are connected to.
 #[derive(Clone, Debug)]
-pub struct Context<W, T, C> {
+pub struct Context {
     /// Workers known to the entry.
     pub fleet: Arc<Fleet>,
     /// Secrets that agents may present.
     pub secrets: Arc<Secrets>,
     /// Bounds of links.
     pub settings: Settings,
-    /// Gives the answer to an accepted announcement.
-    pub welcome: W,
+    /// Start of the entry.
+    pub boot: BootId,
+    /// Live entries.
+    pub live: watch::Receiver<Vec<EntryRow>>,
+    /// Configuration that the entry enforces.
+    pub enforced: Arc<Enforced>,
     /// Takes reports on batch tasks of a worker.
-    pub on_tasks: T,
-    /// Takes the configuration that an agent of a worker enforces.
-    pub on_configuration: C,
+    pub on_tasks: OnTasks,
+}
+
+/// Function that takes reports on batch tasks of a worker.
+type TakeReports = dyn Fn(&Link, Vec<TaskReport>) + Send + Sync;
+
+/// Takes reports on batch tasks of a worker.
+#[derive(Clone)]
+pub struct OnTasks(pub Arc<TakeReports>);
+
+impl fmt::Debug for OnTasks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OnTasks")
+    }
 }
 
 /// Running listener; it ends when it is dropped.
@@ -70,12 +92,7 @@
 /// # Errors
 ///
 /// The error of the operating system when the address can't be bound.
-pub async fn bind<W, T, C>(address: SocketAddr, context: Context<W, T, C>) -> io::Result<Listener>
-where
-    W: Fn() -> Welcome + Send + Sync + 'static,
-    T: Fn(&Link, Vec<TaskReport>) + Send + Sync + 'static,
-    C: Fn(&Link, Configuration) + Send + Sync + 'static,
-{
+pub async fn bind(address: SocketAddr, context: Context) -> io::Result<Listener> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let context = Arc::new(context);
@@ -95,12 +112,7 @@
     }
 }
 
-async fn serve<W, T, C>(stream: TcpStream, context: Arc<Context<W, T, C>>)
-where
-    W: Fn() -> Welcome + Send + Sync + 'static,
-    T: Fn(&Link, Vec<TaskReport>) + Send + Sync + 'static,
-    C: Fn(&Link, Configuration) + Send + Sync + 'static,
-{
+async fn serve(stream: TcpStream, context: Arc<Context>) {
     let secrets = Arc::clone(&context.secrets);
     let opened = connection::accept(stream, move |secret| secrets.accepts(secret.as_bytes())).await;
     let (sender, mut receiver) = match opened {
@@ -128,23 +140,15 @@
     );
 }
 
-async fn introduce<W, T, C>(
-    context: &Context<W, T, C>,
-    sender: &Sender<ToAgent>,
-    receiver: &mut Receiver,
-) -> Result<Link, Error>
-where
-    W: Fn() -> Welcome,
-    C: Fn(&Link, Configuration),
-{
+async fn introduce(context: &Context, sender: &Sender<ToAgent>, receiver: &mut Receiver) -> Result<Link, Error> {
     let ToEntry::Hello(hello) = receiver.receive(context.settings.silence).await? else {
         return Err(Error::Decode("first message isn't an announcement".to_owned()));
     };
     match accept_hello(context, &hello, sender) {
         Ok(link) => {
-            sender.send(ToAgent::Welcome((context.welcome)())).await?;
-            if let Some(configuration) = hello.configuration {
-                (context.on_configuration)(&link, configuration);
+            sender.send(ToAgent::Welcome(welcome(context))).await?;
+            if let Some(stamp) = hello.enforced {
+                on_enforced(context, &link, stamp);
             }
             Ok(link)
         }
@@ -157,18 +161,14 @@
     }
 }
 
-fn accept_hello<W, T, C>(context: &Context<W, T, C>, hello: &Hello, sender: &Sender<ToAgent>) -> Result<Link, Code> {
+fn accept_hello(context: &Context, hello: &Hello, sender: &Sender<ToAgent>) -> Result<Link, Code> {
     if hello.version != VERSION {
         return Err(Code::LinkVersion);
     }
     context.fleet.open_link(hello, sender.clone())
 }
 
-async fn read_all<W, T, C>(context: &Context<W, T, C>, link: &Link, receiver: &mut Receiver) -> Error
-where
-    T: Fn(&Link, Vec<TaskReport>),
-    C: Fn(&Link, Configuration),
-{
+async fn read_all(context: &Context, link: &Link, receiver: &mut Receiver) -> Error {
     loop {
         match receiver.receive(context.settings.silence).await {
             Ok(message) => {
@@ -181,11 +181,7 @@
     }
 }
 
-fn take_in<W, T, C>(context: &Context<W, T, C>, link: &Link, message: ToEntry) -> Result<(), Error>
-where
-    T: Fn(&Link, Vec<TaskReport>),
-    C: Fn(&Link, Configuration),
-{
+fn take_in(context: &Context, link: &Link, message: ToEntry) -> Result<(), Error> {
     match message {
         ToEntry::Hello(_) => return Err(Error::Decode("second announcement on a link".to_owned())),
         ToEntry::Heartbeat(heartbeat) => {
@@ -194,12 +190,34 @@
             }
         }
         ToEntry::Request(reply) => deliver(&context.fleet, link, reply),
-        ToEntry::Tasks(reports) => (context.on_tasks)(link, reports),
-        ToEntry::Configuration(configuration) => (context.on_configuration)(link, configuration),
+        ToEntry::Tasks(reports) => (context.on_tasks.0)(link, reports),
+        ToEntry::Enforced(stamp) => on_enforced(context, link, stamp),
+        ToEntry::WantConfiguration => {
+            if let Some(configuration) = context.enforced.to_hand_on() {
+                link.post(ToAgent::Configuration(configuration));
+            }
+        }
+        ToEntry::Configuration(configuration) => context.enforced.offer_text(&configuration.accepted, Source::Peer),
     }
     Ok(())
 }
 
+fn welcome(context: &Context) -> Welcome {
+    Welcome {
+        entry: context.boot,
+        entries: peers::addresses(&context.live.borrow()),
+        enforced: context.enforced.stamp(),
+    }
+}
+
+/// Takes in the version that an agent enforces, and asks for its documents when it goes before the entry's.
+fn on_enforced(context: &Context, link: &Link, stamp: Stamp) {
+    context.fleet.enforces(link, stamp);
+    if context.enforced.lacks(stamp) {
+        link.post(ToAgent::WantConfiguration);
+    }
+}
+
 fn deliver(fleet: &Fleet, link: &Link, reply: Reply) {
     if !link.deliver(reply) {
         fleet.count_late_reply();
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,155 @@
+//! Announces an entry in the table, and follows the other entries and the accepted configuration there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_link::message::{EntryAddress, ToAgent};
+use chervilledge_platform::client::Client;
+use chervilledge_platform::table::{Expect, Row, Write};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::Name;
+use chervilledge_policy::peers::{EntryRow, Peers};
+use chervilledge_policy::rollout::Source;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::entry::fleet::Fleet;
+use crate::rollout::{CURRENT_KEY, Enforced};
+
+/// Prefix of the rows by which entries announce themselves.
+pub const ENTRIES_PREFIX: &str = "entries/";
+
+/// Time between two renewals of an entry's row.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for which a row may stay unchanged before its entry counts as gone.
+const ENTRY_SILENCE: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the accepted configuration.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Entries that one read gives at most; far above the few that there are.
+const ENTRIES_MAX: usize = 1_000;
+
+/// What the tasks of this module share.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Client of the platform.
+    pub platform: Client,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Workers known to the entry, whose agents are told of other entries.
+    pub fleet: Arc<Fleet>,
+    /// Configuration that the entry enforces.
+    pub enforced: Arc<Enforced>,
+    /// Row of the entry; its counter is that of the latest renewal.
+    pub row: EntryRow,
+    /// Live entries.
+    pub live: watch::Sender<Vec<EntryRow>>,
+}
+
+/// Starts to renew the entry's row and to follow those of the others.
+#[must_use]
+pub fn spawn_announcements(mut context: Context) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut peers = Peers::new(ENTRY_SILENCE);
+        loop {
+            context.row.counter += 1;
+            renew(&context).await;
+            if follow(&context, &mut peers).await {
+                tell_agents(&context.fleet, peers.live());
+                context.live.send_replace(peers.live().to_vec());
+            }
+            tokio::time::sleep(jittered(RENEW_INTERVAL)).await;
+        }
+    })
+}
+
+/// Starts to follow the accepted configuration, and tells agents of each version that is enforced.
+#[must_use]
+pub fn spawn_configuration(context: Context) -> Vec<JoinHandle<()>> {
+    let poll = tokio::spawn({
+        let context = context.clone();
+        async move {
+            loop {
+                poll_configuration(&context).await;
+                tokio::time::sleep(jittered(POLL_INTERVAL)).await;
+            }
+        }
+    });
+    let announce = tokio::spawn(async move {
+        let mut changed = context.enforced.subscribe();
+        while changed.changed().await.is_ok() {
+            let Some(stamp) = *changed.borrow_and_update() else { continue };
+            for link in context.fleet.links() {
+                link.post(ToAgent::Enforced(stamp));
+            }
+        }
+    });
+    vec![poll, announce]
+}
+
+/// Takes the entry's row away, so that agents link to other entries at once.
+pub async fn retire(context: &Context) {
+    let key = key(&context.row.name);
+    let outcome =
+        context.platform.commit(context.platform.next_write_id(), vec![Write::delete(key, Expect::Any)]).await;
+    log::info!(event = "entry_retired", outcome:? = outcome; "");
+}
+
+/// Forms of live entries that agents are told.
+#[must_use]
+pub fn addresses(live: &[EntryRow]) -> Vec<EntryAddress> {
+    live.iter()
+        .map(|row| EntryAddress {
+            entry: row.boot,
+            failure_domain: Name::clone(&row.failure_domain),
+            address: row.address.to_string(),
+        })
+        .collect()
+}
+
+async fn renew(context: &Context) {
+    let value = serde_json::json!(context.row);
+    let write = Write::put(key(&context.row.name), Expect::Any, value);
+    let outcome = context.platform.commit(context.platform.next_write_id(), vec![write]).await;
+    log::debug!(event = "entry_renewed", outcome:? = outcome; "");
+}
+
+/// Reads the rows of the entries; tells whether they changed.
+async fn follow(context: &Context, peers: &mut Peers) -> bool {
+    match context.platform.scan(ENTRIES_PREFIX, None, ENTRIES_MAX).await {
+        Ok(rows) => peers.observe(context.clock.now(), rows.into_iter().filter_map(entry_row).collect()),
+        Err(error) => {
+            log::debug!(event = "entries_unread", error:% = error; "");
+            false
+        }
+    }
+}
+
+async fn poll_configuration(context: &Context) {
+    match context.platform.read_one(CURRENT_KEY).await {
+        Ok(Some(row)) => context.enforced.offer_value(row.value, Source::Table),
+        Ok(None) => {}
+        Err(error) => log::debug!(event = "configuration_unread", error:% = error; ""),
+    }
+}
+
+fn tell_agents(fleet: &Fleet, live: &[EntryRow]) {
+    for link in fleet.links() {
+        link.post(ToAgent::Entries(addresses(live)));
+    }
+}
+
+fn entry_row(row: Row) -> Option<EntryRow> {
+    serde_json::from_value(row.value).ok()
+}
+
+fn key(name: &str) -> String {
+    format!("{ENTRIES_PREFIX}{name}")
+}
+
+/// Spreads the calls of several entries.
+fn jittered(interval: Duration) -> Duration {
+    interval.mul_f64(rand::random_range(0.8..1.2))
+}
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -9,6 +9,7 @@
 use chervilledge_caller::request::{Head, is_passed_on, read_head};
 use chervilledge_caller::{Outcome, Refusal};
 use chervilledge_link::message::Header;
+use chervilledge_operator::config::Service;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::request::Spec;
@@ -17,6 +18,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use crate::entry::exchange::{self, Context, Streamed, Work, WorkBody};
+use crate::rollout::Enforced;
 use crate::settings::Bounds;
 
 /// Longest time for which an agent is asked what became of a request.
@@ -25,11 +27,16 @@
 /// Time after which a caller may come back when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Greatest priority of a service whose requests are shed before others.
+const SHEDDABLE_PRIORITY_MAX: u8 = 3;
+
 /// What the listener for callers needs.
 #[derive(Debug)]
 pub struct Requests {
     /// What drivers share.
     pub context: Arc<Context>,
+    /// Configuration that the entry enforces.
+    pub enforced: Arc<Enforced>,
     /// Bounds of the entry.
     pub bounds: Bounds,
     /// Whether new requests are refused.
@@ -53,24 +60,34 @@
     if requests.is_draining.load(Ordering::Relaxed) {
         return Err(Code::Draining);
     }
+    let in_force = requests.enforced.in_force()?;
     let head = read_head(parts)?;
+    let service = in_force.document.services.get(head.service.as_str()).ok_or(Code::UnknownService)?;
     let arrived = requests.context.clock.now();
     let bounds = &requests.bounds;
-    if body.size_hint().lower() > bounds.body_bytes_max {
-        return Err(Code::BodyTooLarge);
-    }
-    let body = match body::read_start(body, bounds.inline_body_bytes_max).await {
-        Ok(Start::Whole(bytes)) => WorkBody::Whole(bytes),
-        Ok(Start::Longer { prefix, rest }) => {
-            WorkBody::Streamed(Streamed { prefix, rest: Some(rest), bytes_max: bounds.body_bytes_max })
-        }
-        Err(_) => return Err(Code::BadRequest),
-    };
+    let body_bytes_max = service.request_body_limit_bytes.min(bounds.body_bytes_max);
+    let body = read_body(body, body_bytes_max, bounds.inline_body_bytes_max).await?;
     let timeout = head.timeout.unwrap_or(bounds.request_timeout_ms).min(bounds.request_timeout_max_ms);
     // A body that was handed on in part can't be handed to another worker.
-    let idempotent = is_idempotent(&parts.method) && matches!(body, WorkBody::Whole(_));
+    let idempotent = is_idempotent(service, &parts.method) && matches!(body, WorkBody::Whole(_));
     let spec = Spec { idempotent, deadline: arrived + timeout, ask_for: ASK_FOR };
-    Ok((work(head, parts, body), spec))
+    let mut work = work(head, parts, body);
+    work.sheddable = service.priority <= SHEDDABLE_PRIORITY_MAX;
+    Ok((work, spec))
+}
+
+async fn read_body(body: Incoming, bytes_max: u64, inline_bytes_max: usize) -> Result<WorkBody, Code> {
+    if body.size_hint().lower() > bytes_max {
+        return Err(Code::BodyTooLarge);
+    }
+    match body::read_start(body, inline_bytes_max).await {
+        Ok(Start::Whole(bytes)) if u64::try_from(bytes.len()).is_ok_and(|length| length <= bytes_max) => {
+            Ok(WorkBody::Whole(bytes))
+        }
+        Ok(Start::Whole(_)) => Err(Code::BodyTooLarge),
+        Ok(Start::Longer { prefix, rest }) => Ok(WorkBody::Streamed(Streamed { prefix, rest: Some(rest), bytes_max })),
+        Err(_) => Err(Code::BadRequest),
+    }
 }
 
 fn work(head: Head, parts: &Parts, body: WorkBody) -> Work {
@@ -90,6 +107,6 @@
     }
 }
 
-fn is_idempotent(method: &Method) -> bool {
-    method.is_idempotent()
+fn is_idempotent(service: &Service, method: &Method) -> bool {
+    service.idempotent_methods.iter().any(|idempotent| **idempotent == *method.as_str())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod daemon;
 pub mod entry;
 pub mod logs;
+pub mod rollout;
 pub mod settings;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -11,6 +11,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use chervilledge::rollout::CURRENT_KEY;
+use chervilledge::{boot, clock};
+use chervilledge_operator::documents::{Accepted, Documents};
+use chervilledge_platform::client;
+use chervilledge_platform::error::Outcome;
+use chervilledge_platform::table::{Expect, Write};
+use chervilledge_policy::rollout::Checksum;
 use serde_json::{Value, json};
 
 /// Secret of every link in tests.
@@ -158,6 +165,52 @@
     Process::spawn(env!("CARGO_BIN_EXE_chervilledge-agent"), &file)
 }
 
+/// Configuration with one service `portal` and one team, for one site `hobart`.
+pub fn documents() -> Documents {
+    let base = json!({
+        "services": { "portal": {
+            "priority": 9,
+            "latency_target_ms": 200,
+            "workers": 11,
+            "slots": 8,
+            "connections": 64,
+            "idempotent_methods": ["GET", "HEAD", "PUT", "DELETE"],
+            "retry_budget_percent": 20,
+            "queue_limit": 16,
+            "queue_wait_ms": 250,
+            "request_body_limit_bytes": 33_554_432,
+        } },
+        "teams": {},
+        "batch_kinds": {},
+        "colocation": {
+            "resume_at_percent": 70,
+            "throttle_at_percent": 90,
+            "evict_at_percent": 120,
+            "hold_ms": 500,
+            "evictions_per_hour": 12,
+        },
+        "sites": { "hobart": { "failure_domains": ["hobart-1", "hobart-2"], "worker_shapes": {} } },
+    });
+    Documents { base, overlays: BTreeMap::new() }
+}
+
+/// Writes a configuration as the accepted one, past all checks.
+pub async fn accept(platform: SocketAddr, version: u64, documents: Documents) {
+    let accepted = Accepted {
+        version,
+        checksum: documents.checksum(),
+        documents,
+        accepted_by: "tests".into(),
+        accepted_at: "2026-12-03T00:00:00Z".into(),
+        plan: Checksum(version),
+    };
+    let settings = client::Settings { address: platform, ..client::Settings::default() };
+    let client = client::open(settings, boot::new_id(), clock::system());
+    let write = Write::put(CURRENT_KEY, Expect::Any, json!(accepted));
+    let outcome = client.commit(client.next_write_id(), vec![write]).await;
+    assert!(matches!(outcome, Outcome::Done(_)), "{outcome:?}");
+}
+
 /// Answer to a request.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -234,6 +287,15 @@
     panic!("{what}: not within {PATIENCE:?}");
 }
 
+/// Waits until a process enforces `version`; `role` is its key in the state.
+pub async fn wait_for_version(process: &Process, role: &str, version: u64) {
+    let operators = process.address("operators_address");
+    wait_until("configuration is enforced", || async move {
+        state(operators).await[role]["configuration"]["rollout"]["enforced"]["version"] == version
+    })
+    .await;
+}
+
 /// Waits until an entry knows `count` workers that take new work.
 pub async fn wait_for_workers(entry: &Process, count: usize) {
     let operators = entry.address("operators_address");
