Tell links of one agent start apart and return ejected backend servers slowly

Cause: heartbeats of a silent link that come late could hide those of its replacement; a returning backend server compared by cost alone got no requests to prove itself with. Ruled out: dividing the cost by the share (two samples nearly always hold a cheaper one). Change: announcements and heartbeats carry the link's number, the first heartbeat of a link is full; a returning backend server is sampled in proportion to its share; failures in a row eject at low request rates; the types of the request's state machine have their own file.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod code;
 pub mod collections;
+pub mod event;
 pub mod id;
 pub mod membership;
 pub mod outcomes;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -19,6 +19,8 @@
     pub capacity: Capacity,
     /// Failure domain of the worker.
     pub failure_domain: Name,
+    /// Number of the link within this start of the agent; a later link has a greater one.
+    pub link: u64,
     /// Requests that the agent queues beyond its slots.
     pub queue: u32,
     /// Rack of the worker.
@@ -104,9 +106,11 @@
 pub struct Heartbeat {
     /// Start of the agent that sends it.
     pub agent_boot: BootId,
-    /// What changed since the heartbeat with the previous sequence number on this link.
+    /// Number of the link, as announced on it.
+    pub link: u64,
+    /// What changed since the heartbeat with the previous sequence number on this link; the first gives every field.
     pub load: LoadDelta,
-    /// Increases by one with each heartbeat; the announcement counts as zero.
+    /// Increases by one with each heartbeat on a link, from 1.
     pub sequence: u64,
 }
 
@@ -166,9 +170,9 @@
     Joined,
     /// A newer start took the place of this one.
     Replaced(BootId),
-    /// The same start announced itself again, on another link.
+    /// The same start announced itself again, on a later link.
     Refreshed,
-    /// An older start than the known one; ignored.
+    /// An older start or link than the known one; ignored.
     Stale,
 }
 
@@ -181,7 +185,7 @@
     Duplicate,
     /// A delta was missed: the agent is to send every field.
     NeedsFull,
-    /// From a worker or start that isn't known, or from an older start.
+    /// From a worker, start or link other than the known one.
     Unknown,
 }
 
@@ -215,7 +219,7 @@
             return Announced::Joined;
         };
         let known = member.announcement.agent_boot;
-        if announcement.agent_boot < known {
+        if (announcement.agent_boot, announcement.link) < (known, member.announcement.link) {
             return Announced::Stale;
         }
         if announcement.agent_boot > known {
@@ -232,15 +236,14 @@
     fn insert(&mut self, now: Duration, announcement: Announcement) {
         let load = Load { free: announcement.capacity.resources, ..Load::default() };
         let worker = Name::clone(&announcement.worker);
-        let member =
-            Member { announcement, heard: now, load, sequence: 0, standing: Standing::Live, incomplete: false };
+        let member = Member { announcement, heard: now, load, sequence: 0, standing: Standing::Live, incomplete: true };
         self.members.insert(worker, member);
     }
 
     /// Takes in a heartbeat of `worker`.
     pub fn heartbeat(&mut self, now: Duration, worker: &str, heartbeat: &Heartbeat) -> Heard {
         match self.members.get_mut(worker) {
-            Some(member) if member.announcement.agent_boot == heartbeat.agent_boot => member.apply(now, heartbeat),
+            Some(member) if member.is_from(heartbeat) => member.apply(now, heartbeat),
             _ => Heard::Unknown,
         }
     }
@@ -310,6 +313,10 @@
 }
 
 impl Member {
+    fn is_from(&self, heartbeat: &Heartbeat) -> bool {
+        self.announcement.agent_boot == heartbeat.agent_boot && self.announcement.link == heartbeat.link
+    }
+
     fn apply(&mut self, now: Duration, heartbeat: &Heartbeat) -> Heard {
         if heartbeat.sequence <= self.sequence {
             return Heard::Duplicate;
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -15,6 +15,8 @@
 pub struct Settings {
     /// Share of backend servers that may be out at the same time, from 0 to 1.
     pub max_ejected_share: f64,
+    /// Failures in a row that eject a backend server however few requests it has had.
+    pub consecutive_failures: u32,
     /// Decayed number of requests below which a backend server isn't judged.
     pub min_requests: f64,
     /// A backend server is ejected when its success rate is below this share of the service's.
@@ -41,6 +43,7 @@
     fn default() -> Self {
         Self {
             max_ejected_share: 0.3,
+            consecutive_failures: 5,
             min_requests: 5.0,
             success_ratio: 0.6,
             half_life: Duration::from_secs(5),
@@ -79,11 +82,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     In,
-    /// Counts against the cap.
+    /// Takes nothing; counts against the cap.
     Ejected {
         until: Duration,
     },
-    /// Counts against the cap no longer; takes a growing share.
+    /// Takes a growing share.
     Returning {
         since: Duration,
     },
@@ -92,6 +95,8 @@
 /// Health of one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Record {
+    /// Failures since the latest success.
+    failures: u32,
     rate: Rate,
     state: State,
     /// Ejections without a full return between them.
@@ -102,7 +107,7 @@
     /// Makes the record of a backend server that hasn't been judged.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self { rate: Rate::new(now), state: State::In, ejections: 0 }
+        Self { failures: 0, rate: Rate::new(now), state: State::In, ejections: 0 }
     }
 
     /// Tells whether the backend server takes no requests.
@@ -110,12 +115,6 @@
     pub fn is_ejected(&self) -> bool {
         matches!(self.state, State::Ejected { .. })
     }
-
-    /// Tells whether the record counts against the cap.
-    #[must_use]
-    pub fn is_out(&self) -> bool {
-        self.is_ejected()
-    }
 }
 
 /// Something to log.
@@ -133,7 +132,7 @@
 /// Judges the backend servers of one service.
 #[derive(Clone, Debug)]
 pub struct Detector {
-    /// Ejected records; at most `max_ejected_share` of all when one is added.
+    /// Ejected records; within the cap whenever one is added.
     out: u32,
     service: Rate,
     settings: Settings,
@@ -148,6 +147,7 @@
 
     /// Takes in one end of a request on a service of `total` backend servers, and judges the record.
     pub fn observe(&mut self, now: Duration, record: &mut Record, succeeded: bool, total: u32) -> Option<Change> {
+        record.failures = if succeeded { 0 } else { record.failures.saturating_add(1) };
         record.rate.add(now, succeeded, self.settings.half_life);
         self.service.add(now, succeeded, self.settings.half_life);
         self.settle(now, record);
@@ -173,16 +173,29 @@
     /// Compares the record with the rest of the service.
     fn is_outlier(&self, record: &Record) -> bool {
         let rest_total = self.service.total - record.rate.total;
-        if record.rate.total < self.settings.min_requests || rest_total < self.settings.min_requests {
+        if rest_total < self.settings.min_requests {
             return false;
         }
         let rest_ratio = (self.service.successes - record.rate.successes) / rest_total;
-        record.rate.ratio() < rest_ratio * self.settings.success_ratio
+        let judged = record.rate.total >= self.settings.min_requests;
+        let fails_often = judged && record.rate.ratio() < rest_ratio * self.settings.success_ratio;
+        fails_often || (self.fails_always(record) && rest_ratio >= self.settings.success_ratio)
+    }
+
+    /// Tells whether all of the latest requests failed; a returning backend server is given fewer.
+    fn fails_always(&self, record: &Record) -> bool {
+        const RETURNING_FAILURES: u32 = 2;
+        let bound = match record.state {
+            State::Returning { .. } => RETURNING_FAILURES.min(self.settings.consecutive_failures),
+            State::In | State::Ejected { .. } => self.settings.consecutive_failures,
+        };
+        record.failures >= bound
     }
 
     fn may_eject(&self, total: u32) -> bool {
-        let out = f64::from(self.out) + 1.0;
-        out <= f64::from(total) * self.settings.max_ejected_share
+        // One may always be out, unless it is the only one.
+        let cap = (f64::from(total) * self.settings.max_ejected_share).max(if total > 1 { 1.0 } else { 0.0 });
+        f64::from(self.out) + 1.0 <= cap
     }
 
     fn eject(&mut self, now: Duration, record: &mut Record) -> Change {
@@ -201,6 +214,7 @@
             State::Ejected { until } if now >= until => {
                 record.state = State::Returning { since: now };
                 record.rate = Rate::new(now);
+                record.failures = 0;
                 self.forget_out();
                 true
             }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -9,176 +9,12 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::code::Code;
+pub use crate::event::{Action, End, Event, Origin, Outcome, Spec};
 use crate::id::{Name, RequestId};
 use crate::retry::Retries;
 use crate::routing::Choice;
 
-/// Bounds of one request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Spec {
-    /// Running it twice does no harm.
-    pub idempotent: bool,
-    /// Time at which the caller is answered, whatever the state.
-    pub deadline: Duration,
-    /// Longest time for which the outcome of a dispatch is asked after its link was lost.
-    pub ask_for: Duration,
-}
-
-/// Mark of a frame that belongs to the answer of a dispatch.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct Origin {
-    /// Dispatch that is answered.
-    pub id: RequestId,
-    /// Number of questions about the outcome that the agent had seen when it began the answer.
-    pub epoch: u32,
-}
-
-/// What an agent tells of a dispatch that it is asked about.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Outcome {
-    /// It never started and never will.
-    NeverStarted,
-    /// It is queued or running, and its answer will follow on the link of the question.
-    Running,
-    /// It has run, or runs, and its answer can't be given whole any more.
-    AnswerLost,
-    /// The record of it was dropped.
-    Forgotten,
-    /// It was meant for another start of the agent.
-    UnknownBoot,
-}
-
-/// Input to the state machine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// The answer to [`Action::Dispatch`]: the request is about to be handed to `choice` as `id`.
-    ///
-    /// It isn't to be handed over if the actions cancel `id`. If the link then can't take the request and no byte of
-    /// it was handed over, [`Event::NotStarted`] with [`Code::LinkSilent`] follows.
-    Dispatched {
-        /// New identifier of this dispatch.
-        id: RequestId,
-        /// Where it goes.
-        choice: Choice,
-    },
-    /// The answer to [`Action::Dispatch`] when no backend server could be chosen.
-    NotDispatched {
-        /// Why.
-        code: Code,
-        /// Expected wait until one can be chosen.
-        retry_after: Duration,
-    },
-    /// The agent refused the dispatch and will never start it.
-    NotStarted {
-        /// Refused dispatch.
-        id: RequestId,
-        /// Why.
-        code: Code,
-        /// Expected wait.
-        retry_after: Duration,
-    },
-    /// Status and headers of the answer.
-    Head {
-        /// Answered dispatch.
-        origin: Origin,
-        /// Length that the headers declare.
-        length_bytes: Option<u64>,
-    },
-    /// Part of the answer's body.
-    Chunk {
-        /// Answered dispatch.
-        origin: Origin,
-        /// Place of the part in the body.
-        offset_bytes: u64,
-        /// Length of the part.
-        length_bytes: u64,
-    },
-    /// End marker of the answer.
-    End {
-        /// Answered dispatch.
-        origin: Origin,
-        /// Length of the whole body.
-        total_bytes: u64,
-    },
-    /// The backend server's answer broke off.
-    Broken {
-        /// Answered dispatch.
-        origin: Origin,
-    },
-    /// The link that carried the dispatch is gone.
-    LinkLost {
-        /// Dispatch on the link.
-        id: RequestId,
-    },
-    /// The answer to [`Action::AskOutcome`].
-    Outcome {
-        /// Dispatch and epoch that were asked about.
-        origin: Origin,
-        /// What the agent told.
-        outcome: Outcome,
-    },
-    /// Time passed; to be given at [`Request::wake_at`] or later.
-    Tick,
-    /// The caller went away.
-    CallerCancelled,
-}
-
-/// Output of the state machine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Choose a backend server that isn't in [`Request::excluded`], then give [`Event::Dispatched`] *before* the
-    /// first byte is handed over, or [`Event::NotDispatched`].
-    Dispatch,
-    /// Ask the agent about the dispatch, on a link other than the lost one.
-    AskOutcome {
-        /// Dispatch and epoch of the question.
-        origin: Origin,
-        /// Whom to ask.
-        choice: Choice,
-    },
-    /// Tell the agent that the answer is no longer wanted.
-    Cancel {
-        /// Dispatch to cancel.
-        id: RequestId,
-        /// Whom to tell.
-        choice: Choice,
-    },
-    /// Send status and headers to the caller.
-    ForwardHead,
-    /// Send the part that the event carried to the caller.
-    ForwardChunk,
-    /// Tell the caller the end; the request takes no further events.
-    Finish(End),
-    /// The event was late or a duplicate; drop its content and count it.
-    Drop,
-}
-
-/// The three ends of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum End {
-    /// The whole answer was forwarded.
-    Answered,
-    /// The request was not run and will not run.
-    NotRun {
-        /// Why.
-        code: Code,
-        /// When the caller may try again.
-        retry_after: Duration,
-    },
-    /// The request may have run.
-    Unknown {
-        /// Why.
-        code: Code,
-        /// Part of an answer was forwarded: the caller's connection is to be aborted, so that it sees the break.
-        answer_begun: bool,
-        /// When the caller may try again.
-        retry_after: Duration,
-    },
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     /// Handed over, nothing heard.
@@ -484,12 +320,14 @@
         if self.answer.is_some() || !self.live.iter().any(|dispatch| dispatch.origin.id == id) {
             return;
         }
-        if self.spec.idempotent && self.may_retry(retries) && retries.spend() {
+        if self.spec.idempotent && self.has_other_than(id) {
+            self.lose_without_retry(id, actions);
+        } else if self.spec.idempotent && self.may_retry(retries) && retries.spend() {
             self.lose_without_retry(id, actions);
             self.schedule_retry(now, retries, actions);
-            return;
+        } else {
+            self.ask(now, id, actions);
         }
-        self.ask(now, id, actions);
     }
 
     fn ask(&mut self, now: Duration, id: RequestId, actions: &mut Vec<Action>) {
@@ -643,6 +481,11 @@
         self.live.retain(|dispatch| Some(dispatch.origin.id) == kept);
     }
 
+    /// Tells whether the request can still be answered without this dispatch.
+    fn has_other_than(&self, id: RequestId) -> bool {
+        self.choosing || self.retry_at.is_some() || self.live.iter().any(|dispatch| dispatch.origin.id != id)
+    }
+
     fn is_live(&self, origin: Origin) -> bool {
         self.live.iter().any(|dispatch| dispatch.origin == origin)
     }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -108,6 +108,8 @@
     index: Map<Name, u32>,
     /// Decayed latency over all backend servers.
     mean_latency_s: f64,
+    /// Number of backend servers that are open.
+    open: u32,
     own_domain: Name,
     settings: Settings,
     /// Available backend servers of the own failure domain; each knows its place.
@@ -125,6 +127,7 @@
             detector: Detector::new(settings.outlier),
             index: Map::default(),
             mean_latency_s: settings.latency_floor.as_secs_f64(),
+            open: 0,
             own_domain,
             settings,
             near: Vec::new(),
@@ -166,6 +169,7 @@
             position: None,
             health: outlier::Record::new(now),
         });
+        self.open += 1;
         self.place(at);
     }
 
@@ -173,7 +177,9 @@
     pub fn remove(&mut self, worker: &str) {
         let Some(at) = self.index.remove(worker) else { return };
         self.unlist(at);
-        if self.backends[at as usize].health.is_out() {
+        let removed = &self.backends[at as usize];
+        self.open -= u32::from(removed.open);
+        if removed.health.is_ejected() {
             self.detector.forget_out();
         }
         self.backends.swap_remove(at as usize);
@@ -188,7 +194,8 @@
     /// Opens or closes a backend server for new requests: closed while it drains or is suspected.
     pub fn set_open(&mut self, worker: &str, open: bool) {
         if let Some(&at) = self.index.get(worker) {
-            self.backends[at as usize].open = open;
+            let was_open = std::mem::replace(&mut self.backends[at as usize].open, open);
+            self.open = self.open - u32::from(was_open) + u32::from(open);
             self.place(at);
         }
     }
@@ -221,37 +228,58 @@
     }
 
     fn reason_for_none(&self) -> Code {
-        if self.backends.iter().any(|backend| backend.open) { Code::Overloaded } else { Code::NoBackendServer }
+        if self.open > 0 { Code::Overloaded } else { Code::NoBackendServer }
     }
 
     fn sample_pair(&self, now: Duration, list: &[u32], excluded: &[Name], rng: &mut impl Rng) -> Option<(u32, f64)> {
-        let first = self.sample(list, excluded, None, rng)?;
+        let first = self.sample(now, list, excluded, None, rng)?;
         let first_cost = self.cost(now, first);
-        let Some(second) = self.sample(list, excluded, Some(first), rng) else {
+        let Some(second) = self.sample(now, list, excluded, Some(first), rng) else {
             return Some((first, first_cost));
         };
         let second_cost = self.cost(now, second);
         Some(if second_cost < first_cost { (second, second_cost) } else { (first, first_cost) })
     }
 
-    /// Samples one of `list`; looks at no more than `excluded.len() + 2` of its elements.
-    fn sample(&self, list: &[u32], excluded: &[Name], taken: Option<u32>, rng: &mut impl Rng) -> Option<u32> {
+    /// Samples one of `list`; looks at no more of its elements than are excluded, and a few.
+    ///
+    /// A returning backend server is passed over in proportion to the share that it shouldn't take yet, unless there
+    /// is no other among those looked at.
+    fn sample(
+        &self,
+        now: Duration,
+        list: &[u32],
+        excluded: &[Name],
+        taken: Option<u32>,
+        rng: &mut impl Rng,
+    ) -> Option<u32> {
+        const SPARE_TRIES: usize = 4;
         if list.is_empty() {
             return None;
         }
         let start = rng.random_range(0..list.len());
-        let tries = list.len().min(excluded.len() + 2);
-        (0..tries)
-            .map(|step| list[(start + step) % list.len()])
-            .find(|&at| taken != Some(at) && !excluded.contains(&self.backends[at as usize].choice.worker))
+        let tries = list.len().min(excluded.len() + SPARE_TRIES);
+        let mut passed_over = None;
+        for at in (0..tries).map(|step| list[(start + step) % list.len()]) {
+            let backend = &self.backends[at as usize];
+            if taken == Some(at) || excluded.contains(&backend.choice.worker) {
+                continue;
+            }
+            let share = self.detector.share(now, &backend.health);
+            if share >= 1.0 || rng.random_bool(share) {
+                return Some(at);
+            }
+            passed_over = Some(at);
+        }
+        // The second sample is only there to be compared: it needn't be one that should be passed over.
+        passed_over.filter(|_| taken.is_none())
     }
 
-    /// Expected time to an answer, in seconds, divided by the share that a returning backend server takes.
+    /// Expected time to an answer, in seconds.
     fn cost(&self, now: Duration, at: u32) -> f64 {
         let backend = &self.backends[at as usize];
         let latency_s = self.latency_s(now, backend).max(self.settings.latency_floor.as_secs_f64());
-        let share = self.detector.share(now, &backend.health);
-        f64::from(backend.load() + 1) * latency_s / share
+        f64::from(backend.load() + 1) * latency_s
     }
 
     /// Decayed latency, which falls back to the mean of the service while there are no samples.
