--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,25 +1,26 @@
 //! Calls to the table service, each with a timeout.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::BootId;
 use http::{HeaderMap, Method, StatusCode};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::error::{Error, Outcome, Reason};
+use crate::gate::Bounds;
+use crate::history::{self, History};
+pub use crate::resolve::Resolution;
 use crate::table::{
-    COMMIT_PATH, Commit, Committed, Conflict, READ_PATH, Read, Row, Rows, SCAN_PATH, Scan, Write, WriteId,
+    COMMIT_PATH, Commit, Committed, Conflict, Expect, READ_PATH, Read, Row, Rows, SCAN_PATH, Scan, Write, WriteId,
 };
-use crate::transport::{Failure, Transport};
+use crate::transport::{Answer, Failure, Transport};
 
 /// Settings of a [`Client`].
 #[serde_as]
@@ -33,7 +34,15 @@
     #[serde(rename = "call_timeout_ms")]
     pub call_timeout: Duration,
     /// Calls in progress at the same time.
-    pub concurrent_calls: usize,
+    pub concurrent_calls: u32,
+    /// Calls without an answer in a row after which the platform counts as away.
+    pub failures_until_away: u32,
+    /// Longest time after which a write that lost its connection can still take effect.
+    ///
+    /// Fences of such writes are kept that long.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "late_write_bound_ms")]
+    pub late_write_bound: Duration,
     /// Attempts at a read before its error is returned.
     pub read_attempts: u32,
     /// Upper bound of the wait before the second attempt; doubles with each attempt.
@@ -52,6 +61,8 @@
             address: SocketAddr::from(([127, 0, 0, 1], 7100)),
             call_timeout: Duration::from_secs(1),
             concurrent_calls: 16,
+            failures_until_away: 3,
+            late_write_bound: Duration::from_mins(10),
             read_attempts: 4,
             backoff_first: Duration::from_millis(20),
             backoff_limit: Duration::from_secs(2),
@@ -65,7 +76,7 @@
     boot: BootId,
     clock: Clock,
     sequence: AtomicU64,
-    rng: std::sync::Mutex<SmallRng>,
+    history: Mutex<History>,
     transport: Transport,
 }
 
@@ -78,13 +89,20 @@
 /// Opens a client; connections are made when calls need them.
 #[must_use]
 pub fn open(settings: Settings, boot: BootId, clock: Clock) -> Client {
-    let transport = Transport::open(settings.address, settings.concurrent_calls, settings.call_timeout);
-    let rng = std::sync::Mutex::new(SmallRng::seed_from_u64(boot.0));
-    Client { inner: Arc::new(Inner { settings, boot, clock, sequence: AtomicU64::new(0), rng, transport }) }
+    let bounds = Bounds {
+        concurrent_calls: settings.concurrent_calls.max(1),
+        failures_until_away: settings.failures_until_away.max(1),
+        call_timeout: settings.call_timeout,
+        backoff_first: settings.backoff_first,
+        backoff_limit: settings.backoff_limit,
+    };
+    let transport = Transport::open(settings.address, bounds, clock.clone(), boot.0);
+    let sequence = AtomicU64::new(0);
+    Client { inner: Arc::new(Inner { settings, boot, clock, sequence, history: Mutex::default(), transport }) }
 }
 
 impl Client {
-    /// Issues an identifier for a transaction.
+    /// Issues an identifier for a transaction; each serves one call of [`Client::commit`].
     #[must_use]
     pub fn next_write_id(&self) -> WriteId {
         WriteId { boot: self.inner.boot, sequence: self.inner.sequence.fetch_add(1, Ordering::Relaxed) }
@@ -96,6 +114,12 @@
         &self.inner.clock
     }
 
+    /// Tells whether calls are held back because the platform is away.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.inner.transport.is_away()
+    }
+
     /// Reads rows by key; rows that don't exist are left out.
     ///
     /// # Errors
@@ -131,11 +155,51 @@
     }
 
     /// Commits all writes or none, in one attempt.
+    ///
+    /// Along with the writes goes a row that records the transaction, so that [`Client::resolve`] can prove what
+    /// became of it.
     pub async fn commit(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
-        self.send_commit(&Commit { write_id, writes }).await
+        let deleted = self.begin(write_id);
+        let commit = with_history(write_id, writes, &deleted);
+        let count = commit.writes.len() - deleted.len() - 1;
+        let outcome = self.send_commit(&commit).await;
+        self.finish(write_id, deleted, outcome, count)
+    }
+
+    fn begin(&self, write_id: WriteId) -> Vec<WriteId> {
+        let mut history = self.history();
+        history.begin(write_id);
+        history.take_deletable(self.inner.clock.now(), self.inner.settings.late_write_bound)
+    }
+
+    fn finish(&self, write_id: WriteId, deleted: Vec<WriteId>, outcome: Outcome, count: usize) -> Outcome {
+        let mut history = self.history();
+        match outcome {
+            Outcome::Done(versions) => {
+                history.confirmed(write_id);
+                Outcome::Done(versions.into_iter().skip(1).take(count).collect())
+            }
+            Outcome::NotDone(reason) => {
+                history.give_back(deleted);
+                match recorded(&reason, write_id) {
+                    Some(Resolution::Done(version)) => return Outcome::Done(vec![version; count]),
+                    Some(_) => return Outcome::NotDone(Reason::Fenced),
+                    None => history.rejected(write_id),
+                }
+                Outcome::NotDone(reason)
+            }
+            Outcome::Unknown => {
+                history.give_back(deleted);
+                Outcome::Unknown
+            }
+        }
+    }
+
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
+        self.inner.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn send_commit(&self, commit: &Commit) -> Outcome {
+    pub(crate) async fn send_commit(&self, commit: &Commit) -> Outcome {
         let Some(body) = encode(commit) else {
             return Outcome::NotDone(Reason::Invalid("body can't be encoded".to_owned()));
         };
@@ -159,12 +223,44 @@
     }
 
     async fn query<Q: Serialize, A: DeserializeOwned>(&self, path: &str, question: &Q) -> Result<A, Error> {
-        let Some(body) = encode(question) else {
-            return Err(Error::Malformed("question can't be encoded".to_owned()));
-        };
+        self.repeat(|| self.query_once(path, question)).await
+    }
+
+    pub(crate) async fn query_once<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, Error> {
+        let body = encode(question).ok_or_else(|| Error::Malformed("question can't be encoded".to_owned()))?;
+        let answer = self.call_once(Method::POST, path, HeaderMap::new(), body).await?;
+        match answer.status {
+            StatusCode::OK => decode(&answer.body).ok_or_else(|| Error::Malformed("body isn't as expected".to_owned())),
+            status => Err(Error::Malformed(format!("status {status}"))),
+        }
+    }
+
+    pub(crate) async fn call_once(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let answer = self.inner.transport.call(method, path, headers, body).await?;
+        if answer.status == StatusCode::TOO_MANY_REQUESTS {
+            return Err(Error::Refused { retry_after: answer.retry_after() });
+        }
+        Ok(answer)
+    }
+
+    /// Repeats a call that may be repeated, up to the attempts in the settings.
+    pub(crate) async fn repeat<T, F>(&self, call: impl Fn() -> F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>>,
+    {
         let mut attempt = 0;
         loop {
-            let error = match self.query_once(path, body.clone()).await {
+            let error = match call().await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -176,17 +272,13 @@
         }
     }
 
-    async fn query_once<A: DeserializeOwned>(&self, path: &str, body: Bytes) -> Result<A, Error> {
-        let answer = self.inner.transport.call(Method::POST, path, HeaderMap::new(), body).await?;
-        match answer.status {
-            StatusCode::OK => decode(&answer.body).ok_or_else(|| Error::Malformed("body isn't as expected".to_owned())),
-            StatusCode::TOO_MANY_REQUESTS => Err(Error::Refused { retry_after: answer.retry_after() }),
-            status => Err(Error::Malformed(format!("status {status}"))),
-        }
+    /// Draws a duration below `bound`.
+    pub(crate) fn jitter(&self, bound: Duration) -> Duration {
+        bound.mul_f64(self.inner.transport.draw())
     }
 
     /// Full jitter below a doubling bound; at least what the platform asked for.
-    fn backoff(&self, attempt: u32, error: &Error) -> Duration {
+    pub(crate) fn backoff(&self, attempt: u32, error: &Error) -> Duration {
         let settings = &self.inner.settings;
         let doubled = settings.backoff_first.saturating_mul(1 << attempt.saturating_sub(1).min(16));
         let jittered = self.jitter(doubled.min(settings.backoff_limit));
@@ -195,12 +287,21 @@
             _ => jittered,
         }
     }
+}
 
-    /// Draws a duration below `bound`.
-    fn jitter(&self, bound: Duration) -> Duration {
-        let share: f64 = self.inner.rng.lock().unwrap_or_else(std::sync::PoisonError::into_inner).random();
-        bound.mul_f64(share)
-    }
+/// Puts the history row first, so that its conflict is the one that the platform names.
+fn with_history(write_id: WriteId, writes: Vec<Write>, deleted: &[WriteId]) -> Commit {
+    let forgotten = deleted.iter().map(|old| Write::delete(history::key(*old), Expect::Any));
+    let writes = std::iter::once(history::record(write_id)).chain(writes).chain(forgotten).collect();
+    Commit { write_id, writes }
+}
+
+/// Reads a conflict on the history row of the write itself.
+fn recorded(reason: &Reason, write_id: WriteId) -> Option<Resolution> {
+    let Reason::Conflict(Conflict { key, current: Some(row), .. }) = reason else {
+        return None;
+    };
+    (*key == history::key(write_id)).then(|| history::resolution(row, write_id))
 }
 
 impl From<Failure> for Error {
--- /dev/null
+++ b/crates/platform/src/group.rs
@@ -0,0 +1,230 @@
+//! Group commit: many independent sets of writes in one transaction.
+//!
+//! The platform counts transactions, so members that arrive within a few milliseconds share one. A member whose
+//! condition doesn't hold is taken out and answered, and the others are committed without it.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::client::{Client, Resolution};
+use crate::error::{Outcome, Reason};
+use crate::table::{Conflict, Write, WriteId};
+
+/// Settings of a [`Group`].
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Members of one transaction at most.
+    pub members: usize,
+    /// Members that wait for a transaction at most; beyond, a submission isn't sent.
+    pub queued_members: usize,
+    /// Transactions in progress at the same time.
+    pub concurrent_commits: usize,
+    /// Attempts at a transaction that the platform refuses because of its load.
+    pub attempts: u32,
+    /// Time to wait for further members after the first.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "wait_ms")]
+    pub wait: Duration,
+    /// Time to resolve an unknown outcome before the members are told that it is unknown.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "resolve_limit_ms")]
+    pub resolve_limit: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            members: 64,
+            queued_members: 4_096,
+            concurrent_commits: 4,
+            attempts: 3,
+            wait: Duration::from_millis(3),
+            resolve_limit: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Outcome of one member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submitted {
+    /// Transaction that last carried the member; [`Client::resolve`] takes it after [`Outcome::Unknown`].
+    pub write_id: Option<WriteId>,
+    /// Outcome of the member's own writes.
+    pub outcome: Outcome,
+}
+
+/// Running group commit; ends when the last handle is dropped and its members are answered.
+#[derive(Clone, Debug)]
+pub struct Group {
+    members: mpsc::Sender<Member>,
+    task: AbortHandle,
+}
+
+#[derive(Debug)]
+struct Member {
+    writes: Vec<Write>,
+    answer: oneshot::Sender<Submitted>,
+}
+
+/// Starts a group commit.
+#[must_use]
+pub fn spawn(client: Client, settings: Settings) -> Group {
+    let (members, queue) = mpsc::channel(settings.queued_members.max(1));
+    let task = tokio::spawn(run(client, settings, queue)).abort_handle();
+    Group { members, task }
+}
+
+impl Group {
+    /// Submits writes that take effect together or not at all, beside those of other members.
+    ///
+    /// Dropping the future doesn't take the writes back.
+    pub async fn submit(&self, writes: Vec<Write>) -> Submitted {
+        let never_sent = Submitted { write_id: None, outcome: Outcome::NotDone(Reason::NeverSent) };
+        let (answer, submitted) = oneshot::channel();
+        if self.members.try_send(Member { writes, answer }).is_err() {
+            return never_sent;
+        }
+        // Members in a transaction are answered always; only those in the queue of an aborted task aren't.
+        submitted.await.unwrap_or(Submitted { write_id: None, outcome: Outcome::Unknown })
+    }
+
+    /// Tells whether the group still takes members.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        !self.task.is_finished()
+    }
+}
+
+async fn run(client: Client, settings: Settings, mut queue: mpsc::Receiver<Member>) {
+    let permits = Arc::new(Semaphore::new(settings.concurrent_commits.max(1)));
+    let mut left_over = None;
+    loop {
+        // While every transaction is in progress the queue grows, and with it the next transaction.
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        let first = match left_over.take() {
+            Some(member) => member,
+            None => match queue.recv().await {
+                Some(member) => member,
+                None => return,
+            },
+        };
+        let members;
+        (members, left_over) = collect(first, &settings, &mut queue).await;
+        tokio::spawn(carry(client.clone(), settings.clone(), members, permit));
+    }
+}
+
+/// Collects members for one transaction; one that writes a row of another is left over for the next.
+async fn collect(
+    first: Member,
+    settings: &Settings,
+    queue: &mut mpsc::Receiver<Member>,
+) -> (Vec<Member>, Option<Member>) {
+    let deadline = Instant::now() + settings.wait;
+    let mut keys: HashSet<Arc<str>> = first.writes.iter().map(|write| Arc::clone(&write.key)).collect();
+    let mut members = vec![first];
+    while members.len() < settings.members {
+        let Ok(Some(member)) = timeout_at(deadline, queue.recv()).await else { break };
+        if member.writes.iter().any(|write| keys.contains(&write.key)) {
+            return (members, Some(member));
+        }
+        keys.extend(member.writes.iter().map(|write| Arc::clone(&write.key)));
+        members.push(member);
+    }
+    (members, None)
+}
+
+/// Commits members until each has its outcome.
+async fn carry(client: Client, settings: Settings, mut members: Vec<Member>, permit: OwnedSemaphorePermit) {
+    let mut refusals = 0;
+    while !members.is_empty() {
+        let write_id = client.next_write_id();
+        let writes = members.iter().flat_map(|member| member.writes.iter().cloned()).collect();
+        match client.commit(write_id, writes).await {
+            Outcome::NotDone(Reason::Conflict(conflict)) if concerns(&conflict, &members) => {
+                members = answer_losers(members, write_id, &conflict);
+            }
+            Outcome::NotDone(Reason::Refused { retry_after }) if refusals + 1 < settings.attempts => {
+                refusals += 1;
+                tokio::time::sleep(retry_after + client.jitter(retry_after)).await;
+            }
+            Outcome::Unknown => {
+                let outcome = resolve(&client, &settings, write_id, &members).await;
+                answer_all(members, write_id, &outcome);
+                break;
+            }
+            outcome => {
+                answer_all(members, write_id, &outcome);
+                break;
+            }
+        }
+    }
+    drop(permit);
+}
+
+async fn resolve(client: &Client, settings: &Settings, write_id: WriteId, members: &[Member]) -> Outcome {
+    let Some(write) = members.iter().find_map(|member| member.writes.first()) else {
+        return Outcome::Unknown;
+    };
+    let count = members.iter().map(|member| member.writes.len()).sum();
+    match timeout(settings.resolve_limit, client.resolve(write_id, &write.key)).await {
+        Ok(Resolution::Done(version)) => Outcome::Done(vec![version; count]),
+        Ok(Resolution::NotDone) => Outcome::NotDone(Reason::Fenced),
+        Ok(Resolution::Forgotten) | Err(_) => Outcome::Unknown,
+    }
+}
+
+/// Tells whether the conflict is about a row of a member.
+fn concerns(conflict: &Conflict, members: &[Member]) -> bool {
+    let keys: HashSet<&str> = conflict.all().map(|found| &*found.key).collect();
+    members.iter().flat_map(|member| &member.writes).any(|write| keys.contains(&*write.key))
+}
+
+/// Answers the members whose conditions don't hold and returns the others.
+fn answer_losers(members: Vec<Member>, write_id: WriteId, conflict: &Conflict) -> Vec<Member> {
+    let mut others = Vec::with_capacity(members.len());
+    for member in members {
+        let own = |found: &&Conflict| member.writes.iter().any(|write| write.key == found.key);
+        match conflict.all().find(own) {
+            Some(found) => {
+                let found =
+                    Conflict { key: Arc::clone(&found.key), current: found.current.clone(), others: Vec::new() };
+                member.answer(write_id, Outcome::NotDone(Reason::Conflict(found)));
+            }
+            None => others.push(member),
+        }
+    }
+    others
+}
+
+/// Answers every member with its part of the outcome of the transaction.
+fn answer_all(members: Vec<Member>, write_id: WriteId, outcome: &Outcome) {
+    let mut first = 0;
+    for member in members {
+        let end = first + member.writes.len();
+        let own = match outcome {
+            Outcome::Done(versions) => {
+                versions.get(first..end).map_or(Outcome::Unknown, |own| Outcome::Done(own.to_vec()))
+            }
+            other => other.clone(),
+        };
+        first = end;
+        member.answer(write_id, own);
+    }
+}
+
+impl Member {
+    fn answer(self, write_id: WriteId, outcome: Outcome) {
+        // A submitter that went away has no use for the answer.
+        let _gone = self.answer.send(Submitted { write_id: Some(write_id), outcome });
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,6 +1,14 @@
 //! Client of the platform's table service and object store.
+//!
+//! A write has three results. `Done` and `NotDone` are proofs; after `Unknown` the write may still take effect, even
+//! after the row was read again. [`client::Client::resolve`] turns `Unknown` into a proof.
 
 pub mod client;
 pub mod error;
+mod gate;
+pub mod group;
+mod history;
+pub mod object;
+mod resolve;
 pub mod table;
 mod transport;
--- /dev/null
+++ b/crates/platform/src/resolve.rs
@@ -0,0 +1,89 @@
+//! Turns the unknown outcome of a write into a proof.
+
+use std::sync::Arc;
+
+use crate::client::Client;
+use crate::error::{Error, Outcome, Reason};
+use crate::history;
+use crate::table::{Commit, READ_PATH, Read, Row, Rows, Write, WriteId};
+
+/// Proved outcome of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Resolution {
+    /// The write took effect; version of every row that it wrote.
+    Done(u64),
+    /// The write didn't take effect and never will.
+    NotDone,
+    /// This client can't tell: another process issued the write, or its outcome was known long ago.
+    Forgotten,
+}
+
+impl Client {
+    /// Asks until the outcome of a write of this process is proved.
+    ///
+    /// `key` is one of the rows that the transaction wrote. Reads prove only that the write took effect, since they
+    /// may be stale and the write may be late. The contrary is proved by a commit that puts the history row of the
+    /// write: it fails when the write took effect, and when it succeeds the write's own condition can't hold any more.
+    ///
+    /// Runs as long as the platform is away; dropping the future is safe, and so is asking again.
+    pub async fn resolve(&self, write_id: WriteId, key: &Arc<str>) -> Resolution {
+        let Some(cell) = self.history().cell(write_id) else {
+            return Resolution::Forgotten;
+        };
+        *cell.get_or_init(|| self.prove(write_id, key)).await
+    }
+
+    /// Commits like [`Client::commit`] and resolves an unknown outcome; never returns [`Outcome::Unknown`] unless
+    /// the write is no longer known to the client.
+    pub async fn commit_and_resolve(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
+        let Some(key) = writes.first().map(|write| Arc::clone(&write.key)) else {
+            return Outcome::Done(Vec::new());
+        };
+        let count = writes.len();
+        match self.commit(write_id, writes).await {
+            Outcome::Unknown => match self.resolve(write_id, &key).await {
+                Resolution::Done(version) => Outcome::Done(vec![version; count]),
+                Resolution::NotDone => Outcome::NotDone(Reason::Fenced),
+                Resolution::Forgotten => Outcome::Unknown,
+            },
+            known => known,
+        }
+    }
+
+    async fn prove(&self, write_id: WriteId, key: &Arc<str>) -> Resolution {
+        let mut attempt = 0;
+        let resolution = loop {
+            if let Some(resolution) = self.find_proof(write_id, key).await {
+                break resolution;
+            }
+            if let Some(resolution) = self.fence(write_id).await {
+                break resolution;
+            }
+            attempt += 1;
+            tokio::time::sleep(self.backoff(attempt, &Error::Unreachable)).await;
+        };
+        self.history().resolved(write_id, resolution, self.clock().now());
+        resolution
+    }
+
+    async fn find_proof(&self, write_id: WriteId, key: &Arc<str>) -> Option<Resolution> {
+        let history_key = history::key(write_id);
+        let read = Read { keys: vec![Arc::clone(key), Arc::clone(&history_key)] };
+        let found: Rows = self.query_once(READ_PATH, &read).await.ok()?;
+        let proof = |row: &Row| {
+            (row.write_id == write_id || row.key == history_key).then(|| history::resolution(row, write_id))
+        };
+        found.rows.iter().find_map(proof)
+    }
+
+    async fn fence(&self, write_id: WriteId) -> Option<Resolution> {
+        let commit = Commit { write_id: self.next_write_id(), writes: vec![history::record(write_id)] };
+        match self.send_commit(&commit).await {
+            Outcome::Done(_) => Some(Resolution::NotDone),
+            Outcome::NotDone(Reason::Conflict(conflict)) => {
+                conflict.current.map(|row| history::resolution(&row, write_id))
+            }
+            Outcome::NotDone(_) | Outcome::Unknown => None,
+        }
+    }
+}
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -45,7 +45,7 @@
 pub struct Row {
     /// Key of the row; rows are ordered by its bytes.
     pub key: Arc<str>,
-    /// Grows with every write of the row and isn't reused after a delete.
+    /// Number of the transaction that wrote the row; grows with every transaction of the table.
     pub version: u64,
     /// Transaction that wrote this version.
     pub write_id: WriteId,
@@ -148,4 +148,14 @@
     pub key: Arc<str>,
     /// The row as stored, or `None` when it doesn't exist.
     pub current: Option<Row>,
+    /// Further rows whose condition doesn't hold, as far as the platform names them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub others: Vec<Conflict>,
+}
+
+impl Conflict {
+    /// Every row of the answer whose condition doesn't hold.
+    pub fn all(&self) -> impl Iterator<Item = &Self> {
+        std::iter::once(self).chain(&self.others)
+    }
 }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -1,17 +1,23 @@
 //! One HTTP call to the platform, with what its failure proves.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervilledge_policy::clock::Clock;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 
+use crate::gate::{Admission, Bounds, Gate};
+
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// Wait when a refusal doesn't name one.
@@ -53,21 +59,27 @@
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
     permits: Semaphore,
+    gate: Mutex<Gate>,
     call_timeout: Duration,
+    clock: Clock,
+    rng: Mutex<SmallRng>,
 }
 
 impl Transport {
-    pub(crate) fn open(address: SocketAddr, concurrent_calls: usize, call_timeout: Duration) -> Self {
+    pub(crate) fn open(address: SocketAddr, bounds: Bounds, clock: Clock, seed: u64) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         // Ends before the call does, so that a failed connect is told apart from a lost answer.
-        connector.set_connect_timeout(Some(call_timeout / 2));
+        connector.set_connect_timeout(Some(bounds.call_timeout / 2));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             // A write that is sent twice could take effect twice.
             .retry_canceled_requests(false)
             .build(connector);
-        Self { address, client, permits: Semaphore::new(concurrent_calls), call_timeout }
+        let permits = Semaphore::new(bounds.concurrent_calls as usize);
+        let gate = Mutex::new(Gate::new(bounds));
+        let rng = Mutex::new(SmallRng::seed_from_u64(seed));
+        Self { address, client, permits, gate, call_timeout: bounds.call_timeout, clock, rng }
     }
 
     /// Sends one request and reads the whole answer.
@@ -79,17 +91,51 @@
         body: Bytes,
     ) -> Result<Answer, Failure> {
         let deadline = Instant::now() + self.call_timeout;
-        let Ok(Ok(_permit)) = timeout_at(deadline, self.permits.acquire()).await else {
+        let request = self.request(method, path, headers, body).ok_or(Failure::NeverSent)?;
+        let admission = self.gate().admit(self.clock.now()).ok_or(Failure::NeverSent)?;
+        let permit = timeout_at(deadline, self.permits.acquire_many(admission.weight)).await;
+        let Ok(Ok(_permit)) = permit else {
             return Err(Failure::NeverSent);
         };
+        let result = timeout_at(deadline, self.exchange(request)).await.unwrap_or(Err(Failure::TimedOut));
+        self.take_note(admission, result.is_ok());
+        result
+    }
+
+    /// Tells whether calls are held back because the platform is away.
+    pub(crate) fn is_away(&self) -> bool {
+        self.gate().is_away()
+    }
+
+    /// Draws a number from 0 to 1.
+    pub(crate) fn draw(&self) -> f64 {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random()
+    }
+
+    fn gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_note(&self, admission: Admission, answered: bool) {
+        let jitter = self.draw();
+        let mut gate = self.gate();
+        let was_away = gate.is_away();
+        if answered {
+            gate.answered();
+        } else {
+            gate.failed(self.clock.now(), admission, jitter);
+        }
+        if gate.is_away() != was_away {
+            log::warn!(away = gate.is_away(); "platform_availability");
+        }
+    }
+
+    fn request(&self, method: Method, path: &str, headers: HeaderMap, body: Bytes) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.headers_mut() = headers;
-        let Ok(uri) = format!("http://{}{path}", self.address).parse() else {
-            return Err(Failure::NeverSent);
-        };
-        *request.uri_mut() = uri;
-        timeout_at(deadline, self.exchange(request)).await.unwrap_or(Err(Failure::TimedOut))
+        *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
+        Some(request)
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
--- /dev/null
+++ b/crates/platform/tests/support/mod.rs
@@ -0,0 +1,26 @@
+//! Stand-in and client that the tests of this package share.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use chervilledge_platform::client::{self, Client, Settings};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::BootId;
+use chervilledge_standins::platform;
+
+/// Starts a stand-in with the given rates.
+pub async fn start_store(settings: platform::Settings) -> platform::Handle {
+    platform::bind(SocketAddr::from(([127, 0, 0, 1], 0)), settings).await.unwrap()
+}
+
+/// Opens a client whose calls end late enough for a busy machine.
+pub fn open_client(store: &platform::Handle, boot: u64) -> Client {
+    open_client_with(store.address(), boot, Duration::from_secs(20))
+}
+
+/// Opens a client with the given timeout of calls.
+pub fn open_client_with(address: SocketAddr, boot: u64, call_timeout: Duration) -> Client {
+    let origin = Instant::now();
+    let settings = Settings { address, call_timeout, ..Settings::default() };
+    client::open(settings, BootId(boot), Clock::new(move || origin.elapsed()))
+}
--- a/crates/platform/tests/table.rs
+++ b/crates/platform/tests/table.rs
@@ -1,23 +1,20 @@
 //! Reads, scans and conditional transactions.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
-use chervilledge_platform::client::{self, Client, Settings};
+use chervilledge_platform::client::Client;
 use chervilledge_platform::error::{Outcome, Reason};
 use chervilledge_platform::table::{Expect, Write};
-use chervilledge_policy::clock::Clock;
-use chervilledge_policy::id::BootId;
 use chervilledge_standins::platform;
 use rstest::rstest;
 use serde_json::json;
+use support::{open_client, start_store};
 
 async fn start() -> (platform::Handle, Client) {
-    let store = platform::bind(SocketAddr::from(([127, 0, 0, 1], 0)), platform::Settings::default()).await.unwrap();
-    let origin = Instant::now();
-    let settings = Settings { address: store.address(), call_timeout: Duration::from_secs(20), ..Settings::default() };
-    let client = client::open(settings, BootId(7), Clock::new(move || origin.elapsed()));
+    let store = start_store(platform::Settings::default()).await;
+    let client = open_client(&store, 7);
     (store, client)
 }
 
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -35,6 +35,11 @@
 }
 
 impl Store {
+    /// Copies the rows, without objects and ledger.
+    pub(crate) fn rows_only(&self) -> Self {
+        Self { rows: self.rows.clone(), ..Self::default() }
+    }
+
     pub(crate) fn read(&self, keys: &[Arc<str>]) -> Vec<Row> {
         keys.iter().filter_map(|key| self.rows.get(key).cloned()).collect()
     }
@@ -56,11 +61,8 @@
         if keys.len() != commit.writes.len() {
             return Attempt::Invalid("a key is written twice");
         }
-        for write in &commit.writes {
-            let current = self.rows.get(&write.key);
-            if !write.expect.holds(current.map(|row| row.version)) {
-                return Attempt::Conflict(Conflict { key: Arc::clone(&write.key), current: current.cloned() });
-            }
+        if let Some(conflict) = self.find_conflict(&commit.writes) {
+            return Attempt::Conflict(conflict);
         }
         let number = self.ledger.len() as u64 + 1;
         for write in &commit.writes {
@@ -71,6 +73,16 @@
         Attempt::Committed(versions)
     }
 
+    fn find_conflict(&self, writes: &[Write]) -> Option<Conflict> {
+        let mut conflicts = writes.iter().filter_map(|write| {
+            let current = self.rows.get(&write.key);
+            let conflict = || Conflict { key: Arc::clone(&write.key), current: current.cloned(), others: Vec::new() };
+            (!write.expect.holds(current.map(|row| row.version))).then(conflict)
+        });
+        let first = conflicts.next()?;
+        Some(Conflict { others: conflicts.collect(), ..first })
+    }
+
     fn apply(&mut self, write: &Write, version: u64, write_id: WriteId) {
         let key = Arc::clone(&write.key);
         match &write.value {
