Number an agent's links, so that an older link never takes the place of a newer one

Ruled out: ordering by arrival at the entry, since a delayed announcement arrives last. Change: the agent numbers each link it opens; the first heartbeat on a link gives every field.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use chervilledge_link::message::{Hello, VERSION};
@@ -228,13 +229,15 @@
         silence: settings.bounds.link_silence_ms,
         backoff_max: settings.bounds.link_backoff_max_ms,
     };
-    let announcement = Arc::new(announcement(settings, boot));
+    let announcement = announcement(settings, boot);
     let hello_core = core.clone();
+    let last_link = AtomicU64::new(0);
     let hello = move || {
         let core = hello_core.clone();
-        let announcement = Arc::clone(&announcement);
+        let link = last_link.fetch_add(1, Ordering::Relaxed) + 1;
+        let announcement = Announcement { link, ..announcement.clone() };
         let enforced = enforced.stamp();
-        async move { hello(&core, &announcement, enforced).await }
+        async move { hello(&core, announcement, enforced).await }
     };
     let core = core.clone();
     let events = move |event| {
@@ -244,10 +247,10 @@
     links::spawn(links, hello, events, entries)
 }
 
-async fn hello(core: &ActorRef<Message>, announcement: &Announcement, enforced: Option<Stamp>) -> Hello {
+async fn hello(core: &ActorRef<Message>, announcement: Announcement, enforced: Option<Stamp>) -> Hello {
     let load =
         ractor::call_t!(core, Message::Load, ASK_TIMEOUT_MS).unwrap_or(Load { draining: true, ..Load::default() });
-    Hello { version: VERSION, announcement: announcement.clone(), load, enforced }
+    Hello { version: VERSION, announcement, load, enforced }
 }
 
 fn announcement(settings: &settings::Agent, boot: BootId) -> Announcement {
@@ -255,6 +258,7 @@
         agent_boot: boot,
         capacity: settings.capacity,
         failure_domain: Name::clone(&settings.failure_domain),
+        link: 0,
         queue: settings.bounds.agent_queue_max,
         rack: Name::clone(&settings.rack),
         service: Name::clone(&settings.service),
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -182,9 +182,9 @@
 impl State {
     fn on_dial(&mut self, myself: &ActorRef<Message>, event: dial::Event) {
         match event {
-            dial::Event::Open { link: id, welcome, sender, hello_load } => {
+            dial::Event::Open { link: id, welcome, sender } => {
                 self.links_opened += 1;
-                let link = Link { id, sender, sequence: 0, reported: hello_load, needs_whole: false };
+                let link = Link { id, sender, sequence: 0, reported: Load::default(), needs_whole: true };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
                 if let Some(stamp) = welcome.enforced {
@@ -469,7 +469,7 @@
 
 fn send_heartbeat(boot: BootId, link: &mut Link, load: &Load) {
     let delta = if link.needs_whole { LoadDelta::full(load) } else { LoadDelta::between(&link.reported, load) };
-    let heartbeat = Heartbeat { agent_boot: boot, load: delta, sequence: link.sequence + 1 };
+    let heartbeat = Heartbeat { agent_boot: boot, link: link.id.number, load: delta, sequence: link.sequence + 1 };
     // The sequence number counts what was queued: a heartbeat that didn't fit leaves no gap behind.
     if link.sender.try_send(ToEntry::Heartbeat(heartbeat)) {
         link.sequence += 1;
--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -7,7 +7,6 @@
 use chervilledge_link::error::Error;
 use chervilledge_link::message::{Hello, ToAgent, ToEntry, Welcome};
 use chervilledge_policy::id::BootId;
-use chervilledge_policy::membership::Load;
 use tokio::task::JoinHandle;
 
 /// First pause after a failed attempt to open a link.
@@ -31,8 +30,8 @@
 pub struct LinkId {
     /// Address that was dialed.
     pub address: SocketAddr,
-    /// Strictly increasing for each address that is dialed by one dialer.
-    pub attempt: u64,
+    /// Number of the link, as announced on it.
+    pub number: u64,
 }
 
 /// Event of a dialer.
@@ -46,8 +45,6 @@
         welcome: Welcome,
         /// Sends on the link.
         sender: Sender<ToEntry>,
-        /// Load that the entry was told in the first message.
-        hello_load: Load,
     },
     /// A message came.
     Message {
@@ -77,16 +74,14 @@
 {
     tokio::spawn(async move {
         let mut pause = BACKOFF_FIRST;
-        let mut link = LinkId { address: settings.address, attempt: 0 };
         loop {
-            link.attempt += 1;
             let hello = hello().await;
-            let hello_load = hello.load;
+            let link = LinkId { address: settings.address, number: hello.announcement.link };
             let (entry, error) = match open(&settings, hello).await {
                 Ok((welcome, sender, receiver)) => {
                     pause = BACKOFF_FIRST;
                     let entry = welcome.entry;
-                    events(Event::Open { link, welcome, sender, hello_load });
+                    events(Event::Open { link, welcome, sender });
                     (Some(entry), run(&settings, entry, receiver, &events).await)
                 }
                 Err(error) => (None, error),
