Add the faulty network proxy and the judge of ledgers

Ruled out: resuming a silenced direction after it has lost bytes; the peer would read a stream with a gap as whole. Change: in-process TCP proxy with delay, cut, one-way silence, half-open, trickle and refusal; judge of capacity, tasks on two workers, repeated starts, effects, requests and keys, and requests executed although told as not run. The judge doesn't find a task that executes before its TaskStarted is recorded; the stand-in records it first.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod backend;
 pub mod clock;
+pub mod judge;
 mod ledger;
+pub mod network;
 pub mod platform;
 mod rate;
 mod serve;
