Prove leaving and silent links with real processes; end links without cutting requests off

Cause: with two entries an agent that dropped a link on another entry's word kept waiting for the configuration from it, and a link that was dropped broke the requests on it. A link that returned stayed marked for its end, so that it opened and closed once a second. A worker was chosen before its backend server was reached and a configuration was in force. Messages could go out on a link before its welcome. Ruled out: keeping every link for ever, which at size breaks the agent's 3 KB/s; retrying longer in the entry, since the worker wasn't ready in the first place. Change: an agent tells readiness in its load; links that are no longer wanted report not ready and close once nothing is in progress on them; every link ends with an event; agents without any link go back to where entries are found first; the welcome is queued before the link is known.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -396,6 +396,7 @@
             draining: self.draining,
             in_progress: to_count(self.running.len()),
             queued: self.queued(),
+            ready: self.ready,
             ..Load::default()
         }
     }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -42,6 +42,8 @@
     pub in_progress: u32,
     /// Requests that wait for a slot.
     pub queued: u32,
+    /// The backend server takes requests and the agent may hand them over.
+    pub ready: bool,
 }
 
 /// Fields of a [`Load`] that changed since the previous heartbeat.
@@ -60,6 +62,9 @@
     /// New value of [`Load::queued`].
     #[serde(skip_serializing_if = "Option::is_none")]
     pub queued: Option<u32>,
+    /// New value of [`Load::ready`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ready: Option<bool>,
 }
 
 impl LoadDelta {
@@ -71,6 +76,7 @@
             free: Some(load.free),
             in_progress: Some(load.in_progress),
             queued: Some(load.queued),
+            ready: Some(load.ready),
         }
     }
 
@@ -82,6 +88,7 @@
             free: changed(&before.free, &after.free),
             in_progress: changed(&before.in_progress, &after.in_progress),
             queued: changed(&before.queued, &after.queued),
+            ready: changed(&before.ready, &after.ready),
         }
     }
 
@@ -90,10 +97,15 @@
         load.free = self.free.unwrap_or(load.free);
         load.in_progress = self.in_progress.unwrap_or(load.in_progress);
         load.queued = self.queued.unwrap_or(load.queued);
+        load.ready = self.ready.unwrap_or(load.ready);
     }
 
     fn is_full(&self) -> bool {
-        self.draining.is_some() && self.free.is_some() && self.in_progress.is_some() && self.queued.is_some()
+        self.draining.is_some()
+            && self.free.is_some()
+            && self.in_progress.is_some()
+            && self.queued.is_some()
+            && self.ready.is_some()
     }
 }
 
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -119,7 +119,7 @@
         slowdown: impl Fn() -> f64,
     ) -> Result<Answer, Hangup> {
         self.count_connection(connection);
-        let mut running = self.begin(&parts.headers);
+        let mut running = self.begin(parts);
         let work = header(&parts.headers, "x-work-ms").map_or(Duration::ZERO, Duration::from_millis);
         if !fail_all {
             work_for(work, slowdown).await;
@@ -145,11 +145,13 @@
         }
     }
 
-    fn begin(&self, headers: &HeaderMap) -> Running<'_> {
+    fn begin(&self, parts: &Parts) -> Running<'_> {
+        let headers = &parts.headers;
         let now = self.clock.now();
         let request_id = Name::from(text_header(headers, "x-request-id"));
         let key = Some(text_header(headers, "idempotency-key")).filter(|key| !key.is_empty()).map(Name::from);
-        let what = What::RequestStarted { request_id: Name::clone(&request_id), idempotency_key: key };
+        let path = Name::from(path_of(parts));
+        let what = What::RequestStarted { request_id: Name::clone(&request_id), idempotency_key: key, path };
         self.ledger.record(now, what);
         let in_progress = self.in_progress.fetch_add(1, Ordering::Relaxed) + 1;
         if in_progress > self.capacity.slots {
@@ -166,7 +168,7 @@
         let echo = Echo {
             request_id: request_id.to_owned(),
             worker: Name::clone(&self.worker),
-            path: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
+            path: path_of(parts),
             body_length_bytes: body.len() as u64,
             body_checksum: checksum(body),
         };
@@ -193,6 +195,10 @@
     answer
 }
 
+fn path_of(parts: &Parts) -> String {
+    parts.uri.path_and_query().map_or_else(String::new, ToString::to_string)
+}
+
 fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -44,6 +44,8 @@
         request_id: Name,
         /// Header `idempotency-key`.
         idempotency_key: Option<Name>,
+        /// Path and query, by which a caller can mark a request.
+        path: Name,
     },
     /// The backend server ended a request.
     RequestEnded {
--- a/crates/standins/tests/judge.rs
+++ b/crates/standins/tests/judge.rs
@@ -36,7 +36,7 @@
 }
 
 fn request(id: &str, key: Option<&str>) -> What {
-    What::RequestStarted { request_id: name(id), idempotency_key: key.map(name) }
+    What::RequestStarted { request_id: name(id), idempotency_key: key.map(name), path: name("/") }
 }
 
 #[rstest]
--- a/crates/standins/tests/worker.rs
+++ b/crates/standins/tests/worker.rs
@@ -40,7 +40,8 @@
     assert_eq!((echo.request_id.as_str(), echo.path.as_str()), ("r-1", "/quote?x=1"));
     assert_eq!((echo.body_length_bytes, echo.body_checksum), (4, checksum(b"mesh")));
     let key = Some(Name::from("k-1"));
-    let started = What::RequestStarted { request_id: Name::from("r-1"), idempotency_key: key };
+    let path = Name::from("/quote?x=1");
+    let started = What::RequestStarted { request_id: Name::from("r-1"), idempotency_key: key, path };
     assert_eq!(handle.ledger()[0].what, started);
     wait_until(|| ends(&handle) == [("r-1".to_owned(), Some(200))]).await;
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -239,12 +239,12 @@
         let enforced = enforced.stamp();
         async move { hello(&core, announcement, enforced).await }
     };
-    let core = core.clone();
-    let events = move |event| {
-        // The actor stops with the process only.
-        drop(core.cast(Message::Dial(event)));
-    };
-    links::spawn(links, hello, events, entries)
+    let events_core = core.clone();
+    let retire_core = core.clone();
+    // The actor stops with the process only.
+    let events = move |event| drop(events_core.cast(Message::Dial(event)));
+    let retire = move |address, is_retired| drop(retire_core.cast(Message::Retire { address, is_retired }));
+    links::spawn(links, links::Ports { hello, events, retire }, entries)
 }
 
 async fn hello(core: &ActorRef<Message>, announcement: Announcement, enforced: Option<Stamp>) -> Hello {
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -1,6 +1,7 @@
 //! Actor that holds the state of an agent: admission of requests, links to entries and requests in progress.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use chervilledge_policy::admission::{Action, Admission, Finished, Offer, Priority};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::code::Code;
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::{BootId, RequestId};
 use chervilledge_policy::membership::{Heartbeat, Load, LoadDelta};
 use chervilledge_policy::request::{Origin, Outcome};
@@ -19,6 +20,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::agent::dial::{self, LinkId};
 use crate::agent::exchange::{BodyPart, Exchange, Route, RouteAsked, open_credit};
@@ -29,6 +31,13 @@
 pub enum Message {
     /// Something happened on a link.
     Dial(dial::Event),
+    /// Links to an address are to end once nothing is in progress on them, or to stay after all.
+    Retire {
+        /// Address of an entry's link listener.
+        address: SocketAddr,
+        /// Whether they are to end.
+        is_retired: bool,
+    },
     /// The backend server takes requests, or no longer does.
     Ready(bool),
     /// The head of an answer is there.
@@ -82,6 +91,7 @@
     /// Load that the entry knows.
     reported: Load,
     needs_whole: bool,
+    close: CancellationToken,
 }
 
 /// Request that waits for a slot or runs.
@@ -117,6 +127,8 @@
     wanted: Option<(u64, BootId)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
     links: Map<BootId, Link>,
+    /// Addresses whose links are to end once nothing is in progress on them.
+    retired: Set<SocketAddr>,
     held: Map<RequestId, Held>,
     links_opened: u64,
     links_closed: u64,
@@ -143,6 +155,7 @@
             wanted: None,
             entries: args.entries,
             links: Map::default(),
+            retired: Set::default(),
             held: Map::default(),
             links_opened: 0,
             links_closed: 0,
@@ -158,9 +171,10 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             Message::Dial(event) => state.on_dial(&myself, event),
+            Message::Retire { address, is_retired } => state.on_retire(&myself, address, is_retired),
             Message::Ready(is_ready) => {
                 state.is_backend_ready = is_ready;
-                state.refresh_ready();
+                state.refresh_ready(&myself);
             }
             Message::AnswerReady { request, asked } => state.on_answer_ready(request, asked),
             Message::Finished { request, finished } => state.on_finished(&myself, request, finished),
@@ -182,9 +196,10 @@
 impl State {
     fn on_dial(&mut self, myself: &ActorRef<Message>, event: dial::Event) {
         match event {
-            dial::Event::Open { link: id, welcome, sender } => {
+            dial::Event::Open { link: id, welcome, sender, close } => {
                 self.links_opened += 1;
-                let link = Link { id, sender, sequence: 0, reported: Load::default(), needs_whole: true };
+                let reported = Load::default();
+                let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
                 if let Some(stamp) = welcome.enforced {
@@ -244,7 +259,7 @@
             ToAgent::WantConfiguration => self.hand_on_configuration(entry),
             ToAgent::Configuration(configuration) => {
                 self.enforced.offer_text(&configuration.accepted, Source::Peer);
-                self.apply_configuration();
+                self.apply_configuration(myself);
             }
             ToAgent::Heartbeat { .. } | ToAgent::Tasks(_) => {}
             ToAgent::Welcome(_) | ToAgent::Refused(_) => self.dropped_messages += 1,
@@ -271,9 +286,9 @@
     }
 
     /// Puts the version in force to use and tells every entry of it.
-    fn apply_configuration(&mut self) {
+    fn apply_configuration(&mut self, myself: &ActorRef<Message>) {
         self.wanted = None;
-        self.refresh_ready();
+        self.refresh_ready(myself);
         let Some(stamp) = self.enforced.stamp() else { return };
         for link in self.links.values() {
             link.sender.post(ToEntry::Enforced(stamp));
@@ -281,8 +296,12 @@
     }
 
     /// Lets requests in while the backend server takes them and a configuration is in force.
-    fn refresh_ready(&mut self) {
-        self.admission.set_ready(self.is_backend_ready && self.enforced.stamp().is_some());
+    fn refresh_ready(&mut self, myself: &ActorRef<Message>) {
+        let is_ready = self.is_backend_ready && self.enforced.stamp().is_some();
+        if self.admission.load().ready != is_ready {
+            self.admission.set_ready(is_ready);
+            self.on_tick(myself);
+        }
     }
 
     fn on_start(&mut self, myself: &ActorRef<Message>, entry: BootId, start: Box<Start>) {
@@ -361,7 +380,21 @@
         self.perform(myself, actions);
         let load = self.admission.load();
         for link in self.links.values_mut() {
+            let is_retired = self.retired.contains(&link.id.address);
+            // An entry sends no new work to a worker that isn't ready.
+            let load = Load { ready: load.ready && !is_retired, ..load };
             send_heartbeat(self.boot, link, &load);
+            let is_idle = !self.held.values().any(|held| held.link == Some(link.id));
+            if is_retired && is_idle && link.sequence > 1 {
+                link.close.cancel();
+            }
+        }
+    }
+
+    fn on_retire(&mut self, myself: &ActorRef<Message>, address: SocketAddr, is_retired: bool) {
+        let is_changed = if is_retired { self.retired.insert(address) } else { self.retired.remove(&address) };
+        if is_changed {
+            self.on_tick(myself);
         }
     }
 
--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -7,7 +7,9 @@
 use chervilledge_link::error::Error;
 use chervilledge_link::message::{Hello, ToAgent, ToEntry, Welcome};
 use chervilledge_policy::id::BootId;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 /// First pause after a failed attempt to open a link.
 const BACKOFF_FIRST: Duration = Duration::from_millis(50);
@@ -45,6 +47,8 @@
         welcome: Welcome,
         /// Sends on the link.
         sender: Sender<ToEntry>,
+        /// Closes the link when it is cancelled.
+        close: CancellationToken,
     },
     /// A message came.
     Message {
@@ -64,25 +68,31 @@
     },
 }
 
-/// Keeps a link to one entry open until the returned task is aborted.
+/// Keeps a link to one entry open for as long as it is wanted; every open link ends with [`Event::Closed`].
 ///
 /// `hello` gives the first message of each link, `events` takes what happens.
-pub fn spawn<H, F>(settings: Settings, hello: H, events: impl Fn(Event) + Send + Sync + 'static) -> JoinHandle<()>
+pub fn spawn<H, F>(
+    settings: Settings,
+    hello: H,
+    events: impl Fn(Event) + Send + Sync + 'static,
+    wanted: watch::Receiver<bool>,
+) -> JoinHandle<()>
 where
     H: Fn() -> F + Send + Sync + 'static,
     F: Future<Output = Hello> + Send + 'static,
 {
     tokio::spawn(async move {
         let mut pause = BACKOFF_FIRST;
-        loop {
+        while *wanted.borrow() {
             let hello = hello().await;
             let link = LinkId { address: settings.address, number: hello.announcement.link };
             let (entry, error) = match open(&settings, hello).await {
                 Ok((welcome, sender, receiver)) => {
                     pause = BACKOFF_FIRST;
                     let entry = welcome.entry;
-                    events(Event::Open { link, welcome, sender });
-                    (Some(entry), run(&settings, entry, receiver, &events).await)
+                    let close = CancellationToken::new();
+                    events(Event::Open { link, welcome, sender, close: close.clone() });
+                    (Some(entry), run(&settings, entry, receiver, &events, close).await)
                 }
                 Err(error) => (None, error),
             };
@@ -103,9 +113,19 @@
     }
 }
 
-async fn run(settings: &Settings, entry: BootId, mut receiver: Receiver, events: &impl Fn(Event)) -> Error {
+async fn run(
+    settings: &Settings,
+    entry: BootId,
+    mut receiver: Receiver,
+    events: &impl Fn(Event),
+    close: CancellationToken,
+) -> Error {
     loop {
-        match receiver.receive(settings.silence).await {
+        let next = tokio::select! {
+            next = receiver.receive(settings.silence) => next,
+            () = close.cancelled() => Err(Error::Closed),
+        };
+        match next {
             Ok(message) => events(Event::Message { entry, message }),
             Err(error) => return error,
         }
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -2,17 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, Hello};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::membership::{EntryPeer, choose_entries};
-use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 use crate::agent::dial::{self, Event};
 
+/// Time without an open link after which entries are sought where they are found first.
+const LONELY_AFTER: Duration = Duration::from_secs(1);
+
 /// What the keeper needs.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,59 +34,125 @@
     pub backoff_max: Duration,
 }
 
+/// What the keeper tells and hears.
+#[derive(Clone, Debug)]
+pub struct Ports<H, E, R> {
+    /// Gives the first message of each link.
+    pub hello: H,
+    /// Takes what happens on links.
+    pub events: E,
+    /// Takes whether the links to an address are to end once nothing is in progress on them.
+    pub retire: R,
+}
+
 /// Starts to keep links. `entries` gives the entries that were heard of; the task ends with it.
-pub fn spawn<H, F, E>(
+pub fn spawn<H, F, E, R>(
     settings: Settings,
-    hello: H,
-    events: E,
+    ports: Ports<H, E, R>,
     mut entries: mpsc::UnboundedReceiver<Vec<EntryAddress>>,
 ) -> JoinHandle<()>
 where
     H: Fn() -> F + Send + Sync + 'static,
     F: Future<Output = Hello> + Send + 'static,
     E: Fn(Event) + Send + Sync + 'static,
+    R: Fn(SocketAddr, bool) + Send + Sync + 'static,
 {
-    let hello = Arc::new(hello);
-    let events = Arc::new(events);
+    let ports = Arc::new(ports);
     tokio::spawn(async move {
+        let open = Arc::new(AtomicUsize::new(0));
         let mut dialers = Dialers(Map::default());
         let mut known: Vec<EntryAddress> = Vec::new();
+        let mut lonely = false;
         loop {
-            let wanted = wanted(&settings, &known);
-            dialers.0.retain(|address, dialer| {
-                let is_wanted = wanted.contains(address);
-                if !is_wanted {
-                    dialer.abort();
-                }
-                is_wanted
-            });
+            let wanted = wanted(&settings, &known, lonely);
+            dialers.retire_all_but(&wanted, &ports.retire);
             for address in wanted {
-                dialers.0.entry(address).or_insert_with(|| {
-                    let hello = Arc::clone(&hello);
-                    let events = Arc::clone(&events);
-                    dial::spawn(dial_settings(&settings, address), move || hello(), move |event| events(event))
-                        .abort_handle()
+                dialers.want(address, &ports.retire, |is_wanted| {
+                    let hello_ports = Arc::clone(&ports);
+                    let event_ports = Arc::clone(&ports);
+                    let open = Arc::clone(&open);
+                    let hello = move || (hello_ports.hello)();
+                    let events = move |event| {
+                        count(&open, &event);
+                        (event_ports.events)(event);
+                    };
+                    dial::spawn(dial_settings(&settings, address), hello, events, is_wanted)
                 });
             }
-            let Some(heard) = entries.recv().await else { return };
-            known = heard;
+            match tokio::time::timeout(LONELY_AFTER, entries.recv()).await {
+                Ok(Some(heard)) => known = heard,
+                Ok(None) => return,
+                Err(_) => lonely = open.load(Ordering::Relaxed) == 0,
+            }
         }
     })
 }
 
+/// Counts the links that are open.
+fn count(open: &AtomicUsize, event: &Event) {
+    match event {
+        Event::Open { .. } => {
+            open.fetch_add(1, Ordering::Relaxed);
+        }
+        Event::Closed { entry: Some(_), .. } => {
+            open.fetch_sub(1, Ordering::Relaxed);
+        }
+        Event::Closed { entry: None, .. } | Event::Message { .. } => {}
+    }
+}
+
+/// Dialer of one address.
+struct Dialer {
+    is_wanted: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
 /// Dialers by the address that they dial; they end when this is dropped.
-struct Dialers(Map<SocketAddr, AbortHandle>);
+struct Dialers(Map<SocketAddr, Dialer>);
+
+impl Dialers {
+    /// Lets the links to other addresses end once nothing is in progress on them.
+    fn retire_all_but(&mut self, wanted: &[SocketAddr], retire: &impl Fn(SocketAddr, bool)) {
+        self.0.retain(|_, dialer| !dialer.task.is_finished());
+        for (address, dialer) in &self.0 {
+            if !wanted.contains(address) && dialer.is_wanted.send_replace(false) {
+                retire(*address, true);
+            }
+        }
+    }
+
+    /// Keeps a link to an address, by a dialer that is there or by a new one.
+    fn want(
+        &mut self,
+        address: SocketAddr,
+        retire: &impl Fn(SocketAddr, bool),
+        spawn: impl FnOnce(watch::Receiver<bool>) -> JoinHandle<()>,
+    ) {
+        if let Some(dialer) = self.0.get(&address) {
+            if !dialer.is_wanted.send_replace(true) {
+                retire(address, false);
+            }
+            return;
+        }
+        // An earlier dialer of the address may have retired its links.
+        retire(address, false);
+        let is_wanted = watch::Sender::new(true);
+        let task = spawn(is_wanted.subscribe());
+        self.0.insert(address, Dialer { is_wanted, task });
+    }
+}
 
 impl Drop for Dialers {
     fn drop(&mut self) {
         for dialer in self.0.values() {
-            dialer.abort();
+            dialer.task.abort();
         }
     }
 }
 
-/// Addresses to which links are to be held: chosen among the known entries, or where entries are found first.
-fn wanted(settings: &Settings, known: &[EntryAddress]) -> Vec<SocketAddr> {
+/// Addresses to which links are to be held: chosen among the known entries, and where entries are found first while
+/// no link is open.
+fn wanted(settings: &Settings, known: &[EntryAddress], lonely: bool) -> Vec<SocketAddr> {
     let peers: Vec<EntryPeer> = known
         .iter()
         .map(|entry| EntryPeer {
@@ -91,8 +161,11 @@
         })
         .collect();
     let chosen = choose_entries(&settings.worker, &peers, settings.links_max);
-    let addresses: Vec<SocketAddr> = chosen.iter().filter_map(|peer| peer.address.parse().ok()).collect();
-    if addresses.is_empty() { settings.bootstrap.clone() } else { addresses }
+    let mut addresses: Vec<SocketAddr> = chosen.iter().filter_map(|peer| peer.address.parse().ok()).collect();
+    if lonely || addresses.is_empty() {
+        addresses.extend(&settings.bootstrap);
+    }
+    addresses
 }
 
 fn dial_settings(settings: &Settings, address: SocketAddr) -> dial::Settings {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -128,7 +128,7 @@
             name: Name::clone(&settings.name),
             boot,
             failure_domain: Name::clone(&settings.failure_domain),
-            address: Name::from(links.address().to_string()),
+            address: Name::from(settings.links_advertised_address.unwrap_or(links.address()).to_string()),
             counter: 0,
         },
         live,
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilledge_link::connection::Sender;
-use chervilledge_link::message::{Hello, Reply, ToAgent};
+use chervilledge_link::message::{Hello, Reply, ToAgent, Welcome};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
@@ -159,12 +159,12 @@
         Self { inner: Mutex::new(inner), clock, own_domain, seed, opened: watch::Sender::new(0) }
     }
 
-    /// Takes in the first message of a link.
+    /// Takes in the first message of a link and answers it with `welcome`, before anything else is sent on the link.
     ///
     /// # Errors
     ///
-    /// [`Code::LinkBoot`] when a newer start of the agent is known.
-    pub fn open_link(&self, hello: &Hello, sender: Sender<ToAgent>) -> Result<Link, Code> {
+    /// [`Code::LinkBoot`] when a newer start or link of the agent is known.
+    pub fn open_link(&self, hello: &Hello, sender: Sender<ToAgent>, welcome: Welcome) -> Result<Link, Code> {
         let now = self.clock.now();
         let announcement = &hello.announcement;
         let mut inner = lock(&self.inner);
@@ -183,10 +183,11 @@
             .or_insert_with(|| Table::new(Name::clone(own_domain), routing::Settings::default()));
         table.upsert(now, announcement);
         table.set_load(&worker, &hello.load);
-        table.set_open(&worker, !hello.load.draining);
+        table.set_open(&worker, hello.load.ready && !hello.load.draining);
         if hello.load.draining {
             inner.members.drain(&worker, announcement.agent_boot);
         }
+        link.post(ToAgent::Welcome(welcome));
         let replaced = inner.links.insert(worker, link.clone());
         drop(inner);
         if let Some(replaced) = replaced {
@@ -344,7 +345,8 @@
     /// Carries the state of a member over to the routing table.
     fn refresh(&mut self, worker: &str) {
         let Some(member) = self.members.get(worker) else { return };
-        let is_open = member.standing == membership::Standing::Live && self.links.contains_key(worker);
+        let is_live = member.standing == membership::Standing::Live;
+        let is_open = is_live && member.load.ready && self.links.contains_key(worker);
         if let Some(table) = self.tables.get_mut(&member.announcement.service) {
             table.set_load(worker, &member.load);
             table.set_open(worker, is_open);
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -146,7 +146,6 @@
     };
     match accept_hello(context, &hello, sender) {
         Ok(link) => {
-            sender.send(ToAgent::Welcome(welcome(context))).await?;
             if let Some(stamp) = hello.enforced {
                 on_enforced(context, &link, stamp);
             }
@@ -165,7 +164,7 @@
     if hello.version != VERSION {
         return Err(Code::LinkVersion);
     }
-    context.fleet.open_link(hello, sender.clone())
+    context.fleet.open_link(hello, sender.clone(), welcome(context))
 }
 
 async fn read_all(context: &Context, link: &Link, receiver: &mut Receiver) -> Error {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,6 +28,9 @@
     pub callers_address: SocketAddr,
     /// Address for agents' links.
     pub links_address: SocketAddr,
+    /// Address under which agents reach the link listener, where it isn't `links_address`.
+    #[serde(default)]
+    pub links_advertised_address: Option<SocketAddr>,
     /// Address for operators.
     pub operators_address: SocketAddr,
     /// Address of the platform's table service and object store.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod cluster;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader};
@@ -63,7 +65,7 @@
 
 /// Running daemon; killed when it is dropped.
 pub struct Process {
-    child: Child,
+    child: Option<Child>,
     /// What the daemon printed when it was ready.
     pub ready: Value,
 }
@@ -76,7 +78,12 @@
         let mut line = String::new();
         BufReader::new(child.stdout.take().expect("stdout")).read_line(&mut line).expect("ready line");
         let ready = serde_json::from_str(&line).unwrap_or_else(|error| panic!("ready line {line:?}: {error}"));
-        Self { child, ready }
+        Self { child: Some(child), ready }
+    }
+
+    /// Stands for a process that was taken away.
+    pub fn none() -> Self {
+        Self { child: None, ready: Value::Null }
     }
 
     /// Address that the daemon printed.
@@ -86,7 +93,8 @@
 
     /// Sends a signal by its name, such as `TERM`, `KILL`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let id = self.child.as_ref().expect("process").id();
+        let status = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
         assert!(status.expect("kill").success(), "signal {name}");
     }
 
@@ -94,7 +102,7 @@
     pub fn wait(&mut self) -> Option<i32> {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            if let Some(status) = self.child.try_wait().expect("wait") {
+            if let Some(status) = self.child.as_mut().expect("process").try_wait().expect("wait") {
                 return status.code();
             }
             std::thread::sleep(Duration::from_millis(20));
@@ -104,8 +112,10 @@
 
     /// Ends the process at once.
     pub fn kill(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
     }
 }
 
@@ -155,14 +165,19 @@
 
 /// Starts an entry.
 pub fn spawn_entry(directory: &WorkDir, settings: &Value) -> Process {
-    let file = directory.write(&format!("{}.json", settings["name"].as_str().expect("name")), settings);
-    Process::spawn(env!("CARGO_BIN_EXE_chervilledge-entry"), &file)
+    spawn_daemon(env!("CARGO_BIN_EXE_chervilledge-entry"), directory, &settings["name"], settings)
 }
 
 /// Starts an agent.
 pub fn spawn_agent(directory: &WorkDir, settings: &Value) -> Process {
-    let file = directory.write(&format!("{}.json", settings["worker"].as_str().expect("worker")), settings);
-    Process::spawn(env!("CARGO_BIN_EXE_chervilledge-agent"), &file)
+    spawn_daemon(env!("CARGO_BIN_EXE_chervilledge-agent"), directory, &settings["worker"], settings)
+}
+
+fn spawn_daemon(program: &str, directory: &WorkDir, name: &Value, settings: &Value) -> Process {
+    let mut settings = settings.clone();
+    settings["log_directory"] = json!(directory.path());
+    let file = directory.write(&format!("{}.json", name.as_str().expect("name")), &settings);
+    Process::spawn(program, &file)
 }
 
 /// Configuration with one service `portal` and one team, for one site `hobart`.
@@ -299,11 +314,17 @@
 /// Waits until an entry knows `count` workers that take new work.
 pub async fn wait_for_workers(entry: &Process, count: usize) {
     let operators = entry.address("operators_address");
-    wait_until("workers are linked", || async move {
+    let until = Instant::now() + PATIENCE;
+    loop {
         let state = state(operators).await;
         let workers = state["entry"]["fleet"]["workers"].as_array().cloned().unwrap_or_default();
-        let is_linked = |worker: &&Value| worker["standing"] == "Live" && !worker["link"].is_null();
-        workers.iter().filter(is_linked).count() == count
-    })
-    .await;
+        let is_linked = |worker: &&Value| {
+            worker["standing"] == "Live" && worker["load"]["ready"] == true && !worker["link"].is_null()
+        };
+        if workers.iter().filter(is_linked).count() == count {
+            return;
+        }
+        assert!(Instant::now() < until, "{count} workers not linked within {PATIENCE:?}: {state}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
