--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -418,6 +418,12 @@
         self.outcomes.len()
     }
 
+    /// Number of batch requests that wait for a slot.
+    #[must_use]
+    pub fn queued_batch(&self) -> u32 {
+        to_count(self.queued_batch.len())
+    }
+
     fn queued(&self) -> u32 {
         to_count(self.queued_critical.len() + self.queued_batch.len())
     }
