policy: Prove leases by interleavings, add colocation control

Cause: no worker may run a task that another one runs, and the agent needs local control of batch tasks that slow requests. Ruled out: admitting an agent's asks without a listing of what it holds (a renewal after a lapse would revive an expired claim); a taker that counts the time of a store outage (every outage would move all ownership); a new group that takes unknown agents for ended. Seen to fail, each by taking out one guard: wait before an agent has ended; grant and start times noted; taker's wait; epoch compared; epoch raised; fence on release; fence compared; holder counts from the ask (walks); start names a current ask; ask belongs to this start; bar before expiry; gap of a watch; opening time of a group (scenario or unit test). The two checks of admission guard each other: the scenario fails when both are out, the unit test when either is. Conclusion: the walks alone don't find a missing bar before expiry; only the unit test does.

--- /dev/null
+++ b/crates/policy/src/colocation.rs
@@ -0,0 +1,358 @@
+//! An agent's control of batch tasks that slow the requests beside them.
+//!
+//! The agent sees the latency of each request without lag. While the 99th percentile exceeds its target, tasks are
+//! throttled, the one that slows requests most first. When all are throttled to the floor and the target is still
+//! exceeded, the task that loses the least work is evicted with a checkpoint, within a budget; one that doesn't leave
+//! in time is stopped. Shares come back one step at a time after the latency has stayed well below its target, and
+//! slower after each relapse.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::code::Code;
+use crate::task::{Epoch, TaskId};
+use crate::window::Window;
+
+/// Whole processor share of a task.
+pub const SHARE_FULL_PERMILLE: u32 = 1000;
+
+/// Budget that one eviction costs.
+const EVICTION_COST_PERMILLE: u64 = 1000;
+
+/// Evictions that can be saved up.
+const EVICTIONS_SAVED_MAX: u64 = 3;
+
+/// One in this many throttled tasks gets a larger share at a time, unless there was a relapse.
+const RESTORE_PART: usize = 4;
+
+/// Half the smallest share that is given back.
+const SHARE_STEP_MIN_PERMILLE: u32 = 25;
+
+/// Doublings of the time to relax after relapses.
+const RELAPSES_MAX: u32 = 5;
+
+/// Weight of a new measurement of the latency without batch work.
+const ALONE_WEIGHT: f64 = 0.2;
+
+/// Settings of the control.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Target of the 99th percentile of request latency.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "target_ms")]
+    pub target: Duration,
+    /// Window over which the percentile is taken.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "window_ms")]
+    pub window: Duration,
+    /// Requests in the window below which nothing is concluded from it.
+    pub requests_min: u64,
+    /// Part of the target above which shares are taken away.
+    pub enter_permille: u64,
+    /// Part of the target below which shares come back. Less than `enter_permille`.
+    pub exit_permille: u64,
+    /// Part of the target above which every task is throttled at once.
+    pub severe_permille: u64,
+    /// Smallest share; 0 suspends.
+    pub share_min_permille: u32,
+    /// Time at the floor after which a task is evicted.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "evict_after_ms")]
+    pub evict_after: Duration,
+    /// Time that a task has to write its checkpoint before it is stopped.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "stop_after_ms")]
+    pub stop_after: Duration,
+    /// Time below the exit level after which a share comes back.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "relax_after_ms")]
+    pub relax_after: Duration,
+    /// Evictions and stops allowed, in thousandths of task starts; 0 only throttles.
+    pub evictions_max_permille: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            target: Duration::from_millis(50),
+            window: Duration::from_secs(2),
+            requests_min: 20,
+            enter_permille: 1000,
+            exit_permille: 800,
+            severe_permille: 2000,
+            share_min_permille: 50,
+            evict_after: Duration::from_secs(5),
+            stop_after: Duration::from_secs(10),
+            relax_after: Duration::from_secs(2),
+            evictions_max_permille: 10,
+        }
+    }
+}
+
+/// Task that runs beside the service.
+#[derive(Clone, Debug)]
+pub struct Resident {
+    /// Identifier of the task.
+    pub task: TaskId,
+    /// Epoch that runs.
+    pub epoch: Epoch,
+    /// Slowdown expected of the task.
+    pub slowdown: f64,
+    /// Work that is lost if it resumes from its last checkpoint.
+    pub uncheckpointed: Duration,
+    /// Whether it can write a checkpoint now.
+    pub can_checkpoint: bool,
+    /// Processor share that it has.
+    pub share_permille: u32,
+}
+
+/// What the agent does to a task, and why.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Action {
+    /// Identifier of the task.
+    pub task: TaskId,
+    /// Epoch that it is meant for.
+    pub epoch: Epoch,
+    /// What is done.
+    pub step: Step,
+    /// Reason.
+    pub code: Code,
+}
+
+/// Kind of an action.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// Sets a smaller processor share.
+    Throttle {
+        /// New share.
+        share_permille: u32,
+    },
+    /// Writes a checkpoint and stops.
+    Evict,
+    /// Stops at once, to resume from the last checkpoint.
+    Stop,
+    /// Sets a larger processor share.
+    Restore {
+        /// New share.
+        share_permille: u32,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Eviction {
+    task: TaskId,
+    epoch: Epoch,
+    since: Duration,
+}
+
+/// Control of one worker's tasks.
+#[derive(Clone, Debug)]
+pub struct Control {
+    settings: Settings,
+    window: Window,
+    /// Time since which the latency has stayed below the exit level.
+    calm_since: Option<Duration>,
+    /// Time since which every task has been at the floor while the target was exceeded.
+    floor_since: Option<Duration>,
+    /// Time of the last share that came back, until the latency shows that it was right.
+    restored_at: Option<Duration>,
+    relapses: u32,
+    eviction: Option<Eviction>,
+    /// Evictions that may be ordered, in thousandths.
+    budget_permille: u64,
+    /// 99th percentile without batch work.
+    alone: Option<Duration>,
+}
+
+impl Control {
+    /// Opens a control that has seen no request.
+    #[must_use]
+    pub fn open(settings: Settings, now: Duration) -> Self {
+        Self {
+            settings,
+            window: Window::open(settings.window, now),
+            calm_since: None,
+            floor_since: None,
+            restored_at: None,
+            relapses: 0,
+            eviction: None,
+            budget_permille: 0,
+            alone: None,
+        }
+    }
+
+    /// Notes the latency of a request.
+    pub fn request_ended(&mut self, latency: Duration, now: Duration) {
+        self.window.record(latency, now);
+    }
+
+    /// Notes the start of a task, which adds to the budget of evictions.
+    pub fn task_started(&mut self) {
+        let saved = self.budget_permille + self.settings.evictions_max_permille;
+        self.budget_permille = saved.min(EVICTIONS_SAVED_MAX * EVICTION_COST_PERMILLE);
+    }
+
+    /// Notes that a task has left the worker.
+    pub fn task_ended(&mut self, task: &TaskId) {
+        if self.eviction.as_ref().is_some_and(|eviction| eviction.task == *task) {
+            self.eviction = None;
+        }
+    }
+
+    /// 99th percentile of request latency in thousandths of its target, if enough requests ended in the window.
+    #[must_use]
+    pub fn latency_permille(&self) -> Option<u64> {
+        let latency = self.latency()?;
+        Some(u64::try_from(latency.as_micros() * 1000 / self.settings.target.as_micros().max(1)).unwrap_or(u64::MAX))
+    }
+
+    /// Growth of the 99th percentile over that without batch work, for [`crate::interference::Interference::observe`].
+    #[must_use]
+    pub fn slowdown(&self) -> Option<f64> {
+        let alone = self.alone?.as_secs_f64();
+        Some((self.latency()?.as_secs_f64() / alone - 1.0).max(0.0))
+    }
+
+    /// Decides what to do to the tasks; called a few times in each window.
+    pub fn step(&mut self, residents: &[Resident], now: Duration) -> Vec<Action> {
+        self.window.turn(now);
+        self.learn_alone(residents);
+        let latency = self.latency_permille();
+        let actions = match latency {
+            Some(permille) if permille > self.settings.enter_permille => self.tighten(residents, permille, now),
+            Some(permille) if permille >= self.settings.exit_permille => self.hold(),
+            Some(_) => {
+                self.floor_since = None;
+                self.relax(residents, now)
+            }
+            None => self.relax(residents, now),
+        };
+        if !actions.is_empty() {
+            self.window.clear(now);
+        }
+        actions
+    }
+
+    fn latency(&self) -> Option<Duration> {
+        if self.window.count() < self.settings.requests_min {
+            return None;
+        }
+        self.window.percentile_permille(990)
+    }
+
+    fn learn_alone(&mut self, residents: &[Resident]) {
+        if residents.iter().any(|resident| resident.share_permille > 0) {
+            return;
+        }
+        if let Some(latency) = self.latency() {
+            self.alone = Some(self.alone.map_or(latency, |old| {
+                Duration::from_secs_f64(old.as_secs_f64() * (1.0 - ALONE_WEIGHT) + latency.as_secs_f64() * ALONE_WEIGHT)
+            }));
+        }
+    }
+
+    fn hold(&mut self) -> Vec<Action> {
+        self.calm_since = None;
+        self.floor_since = None;
+        Vec::new()
+    }
+
+    fn tighten(&mut self, residents: &[Resident], permille: u64, now: Duration) -> Vec<Action> {
+        self.calm_since = None;
+        if self.restored_at.take().is_some() {
+            self.relapses = (self.relapses + 1).min(RELAPSES_MAX);
+        }
+        let throttled = self.throttle(residents, permille);
+        if !throttled.is_empty() {
+            self.floor_since = None;
+            return throttled;
+        }
+        let floor_since = *self.floor_since.get_or_insert(now);
+        if now < floor_since + self.settings.evict_after {
+            return Vec::new();
+        }
+        self.evict_or_stop(residents, now).into_iter().collect()
+    }
+
+    /// Halves the share of the task that slows requests most, or of every task when the target is exceeded severely.
+    fn throttle(&self, residents: &[Resident], permille: u64) -> Vec<Action> {
+        let floor = self.settings.share_min_permille;
+        let mut above: Vec<&Resident> = residents.iter().filter(|resident| resident.share_permille > floor).collect();
+        above.sort_by(|a, b| b.harm().total_cmp(&a.harm()).then_with(|| a.task.cmp(&b.task)));
+        if permille < self.settings.severe_permille {
+            above.truncate(1);
+        }
+        let throttle = |resident: &Resident| {
+            let share_permille = (resident.share_permille / 2).max(floor);
+            resident.action(Step::Throttle { share_permille }, Code::ThrottledForLatency)
+        };
+        above.into_iter().map(throttle).collect()
+    }
+
+    fn evict_or_stop(&mut self, residents: &[Resident], now: Duration) -> Option<Action> {
+        if let Some(eviction) = &mut self.eviction {
+            if now < eviction.since + self.settings.stop_after {
+                return None;
+            }
+            eviction.since = now;
+            let is_victim = |resident: &&Resident| resident.task == eviction.task && resident.epoch == eviction.epoch;
+            return residents.iter().find(is_victim).map(|victim| victim.action(Step::Stop, Code::StoppedForLatency));
+        }
+        if self.budget_permille < EVICTION_COST_PERMILLE {
+            return None;
+        }
+        let cost = |resident: &Resident| (!resident.can_checkpoint, resident.uncheckpointed);
+        let victim = residents.iter().min_by(|a, b| cost(a).cmp(&cost(b)).then_with(|| a.task.cmp(&b.task)))?;
+        self.budget_permille -= EVICTION_COST_PERMILLE;
+        self.floor_since = Some(now);
+        self.eviction = Some(Eviction { task: victim.task.clone(), epoch: victim.epoch, since: now });
+        if victim.can_checkpoint {
+            Some(victim.action(Step::Evict, Code::EvictedForLatency))
+        } else {
+            Some(victim.action(Step::Stop, Code::StoppedForLatency))
+        }
+    }
+
+    /// Doubles the shares of the tasks that slow requests least, after a time of calm.
+    fn relax(&mut self, residents: &[Resident], now: Duration) -> Vec<Action> {
+        let calm_since = *self.calm_since.get_or_insert(now);
+        let wait = self.settings.relax_after * 2_u32.pow(self.relapses);
+        if now < calm_since + wait {
+            return Vec::new();
+        }
+        let is_throttled = |resident: &&Resident| resident.share_permille < SHARE_FULL_PERMILLE;
+        let mut throttled: Vec<&Resident> = residents.iter().filter(is_throttled).collect();
+        if throttled.is_empty() {
+            self.relapses = 0;
+            self.restored_at = None;
+            return Vec::new();
+        }
+        self.calm_since = Some(now);
+        self.restored_at = Some(now);
+        throttled.sort_by(|a, b| a.slowdown.total_cmp(&b.slowdown).then_with(|| a.task.cmp(&b.task)));
+        let count = if self.relapses == 0 { throttled.len().div_ceil(RESTORE_PART) } else { 1 };
+        throttled.into_iter().take(count).map(|resident| self.restore(resident)).collect()
+    }
+
+    fn restore(&self, resident: &Resident) -> Action {
+        let floor = self.settings.share_min_permille.max(SHARE_STEP_MIN_PERMILLE);
+        let share_permille = (resident.share_permille.max(floor) * 2).min(SHARE_FULL_PERMILLE);
+        resident.action(Step::Restore { share_permille }, Code::LatencyRecovered)
+    }
+}
+
+impl Resident {
+    /// Slowdown at the share that the task has now.
+    fn harm(&self) -> f64 {
+        self.slowdown * f64::from(self.share_permille)
+    }
+
+    fn action(&self, step: Step, code: Code) -> Action {
+        Action { task: self.task.clone(), epoch: self.epoch, step, code }
+    }
+}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -157,9 +157,9 @@
         self.until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
     }
 
-    /// Tells whether a start that names `ask` may still be obeyed.
+    /// Tells whether a start or an adoption that names `ask` may still be obeyed.
     ///
-    /// An entry names in each start the newest ask it has received, and ends the claim of an unanswered start only
+    /// An entry names in each of them the newest ask it has received, and ends the claim of an unanswered start only
     /// after a lease and a margin. A start that was delayed longer than a lease is therefore refused here.
     #[must_use]
     pub fn is_start_current(&self, ask: Ask, now: Duration) -> bool {
@@ -193,39 +193,56 @@
     pub asks: Vec<(Name, Ask)>,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct AgentLease {
+    waiting: Option<Ask>,
+    /// Last time at which a grant or a start may have been sent, on the entry's clock.
+    granted_at: Option<Duration>,
+    /// Grants are given only while this holds.
+    admitted: bool,
+}
+
 /// An entry's side of the leases of one group of agents.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Group {
     terms: Terms,
+    opened_at: Duration,
     counter: u64,
     lost: bool,
-    waiting: Map<Name, Ask>,
+    agents: Map<Name, AgentLease>,
     in_flight: Option<Renewal>,
-    /// Last time at which an agent may have been granted a renewal, on the entry's clock.
-    granted_at: Map<Name, Duration>,
 }
 
 impl Group {
     /// Opens a group whose row holds `counter`.
     #[must_use]
-    pub fn open(terms: Terms, counter: u64) -> Self {
-        Self { terms, counter, lost: false, waiting: Map::default(), in_flight: None, granted_at: Map::default() }
+    pub fn open(terms: Terms, counter: u64, now: Duration) -> Self {
+        Self { terms, opened_at: now, counter, lost: false, agents: Map::default(), in_flight: None }
     }
 
     /// Notes an agent's ask, to be answered by the next write; of several asks only the newest is answered.
     pub fn asked(&mut self, agent: &Name, ask: Ask) {
-        let newest = self.waiting.entry(Name::clone(agent)).or_insert(ask);
-        if newest.agent != ask.agent || newest.sequence < ask.sequence {
-            *newest = ask;
+        let waiting = &mut self.agents.entry(Name::clone(agent)).or_default().waiting;
+        if waiting.is_none_or(|old| old.agent != ask.agent || old.sequence < ask.sequence) {
+            *waiting = Some(ask);
         }
     }
 
-    /// Begins a write that answers all asks that wait, unless one is in flight, nothing waits or the row is lost.
+    /// Begins a write that answers the asks that wait, unless one is in flight, nothing waits or the row is lost.
     pub fn begin(&mut self) -> Option<Renewal> {
-        if self.lost || self.in_flight.is_some() || self.waiting.is_empty() {
+        if self.lost || self.in_flight.is_some() {
             return None;
         }
-        let renewal = Renewal { counter: self.counter + 1, asks: self.waiting.drain().collect() };
+        let mut asks = Vec::new();
+        for (agent, lease) in self.agents.iter_mut().filter(|(_, lease)| lease.admitted) {
+            if let Some(ask) = lease.waiting.take() {
+                asks.push((Name::clone(agent), ask));
+            }
+        }
+        if asks.is_empty() {
+            return None;
+        }
+        let renewal = Renewal { counter: self.counter + 1, asks };
         self.in_flight = Some(renewal.clone());
         Some(renewal)
     }
@@ -236,10 +253,11 @@
             return Vec::new();
         };
         self.counter = renewal.counter;
-        for (agent, _) in &renewal.asks {
-            self.granted_at.insert(Name::clone(agent), now);
+        let granted: Vec<(Name, Ask)> = renewal.asks.into_iter().filter(|(agent, _)| self.is_admitted(agent)).collect();
+        for (agent, _) in &granted {
+            self.start_sent(agent, now);
         }
-        renewal.asks
+        granted
     }
 
     /// Notes that the write hasn't taken effect and never will; its asks wait for the next one.
@@ -255,20 +273,19 @@
     }
 
     /// Compares with a row that was read after a write of unknown outcome, and gives the grants to send.
+    ///
+    /// The caller reads the row only once the write can no longer take effect late.
     pub fn reread(&mut self, row: &GroupRow, now: Duration) -> Vec<(Name, Ask)> {
         if row.taken_by.is_some() {
             self.lost = true;
             self.in_flight = None;
-            self.waiting.clear();
             return Vec::new();
         }
-        match &self.in_flight {
-            Some(renewal) if renewal.counter == row.counter => self.written(now),
-            _ => {
-                self.not_written();
-                Vec::new()
-            }
+        if self.in_flight.as_ref().is_some_and(|renewal| renewal.counter == row.counter) {
+            return self.written(now);
         }
+        self.not_written();
+        Vec::new()
     }
 
     /// Tells whether another entry has taken the row; the entry must open a new group.
@@ -277,26 +294,42 @@
         self.lost
     }
 
-    /// Notes that a start was sent to the agent; it stays valid there for as long as a grant does.
+    /// Notes that a start or an adoption was sent to the agent; it stays valid there for as long as a grant does.
     pub fn start_sent(&mut self, agent: &Name, now: Duration) {
-        self.granted_at.insert(Name::clone(agent), now);
+        self.agents.entry(Name::clone(agent)).or_default().granted_at = Some(now);
     }
 
-    /// Tells whether the agent's lease has surely ended, so that the entry may end the claims on its worker.
+    /// Grants renewals to the agent, after it has listed what it holds and has stopped every epoch that has ended.
     ///
-    /// The entry first stops to grant; while a write in flight names the agent, the answer is no.
+    /// No agent is admitted before that, so that a lease that is renewed after a lapse never revives an ended epoch.
+    pub fn admit(&mut self, agent: &Name) {
+        self.agents.entry(Name::clone(agent)).or_default().admitted = true;
+    }
+
+    /// Gives the agent no more grants, so that its lease ends; the caller also sends it no more starts.
+    pub fn bar(&mut self, agent: &Name) {
+        self.agents.entry(Name::clone(agent)).or_default().admitted = false;
+    }
+
+    /// Tells whether the agent is barred and its lease has surely ended, so that claims on its worker may expire.
     #[must_use]
     pub fn has_agent_ended(&self, agent: &Name, now: Duration) -> bool {
-        let granting =
-            self.in_flight.as_ref().is_some_and(|renewal| renewal.asks.iter().any(|(name, _)| name == agent));
-        let wait = self.terms.length + self.terms.margin;
-        !granting && self.granted_at.get(agent).is_none_or(|granted| now >= *granted + wait)
+        let lease = self.agents.get(agent).copied().unwrap_or_default();
+        let since = lease.granted_at.unwrap_or(self.opened_at);
+        !lease.admitted && now >= since + self.terms.length + self.terms.margin
+    }
+
+    /// Forgets an agent that is barred and whose lease has ended; tells whether it did.
+    pub fn forget(&mut self, agent: &Name, now: Duration) -> bool {
+        let ended = self.has_agent_ended(agent, now);
+        if ended {
+            self.agents.remove(agent);
+        }
+        ended
     }
 
-    /// Forgets an agent whose lease has ended and whose claims have been dealt with.
-    pub fn forget(&mut self, agent: &Name) {
-        self.waiting.remove(agent);
-        self.granted_at.remove(agent);
+    fn is_admitted(&self, agent: &Name) -> bool {
+        self.agents.get(agent).is_some_and(|lease| lease.admitted)
     }
 }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -116,6 +116,8 @@
     report: Report,
     /// Proposed and not yet answered; its sum with what is placed never exceeds `report.free` as known here.
     proposed: Resources,
+    /// Usage expected of the tasks placed since the last report.
+    expected: Resources,
     rack: usize,
     health: Health,
 }
@@ -177,7 +179,8 @@
         let id = known.unwrap_or_else(|| self.vacant_id());
         self.ids.insert(Name::clone(&info.name), id);
         let health = self.worker(id).map(|worker| worker.health).unwrap_or_default();
-        self.workers[id.0 as usize] = Some(Worker { info, report, proposed: Resources::default(), rack, health });
+        self.workers[id.0 as usize] =
+            Some(Worker { info, report, proposed: Resources::default(), expected: Resources::default(), rack, health });
         self.index(id);
         id
     }
@@ -226,6 +229,7 @@
     pub fn report(&mut self, id: WorkerId, report: Report) {
         if let Some(worker) = self.worker_mut(id) {
             worker.report = report;
+            worker.expected = Resources::default();
             self.index(id);
         }
     }
@@ -246,7 +250,7 @@
         let Some(id) = best else {
             return Err(self.why_not(want));
         };
-        self.propose(id, want);
+        self.propose(id, want, &usage.expected(want.kind, &want.resources));
         Ok(id)
     }
 
@@ -341,9 +345,10 @@
         self.rooms.set(id, &free);
     }
 
-    fn propose(&mut self, id: WorkerId, want: &Want) {
+    fn propose(&mut self, id: WorkerId, want: &Want, expected: &Resources) {
         let Some(worker) = self.worker_mut(id) else { return };
         worker.proposed = worker.proposed.checked_add(&want.resources).unwrap_or(worker.proposed);
+        worker.expected = worker.expected.checked_add(expected).unwrap_or(worker.expected);
         worker.health.placed();
         let rack = worker.rack;
         *self.racks[rack].tasks.entry(want.kind).or_default() += 1;
@@ -445,10 +450,12 @@
     /// Part of the processors or of the memory, whichever is fuller, that would be in use with the task, 0 to 1.
     #[expect(clippy::cast_precision_loss, reason = "sizes stay far below 2^53")]
     fn load_with(&self, expected: &Resources) -> f64 {
-        let part = |used: u64, more: u64, all: u64| (used + more) as f64 / all.max(1) as f64;
-        let (used, all) = (&self.report.used, &self.info.capacity);
-        let processors = part(used.processor_millicores, expected.processor_millicores, all.processor_millicores);
-        let memory = part(used.memory_bytes, expected.memory_bytes, all.memory_bytes);
+        let part = |used: u64, all: u64| used as f64 / all.max(1) as f64;
+        let all = &self.info.capacity;
+        let used = self.report.used.checked_add(&self.expected).and_then(|used| used.checked_add(expected));
+        let used = used.unwrap_or(*all);
+        let processors = part(used.processor_millicores, all.processor_millicores);
+        let memory = part(used.memory_bytes, all.memory_bytes);
         processors.max(memory).clamp(0.0, 1.0)
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -69,6 +69,14 @@
     waiting: [VecDeque<Entry>; 3],
 }
 
+/// First task of a team and priority.
+#[derive(Clone, Copy, Debug)]
+struct Head {
+    since: Duration,
+    /// Whether what is left of the quota covers it.
+    fits: bool,
+}
+
 /// Waiting tasks of one shard.
 #[derive(Debug)]
 pub struct Queue {
@@ -100,10 +108,12 @@
     }
 
     /// Sets the quota of a team; tasks that run stay.
-    pub fn set_quota(&mut self, team: &Name, quota: Resources) {
-        if let Some(id) = self.team_ids.get(team) {
-            self.teams[*id].quota = quota;
-            return;
+    ///
+    /// Gives the waiting tasks that are larger than the whole quota, which wait no longer.
+    pub fn set_quota(&mut self, team: &Name, quota: Resources) -> Vec<TaskId> {
+        if let Some(id) = self.team_ids.get(team).copied() {
+            self.teams[id].quota = quota;
+            return self.remove_oversized(team, &quota);
         }
         self.team_ids.insert(Name::clone(team), self.teams.len());
         self.teams.push(Team {
@@ -112,6 +122,7 @@
             used_elsewhere: Resources::default(),
             waiting: array::from_fn(|_| VecDeque::new()),
         });
+        Vec::new()
     }
 
     /// Notes what a team uses by way of other shards.
@@ -226,7 +237,7 @@
     fn take(&mut self, now: Duration) -> Option<Item> {
         let aged_turn = (self.taken + 1).is_multiple_of(AGED_EVERY);
         let aged = if aged_turn { self.oldest_aged(now) } else { None };
-        let (team, priority) = aged.or_else(|| self.next_in_order())?;
+        let (team, priority) = aged.or_else(|| self.next_in_order(now))?;
         let team = &mut self.teams[team];
         let entry = team.waiting[priority].pop_front()?;
         team.used = team.used.checked_add(&entry.item.resources).unwrap_or(team.used);
@@ -235,17 +246,16 @@
         Some(entry.item)
     }
 
-    /// Team and priority whose head has waited longest past its aging time and fits the quota.
+    /// Team and priority whose head has waited longest past its aging time.
     fn oldest_aged(&mut self, now: Duration) -> Option<(usize, usize)> {
         let mut oldest: Option<(Duration, usize, usize)> = None;
         for team in 0..self.teams.len() {
-            for (priority, aging) in
-                [(Priority::Normal, self.aging.normal), (Priority::Background, self.aging.background)]
-            {
-                let Some(since) = self.head(team, priority as usize) else { continue };
+            let heads = self.heads(team);
+            for priority in [Priority::Normal as usize, Priority::Background as usize] {
+                let Some(since) = self.eligible(&heads, priority, now) else { continue };
                 let is_older = oldest.is_none_or(|(other, ..)| since < other);
-                if is_older && since + aging <= now {
-                    oldest = Some((since, team, priority as usize));
+                if is_older && self.is_aged(priority, since, now) {
+                    oldest = Some((since, team, priority));
                 }
             }
         }
@@ -253,32 +263,54 @@
     }
 
     /// Team and priority to take from next.
-    fn next_in_order(&mut self) -> Option<(usize, usize)> {
-        for priority in Priority::ALL {
-            let priority = priority as usize;
-            let mut least: Option<(u64, usize)> = None;
-            for team in 0..self.teams.len() {
-                if self.head(team, priority).is_none() {
-                    continue;
-                }
-                let share = self.teams[team].share_permille();
-                if least.is_none_or(|(other, _)| share < other) {
-                    least = Some((share, team));
-                }
-            }
-            if let Some((_, team)) = least {
-                return Some((team, priority));
+    fn next_in_order(&mut self, now: Duration) -> Option<(usize, usize)> {
+        let mut least: Option<((usize, u64), usize)> = None;
+        for team in 0..self.teams.len() {
+            let heads = self.heads(team);
+            let Some(priority) = (0..heads.len()).find(|priority| self.eligible(&heads, *priority, now).is_some())
+            else {
+                continue;
+            };
+            let rank = (priority, self.teams[team].share_permille());
+            if least.is_none_or(|(other, _)| rank < other) {
+                least = Some((rank, team));
             }
         }
-        None
+        least.map(|((priority, _), team)| (team, priority))
+    }
+
+    /// Time since which the head of a priority has waited, if it may be taken now.
+    ///
+    /// A head that exceeds what is left of the quota bars the team's lower priorities, and once it has aged also the
+    /// higher ones but urgent, so that the quota drains until it fits.
+    fn eligible(&self, heads: &[Option<Head>; 3], priority: usize, now: Duration) -> Option<Duration> {
+        let head = heads[priority].filter(|head| head.fits)?;
+        let barred = heads.iter().enumerate().any(|(other, blocked)| {
+            let Some(blocked) = blocked.filter(|blocked| !blocked.fits) else { return false };
+            other < priority || (priority != Priority::Urgent as usize && self.is_aged(other, blocked.since, now))
+        });
+        (!barred).then_some(head.since)
     }
 
-    /// Drops cancelled tasks at the head, and gives the time since which a head that fits the quota has waited.
-    fn head(&mut self, team: usize, priority: usize) -> Option<Duration> {
+    fn is_aged(&self, priority: usize, since: Duration, now: Duration) -> bool {
+        let aging = match priority {
+            0 => return false,
+            1 => self.aging.normal,
+            _ => self.aging.background,
+        };
+        since + aging <= now
+    }
+
+    fn heads(&mut self, team: usize) -> [Option<Head>; 3] {
+        array::from_fn(|priority| self.head(team, priority))
+    }
+
+    /// Drops cancelled tasks at the head, and looks at the first that waits.
+    fn head(&mut self, team: usize, priority: usize) -> Option<Head> {
         let team = &mut self.teams[team];
         while let Some(entry) = team.waiting[priority].front() {
             if self.waiting.get(&entry.item.task) == Some(&entry.number) {
-                return team.fits(&entry.item.resources).then_some(entry.item.queued_at);
+                return Some(Head { since: entry.item.queued_at, fits: team.fits(&entry.item.resources) });
             }
             team.waiting[priority].pop_front();
             self.tombstones = self.tombstones.saturating_sub(1);
@@ -286,6 +318,22 @@
         None
     }
 
+    /// Removes a team's waiting tasks that are larger than its quota.
+    fn remove_oversized(&mut self, team: &Name, quota: &Resources) -> Vec<TaskId> {
+        let queued = self.teams.iter().flat_map(|team| &team.waiting).flatten();
+        let oversized = |entry: &&Entry| entry.item.team == *team && !quota.covers(&entry.item.resources);
+        let removed: Vec<TaskId> = queued
+            .chain(self.deferred.values())
+            .filter(oversized)
+            .filter(|entry| self.waiting.get(&entry.item.task) == Some(&entry.number))
+            .map(|entry| entry.item.task.clone())
+            .collect();
+        for task in &removed {
+            self.cancel(task);
+        }
+        removed
+    }
+
     /// Drops every cancelled task from the queues.
     fn sweep(&mut self) {
         let waiting = &self.waiting;
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -85,7 +85,7 @@
 }
 
 /// Reservations on one worker.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Reservations {
     capacity: Resources,
     /// Sum of `held`. Covered by `capacity` once stock has been taken.
--- /dev/null
+++ b/crates/policy/tests/interleavings/world.rs
@@ -0,0 +1,417 @@
+//! Two entries, two agents, one task and a store, built from the machines under test.
+
+use std::time::Duration;
+
+use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::id::{BootId, Name};
+use chervilledge_policy::lease::{Ask, Group, GroupRow, Holder, Phase, Terms, Watch};
+use chervilledge_policy::reservation::{Admission, Reservation, Reservations};
+use chervilledge_policy::task::{
+    Change, Claim, Effects, Epoch, JobRow, Priority, TaskRow, TaskState, Transition, apply,
+};
+
+pub const LENGTH_TICKS: u64 = 3;
+const MESSAGES_MAX: usize = 4;
+const SIZE: Resources = Resources { processor_millicores: 1000, memory_bytes: 1, accelerators: 0 };
+
+/// Message between entry and agent; delivered in any order, or lost.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Ask { agent: usize, entry: usize, ask: Ask },
+    Grant { agent: usize, entry: usize, ask: Ask },
+    Start { agent: usize, entry: usize, ask: Ask, epoch: Epoch },
+    Fence { agent: usize, epoch: Epoch },
+    Declined { epoch: Epoch },
+    Ended { epoch: Epoch, is_complete: bool },
+}
+
+/// One thing that can happen next.
+#[derive(Clone, Copy, Debug)]
+pub enum Action {
+    Tick,
+    Deliver(usize),
+    Lose(usize),
+    AgentAsks { agent: usize, entry: usize },
+    WorkerPolls { agent: usize },
+    AgentEvicts { agent: usize },
+    AgentCompletes { agent: usize },
+    RenewalLands { entry: usize },
+    RenewalAnswered { entry: usize },
+    Admit { entry: usize, agent: usize },
+    Bar { entry: usize, agent: usize },
+    Claim { entry: usize, agent: usize },
+    SendStart { entry: usize },
+    SendFence { entry: usize },
+    Expire { entry: usize },
+    Cancel,
+    Observe { entry: usize },
+    Take { entry: usize },
+    Adopt { entry: usize },
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    epoch: Epoch,
+    entry: usize,
+    /// End of execution that the worker enforces itself.
+    limit: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Agent {
+    holders: [Holder; 2],
+    reservations: Reservations,
+    run: Option<Run>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    group: Group,
+    watch: Watch,
+    asks: [Option<Ask>; 2],
+    renewal_landed: bool,
+}
+
+/// Events of a walk.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reach {
+    pub runs: usize,
+    pub is_done: bool,
+    pub expirations: u32,
+    pub adoptions: u32,
+}
+
+#[derive(Clone, Debug)]
+pub struct World {
+    ticks: u64,
+    ticks_max: u64,
+    row: TaskRow,
+    rows: [GroupRow; 2],
+    entries: [Entry; 2],
+    agents: [Agent; 2],
+    messages: Vec<Message>,
+    /// Epochs that a worker began to run.
+    started: Vec<Epoch>,
+    completed: u32,
+    reach: Reach,
+}
+
+fn boot(entry: usize) -> BootId {
+    BootId(entry as u64)
+}
+
+fn worker(agent: usize) -> Name {
+    Name::from(["w0", "w1"][agent])
+}
+
+impl World {
+    pub fn open(ticks_max: u64) -> Self {
+        let second = Duration::from_secs(1);
+        let terms = Terms {
+            length: second * u32::try_from(LENGTH_TICKS).expect("small"),
+            margin: second,
+            checkpoint_ahead: second,
+            renew_every: second,
+        };
+        let job = JobRow {
+            id: Name::from("job"),
+            submit_key: Name::from("key"),
+            team: Name::from("team"),
+            priority: Priority::Normal,
+            kind: Name::from("kind"),
+            declared: SIZE,
+            run_time: second,
+            effects: Effects::Fenced,
+            task_count: 1,
+            attempts_max: 3,
+        };
+        let entry = |_| Entry {
+            group: Group::open(terms, 0, Duration::ZERO),
+            watch: Watch::open(terms, second * 3),
+            asks: [None; 2],
+            renewal_landed: false,
+        };
+        let agent = |agent: u64| {
+            let mut reservations = Reservations::open(SIZE);
+            reservations.take_stock(Vec::new()).expect("an empty worker has no excess");
+            let boot = BootId(10 + agent);
+            Agent { holders: [Holder::open(terms, boot), Holder::open(terms, boot)], reservations, run: None }
+        };
+        Self {
+            ticks: 0,
+            ticks_max,
+            row: job.task(0),
+            rows: [0, 1].map(|entry| GroupRow { entry: boot(entry), group: 0, counter: 0, taken_by: None }),
+            entries: [0, 1].map(entry),
+            agents: [0, 1].map(agent),
+            messages: Vec::new(),
+            started: Vec::new(),
+            completed: 0,
+            reach: Reach::default(),
+        }
+    }
+
+    /// Everything that can happen next.
+    pub fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.ticks < self.ticks_max {
+            actions.push(Action::Tick);
+        }
+        if !self.row.state.is_final() {
+            actions.push(Action::Cancel);
+        }
+        for message in 0..self.messages.len() {
+            actions.extend([Action::Deliver(message), Action::Lose(message)]);
+        }
+        for agent in (0..2).filter(|agent| self.agents[*agent].run.is_some()) {
+            actions.push(Action::WorkerPolls { agent });
+            actions.extend([Action::AgentEvicts { agent }, Action::AgentCompletes { agent }]);
+        }
+        for entry in 0..2 {
+            self.entry_actions(entry, &mut actions);
+        }
+        actions
+    }
+
+    fn entry_actions(&self, entry: usize, actions: &mut Vec<Action>) {
+        actions.push(if self.entries[entry].renewal_landed {
+            Action::RenewalAnswered { entry }
+        } else {
+            Action::RenewalLands { entry }
+        });
+        if self.claim_of(entry).is_some() {
+            actions.extend([Action::SendStart { entry }, Action::SendFence { entry }, Action::Expire { entry }]);
+        }
+        if self.rows[1 - entry].taken_by.is_none() {
+            actions.extend([Action::Observe { entry }, Action::Take { entry }]);
+        } else if self.claim_of(1 - entry).is_some() {
+            actions.push(Action::Adopt { entry });
+        }
+        for agent in 0..2 {
+            actions.extend([Action::AgentAsks { agent, entry }, Action::Admit { entry, agent }]);
+            actions.push(Action::Bar { entry, agent });
+            if self.row.state == TaskState::Queued && self.rows[entry].taken_by.is_none() {
+                actions.push(Action::Claim { entry, agent });
+            }
+        }
+    }
+
+    pub fn step(&mut self, action: Action) {
+        let now = self.now();
+        match action {
+            Action::Tick => self.ticks += 1,
+            Action::Deliver(message) => {
+                let message = self.messages.remove(message);
+                self.deliver(&message);
+            }
+            Action::Lose(message) => drop(self.messages.remove(message)),
+            Action::AgentAsks { agent, entry } => {
+                let ask = self.agents[agent].holders[entry].ask(now);
+                self.send(Message::Ask { agent, entry, ask });
+            }
+            Action::WorkerPolls { agent } => self.agents[agent].worker_polls(now),
+            Action::AgentEvicts { agent } => self.agent_ends(agent, false),
+            Action::AgentCompletes { agent } => self.agent_ends(agent, true),
+            Action::RenewalLands { entry } => self.renewal_lands(entry),
+            Action::RenewalAnswered { entry } => self.renewal_answered(entry),
+            Action::Admit { entry, agent } => self.admit(entry, agent),
+            Action::Bar { entry, agent } => self.entries[entry].group.bar(&worker(agent)),
+            Action::Claim { entry, agent } => {
+                self.write(self.row.epoch, &Change::Claim(Claim { worker: worker(agent), entry: boot(entry) }));
+            }
+            Action::SendStart { entry } => self.send_start(entry),
+            Action::SendFence { entry } => self.send_fence(entry),
+            Action::Expire { entry } => self.expire(entry),
+            Action::Cancel => self.write(self.row.epoch, &Change::Cancel),
+            Action::Observe { entry } => {
+                let counter = self.rows[1 - entry].counter;
+                self.entries[entry].watch.observe(counter, now, now);
+            }
+            Action::Take { entry } => {
+                let row = &mut self.rows[1 - entry];
+                if row.taken_by.is_none() && self.entries[entry].watch.may_take() == Some(row.counter) {
+                    row.taken_by = Some(boot(entry));
+                }
+            }
+            Action::Adopt { entry } => {
+                let is_free = self.rows[1 - entry].taken_by.is_some() && self.rows[entry].taken_by.is_none();
+                if is_free && self.claim_of(1 - entry).is_some() {
+                    self.write(self.row.epoch, &Change::Adopt(boot(entry)));
+                }
+            }
+        }
+    }
+
+    /// Says what is wrong, if anything.
+    pub fn fault(&self) -> Option<String> {
+        let now = self.now();
+        let executing = self.agents.iter().filter(|agent| agent.run.as_ref().is_some_and(|run| now < run.limit));
+        if executing.count() > 1 {
+            return Some("the task executes on two workers".into());
+        }
+        if self.started.windows(2).any(|pair| pair[0] >= pair[1]) {
+            return Some(format!("an epoch started twice or out of order: {:?}", self.started));
+        }
+        if self.completed > 1 {
+            return Some("the task completed twice".into());
+        }
+        None
+    }
+
+    /// What happened so far, to see that the search reaches far enough.
+    pub fn reach(&self) -> Reach {
+        Reach { runs: self.started.len(), is_done: self.row.state == TaskState::Done, ..self.reach }
+    }
+
+    /// Number of messages on their way.
+    pub fn message_count(&self) -> usize {
+        self.messages.len()
+    }
+
+    fn now(&self) -> Duration {
+        Duration::from_secs(self.ticks)
+    }
+
+    fn send(&mut self, message: Message) {
+        if self.messages.len() < MESSAGES_MAX {
+            self.messages.push(message);
+        }
+    }
+
+    /// Conditional write of the task's row.
+    fn write(&mut self, epoch: Epoch, change: &Change) {
+        let Ok(row) = apply(&self.row, Transition { epoch, change: change.clone() }) else { return };
+        self.row = row;
+        self.completed += u32::from(*change == Change::Complete);
+        self.reach.expirations += u32::from(*change == Change::Expire);
+        self.reach.adoptions += u32::from(matches!(change, Change::Adopt(_)));
+    }
+
+    /// Agent that holds the claim made by an entry.
+    fn claim_of(&self, entry: usize) -> Option<usize> {
+        let claim = self.row.state.claim().filter(|claim| claim.entry == boot(entry))?;
+        (0..2).find(|agent| worker(*agent) == claim.worker)
+    }
+
+    fn renewal_lands(&mut self, entry: usize) {
+        if self.entries[entry].renewal_landed {
+            return;
+        }
+        if let Some(renewal) = self.entries[entry].group.begin() {
+            let row = &mut self.rows[entry];
+            if row.taken_by.is_none() && row.counter + 1 == renewal.counter {
+                row.counter = renewal.counter;
+            }
+            self.entries[entry].renewal_landed = true;
+        }
+    }
+
+    fn renewal_answered(&mut self, entry: usize) {
+        let now = self.now();
+        let side = &mut self.entries[entry];
+        if !std::mem::take(&mut side.renewal_landed) {
+            return;
+        }
+        for (name, ask) in side.group.reread(&self.rows[entry], now) {
+            let agent = usize::from(name == worker(1));
+            self.send(Message::Grant { agent, entry, ask });
+        }
+    }
+
+    /// Admits an agent that holds no epoch but the one in the row.
+    fn admit(&mut self, entry: usize, agent: usize) {
+        let held = self.agents[agent].run.as_ref().map(|run| run.epoch);
+        let is_current = self.row.state.claim().is_some_and(|claim| claim.worker == worker(agent));
+        if held.is_none_or(|epoch| is_current && epoch == self.row.epoch) {
+            self.entries[entry].group.admit(&worker(agent));
+        }
+    }
+
+    fn send_start(&mut self, entry: usize) {
+        let now = self.now();
+        let Some(agent) = self.claim_of(entry) else { return };
+        let Some(ask) = self.entries[entry].asks[agent] else { return };
+        if self.entries[entry].group.has_agent_ended(&worker(agent), now) {
+            return;
+        }
+        self.entries[entry].group.start_sent(&worker(agent), now);
+        self.send(Message::Start { agent, entry, ask, epoch: self.row.epoch });
+    }
+
+    fn send_fence(&mut self, entry: usize) {
+        if let Some(agent) = self.claim_of(entry) {
+            self.send(Message::Fence { agent, epoch: self.row.epoch });
+        }
+    }
+
+    fn expire(&mut self, entry: usize) {
+        let now = self.now();
+        let Some(agent) = self.claim_of(entry) else { return };
+        if self.entries[entry].group.has_agent_ended(&worker(agent), now) {
+            self.write(self.row.epoch, &Change::Expire);
+        }
+    }
+
+    fn agent_ends(&mut self, agent: usize, is_complete: bool) {
+        let now = self.now();
+        let side = &mut self.agents[agent];
+        let Some(run) = side.run.take_if(|run| now < run.limit) else { return };
+        side.reservations.release(&self.row.id, run.epoch, now);
+        self.send(Message::Ended { epoch: run.epoch, is_complete });
+    }
+
+    fn deliver(&mut self, message: &Message) {
+        match *message {
+            Message::Ask { agent, entry, ask } => {
+                let side = &mut self.entries[entry];
+                if side.asks[agent].is_none_or(|old| old.sequence < ask.sequence) {
+                    side.asks[agent] = Some(ask);
+                }
+                side.group.asked(&worker(agent), ask);
+            }
+            Message::Grant { agent, entry, ask } => self.agents[agent].holders[entry].granted(ask),
+            Message::Start { agent, entry, ask, epoch } => self.deliver_start(agent, entry, ask, epoch),
+            Message::Fence { agent, epoch } => {
+                let now = self.now();
+                if self.agents[agent].reservations.fence(&self.row.id, epoch.next(), now).is_none() {
+                    self.send(Message::Declined { epoch });
+                }
+            }
+            Message::Declined { epoch } => self.write(epoch, &Change::Decline),
+            Message::Ended { epoch, is_complete: true } => self.write(epoch, &Change::Complete),
+            Message::Ended { epoch, is_complete: false } => self.write(epoch, &Change::Evict(None)),
+        }
+    }
+
+    fn deliver_start(&mut self, agent: usize, entry: usize, ask: Ask, epoch: Epoch) {
+        let now = self.now();
+        let side = &mut self.agents[agent];
+        if !side.holders[entry].is_start_current(ask, now) {
+            return;
+        }
+        let wanted = Reservation { task: self.row.id.clone(), epoch, resources: SIZE };
+        match side.reservations.reserve(&wanted) {
+            Ok(Admission::Reserved) => {
+                side.run = Some(Run { epoch, entry, limit: now });
+                self.started.push(epoch);
+            }
+            Ok(Admission::Duplicate) => {
+                if let Some(run) = &mut side.run {
+                    run.entry = entry;
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+impl Agent {
+    fn worker_polls(&mut self, now: Duration) {
+        if let Some(run) = &mut self.run {
+            let holder = &self.holders[run.entry];
+            if holder.phase(now) != Phase::Ended {
+                run.limit = now + holder.worker_limit(now);
+            }
+        }
+    }
+}
