--- a/crates/policy/src/interference.rs
+++ b/crates/policy/src/interference.rs
@@ -5,22 +5,19 @@
 use crate::collections::Map;
 use crate::kind::KindId;
 
-/// Time after which a measurement has half its weight.
+/// Time after which half of what was learnt is forgotten in favour of the prior.
 const HALF_LIFE: Duration = Duration::from_hours(1);
 
-/// Weight of the prior against that of one measurement.
-const PRIOR_WEIGHT: f64 = 4.0;
+/// Part of the error of a prediction by which one measurement corrects the estimates.
+const LEARNING_RATE: f64 = 0.2;
 
 /// Slowdown expected of a kind that has no prior: latency grows by a tenth for each task.
 const PRIOR_DEFAULT: f64 = 0.1;
 
-/// Share of a measurement that is spread evenly over the kinds present, so that a kind once thought harmless is learnt.
-const EVEN_SHARE: f64 = 0.2;
-
 #[derive(Clone, Copy, Debug)]
 struct Estimate {
-    mean: f64,
-    weight: f64,
+    /// Never negative.
+    slowdown: f64,
     at: Duration,
 }
 
@@ -43,29 +40,26 @@
     #[must_use]
     pub fn expected(&self, service: KindId, batch: KindId, now: Duration) -> f64 {
         let prior = self.priors.get(&batch).copied().unwrap_or(PRIOR_DEFAULT);
-        self.estimates.get(&(service, batch)).map_or(prior, |estimate| {
-            let weight = estimate.weight * decay(now.saturating_sub(estimate.at));
-            (prior * PRIOR_WEIGHT + estimate.mean * weight) / (PRIOR_WEIGHT + weight)
-        })
+        self.estimates
+            .get(&(service, batch))
+            .map_or(prior, |estimate| prior + (estimate.slowdown - prior) * decay(now.saturating_sub(estimate.at)))
     }
 
     /// Notes that the service was slowed by `slowdown` beside the given numbers of tasks of each kind.
     ///
-    /// The slowdown is shared out in proportion to what was expected of each kind, and a part of it evenly.
+    /// The slowdowns of the kinds present are taken to add up; the error of their sum corrects each of them in
+    /// proportion to its number of tasks (normalised least mean squares).
     pub fn observe(&mut self, service: KindId, beside: &[(KindId, u32)], slowdown: f64, now: Duration) {
-        let tasks: f64 = beside.iter().map(|(_, count)| f64::from(*count)).sum();
-        if tasks == 0.0 || !slowdown.is_finite() {
+        let norm: f64 = beside.iter().map(|(_, count)| f64::from(*count).powi(2)).sum();
+        if norm == 0.0 || !slowdown.is_finite() {
             return;
         }
-        let weigh = |kind: KindId| self.expected(service, kind, now);
-        let expected: f64 = beside.iter().map(|(kind, count)| weigh(*kind) * f64::from(*count)).sum();
-        let shares: Vec<(KindId, f64)> = beside
-            .iter()
-            .filter(|(_, count)| *count > 0)
-            .map(|(kind, _)| (*kind, share(weigh(*kind), expected, tasks) * slowdown.max(0.0)))
-            .collect();
-        for (kind, per_task) in shares {
-            self.learn(service, kind, per_task, now);
+        let predicted: f64 =
+            beside.iter().map(|(kind, count)| self.expected(service, *kind, now) * f64::from(*count)).sum();
+        let step = (slowdown.max(0.0) - predicted) * LEARNING_RATE / norm;
+        for (kind, count) in beside.iter().filter(|(_, count)| *count > 0) {
+            let corrected = self.expected(service, *kind, now) + step * f64::from(*count);
+            self.estimates.insert((service, *kind), Estimate { slowdown: corrected.max(0.0), at: now });
         }
     }
 
@@ -80,20 +74,6 @@
     pub fn is_empty(&self) -> bool {
         self.estimates.is_empty()
     }
-
-    fn learn(&mut self, service: KindId, batch: KindId, slowdown: f64, now: Duration) {
-        let old = self.estimates.entry((service, batch)).or_insert(Estimate { mean: 0.0, weight: 0.0, at: now });
-        let kept = old.weight * decay(now.saturating_sub(old.at));
-        old.weight = kept + 1.0;
-        old.mean = (old.mean * kept + slowdown) / old.weight;
-        old.at = old.at.max(now);
-    }
-}
-
-/// Part of the whole slowdown that one task of a kind accounts for.
-fn share(own: f64, expected: f64, tasks: f64) -> f64 {
-    let proportional = if expected > 0.0 { own / expected } else { 1.0 / tasks };
-    proportional * (1.0 - EVEN_SHARE) + EVEN_SHARE / tasks
 }
 
 fn decay(age: Duration) -> f64 {
--- /dev/null
+++ b/crates/policy/tests/colocation.rs
@@ -0,0 +1,166 @@
+//! The agent's control of tasks that slow requests.
+
+use std::time::Duration;
+
+use chervilledge_policy::code::Code;
+use chervilledge_policy::colocation::{Control, Resident, Settings, Step};
+use chervilledge_policy::id::Name;
+use chervilledge_policy::task::{Epoch, TaskId};
+use chervilledge_policy::window::Window;
+
+const TICK: Duration = Duration::from_millis(500);
+
+fn task(index: u32) -> TaskId {
+    TaskId { job: Name::from("job"), index }
+}
+
+fn resident(index: u32, slowdown: f64, uncheckpointed_s: u64) -> Resident {
+    Resident {
+        task: task(index),
+        epoch: Epoch(1),
+        slowdown,
+        uncheckpointed: Duration::from_secs(uncheckpointed_s),
+        can_checkpoint: true,
+        share_permille: 1000,
+    }
+}
+
+/// Worker whose latency the test sets, and on which actions take effect at once.
+struct Worker {
+    control: Control,
+    residents: Vec<Resident>,
+    now: Duration,
+    log: Vec<(u32, Step, Code)>,
+}
+
+impl Worker {
+    fn open(residents: Vec<Resident>) -> Self {
+        let control = Control::open(Settings::default(), Duration::ZERO);
+        Self { control, residents, now: Duration::ZERO, log: Vec::new() }
+    }
+
+    /// Runs for some ticks at the latency that `latency_ms` gives for the residents.
+    fn run(&mut self, ticks: u32, latency_ms: impl Fn(&[Resident]) -> u64) {
+        for _ in 0..ticks {
+            self.now += TICK;
+            for _ in 0..30 {
+                self.control.request_ended(Duration::from_millis(latency_ms(&self.residents)), self.now);
+            }
+            for action in self.control.step(&self.residents, self.now) {
+                self.log.push((action.task.index, action.step, action.code));
+                self.obey(&action.task, action.step);
+            }
+        }
+    }
+
+    fn obey(&mut self, task: &TaskId, step: Step) {
+        let at = self.residents.iter().position(|resident| resident.task == *task).expect("a resident");
+        match step {
+            Step::Throttle { share_permille } | Step::Restore { share_permille } => {
+                self.residents[at].share_permille = share_permille;
+            }
+            Step::Evict => {}
+            Step::Stop => {
+                self.residents.remove(at);
+                self.control.task_ended(task);
+            }
+        }
+    }
+
+    fn evictions(&self) -> usize {
+        self.log.iter().filter(|(_, step, _)| matches!(step, Step::Evict)).count()
+    }
+
+    fn start_tasks(&mut self, count: u32) {
+        for _ in 0..count {
+            self.control.task_started();
+        }
+    }
+}
+
+#[test]
+fn the_task_that_slows_most_is_throttled_first() {
+    let mut worker = Worker::open(vec![resident(0, 0.1, 9), resident(1, 0.9, 9)]);
+    worker.run(1, |_| 60);
+    assert_eq!(worker.log, [(1, Step::Throttle { share_permille: 500 }, Code::ThrottledForLatency)]);
+}
+
+#[test]
+fn every_task_is_throttled_when_latency_is_severe() {
+    let mut worker = Worker::open(vec![resident(0, 0.1, 9), resident(1, 0.9, 9)]);
+    worker.run(1, |_| 500);
+    assert_eq!(worker.log.len(), 2);
+}
+
+#[test]
+fn the_cheapest_task_is_evicted_at_the_floor_and_stopped_if_it_stays() {
+    let mut worker = Worker::open(vec![resident(0, 0.5, 90), resident(1, 0.5, 5), resident(2, 0.5, 50)]);
+    worker.residents[1].can_checkpoint = false;
+    worker.start_tasks(100);
+    worker.run(60, |_| 500);
+    let steps: Vec<_> = worker.log.iter().filter(|(_, step, _)| matches!(step, Step::Evict | Step::Stop)).collect();
+    assert_eq!(
+        steps,
+        [&(2, Step::Evict, Code::EvictedForLatency), &(2, Step::Stop, Code::StoppedForLatency)],
+        "a task without checkpoint loses all its work"
+    );
+}
+
+#[test]
+fn evictions_stay_within_their_budget() {
+    let mut worker = Worker::open((0..20).map(|index| resident(index, 0.5, 9)).collect());
+    worker.run(100, |_| 500);
+    assert_eq!(worker.evictions(), 0, "no task was started yet");
+    worker.start_tasks(199);
+    worker.run(400, |_| 500);
+    assert_eq!(worker.evictions(), 1);
+}
+
+#[test]
+fn shares_come_back_slowly_and_slower_after_a_relapse() {
+    let mut worker = Worker::open(vec![resident(0, 0.9, 9)]);
+    // The task fits the target only below a third of its processors.
+    worker.run(2400, |residents| if residents[0].share_permille > 300 { 80 } else { 30 });
+    assert!(worker.residents[0].share_permille >= 125, "the task goes on");
+    let throttles = worker.log.iter().filter(|(_, step, _)| matches!(step, Step::Throttle { .. })).count();
+    assert!(throttles <= 40, "{throttles} throttles in 20 minutes");
+    worker.run(400, |_| 30);
+    assert_eq!(worker.residents[0].share_permille, 1000);
+}
+
+#[test]
+fn latency_between_the_levels_changes_nothing() {
+    let mut worker = Worker::open(vec![resident(0, 0.9, 9)]);
+    worker.residents[0].share_permille = 500;
+    worker.run(200, |_| 45);
+    assert_eq!(worker.log, []);
+}
+
+#[test]
+fn the_slowdown_is_measured_against_the_service_alone() {
+    let mut worker = Worker::open(Vec::new());
+    worker.run(20, |_| 20);
+    assert_eq!(worker.control.slowdown(), Some(0.0));
+    worker.residents.push(resident(0, 0.5, 9));
+    worker.run(8, |_| 30);
+    let slowdown = worker.control.slowdown().expect("measured");
+    assert!((0.4..0.6).contains(&slowdown), "{slowdown}");
+}
+
+#[test]
+fn percentiles_are_within_an_eighth() {
+    let mut window = Window::open(Duration::from_secs(2), Duration::ZERO);
+    assert_eq!(window.percentile_permille(990), None);
+    for micros in 1..=100_000 {
+        window.record(Duration::from_micros(micros), Duration::ZERO);
+    }
+    for permille in [10, 500, 990, 999] {
+        let exact = permille * 100;
+        let found = window.percentile_permille(permille).expect("recorded").as_micros();
+        assert!((exact..=exact + exact / 8 + 1).contains(&u64::try_from(found).expect("small")), "{permille}: {found}");
+    }
+    window.turn(Duration::from_secs(1));
+    assert_eq!(window.count(), 100_000);
+    window.turn(Duration::from_secs(2));
+    assert_eq!(window.count(), 0);
+}
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,199 @@
+//! Choice of workers, with the agents' accounts as the last word.
+
+use std::time::Duration;
+
+use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::id::Name;
+use chervilledge_policy::interference::Interference;
+use chervilledge_policy::kind::KindId;
+use chervilledge_policy::placement::{Fleet, Lacking, Report, Unplaced, Want, WorkerId, WorkerInfo};
+use chervilledge_policy::usage::Usage;
+use rstest::rstest;
+
+const MINUTE: Duration = Duration::from_mins(1);
+const QUOTES: KindId = KindId(0);
+const ORDERS: KindId = KindId(1);
+const MESH: KindId = KindId(2);
+
+fn size(cores: u64, gib: u64, accelerators: u32) -> Resources {
+    Resources { processor_millicores: cores * 1000, memory_bytes: gib << 30, accelerators }
+}
+
+fn idle(free: Resources) -> Report {
+    Report { free, used: Resources::default(), request_load: 0.5, latency_ratio: 0.5 }
+}
+
+/// Fleet of workers with 16 cores and 60 GiB, three to a rack.
+fn fleet(workers: u32) -> Fleet {
+    let mut fleet = Fleet::open(7);
+    fleet.set_complete(true);
+    for number in 0..workers {
+        join(&mut fleet, number, size(16, 60, 0));
+    }
+    fleet
+}
+
+fn join(fleet: &mut Fleet, number: u32, capacity: Resources) -> WorkerId {
+    let (name, rack) = (Name::from(format!("w{number}")), Name::from(format!("r{}", number / 3)));
+    fleet.join(WorkerInfo { name, rack, capacity, service: Some(QUOTES) }, idle(capacity))
+}
+
+fn want(cores: u64, gib: u64) -> Want {
+    Want { kind: ORDERS, resources: size(cores, gib, 0) }
+}
+
+fn place(fleet: &mut Fleet, want: &Want, now: Duration) -> Result<WorkerId, Unplaced> {
+    fleet.place(want, &Interference::default(), &Usage::default(), now)
+}
+
+#[test]
+fn proposals_fill_the_fleet_and_never_exceed_it() {
+    let mut fleet = fleet(10);
+    let want = want(3, 1);
+    let mut counts = [0; 10];
+    for _ in 0..50 {
+        let id = place(&mut fleet, &want, MINUTE).expect("each worker holds five");
+        counts[id.0 as usize] += 1;
+    }
+    assert_eq!(counts, [5; 10]);
+    assert_eq!(place(&mut fleet, &want, MINUTE), Err(Unplaced::NoRoom));
+    fleet.declined(WorkerId(3), &want, None);
+    assert_eq!(place(&mut fleet, &want, MINUTE), Ok(WorkerId(3)));
+    fleet.admitted(WorkerId(3), &want);
+    assert_eq!(fleet.free(WorkerId(3)), size(1, 55, 0));
+    fleet.succeeded(WorkerId(3), &want, &Name::from("job"));
+    assert_eq!(place(&mut fleet, &want, MINUTE), Ok(WorkerId(3)));
+}
+
+#[test]
+fn a_decline_corrects_what_is_believed_to_be_free() {
+    let mut fleet = fleet(1);
+    let id = place(&mut fleet, &want(8, 1), MINUTE).expect("the worker is empty");
+    fleet.declined(id, &want(8, 1), Some(size(4, 60, 0)));
+    assert_eq!(place(&mut fleet, &want(8, 1), MINUTE), Err(Unplaced::NoRoom));
+    fleet.report(id, idle(size(16, 60, 0)));
+    assert_eq!(place(&mut fleet, &want(8, 1), MINUTE), Ok(id));
+}
+
+#[rstest]
+#[case::processors(size(17, 1, 0), Lacking::Processors)]
+#[case::memory(size(1, 61, 0), Lacking::Memory)]
+#[case::accelerators(size(1, 1, 3), Lacking::Accelerators)]
+#[case::combination(size(12, 1, 2), Lacking::Combination)]
+fn an_impossible_task_is_named_and_comes_back(#[case] resources: Resources, #[case] lacking: Lacking) {
+    let mut fleet = fleet(4);
+    join(&mut fleet, 4, size(8, 60, 2));
+    let want = Want { kind: ORDERS, resources };
+    assert_eq!(place(&mut fleet, &want, MINUTE), Err(Unplaced::Impossible(lacking)));
+    fleet.set_complete(false);
+    assert_eq!(place(&mut fleet, &want, MINUTE), Err(Unplaced::NoRoom), "not all workers are known");
+    let large = join(&mut fleet, 5, size(64, 250, 8));
+    assert!(fleet.could_hold(&resources));
+    assert_eq!(place(&mut fleet, &want, MINUTE), Ok(large));
+    fleet.leave(large);
+    assert_eq!(place(&mut fleet, &want, MINUTE), Err(Unplaced::NoRoom));
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_avoided_and_returns_slowly() {
+    let mut fleet = fleet(10);
+    let bad = WorkerId(4);
+    for job in 0..3 {
+        fleet.failed(bad, &want(1, 1), &Name::from(format!("job{job}")), MINUTE);
+    }
+    let mut chosen = (0..60).map(|_| place(&mut fleet, &want(1, 1), MINUTE).expect("there is room"));
+    assert!(chosen.all(|id| id != bad));
+    let later = MINUTE * 3;
+    let on_trial = (0..100).filter(|_| place(&mut fleet, &want(1, 1), later) == Ok(bad)).count();
+    assert_eq!(on_trial, 1);
+    fleet.succeeded(bad, &want(1, 1), &Name::from("job9"));
+    assert_eq!(place(&mut fleet, &want(1, 1), later), Ok(bad));
+    assert_eq!(place(&mut fleet, &want(1, 1), later), Ok(bad));
+}
+
+#[test]
+fn a_job_that_fails_everywhere_does_not_discredit_workers() {
+    let mut fleet = fleet(10);
+    for round in 0..5 {
+        for id in (0..10).map(WorkerId) {
+            fleet.failed(id, &want(1, 1), &Name::from("broken"), MINUTE * round);
+        }
+    }
+    let placed: Vec<WorkerId> = (0..160).filter_map(|_| place(&mut fleet, &want(1, 1), MINUTE).ok()).collect();
+    assert_eq!(placed.len(), 160, "every worker still takes tasks");
+}
+
+#[test]
+fn at_most_a_fifth_of_the_workers_is_avoided() {
+    let mut fleet = fleet(10);
+    for id in (0..10).map(WorkerId) {
+        for job in 0..3 {
+            fleet.failed(id, &want(1, 1), &Name::from(format!("job{}-{job}", id.0)), MINUTE);
+        }
+    }
+    let used: std::collections::HashSet<u32> =
+        (0..128).map(|_| place(&mut fleet, &want(1, 1), MINUTE).expect("eight workers are open").0).collect();
+    assert_eq!(used.len(), 8);
+}
+
+#[test]
+fn workers_with_little_interference_are_preferred() {
+    let mut fleet = fleet(2);
+    let service = KindId(9);
+    let (name, rack) = (Name::from("quiet"), Name::from("r9"));
+    let info = WorkerInfo { name, rack, capacity: size(16, 60, 0), service: Some(service) };
+    let quiet = fleet.join(info, idle(size(16, 60, 0)));
+    let mut learnt = Interference::default();
+    for second in 0..60 {
+        let now = Duration::from_secs(second);
+        learnt.observe(QUOTES, &[(ORDERS, 2)], 2.0, now);
+        learnt.observe(service, &[(ORDERS, 2)], 0.0, now);
+    }
+    for _ in 0..4 {
+        assert_eq!(fleet.place(&want(1, 1), &learnt, &Usage::default(), MINUTE), Ok(quiet));
+    }
+}
+
+#[test]
+fn tasks_of_a_kind_are_spread_over_racks() {
+    let mut fleet = fleet(12);
+    let mut racks = [0; 4];
+    for _ in 0..16 {
+        let id = place(&mut fleet, &want(1, 1), MINUTE).expect("there is room");
+        racks[id.0 as usize / 3] += 1;
+    }
+    assert!(racks.iter().all(|count| (3..=5).contains(count)), "{racks:?}");
+}
+
+#[test]
+fn interference_is_learnt_by_pairs_and_forgotten() {
+    let mut learnt = Interference::default();
+    learnt.set_prior(MESH, 0.05);
+    let at = |second: u64| Duration::from_secs(second);
+    for second in 0..300 {
+        // Orders slow quotes by 0.4 for each task; mesh slows them by nothing.
+        let beside = [(ORDERS, 1 + u32::try_from(second % 3).expect("small")), (MESH, 1)];
+        learnt.observe(QUOTES, &beside, 0.4 * f64::from(beside[0].1), at(second));
+    }
+    let orders = learnt.expected(QUOTES, ORDERS, at(300));
+    let mesh = learnt.expected(QUOTES, MESH, at(300));
+    assert!((0.3..0.5).contains(&orders), "{orders}");
+    assert!(mesh < orders / 2.0, "{mesh}");
+    assert!(learnt.expected(QUOTES, ORDERS, at(200_000)) < 0.11, "back to the prior");
+    assert_eq!(learnt.len(), 2);
+}
+
+#[test]
+fn usage_corrects_the_expected_size() {
+    let mut usage = Usage::default();
+    let declared = size(4, 8, 1);
+    assert_eq!(usage.expected(ORDERS, &declared), declared);
+    for second in 0..100 {
+        usage.observe(ORDERS, &declared, &size(1, 2, 1), Duration::from_secs(second));
+    }
+    let expected = usage.expected(ORDERS, &declared);
+    assert!((1000..1300).contains(&expected.processor_millicores), "{expected:?}");
+    let peak = size(1, 12, 1);
+    usage.observe(ORDERS, &declared, &peak, Duration::from_secs(101));
+    assert!(usage.suggested(ORDERS, &declared).memory_bytes >= peak.memory_bytes, "a peak of memory counts at once");
+}
