--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -33,6 +33,16 @@
         })
     }
 
+    /// Takes away as much of each resource as there is.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            processor_millicores: self.processor_millicores.saturating_sub(other.processor_millicores),
+            memory_bytes: self.memory_bytes.saturating_sub(other.memory_bytes),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
     /// Takes an amount away, or tells that `self` doesn't cover it.
     #[must_use]
     pub fn checked_sub(&self, other: &Self) -> Option<Self> {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -315,6 +315,22 @@
         self.workers.iter().flatten().any(|worker| worker.info.capacity.covers(resources))
     }
 
+    /// Worker whose agent should keep room for a task that has found none for long: the one that lacks least.
+    #[must_use]
+    pub fn to_earmark(&self, resources: &Resources, now: Duration) -> Option<WorkerId> {
+        let mut best: Option<(f64, WorkerId)> = None;
+        for (number, worker) in self.workers.iter().enumerate() {
+            let Some(worker) = worker.as_ref().filter(|worker| worker.info.capacity.covers(resources)) else {
+                continue;
+            };
+            let lacking = worker.lacking(resources);
+            if worker.health.is_open(now) && best.is_none_or(|(other, _)| lacking < other) {
+                best = Some((lacking, WorkerId(u32::try_from(number).unwrap_or(u32::MAX))));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
     fn worker(&self, id: WorkerId) -> Option<&Worker> {
         self.workers.get(id.0 as usize)?.as_ref()
     }
@@ -447,6 +463,17 @@
         self.free().covers(resources) && self.health.is_open(now)
     }
 
+    /// Largest part of any resource that isn't free yet, 0 to 1.
+    #[expect(clippy::cast_precision_loss, reason = "sizes stay far below 2^53")]
+    fn lacking(&self, resources: &Resources) -> f64 {
+        let free = self.free();
+        let part = |free: u64, needed: u64| needed.saturating_sub(free) as f64 / needed.max(1) as f64;
+        let processors = part(free.processor_millicores, resources.processor_millicores);
+        let memory = part(free.memory_bytes, resources.memory_bytes);
+        let accelerators = part(u64::from(free.accelerators), u64::from(resources.accelerators));
+        processors.max(memory).max(accelerators)
+    }
+
     /// Part of the processors or of the memory, whichever is fuller, that would be in use with the task, 0 to 1.
     #[expect(clippy::cast_precision_loss, reason = "sizes stay far below 2^53")]
     fn load_with(&self, expected: &Resources) -> f64 {
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -47,6 +47,8 @@
     },
     /// The same task and epoch is held with other resources.
     Mismatch,
+    /// Room is already kept for another task.
+    Earmarked,
 }
 
 impl Refusal {
@@ -55,7 +57,7 @@
     pub const fn code(self) -> Code {
         match self {
             Self::StockNotTaken => Code::StockNotTaken,
-            Self::NoRoom { .. } | Self::OlderHeld { .. } => Code::ResourcesExhausted,
+            Self::NoRoom { .. } | Self::OlderHeld { .. } | Self::Earmarked => Code::ResourcesExhausted,
             Self::StaleEpoch { .. } => Code::StaleEpoch,
             Self::Mismatch => Code::WrongTaskState,
         }
@@ -84,6 +86,14 @@
     set_at: Duration,
 }
 
+/// Room that is kept for a task until enough is free for it.
+#[derive(Clone, Debug)]
+struct Earmark {
+    task: TaskId,
+    resources: Resources,
+    until: Duration,
+}
+
 /// Reservations on one worker.
 #[derive(Clone, Debug)]
 pub struct Reservations {
@@ -93,6 +103,8 @@
     held: Map<TaskId, Held>,
     /// Epochs that have ended here. Kept for as long as a delayed start can arrive.
     fences: Map<TaskId, Fence>,
+    /// Covered by `capacity`, but not always by what is free.
+    earmark: Option<Earmark>,
     stock_taken: bool,
 }
 
@@ -105,6 +117,7 @@
             reserved: Resources::default(),
             held: Map::default(),
             fences: Map::default(),
+            earmark: None,
             stock_taken: false,
         }
     }
@@ -143,7 +156,39 @@
         if let Some(held) = self.held.get(&wanted.task) {
             return compare(held, wanted);
         }
-        if self.hold(wanted) { Ok(Admission::Reserved) } else { Err(Refusal::NoRoom { free: self.free() }) }
+        if !self.fits_beside_earmark(wanted) || !self.hold(wanted) {
+            return Err(Refusal::NoRoom { free: self.free() });
+        }
+        self.earmark.take_if(|earmark| earmark.task == wanted.task);
+        Ok(Admission::Reserved)
+    }
+
+    /// Keeps room for one task that finds none because smaller tasks take all that becomes free.
+    ///
+    /// Until the task is reserved or the time is over, others are admitted only if they fit beside it and what is
+    /// held now.
+    ///
+    /// # Errors
+    ///
+    /// Refuses while room is kept for another task, and over the capacity of the whole worker.
+    pub fn earmark(&mut self, wanted: &Reservation, now: Duration, until: Duration) -> Result<(), Refusal> {
+        self.expire_earmark(now);
+        if !self.stock_taken {
+            return Err(Refusal::StockNotTaken);
+        }
+        if self.earmark.as_ref().is_some_and(|earmark| earmark.task != wanted.task) {
+            return Err(Refusal::Earmarked);
+        }
+        if !self.capacity.covers(&wanted.resources) {
+            return Err(Refusal::NoRoom { free: self.free() });
+        }
+        self.earmark = Some(Earmark { task: wanted.task.clone(), resources: wanted.resources, until });
+        Ok(())
+    }
+
+    /// Ends an earmark whose time is over.
+    pub fn expire_earmark(&mut self, now: Duration) {
+        self.earmark.take_if(|earmark| earmark.until <= now);
     }
 
     /// Releases a task's resources, after the worker has confirmed that it is gone; the epoch never starts again.
@@ -176,14 +221,14 @@
         self.fences.retain(|_, fence| fence.set_at >= oldest);
     }
 
-    /// Resources that can still be reserved; none before stock is taken.
+    /// Resources that any task can still reserve; none before stock is taken.
     #[must_use]
     pub fn free(&self) -> Resources {
-        if self.stock_taken {
-            self.capacity.checked_sub(&self.reserved).unwrap_or_default()
-        } else {
-            Resources::default()
+        if !self.stock_taken {
+            return Resources::default();
         }
+        let kept = self.earmark.as_ref().map(|earmark| earmark.resources).unwrap_or_default();
+        self.capacity.saturating_sub(&self.reserved).saturating_sub(&kept)
     }
 
     /// Resources reserved now.
@@ -219,6 +264,11 @@
         })
     }
 
+    fn fits_beside_earmark(&self, wanted: &Reservation) -> bool {
+        let is_own = self.earmark.as_ref().is_none_or(|earmark| earmark.task == wanted.task);
+        is_own || self.free().covers(&wanted.resources)
+    }
+
     /// Adds to the account if the capacity covers it.
     fn hold(&mut self, wanted: &Reservation) -> bool {
         if self.held.contains_key(&wanted.task) {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -156,13 +156,25 @@
 
 #[test]
 fn tasks_of_a_kind_are_spread_over_racks() {
-    let mut fleet = fleet(12);
-    let mut racks = [0; 4];
-    for _ in 0..16 {
+    let mut fleet = fleet(0);
+    join(&mut fleet, 0, size(64, 250, 0));
+    join(&mut fleet, 3, size(16, 60, 0));
+    let mut racks = [0; 2];
+    for _ in 0..8 {
         let id = place(&mut fleet, &want(1, 1), MINUTE).expect("there is room");
-        racks[id.0 as usize / 3] += 1;
+        racks[id.0 as usize] += 1;
     }
-    assert!(racks.iter().all(|count| (3..=5).contains(count)), "{racks:?}");
+    assert!(racks[1] >= 3, "the larger worker is emptier, yet not all tasks go to its rack: {racks:?}");
+}
+
+#[test]
+fn a_large_task_gets_a_worker_earmarked_beside_a_stream_of_small_ones() {
+    let mut fleet = fleet(2);
+    let full = Report { free: size(0, 0, 0), ..idle(size(16, 60, 0)) };
+    fleet.report(WorkerId(0), Report { free: size(3, 60, 0), ..full });
+    fleet.report(WorkerId(1), Report { free: size(5, 60, 0), ..full });
+    assert_eq!(fleet.to_earmark(&size(16, 60, 0), MINUTE), Some(WorkerId(1)));
+    assert_eq!(fleet.to_earmark(&size(17, 60, 0), MINUTE), None);
 }
 
 #[test]
--- a/crates/policy/tests/reservation.rs
+++ b/crates/policy/tests/reservation.rs
@@ -71,6 +71,35 @@
     assert_eq!(reservations.reserve(&reservation(0, 3, 4)), Ok(Admission::Reserved));
 }
 
+#[test]
+fn an_earmark_keeps_room_for_a_task_that_others_would_starve() {
+    let mut reservations = open();
+    let now = Duration::from_secs(1);
+    reservations.reserve(&reservation(0, 1, 2)).expect("there is room");
+    let large = reservation(9, 1, 3);
+    reservations.earmark(&large, now, now * 60).expect("the capacity covers it");
+    assert_eq!(reservations.earmark(&reservation(8, 1, 1), now, now * 60), Err(Refusal::Earmarked));
+    assert!(matches!(reservations.reserve(&reservation(1, 1, 1)), Err(Refusal::NoRoom { .. })));
+    assert!(matches!(reservations.reserve(&large), Err(Refusal::NoRoom { .. })));
+    reservations.release(&task(0), Epoch(1), now);
+    assert!(matches!(reservations.reserve(&reservation(2, 1, 2)), Err(Refusal::NoRoom { .. })));
+    assert_eq!(reservations.reserve(&reservation(1, 1, 1)), Ok(Admission::Reserved), "it fits beside the earmark");
+    assert_eq!(reservations.reserve(&large), Ok(Admission::Reserved));
+    reservations.release(&task(9), Epoch(1), now);
+    assert_eq!(reservations.reserve(&reservation(2, 1, 3)), Ok(Admission::Reserved), "the earmark was used up");
+}
+
+#[test]
+fn an_earmark_ends_by_itself() {
+    let mut reservations = open();
+    let now = Duration::from_secs(1);
+    reservations.earmark(&reservation(9, 1, 4), now, now * 60).expect("the capacity covers it");
+    reservations.expire_earmark(now * 59);
+    assert_eq!(reservations.free().processor_millicores, 0);
+    reservations.expire_earmark(now * 60);
+    assert_eq!(reservations.reserve(&reservation(1, 1, 4)), Ok(Admission::Reserved));
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Reserve { index: u32, epoch: u64, parts: u64 },
