--- a/crates/policy/src/colocation.rs
+++ b/crates/policy/src/colocation.rs
@@ -2,16 +2,18 @@
 //!
 //! The agent sees the latency of each request without lag. While the 99th percentile exceeds its target, tasks are
 //! throttled, the one that slows requests most first. When all are throttled to the floor and the target is still
-//! exceeded, the task that loses the least work is evicted with a checkpoint, within a budget; one that doesn't leave
-//! in time is stopped. Shares come back one step at a time after the latency has stayed well below its target, and
+//! exceeded, the task that loses the least work is evicted with a checkpoint, within a budget, and so is a task that
+//! has been throttled to little progress for long; one that doesn't leave in time is stopped. Shares come back one step at a time after the latency has stayed well below its target, and
 //! slower after each relapse.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::code::Code;
+use crate::collections::Map;
 use crate::task::{Epoch, TaskId};
 use crate::window::Window;
 
@@ -30,11 +32,20 @@
 /// Half the smallest share that is given back.
 const SHARE_STEP_MIN_PERMILLE: u32 = 25;
 
+/// Windows after a share came back within which an excess counts as a relapse.
+const RELAPSE_WINDOWS: u32 = 3;
+
 /// Doublings of the time to relax after relapses.
 const RELAPSES_MAX: u32 = 5;
 
-/// Weight of a new measurement of the latency without batch work.
-const ALONE_WEIGHT: f64 = 0.2;
+/// Share at or below which a task counts as starved.
+const SHARE_STARVED_PERMILLE: u32 = 250;
+
+/// Part of the slowdown of the worst task below which a task isn't evicted, since that would help little.
+const VICTIM_SLOWDOWN_MIN: f64 = 0.5;
+
+/// Part of the entering level that a share which comes back may be predicted to reach.
+const RESTORE_LEVEL: f64 = 0.9;
 
 /// Settings of the control.
 #[serde_as]
@@ -63,6 +74,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "evict_after_ms")]
     pub evict_after: Duration,
+    /// Time at a quarter of its processors or less after which a task is evicted, to run on another worker.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "starved_after_ms")]
+    pub starved_after: Duration,
     /// Time that a task has to write its checkpoint before it is stopped.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "stop_after_ms")]
@@ -86,6 +101,7 @@
             severe_permille: 2000,
             share_min_permille: 50,
             evict_after: Duration::from_secs(5),
+            starved_after: Duration::from_secs(30),
             stop_after: Duration::from_secs(10),
             relax_after: Duration::from_secs(2),
             evictions_max_permille: 10,
@@ -159,14 +175,14 @@
     calm_since: Option<Duration>,
     /// Time since which every task has been at the floor while the target was exceeded.
     floor_since: Option<Duration>,
-    /// Time of the last share that came back, until the latency shows that it was right.
+    /// Time of the last share that came back, until the latency shows whether it was right.
     restored_at: Option<Duration>,
     relapses: u32,
+    /// Times since which tasks have been starved. Holds only residents.
+    starved_since: Map<TaskId, Duration>,
     eviction: Option<Eviction>,
     /// Evictions that may be ordered, in thousandths.
     budget_permille: u64,
-    /// 99th percentile without batch work.
-    alone: Option<Duration>,
 }
 
 impl Control {
@@ -180,9 +196,9 @@
             floor_since: None,
             restored_at: None,
             relapses: 0,
+            starved_since: Map::default(),
             eviction: None,
             budget_permille: 0,
-            alone: None,
         }
     }
 
@@ -211,30 +227,41 @@
         Some(u64::try_from(latency.as_micros() * 1000 / self.settings.target.as_micros().max(1)).unwrap_or(u64::MAX))
     }
 
-    /// Growth of the 99th percentile over that without batch work, for [`crate::interference::Interference::observe`].
+    /// 90th percentile as a multiple of the target, for [`crate::interference::Interference::observe`].
+    ///
+    /// It is steadier than the 99th over the same window.
     #[must_use]
-    pub fn slowdown(&self) -> Option<f64> {
-        let alone = self.alone?.as_secs_f64();
-        Some((self.latency()?.as_secs_f64() / alone - 1.0).max(0.0))
+    pub fn latency_ratio(&self) -> Option<f64> {
+        if self.window.count() < self.settings.requests_min {
+            return None;
+        }
+        Some(self.window.percentile_permille(900)?.as_secs_f64() / self.settings.target.as_secs_f64())
     }
 
     /// Decides what to do to the tasks; called a few times in each window.
     pub fn step(&mut self, residents: &[Resident], now: Duration) -> Vec<Action> {
         self.window.turn(now);
-        self.learn_alone(residents);
+        self.note_starved(residents, now);
         let latency = self.latency_permille();
-        let actions = match latency {
-            Some(permille) if permille > self.settings.enter_permille => self.tighten(residents, permille, now),
+        let mut actions = match latency {
+            Some(permille) if permille > self.settings.enter_permille && self.is_significant() => {
+                self.tighten(residents, permille, now)
+            }
             Some(permille) if permille >= self.settings.exit_permille => self.hold(),
-            Some(_) => {
+            Some(permille) => {
                 self.floor_since = None;
-                self.relax(residents, now)
+                self.relax(residents, permille, now)
             }
-            None => self.relax(residents, now),
+            None => self.relax(residents, 0, now),
         };
         if !actions.is_empty() {
             self.window.clear(now);
         }
+        if self.eviction.is_some() {
+            actions.extend(self.stop_overdue(residents, now));
+        } else if !actions.iter().any(|action| action.step == Step::Evict) {
+            actions.extend(self.evict_starved(residents, now));
+        }
         actions
     }
 
@@ -245,15 +272,13 @@
         self.window.percentile_permille(990)
     }
 
-    fn learn_alone(&mut self, residents: &[Resident]) {
-        if residents.iter().any(|resident| resident.share_permille > 0) {
-            return;
-        }
-        if let Some(latency) = self.latency() {
-            self.alone = Some(self.alone.map_or(latency, |old| {
-                Duration::from_secs_f64(old.as_secs_f64() * (1.0 - ALONE_WEIGHT) + latency.as_secs_f64() * ALONE_WEIGHT)
-            }));
-        }
+    /// Tells whether more requests exceed the level than one in a hundred and two standard deviations.
+    fn is_significant(&self) -> bool {
+        let level = self.settings.target.as_micros() * u128::from(self.settings.enter_permille) / 1000;
+        let level = Duration::from_micros(u64::try_from(level).unwrap_or(u64::MAX));
+        let above = self.window.count_above(level) * 100;
+        let excess = above.saturating_sub(self.window.count());
+        excess * excess > 4 * 100 * self.window.count()
     }
 
     fn hold(&mut self) -> Vec<Action> {
@@ -264,7 +289,7 @@
 
     fn tighten(&mut self, residents: &[Resident], permille: u64, now: Duration) -> Vec<Action> {
         self.calm_since = None;
-        if self.restored_at.take().is_some() {
+        if self.restored_at.take().is_some_and(|at| now < at + self.settings.window * RELAPSE_WINDOWS) {
             self.relapses = (self.relapses + 1).min(RELAPSES_MAX);
         }
         let throttled = self.throttle(residents, permille);
@@ -276,7 +301,7 @@
         if now < floor_since + self.settings.evict_after {
             return Vec::new();
         }
-        self.evict_or_stop(residents, now).into_iter().collect()
+        self.evict_one(residents, now).into_iter().collect()
     }
 
     /// Halves the share of the task that slows requests most, or of every task when the target is exceeded severely.
@@ -294,22 +319,30 @@
         above.into_iter().map(throttle).collect()
     }
 
-    fn evict_or_stop(&mut self, residents: &[Resident], now: Duration) -> Option<Action> {
-        if let Some(eviction) = &mut self.eviction {
-            if now < eviction.since + self.settings.stop_after {
-                return None;
-            }
-            eviction.since = now;
-            let is_victim = |resident: &&Resident| resident.task == eviction.task && resident.epoch == eviction.epoch;
-            return residents.iter().find(is_victim).map(|victim| victim.action(Step::Stop, Code::StoppedForLatency));
-        }
-        if self.budget_permille < EVICTION_COST_PERMILLE {
+    /// Evicts the cheapest of the tasks that slow requests much.
+    fn evict_one(&mut self, residents: &[Resident], now: Duration) -> Option<Action> {
+        let worst = residents.iter().map(|resident| resident.slowdown).fold(0.0, f64::max);
+        let helps = |resident: &&Resident| resident.slowdown >= worst * VICTIM_SLOWDOWN_MIN;
+        let action = self.evict(residents.iter().filter(helps).min_by(|a, b| cheaper(a, b))?, now)?;
+        self.floor_since = Some(now);
+        Some(action)
+    }
+
+    /// Evicts the cheapest of the tasks that make little progress here.
+    fn evict_starved(&mut self, residents: &[Resident], now: Duration) -> Option<Action> {
+        let since = |resident: &&Resident| self.starved_since.get(&resident.task);
+        let is_overdue =
+            |resident: &&Resident| since(resident).is_some_and(|since| now >= *since + self.settings.starved_after);
+        let victim = residents.iter().filter(is_overdue).min_by(|a, b| cheaper(a, b))?;
+        self.evict(victim, now)
+    }
+
+    /// Orders an eviction if none is under way and the budget allows it.
+    fn evict(&mut self, victim: &Resident, now: Duration) -> Option<Action> {
+        if self.eviction.is_some() || self.budget_permille < EVICTION_COST_PERMILLE {
             return None;
         }
-        let cost = |resident: &Resident| (!resident.can_checkpoint, resident.uncheckpointed);
-        let victim = residents.iter().min_by(|a, b| cost(a).cmp(&cost(b)).then_with(|| a.task.cmp(&b.task)))?;
         self.budget_permille -= EVICTION_COST_PERMILLE;
-        self.floor_since = Some(now);
         self.eviction = Some(Eviction { task: victim.task.clone(), epoch: victim.epoch, since: now });
         if victim.can_checkpoint {
             Some(victim.action(Step::Evict, Code::EvictedForLatency))
@@ -318,27 +351,62 @@
         }
     }
 
+    /// Stops a task that hasn't left in time.
+    fn stop_overdue(&mut self, residents: &[Resident], now: Duration) -> Option<Action> {
+        let eviction = self.eviction.as_mut().filter(|eviction| now >= eviction.since + self.settings.stop_after)?;
+        eviction.since = now;
+        let is_victim = |resident: &&Resident| resident.task == eviction.task && resident.epoch == eviction.epoch;
+        let victim = residents.iter().find(is_victim);
+        if victim.is_none() {
+            self.eviction = None;
+        }
+        victim.map(|victim| victim.action(Step::Stop, Code::StoppedForLatency))
+    }
+
+    fn note_starved(&mut self, residents: &[Resident], now: Duration) {
+        let is_starved = |resident: &&Resident| resident.share_permille <= SHARE_STARVED_PERMILLE;
+        let starved = residents.iter().filter(is_starved);
+        let since = |task: &TaskId| self.starved_since.get(task).copied().unwrap_or(now);
+        self.starved_since = starved.map(|resident| (resident.task.clone(), since(&resident.task))).collect();
+    }
+
     /// Doubles the shares of the tasks that slow requests least, after a time of calm.
-    fn relax(&mut self, residents: &[Resident], now: Duration) -> Vec<Action> {
+    ///
+    /// Several come back at once if they are predicted to leave the latency below the entering level, and one in any
+    /// case. The time of calm doubles with each relapse, and halves with each share that came back for good.
+    fn relax(&mut self, residents: &[Resident], permille: u64, now: Duration) -> Vec<Action> {
         let calm_since = *self.calm_since.get_or_insert(now);
-        let wait = self.settings.relax_after * 2_u32.pow(self.relapses);
-        if now < calm_since + wait {
+        if now < calm_since + self.settings.relax_after * 2_u32.pow(self.relapses) {
             return Vec::new();
         }
+        if self.restored_at.take().is_some() {
+            self.relapses = self.relapses.saturating_sub(1);
+        }
         let is_throttled = |resident: &&Resident| resident.share_permille < SHARE_FULL_PERMILLE;
         let mut throttled: Vec<&Resident> = residents.iter().filter(is_throttled).collect();
         if throttled.is_empty() {
-            self.relapses = 0;
-            self.restored_at = None;
             return Vec::new();
         }
+        throttled.sort_by(|a, b| a.harm().total_cmp(&b.harm()).then_with(|| a.task.cmp(&b.task)));
+        throttled.truncate(throttled.len().div_ceil(RESTORE_PART));
+        let count = self.count_predicted_harmless(&throttled, permille).max(1);
         self.calm_since = Some(now);
         self.restored_at = Some(now);
-        throttled.sort_by(|a, b| a.slowdown.total_cmp(&b.slowdown).then_with(|| a.task.cmp(&b.task)));
-        let count = if self.relapses == 0 { throttled.len().div_ceil(RESTORE_PART) } else { 1 };
         throttled.into_iter().take(count).map(|resident| self.restore(resident)).collect()
     }
 
+    /// Number of tasks, from the first on, whose doubled shares are predicted to leave the latency low enough.
+    #[expect(clippy::cast_precision_loss, reason = "levels stay far below 2^53")]
+    fn count_predicted_harmless(&self, throttled: &[&Resident], permille: u64) -> usize {
+        let room = self.settings.enter_permille as f64 * RESTORE_LEVEL;
+        let mut added = 0.0;
+        let mut fits = |resident: &&&Resident| {
+            added += resident.harm() / f64::from(SHARE_FULL_PERMILLE);
+            permille as f64 * (1.0 + added) <= room
+        };
+        throttled.iter().take_while(|resident| fits(resident)).count()
+    }
+
     fn restore(&self, resident: &Resident) -> Action {
         let floor = self.settings.share_min_permille.max(SHARE_STEP_MIN_PERMILLE);
         let share_permille = (resident.share_permille.max(floor) * 2).min(SHARE_FULL_PERMILLE);
@@ -356,3 +424,9 @@
         Action { task: self.task.clone(), epoch: self.epoch, step, code }
     }
 }
+
+/// Orders tasks by the work that their eviction loses; one that can't write a checkpoint comes last.
+fn cheaper(a: &Resident, b: &Resident) -> Ordering {
+    let cost = |resident: &Resident| (!resident.can_checkpoint, resident.uncheckpointed);
+    cost(a).cmp(&cost(b)).then_with(|| a.task.cmp(&b.task))
+}
--- a/crates/policy/src/interference.rs
+++ b/crates/policy/src/interference.rs
@@ -9,7 +9,10 @@
 const HALF_LIFE: Duration = Duration::from_hours(1);
 
 /// Part of the error of a prediction by which one measurement corrects the estimates.
-const LEARNING_RATE: f64 = 0.2;
+const LEARNING_RATE: f64 = 0.05;
+
+/// Smallest latency of a service alone, as a multiple of the reference.
+const ALONE_MIN: f64 = 0.01;
 
 /// Slowdown expected of a kind that has no prior: latency grows by a tenth for each task.
 const PRIOR_DEFAULT: f64 = 0.1;
@@ -28,6 +31,8 @@
 pub struct Interference {
     estimates: Map<(KindId, KindId), Estimate>,
     priors: Map<KindId, f64>,
+    /// Latency of each service without batch work, as a multiple of its reference. At least `ALONE_MIN`.
+    alone: Map<KindId, f64>,
 }
 
 impl Interference {
@@ -45,20 +50,22 @@
             .map_or(prior, |estimate| prior + (estimate.slowdown - prior) * decay(now.saturating_sub(estimate.at)))
     }
 
-    /// Notes that the service was slowed by `slowdown` beside the given numbers of tasks of each kind.
+    /// Notes the latency of the service beside tasks of the given kinds, as a multiple of a fixed reference.
     ///
-    /// The slowdowns of the kinds present are taken to add up; the error of their sum corrects each of them in
-    /// proportion to its number of tasks (normalised least mean squares).
-    pub fn observe(&mut self, service: KindId, beside: &[(KindId, u32)], slowdown: f64, now: Duration) {
-        let norm: f64 = beside.iter().map(|(_, count)| f64::from(*count).powi(2)).sum();
-        if norm == 0.0 || !slowdown.is_finite() {
+    /// Each kind comes with its number of whole tasks: a task throttled to half its share counts as half. Latency is
+    /// taken to be that of the service alone plus a part for each task; the error of this sum corrects the parts, and
+    /// the latency alone with them (normalised least mean squares). The service therefore needn't ever run alone.
+    pub fn observe(&mut self, service: KindId, beside: &[(KindId, f64)], latency_ratio: f64, now: Duration) {
+        if !latency_ratio.is_finite() {
             return;
         }
-        let predicted: f64 =
-            beside.iter().map(|(kind, count)| self.expected(service, *kind, now) * f64::from(*count)).sum();
-        let step = (slowdown.max(0.0) - predicted) * LEARNING_RATE / norm;
-        for (kind, count) in beside.iter().filter(|(_, count)| *count > 0) {
-            let corrected = self.expected(service, *kind, now) + step * f64::from(*count);
+        let alone = *self.alone.entry(service).or_insert(latency_ratio.max(ALONE_MIN));
+        let slowdown: f64 = beside.iter().map(|(kind, count)| self.expected(service, *kind, now) * count).sum();
+        let norm: f64 = 1.0 + beside.iter().map(|(_, count)| count.powi(2)).sum::<f64>();
+        let step = (latency_ratio - alone * (1.0 + slowdown)) * LEARNING_RATE / norm;
+        self.alone.insert(service, (alone + step).max(ALONE_MIN));
+        for (kind, count) in beside.iter().filter(|(_, count)| *count > 0.0) {
+            let corrected = self.expected(service, *kind, now) + step * count / alone;
             self.estimates.insert((service, *kind), Estimate { slowdown: corrected.max(0.0), at: now });
         }
     }
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -59,6 +59,13 @@
         None
     }
 
+    /// Number of requests that took longer, give or take an eighth of the latency.
+    #[must_use]
+    pub fn count_above(&self, latency: Duration) -> u64 {
+        let above = bucket_of(latency) + 1;
+        self.current[above..].iter().chain(&self.previous[above..]).map(|count| u64::from(*count)).sum()
+    }
+
     /// Moves on to the half window that `now` lies in.
     pub fn turn(&mut self, now: Duration) {
         if now >= self.turns_at + self.length / 2 {
