--- /dev/null
+++ b/crates/platform/tests/network.rs
@@ -0,0 +1,72 @@
+//! Client behind a faulty network, judged by the ledger of the stand-in.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_platform::client::{Client, Resolution};
+use chervilledge_platform::error::Outcome;
+use chervilledge_platform::table::{Expect, Write, WriteId};
+use chervilledge_standins::network::{self, Faults};
+use chervilledge_standins::platform::{Handle, Settings};
+use rstest::rstest;
+use serde_json::json;
+use support::{open_client_with, start_store};
+
+/// Long enough for a call on a busy machine, short enough to wait for in a test.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+const PATIENCE: Duration = Duration::from_mins(1);
+
+async fn start() -> (Handle, network::Handle, Client) {
+    let store = start_store(Settings::default()).await;
+    let proxy = network::bind(SocketAddr::from(([127, 0, 0, 1], 0)), store.address()).await.unwrap();
+    let client = open_client_with(proxy.address(), 1, CALL_TIMEOUT);
+    assert_eq!(client.read_one("row").await, Ok(None), "a connection is open");
+    (store, proxy, client)
+}
+
+async fn put(client: &Client) -> (WriteId, Outcome) {
+    let id = client.next_write_id();
+    (id, client.commit(id, vec![Write::put("row", Expect::Any, json!(1))]).await)
+}
+
+fn took_effect(store: &Handle, id: WriteId) -> bool {
+    store.ledger_after(0).iter().any(|entry| entry.write_id == id)
+}
+
+#[rstest]
+#[case::to_platform(Faults { silent_to_target: true, ..Faults::default() }, false)]
+#[case::from_platform(Faults { silent_to_caller: true, ..Faults::default() }, true)]
+#[tokio::test]
+async fn a_write_into_silence_is_unknown_and_resolved_on_a_new_connection(#[case] faults: Faults, #[case] done: bool) {
+    let (store, proxy, client) = start().await;
+    proxy.set(faults);
+    let (id, outcome) = put(&client).await;
+    assert_eq!(outcome, Outcome::Unknown);
+    proxy.set(Faults::default());
+    let resolved = tokio::time::timeout(PATIENCE, client.resolve(id, &Arc::from("row"))).await.unwrap();
+    assert_eq!((resolved != Resolution::NotDone, took_effect(&store, id)), (done, done));
+}
+
+#[tokio::test]
+async fn a_connection_that_went_silent_is_used_for_one_call_only() {
+    let (store, proxy, client) = start().await;
+    proxy.half_open();
+    let (lost, outcome) = put(&client).await;
+    assert_eq!((outcome, took_effect(&store, lost)), (Outcome::Unknown, false));
+    let (id, outcome) = put(&client).await;
+    assert!(matches!(outcome, Outcome::Done(_)) && took_effect(&store, id), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn a_cut_connection_is_replaced() {
+    let (store, proxy, client) = start().await;
+    proxy.cut();
+    let (id, outcome) = put(&client).await;
+    // The client may or may not have noticed the cut before it sent.
+    assert_eq!(matches!(outcome, Outcome::Done(_)), took_effect(&store, id), "{outcome:?}");
+    let (id, outcome) = put(&client).await;
+    assert!(matches!(outcome, Outcome::Done(_)) && took_effect(&store, id), "{outcome:?}");
+}
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-in and client that the tests of this package share.
 
+#![allow(dead_code, reason = "no test file uses all of it")]
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
