Resolve every unknown write in the background

Cause: a caller that drops the future of a commit, or doesn't resolve an unknown outcome, left the write open for good: a history row in the table and an entry in memory. Ruled out: leaving it to callers; each timeout around a commit would leak one row. Codes 5003 (row changed by another write) and 5004 (invalid call to the platform) tell those reasons from 5001.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::sync::oneshot;
 
 use crate::error::{Error, Outcome, Reason};
 use crate::gate::Bounds;
@@ -157,12 +158,31 @@
     /// Commits all writes or none, in one attempt.
     ///
     /// Along with the writes goes a row that records the transaction, so that [`Client::resolve`] can prove what
-    /// became of it.
+    /// became of it. An unknown outcome is resolved in the background as well, so none stays open once the platform
+    /// answers. Dropping the future doesn't take the writes back.
     pub async fn commit(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
+        let Some(key) = writes.first().map(|write| Arc::clone(&write.key)) else {
+            return Outcome::Done(Vec::new());
+        };
+        let client = self.clone();
+        let (answer, outcome) = oneshot::channel();
+        tokio::spawn(async move {
+            let outcome = client.commit_once(write_id, writes).await;
+            let is_unknown = outcome == Outcome::Unknown;
+            // A caller that went away needs no answer.
+            let _gone = answer.send(outcome);
+            if is_unknown {
+                let resolution = client.resolve(write_id, &key).await;
+                log::warn!(write_id:%, resolution:?; "platform_write_resolved");
+            }
+        });
+        outcome.await.unwrap_or(Outcome::Unknown)
+    }
+
+    async fn commit_once(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
         let deleted = self.begin(write_id);
-        let commit = with_history(write_id, writes, &deleted);
-        let count = commit.writes.len() - deleted.len() - 1;
-        let outcome = self.send_commit(&commit).await;
+        let count = writes.len();
+        let outcome = self.send_commit(&with_history(write_id, writes, &deleted)).await;
         self.finish(write_id, deleted, outcome, count)
     }
 
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -18,6 +18,18 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Result code, unless the write took effect.
+    #[must_use]
+    pub fn code(&self) -> Option<Code> {
+        match self {
+            Self::Done(_) => None,
+            Self::NotDone(reason) => Some(reason.code()),
+            Self::Unknown => Some(Code::WriteUnknown),
+        }
+    }
+}
+
 /// Proof that a write didn't take effect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reason {
@@ -40,7 +52,11 @@
     /// Result code of the reason.
     #[must_use]
     pub fn code(&self) -> Code {
-        Code::PlatformUnavailable
+        match self {
+            Self::Conflict(_) | Self::Fenced => Code::WriteConflict,
+            Self::Invalid(_) => Code::PlatformInvalid,
+            Self::NeverSent | Self::Refused { .. } => Code::PlatformUnavailable,
+        }
     }
 }
 
@@ -76,7 +92,10 @@
     /// Result code of the error.
     #[must_use]
     pub fn code(&self) -> Code {
-        Code::PlatformUnavailable
+        match self {
+            Self::Malformed(_) => Code::PlatformInvalid,
+            Self::Refused { .. } | Self::TimedOut | Self::Unreachable => Code::PlatformUnavailable,
+        }
     }
 }
 
--- a/crates/platform/src/group.rs
+++ b/crates/platform/src/group.rs
@@ -13,7 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::client::{Client, Resolution};
+use crate::client::Client;
 use crate::error::{Outcome, Reason};
 use crate::table::{Conflict, Write, WriteId};
 
@@ -185,11 +185,8 @@
         return Outcome::Unknown;
     };
     let count = members.iter().map(|member| member.writes.len()).sum();
-    match timeout(settings.resolve_limit, client.resolve(write_id, &write.key)).await {
-        Ok(Resolution::Done(version)) => Outcome::Done(vec![version; count]),
-        Ok(Resolution::NotDone) => Outcome::NotDone(Reason::Fenced),
-        Ok(Resolution::Forgotten) | Err(_) => Outcome::Unknown,
-    }
+    let resolution = timeout(settings.resolve_limit, client.resolve(write_id, &write.key)).await;
+    resolution.map_or(Outcome::Unknown, |resolution| resolution.outcome(count))
 }
 
 /// Tells whether the conflict is about a row of a member.
--- a/crates/platform/src/resolve.rs
+++ b/crates/platform/src/resolve.rs
@@ -18,6 +18,18 @@
     Forgotten,
 }
 
+impl Resolution {
+    /// Outcome of a transaction with the given number of writes.
+    #[must_use]
+    pub fn outcome(self, writes: usize) -> Outcome {
+        match self {
+            Self::Done(version) => Outcome::Done(vec![version; writes]),
+            Self::NotDone => Outcome::NotDone(Reason::Fenced),
+            Self::Forgotten => Outcome::Unknown,
+        }
+    }
+}
+
 impl Client {
     /// Asks until the outcome of a write of this process is proved.
     ///
@@ -36,17 +48,10 @@
     /// Commits like [`Client::commit`] and resolves an unknown outcome; never returns [`Outcome::Unknown`] unless
     /// the write is no longer known to the client.
     pub async fn commit_and_resolve(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
-        let Some(key) = writes.first().map(|write| Arc::clone(&write.key)) else {
-            return Outcome::Done(Vec::new());
-        };
-        let count = writes.len();
-        match self.commit(write_id, writes).await {
-            Outcome::Unknown => match self.resolve(write_id, &key).await {
-                Resolution::Done(version) => Outcome::Done(vec![version; count]),
-                Resolution::NotDone => Outcome::NotDone(Reason::Fenced),
-                Resolution::Forgotten => Outcome::Unknown,
-            },
-            known => known,
+        let (key, count) = (writes.first().map(|write| Arc::clone(&write.key)), writes.len());
+        match (self.commit(write_id, writes).await, key) {
+            (Outcome::Unknown, Some(key)) => self.resolve(write_id, &key).await.outcome(count),
+            (known, _) => known,
         }
     }
 
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -95,6 +95,10 @@
     PlatformUnavailable = 5001, "platform unavailable";
     /// The outcome of a write isn't known yet.
     WriteUnknown = 5002, "outcome of a write unknown";
+    /// Another write changed the row first; nothing was written.
+    WriteConflict = 5003, "row changed by another write";
+    /// The platform and this process don't understand each other.
+    PlatformInvalid = 5004, "invalid call to the platform";
     // 6000 to 6999: command line and settings.
     /// The command line is wrong.
     Usage = 6001, "wrong usage";
