Plan, accept and keep the history of the configuration

Cause: operators review changes like a schema migration; one of two racing operators must win, and a lost reply must be resolvable.

Change: operator::{plan, accept, store, api}; code 4006. The routes aren't tested yet.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,5 +1,7 @@
 //! Configuration, plans and the operators' HTTP interface.
 
+pub mod accept;
+pub mod api;
 pub mod check;
 pub mod config;
 pub mod documents;
@@ -7,6 +9,8 @@
 pub mod listen;
 pub mod metrics;
 pub mod overlay;
+pub mod plan;
 pub mod secret;
 mod shape;
+pub mod store;
 mod strict;
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -96,6 +96,8 @@
     DocumentTooLarge = 4004, "documents too large";
     /// The plan doesn't belong to the documents sent with it.
     PlanMismatch = 4005, "plan doesn't match the documents";
+    /// The history doesn't hold the version.
+    UnknownVersion = 4006, "version not in the history";
     /// A document isn't JSON.
     NotJson = 4101, "not JSON";
     /// A field isn't part of the configuration.
