Test the configuration routes over real connections

Cause: the routes of an entry had no test. Ruled out: calls of the handlers alone, which leave the statuses and the JSON unproved. Change: tests/api.rs; the HTTP exchange of the listener tests is shared. Seen to fail without: the adoption of an accepted version, the entry's memory when the table is behind, the refusal while nothing is known.

--- a/crates/operator/tests/listen.rs
+++ b/crates/operator/tests/listen.rs
@@ -1,5 +1,8 @@
 //! Operators' listener over real connections.
 
+#[path = "support/http.rs"]
+mod exchange;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,13 +12,13 @@
 use chervilledge_operator::metrics::Reader;
 use chervilledge_operator::secret::Secrets;
 use chervilledge_policy::code::Code;
+use exchange::{exchange, parse, raw};
 use http::{Method, StatusCode};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use rstest::rstest;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
 
@@ -49,34 +52,6 @@
     listen::bind(address, settings, routes).await.expect("a free port")
 }
 
-/// Sends one request as text and gives the status and the body.
-async fn exchange(address: SocketAddr, head: &str, secret: &str, body: &str) -> (u16, String) {
-    let text = format!(
-        "{head} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {secret}\r\nconnection: close\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let answer = raw(address, text.as_bytes()).await;
-    let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    (status, body.to_owned())
-}
-
-async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect(address).await.expect("the listener accepts");
-    stream.write_all(bytes).await.expect("the listener reads");
-    let mut answer = Vec::new();
-    // A refused head is answered and reset; what came before the reset counts.
-    if let Err(error) = stream.read_to_end(&mut answer).await {
-        eprintln!("the connection ended with {error}");
-    }
-    String::from_utf8(answer).expect("answers are text")
-}
-
-fn parse(body: &str) -> Value {
-    serde_json::from_str(body).expect("a JSON answer")
-}
-
 #[rstest]
 #[case::newest(NEW, 200)]
 #[case::oldest_still_valid(OLD, 200)]
