Add the operators' command: check, plan, accept, history, status, dump

Cause: operators drive the scheduler from a directory of documents and a command, and repeat an acceptance whose reply was lost. Ruled out: the table's number as exit status, which has 8 bits; a plan file that is trusted as it is, since documents or checksum may have been edited; workers, drain, submit, jobs, cancel and explain, whose routes don't exist. Change: src/cmd.rs and a file for each subcommand; operator::status. Reading from a closed pipe was tried by hand only.

--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -126,7 +126,7 @@
         Outcome::Mismatch { expected } => json!({ "expected": expected }),
         Outcome::Contradiction { table, known } => json!({ "table": table, "known": known }),
         Outcome::Malformed => json!("operator and time need 1 to 63 bytes without control characters"),
-        Outcome::Unavailable => json!("nothing was written"),
+        Outcome::Unavailable => json!("this call wrote nothing"),
         Outcome::Unknown => json!("repeat the same acceptance to learn the outcome"),
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod plan;
 pub mod secret;
 mod shape;
+pub mod status;
 pub mod store;
 mod strict;
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -74,7 +74,7 @@
 }
 
 /// Two configurations that carry the same version.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Contradiction {
     /// Version that the process goes on enforcing.
     pub enforced: Stamp,
@@ -157,7 +157,7 @@
 }
 
 /// Process that reports which version it enforces.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Process {
     /// Name of the process from its settings.
     pub name: Name,
@@ -173,7 +173,7 @@
 }
 
 /// Process that doesn't enforce the target version yet.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Laggard {
     /// The process.
     pub process: Process,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,3 @@
 //! Scheduler for colocated latency-critical and batch work.
+
+pub mod cmd;
