Fit the store to JSON rows and try hostile documents and secrets

Cause: the platform's client keeps JSON values and numbers its own writes; secrets and the bounds of the checked form had no tests of their own. Ruled out: a body limit of 2 MiB for operators, eight times what documents may have: nested empty lists take tens of times their text in memory. Change: Row::value is a JSON value, commit takes no identifier; log events carry `event` like the daemons'; a refused path is logged up to 64 bytes; the listener's body limit is 512 KiB.

--- a/crates/operator/src/accept.rs
+++ b/crates/operator/src/accept.rs
@@ -8,7 +8,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::rollout::{Checksum, Stamp};
 use serde::{Deserialize, Serialize};
@@ -206,8 +205,7 @@
     if rows.current.as_ref().is_some_and(|row| row.accepted.version >= known.version) {
         return Ok(Commit::Done);
     }
-    let id = format!("config-restore-{}", known.stamp());
-    Ok(commit(store, rows.writes(known), id).await)
+    Ok(commit(store, rows.writes(known)).await)
 }
 
 /// How one attempt ended.
@@ -224,7 +222,7 @@
     let rows = match Rows::read(store, target).await {
         Ok(rows) => rows,
         Err(error) => {
-            log::warn!(error:% = error; "configuration_not_read");
+            log::warn!(event = "configuration_unread", error:% = error; "");
             return Attempt::Nothing;
         }
     };
@@ -233,8 +231,7 @@
         Decision::Ended(outcome) => return Attempt::Ended(outcome),
         Decision::Behind => return Attempt::Nothing,
     };
-    let id = format!("config-accept-{target}-{}", proposal.plan);
-    match commit(store, rows.writes(&accepted), id).await {
+    match commit(store, rows.writes(&accepted)).await {
         Commit::Done => Attempt::Ended(Outcome::Accepted(accepted)),
         Commit::Conflict | Commit::Unavailable => Attempt::Nothing,
         Commit::Unknown => Attempt::Lost,
@@ -313,7 +310,7 @@
     }
 
     fn writes(&self, accepted: &Accepted) -> Vec<Write> {
-        let value = Bytes::from(serde_json::to_vec(accepted).expect("accepted documents are JSON"));
+        let value = serde_json::json!(accepted);
         let expected = |row: &Option<Stored>| row.as_ref().map(|row| row.row_version);
         vec![
             Write { key: CURRENT_KEY.to_owned(), expected: expected(&self.current), value: value.clone() },
@@ -327,16 +324,16 @@
         Ok(Ok(rows)) if rows.len() == keys.len() => rows,
         _ => return Err(ReadError::Unavailable),
     };
-    keys.into_iter().zip(rows).map(|(key, row)| row.map(|row| stored(key, &row)).transpose()).collect()
+    keys.into_iter().zip(rows).map(|(key, row)| row.map(|row| stored(key, row)).transpose()).collect()
 }
 
-fn stored(key: String, row: &Row) -> Result<Stored, ReadError> {
-    let accepted = serde_json::from_slice(&row.value).ok().filter(Accepted::is_intact);
+fn stored(key: String, row: Row) -> Result<Stored, ReadError> {
+    let accepted = serde_json::from_value(row.value).ok().filter(Accepted::is_intact);
     accepted.map(|accepted| Stored { row_version: row.version, accepted }).ok_or(ReadError::Malformed { key })
 }
 
-async fn commit(store: &Store, writes: Vec<Write>, id: String) -> Commit {
-    time::timeout(STORE_TIMEOUT, store.commit(writes, id)).await.unwrap_or(Commit::Unknown)
+async fn commit(store: &Store, writes: Vec<Write>) -> Commit {
+    time::timeout(STORE_TIMEOUT, store.commit(writes)).await.unwrap_or(Commit::Unknown)
 }
 
 fn is_text(text: &str) -> bool {
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -88,7 +88,7 @@
 fn report(proposal: &Proposal, outcome: &Outcome) {
     let code = code(outcome).map_or(0, Code::number);
     let operator = &*proposal.operator;
-    log::info!(operator, plan:% = proposal.plan, code; "plan_answered");
+    log::info!(event = "plan_answered", operator, plan:% = proposal.plan, code; "");
 }
 
 /// Code of an outcome; none if the plan is accepted.
--- a/crates/operator/src/listen.rs
+++ b/crates/operator/src/listen.rs
@@ -32,6 +32,8 @@
 
 /// Time that requests in progress get when the listener shuts down.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(5);
+/// Longest part of a refused path that is logged.
+const PATH_LOGGED_BYTES: usize = 64;
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -61,7 +63,7 @@
         Self {
             secrets,
             head_limit_bytes: 16 * 1024,
-            body_limit_bytes: 2 * 1024 * 1024,
+            body_limit_bytes: 512 * 1024,
             connections: 64,
             head_timeout_ms: Duration::from_secs(10),
             request_timeout_ms: Duration::from_secs(30),
@@ -209,10 +211,10 @@
     /// Stops accepting, lets requests in progress finish within a bound, and ends.
     pub async fn shutdown(self) {
         if self.stop.send(()).is_err() {
-            log::debug!("operator_listener_already_ended");
+            log::debug!(event = "operator_listener_already_ended"; "");
         }
         if let Err(error) = self.task.await {
-            log::error!(error:% = error; "operator_listener_failed");
+            log::error!(event = "operator_listener_failed", error:% = error; "");
         }
     }
 }
@@ -247,7 +249,7 @@
                     tokio::spawn(serve(stream, Arc::clone(&shared), graceful.watcher(), place));
                 }
                 Err(error) => {
-                    log::warn!(error:% = error; "operator_accept_failed");
+                    log::warn!(event = "operator_accept_failed", error:% = error; "");
                     time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -256,7 +258,7 @@
     }
     drop(listener);
     if time::timeout(SHUTDOWN_GRACE, graceful.shutdown()).await.is_err() {
-        log::warn!("operator_requests_cut_off");
+        log::warn!(event = "operator_requests_cut_off"; "");
     }
 }
 
@@ -276,8 +278,8 @@
     let connection = watcher.watch(builder.serve_connection(TokioIo::new(stream), service));
     match time::timeout(lifetime, connection).await {
         Ok(Ok(())) => {}
-        Ok(Err(error)) => log::debug!(error:% = error; "operator_connection_failed"),
-        Err(_) => log::debug!("operator_connection_expired"),
+        Ok(Err(error)) => log::debug!(event = "operator_connection_failed", error:% = error; ""),
+        Err(_) => log::debug!(event = "operator_connection_expired"; ""),
     }
     drop(place);
 }
@@ -312,7 +314,9 @@
     if presented.is_some_and(|value| secrets.accepts_bearer(value.as_bytes())) {
         return Ok(());
     }
-    log::warn!(code = Code::OperatorSecret.number(), path = head.uri.path(); "operator_request_refused");
+    let path = head.uri.path();
+    let path = path.get(..PATH_LOGGED_BYTES).unwrap_or(path);
+    log::warn!(event = "operator_request_refused", code = Code::OperatorSecret.number(), path; "");
     Err(Failure::new(StatusCode::UNAUTHORIZED, Code::OperatorSecret))
 }
 
--- a/crates/operator/src/metrics.rs
+++ b/crates/operator/src/metrics.rs
@@ -34,7 +34,7 @@
         let mut collected = ResourceMetrics::default();
         let mut text = String::new();
         if let Err(error) = self.inner.collect(&mut collected) {
-            log::warn!(error:% = error; "metrics_not_collected");
+            log::warn!(event = "metrics_not_collected", error:% = error; "");
             return text;
         }
         for metric in collected.scope_metrics().flat_map(ScopeMetrics::metrics) {
--- a/crates/operator/src/store.rs
+++ b/crates/operator/src/store.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use serde_json::Value;
 
 /// Row of the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,7 +12,7 @@
     /// Version of the row; each write gives the row a version that it never had before.
     pub version: u64,
     /// Value.
-    pub value: Bytes,
+    pub value: Value,
 }
 
 /// Write that takes effect only if the row is still as expected.
@@ -23,7 +23,7 @@
     /// Version that the row must have; none if it must be absent.
     pub expected: Option<u64>,
     /// New value.
-    pub value: Bytes,
+    pub value: Value,
 }
 
 /// The table can't be read now.
@@ -53,7 +53,7 @@
 
 type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 type ReadFn = Arc<dyn Fn(Vec<String>) -> Pending<Result<Vec<Option<Row>>, Unavailable>> + Send + Sync>;
-type CommitFn = Arc<dyn Fn(Vec<Write>, String) -> Pending<Commit> + Send + Sync>;
+type CommitFn = Arc<dyn Fn(Vec<Write>) -> Pending<Commit> + Send + Sync>;
 
 /// Table of the platform.
 #[derive(Clone)]
@@ -66,18 +66,18 @@
     /// Makes a store of two functions.
     ///
     /// `read` gives the rows of the keys in their order; it may be stale. `commit` carries out all writes as one
-    /// transaction or none of them, under an identifier of the write; it must report [`Commit::Conflict`] and
-    /// [`Commit::Unavailable`] only if the writes never take effect.
+    /// transaction or none of them; it must report [`Commit::Conflict`] and [`Commit::Unavailable`] only if the writes
+    /// never take effect.
     pub fn new<R, RF, C, CF>(read: R, commit: C) -> Self
     where
         R: Fn(Vec<String>) -> RF + Send + Sync + 'static,
         RF: Future<Output = Result<Vec<Option<Row>>, Unavailable>> + Send + 'static,
-        C: Fn(Vec<Write>, String) -> CF + Send + Sync + 'static,
+        C: Fn(Vec<Write>) -> CF + Send + Sync + 'static,
         CF: Future<Output = Commit> + Send + 'static,
     {
         Self {
             read: Arc::new(move |keys| -> Pending<Result<Vec<Option<Row>>, Unavailable>> { Box::pin(read(keys)) }),
-            commit: Arc::new(move |writes, id| -> Pending<Commit> { Box::pin(commit(writes, id)) }),
+            commit: Arc::new(move |writes| -> Pending<Commit> { Box::pin(commit(writes)) }),
         }
     }
 
@@ -85,8 +85,8 @@
         (self.read)(keys).await
     }
 
-    pub(crate) async fn commit(&self, writes: Vec<Write>, id: String) -> Commit {
-        (self.commit)(writes, id).await
+    pub(crate) async fn commit(&self, writes: Vec<Write>) -> Commit {
+        (self.commit)(writes).await
     }
 }
 
--- a/crates/operator/tests/accept.rs
+++ b/crates/operator/tests/accept.rs
@@ -1,35 +1,20 @@
 //! Acceptance against a table with races, lost replies, late writes and stale reads.
 
+#[path = "support/fitters.rs"]
+mod fitters;
 #[path = "support/table.rs"]
 mod table;
 
-use std::path::PathBuf;
-use std::sync::LazyLock;
-
 use chervilledge_operator::accept::{self, Outcome, Proposal, ReadError, Summary};
-use chervilledge_operator::check;
 use chervilledge_operator::documents::{Accepted, Documents};
 use chervilledge_operator::plan::Plan;
 use chervilledge_operator::store::Commit;
+use fitters::with_target;
 use proptest::prelude::*;
 use rstest::rstest;
-use serde_json::json;
 use table::{Fate, Table};
 use tokio::runtime::Builder;
 
-/// Documents of the fitters, read once for the many cases.
-static FITTERS: LazyLock<Documents> = LazyLock::new(|| {
-    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/fitters");
-    let texts = check::read_dir(&dir).expect("the examples are there");
-    check::check_texts(&texts).expect("the examples have no fault").documents
-});
-
-fn with_target(latency_target_ms: u64) -> Documents {
-    let mut documents = FITTERS.clone();
-    documents.base["services"]["portal"]["latency_target_ms"] = json!(latency_target_ms);
-    documents
-}
-
 /// Proposal of an operator against a version.
 fn proposal(base: Option<&Accepted>, documents: Documents, operator: &str) -> Proposal {
     let plan = Plan::new(base, &documents);
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -2,22 +2,23 @@
 
 #[path = "support/http.rs"]
 mod exchange;
+#[path = "support/fitters.rs"]
+mod fitters;
 #[expect(dead_code, reason = "the acceptance tests use the rest")]
 #[path = "support/table.rs"]
 mod table;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 
 use chervilledge_operator::accept::Proposal;
 use chervilledge_operator::api::{self, Entry};
-use chervilledge_operator::check;
-use chervilledge_operator::documents::{Accepted, Documents};
+use chervilledge_operator::documents::Accepted;
 use chervilledge_operator::listen::{self, Handle, Routes, Settings};
 use chervilledge_operator::plan::Plan;
 use chervilledge_operator::secret::Secrets;
 use exchange::{exchange, parse};
+use fitters::with_target;
 use rstest::rstest;
 use serde_json::{Value, json};
 use table::{Fate, Table};
@@ -63,16 +64,8 @@
     }
 }
 
-fn documents(latency_target_ms: u64) -> Documents {
-    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/fitters");
-    let texts = check::read_dir(&dir).expect("the examples are there");
-    let mut documents = check::check_texts(&texts).expect("the examples have no fault").documents;
-    documents.base["services"]["portal"]["latency_target_ms"] = json!(latency_target_ms);
-    documents
-}
-
 fn proposal(base: Option<&Accepted>, latency_target_ms: u64, operator: &str) -> Proposal {
-    let documents = documents(latency_target_ms);
+    let documents = with_target(latency_target_ms);
     let plan = Plan::new(base, &documents);
     let accepted_at = "2026-01-01T00:00:00Z".into();
     Proposal { base: plan.base, plan: plan.checksum, documents, operator: operator.into(), accepted_at }
@@ -85,7 +78,7 @@
     let (status, answer) = entry.accept(&proposal(None, 200, "ana")).await;
     assert_eq!((status, &answer["accepted"]["version"]), (200, &json!(1)), "{answer}");
     let enforced = entry.enforced().expect("the entry adopted it");
-    assert_eq!(enforced.documents, documents(200));
+    assert_eq!(enforced.documents, with_target(200));
     let (_, config) = entry.send("GET /config", "").await;
     assert_eq!(config, json!({ "accepted": enforced, "source": "table" }));
 }
@@ -103,7 +96,7 @@
 
 #[rstest]
 #[case::invalid(proposal(None, 0, "ana"), 422, 4001)]
-#[case::mismatch(Proposal { documents: documents(150), ..proposal(None, 200, "ana") }, 409, 4005)]
+#[case::mismatch(Proposal { documents: with_target(150), ..proposal(None, 200, "ana") }, 409, 4005)]
 #[case::malformed(proposal(None, 200, ""), 400, 6008)]
 #[tokio::test]
 async fn a_refused_plan_changes_nothing(#[case] proposal: Proposal, #[case] status: u16, #[case] code: u16) {
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -7,6 +7,7 @@
 use chervilledge_operator::fault::Fault;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
+use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -218,3 +219,76 @@
     texts.insert("hobart".into(), json!({ "services": { "portal": { "connections": 6 } } }).to_string());
     assert_eq!(places(&texts), ["base $.services.portal 4110", "hobart $.services.portal 4110"]);
 }
+
+/// Every path of a value, as JSON pointers.
+fn pointers(value: &Value, pointer: &str, found: &mut Vec<String>) {
+    found.push(pointer.to_owned());
+    let keys: Vec<String> = match value {
+        Value::Object(object) => object.keys().cloned().collect(),
+        Value::Array(list) => (0..list.len()).map(|index| index.to_string()).collect(),
+        _ => Vec::new(),
+    };
+    for key in keys {
+        let below = format!("{pointer}/{key}");
+        pointers(value.pointer(&below[pointer.len()..]).unwrap_or(&Value::Null), &below, found);
+    }
+}
+
+/// Whatever the checked form lets pass, the typed form takes: the typed parse never has to report a fault.
+#[test]
+fn the_bounds_of_the_checked_form_fit_the_types() {
+    let base: Value = serde_json::from_str(&examples("fitters")["base"]).expect("JSON");
+    let mut places = Vec::new();
+    pointers(&base, "", &mut places);
+    for place in places.iter().filter(|place| base.pointer(place).is_some_and(Value::is_u64)) {
+        for number in [0, 1 << 8, 1 << 16, 1 << 32, 1 << 60, u64::MAX] {
+            let texts = edited("base", |base| *base.pointer_mut(place).expect("the place was found") = json!(number));
+            let faults = check::check_texts(&texts).err().unwrap_or_default();
+            let untyped = faults.iter().find(|fault| fault.code == Code::ConfigurationInvalid);
+            assert_eq!(untyped, None, "{place} = {number}");
+        }
+    }
+}
+
+fn hostile() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        (0_u64..300).prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        any::<String>().prop_map(Value::from),
+        Just(json!(["GET"])),
+    ];
+    leaf.prop_recursive(2, 8, 3, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..3).prop_map(Value::from),
+            prop::collection::btree_map(any::<String>(), inner, 0..3).prop_map(|fields| json!(fields)),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever replaces a value, the check ends, and what it passes is what the typed form holds.
+    #[test]
+    fn a_replaced_value_is_refused_or_typed(
+        document in prop::sample::select(vec!["base", "hobart", "launceston", "burnie"]),
+        place in any::<prop::sample::Index>(),
+        value in hostile(),
+    ) {
+        let texts = edited(document, |whole| {
+            let mut places = Vec::new();
+            pointers(whole, "", &mut places);
+            *whole.pointer_mut(&places[place.index(places.len())]).expect("the place was found") = value;
+        });
+        if let Ok(checked) = check::check_texts(&texts) {
+            for (site, document) in &checked.sites {
+                let typed = serde_json::to_value(document).expect("documents are JSON");
+                prop_assert_eq!(typed, checked.documents.merged(site));
+            }
+        }
+    }
+}
--- a/crates/operator/tests/plan.rs
+++ b/crates/operator/tests/plan.rs
@@ -1,21 +1,18 @@
 //! Plans as the text that operators review.
 
+#[expect(dead_code, reason = "the acceptance tests use the rest")]
+#[path = "support/fitters.rs"]
+mod fitters;
+
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 
-use chervilledge_operator::check;
 use chervilledge_operator::documents::{Accepted, Documents};
 use chervilledge_operator::plan::Plan;
 use chervilledge_policy::rollout::Checksum;
+use fitters::fitters;
 use rstest::rstest;
 use serde_json::{Value, json};
 
-fn fitters() -> Documents {
-    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/fitters");
-    let texts = check::read_dir(&dir).expect("the examples are there");
-    check::check_texts(&texts).expect("the examples have no fault").documents
-}
-
 fn accepted(version: u64, documents: Documents) -> Accepted {
     Accepted {
         version,
--- a/crates/operator/tests/support/table.rs
+++ b/crates/operator/tests/support/table.rs
@@ -27,8 +27,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    rows: BTreeMap<String, Row>,
-    before: BTreeMap<String, Row>,
+    rows: BTreeMap<String, Arc<Row>>,
+    before: BTreeMap<String, Arc<Row>>,
     writes: u64,
     late: Vec<Vec<Write>>,
     fates: VecDeque<Fate>,
@@ -44,9 +44,10 @@
         self.before = self.rows.clone();
         for write in writes {
             self.writes += 1;
-            self.rows.insert(write.key.clone(), Row { version: self.writes, value: write.value.clone() });
+            let row = Row { version: self.writes, value: write.value.clone() };
+            self.rows.insert(write.key.clone(), Arc::new(row));
             if write.key == "config/current" {
-                self.taken.push(serde_json::from_slice(&write.value).expect("the row is an accepted version"));
+                self.taken.push(serde_json::from_value(write.value.clone()).expect("the row is an accepted version"));
             }
         }
         Commit::Done
@@ -67,7 +68,7 @@
             Fate::Done | Fate::Late => (&self.rows, &self.rows),
         };
         let row = |(index, key)| if index == 0 { first.get(key) } else { others.get(key) };
-        Ok(keys.iter().enumerate().map(row).map(Option::<&Row>::cloned).collect())
+        Ok(keys.iter().enumerate().map(row).map(|row| row.map(|row| Row::clone(row))).collect())
     }
 
     fn commit(&mut self, writes: Vec<Write>) -> Commit {
@@ -121,11 +122,11 @@
         self.locked(|state| state.rows = state.before.clone());
     }
 
-    /// Changes a byte in the middle of every row.
+    /// Changes the documents of every row.
     pub fn damage(&self) {
         self.locked(|state| {
             for row in state.rows.values_mut() {
-                row.value = String::from_utf8_lossy(&row.value).replace("supplier", "sapplier").into();
+                Arc::make_mut(row).value["documents"]["base"]["damaged"] = true.into();
             }
         });
     }
@@ -145,7 +146,7 @@
                     })
                 }
             },
-            move |writes, _| {
+            move |writes| {
                 let table = writer.clone();
                 async move {
                     task::yield_now().await;
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -80,7 +80,7 @@
         let code = self.code();
         let document = json!({ "code": code.number(), "text": code.text(), "detail": self.detail() });
         if writeln!(out, "{document}").is_err() {
-            log::debug!("output_closed");
+            log::debug!(event = "output_closed"; "");
         }
     }
 
