--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -68,6 +68,10 @@
     LinkFrame = 2003, "malformed frame";
     /// The link was silent past its bound.
     LinkSilent = 2004, "link silent";
+    /// The connection of the link ended.
+    LinkClosed = 2005, "link closed";
+    /// A newer start of the same agent is known.
+    LinkBoot = 2006, "newer start of the agent known";
     // 3000 to 3999: batch tasks.
     /// No worker could ever hold the task.
     Unschedulable = 3001, "no worker can ever hold the task";
@@ -85,6 +89,18 @@
     EvictedForLatency = 3007, "evicted to protect request latency";
     /// The task was throttled to protect request latency.
     ThrottledForLatency = 3008, "throttled to protect request latency";
+    /// A task that can be neither repeated nor fenced lost its lease; how far it got isn't known.
+    TaskOutcomeUnknown = 3009, "outcome of the task unknown";
+    /// The state of the task doesn't allow the change.
+    WrongTaskState = 3010, "change not allowed in the task's state";
+    /// The agent hasn't taken stock of its worker yet.
+    StockNotTaken = 3011, "worker's stock not taken";
+    /// The task is larger than the team's whole quota.
+    QuotaTooSmall = 3012, "task larger than the team's quota";
+    /// The task was stopped without a new checkpoint to protect request latency.
+    StoppedForLatency = 3013, "stopped to protect request latency";
+    /// Request latency has recovered.
+    LatencyRecovered = 3014, "request latency has recovered";
     // 4000 to 4999: configuration.
     /// The configuration has faults.
     ConfigurationInvalid = 4001, "configuration has faults";
--- /dev/null
+++ b/src/entry/links.rs
@@ -0,0 +1,235 @@
+//! Listener for agents' links.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_link::connection::{self, Receiver, Sender};
+use chervilledge_link::error::Error;
+use chervilledge_link::message::{Hello, Reply, TaskReport, ToAgent, ToEntry, VERSION, Welcome};
+use chervilledge_operator::secret::Secrets;
+use chervilledge_policy::code::Code;
+use chervilledge_policy::id::BootId;
+use chervilledge_policy::peers::EntryRow;
+use chervilledge_policy::rollout::{Source, Stamp};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::entry::fleet::{Fleet, Link};
+use crate::entry::peers;
+use crate::rollout::Enforced;
+
+/// Pause after a failed accept, which is mostly a shortage of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of links.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Silence after which a link is given up.
+    pub silence: Duration,
+    /// Time between two signs of life to an agent.
+    pub heartbeat_interval: Duration,
+}
+
+/// What links are connected to.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Workers known to the entry.
+    pub fleet: Arc<Fleet>,
+    /// Secrets that agents may present.
+    pub secrets: Arc<Secrets>,
+    /// Bounds of links.
+    pub settings: Settings,
+    /// Start of the entry.
+    pub boot: BootId,
+    /// Live entries.
+    pub live: watch::Receiver<Vec<EntryRow>>,
+    /// Configuration that the entry enforces.
+    pub enforced: Arc<Enforced>,
+    /// Takes reports on batch tasks of a worker.
+    pub on_tasks: OnTasks,
+}
+
+/// Function that takes reports on batch tasks of a worker.
+type TakeReports = dyn Fn(&Link, Vec<TaskReport>) + Send + Sync;
+
+/// Takes reports on batch tasks of a worker.
+#[derive(Clone)]
+pub struct OnTasks(pub Arc<TakeReports>);
+
+impl fmt::Debug for OnTasks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OnTasks")
+    }
+}
+
+/// Running listener; it ends when it is dropped.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Address that the listener is bound to.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Binds the listener for links.
+///
+/// # Errors
+///
+/// The error of the operating system when the address can't be bound.
+pub async fn bind(address: SocketAddr, context: Context) -> io::Result<Listener> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let context = Arc::new(context);
+    let task = tokio::spawn(accept_all(listener, move |stream| serve(stream, Arc::clone(&context))));
+    Ok(Listener { address, task })
+}
+
+async fn accept_all<F: Future<Output = ()> + Send + 'static>(listener: TcpListener, serve: impl Fn(TcpStream) -> F) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(serve(stream))),
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, context: Arc<Context>) {
+    let secrets = Arc::clone(&context.secrets);
+    let opened = connection::accept(stream, move |secret| secrets.accepts(secret.as_bytes())).await;
+    let (sender, mut receiver) = match opened {
+        Ok(halves) => halves,
+        Err(error) => {
+            log::warn!(event = "link_refused", code = error.code().number(), error:% = error; "");
+            return;
+        }
+    };
+    let link = match introduce(&context, &sender, &mut receiver).await {
+        Ok(link) => link,
+        Err(error) => {
+            log::warn!(event = "link_refused", code = error.code().number(), error:% = error; "");
+            return;
+        }
+    };
+    log::info!(event = "link_opened", worker = &*link.worker, link = link.number; "");
+    let heartbeats = tokio::spawn(send_heartbeats(sender, context.settings.heartbeat_interval));
+    let error = read_all(&context, &link, &mut receiver).await;
+    heartbeats.abort();
+    context.fleet.close_link(&link);
+    log::info!(
+        event = "link_closed", worker = &*link.worker, link = link.number, code = error.code().number(), error:% = error;
+        ""
+    );
+}
+
+async fn introduce(context: &Context, sender: &Sender<ToAgent>, receiver: &mut Receiver) -> Result<Link, Error> {
+    let ToEntry::Hello(hello) = receiver.receive(context.settings.silence).await? else {
+        return Err(Error::Decode("first message isn't an announcement".to_owned()));
+    };
+    match accept_hello(context, &hello, sender) {
+        Ok(link) => {
+            if let Some(stamp) = hello.enforced {
+                on_enforced(context, &link, stamp);
+            }
+            Ok(link)
+        }
+        Err(code) => {
+            sender.send(ToAgent::Refused(code)).await?;
+            // The refusal is read before the peer closes the link, or the link is silent.
+            drop(receiver.receive::<ToEntry>(context.settings.silence).await);
+            Err(Error::Refused(code))
+        }
+    }
+}
+
+fn accept_hello(context: &Context, hello: &Hello, sender: &Sender<ToAgent>) -> Result<Link, Code> {
+    if hello.version != VERSION {
+        return Err(Code::LinkVersion);
+    }
+    context.fleet.open_link(hello, sender.clone(), welcome(context))
+}
+
+async fn read_all(context: &Context, link: &Link, receiver: &mut Receiver) -> Error {
+    loop {
+        match receiver.receive(context.settings.silence).await {
+            Ok(message) => {
+                if let Err(error) = take_in(context, link, message) {
+                    return error;
+                }
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+fn take_in(context: &Context, link: &Link, message: ToEntry) -> Result<(), Error> {
+    match message {
+        ToEntry::Hello(_) => return Err(Error::Decode("second announcement on a link".to_owned())),
+        ToEntry::Heartbeat(heartbeat) => {
+            if context.fleet.heartbeat(link, &heartbeat) {
+                link.post(ToAgent::WholeHeartbeat);
+            }
+        }
+        ToEntry::Request(reply) => deliver(&context.fleet, link, reply),
+        ToEntry::Tasks(reports) => (context.on_tasks.0)(link, reports),
+        ToEntry::Enforced(stamp) => on_enforced(context, link, stamp),
+        ToEntry::WantConfiguration => {
+            if let Some(configuration) = context.enforced.to_hand_on() {
+                link.post(ToAgent::Configuration(configuration));
+            }
+        }
+        ToEntry::Configuration(configuration) => context.enforced.offer_text(&configuration.accepted, Source::Peer),
+    }
+    Ok(())
+}
+
+fn welcome(context: &Context) -> Welcome {
+    Welcome {
+        entry: context.boot,
+        entries: peers::addresses(&context.live.borrow()),
+        enforced: context.enforced.stamp(),
+    }
+}
+
+/// Takes in the version that an agent enforces, and asks for its documents when it goes before the entry's.
+fn on_enforced(context: &Context, link: &Link, stamp: Stamp) {
+    context.fleet.enforces(link, stamp);
+    if context.enforced.lacks(stamp) {
+        link.post(ToAgent::WantConfiguration);
+    }
+}
+
+fn deliver(fleet: &Fleet, link: &Link, reply: Reply) {
+    if !link.deliver(reply) {
+        fleet.count_late_reply();
+    }
+}
+
+async fn send_heartbeats(sender: Sender<ToAgent>, interval: Duration) {
+    let mut sequence = 0;
+    loop {
+        tokio::time::sleep(interval).await;
+        sequence += 1;
+        if sender.send(ToAgent::Heartbeat { sequence }).await.is_err() {
+            return;
+        }
+    }
+}
