Give operators status, drain, explain and metrics, and callers idempotency keys

Cause: accepted plans had no way into an entry, nobody could ask what became of a request, and a caller's own retry could run a booking twice. Ruled out: keeping keys in an entry's memory, since any entry may be replaced; answering a retry with the stored answer, left out until answers have a bound and a place.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use chervilledge_policy::code::Code;
+use chervilledge_policy::id::RequestId;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use serde::Serialize;
 
-use crate::OUTCOME_HEADER;
+use crate::{OUTCOME_HEADER, REQUEST_ID_HEADER};
 
 /// Error that ends the body of an answer early, so that the caller sees it broken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,6 +37,8 @@
     NotRun,
     /// The request may have been run.
     Unknown,
+    /// An earlier request with the same idempotency key was run and answered; this one was not run.
+    Answered,
 }
 
 impl Outcome {
@@ -45,6 +48,7 @@
         match self {
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
+            Self::Answered => "answered",
         }
     }
 }
@@ -56,6 +60,8 @@
     pub code: Code,
     /// Whether the request may have been run.
     pub outcome: Outcome,
+    /// Identifier of the request, by which an operator finds what happened.
+    pub request: RequestId,
     /// Time after which the caller may come back.
     pub retry_after: Duration,
 }
@@ -73,11 +79,11 @@
     #[must_use]
     pub const fn status(&self) -> StatusCode {
         match (self.outcome, self.code) {
+            (Outcome::Answered, _) | (_, Code::KeyInUse) => StatusCode::CONFLICT,
             (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
             (_, Code::UnknownService) => StatusCode::NOT_FOUND,
             (_, Code::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             (_, Code::BadRequest) => StatusCode::BAD_REQUEST,
-            (_, Code::KeyInUse) => StatusCode::CONFLICT,
             (_, Code::Overloaded) => StatusCode::TOO_MANY_REQUESTS,
             (_, Code::DeadlineBeforeStart) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
@@ -99,6 +105,9 @@
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(self.outcome.as_str()));
+        if let Ok(value) = HeaderValue::try_from(self.request.to_string()) {
+            headers.insert(REQUEST_ID_HEADER, value);
+        }
         headers.insert(header::RETRY_AFTER, HeaderValue::from(whole_seconds(self.retry_after)));
         response
     }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -59,6 +59,8 @@
     KeyInUse = 1010, "idempotency key already in use";
     /// The process has no accepted configuration.
     NoConfiguration = 1011, "no accepted configuration";
+    /// An earlier request with the idempotency key was answered.
+    KeyAnswered = 1012, "earlier request with the idempotency key was answered";
     // 2000 to 2999: links between entry and agent.
     /// The peer speaks a version that isn't supported.
     LinkVersion = 2001, "unsupported link version";
@@ -166,6 +168,10 @@
     EntryUnreachable = 6009, "entry unreachable";
     /// A file can't be read.
     FileUnreadable = 6010, "file unreadable";
+    /// The entry has no link to the worker.
+    UnknownWorker = 6011, "no link to the worker";
+    /// The entry doesn't remember the request.
+    UnknownRequest = 6012, "request not remembered";
 }
 
 /// A number that belongs to no code.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,7 +2,11 @@
 
 pub mod exchange;
 pub mod fleet;
+pub mod journal;
+pub mod keys;
 pub mod links;
+pub mod metrics;
+pub mod operators;
 pub mod peers;
 pub mod requests;
 pub mod upload;
@@ -15,21 +19,22 @@
 use std::time::Duration;
 
 use chervilledge_caller::listener;
-use chervilledge_operator::listen::{self, Routes};
-use chervilledge_operator::metrics::Reader;
+use chervilledge_operator::listen;
 use chervilledge_operator::secret::{self, Secrets};
-use chervilledge_platform::client;
+use chervilledge_platform::{client, group};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership;
 use chervilledge_policy::peers::EntryRow;
-use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::entry::exchange::{Context, Ends};
 use crate::entry::fleet::Fleet;
+use crate::entry::journal::Journal;
+use crate::entry::keys::Keys;
 use crate::entry::links::{Listener as LinkListener, OnTasks};
+use crate::entry::metrics::Metrics;
 use crate::entry::requests::Requests;
 use crate::rollout::Enforced;
 use crate::settings;
@@ -86,6 +91,8 @@
     links: LinkListener,
     operators: listen::Handle,
     requests: Arc<Requests>,
+    /// Keeps the instruments.
+    _metrics: Metrics,
     peers: peers::Context,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
@@ -115,12 +122,16 @@
         on_tasks: OnTasks(Arc::new(|_, _| {})),
     };
     let links = links::bind(settings.links_address, links).await?;
-    let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced));
-    let routes = routes(&requests, Name::clone(&settings.name));
+    let platform = client::open(platform_settings(&settings), boot, clock.clone());
+    let keys = Keys::new(platform.clone(), group::spawn(platform.clone(), group::Settings::default()));
+    let key_sweeps = keys.spawn_sweeps();
+    let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced, keys));
+    let metrics = metrics::open(&requests.context);
+    let routes = operators::routes(&requests, &platform, &metrics, Name::clone(&settings.name));
     let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
     let callers = bind_callers(&settings, &requests).await?;
     let peers = peers::Context {
-        platform: client::open(platform_settings(&settings), boot, clock.clone()),
+        platform,
         clock,
         fleet: Arc::clone(&fleet),
         enforced,
@@ -136,12 +147,14 @@
     let mut tasks = peers::spawn_configuration(peers.clone());
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
+    tasks.push(key_sweeps);
     Ok(Entry {
         callers_address: callers.address(),
         callers: Some(callers),
         links,
         operators,
         requests,
+        _metrics: metrics,
         peers,
         tasks,
         drain_timeout: settings.bounds.drain_timeout_ms,
@@ -205,6 +218,7 @@
     boot: BootId,
     fleet: &Arc<Fleet>,
     enforced: &Arc<Enforced>,
+    keys: Keys,
 ) -> Requests {
     let context = Context {
         fleet: Arc::clone(fleet),
@@ -212,10 +226,12 @@
         boot,
         sequence: AtomicU64::new(0),
         ends: Ends::default(),
+        journal: Journal::default(),
     };
     Requests {
         context: Arc::new(context),
         enforced: Arc::clone(enforced),
+        keys,
         bounds: settings.bounds.clone(),
         is_draining: AtomicBool::new(false),
     }
@@ -239,28 +255,6 @@
     listener::bind(settings.callers_address, bounds, handler).await
 }
 
-fn routes(requests: &Arc<Requests>, name: Name) -> Routes {
-    let requests = Arc::clone(requests);
-    let dump = move || json!({ "role": "entry", "name": name, "entry": dump(&requests) });
-    Routes::new().state(dump).metrics(Reader::new())
-}
-
-fn dump(requests: &Requests) -> Value {
-    let context = &requests.context;
-    let ends = &context.ends;
-    json!({
-        "boot": context.boot,
-        "draining": requests.is_draining.load(Ordering::Relaxed),
-        "answered": ends.answered.load(Ordering::Relaxed),
-        "not_run": ends.not_run.load(Ordering::Relaxed),
-        "unknown": ends.unknown.load(Ordering::Relaxed),
-        "retries": ends.retries.load(Ordering::Relaxed),
-        "dropped_replies": ends.dropped_replies.load(Ordering::Relaxed),
-        "configuration": requests.enforced.dump(),
-        "fleet": context.fleet.dump(),
-    })
-}
-
 fn spawn_sweeps(fleet: Arc<Fleet>) -> JoinHandle<()> {
     tokio::spawn(async move {
         loop {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,6 +1,7 @@
 //! Drives one caller's request: carries out the actions of [`chervilledge_policy::request::Request`].
 
 use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,9 +21,12 @@
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame as BodyFrame, Incoming};
+use rustc_hash::FxHasher;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::entry::fleet::{Fleet, Frame, Link, lock};
+use crate::entry::journal::{Journal, Trace, What};
+use crate::entry::keys::Claim;
 use crate::entry::upload;
 
 /// Parts of an answer that may wait between the driver and the caller's connection.
@@ -44,6 +48,15 @@
     pub sequence: AtomicU64,
     /// How requests ended.
     pub ends: Ends,
+    /// What happened to recent requests.
+    pub journal: Journal,
+}
+
+impl Context {
+    /// Makes an identifier that was never used.
+    pub fn next_id(&self) -> RequestId {
+        RequestId { entry: self.boot, sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1 }
+    }
 }
 
 /// Counts of how requests ended.
@@ -78,6 +91,19 @@
     pub body: WorkBody,
 }
 
+impl Work {
+    /// Checksum by which a repeated request is told from another one with the same idempotency key.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        (&*self.service, &self.method, &self.target).hash(&mut hasher);
+        if let WorkBody::Whole(bytes) = &self.body {
+            bytes.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
+
 /// Body of a caller's request.
 #[derive(Debug)]
 pub enum WorkBody {
@@ -98,22 +124,25 @@
     pub bytes_max: u64,
 }
 
-/// Runs a request to its end and gives the answer for the caller.
-pub async fn run(context: Arc<Context>, work: Work, spec: Spec) -> Response<Body> {
+/// Runs a request to its end and gives the answer for the caller; `claim` is told the end.
+pub async fn run(context: Arc<Context>, id: RequestId, work: Work, spec: Spec, claim: Option<Claim>) -> Response<Body> {
     let (head, head_taken) = oneshot::channel();
     tokio::spawn(async move {
-        let mut driver = Driver::new(context, work, spec, head);
-        driver.run().await;
+        let mut driver = Driver::new(context, id, work, spec, head);
+        let end = driver.run().await;
+        if let Some(claim) = claim {
+            claim.end(end);
+        }
     });
     match head_taken.await {
         Ok(response) => response,
         // The driver always answers before it ends; a panic in it was reported.
-        Err(_) => refusal(Code::OutcomeUnknown, Outcome::Unknown, Duration::from_secs(1)).response(),
+        Err(_) => refusal(id, Code::OutcomeUnknown, Outcome::Unknown, Duration::from_secs(1)).response(),
     }
 }
 
-fn refusal(code: Code, outcome: Outcome, retry_after: Duration) -> Refusal {
-    Refusal { code, outcome, retry_after }
+fn refusal(request: RequestId, code: Code, outcome: Outcome, retry_after: Duration) -> Refusal {
+    Refusal { code, outcome, request, retry_after }
 }
 
 /// Where the answer goes.
@@ -137,6 +166,7 @@
 
 struct Driver {
     context: Arc<Context>,
+    trace: Trace,
     work: Work,
     request: Request,
     retries: Arc<Mutex<Retries>>,
@@ -156,13 +186,21 @@
 }
 
 impl Driver {
-    fn new(context: Arc<Context>, work: Work, spec: Spec, head: oneshot::Sender<Response<Body>>) -> Self {
+    fn new(
+        context: Arc<Context>,
+        id: RequestId,
+        work: Work,
+        spec: Spec,
+        head: oneshot::Sender<Response<Body>>,
+    ) -> Self {
+        let trace = Trace::new(id, Name::clone(&work.service), context.clock.now());
         let retries = context.fleet.retries(&work.service);
         let (request, first_actions) = Request::open(context.clock.now(), spec, &mut lock(&retries));
         let (frames_sender, frames) = mpsc::unbounded_channel();
         let (events_sender, events) = mpsc::unbounded_channel();
         Self {
             context,
+            trace,
             work,
             request,
             retries,
@@ -179,7 +217,8 @@
         }
     }
 
-    async fn run(&mut self) {
+    /// Runs the request and gives its end.
+    async fn run(&mut self) -> End {
         let actions = std::mem::take(&mut self.first_actions);
         self.perform(actions, None).await;
         while self.end.is_none() || !self.parts.is_empty() {
@@ -187,7 +226,11 @@
                 break;
             }
         }
-        self.finish();
+        self.finish()
+    }
+
+    fn note(&mut self, what: What) {
+        self.trace.add(self.context.clock.now(), what);
     }
 
     /// Waits for the next event and carries out what follows; tells whether there is more to wait for.
@@ -213,13 +256,17 @@
     }
 
     async fn on_caller_gone(&mut self) {
+        self.note(What::CallerGone);
         self.on_event(&Event::CallerCancelled, None).await;
         self.caller = Caller::Gone;
     }
 
     async fn on_frame(&mut self, frame: Frame) {
         let reply = match frame {
-            Frame::LinkLost(id) => return self.on_event(&Event::LinkLost { id }, None).await,
+            Frame::LinkLost(id) => {
+                self.note(What::LinkLost { dispatch: id });
+                return self.on_event(&Event::LinkLost { id }, None).await;
+            }
             Frame::Reply(reply) => reply,
         };
         match reply {
@@ -227,10 +274,12 @@
             Reply::Window { request, bytes } => self.on_window(request, bytes),
             Reply::NotStarted { request, code, retry_after_ms } => {
                 self.leave(request, Finished::NotStarted);
+                self.note(What::NotStarted { dispatch: request, code });
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
                 self.on_event(&Event::NotStarted { id: request, code, retry_after }, None).await;
             }
             Reply::Head { origin, status, headers, length_bytes } => {
+                self.note(What::Head { dispatch: origin.id, status });
                 let event = Event::Head { origin, length_bytes };
                 self.on_event(&event, Some(Content::Head { origin, status, headers, length_bytes })).await;
             }
@@ -242,11 +291,15 @@
                 self.leave(origin.id, Finished::Succeeded(self.latency(origin.id)));
                 self.on_event(&Event::End { origin, total_bytes }, None).await;
             }
-            Reply::Broken { origin, .. } => {
+            Reply::Broken { origin, code } => {
+                self.note(What::Broken { dispatch: origin.id, code });
                 self.leave(origin.id, Finished::Failed);
                 self.on_event(&Event::Broken { origin }, None).await;
             }
-            Reply::Outcome { origin, outcome } => self.on_event(&Event::Outcome { origin, outcome }, None).await,
+            Reply::Outcome { origin, outcome } => {
+                self.note(What::Outcome { dispatch: origin.id, outcome });
+                self.on_event(&Event::Outcome { origin, outcome }, None).await;
+            }
         }
     }
 
@@ -277,11 +330,13 @@
             Ok(chosen) => chosen,
             Err(code) => return self.not_dispatched(code),
         };
-        let id = RequestId { entry: self.context.boot, sequence: self.next_sequence() };
+        // The first dispatch carries the identifier that the caller is told.
+        let id = if self.request.attempts() <= 1 { self.trace.request } else { self.context.next_id() };
         if !link.expect(id, self.frames_sender.clone()) {
             self.context.fleet.finished(&self.work.service, &choice, Finished::NotStarted);
             return self.not_dispatched(Code::LinkClosed);
         }
+        self.note(What::Dispatched { dispatch: id, worker: Name::clone(&choice.worker) });
         let now = self.context.clock.now();
         let event = Event::Dispatched { id, choice: choice.clone() };
         let actions = self.request.on(now, &event, &mut lock(&self.retries));
@@ -294,14 +349,11 @@
     }
 
     fn not_dispatched(&mut self, code: Code) -> Vec<Action> {
+        self.note(What::NotDispatched { code });
         let event = Event::NotDispatched { code, retry_after: Duration::ZERO };
         self.request.on(self.context.clock.now(), &event, &mut lock(&self.retries))
     }
 
-    fn next_sequence(&self) -> u64 {
-        self.context.sequence.fetch_add(1, Ordering::Relaxed) + 1
-    }
-
     fn start(&self, request: RequestId, agent: BootId, now: Duration) -> Start {
         let body = match &self.work.body {
             WorkBody::Whole(bytes) => StartBody::Inline(bytes.to_vec()),
@@ -422,29 +474,44 @@
         }
     }
 
-    /// Tells the caller the end and counts it.
-    fn finish(&mut self) {
+    /// Tells the caller the end, counts it and keeps the trace.
+    fn finish(&mut self) -> End {
         let left: Vec<RequestId> = self.dispatches.keys().copied().collect();
         for id in left {
             self.leave(id, Finished::Cancelled);
         }
-        let ends = &self.context.ends;
-        let (counter, refusal) = match self.end {
-            Some(End::Answered) => (&ends.answered, None),
-            Some(End::NotRun { code, retry_after }) => {
-                (&ends.not_run, Some(refusal(code, Outcome::NotRun, retry_after)))
+        let gone = End::Unknown { code: Code::Cancelled, answer_begun: true, retry_after: Duration::ZERO };
+        let end = self.end.unwrap_or(gone);
+        match end {
+            End::Answered => {
+                self.context.ends.answered.fetch_add(1, Ordering::Relaxed);
+                self.note(What::Answered);
             }
-            Some(End::Unknown { code, retry_after, .. }) => {
-                (&ends.unknown, Some(refusal(code, Outcome::Unknown, retry_after)))
+            End::NotRun { code, retry_after } => {
+                self.context.ends.not_run.fetch_add(1, Ordering::Relaxed);
+                self.note(What::NotRun { code });
+                self.refuse(code, Outcome::NotRun, retry_after);
             }
-            None => (&ends.unknown, None),
-        };
-        counter.fetch_add(1, Ordering::Relaxed);
-        let Some(refusal) = refusal else { return };
+            End::Unknown { code, retry_after, .. } => {
+                self.context.ends.unknown.fetch_add(1, Ordering::Relaxed);
+                self.note(What::Unknown { code });
+                self.refuse(code, Outcome::Unknown, retry_after);
+            }
+        }
+        let empty = Trace::new(self.trace.request, Name::clone(&self.work.service), Duration::ZERO);
+        self.context.journal.keep(std::mem::replace(&mut self.trace, empty));
+        end
+    }
+
+    fn refuse(&mut self, code: Code, outcome: Outcome, retry_after: Duration) {
         match std::mem::replace(&mut self.caller, Caller::Gone) {
-            Caller::Waiting(head) => drop(head.send(refusal.response())),
+            Caller::Waiting(head) => {
+                let refusal = refusal(self.trace.request, code, outcome, retry_after);
+                // A caller that went away needs no answer.
+                drop(head.send(refusal.response()));
+            }
             // The caller sees the break; an end without it would pass for a whole answer.
-            Caller::Receiving(sender) => break_off(sender, refusal.code),
+            Caller::Receiving(sender) => break_off(sender, code),
             Caller::Gone => {}
         }
     }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -212,6 +212,11 @@
         lock(&self.inner).versions.observe(self.clock.now(), process, Some(stamp));
     }
 
+    /// Gives what is known of the versions that agents enforce.
+    pub fn with_versions<T>(&self, read: impl FnOnce(&rollout::Fleet) -> T) -> T {
+        read(&lock(&self.inner).versions)
+    }
+
     /// Takes in the end of a link.
     pub fn close_link(&self, link: &Link) {
         link.close();
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,136 @@
+//! Operators' routes of an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use chervilledge_link::message::ToAgent;
+use chervilledge_operator::api;
+use chervilledge_operator::listen::{Answer, Failure, Request, Routes};
+use chervilledge_operator::status::Status;
+use chervilledge_operator::store::{self, Commit, Store, Unavailable};
+use chervilledge_platform::client::Client;
+use chervilledge_platform::error::{Outcome, Reason};
+use chervilledge_platform::table::{Expect, Write};
+use chervilledge_policy::code::Code;
+use chervilledge_policy::id::{Name, RequestId};
+use chervilledge_policy::rollout::Source;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::entry::metrics::Metrics;
+use crate::entry::requests::Requests;
+
+/// Makes the routes of an entry called `name`.
+#[must_use]
+pub fn routes(requests: &Arc<Requests>, platform: &Client, metrics: &Metrics, name: Name) -> Routes {
+    let dumped = Arc::clone(requests);
+    let listed = Arc::clone(requests);
+    let drained = Arc::clone(requests);
+    let explained = Arc::clone(requests);
+    let routes = Routes::new()
+        .state(move || json!({ "role": "entry", "name": name, "entry": dump(&dumped) }))
+        .metrics(metrics.reader())
+        .route(Method::GET, "/workers", move |_| {
+            let workers = listed.context.fleet.dump()["workers"].clone();
+            async move { Ok(workers) }
+        })
+        .route(Method::POST, "/drain/", move |request| {
+            let answer = drain(&drained, &request);
+            async move { answer }
+        })
+        .route(Method::GET, "/explain/", move |request| {
+            let answer = explain(&explained, &request);
+            async move { answer }
+        });
+    api::routes(routes, &configuration(requests, platform))
+}
+
+fn dump(requests: &Requests) -> Value {
+    let context = &requests.context;
+    let ends = &context.ends;
+    json!({
+        "boot": context.boot,
+        "draining": requests.is_draining.load(Ordering::Relaxed),
+        "answered": ends.answered.load(Ordering::Relaxed),
+        "not_run": ends.not_run.load(Ordering::Relaxed),
+        "unknown": ends.unknown.load(Ordering::Relaxed),
+        "retries": ends.retries.load(Ordering::Relaxed),
+        "dropped_replies": ends.dropped_replies.load(Ordering::Relaxed),
+        "configuration": requests.enforced.dump(),
+        "fleet": context.fleet.dump(),
+    })
+}
+
+/// Asks the agent of a worker to drain, over the entry's own link.
+fn drain(requests: &Requests, request: &Request) -> Answer {
+    let Some(link) = requests.context.fleet.link(&request.rest) else {
+        return Err(Failure::new(StatusCode::NOT_FOUND, Code::UnknownWorker));
+    };
+    link.post(ToAgent::Drain);
+    log::info!(event = "drain_ordered", worker = &*link.worker; "");
+    Ok(json!({ "worker": link.worker, "draining": true }))
+}
+
+fn explain(requests: &Requests, request: &Request) -> Answer {
+    let id: RequestId = request.rest.parse().or(Err(Failure::new(StatusCode::BAD_REQUEST, Code::RequestMalformed)))?;
+    match requests.context.journal.find(id) {
+        Some(trace) => Ok(json!(trace)),
+        None => Err(Failure::new(StatusCode::NOT_FOUND, Code::UnknownRequest)),
+    }
+}
+
+fn configuration(requests: &Arc<Requests>, platform: &Client) -> api::Entry {
+    let enforced = Arc::clone(&requests.enforced);
+    let adopting = Arc::clone(&requests.enforced);
+    let reporting = Arc::clone(requests);
+    api::Entry {
+        store: store(platform),
+        enforced: Arc::new(move || enforced.accepted()),
+        adopt: Arc::new(move |accepted| adopting.offer(&accepted, Source::Table)),
+        status: Arc::new(move || json!(status(&reporting))),
+    }
+}
+
+fn status(requests: &Requests) -> Status {
+    let context = &requests.context;
+    let rollout = requests.enforced.rollout();
+    context.fleet.with_versions(|versions| Status::new(context.clock.now(), &rollout, versions))
+}
+
+fn store(platform: &Client) -> Store {
+    let reader = platform.clone();
+    let writer = platform.clone();
+    Store::new(
+        move |keys| {
+            let reader = reader.clone();
+            async move { read(&reader, keys).await }
+        },
+        move |writes| {
+            let writer = writer.clone();
+            async move { commit(&writer, writes).await }
+        },
+    )
+}
+
+async fn read(platform: &Client, keys: Vec<String>) -> Result<Vec<Option<store::Row>>, Unavailable> {
+    let names: Vec<Name> = keys.iter().map(|key| Name::from(key.as_str())).collect();
+    let rows = platform.read(names.clone()).await.or(Err(Unavailable))?;
+    let row = |key: &Name| {
+        let row = rows.iter().find(|row| row.key == *key)?;
+        Some(store::Row { version: row.version, value: row.value.clone() })
+    };
+    Ok(names.iter().map(row).collect())
+}
+
+async fn commit(platform: &Client, writes: Vec<store::Write>) -> Commit {
+    let writes = writes
+        .into_iter()
+        .map(|write| Write::put(write.key, write.expected.map_or(Expect::Absent, Expect::Version), write.value))
+        .collect();
+    match platform.commit(platform.next_write_id(), writes).await {
+        Outcome::Done(_) => Commit::Done,
+        Outcome::NotDone(Reason::Conflict(_)) => Commit::Conflict,
+        Outcome::NotDone(_) => Commit::Unavailable,
+        Outcome::Unknown => Commit::Unknown,
+    }
+}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, ToAgent};
+use chervilledge_operator::accept::CURRENT_KEY;
 use chervilledge_platform::client::Client;
 use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::clock::Clock;
@@ -14,7 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::entry::fleet::Fleet;
-use crate::rollout::{CURRENT_KEY, Enforced};
+use crate::rollout::Enforced;
 
 /// Prefix of the rows by which entries announce themselves.
 pub const ENTRIES_PREFIX: &str = "entries/";
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -11,13 +11,15 @@
 use chervilledge_link::message::Header;
 use chervilledge_operator::config::Service;
 use chervilledge_policy::code::Code;
-use chervilledge_policy::id::Name;
+use chervilledge_policy::id::{Name, RequestId};
 use chervilledge_policy::request::Spec;
 use http::request::Parts;
 use http::{Method, Request, Response};
 use hyper::body::{Body as _, Incoming};
 
 use crate::entry::exchange::{self, Context, Streamed, Work, WorkBody};
+use crate::entry::journal::{Trace, What};
+use crate::entry::keys::{Keys, Refused};
 use crate::rollout::Enforced;
 use crate::settings::Bounds;
 
@@ -37,26 +39,55 @@
     pub context: Arc<Context>,
     /// Configuration that the entry enforces.
     pub enforced: Arc<Enforced>,
+    /// Claims idempotency keys.
+    pub keys: Keys,
     /// Bounds of the entry.
     pub bounds: Bounds,
     /// Whether new requests are refused.
     pub is_draining: AtomicBool,
 }
 
+/// Request that may be handed to a worker.
+struct Prepared {
+    work: Work,
+    spec: Spec,
+    key: Option<String>,
+}
+
 /// Answers a caller's request.
 pub async fn serve(requests: &Requests, request: Request<Incoming>) -> Response<Body> {
+    let context = &requests.context;
+    let id = context.next_id();
     let (parts, body) = request.into_parts();
-    let prepared = prepare(requests, &parts, body).await;
-    match prepared {
-        Ok((work, spec)) => exchange::run(Arc::clone(&requests.context), work, spec).await,
-        Err(code) => {
-            requests.context.ends.not_run.fetch_add(1, Ordering::Relaxed);
-            Refusal { code, outcome: Outcome::NotRun, retry_after: RETRY_AFTER }.response()
+    let prepared = match prepare(requests, &parts, body).await {
+        Ok(prepared) => prepared,
+        Err(code) => return refuse(context, id, &Name::from(""), code, Outcome::NotRun),
+    };
+    let Some(key) = &prepared.key else {
+        return exchange::run(Arc::clone(context), id, prepared.work, prepared.spec, None).await;
+    };
+    let fingerprint = prepared.work.fingerprint();
+    match requests.keys.claim(&prepared.work.service, key, id, fingerprint).await {
+        Ok(claim) => exchange::run(Arc::clone(context), id, prepared.work, prepared.spec, Some(claim)).await,
+        Err(Refused::NotRun(code)) => refuse(context, id, &prepared.work.service, code, Outcome::NotRun),
+        Err(Refused::Earlier(Code::KeyAnswered)) => {
+            refuse(context, id, &prepared.work.service, Code::KeyAnswered, Outcome::Answered)
         }
+        Err(Refused::Earlier(code)) => refuse(context, id, &prepared.work.service, code, Outcome::Unknown),
     }
 }
 
-async fn prepare(requests: &Requests, parts: &Parts, body: Incoming) -> Result<(Work, Spec), Code> {
+/// Refuses a request before it is handed to a worker.
+fn refuse(context: &Context, id: RequestId, service: &Name, code: Code, outcome: Outcome) -> Response<Body> {
+    context.ends.not_run.fetch_add(1, Ordering::Relaxed);
+    let now = context.clock.now();
+    let mut trace = Trace::new(id, Name::clone(service), now);
+    trace.add(now, What::NotRun { code });
+    context.journal.keep(trace);
+    Refusal { code, outcome, request: id, retry_after: RETRY_AFTER }.response()
+}
+
+async fn prepare(requests: &Requests, parts: &Parts, body: Incoming) -> Result<Prepared, Code> {
     if requests.is_draining.load(Ordering::Relaxed) {
         return Err(Code::Draining);
     }
@@ -68,12 +99,14 @@
     let body_bytes_max = service.request_body_limit_bytes.min(bounds.body_bytes_max);
     let body = read_body(body, body_bytes_max, bounds.inline_body_bytes_max).await?;
     let timeout = head.timeout.unwrap_or(bounds.request_timeout_ms).min(bounds.request_timeout_max_ms);
-    // A body that was handed on in part can't be handed to another worker.
-    let idempotent = is_idempotent(service, &parts.method) && matches!(body, WorkBody::Whole(_));
+    // A body that was handed on in part can't be handed to another worker, and a key asks for at most one run.
+    let may_repeat = matches!(body, WorkBody::Whole(_)) && head.idempotency_key.is_none();
+    let idempotent = may_repeat && is_idempotent(service, &parts.method);
     let spec = Spec { idempotent, deadline: arrived + timeout, ask_for: ASK_FOR };
+    let key = head.idempotency_key.clone();
     let mut work = work(head, parts, body);
     work.sheddable = service.priority <= SHEDDABLE_PRIORITY_MAX;
-    Ok((work, spec))
+    Ok(Prepared { work, spec, key })
 }
 
 async fn read_body(body: Incoming, bytes_max: u64, inline_bytes_max: usize) -> Result<WorkBody, Code> {
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -13,9 +13,6 @@
 
 use crate::entry::fleet::lock;
 
-/// Key of the row that holds the accepted configuration.
-pub const CURRENT_KEY: &str = "config/current";
-
 /// Configuration in force, with the form in which it is handed on.
 #[derive(Debug)]
 pub struct InForce {
@@ -84,6 +81,19 @@
         Some(Configuration { stamp: in_force.stamp, accepted: Name::clone(&in_force.accepted) })
     }
 
+    /// The accepted version in force.
+    #[must_use]
+    pub fn accepted(&self) -> Option<Accepted> {
+        let in_force = lock(&self.inner).in_force.clone()?;
+        serde_json::from_str(&in_force.accepted).ok()
+    }
+
+    /// Copy of the rule's state.
+    #[must_use]
+    pub fn rollout(&self) -> Rollout {
+        lock(&self.inner).rollout.clone()
+    }
+
     /// Takes in a version that came as JSON text.
     pub fn offer_text(&self, text: &str, source: Source) {
         match serde_json::from_str(text) {
@@ -100,7 +110,8 @@
         }
     }
 
-    fn offer(&self, accepted: &Accepted, source: Source) {
+    /// Takes in an accepted version.
+    pub fn offer(&self, accepted: &Accepted, source: Source) {
         let stamp = accepted.stamp();
         if !accepted.is_intact() {
             return self.refuse("the documents don't match their checksum");
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -13,8 +13,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use chervilledge::rollout::CURRENT_KEY;
 use chervilledge::{boot, clock};
+use chervilledge_operator::accept::CURRENT_KEY;
 use chervilledge_operator::documents::{Accepted, Documents};
 use chervilledge_platform::client;
 use chervilledge_platform::error::Outcome;
