policy: Bind a claim to one start of the agent

Cause: an agent that restarted had forgotten which epochs had ended there. A second start of the same claim, or a fence answered "never started", could then run a finished task again, and a proposal that was refused for lack of room could be admitted when it arrived twice. Ruled out: keeping the memory of ended epochs across a restart (an agent has no disk); keeping it in the entry only (the entry may die as well). Change: a claim names the agent's start; reserve and fence refuse to begin or to disown what was claimed for another one; ends are remembered until acknowledged; a refusal fences its epoch; a group bars an agent that restarted. Interleavings include restarts and judge declined claims. reserve now takes the claim's start and the time, fence an epoch and the start, Reservations::open the agent's start. Seen to fail by taking out: other start (scenario and unit test), ended and held in fence (walks and search), unknown in fence, fence on refusal, unacknowledged ends in pruning, bar on restart (unit tests). Conclusion: the walks don't find a fence that disowns claims of another start; only the unit test does.

--- a/crates/policy/benches/colocation.rs
+++ b/crates/policy/benches/colocation.rs
@@ -79,7 +79,7 @@
     ] {
         let outcome = run(&policy, noisy_part, length);
         println!(
-            "1/{noisy_part} {} {:.2} {:.2} {:.4} {}",
+            "1/{noisy_part} {} {:.3} {:.3} {:.4} {}",
             policy.name,
             p99_us(&outcome) / p99_us(&alone),
             f64::from(outcome.completed) / f64::from(baseline.completed.max(1)),
--- a/crates/policy/benches/placement.rs
+++ b/crates/policy/benches/placement.rs
@@ -183,7 +183,7 @@
         attempts_max: 5,
     };
     let queued = job.task(number % JOB_TASKS);
-    let claim = Change::Claim(Claim { worker, entry: BootId(1) });
+    let claim = Change::Claim(Claim { worker, agent: BootId(2), entry: BootId(1) });
     let claimed = apply(&queued, Transition { epoch: queued.epoch, change: claim }).expect("a queued task");
     apply(&claimed, Transition { epoch: claimed.epoch, change: Change::Start }).expect("a claimed task")
 }
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -159,7 +159,7 @@
 
     /// Tells whether a start or an adoption that names `ask` may still be obeyed.
     ///
-    /// An entry names in each of them the newest ask it has received, and ends the claim of an unanswered start only
+    /// An entry names in each of them the newest ask it has received from the start of the agent that the claim names, and ends the claim of an unanswered start only
     /// after a lease and a margin. A start that was delayed longer than a lease is therefore refused here.
     #[must_use]
     pub fn is_start_current(&self, ask: Ask, now: Duration) -> bool {
@@ -198,6 +198,8 @@
     waiting: Option<Ask>,
     /// Last time at which a grant or a start may have been sent, on the entry's clock.
     granted_at: Option<Duration>,
+    /// Start of the agent that asked last.
+    boot: Option<BootId>,
     /// Grants are given only while this holds.
     admitted: bool,
 }
@@ -221,8 +223,14 @@
     }
 
     /// Notes an agent's ask, to be answered by the next write; of several asks only the newest is answered.
+    ///
+    /// An agent that has restarted is barred until it is admitted again.
     pub fn asked(&mut self, agent: &Name, ask: Ask) {
-        let waiting = &mut self.agents.entry(Name::clone(agent)).or_default().waiting;
+        let lease = self.agents.entry(Name::clone(agent)).or_default();
+        if lease.boot.replace(ask.agent).is_some_and(|boot| boot != ask.agent) {
+            lease.admitted = false;
+        }
+        let waiting = &mut lease.waiting;
         if waiting.is_none_or(|old| old.agent != ask.agent || old.sequence < ask.sequence) {
             *waiting = Some(ask);
         }
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -11,6 +11,7 @@
 use crate::capacity::Resources;
 use crate::code::Code;
 use crate::collections::Map;
+use crate::id::BootId;
 use crate::task::{Epoch, TaskId};
 
 /// Resources held for one task.
@@ -49,6 +50,8 @@
     Mismatch,
     /// Room is already kept for another task.
     Earmarked,
+    /// The claim was made for another start of the agent, which may have run the epoch to its end.
+    OtherStart,
 }
 
 impl Refusal {
@@ -60,6 +63,7 @@
             Self::NoRoom { .. } | Self::OlderHeld { .. } | Self::Earmarked => Code::ResourcesExhausted,
             Self::StaleEpoch { .. } => Code::StaleEpoch,
             Self::Mismatch => Code::WrongTaskState,
+            Self::OtherStart => Code::TaskOutcomeUnknown,
         }
     }
 }
@@ -73,6 +77,20 @@
     Duplicate,
 }
 
+/// What a fence found of the newest epoch that it refuses.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fenced {
+    /// It never started and never will; its claim may be declined.
+    NeverStarted,
+    /// It, or an older one, is still held and must be stopped first.
+    Held(Epoch),
+    /// It ended here; the agent reports how until that is acknowledged.
+    Ended,
+    /// The claim was made for another start of the agent; its lease has to end.
+    Unknown,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Held {
     epoch: Epoch,
@@ -84,6 +102,10 @@
     /// Oldest epoch that can still start.
     current: Epoch,
     set_at: Duration,
+    /// Newest epoch that was held here and released.
+    ended: Option<Epoch>,
+    /// Whether the end of that epoch is known to be in the task's row.
+    is_acknowledged: bool,
 }
 
 /// Room that is kept for a task until enough is free for it.
@@ -97,11 +119,12 @@
 /// Reservations on one worker.
 #[derive(Clone, Debug)]
 pub struct Reservations {
+    agent: BootId,
     capacity: Resources,
     /// Sum of `held`. Covered by `capacity` once stock has been taken.
     reserved: Resources,
     held: Map<TaskId, Held>,
-    /// Epochs that have ended here. Kept for as long as a delayed start can arrive.
+    /// Epochs that have ended here. Kept until the end is acknowledged and no delayed start can arrive.
     fences: Map<TaskId, Fence>,
     /// Covered by `capacity`, but not always by what is free.
     earmark: Option<Earmark>,
@@ -109,10 +132,11 @@
 }
 
 impl Reservations {
-    /// Opens the account of a worker of which nothing is known but its capacity.
+    /// Opens the account of a worker of which nothing is known but its capacity, for this start of the agent.
     #[must_use]
-    pub fn open(capacity: Resources) -> Self {
+    pub fn open(capacity: Resources, agent: BootId) -> Self {
         Self {
+            agent,
             capacity,
             reserved: Resources::default(),
             held: Map::default(),
@@ -141,26 +165,19 @@
         if self.stock_taken { Ok(()) } else { Err(excess) }
     }
 
-    /// Reserves resources before a task starts.
+    /// Reserves resources before a task starts; `claimed_for` is the start of the agent that the claim names.
     ///
     /// # Errors
     ///
-    /// Refuses before stock is taken, over capacity, and for an epoch that isn't the newest known.
-    pub fn reserve(&mut self, wanted: &Reservation) -> Result<Admission, Refusal> {
-        if !self.stock_taken {
-            return Err(Refusal::StockNotTaken);
-        }
-        if let Some(fence) = self.fences.get(&wanted.task).filter(|fence| wanted.epoch < fence.current) {
-            return Err(Refusal::StaleEpoch { current: fence.current });
-        }
-        if let Some(held) = self.held.get(&wanted.task) {
-            return compare(held, wanted);
+    /// Refuses before stock is taken, over capacity, for an epoch that isn't the newest known, and, unless the epoch
+    /// is held, a claim made for another start of the agent. After a refusal for lack of stock or room the epoch never
+    /// starts, so that its claim may be declined even if the proposal arrives once more.
+    pub fn reserve(&mut self, wanted: &Reservation, claimed_for: BootId, now: Duration) -> Result<Admission, Refusal> {
+        let result = self.try_reserve(wanted, claimed_for);
+        if matches!(result, Err(Refusal::StockNotTaken | Refusal::NoRoom { .. })) {
+            self.set_fence(&wanted.task, wanted.epoch.next(), now);
         }
-        if !self.fits_beside_earmark(wanted) || !self.hold(wanted) {
-            return Err(Refusal::NoRoom { free: self.free() });
-        }
-        self.earmark.take_if(|earmark| earmark.task == wanted.task);
-        Ok(Admission::Reserved)
+        result
     }
 
     /// Keeps room for one task that finds none because smaller tasks take all that becomes free.
@@ -193,32 +210,47 @@
 
     /// Releases a task's resources, after the worker has confirmed that it is gone; the epoch never starts again.
     ///
-    /// Returns whether the resources were held.
+    /// Returns whether the resources were held. The agent reports the end until it calls [`Self::acknowledge`].
     pub fn release(&mut self, task: &TaskId, epoch: Epoch, now: Duration) -> bool {
-        self.fence(task, epoch.next(), now);
         let Some(held) = self.held.get(task).copied().filter(|held| held.epoch == epoch) else {
             return false;
         };
         self.held.remove(task);
         self.reserved = self.reserved.checked_sub(&held.resources).unwrap_or_default();
+        let fence = self.set_fence(task, epoch.next(), now);
+        fence.ended = Some(epoch);
+        fence.is_acknowledged = false;
         true
     }
 
-    /// Refuses from now on every epoch of the task that is older than `current`.
+    /// Notes that the end of an epoch is in the task's row.
+    pub fn acknowledge(&mut self, task: &TaskId, epoch: Epoch, now: Duration) {
+        if let Some(fence) = self.fences.get_mut(task).filter(|fence| fence.ended == Some(epoch)) {
+            fence.is_acknowledged = true;
+            fence.set_at = now;
+        }
+    }
+
+    /// Refuses an epoch of the task, and every older one, from now on; `claimed_for` is as in [`Self::reserve`].
     ///
     /// An entry that has had no answer to a start asks for this, and may then end the claim without waiting for the
-    /// lease. Returns the epoch that is still held and must be stopped first.
-    pub fn fence(&mut self, task: &TaskId, current: Epoch, now: Duration) -> Option<Epoch> {
-        let fence = self.fences.entry(task.clone()).or_insert(Fence { current, set_at: now });
-        fence.current = fence.current.max(current);
-        fence.set_at = now;
-        let current = fence.current;
-        self.held.get(task).map(|held| held.epoch).filter(|epoch| *epoch < current)
+    /// lease if the epoch never started.
+    pub fn fence(&mut self, task: &TaskId, epoch: Epoch, claimed_for: BootId, now: Duration) -> Fenced {
+        let ended = self.set_fence(task, epoch.next(), now).ended;
+        if let Some(held) = self.held.get(task).filter(|held| held.epoch <= epoch) {
+            return Fenced::Held(held.epoch);
+        }
+        if ended.is_some_and(|ended| ended >= epoch) {
+            return Fenced::Ended;
+        }
+        if claimed_for == self.agent { Fenced::NeverStarted } else { Fenced::Unknown }
     }
 
-    /// Forgets fences set before `oldest`; no start from before that time can still be obeyed.
+    /// Forgets fences set before `oldest`, except ends that aren't acknowledged; no start from before that time can
+    /// still be obeyed.
     pub fn prune_fences(&mut self, oldest: Duration) {
-        self.fences.retain(|_, fence| fence.set_at >= oldest);
+        let is_reported = |fence: &Fence| fence.ended.is_some() && !fence.is_acknowledged;
+        self.fences.retain(|_, fence| fence.set_at >= oldest || is_reported(fence));
     }
 
     /// Resources that any task can still reserve; none before stock is taken.
@@ -264,6 +296,34 @@
         })
     }
 
+    fn try_reserve(&mut self, wanted: &Reservation, claimed_for: BootId) -> Result<Admission, Refusal> {
+        if let Some(fence) = self.fences.get(&wanted.task).filter(|fence| wanted.epoch < fence.current) {
+            return Err(Refusal::StaleEpoch { current: fence.current });
+        }
+        if let Some(held) = self.held.get(&wanted.task) {
+            return compare(held, wanted);
+        }
+        if claimed_for != self.agent {
+            return Err(Refusal::OtherStart);
+        }
+        if !self.stock_taken {
+            return Err(Refusal::StockNotTaken);
+        }
+        if !self.fits_beside_earmark(wanted) || !self.hold(wanted) {
+            return Err(Refusal::NoRoom { free: self.free() });
+        }
+        self.earmark.take_if(|earmark| earmark.task == wanted.task);
+        Ok(Admission::Reserved)
+    }
+
+    fn set_fence(&mut self, task: &TaskId, current: Epoch, now: Duration) -> &mut Fence {
+        let new = Fence { current, set_at: now, ended: None, is_acknowledged: false };
+        let fence = self.fences.entry(task.clone()).or_insert(new);
+        fence.current = fence.current.max(current);
+        fence.set_at = now;
+        fence
+    }
+
     fn fits_beside_earmark(&self, wanted: &Reservation) -> bool {
         let is_own = self.earmark.as_ref().is_none_or(|earmark| earmark.task == wanted.task);
         is_own || self.free().covers(&wanted.resources)
--- a/crates/policy/src/task.rs
+++ b/crates/policy/src/task.rs
@@ -139,6 +139,11 @@
 pub struct Claim {
     /// The only worker that may run this epoch.
     pub worker: Name,
+    /// The only start of the worker's agent that may begin to run this epoch.
+    ///
+    /// A later one doesn't know whether the epoch has already ended there: it goes on with what it finds running, and
+    /// begins nothing. A claim that it doesn't find is ended by [`Change::Expire`].
+    pub agent: BootId,
     /// Start of the entry whose lease covers the claim.
     pub entry: BootId,
 }
--- a/crates/policy/tests/interleavings/main.rs
+++ b/crates/policy/tests/interleavings/main.rs
@@ -25,7 +25,7 @@
 fn mixed(action: &Action) -> u32 {
     match action {
         Action::Cancel => 1,
-        Action::AgentCompletes { .. } | Action::Lose(_) => 10,
+        Action::AgentCompletes { .. } | Action::AgentRestarts { .. } | Action::Lose(_) => 10,
         Action::AgentEvicts { .. } | Action::Bar { .. } => 30,
         Action::Deliver(_) | Action::Expire { .. } => 300,
         Action::Tick => 40,
@@ -41,7 +41,7 @@
         | Action::AgentEvicts { .. }
         | Action::SendFence { .. }
         | Action::Take { .. } => 0,
-        Action::Lose(_) => 10,
+        Action::AgentRestarts { .. } | Action::Lose(_) => 10,
         Action::Deliver(_) | Action::Claim { .. } => 300,
         Action::WorkerPolls { .. } | Action::Expire { .. } => 600,
         Action::Bar { .. } | Action::Admit { .. } => 50,
@@ -186,6 +186,16 @@
     assert_eq!(play(&mut world, &[Action::Deliver(0), Action::WorkerPolls { agent: 0 }]), 1);
 }
 
+#[test]
+fn a_restarted_agent_does_not_begin_an_epoch_that_may_have_ended() {
+    let mut world = running(SEARCH_TICKS);
+    let (entry, agent) = (0, 0);
+    // The completion is lost, and with the agent the memory of it.
+    play(&mut world, &[Action::AgentCompletes { agent }, Action::Lose(0), Action::AgentRestarts { agent }]);
+    play(&mut world, &renew(agent, 0));
+    assert_eq!(play(&mut world, &[Action::SendStart { entry }, Action::Deliver(0)]), 1);
+}
+
 #[test]
 fn an_agent_that_comes_back_does_not_revive_an_expired_claim() {
     let mut world = running(SEARCH_TICKS);
--- a/crates/policy/tests/interleavings/world.rs
+++ b/crates/policy/tests/interleavings/world.rs
@@ -5,7 +5,7 @@
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::{Ask, Group, GroupRow, Holder, Phase, Terms, Watch};
-use chervilledge_policy::reservation::{Admission, Reservation, Reservations};
+use chervilledge_policy::reservation::{Admission, Fenced, Reservation, Reservations};
 use chervilledge_policy::task::{
     Change, Claim, Effects, Epoch, JobRow, Priority, TaskRow, TaskState, Transition, apply,
 };
@@ -19,8 +19,8 @@
 pub enum Message {
     Ask { agent: usize, entry: usize, ask: Ask },
     Grant { agent: usize, entry: usize, ask: Ask },
-    Start { agent: usize, entry: usize, ask: Ask, epoch: Epoch },
-    Fence { agent: usize, epoch: Epoch },
+    Start { agent: usize, entry: usize, ask: Ask, epoch: Epoch, claimed_for: BootId },
+    Fence { agent: usize, epoch: Epoch, claimed_for: BootId },
     Declined { epoch: Epoch },
     Ended { epoch: Epoch, is_complete: bool },
 }
@@ -35,6 +35,7 @@
     WorkerPolls { agent: usize },
     AgentEvicts { agent: usize },
     AgentCompletes { agent: usize },
+    AgentRestarts { agent: usize },
     RenewalLands { entry: usize },
     RenewalAnswered { entry: usize },
     Admit { entry: usize, agent: usize },
@@ -59,6 +60,7 @@
 
 #[derive(Clone, Debug)]
 struct Agent {
+    boot: BootId,
     holders: [Holder; 2],
     reservations: Reservations,
     run: Option<Run>,
@@ -83,6 +85,7 @@
 
 #[derive(Clone, Debug)]
 pub struct World {
+    terms: Terms,
     ticks: u64,
     ticks_max: u64,
     row: TaskRow,
@@ -93,6 +96,8 @@
     /// Epochs that a worker began to run.
     started: Vec<Epoch>,
     completed: u32,
+    /// A claim was declined although its epoch had started.
+    declined_started: bool,
     reach: Reach,
 }
 
@@ -132,12 +137,13 @@
             renewal_landed: false,
         };
         let agent = |agent: u64| {
-            let mut reservations = Reservations::open(SIZE);
-            reservations.take_stock(Vec::new()).expect("an empty worker has no excess");
             let boot = BootId(10 + agent);
-            Agent { holders: [Holder::open(terms, boot), Holder::open(terms, boot)], reservations, run: None }
+            let mut reservations = Reservations::open(SIZE, boot);
+            reservations.take_stock(Vec::new()).expect("an empty worker has no excess");
+            Agent { boot, holders: [Holder::open(terms, boot), Holder::open(terms, boot)], reservations, run: None }
         };
         Self {
+            terms,
             ticks: 0,
             ticks_max,
             row: job.task(0),
@@ -147,6 +153,7 @@
             messages: Vec::new(),
             started: Vec::new(),
             completed: 0,
+            declined_started: false,
             reach: Reach::default(),
         }
     }
@@ -164,7 +171,7 @@
             actions.extend([Action::Deliver(message), Action::Lose(message)]);
         }
         for agent in (0..2).filter(|agent| self.agents[*agent].run.is_some()) {
-            actions.push(Action::WorkerPolls { agent });
+            actions.extend([Action::WorkerPolls { agent }, Action::AgentRestarts { agent }]);
             actions.extend([Action::AgentEvicts { agent }, Action::AgentCompletes { agent }]);
         }
         for entry in 0..2 {
@@ -212,12 +219,15 @@
             Action::WorkerPolls { agent } => self.agents[agent].worker_polls(now),
             Action::AgentEvicts { agent } => self.agent_ends(agent, false),
             Action::AgentCompletes { agent } => self.agent_ends(agent, true),
+            Action::AgentRestarts { agent } => self.agent_restarts(agent),
             Action::RenewalLands { entry } => self.renewal_lands(entry),
             Action::RenewalAnswered { entry } => self.renewal_answered(entry),
             Action::Admit { entry, agent } => self.admit(entry, agent),
             Action::Bar { entry, agent } => self.entries[entry].group.bar(&worker(agent)),
             Action::Claim { entry, agent } => {
-                self.write(self.row.epoch, &Change::Claim(Claim { worker: worker(agent), entry: boot(entry) }));
+                let Some(ask) = self.entries[entry].asks[agent] else { return };
+                let claim = Claim { worker: worker(agent), agent: ask.agent, entry: boot(entry) };
+                self.write(self.row.epoch, &Change::Claim(claim));
             }
             Action::SendStart { entry } => self.send_start(entry),
             Action::SendFence { entry } => self.send_fence(entry),
@@ -252,6 +262,9 @@
         if self.started.windows(2).any(|pair| pair[0] >= pair[1]) {
             return Some(format!("an epoch started twice or out of order: {:?}", self.started));
         }
+        if self.declined_started {
+            return Some("a claim was declined after its epoch had started".into());
+        }
         if self.completed > 1 {
             return Some("the task completed twice".into());
         }
@@ -282,6 +295,7 @@
     fn write(&mut self, epoch: Epoch, change: &Change) {
         let Ok(row) = apply(&self.row, Transition { epoch, change: change.clone() }) else { return };
         self.row = row;
+        self.declined_started |= *change == Change::Decline && self.started.contains(&epoch);
         self.completed += u32::from(*change == Change::Complete);
         self.reach.expirations += u32::from(*change == Change::Expire);
         self.reach.adoptions += u32::from(matches!(change, Change::Adopt(_)));
@@ -330,17 +344,19 @@
     fn send_start(&mut self, entry: usize) {
         let now = self.now();
         let Some(agent) = self.claim_of(entry) else { return };
+        let Some(claimed_for) = self.row.state.claim().map(|claim| claim.agent) else { return };
         let Some(ask) = self.entries[entry].asks[agent] else { return };
         if self.entries[entry].group.has_agent_ended(&worker(agent), now) {
             return;
         }
         self.entries[entry].group.start_sent(&worker(agent), now);
-        self.send(Message::Start { agent, entry, ask, epoch: self.row.epoch });
+        self.send(Message::Start { agent, entry, ask, epoch: self.row.epoch, claimed_for });
     }
 
     fn send_fence(&mut self, entry: usize) {
+        let Some(claimed_for) = self.row.state.claim().map(|claim| claim.agent) else { return };
         if let Some(agent) = self.claim_of(entry) {
-            self.send(Message::Fence { agent, epoch: self.row.epoch });
+            self.send(Message::Fence { agent, epoch: self.row.epoch, claimed_for });
         }
     }
 
@@ -352,6 +368,17 @@
         }
     }
 
+    /// Starts the agent again beside its worker, which goes on to run what it runs.
+    fn agent_restarts(&mut self, agent: usize) {
+        let side = &mut self.agents[agent];
+        side.boot = BootId(side.boot.0 + 2);
+        side.holders = [Holder::open(self.terms, side.boot), Holder::open(self.terms, side.boot)];
+        side.reservations = Reservations::open(SIZE, side.boot);
+        let task = self.row.id.clone();
+        let running = side.run.iter().map(|run| Reservation { task: task.clone(), epoch: run.epoch, resources: SIZE });
+        side.reservations.take_stock(running.collect()).expect("one task fits");
+    }
+
     fn agent_ends(&mut self, agent: usize, is_complete: bool) {
         let now = self.now();
         let side = &mut self.agents[agent];
@@ -364,16 +391,19 @@
         match *message {
             Message::Ask { agent, entry, ask } => {
                 let side = &mut self.entries[entry];
-                if side.asks[agent].is_none_or(|old| old.sequence < ask.sequence) {
+                if side.asks[agent].is_none_or(|old| old.agent != ask.agent || old.sequence < ask.sequence) {
                     side.asks[agent] = Some(ask);
                 }
                 side.group.asked(&worker(agent), ask);
             }
             Message::Grant { agent, entry, ask } => self.agents[agent].holders[entry].granted(ask),
-            Message::Start { agent, entry, ask, epoch } => self.deliver_start(agent, entry, ask, epoch),
-            Message::Fence { agent, epoch } => {
+            Message::Start { agent, entry, ask, epoch, claimed_for } => {
+                self.deliver_start(agent, entry, ask, epoch, claimed_for);
+            }
+            Message::Fence { agent, epoch, claimed_for } => {
                 let now = self.now();
-                if self.agents[agent].reservations.fence(&self.row.id, epoch.next(), now).is_none() {
+                let fenced = self.agents[agent].reservations.fence(&self.row.id, epoch, claimed_for, now);
+                if fenced == Fenced::NeverStarted {
                     self.send(Message::Declined { epoch });
                 }
             }
@@ -383,14 +413,14 @@
         }
     }
 
-    fn deliver_start(&mut self, agent: usize, entry: usize, ask: Ask, epoch: Epoch) {
+    fn deliver_start(&mut self, agent: usize, entry: usize, ask: Ask, epoch: Epoch, claimed_for: BootId) {
         let now = self.now();
         let side = &mut self.agents[agent];
         if !side.holders[entry].is_start_current(ask, now) {
             return;
         }
         let wanted = Reservation { task: self.row.id.clone(), epoch, resources: SIZE };
-        match side.reservations.reserve(&wanted) {
+        match side.reservations.reserve(&wanted, claimed_for, now) {
             Ok(Admission::Reserved) => {
                 side.run = Some(Run { epoch, entry, limit: now });
                 self.started.push(epoch);
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -111,6 +111,17 @@
     assert_eq!(group.written(SECOND), [], "barred while the write was in flight");
 }
 
+#[test]
+fn an_agent_that_restarted_is_barred() {
+    let mut group = Group::open(terms(), 0, Duration::ZERO);
+    group.asked(&agent(), ask(7));
+    group.admit(&agent());
+    group.asked(&agent(), Ask { agent: BootId(2), sequence: 1 });
+    assert_eq!(group.begin(), None);
+    group.admit(&agent());
+    assert_eq!(group.begin().expect("an ask waits").asks, [(agent(), Ask { agent: BootId(2), sequence: 1 })]);
+}
+
 #[test]
 fn an_agent_has_ended_a_lease_and_a_margin_after_its_last_grant_or_start() {
     let mut group = Group::open(terms(), 0, Duration::ZERO);
--- a/crates/policy/tests/task.rs
+++ b/crates/policy/tests/task.rs
@@ -29,7 +29,7 @@
 }
 
 fn claim() -> Change {
-    Change::Claim(Claim { worker: Name::from("w0"), entry: BootId(1) })
+    Change::Claim(Claim { worker: Name::from("w0"), agent: BootId(9), entry: BootId(1) })
 }
 
 /// Applies a change that is meant for the row's epoch.
