--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -40,6 +40,12 @@
         self.on_trial = false;
     }
 
+    /// Record of the worker after it has left and come back, with nothing on trial.
+    #[must_use]
+    pub const fn returned(self) -> Self {
+        Self { on_trial: false, ..self }
+    }
+
     /// Notes that a task ended well.
     pub const fn succeeded(&mut self) {
         self.failures = 0;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -29,6 +29,9 @@
 /// Workers on which a job fails without a success elsewhere before its failures no longer count against workers.
 const JOB_SUSPECT_WORKERS: usize = 3;
 
+/// Avoided workers that are remembered after they have left.
+const DEPARTED_MAX: usize = 1024;
+
 /// Weight in the score of one task of the same kind in the same rack.
 const RACK_WEIGHT: f64 = 0.02;
 
@@ -147,6 +150,8 @@
     rack_ids: Map<Name, usize>,
     rooms: Rooms,
     jobs: Map<Name, JobRecord>,
+    /// Records of avoided workers that have left, so that leaving doesn't clear them. At most [`DEPARTED_MAX`].
+    departed: Map<Name, Health>,
     complete: bool,
 }
 
@@ -163,6 +168,7 @@
             rack_ids: Map::default(),
             rooms: Rooms::default(),
             jobs: Map::default(),
+            departed: Map::default(),
             complete: false,
         }
     }
@@ -178,7 +184,8 @@
         let known = self.ids.get(&info.name).copied();
         let id = known.unwrap_or_else(|| self.vacant_id());
         self.ids.insert(Name::clone(&info.name), id);
-        let health = self.worker(id).map(|worker| worker.health).unwrap_or_default();
+        let departed = self.departed.remove(&info.name);
+        let health = self.worker(id).map(|worker| worker.health).or(departed).unwrap_or_default();
         self.workers[id.0 as usize] =
             Some(Worker { info, report, proposed: Resources::default(), expected: Resources::default(), rack, health });
         self.index(id);
@@ -191,6 +198,9 @@
             return;
         };
         self.ids.remove(&worker.info.name);
+        if worker.health.is_suspect() && self.departed.len() < DEPARTED_MAX {
+            self.departed.insert(worker.info.name, worker.health.returned());
+        }
         self.rooms.remove(id);
         self.vacant.push(id);
     }
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -148,6 +148,9 @@
 
     /// Takes over what the worker says it runs, in place of all that was held before.
     ///
+    /// Only while no start is on its way to the worker; the worker refuses what an earlier start of the agent sent
+    /// and that arrives after this question.
+    ///
     /// # Errors
     ///
     /// Gives the tasks that exceed the capacity; the caller stops them and takes stock again. Until then nothing is
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -111,6 +111,18 @@
     assert_eq!(place(&mut fleet, &want(1, 1), later), Ok(bad));
 }
 
+#[test]
+fn a_worker_does_not_clear_its_record_by_leaving() {
+    let mut fleet = fleet(10);
+    for job in 0..3 {
+        fleet.failed(WorkerId(4), &want(1, 1), &Name::from(format!("job{job}")), MINUTE);
+    }
+    fleet.leave(WorkerId(4));
+    let back = join(&mut fleet, 4, size(16, 60, 0));
+    assert!((0..144).all(|_| place(&mut fleet, &want(1, 1), MINUTE) != Ok(back)));
+    assert_eq!(place(&mut fleet, &want(1, 1), MINUTE), Err(Unplaced::NoRoom));
+}
+
 #[test]
 fn a_job_that_fails_everywhere_does_not_discredit_workers() {
     let mut fleet = fleet(10);
