Carry one operators' request a connection

Cause: the lifetime of a kept connection could end in the middle of a later request, and no test covered the lifetime. Ruled out: a longer lifetime, which only makes the cut rarer. Change: connections aren't kept; the lifetime is 1 min by default, longer than head and request timeouts together; /metrics answers GET alone. Seen to fail without: the close after one request, the lifetime.

--- a/crates/operator/src/listen.rs
+++ b/crates/operator/src/listen.rs
@@ -48,11 +48,11 @@
     pub body_limit_bytes: usize,
     /// Connections at the same time; further ones wait.
     pub connections: usize,
-    /// Time for a whole request head to arrive, also on an idle connection.
+    /// Time for a whole request head to arrive.
     pub head_timeout_ms: Duration,
     /// Time for a request body to arrive and be handled.
     pub request_timeout_ms: Duration,
-    /// Time after which a connection is closed, whatever it does.
+    /// Time after which a connection is closed, whatever it does; longer than both other times together.
     pub connection_lifetime_ms: Duration,
 }
 
@@ -67,7 +67,7 @@
             connections: 64,
             head_timeout_ms: Duration::from_secs(10),
             request_timeout_ms: Duration::from_secs(30),
-            connection_lifetime_ms: Duration::from_mins(5),
+            connection_lifetime_ms: Duration::from_mins(1),
         }
     }
 }
@@ -272,6 +272,8 @@
     let lifetime = shared.settings.connection_lifetime_ms;
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
+    // One request a connection: operators ask seldom, and a connection then never ends between two requests.
+    builder.keep_alive(false);
     builder.header_read_timeout(shared.settings.head_timeout_ms);
     builder.max_buf_size(shared.settings.head_limit_bytes);
     let service = service_fn(move |request| respond(Arc::clone(&shared), request));
@@ -298,7 +300,7 @@
     let (head, body) = request.into_parts();
     authorize(&shared.settings.secrets, &head)?;
     if let Some(reader) = &shared.routes.reader
-        && head.uri.path() == "/metrics"
+        && (&head.method, head.uri.path()) == (&Method::GET, "/metrics")
     {
         return Ok(response(StatusCode::OK, metrics::CONTENT_TYPE, reader.render()));
     }
--- a/crates/operator/tests/listen.rs
+++ b/crates/operator/tests/listen.rs
@@ -117,6 +117,23 @@
     assert_eq!((status, parse(&body)["code"].clone()), (408, json!(6007)));
 }
 
+#[tokio::test]
+async fn a_connection_ends_with_its_lifetime() {
+    let settings = Settings { connection_lifetime_ms: Duration::from_millis(50), ..settings() };
+    let handle = bind(settings, routes()).await;
+    let (status, _) = exchange(handle.address(), "GET /slow", NEW, "").await;
+    assert_eq!(status, 0, "the connection outlived its time");
+}
+
+#[tokio::test]
+async fn a_connection_carries_one_request() {
+    let settings = Settings { head_timeout_ms: Duration::from_mins(1), ..settings() };
+    let handle = bind(settings, routes()).await;
+    let request = format!("GET /state HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {NEW}\r\n\r\n");
+    let answer = time::timeout(Duration::from_secs(5), raw(handle.address(), request.as_bytes())).await;
+    assert!(answer.is_ok_and(|answer| answer.contains("connection: close")), "the connection stayed open");
+}
+
 #[tokio::test]
 async fn shutdown_lets_a_request_finish() {
     let finished = Arc::new(AtomicBool::new(false));
