Check plans off the event loop and bound what faults quote

Cause: an entry checks and compares documents between requests, and a fault quoted names of any length once for each fault. Change: accept computes on blocking threads; document names and paths of faults end after 400 characters. Seen to fail without: the clipped name. That requests aren't held up isn't proved.

--- a/crates/operator/src/accept.rs
+++ b/crates/operator/src/accept.rs
@@ -6,12 +6,13 @@
 //! to repeat an acceptance, as long as fewer than [`HISTORY_SLOTS`] versions have followed.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_policy::id::Name;
 use chervilledge_policy::rollout::{Checksum, Stamp};
 use serde::{Deserialize, Serialize};
-use tokio::time;
+use tokio::{task, time};
 
 use crate::check;
 use crate::documents::{Accepted, Documents};
@@ -177,7 +178,9 @@
     if !is_text(&proposal.operator) || !is_text(&proposal.accepted_at) {
         return Outcome::Malformed;
     }
-    if let Err(faults) = check::check(&proposal.documents) {
+    let proposal = Arc::new(proposal.clone());
+    let checked = Arc::clone(&proposal);
+    if let Err(faults) = off_loop(move || check::check(&checked.documents)).await {
         return Outcome::Invalid(faults);
     }
     let mut uncertain = false;
@@ -185,7 +188,7 @@
         if attempt > 0 {
             time::sleep(FIRST_PAUSE * 2_u32.pow(attempt - 1)).await;
         }
-        match attempt_once(store, proposal, known).await {
+        match attempt_once(store, &proposal, known).await {
             Attempt::Ended(outcome) => return outcome,
             Attempt::Lost => uncertain = true,
             Attempt::Nothing => {}
@@ -217,7 +220,7 @@
     Nothing,
 }
 
-async fn attempt_once(store: &Store, proposal: &Proposal, known: Option<Stamp>) -> Attempt {
+async fn attempt_once(store: &Store, proposal: &Arc<Proposal>, known: Option<Stamp>) -> Attempt {
     let target = next_version(proposal.base);
     let rows = match Rows::read(store, target).await {
         Ok(rows) => rows,
@@ -226,12 +229,13 @@
             return Attempt::Nothing;
         }
     };
-    let accepted = match decide(&rows, proposal, known, target) {
-        Decision::Write(accepted) => accepted,
+    let decided = Arc::clone(proposal);
+    let (accepted, writes) = match off_loop(move || decide(&rows, &decided, known, target)).await {
+        Decision::Write(accepted, writes) => (accepted, writes),
         Decision::Ended(outcome) => return Attempt::Ended(outcome),
         Decision::Behind => return Attempt::Nothing,
     };
-    match commit(store, rows.writes(&accepted)).await {
+    match commit(store, writes).await {
         Commit::Done => Attempt::Ended(Outcome::Accepted(accepted)),
         Commit::Conflict | Commit::Unavailable => Attempt::Nothing,
         Commit::Unknown => Attempt::Lost,
@@ -239,7 +243,7 @@
 }
 
 enum Decision {
-    Write(Box<Accepted>),
+    Write(Box<Accepted>, Vec<Write>),
     Ended(Outcome),
     /// The table holds an older version than is known.
     Behind,
@@ -270,7 +274,9 @@
     if expected != proposal.plan {
         return Decision::Ended(Outcome::Mismatch { expected });
     }
-    Decision::Write(Box::new(accepted(proposal, target)))
+    let accepted = accepted(proposal, target);
+    let writes = rows.writes(&accepted);
+    Decision::Write(Box::new(accepted), writes)
 }
 
 fn accepted(proposal: &Proposal, version: u64) -> Accepted {
@@ -336,6 +342,11 @@
     time::timeout(STORE_TIMEOUT, store.commit(writes)).await.unwrap_or(Commit::Unknown)
 }
 
+/// Computes on a thread where it holds up no request; a check of large documents takes milliseconds.
+async fn off_loop<T: Send + 'static>(compute: impl FnOnce() -> T + Send + 'static) -> T {
+    task::spawn_blocking(compute).await.expect("the computation doesn't panic and isn't cancelled")
+}
+
 fn is_text(text: &str) -> bool {
     (1..=TEXT_MAX_BYTES).contains(&text.len()) && text.chars().all(|c| !c.is_control())
 }
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -111,7 +111,7 @@
 fn check_references(base: &Value, site: &Name, overlay: &Value, faults: &mut Faults) {
     let known = |section: &str, name: &str| base.get(section).is_some_and(|names| names.get(name).is_some());
     if !known("sites", site) {
-        faults.push(site, "$", Code::UnknownSite, format!("the base document has no site {site}"));
+        faults.push(site, "$", Code::UnknownSite, "the base document has no such site");
     }
     for section in ["services", "teams", "batch_kinds"] {
         let Some(Value::Object(names)) = overlay.get(section) else { continue };
--- a/crates/operator/src/fault.rs
+++ b/crates/operator/src/fault.rs
@@ -9,6 +9,9 @@
 /// Faults that are listed at most; a document with more of them is hardly a configuration.
 const FAULTS_LISTED: usize = 200;
 
+/// Longest document name or path that a fault gives.
+const PLACE_MAX_CHARS: usize = 400;
+
 /// Fault of a document.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fault {
@@ -37,7 +40,8 @@
 
 impl Faults {
     pub(crate) fn push(&mut self, document: &str, path: impl Into<String>, code: Code, text: impl Into<String>) {
-        let fault = Fault { document: document.into(), path: path.into(), code, text: text.into() };
+        let (document, path) = (clipped(document).into(), clipped(&path.into()).to_owned());
+        let fault = Fault { document, path, code, text: text.into() };
         if self.listed.contains(&fault) {
             return;
         }
@@ -68,6 +72,11 @@
     }
 }
 
+/// Start of a text, so that names of any length leave a list of bounded size.
+fn clipped(text: &str) -> &str {
+    text.char_indices().nth(PLACE_MAX_CHARS).map_or(text, |(end, _)| &text[..end])
+}
+
 /// Path of a field below `path`.
 pub(crate) fn field(path: &str, key: &str) -> String {
     let plain = !key.is_empty() && key.chars().all(|c| c.is_ascii_alphanumeric() || c == '_' || c == '-');
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -192,6 +192,15 @@
     assert_eq!(faults[200].text, "4800 further faults aren't listed");
 }
 
+#[test]
+fn long_names_leave_a_short_list() {
+    let mut texts = examples("fitters");
+    let fields: BTreeMap<String, u8> = (0..300).map(|index| (format!("field-{index}"), 0)).collect();
+    texts.insert("x".repeat(100_000).into(), json!(fields).to_string());
+    let listed = serde_json::to_string(&faults(&texts)).expect("faults are JSON");
+    assert!(listed.len() < 200_000, "{} bytes", listed.len());
+}
+
 #[test]
 fn deep_nesting_is_refused_as_no_json() {
     let mut texts = examples("fitters");
