--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -197,7 +197,16 @@
     }
 
     /// Takes in a report; a report that arrives late never lowers the version of the same start.
+    ///
+    /// The first report of a start takes the place of every earlier start of the process, whose reports no longer
+    /// count.
     pub fn observe(&mut self, now: Duration, process: Process, enforced: Option<Stamp>) {
+        if !self.reports.contains_key(&process) {
+            if self.reports.keys().any(|known| known.name == process.name && known.boot > process.boot) {
+                return;
+            }
+            self.reports.retain(|known, _| known.name != process.name);
+        }
         let report = self.reports.entry(process).or_insert(Report { enforced, reported_at: now });
         report.reported_at = report.reported_at.max(now);
         if version_of(enforced) > version_of(report.enforced) {
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -266,10 +266,12 @@
         }
     }
 
-    /// Asks for the documents of a version that goes before the one in force; one entry at a time is asked.
+    /// Asks for the documents of a version that goes before the one in force; one entry at a time is asked, and again
+    /// when it announces the version again.
     fn on_enforced(&mut self, entry: BootId, stamp: Stamp) {
-        let is_asked =
-            self.wanted.is_some_and(|(wanted, from)| wanted >= stamp.version && self.links.contains_key(&from));
+        let is_asked = self
+            .wanted
+            .is_some_and(|(wanted, from)| wanted >= stamp.version && from != entry && self.links.contains_key(&from));
         if is_asked || !self.enforced.lacks(stamp) {
             return;
         }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -51,6 +51,11 @@
         Self { number, worker, agent, sender, pending: Arc::new(Mutex::new(Some(Map::default()))) }
     }
 
+    /// The agent as a process that enforces a configuration.
+    fn process(&self) -> rollout::Process {
+        rollout::Process { name: Name::clone(&self.worker), boot: self.agent }
+    }
+
     /// Routes replies about `request` to `frames`; tells whether the link is still open.
     #[must_use]
     pub fn expect(&self, request: RequestId, frames: mpsc::UnboundedSender<Frame>) -> bool {
@@ -125,6 +130,8 @@
     clock: Clock,
     own_domain: Name,
     seed: u64,
+    /// Silence after which a process no longer counts in the rollout.
+    forget_after: Duration,
     /// Counts the links that were opened, so that drivers can wait for the next one.
     opened: watch::Sender<u64>,
 }
@@ -156,7 +163,8 @@
             next_link: 1,
             counters: Counters::default(),
         };
-        Self { inner: Mutex::new(inner), clock, own_domain, seed, opened: watch::Sender::new(0) }
+        let forget_after = bounds.remove_after;
+        Self { inner: Mutex::new(inner), clock, own_domain, seed, forget_after, opened: watch::Sender::new(0) }
     }
 
     /// Takes in the first message of a link and answers it with `welcome`, before anything else is sent on the link.
@@ -202,14 +210,23 @@
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
         let heard = inner.members.heartbeat(now, &link.worker, heartbeat);
+        inner.versions.observe(now, link.process(), None);
         inner.refresh(&link.worker);
         heard == Heard::NeedsFull
     }
 
-    /// Takes in the configuration version that an agent enforces.
-    pub fn enforces(&self, link: &Link, stamp: Stamp) {
-        let process = rollout::Process { name: Name::clone(&link.worker), boot: link.agent };
-        lock(&self.inner).versions.observe(self.clock.now(), process, Some(stamp));
+    /// Takes in the configuration version that an agent enforces, if it knows any.
+    pub fn enforces(&self, link: &Link, stamp: Option<Stamp>) {
+        lock(&self.inner).versions.observe(self.clock.now(), link.process(), stamp);
+    }
+
+    /// Gives the open links to agents that enforce neither `target` nor a higher version.
+    #[must_use]
+    pub fn lagging_links(&self, target: Stamp) -> Vec<Link> {
+        let inner = lock(&self.inner);
+        let laggards = inner.versions.laggards(self.clock.now(), target);
+        let link = |laggard: &rollout::Laggard| inner.links.get(&laggard.process.name).cloned();
+        laggards.iter().filter_map(link).collect()
     }
 
     /// Gives what is known of the versions that agents enforce.
@@ -312,6 +329,7 @@
                 Change::Removed(worker) => inner.remove(&worker),
             }
         }
+        inner.versions.expire(now, self.forget_after);
         for table in inner.tables.values_mut() {
             table.tick(now);
         }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -146,9 +146,7 @@
     };
     match accept_hello(context, &hello, sender) {
         Ok(link) => {
-            if let Some(stamp) = hello.enforced {
-                on_enforced(context, &link, stamp);
-            }
+            on_enforced(context, &link, hello.enforced);
             Ok(link)
         }
         Err(code) => {
@@ -190,7 +188,7 @@
         }
         ToEntry::Request(reply) => deliver(&context.fleet, link, reply),
         ToEntry::Tasks(reports) => (context.on_tasks.0)(link, reports),
-        ToEntry::Enforced(stamp) => on_enforced(context, link, stamp),
+        ToEntry::Enforced(stamp) => on_enforced(context, link, Some(stamp)),
         ToEntry::WantConfiguration => {
             if let Some(configuration) = context.enforced.to_hand_on() {
                 link.post(ToAgent::Configuration(configuration));
@@ -210,9 +208,9 @@
 }
 
 /// Takes in the version that an agent enforces, and asks for its documents when it goes before the entry's.
-fn on_enforced(context: &Context, link: &Link, stamp: Stamp) {
+fn on_enforced(context: &Context, link: &Link, stamp: Option<Stamp>) {
     context.fleet.enforces(link, stamp);
-    if context.enforced.lacks(stamp) {
+    if stamp.is_some_and(|stamp| context.enforced.lacks(stamp)) {
         link.post(ToAgent::WantConfiguration);
     }
 }
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -97,7 +97,9 @@
     context.fleet.with_versions(|versions| Status::new(context.clock.now(), &rollout, versions))
 }
 
-fn store(platform: &Client) -> Store {
+/// Access to the rows of the configuration.
+#[must_use]
+pub fn store(platform: &Client) -> Store {
     let reader = platform.clone();
     let writer = platform.clone();
     Store::new(
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, ToAgent};
-use chervilledge_operator::accept::CURRENT_KEY;
+use chervilledge_operator::accept::{self, CURRENT_KEY};
 use chervilledge_platform::client::Client;
 use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::clock::Clock;
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::entry::fleet::Fleet;
+use crate::entry::operators;
 use crate::rollout::Enforced;
 
 /// Prefix of the rows by which entries announce themselves.
@@ -29,6 +30,9 @@
 /// Time between two looks at the accepted configuration.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two announcements of a version to agents that don't enforce it yet.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Entries that one read gives at most; far above the few that there are.
 const ENTRIES_MAX: usize = 1_000;
 
@@ -80,9 +84,12 @@
     });
     let announce = tokio::spawn(async move {
         let mut changed = context.enforced.subscribe();
-        while changed.changed().await.is_ok() {
+        loop {
+            let waited = tokio::time::timeout(ANNOUNCE_INTERVAL, changed.changed()).await;
             let Some(stamp) = *changed.borrow_and_update() else { continue };
-            for link in context.fleet.links() {
+            // An announcement that didn't fit on its link is made again to those who lag.
+            let links = if waited.is_ok() { context.fleet.links() } else { context.fleet.lagging_links(stamp) };
+            for link in links {
                 link.post(ToAgent::Enforced(stamp));
             }
         }
@@ -129,13 +136,27 @@
 }
 
 async fn poll_configuration(context: &Context) {
-    match context.platform.read_one(CURRENT_KEY).await {
-        Ok(Some(row)) => context.enforced.offer_value(row.value, Source::Table),
-        Ok(None) => {}
-        Err(error) => log::debug!(event = "configuration_unread", error:% = error; ""),
+    let row = match context.platform.read_one(CURRENT_KEY).await {
+        Ok(row) => row,
+        Err(error) => return log::debug!(event = "configuration_unread", error:% = error; ""),
+    };
+    let table_version = row.as_ref().and_then(|row| row.value.get("version")?.as_u64()).unwrap_or(0);
+    if let Some(row) = row {
+        context.enforced.offer_value(row.value, Source::Table);
+    }
+    if context.enforced.stamp().is_some_and(|stamp| stamp.version > table_version) {
+        restore_configuration(context).await;
     }
 }
 
+/// Writes the version in force back to a table that fell behind it; a stale read changes nothing, since the write is
+/// conditional on the rows that were read.
+async fn restore_configuration(context: &Context) {
+    let Some(accepted) = context.enforced.accepted() else { return };
+    let outcome = accept::restore(&operators::store(&context.platform), &accepted).await;
+    log::warn!(event = "configuration_restored", version = accepted.version, outcome:? = outcome; "");
+}
+
 fn tell_agents(fleet: &Fleet, live: &[EntryRow]) {
     for link in fleet.links() {
         link.post(ToAgent::Entries(addresses(live)));
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -97,13 +97,17 @@
     /// Takes in a version that came as JSON text.
     pub fn offer_text(&self, text: &str, source: Source) {
         match serde_json::from_str(text) {
-            Ok(accepted) => self.offer(&accepted, source),
+            Ok(value) => self.offer_value(value, source),
             Err(error) => self.refuse(&error.to_string()),
         }
     }
 
     /// Takes in a version that came as JSON.
     pub fn offer_value(&self, value: Value, source: Source) {
+        // A poll mostly gives the version in force; its documents need no second look.
+        if stamp_of(&value).is_some_and(|stamp| self.is_settled(stamp)) {
+            return;
+        }
         match serde_json::from_value(value) {
             Ok(accepted) => self.offer(&accepted, source),
             Err(error) => self.refuse(&error.to_string()),
@@ -113,11 +117,15 @@
     /// Takes in an accepted version.
     pub fn offer(&self, accepted: &Accepted, source: Source) {
         let stamp = accepted.stamp();
+        // The stamp is judged first, since the documents take milliseconds to hash.
+        if self.is_settled(stamp) {
+            return;
+        }
         if !accepted.is_intact() {
             return self.refuse("the documents don't match their checksum");
         }
         if !self.lacks(stamp) {
-            return self.note_known(stamp, source);
+            return self.note_contradiction(stamp, source);
         }
         match accepted.documents.for_site(&self.site) {
             Ok(document) => self.enforce(accepted, document, source),
@@ -125,11 +133,17 @@
         }
     }
 
-    /// Notes a version that isn't adopted; two documents under one version are reported.
-    fn note_known(&self, stamp: Stamp, source: Source) {
+    /// Tells whether a version is the one in force or an older one.
+    fn is_settled(&self, stamp: Stamp) -> bool {
+        matches!(lock(&self.inner).rollout.judge(stamp), Verdict::Current | Verdict::Older)
+    }
+
+    /// Reports two documents under one version.
+    fn note_contradiction(&self, stamp: Stamp, source: Source) {
         let verdict = lock(&self.inner).rollout.offer(stamp, source);
         if verdict == Verdict::Contradiction {
-            log::error!(event = "configuration_contradiction", refused:% = stamp; "");
+            let code = Code::VersionContradiction.number();
+            log::error!(event = "configuration_contradiction", code = code, refused:% = stamp; "");
         }
     }
 
@@ -160,3 +174,9 @@
         json!({ "site": self.site, "rollout": inner.rollout, "refused": inner.refused })
     }
 }
+
+/// Version and checksum of an accepted version, without a look at its documents.
+fn stamp_of(accepted: &Value) -> Option<Stamp> {
+    let stamp = json!({ "version": accepted.get("version")?, "checksum": accepted.get("checksum")? });
+    serde_json::from_value(stamp).ok()
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
 pub mod cluster;
+pub mod operator;
+pub mod watch;
 
 use std::collections::BTreeMap;
 use std::fs;
