Name every fault of settings, prove secrets, and add workers, drain and explain

Ruled out: a path-tracking parse by a further library; the walk that checks configurations does it. The comment on repeated announcements in src/entry/peers.rs is corrected: a message that finds its link full waits and isn't lost; what the repetition mends is a link that was being opened when the announcement was made.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod documents;
 pub mod fault;
+pub mod form;
 pub mod listen;
 pub mod metrics;
 pub mod overlay;
--- a/crates/operator/src/shape.rs
+++ b/crates/operator/src/shape.rs
@@ -4,6 +4,7 @@
 //! with [`crate::config`].
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use chervilledge_policy::code::Code;
 use serde_json::{Map, Value};
@@ -14,6 +15,8 @@
 const NAME_MAX_BYTES: usize = 63;
 /// Longest time in a document, in milliseconds: one year.
 const TIME_MAX_MS: u64 = 365 * 24 * 3600 * 1000;
+/// Longest text in settings, such as a path.
+const TEXT_MAX_BYTES: usize = 1024;
 /// Longest unknown key that a fault quotes.
 const KEY_QUOTED_CHARS: usize = 80;
 /// HTTP methods that RFC 9110 defines as idempotent; other requests need an idempotency key instead.
@@ -32,6 +35,18 @@
     MethodList,
     /// `true` or `false`.
     Flag,
+    /// Text of bounded length, not empty.
+    Text,
+    /// IP address with a port.
+    Address,
+    /// List of addresses, at least one.
+    AddressList,
+    /// List of secrets, at least one, each a value or the file that holds it.
+    SecretList,
+    /// Field that may be absent.
+    Optional(&'static Shape),
+    /// Object with the given fields, none of which is required.
+    Defaults(&'static [(&'static str, Shape)]),
     /// Whole number within bounds.
     Whole {
         /// Least value.
@@ -41,12 +56,15 @@
     },
 }
 
-const COUNT: Shape = Shape::Whole { min: 0, max: u32::MAX as u64 };
-const POSITIVE: Shape = Shape::Whole { min: 1, max: u32::MAX as u64 };
-const AMOUNT: Shape = Shape::Whole { min: 0, max: 1 << 60 };
-const TIME_MS: Shape = Shape::Whole { min: 1, max: TIME_MAX_MS };
+/// Secret in settings; the typed form takes one of the two fields.
+const SECRET: Shape = Shape::Defaults(&[("value", Shape::Text), ("file", Shape::Text)]);
 
-const RESOURCES: Shape =
+pub(crate) const COUNT: Shape = Shape::Whole { min: 0, max: u32::MAX as u64 };
+pub(crate) const POSITIVE: Shape = Shape::Whole { min: 1, max: u32::MAX as u64 };
+pub(crate) const AMOUNT: Shape = Shape::Whole { min: 0, max: 1 << 60 };
+pub(crate) const TIME_MS: Shape = Shape::Whole { min: 1, max: TIME_MAX_MS };
+
+pub(crate) const RESOURCES: Shape =
     Shape::Object(&[("processor_millicores", AMOUNT), ("memory_bytes", AMOUNT), ("accelerators", COUNT)]);
 
 const SERVICE: Shape = Shape::Object(&[
@@ -138,6 +156,12 @@
             (Shape::NameList, Value::Array(list)) => self.name_list(list, path),
             (Shape::MethodList, Value::Array(list)) => self.method_list(list, path),
             (Shape::Flag, Value::Bool(_)) => {}
+            (Shape::Text, Value::String(text)) => self.text(text, path),
+            (Shape::Address, Value::String(text)) => self.address(text, path),
+            (Shape::AddressList, Value::Array(list)) => self.list(list, &Shape::Address, path),
+            (Shape::SecretList, Value::Array(list)) => self.list(list, &SECRET, path),
+            (Shape::Optional(inner), value) => self.value(value, inner, path),
+            (Shape::Defaults(fields), Value::Object(object)) => self.fields(object, fields, path),
             (Shape::Whole { min, max }, Value::Number(number)) => match number.as_u64() {
                 Some(whole) => self.whole(whole, *min, *max, path),
                 None => self.number(number, path),
@@ -147,17 +171,46 @@
     }
 
     fn object(&mut self, object: &Map<String, Value>, fields: &[(&str, Shape)], path: &str) {
+        self.fields(object, fields, path);
+        if self.partial {
+            return;
+        }
+        let is_absent = |(known, shape): &&(&str, Shape)| {
+            !object.contains_key(*known) && !matches!(shape, Shape::Optional(_) | Shape::Defaults(_))
+        };
+        for (known, _) in fields.iter().filter(is_absent) {
+            self.push(&field(path, known), Code::MissingField, "the field is required");
+        }
+    }
+
+    fn fields(&mut self, object: &Map<String, Value>, fields: &[(&str, Shape)], path: &str) {
         for (key, value) in object {
             match fields.iter().find(|(known, _)| known == key) {
                 Some((_, shape)) => self.value(value, shape, &field(path, key)),
                 None => self.unknown_field(key, fields, path),
             }
         }
-        if self.partial {
-            return;
+    }
+
+    fn list(&mut self, list: &[Value], inner: &Shape, path: &str) {
+        if list.is_empty() {
+            self.push(path, Code::OutOfRange, "at least one element is required");
         }
-        for (known, _) in fields.iter().filter(|(known, _)| !object.contains_key(*known)) {
-            self.push(&field(path, known), Code::MissingField, "the field is required");
+        for (index, value) in list.iter().enumerate() {
+            self.value(value, inner, &element(path, index));
+        }
+    }
+
+    fn text(&mut self, text: &str, path: &str) {
+        if !(1..=TEXT_MAX_BYTES).contains(&text.len()) || text.chars().any(char::is_control) {
+            let wanted = format!("1 to {TEXT_MAX_BYTES} bytes without control characters are allowed");
+            self.push(path, Code::OutOfRange, &wanted);
+        }
+    }
+
+    fn address(&mut self, text: &str, path: &str) {
+        if text.parse::<SocketAddr>().is_err() {
+            self.push(path, Code::WrongType, "an IP address with a port is expected, such as 10.1.0.5:7100");
         }
     }
 
@@ -242,8 +295,11 @@
 
     fn wrong_type(&mut self, value: &Value, shape: &Shape, path: &str) {
         let wanted = match shape {
-            Shape::Object(_) | Shape::Names(_) => "an object",
-            Shape::NameList | Shape::MethodList => "a list",
+            Shape::Object(_) | Shape::Names(_) | Shape::Defaults(_) => "an object",
+            Shape::NameList | Shape::MethodList | Shape::AddressList | Shape::SecretList => "a list",
+            Shape::Text => "text",
+            Shape::Address => "an IP address with a port",
+            Shape::Optional(inner) => return self.wrong_type(value, inner, path),
             Shape::Flag => "true or false",
             Shape::Whole { .. } => "a whole number",
         };
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -6,19 +6,22 @@
 mod args;
 mod check;
 mod client;
+mod drain;
 mod dump;
 mod error;
+mod explain;
 mod history;
 mod plan;
 mod status;
 pub mod timestamp;
+mod workers;
 
 pub use error::{Error, exit_status};
 
 const USAGE: &str = "\
 Usage: chervilledge COMMAND [ARGUMENTS] [OPTIONS]
 
-Reviews, accepts and observes the configuration of the scheduler.
+Reviews, accepts and observes the configuration of the scheduler, and shows what the scheduler does.
 
 Commands:
     check      Find every fault of a directory of documents
@@ -26,6 +29,9 @@
     accept     Accept a plan
     history    List accepted versions or print one of them
     status     Show which processes don't enforce the accepted version yet
+    workers    List the workers
+    drain      Tell a worker to take no new work
+    explain    Tell what happened to a request and why
     dump       Print the state of a process
 
 Options:
@@ -44,10 +50,13 @@
 const COMMANDS: &[(&str, Run)] = &[
     ("accept", accept::run),
     ("check", check::run),
+    ("drain", drain::run),
     ("dump", dump::run),
+    ("explain", explain::run),
     ("history", history::run),
     ("plan", plan::run),
     ("status", status::run),
+    ("workers", workers::run),
 ];
 
 /// Runs the command with its arguments and gives the exit status.
--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -47,6 +47,16 @@
     }
 }
 
+/// The only free argument, as the end of a path.
+pub(crate) fn path_argument(matches: &Matches, usage: &str) -> Result<String, Error> {
+    let argument = one_argument(matches, usage)?.to_string_lossy().into_owned();
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | '/');
+    if !argument.is_empty() && argument.chars().all(is_plain) {
+        return Ok(argument);
+    }
+    Err(Error::Usage(format!("{argument:?} has characters that no name or identifier has\n\n{usage}")))
+}
+
 /// Refuses free arguments.
 pub(crate) fn no_argument(matches: &Matches, usage: &str) -> Result<(), Error> {
     match matches.free.first() {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -87,7 +87,7 @@
         loop {
             let waited = tokio::time::timeout(ANNOUNCE_INTERVAL, changed.changed()).await;
             let Some(stamp) = *changed.borrow_and_update() else { continue };
-            // An announcement that didn't fit on its link is made again to those who lag.
+            // A link that was being opened may have missed the announcement, so it is made again to those who lag.
             let links = if waited.is_ok() { context.fleet.links() } else { context.fleet.lagging_links(stamp) };
             for link in links {
                 link.post(ToAgent::Enforced(stamp));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,7 +7,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use chervilledge_operator::secret::Source;
+use chervilledge_operator::form::{self, Role};
+use chervilledge_operator::secret::{self, Secrets, Source};
 use chervilledge_policy::capacity::Capacity;
 use chervilledge_policy::id::Name;
 use serde::Deserialize;
@@ -144,8 +145,12 @@
 pub enum Error {
     /// The file can't be read.
     Io(PathBuf, io::Error),
-    /// The file isn't valid.
-    Json(PathBuf, serde_json::Error),
+    /// The file doesn't have the expected form.
+    Form(Vec<chervilledge_operator::fault::Fault>),
+    /// The file has the expected form, but a value can't be taken.
+    Value(PathBuf, serde_json::Error),
+    /// A list of secrets can't be taken; its JSON path is given.
+    Secret(&'static str, secret::Error),
     /// Values that don't fit together, each with its JSON path.
     Faults(Vec<Fault>),
 }
@@ -163,7 +168,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(path, error) => write!(f, "{}: {error}", path.display()),
-            Self::Json(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Form(faults) => {
+                let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                f.write_str(&lines.join("\n"))
+            }
+            Self::Value(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Secret(path, error) => write!(f, "{path}: {error}"),
             Self::Faults(faults) => {
                 let lines: Vec<String> = faults.iter().map(|fault| format!("{}: {}", fault.path, fault.text)).collect();
                 f.write_str(&lines.join("\n"))
@@ -180,12 +190,13 @@
 ///
 /// Every fault of the file.
 pub fn read_entry(path: &Path) -> Result<Entry, Error> {
-    let settings: Entry = read(path)?;
+    let settings: Entry = read(path, Role::Entry)?;
     let mut faults = settings.bounds.faults();
     push_if(&mut faults, settings.name.is_empty(), "$.name", "is empty");
     push_if(&mut faults, settings.failure_domain.is_empty(), "$.failure_domain", "is empty");
     push_if(&mut faults, settings.link_secrets.is_empty(), "$.link_secrets", "holds no secret");
     push_if(&mut faults, settings.operator_secrets.is_empty(), "$.operator_secrets", "holds no secret");
+    check_secrets(&settings.link_secrets, &settings.operator_secrets)?;
     finish(settings, faults)
 }
 
@@ -195,7 +206,7 @@
 ///
 /// Every fault of the file.
 pub fn read_agent(path: &Path) -> Result<Agent, Error> {
-    let settings: Agent = read(path)?;
+    let settings: Agent = read(path, Role::Agent)?;
     let mut faults = settings.bounds.faults();
     push_if(&mut faults, settings.worker.is_empty(), "$.worker", "is empty");
     push_if(&mut faults, settings.service.is_empty(), "$.service", "is empty");
@@ -211,6 +222,7 @@
     push_if(&mut faults, settings.links_max == 0, "$.links_max", "is zero");
     push_if(&mut faults, settings.link_secrets.is_empty(), "$.link_secrets", "holds no secret");
     push_if(&mut faults, settings.operator_secrets.is_empty(), "$.operator_secrets", "holds no secret");
+    check_secrets(&settings.link_secrets, &settings.operator_secrets)?;
     finish(settings, faults)
 }
 
@@ -242,9 +254,18 @@
     }
 }
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+fn read<T: DeserializeOwned>(path: &Path, role: Role) -> Result<T, Error> {
     let text = fs::read_to_string(path).map_err(|error| Error::Io(path.to_owned(), error))?;
-    serde_json::from_str(&text).map_err(|error| Error::Json(path.to_owned(), error))
+    let name = path.file_stem().unwrap_or_default().to_string_lossy();
+    let value = form::parse(&name, &text, role).map_err(Error::Form)?;
+    serde_json::from_value(value).map_err(|error| Error::Value(path.to_owned(), error))
+}
+
+fn check_secrets(link_secrets: &[Source], operator_secrets: &[Source]) -> Result<(), Error> {
+    let lists = [("$.link_secrets", link_secrets), ("$.operator_secrets", operator_secrets)];
+    lists
+        .into_iter()
+        .try_for_each(|(path, sources)| Secrets::open(sources).map(drop).map_err(|error| Error::Secret(path, error)))
 }
 
 fn push_if(faults: &mut Vec<Fault>, is_fault: bool, path: &'static str, text: &'static str) {
--- a/tests/cmd_check.rs
+++ b/tests/cmd_check.rs
@@ -61,10 +61,13 @@
 #[rstest]
 #[case("accept")]
 #[case("check")]
+#[case("drain")]
 #[case("dump")]
+#[case("explain")]
 #[case("history")]
 #[case("plan")]
 #[case("status")]
+#[case("workers")]
 fn every_command_has_a_help_with_an_example(#[case] command: &str) {
     let dir = WorkDir::new(&format!("help_{command}"));
     let run = dir.run(&format!("{command} --help"));
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -251,3 +251,21 @@
     wait_for_version(&entry.process, "entry", 1).await;
     wait_for_version(&agent, "agent", 1).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_cannot_enforce_the_version_is_named() {
+    let mut cluster = cluster::start(1, 1).await;
+    cluster.add_worker("worker-elsewhere", |settings| settings["site"] = serde_json::json!("nowhere")).await;
+    let cluster = &cluster;
+    wait_until("status names the agent", || async move {
+        let laggards = status(cluster).await["laggards"].clone();
+        laggards[0]["process"]["name"] == "worker-elsewhere" && laggards[0]["enforced"].is_null()
+    })
+    .await;
+    let operators = cluster.workers[1].agent.address("operators_address");
+    wait_until("the agent refuses the version", || async move {
+        state(operators).await["agent"]["configuration"]["refused"].as_u64() > Some(0)
+    })
+    .await;
+    assert_eq!(state(operators).await["agent"]["load"]["ready"], false);
+}
