Test that a claim which is known too late is released

Cause: taking the release out of src/entry/keys.rs failed no test. Ruled out: a late effect of the write itself, which the fence of the platform's client already turns into not done. Change: a test with a slow platform that loses one reply, so that the claim is proved after its bound. Conclusion: the release has a test of its own.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -208,3 +208,22 @@
     .await;
     assert_eq!(cluster.executed(), ["/order"]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_that_takes_effect_late_is_released() {
+    let cluster = cluster::start(1, 1).await;
+    // The write takes effect and its reply is lost; the read that proves it ends after the bound on a claim.
+    let slow = Duration::from_millis(850);
+    cluster.platform.control(PlatformFaults { lose_reply_next: 1, slow, ..PlatformFaults::default() });
+    let callers = cluster.entries[0].callers();
+    let refused = send(callers, "POST", "/portal/order", &[(KEY, "order-12")], Vec::new()).await.expect("answer");
+    assert_eq!(refused.outcome(), Some("not-run"), "{refused:?}");
+    cluster.platform.control(PlatformFaults::default());
+
+    harness::wait_until("the key is free", || async {
+        let retry = send(callers, "POST", "/portal/order", &[(KEY, "order-12")], Vec::new()).await.expect("answer");
+        retry.status == 200
+    })
+    .await;
+    assert_eq!(cluster.executed(), ["/order"]);
+}
