--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -104,6 +104,8 @@
     pub links_opened: u64,
     /// Links that ended.
     pub links_closed: u64,
+    /// Connections that were refused before they became a link.
+    pub links_refused: u64,
     /// Replies that no driver waited for.
     pub late_replies: u64,
 }
@@ -297,6 +299,11 @@
         lock(&self.inner).links.values().cloned().collect()
     }
 
+    /// Counts a connection that was refused before it became a link.
+    pub fn count_refused_link(&self) {
+        lock(&self.inner).counters.links_refused += 1;
+    }
+
     /// Counts a reply that no driver waited for.
     pub fn count_late_reply(&self) {
         lock(&self.inner).counters.late_replies += 1;
@@ -334,6 +341,7 @@
             "workers": workers,
             "links_opened": counters.links_opened,
             "links_closed": counters.links_closed,
+            "links_refused": counters.links_refused,
             "late_replies": counters.late_replies,
         })
     }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -117,17 +117,11 @@
     let opened = connection::accept(stream, move |secret| secrets.accepts(secret.as_bytes())).await;
     let (sender, mut receiver) = match opened {
         Ok(halves) => halves,
-        Err(error) => {
-            log::warn!(event = "link_refused", code = error.code().number(), error:% = error; "");
-            return;
-        }
+        Err(error) => return note_refused(&context.fleet, &error),
     };
     let link = match introduce(&context, &sender, &mut receiver).await {
         Ok(link) => link,
-        Err(error) => {
-            log::warn!(event = "link_refused", code = error.code().number(), error:% = error; "");
-            return;
-        }
+        Err(error) => return note_refused(&context.fleet, &error),
     };
     log::info!(event = "link_opened", worker = &*link.worker, link = link.number; "");
     let heartbeats = tokio::spawn(send_heartbeats(sender, context.settings.heartbeat_interval));
@@ -140,6 +134,11 @@
     );
 }
 
+fn note_refused(fleet: &Fleet, error: &Error) {
+    fleet.count_refused_link();
+    log::warn!(event = "link_refused", code = error.code().number(), error:% = error; "");
+}
+
 async fn introduce(context: &Context, sender: &Sender<ToAgent>, receiver: &mut Receiver) -> Result<Link, Error> {
     let ToEntry::Hello(hello) = receiver.receive(context.settings.silence).await? else {
         return Err(Error::Decode("first message isn't an announcement".to_owned()));
