--- a/crates/policy/tests/exchange.rs
+++ b/crates/policy/tests/exchange.rs
@@ -163,7 +163,9 @@
     }
 
     fn run(&mut self) {
+        const DELIVERIES_MAX: u64 = 100_000;
         while let Some(((at, _), delivery)) = self.deliveries.pop_first() {
+            assert!(self.sequence < DELIVERIES_MAX, "the world doesn't come to rest");
             self.now = at;
             self.deliver(delivery);
         }
