Leave room in the queues for latency-critical requests under overload

Cause: in the load wave the entry refused latency-critical requests because it counted queued batch requests against the hard limit. Ruled out: sending latency-critical requests to full backend servers so that the agents displace batch (floods the agents once only latency-critical work is left). Change: Table::choose_batch keeps batch out of all but a part of the queue; the benchmark gives the latency of latency-critical and batch requests apart.

--- a/crates/policy/benches/routing/simulation.rs
+++ b/crates/policy/benches/routing/simulation.rs
@@ -94,6 +94,8 @@
     chooser: Chooser,
     deliveries: BinaryHeap<Reverse<(u64, u64, usize)>>,
     entries: Vec<Entry>,
+    batch_latency_us: Histogram<u64>,
+    /// Latency of latency-critical requests.
     latency_us: Histogram<u64>,
     now_us: u64,
     /// Dispatch to its entry and request.
@@ -153,6 +155,7 @@
             chooser,
             deliveries: BinaryHeap::new(),
             entries: (0..ENTRIES).map(entry).collect(),
+            batch_latency_us: Histogram::new(3).expect("three digits are supported"),
             latency_us: Histogram::new(3).expect("three digits are supported"),
             now_us: 0,
             owners: Map::default(),
@@ -296,7 +299,11 @@
     fn choose(&mut self, at: usize, number: u64) -> Result<Choice, Code> {
         let now = self.now();
         let entry = &mut self.entries[at];
-        let excluded = entry.pending[&number].request.excluded();
+        let pending = &entry.pending[&number];
+        let excluded = pending.request.excluded();
+        if self.chooser == Chooser::Policy && pending.batch {
+            return entry.table.choose_batch(now, excluded, &mut self.rng);
+        }
         if self.chooser == Chooser::Policy {
             return entry.table.choose(now, excluded, &mut self.rng);
         }
@@ -424,7 +431,8 @@
         match end {
             End::Answered if pending.succeeded => {
                 self.tally.succeeded += 1;
-                self.latency_us.record(self.now_us - pending.arrived_us).expect("the histogram resizes");
+                let latency_us = if pending.batch { &mut self.batch_latency_us } else { &mut self.latency_us };
+                latency_us.record(self.now_us - pending.arrived_us).expect("the histogram resizes");
             }
             End::Answered => self.tally.failed += 1,
             End::NotRun { .. } => {
@@ -438,14 +446,16 @@
     fn print(&self) {
         let quantile_ms =
             |quantile| Duration::from_micros(self.latency_us.value_at_quantile(quantile)).as_secs_f64() * 1_000.0;
+        let batch_p99 = Duration::from_micros(self.batch_latency_us.value_at_quantile(0.99));
         let seconds = Duration::from_micros(RUN_US - WARM_UP_US).as_secs();
         println!(
-            "{:<14} {:<11} {:>8.1} {:>8.1} {:>8.1} {:>12} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8}",
+            "{:<14} {:<11} {:>8.1} {:>8.1} {:>8.1} {:>9.1} {:>12} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8}",
             format!("{:?}", self.scenario),
             format!("{:?}", self.chooser),
             quantile_ms(0.5),
             quantile_ms(0.99),
             quantile_ms(0.999),
+            batch_p99.as_secs_f64() * 1_000.0,
             self.tally.succeeded / seconds,
             self.tally.offered,
             self.tally.refused,
@@ -465,12 +475,13 @@
 pub fn print() {
     println!("\n{WORKERS} workers of {SLOTS} slots, {ENTRIES} entries, mean service {MEAN_SERVICE_US} us");
     println!(
-        "{:<14} {:<11} {:>8} {:>8} {:>8} {:>12} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8}",
+        "{:<14} {:<11} {:>8} {:>8} {:>8} {:>9} {:>12} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8}",
         "scenario",
         "chooser",
         "p50_ms",
         "p99_ms",
         "p999_ms",
+        "batch_p99",
         "goodput_rps",
         "offered",
         "refused",
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -21,6 +21,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
+    /// Part of a backend server's queue up to which batch requests are sent to it, from 0 to 100; the rest is kept for
+    /// latency-critical requests.
+    pub batch_queue_percent: u32,
     /// Another failure domain is chosen when the own one costs more than this many times as much; at least 1.
     pub clearly_worse_ratio: f64,
     /// Time in which the weight of a latency sample halves; positive.
@@ -38,6 +41,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            batch_queue_percent: 25,
             clearly_worse_ratio: 1.5,
             latency_half_life: Duration::from_secs(2),
             latency_floor: Duration::from_millis(1),
@@ -68,6 +72,15 @@
     Cancelled,
 }
 
+/// Requests that a backend server may hold.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// Slots plus queue; the load is kept below it.
+    all: u32,
+    /// Load from which no batch request is sent; at most `all`.
+    batch: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Backend {
     choice: Choice,
@@ -75,8 +88,7 @@
     near: bool,
     /// Takes new requests: live and not draining.
     open: bool,
-    /// Slots plus queue; `others + own` is kept below it.
-    limit: u32,
+    limits: Limits,
     /// Requests of other entries, by the latest heartbeat.
     others: u32,
     /// Requests of this entry that haven't finished.
@@ -95,8 +107,12 @@
         self.others.saturating_add(self.own)
     }
 
+    fn has_room_for_batch(&self) -> bool {
+        self.load() < self.limits.batch
+    }
+
     fn available(&self) -> bool {
-        self.open && self.load() < self.limit && !self.health.is_ejected()
+        self.open && self.load() < self.limits.all && !self.health.is_ejected()
     }
 }
 
@@ -139,21 +155,31 @@
     ///
     /// Another start of the agent begins with no load and no history.
     pub fn upsert(&mut self, now: Duration, announcement: &Announcement) {
-        let limit = announcement.capacity.slots.saturating_add(announcement.queue);
+        let limits = self.limits(announcement);
         let near = announcement.failure_domain == self.own_domain;
         if let Some(&at) = self.index.get(&announcement.worker) {
             let known = &self.backends[at as usize];
             if known.choice.agent_boot == announcement.agent_boot && known.near == near {
-                self.backends[at as usize].limit = limit;
+                self.backends[at as usize].limits = limits;
                 self.place(at);
                 return;
             }
             self.remove(&announcement.worker);
         }
-        self.insert(now, announcement, near, limit);
+        self.insert(now, announcement, near, limits);
+    }
+
+    fn limits(&self, announcement: &Announcement) -> Limits {
+        let slots = announcement.capacity.slots;
+        let queue_for_batch = announcement.queue / 100 * self.settings.batch_queue_percent
+            + announcement.queue % 100 * self.settings.batch_queue_percent / 100;
+        Limits {
+            all: slots.saturating_add(announcement.queue),
+            batch: slots.saturating_add(queue_for_batch.min(announcement.queue)),
+        }
     }
 
-    fn insert(&mut self, now: Duration, announcement: &Announcement, near: bool, limit: u32) {
+    fn insert(&mut self, now: Duration, announcement: &Announcement, near: bool, limits: Limits) {
         let at = to_index(self.backends.len());
         let worker = Name::clone(&announcement.worker);
         self.index.insert(Name::clone(&worker), at);
@@ -161,7 +187,7 @@
             choice: Choice { worker, agent_boot: announcement.agent_boot },
             near,
             open: true,
-            limit,
+            limits,
             others: 0,
             own: 0,
             latency_s: None,
@@ -227,6 +253,17 @@
         Ok(self.backends[at as usize].choice.clone())
     }
 
+    /// Chooses a backend server for a batch request, which leaves room in the queues for latency-critical ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Table::choose`]; also [`Code::Overloaded`] if the chosen one has no room for batch.
+    pub fn choose_batch(&self, now: Duration, excluded: &[Name], rng: &mut impl Rng) -> Result<Choice, Code> {
+        let choice = self.choose(now, excluded, rng)?;
+        let has_room = self.find(&choice).is_some_and(|at| self.backends[at as usize].has_room_for_batch());
+        if has_room { Ok(choice) } else { Err(Code::Overloaded) }
+    }
+
     fn reason_for_none(&self) -> Code {
         if self.open > 0 { Code::Overloaded } else { Code::NoBackendServer }
     }
