--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -204,7 +204,8 @@
             return;
         }
         self.choosing = false;
-        self.cause = (code, retry_after);
+        // An agent that refused the request knows the wait better than the entry.
+        self.cause = (code, retry_after.max(self.cause.1));
         // Nothing that a retry could do differently: the choice saw every backend server.
         if self.live.is_empty() {
             self.give_up_for(retries, actions);
--- a/crates/policy/tests/request.rs
+++ b/crates/policy/tests/request.rs
@@ -99,6 +99,18 @@
     assert!(retry_after >= Duration::from_secs(2), "{retry_after:?}");
 }
 
+#[test]
+fn a_refusal_by_the_only_agent_sets_when_to_come_back() {
+    let (mut request, mut retries) = dispatched(false, Settings::default());
+    give(&mut request, &mut retries, &not_started(1));
+    let wake_at = request.wake_at().expect("a retry is due");
+    request.on(wake_at, &Event::Tick, &mut retries);
+    let event = Event::NotDispatched { code: Code::Overloaded, retry_after: Duration::ZERO };
+    let actions = give(&mut request, &mut retries, &event);
+    let [Action::Finish(End::NotRun { retry_after, .. })] = actions[..] else { panic!("{actions:?}") };
+    assert!(retry_after >= Duration::from_secs(2), "{retry_after:?}");
+}
+
 #[rstest]
 #[case(Outcome::AnswerLost)]
 #[case(Outcome::Forgotten)]
