Put changed limits in force without a restart

Cause: an accepted configuration has to be in force within seconds, and the limits were fixed when the state was made. Ruled out: making the state anew (it would forget outcomes and own requests). Change: set_settings in admission, routing, outlier and retries; the room for batch follows the settings in force. Conclusion: ready for the configuration to call.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -149,16 +149,11 @@
     #[must_use]
     pub fn open(agent_boot: BootId, settings: Settings) -> Self {
         const MEAN_SERVICE_START: Duration = Duration::from_millis(10);
-        let bounds = outcomes::Bounds {
-            keep_for: settings.keep_outcomes_for,
-            outcomes_max: settings.outcomes_max,
-            entries_max: settings.entries_max,
-        };
         Self {
             agent_boot,
             draining: false,
             mean_service: MEAN_SERVICE_START,
-            outcomes: Outcomes::new(bounds),
+            outcomes: Outcomes::new(bounds(&settings)),
             queued_batch: VecDeque::new(),
             queued_critical: VecDeque::new(),
             ready: false,
@@ -167,6 +162,15 @@
         }
     }
 
+    /// Puts other limits in force; what runs beyond them goes on, and nothing starts until it is below them.
+    pub fn set_settings(&mut self, now: Duration, settings: Settings) -> Vec<Action> {
+        self.settings = settings;
+        self.outcomes.set_bounds(bounds(&settings));
+        let mut actions = Vec::new();
+        self.fill(now, &mut actions);
+        actions
+    }
+
     /// Notes whether the backend server takes requests.
     pub fn set_ready(&mut self, ready: bool) {
         self.ready = ready;
@@ -442,6 +446,14 @@
     }
 }
 
+fn bounds(settings: &Settings) -> outcomes::Bounds {
+    outcomes::Bounds {
+        keep_for: settings.keep_outcomes_for,
+        outcomes_max: settings.outcomes_max,
+        entries_max: settings.entries_max,
+    }
+}
+
 fn expiry(now: Duration, waiting: &Waiting) -> Option<Code> {
     if now >= waiting.deadline {
         Some(Code::DeadlineBeforeStart)
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -76,7 +76,8 @@
     Head {
         /// Answered dispatch.
         origin: Origin,
-        /// Length that the headers declare.
+        /// Length of the body that follows, if the headers declare it; zero for an answer that has no body, whatever
+        /// its headers say.
         length_bytes: Option<u64>,
     },
     /// Part of the answer's body.
--- a/crates/policy/src/outcomes.rs
+++ b/crates/policy/src/outcomes.rs
@@ -63,6 +63,11 @@
         Self { bounds, kept: Map::default(), order: VecDeque::new(), floors: Map::default(), dropped_boot: None }
     }
 
+    /// Puts other bounds in force, from the next outcome on.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Looks an outcome up.
     #[must_use]
     pub fn get(&self, id: RequestId) -> Option<Outcome> {
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -145,6 +145,11 @@
         Self { out: 0, service: Rate::new(Duration::ZERO), settings }
     }
 
+    /// Puts other bounds in force; ejections that have begun keep their length.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes in one end of a request on a service of `total` backend servers, and judges the record.
     pub fn observe(&mut self, now: Duration, record: &mut Record, succeeded: bool, total: u32) -> Option<Change> {
         record.failures = if succeeded { 0 } else { record.failures.saturating_add(1) };
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -71,6 +71,12 @@
         Self { rng: StdRng::seed_from_u64(seed), settings, tokens: settings.budget_max }
     }
 
+    /// Puts other limits in force.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.tokens = self.tokens.min(settings.budget_max);
+    }
+
     /// Limits in force.
     #[must_use]
     pub fn settings(&self) -> &Settings {
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -75,10 +75,21 @@
 /// Requests that a backend server may hold.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
-    /// Slots plus queue; the load is kept below it.
-    all: u32,
-    /// Load from which no batch request is sent; at most `all`.
-    batch: u32,
+    queue: u32,
+    slots: u32,
+}
+
+impl Limits {
+    /// The load is kept below it.
+    fn all(self) -> u32 {
+        self.slots.saturating_add(self.queue)
+    }
+
+    /// Load from which no batch request is sent; at most [`Limits::all`].
+    fn batch(self, queue_percent: u32) -> u32 {
+        let queue = u64::from(self.queue) * u64::from(queue_percent.min(100)) / 100;
+        self.slots.saturating_add(u32::try_from(queue).unwrap_or(self.queue))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -107,12 +118,8 @@
         self.others.saturating_add(self.own)
     }
 
-    fn has_room_for_batch(&self) -> bool {
-        self.load() < self.limits.batch
-    }
-
     fn available(&self) -> bool {
-        self.open && self.load() < self.limits.all && !self.health.is_ejected()
+        self.open && self.load() < self.limits.all() && !self.health.is_ejected()
     }
 }
 
@@ -151,11 +158,17 @@
         }
     }
 
+    /// Puts other weights in force.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.detector.set_settings(settings.outlier);
+        self.settings = settings;
+    }
+
     /// Adds a backend server, or takes over a changed announcement of it.
     ///
     /// Another start of the agent begins with no load and no history.
     pub fn upsert(&mut self, now: Duration, announcement: &Announcement) {
-        let limits = self.limits(announcement);
+        let limits = Limits { queue: announcement.queue, slots: announcement.capacity.slots };
         let near = announcement.failure_domain == self.own_domain;
         if let Some(&at) = self.index.get(&announcement.worker) {
             let known = &self.backends[at as usize];
@@ -169,16 +182,6 @@
         self.insert(now, announcement, near, limits);
     }
 
-    fn limits(&self, announcement: &Announcement) -> Limits {
-        let slots = announcement.capacity.slots;
-        let queue_for_batch = announcement.queue / 100 * self.settings.batch_queue_percent
-            + announcement.queue % 100 * self.settings.batch_queue_percent / 100;
-        Limits {
-            all: slots.saturating_add(announcement.queue),
-            batch: slots.saturating_add(queue_for_batch.min(announcement.queue)),
-        }
-    }
-
     fn insert(&mut self, now: Duration, announcement: &Announcement, near: bool, limits: Limits) {
         let at = to_index(self.backends.len());
         let worker = Name::clone(&announcement.worker);
@@ -260,10 +263,15 @@
     /// As [`Table::choose`]; also [`Code::Overloaded`] if the chosen one has no room for batch.
     pub fn choose_batch(&self, now: Duration, excluded: &[Name], rng: &mut impl Rng) -> Result<Choice, Code> {
         let choice = self.choose(now, excluded, rng)?;
-        let has_room = self.find(&choice).is_some_and(|at| self.backends[at as usize].has_room_for_batch());
+        let has_room = self.find(&choice).is_some_and(|at| self.has_room_for_batch(at));
         if has_room { Ok(choice) } else { Err(Code::Overloaded) }
     }
 
+    fn has_room_for_batch(&self, at: u32) -> bool {
+        let backend = &self.backends[at as usize];
+        backend.load() < backend.limits.batch(self.settings.batch_queue_percent)
+    }
+
     fn reason_for_none(&self) -> Code {
         if self.open > 0 { Code::Overloaded } else { Code::NoBackendServer }
     }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -94,6 +94,16 @@
     assert_eq!(refused(&actions), [(id(2), Code::Overloaded)]);
 }
 
+#[test]
+fn other_limits_hold_from_the_next_start() {
+    let mut admission = full();
+    assert_eq!(admission.set_settings(NOW, Settings { slots: 1, ..settings() }), []);
+    assert_eq!(admission.finished(NOW, id(1), Finished::Ran), []);
+    assert_eq!(admission.finished(NOW, id(2), Finished::Ran), [Action::Start(id(3))]);
+    let actions = admission.set_settings(NOW, Settings { slots: 3, ..settings() });
+    assert_eq!(actions, [Action::Start(id(4))]);
+}
+
 #[test]
 fn the_wait_for_a_slot_is_bounded() {
     let mut admission = full();
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -103,6 +103,8 @@
     set_load(&mut table, "near-0", 3);
     assert_eq!(table.choose_batch(NOW, &[], &mut rng), Err(Code::Overloaded));
     assert_eq!(table.choose(NOW, &[], &mut rng), Ok(choice("near-0")));
+    table.set_settings(Settings { batch_queue_percent: 50, ..Settings::default() });
+    assert_eq!(table.choose_batch(NOW, &[], &mut rng), Ok(choice("near-0")));
 }
 
 #[test]
