Begin the simulated faults after the warm-up of the benchmark

Cause: the odd worker failed from the start, so the two seconds that the results leave out held most of the time until it was noticed. Ruled out: counting the warm-up in (it would count the empty tables too). Change: the odd worker is like the others for the first five seconds.

--- a/crates/policy/benches/routing/simulation.rs
+++ b/crates/policy/benches/routing/simulation.rs
@@ -32,6 +32,8 @@
 const RUN_US: u64 = 30_000_000;
 /// Results of the first seconds are left out, while the tables are empty.
 const WARM_UP_US: u64 = 2_000_000;
+/// The odd worker is like the others before, so that the results hold the time until it is noticed.
+const FAULT_FROM_US: u64 = 5_000_000;
 const DEADLINE_US: u64 = 1_000_000;
 const BATCH_PERCENT: u32 = 20;
 
@@ -357,10 +359,14 @@
         }
     }
 
+    fn is_odd(&self, worker: usize) -> bool {
+        worker == 0 && self.now_us >= FAULT_FROM_US
+    }
+
     fn service_us(&mut self, worker: usize) -> u64 {
         const NOISE_PERIOD_US: u64 = 2_000_000;
         const NOISE_US: u64 = 500_000;
-        let is_odd_one = worker == 0;
+        let is_odd_one = self.is_odd(worker);
         let in_noise = self.now_us % NOISE_PERIOD_US < NOISE_US;
         match self.scenario {
             Scenario::FailingWorker if is_odd_one => FAIL_FAST_US,
@@ -374,7 +380,7 @@
         let now = self.now();
         let epoch = self.agents[worker].begin_answer(id).expect("the request runs");
         let actions = self.agents[worker].finished(now, id, admission::Finished::Ran);
-        let succeeded = !(self.scenario == Scenario::FailingWorker && worker == 0);
+        let succeeded = !(self.scenario == Scenario::FailingWorker && self.is_odd(worker));
         let origin = Origin { id, epoch };
         self.reply(worker, id, Event::Head { origin, length_bytes: Some(0) }, succeeded);
         self.reply(worker, id, Event::End { origin, total_bytes: 0 }, succeeded);
