--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -115,6 +115,16 @@
         &self.inner.clock
     }
 
+    /// Start of the process that the client was opened for.
+    #[must_use]
+    pub fn boot(&self) -> BootId {
+        self.inner.boot
+    }
+
+    pub(crate) fn late_write_bound(&self) -> Duration {
+        self.inner.settings.late_write_bound
+    }
+
     /// Tells whether calls are held back because the platform is away.
     #[must_use]
     pub fn is_away(&self) -> bool {
--- a/crates/platform/src/history.rs
+++ b/crates/platform/src/history.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_policy::id::BootId;
 use serde_json::Value;
 use tokio::sync::OnceCell;
 
@@ -17,6 +18,8 @@
 
 /// Start of the keys of history rows.
 pub(crate) const HISTORY_PREFIX: &str = "history/";
+/// Start of the keys of marks on processes whose history rows were swept.
+const SWEPT_PREFIX: &str = "swept/";
 /// History rows deleted along with one transaction.
 const DELETES_PER_COMMIT: usize = 16;
 /// Resolutions that stay known.
@@ -30,11 +33,27 @@
     format!("{HISTORY_PREFIX}{write_id}").into()
 }
 
-/// Write that records a transaction, or fences it when it comes from another one.
+/// Write that records a transaction.
 pub(crate) fn record(write_id: WriteId) -> Write {
     Write::put(key(write_id), Expect::Absent, Value::from(1))
 }
 
+/// Key of the mark on a process whose history rows were swept.
+pub(crate) fn swept_key(boot: BootId) -> Arc<str> {
+    format!("{SWEPT_PREFIX}{boot}").into()
+}
+
+/// Write that marks a process whose history rows are swept along with it.
+pub(crate) fn mark_swept(boot: BootId) -> Write {
+    Write::put(swept_key(boot), Expect::Any, Value::from(1))
+}
+
+/// Writes that fence a transaction; they fail when its history row exists, or may have been swept.
+pub(crate) fn fence(write_id: WriteId) -> Vec<Write> {
+    // Deleting a row that must be absent changes nothing and asks for the condition alone.
+    vec![record(write_id), Write::delete(swept_key(write_id.boot), Expect::Absent)]
+}
+
 /// Reads from a history row whether the transaction took effect.
 pub(crate) fn resolution(row: &Row, write_id: WriteId) -> Resolution {
     if row.write_id == write_id { Resolution::Done(row.version) } else { Resolution::NotDone }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,5 +10,6 @@
 mod history;
 pub mod object;
 mod resolve;
+pub mod sweep;
 pub mod table;
 mod transport;
--- a/crates/platform/src/resolve.rs
+++ b/crates/platform/src/resolve.rs
@@ -14,7 +14,8 @@
     Done(u64),
     /// The write didn't take effect and never will.
     NotDone,
-    /// This client can't tell: another process issued the write, or its outcome was known long ago.
+    /// This client can't tell: another process issued the write, its outcome was known long ago, or its history row was
+    /// swept because this process was taken for dead.
     Forgotten,
 }
 
@@ -82,9 +83,12 @@
     }
 
     async fn fence(&self, write_id: WriteId) -> Option<Resolution> {
-        let commit = Commit { write_id: self.next_write_id(), writes: vec![history::record(write_id)] };
+        let commit = Commit { write_id: self.next_write_id(), writes: history::fence(write_id) };
         match self.send_commit(&commit).await {
             Outcome::Done(_) => Some(Resolution::NotDone),
+            Outcome::NotDone(Reason::Conflict(conflict)) if conflict.key == history::swept_key(write_id.boot) => {
+                Some(Resolution::Forgotten)
+            }
             Outcome::NotDone(Reason::Conflict(conflict)) => {
                 conflict.current.map(|row| history::resolution(&row, write_id))
             }
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -22,7 +22,11 @@
 
 /// Opens a client with the given timeout of calls.
 pub fn open_client_with(address: SocketAddr, boot: u64, call_timeout: Duration) -> Client {
+    open_client_from(Settings { address, call_timeout, ..Settings::default() }, boot)
+}
+
+/// Opens a client with the given settings.
+pub fn open_client_from(settings: Settings, boot: u64) -> Client {
     let origin = Instant::now();
-    let settings = Settings { address, call_timeout, ..Settings::default() };
     client::open(settings, BootId(boot), Clock::new(move || origin.elapsed()))
 }
