--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -97,6 +97,10 @@
         let Ok(Ok(_permit)) = permit else {
             return Err(Failure::NeverSent);
         };
+        // The platform may have gone away while the call waited for its permit.
+        if !admission.probe && self.is_away() {
+            return Err(Failure::NeverSent);
+        }
         let result = timeout_at(deadline, self.exchange(request)).await.unwrap_or(Err(Failure::TimedOut));
         self.take_note(admission, result.is_ok());
         result
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -87,6 +87,8 @@
     pub reads: u64,
     /// Calls refused beyond the rates.
     pub refused: u64,
+    /// Calls whose connection was closed because the platform was down.
+    pub hung_up: u64,
     /// Bytes of the bodies of commits that were carried.
     pub commit_bytes: u64,
 }
@@ -202,7 +204,11 @@
     }
 
     fn hang_up_when_down(&self) -> Result<(), Hangup> {
-        if lock(&self.faults).down { Err(Hangup) } else { Ok(()) }
+        if lock(&self.faults).down {
+            lock(&self.counts).hung_up += 1;
+            return Err(Hangup);
+        }
+        Ok(())
     }
 
     fn control(&self, faults: Faults) {
--- a/crates/standins/tests/tasks.rs
+++ b/crates/standins/tests/tasks.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use chervilledge_standins::worker::{self, Faults, Handle, Settings, Suspension, What};
-use http::{Method, StatusCode};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
 use rstest::rstest;
 use serde_json::{Value, json};
-use support::{any_port, call, wait_until};
+use support::{any_port, call, send, wait_until};
 
 const LONG_MS: u64 = 600_000;
 
@@ -143,6 +144,24 @@
     assert!(begin.elapsed() >= Duration::from_millis(300), "the usage lags");
 }
 
+#[tokio::test]
+async fn tasks_slow_down_the_requests_beside_them_by_kind_and_share() {
+    let slowdowns = [("heavy".into(), 1_000.0), ("light".into(), 10.0)].into();
+    let handle = worker::bind(any_port(), Settings { slowdowns, ..Settings::default() }).await.unwrap();
+    for kind in ["heavy", "light"] {
+        let mut start = task(LONG_MS, LONG_MS);
+        (start["task"], start["kind"]) = (json!(kind), json!(kind));
+        post(&handle, "/tasks", &start).await;
+    }
+    post(&handle, "/tasks/heavy/throttle", &json!({ "share_percent": 0 })).await;
+    let begin = Instant::now();
+    let request = Request::get(format!("http://{}/quote", handle.address())).header("x-work-ms", "20");
+    send(request.body(Full::default()).unwrap()).await.unwrap();
+    let elapsed = begin.elapsed();
+    assert!(elapsed >= Duration::from_millis(200), "{elapsed:?}, although a light task runs beside");
+    assert!(elapsed < Duration::from_secs(20), "{elapsed:?}, although the heavy task is throttled to zero");
+}
+
 #[tokio::test]
 async fn starts_fail_on_command() {
     let handle = start().await;
