Let a write be resolved from the moment when its commit is called

Cause: the write was noted in the task that sends it, so a caller that gave up at once and resolved was told "forgotten". Ruled out: nothing else; found by reading. Change: the write is noted before the task is spawned; a test resolves a write in progress.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -174,10 +174,12 @@
         let Some(key) = writes.first().map(|write| Arc::clone(&write.key)) else {
             return Outcome::Done(Vec::new());
         };
+        // Here, so that the write can be resolved from the moment when it may be sent.
+        let deleted = self.begin(write_id);
         let client = self.clone();
         let (answer, outcome) = oneshot::channel();
         tokio::spawn(async move {
-            let outcome = client.commit_once(write_id, writes).await;
+            let outcome = client.commit_once(write_id, writes, deleted).await;
             let is_unknown = outcome == Outcome::Unknown;
             // A caller that went away needs no answer.
             let _gone = answer.send(outcome);
@@ -189,8 +191,7 @@
         outcome.await.unwrap_or(Outcome::Unknown)
     }
 
-    async fn commit_once(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
-        let deleted = self.begin(write_id);
+    async fn commit_once(&self, write_id: WriteId, writes: Vec<Write>, deleted: Vec<WriteId>) -> Outcome {
         let count = writes.len();
         let outcome = self.send_commit(&with_history(write_id, writes, &deleted)).await;
         self.finish(write_id, deleted, outcome, count)
--- a/crates/platform/tests/outcome.rs
+++ b/crates/platform/tests/outcome.rs
@@ -130,6 +130,22 @@
     }
 }
 
+#[tokio::test]
+async fn a_write_can_be_resolved_while_it_is_in_progress() {
+    let store = start_store(Settings::default()).await;
+    let client = open_client(&store, 1);
+    store.control(Faults { slow: Duration::from_millis(200), ..Faults::default() });
+    let id = client.next_write_id();
+    assert_eq!(resolve(&client, id).await, Resolution::Forgotten, "not committed yet");
+    let (outcome, resolution) = tokio::join!(client.commit(id, put(Expect::Absent, 1)), resolve(&client, id));
+    match resolution {
+        Resolution::Done(version) => assert_eq!(outcome, Outcome::Done(vec![version])),
+        Resolution::NotDone => assert_eq!(outcome, Outcome::NotDone(Reason::Fenced)),
+        Resolution::Forgotten => panic!("the write is in progress"),
+    }
+    assert_eq!(committed(&store, id).is_some(), resolution != Resolution::NotDone);
+}
+
 #[tokio::test]
 async fn writes_of_another_process_arent_resolved() {
     let store = start_store(Settings::default()).await;
