Judge random writes under random faults by the ledger

Cause: the faults were tested one by one, not together. Ruled out: nothing. Change: test storm: 12 writers on 4 clients, alone or in group commits, over six seeds, while replies and requests are lost, effects come late, reads are stale and the platform is slow or down; what each writer was told is compared with the ledger after the last late write has arrived.

--- /dev/null
+++ b/crates/platform/tests/storm.rs
@@ -0,0 +1,119 @@
+//! Random writes under random faults: what every writer was told agrees with the ledger.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_platform::client::{Client, Settings};
+use chervilledge_platform::error::Outcome;
+use chervilledge_platform::group::{self, Group, Submitted};
+use chervilledge_platform::table::{Expect, Row, Write, WriteId};
+use chervilledge_standins::platform::{self, Faults, Handle};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use serde_json::json;
+use support::{open_client_from, start_store};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+const CLIENTS: u64 = 4;
+const WRITERS_PER_CLIENT: u64 = 3;
+const WRITES_PER_WRITER: u32 = 40;
+const KEYS: u32 = 5;
+const PATIENCE: Duration = Duration::from_mins(2);
+/// Longest time after which a write of this test takes effect late.
+const LATE: Duration = Duration::from_millis(80);
+
+fn group_settings() -> group::Settings {
+    let interval = Duration::from_millis(2);
+    group::Settings { resolve_limit: PATIENCE, interval, ..group::Settings::default() }
+}
+
+fn draw_faults(rng: &mut SmallRng) -> Faults {
+    match rng.random_range(0..7) {
+        0 => Faults { lose_reply_next: rng.random_range(1..4), ..Faults::default() },
+        1 => Faults { lose_request_next: rng.random_range(1..4), ..Faults::default() },
+        2 => Faults { delay_effect: LATE, ..Faults::default() },
+        3 => Faults { down: true, ..Faults::default() },
+        4 => Faults { stale_reads: Duration::from_millis(50), lose_reply_next: 2, ..Faults::default() },
+        5 => Faults { slow: Duration::from_millis(30), lose_reply_next: 1, ..Faults::default() },
+        _ => Faults::default(),
+    }
+}
+
+/// Commits by itself or by a group, until the outcome is known.
+async fn commit(client: &Client, group: Option<&Group>, write: Write) -> (Option<WriteId>, Outcome) {
+    if let Some(group) = group {
+        let Submitted { write_id, outcome } = group.submit(vec![write]).await;
+        return (write_id, outcome);
+    }
+    let id = client.next_write_id();
+    (Some(id), client.commit_and_resolve(id, vec![write]).await)
+}
+
+async fn write_at_random(client: Client, group: Option<Group>, mut rng: SmallRng) -> Vec<(Option<WriteId>, Outcome)> {
+    let mut told = Vec::new();
+    for _ in 0..WRITES_PER_WRITER {
+        let key: Arc<str> = format!("row/{}", rng.random_range(0..KEYS)).into();
+        let row: Option<Row> = client.read_one(Arc::clone(&key)).await.unwrap_or(None);
+        let expect = match row {
+            _ if rng.random_ratio(1, 5) => Expect::Any,
+            Some(row) => Expect::Version(row.version),
+            None => Expect::Absent,
+        };
+        let value = (!rng.random_ratio(1, 10)).then(|| json!(rng.random::<u32>()));
+        told.push(commit(&client, group.as_ref(), Write { key, expect, value }).await);
+    }
+    told
+}
+
+async fn change_faults(store: &Handle, mut rng: SmallRng) {
+    loop {
+        store.control(draw_faults(&mut rng));
+        sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        store.control(Faults::default());
+        sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_writers_were_told_agrees_with_the_ledger(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(false, true)] grouped: bool,
+) {
+    let store = start_store(platform::Settings { writes_per_s: 5_000, ..platform::Settings::default() }).await;
+    let mut writers = JoinSet::new();
+    for boot in 1..=CLIENTS {
+        let settings =
+            Settings { address: store.address(), backoff_limit: Duration::from_millis(50), ..Settings::default() };
+        let client = open_client_from(settings, boot);
+        let group = grouped.then(|| group::spawn(client.clone(), group_settings()));
+        for writer in 0..WRITERS_PER_CLIENT {
+            let rng = SmallRng::seed_from_u64(seed * 100 + boot * 10 + writer);
+            writers.spawn(write_at_random(client.clone(), group.clone(), rng));
+        }
+    }
+    let told = tokio::select! {
+        told = timeout(PATIENCE, writers.join_all()) => told.expect("every write is resolved in time").concat(),
+        () = change_faults(&store, SmallRng::seed_from_u64(seed)) => unreachable!("faults change until the end"),
+    };
+    store.control(Faults::default());
+    // Writes that are still on their way arrive, and must not take effect against what was told.
+    sleep(LATE * 10).await;
+    let ledger: HashMap<WriteId, u64> =
+        store.ledger_after(0).iter().map(|entry| (entry.write_id, entry.number)).collect();
+    for (id, outcome) in &told {
+        let expected = id.and_then(|id| ledger.get(&id)).map(|number| Outcome::Done(vec![*number]));
+        match outcome {
+            Outcome::Done(_) => assert_eq!(Some(outcome), expected.as_ref(), "seed {seed}, write {id:?}"),
+            Outcome::NotDone(_) => assert_eq!(expected, None, "seed {seed}, write {id:?} told as {outcome:?}"),
+            Outcome::Unknown => panic!("seed {seed}, write {id:?} stayed unknown"),
+        }
+    }
+    let done = told.iter().filter(|(_, outcome)| matches!(outcome, Outcome::Done(_))).count();
+    assert!(done > 0 && done < told.len(), "{done} of {} writes were done", told.len());
+}
