--- a/src/agent.rs
+++ b/src/agent.rs
@@ -16,7 +16,7 @@
 use chervilledge_operator::listen::{self, Routes};
 use chervilledge_operator::metrics::Reader;
 use chervilledge_operator::secret::{self, Secrets};
-use chervilledge_policy::admission::{self, Admission};
+use chervilledge_policy::admission;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership::{Announcement, Load};
@@ -112,7 +112,8 @@
         boot,
         enforced: Arc::clone(&enforced),
         clock,
-        admission: Admission::open(boot, admission_settings(&settings)),
+        service: Name::clone(&settings.service),
+        limits: admission_settings(&settings),
         backend: backend::open(settings.backend_address, backend_connections),
         entries,
     };
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use chervilledge_link::connection::Sender;
 use chervilledge_link::message::{Reply, Start, StartBody, ToAgent, ToEntry};
-use chervilledge_policy::admission::{Action, Admission, Finished, Offer, Priority};
+use chervilledge_policy::admission::{self, Action, Admission, Finished, Offer, Priority};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::{Map, Set};
-use chervilledge_policy::id::{BootId, RequestId};
+use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{Heartbeat, Load, LoadDelta};
 use chervilledge_policy::request::{Origin, Outcome};
 use chervilledge_policy::rollout::{Source, Stamp};
@@ -73,8 +73,10 @@
     pub boot: BootId,
     /// Clock of the process.
     pub clock: Clock,
-    /// Admission of requests.
-    pub admission: Admission,
+    /// Service of the backend server.
+    pub service: Name,
+    /// Limits of the worker, within which the configuration sets those of the service.
+    pub limits: admission::Settings,
     /// Client of the backend server.
     pub backend: Backend,
     /// Configuration that the agent enforces.
@@ -119,6 +121,8 @@
 pub struct State {
     boot: BootId,
     clock: Clock,
+    service: Name,
+    limits: admission::Settings,
     admission: Admission,
     backend: Backend,
     is_backend_ready: bool,
@@ -148,7 +152,9 @@
         Ok(State {
             boot: args.boot,
             clock: args.clock,
-            admission: args.admission,
+            admission: Admission::open(args.boot, args.limits),
+            service: args.service,
+            limits: args.limits,
             backend: args.backend,
             is_backend_ready: false,
             enforced: args.enforced,
@@ -288,6 +294,10 @@
     /// Puts the version in force to use and tells every entry of it.
     fn apply_configuration(&mut self, myself: &ActorRef<Message>) {
         self.wanted = None;
+        if let Some(settings) = self.configured_admission() {
+            let actions = self.admission.set_settings(self.clock.now(), settings);
+            self.perform(myself, actions);
+        }
         self.refresh_ready(myself);
         let Some(stamp) = self.enforced.stamp() else { return };
         for link in self.links.values() {
@@ -295,6 +305,19 @@
         }
     }
 
+    /// Limits of the configuration in force, never above what the worker can hold.
+    fn configured_admission(&self) -> Option<admission::Settings> {
+        let in_force = self.enforced.in_force().ok()?;
+        let service = in_force.document.services.get(&self.service)?;
+        Some(admission::Settings {
+            slots: service.slots.min(self.limits.slots),
+            connections: service.connections.min(self.limits.connections),
+            queue: service.queue_limit.min(self.limits.queue),
+            queue_wait: service.queue_wait_ms,
+            ..self.limits
+        })
+    }
+
     /// Lets requests in while the backend server takes them and a configuration is in force.
     fn refresh_ready(&mut self, myself: &ActorRef<Message>) {
         let is_ready = self.is_backend_ready && self.enforced.stamp().is_some();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -51,6 +51,9 @@
 /// Time for which a draining entry tries to take its row away.
 const RETIRE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Shortest time between two commits of idempotency keys: at most 20 a second for each entry.
+const KEY_COMMIT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Reason why an entry can't start.
 #[derive(Debug)]
 pub enum Error {
@@ -123,7 +126,8 @@
     };
     let links = links::bind(settings.links_address, links).await?;
     let platform = client::open(platform_settings(&settings), boot, clock.clone());
-    let keys = Keys::new(platform.clone(), group::spawn(platform.clone(), group::Settings::default()));
+    let key_commits = group::Settings { interval: KEY_COMMIT_INTERVAL, ..group::Settings::default() };
+    let keys = Keys::new(platform.clone(), group::spawn(platform.clone(), key_commits));
     let key_sweeps = keys.spawn_sweeps();
     let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced, keys));
     let metrics = metrics::open(&requests.context);
@@ -144,7 +148,9 @@
         },
         live,
     };
+    let history_sweeps = peers::spawn_history_sweeps(peers.platform.clone(), peers.live.subscribe());
     let mut tasks = peers::spawn_configuration(peers.clone());
+    tasks.push(history_sweeps);
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
     tasks.push(key_sweeps);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -15,10 +15,10 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::request::{Action, End, Event, Origin, Request, Spec};
-use chervilledge_policy::retry::Retries;
+use chervilledge_policy::retry::{self, Retries};
 use chervilledge_policy::routing::{Choice, Finished};
 use futures_util::stream;
-use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame as BodyFrame, Incoming};
 use rustc_hash::FxHasher;
@@ -87,6 +87,8 @@
     pub headers: Vec<Header>,
     /// Whether the request may be shed before others.
     pub sheddable: bool,
+    /// Bounds on retries of the service.
+    pub retry: retry::Settings,
     /// Body of the request.
     pub body: WorkBody,
 }
@@ -194,7 +196,7 @@
         head: oneshot::Sender<Response<Body>>,
     ) -> Self {
         let trace = Trace::new(id, Name::clone(&work.service), context.clock.now());
-        let retries = context.fleet.retries(&work.service);
+        let retries = context.fleet.retries(&work.service, work.retry);
         let (request, first_actions) = Request::open(context.clock.now(), spec, &mut lock(&retries));
         let (frames_sender, frames) = mpsc::unbounded_channel();
         let (events_sender, events) = mpsc::unbounded_channel();
@@ -326,10 +328,11 @@
         if self.request.attempts() > 1 {
             self.context.ends.retries.fetch_add(1, Ordering::Relaxed);
         }
-        let (choice, link) = match self.context.fleet.choose(&self.work.service, self.request.excluded()) {
-            Ok(chosen) => chosen,
-            Err(code) => return self.not_dispatched(code),
-        };
+        let (choice, link) =
+            match self.context.fleet.choose(&self.work.service, self.work.sheddable, self.request.excluded()) {
+                Ok(chosen) => chosen,
+                Err(code) => return self.not_dispatched(code),
+            };
         // The first dispatch carries the identifier that the caller is told.
         let id = if self.request.attempts() <= 1 { self.trace.request } else { self.context.next_id() };
         if !link.expect(id, self.frames_sender.clone()) {
@@ -340,6 +343,11 @@
         let now = self.context.clock.now();
         let event = Event::Dispatched { id, choice: choice.clone() };
         let actions = self.request.on(now, &event, &mut lock(&self.retries));
+        if is_cancelled(&actions, id) {
+            link.forget(id);
+            self.context.fleet.finished(&self.work.service, &choice, Finished::NotStarted);
+            return actions;
+        }
         let start = self.start(id, choice.agent_boot, now);
         let dispatched = Dispatched { choice, link: link.clone(), sent_at: now, credit: Arc::new(Semaphore::new(0)) };
         self.dispatches.insert(id, dispatched);
@@ -434,6 +442,8 @@
     fn forward_head(&mut self, content: Option<Content>) {
         let Some(Content::Head { origin, status, headers, length_bytes }) = content else { return };
         let (sender, receiver) = mpsc::channel(ANSWER_QUEUE);
+        // An answer to HEAD states the length of a body that doesn't follow.
+        let length_bytes = length_bytes.filter(|_| self.work.method != Method::HEAD.as_str());
         let response = answer_head(origin.id, status, &headers, length_bytes, receiver);
         if let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Receiving(sender)) {
             // A caller that went away is noticed at the next part.
@@ -517,6 +527,11 @@
     }
 }
 
+/// Tells whether a dispatch isn't to be handed over after all.
+fn is_cancelled(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Cancel { id: cancelled, .. } if *cancelled == id))
+}
+
 /// Content of a reply that an action may forward.
 enum Content {
     Head { origin: Origin, status: u16, headers: Vec<Header>, length_bytes: Option<u64> },
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -233,15 +233,21 @@
 
     /// Chooses a backend server of `service` that isn't on an excluded worker, and counts the request.
     ///
+    /// A request that may be shed leaves room in the queues for others.
+    ///
     /// # Errors
     ///
     /// The reason why none can be chosen.
-    pub fn choose(&self, service: &str, excluded: &[Name]) -> Result<(Choice, Link), Code> {
+    pub fn choose(&self, service: &str, sheddable: bool, excluded: &[Name]) -> Result<(Choice, Link), Code> {
         let now = self.clock.now();
         let mut guard = lock(&self.inner);
         let inner = &mut *guard;
         let table = inner.tables.get_mut(service).ok_or(Code::NoBackendServer)?;
-        let choice = table.choose(now, excluded, &mut inner.rng)?;
+        let choice = if sheddable {
+            table.choose_batch(now, excluded, &mut inner.rng)?
+        } else {
+            table.choose(now, excluded, &mut inner.rng)?
+        };
         let link = inner.links.get(&choice.worker).cloned().ok_or(Code::NoBackendServer)?;
         table.started(&choice);
         Ok((choice, link))
@@ -256,15 +262,20 @@
         }
     }
 
-    /// Gives the retry budget of a service.
-    pub fn retries(&self, service: &Name) -> Arc<Mutex<Retries>> {
+    /// Gives the retry budget of a service, with `settings` in force.
+    pub fn retries(&self, service: &Name, settings: retry::Settings) -> Arc<Mutex<Retries>> {
         let mut inner = lock(&self.inner);
         let seed = self.seed;
         let retries = inner
             .retries
             .entry(Name::clone(service))
-            .or_insert_with(|| Arc::new(Mutex::new(Retries::new(retry::Settings::default(), seed))));
-        Arc::clone(retries)
+            .or_insert_with(|| Arc::new(Mutex::new(Retries::new(settings, seed))));
+        let retries = Arc::clone(retries);
+        drop(inner);
+        if *lock(&retries).settings() != settings {
+            lock(&retries).set_settings(settings);
+        }
+        retries
     }
 
     /// Waits for an open link, other than `lost`, to the same start of an agent.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,9 +6,10 @@
 use chervilledge_link::message::{EntryAddress, ToAgent};
 use chervilledge_operator::accept::CURRENT_KEY;
 use chervilledge_platform::client::Client;
+use chervilledge_platform::sweep;
 use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::clock::Clock;
-use chervilledge_policy::id::Name;
+use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::peers::{EntryRow, Peers};
 use chervilledge_policy::rollout::Source;
 use tokio::sync::watch;
@@ -29,6 +30,9 @@
 /// Time between two looks at the accepted configuration.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two passes over what processes that are gone left behind.
+const HISTORY_SWEEP_INTERVAL: Duration = Duration::from_mins(2);
+
 /// Entries that one read gives at most; far above the few that there are.
 const ENTRIES_MAX: usize = 1_000;
 
@@ -90,6 +94,26 @@
     vec![poll, announce]
 }
 
+/// Starts to delete what the platform's client left behind for processes that are gone.
+#[must_use]
+pub fn spawn_history_sweeps(platform: Client, live: watch::Receiver<Vec<EntryRow>>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut sweep = sweep::open(platform);
+        loop {
+            tokio::time::sleep(jittered(HISTORY_SWEEP_INTERVAL)).await;
+            let boots: Vec<BootId> = live.borrow().iter().map(|row| row.boot).collect();
+            if boots.is_empty() {
+                // The live entries aren't known yet.
+                continue;
+            }
+            match sweep.pass(|boot| boots.contains(&boot)).await {
+                Ok(rows) => log::debug!(event = "history_swept", rows; ""),
+                Err(error) => log::debug!(event = "history_unswept", error:% = error; ""),
+            }
+        }
+    })
+}
+
 /// Takes the entry's row away, so that agents link to other entries at once.
 pub async fn retire(context: &Context) {
     let key = key(&context.row.name);
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -13,6 +13,7 @@
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::{Name, RequestId};
 use chervilledge_policy::request::Spec;
+use chervilledge_policy::retry;
 use http::request::Parts;
 use http::{Method, Request, Response};
 use hyper::body::{Body as _, Incoming};
@@ -106,6 +107,7 @@
     let key = head.idempotency_key.clone();
     let mut work = work(head, parts, body);
     work.sheddable = service.priority <= SHEDDABLE_PRIORITY_MAX;
+    work.retry.budget_ratio = f64::from(service.retry_budget_percent) / 100.0;
     Ok(Prepared { work, spec, key })
 }
 
@@ -136,6 +138,7 @@
         target: head.target,
         headers,
         sheddable: false,
+        retry: retry::Settings::default(),
         body,
     }
 }
