--- a/src/cmd/workers.rs
+++ b/src/cmd/workers.rs
@@ -15,7 +15,7 @@
 Lists the workers that the entry knows, one line for each:
 
     STANDING       live, suspect (silent past its bound) or draining
-    READY          whether the agent takes requests now
+    READY          whether it takes new requests
     IN PROGRESS    requests that occupy a slot, of all entries
     QUEUED         requests that wait for a slot
     EJECTED        whether the entry avoids it for failing or being slow
@@ -70,7 +70,7 @@
 fn write_worker(worker: &Listed, out: &mut dyn Write) -> Result<(), Error> {
     let Listed { name, service, failure_domain, load, silent_ms, .. } = worker;
     let standing = if load.draining { "draining".to_owned() } else { worker.standing.to_lowercase() };
-    let (ready, ejected) = (yes_or_no(load.ready), yes_or_no(worker.ejected == Some(true)));
+    let (ready, ejected) = (yes_or_no(load.ready && standing == "live"), yes_or_no(worker.ejected == Some(true)));
     Ok(writeln!(
         out,
         "{name:20}  {service:16}  {failure_domain:20}  {standing:8}  {ready:5}  {:>11}  {:>6}  {ejected:7}  {silent_ms:>9}",
