Free the slots of a dead entry's requests, and name the limit that a streamed body broke

A streamed body above its limit was reported as cancelled. Ruled out: giving the answer up as soon as the link ends, since the entry may ask on its next link for five seconds. Change: an answer is held for six seconds; the reason why a body can't be handed on reaches the caller. Conclusion: slots return; while they are held the worker has less room, which is listed as not measured.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -80,9 +80,9 @@
     pub const fn status(&self) -> StatusCode {
         match (self.outcome, self.code) {
             (Outcome::Answered, _) | (_, Code::KeyInUse) => StatusCode::CONFLICT,
+            (_, Code::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
             (_, Code::UnknownService) => StatusCode::NOT_FOUND,
-            (_, Code::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             (_, Code::BadRequest) => StatusCode::BAD_REQUEST,
             (_, Code::Overloaded) => StatusCode::TOO_MANY_REQUESTS,
             (_, Code::DeadlineBeforeStart) => StatusCode::GATEWAY_TIMEOUT,
--- a/src/agent/exchange.rs
+++ b/src/agent/exchange.rs
@@ -20,6 +20,9 @@
 /// Time that a backend server gets to finish a request whose answer is no longer wanted.
 const ABANDON_GRACE: Duration = Duration::from_secs(10);
 
+/// Time for which an answer is held whose entry has no open link; above the time for which entries ask.
+const ANSWER_HOLD: Duration = Duration::from_secs(6);
+
 /// Header field with the identifier of the request, for the backend server.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -97,11 +100,12 @@
         };
         let (asked, route) = oneshot::channel();
         ask_route(asked);
-        match (route.await, answer) {
-            (Ok(route), Some(answer)) => send_answer(&route, answer, &credit, &abandoned).await,
-            (Ok(route), None) => send_broken(&route).await,
-            (Err(_), Some(answer)) => discard(answer).await,
-            (Err(_), None) => {}
+        let route = tokio::time::timeout(ANSWER_HOLD, route).await.ok().and_then(Result::ok);
+        match (route, answer) {
+            (Some(route), Some(answer)) => send_answer(&route, answer, &credit, &abandoned).await,
+            (Some(route), None) => send_broken(&route).await,
+            (None, Some(answer)) => discard(answer).await,
+            (None, None) => {}
         }
         Finished::Ran
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -147,6 +147,14 @@
     Refusal { code, outcome, request, retry_after }
 }
 
+/// What a task of a request tells its driver.
+enum Noted {
+    /// An event about a link.
+    Event(Event),
+    /// The request body couldn't be handed on whole.
+    UploadFailed(Code),
+}
+
 /// Where the answer goes.
 enum Caller {
     /// Nothing was sent yet.
@@ -175,9 +183,11 @@
     caller: Caller,
     frames: mpsc::UnboundedReceiver<Frame>,
     frames_sender: mpsc::UnboundedSender<Frame>,
-    /// Events about links, from tasks that wait for one.
-    events: mpsc::UnboundedReceiver<Event>,
-    events_sender: mpsc::UnboundedSender<Event>,
+    /// What tasks of the request noted.
+    noted: mpsc::UnboundedReceiver<Noted>,
+    noted_sender: mpsc::UnboundedSender<Noted>,
+    /// Why the request body couldn't be handed on whole.
+    upload_fault: Option<Code>,
     dispatches: Map<RequestId, Dispatched>,
     /// Parts that were received and not yet taken by the caller's connection.
     parts: VecDeque<(RequestId, Bytes)>,
@@ -199,7 +209,7 @@
         let retries = context.fleet.retries(&work.service, work.retry);
         let (request, first_actions) = Request::open(context.clock.now(), spec, &mut lock(&retries));
         let (frames_sender, frames) = mpsc::unbounded_channel();
-        let (events_sender, events) = mpsc::unbounded_channel();
+        let (noted_sender, noted) = mpsc::unbounded_channel();
         Self {
             context,
             trace,
@@ -209,8 +219,9 @@
             caller: Caller::Waiting(head),
             frames,
             frames_sender,
-            events,
-            events_sender,
+            noted,
+            noted_sender,
+            upload_fault: None,
             dispatches: Map::default(),
             parts: VecDeque::new(),
             first_actions,
@@ -242,7 +253,7 @@
         let has_parts = !self.parts.is_empty();
         tokio::select! {
             Some(frame) = self.frames.recv() => self.on_frame(frame).await,
-            Some(event) = self.events.recv() => self.on_event(&event, None).await,
+            Some(noted) = self.noted.recv() => self.on_noted(noted).await,
             is_taken = offer(&self.caller, has_parts) => {
                 if is_taken { self.pass_on().await } else { self.on_caller_gone().await }
             }
@@ -257,6 +268,16 @@
         self.perform(actions, bytes).await;
     }
 
+    async fn on_noted(&mut self, noted: Noted) {
+        match noted {
+            Noted::Event(event) => self.on_event(&event, None).await,
+            Noted::UploadFailed(code) => {
+                self.upload_fault = Some(code);
+                self.on_event(&Event::CallerCancelled, None).await;
+            }
+        }
+    }
+
     async fn on_caller_gone(&mut self) {
         self.note(What::CallerGone);
         self.on_event(&Event::CallerCancelled, None).await;
@@ -392,11 +413,11 @@
             rest,
             bytes_max: streamed.bytes_max,
         };
-        let events = self.events_sender.clone();
+        let events = self.noted_sender.clone();
         tokio::spawn(async move {
-            if upload.run().await.is_err() {
+            if let Err(code) = upload.run().await {
                 // The driver may have ended with the request.
-                drop(events.send(Event::CallerCancelled));
+                drop(events.send(Noted::UploadFailed(code)));
             }
         });
     }
@@ -412,7 +433,7 @@
         let Some(lost) = self.dispatches.get(&origin.id).map(|dispatched| dispatched.link.number) else { return };
         let fleet = Arc::clone(&self.context.fleet);
         let frames = self.frames_sender.clone();
-        let events = self.events_sender.clone();
+        let events = self.noted_sender.clone();
         tokio::spawn(async move {
             let next = tokio::select! {
                 next = fleet.next_link(&choice.worker, choice.agent_boot, lost) => next,
@@ -420,11 +441,11 @@
             };
             let Ok(link) = next else {
                 let outcome = chervilledge_policy::request::Outcome::UnknownBoot;
-                drop(events.send(Event::Outcome { origin, outcome }));
+                drop(events.send(Noted::Event(Event::Outcome { origin, outcome })));
                 return;
             };
             if !link.expect(origin.id, frames) {
-                drop(events.send(Event::LinkLost { id: origin.id }));
+                drop(events.send(Noted::Event(Event::LinkLost { id: origin.id })));
                 return;
             }
             link.send(ToAgent::Ask { origin, agent: choice.agent_boot }).await;
@@ -503,6 +524,7 @@
                 self.refuse(code, Outcome::NotRun, retry_after);
             }
             End::Unknown { code, retry_after, .. } => {
+                let code = self.upload_fault.unwrap_or(code);
                 self.context.ends.unknown.fetch_add(1, Ordering::Relaxed);
                 self.note(What::Unknown { code });
                 self.refuse(code, Outcome::Unknown, retry_after);
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -16,12 +16,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Writes bytes on a connection of its own and gives everything that comes back.
+/// Writes bytes and the end of the stream on a connection of its own, and gives everything that comes back.
 async fn write_raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).await.expect("connect");
     // The peer may close the connection before it has read everything.
     drop(stream.write_all(bytes).await);
     drop(stream.shutdown().await);
+    read_all(stream).await
+}
+
+async fn read_all(mut stream: TcpStream) -> Vec<u8> {
     let mut answer = Vec::new();
     let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
     drop(read.expect("the connection ends"));
@@ -86,6 +90,24 @@
     assert_unharmed(&cluster).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_body_above_the_limit_is_cut_off() {
+    let cluster = cluster::start_with(1, 1, |entry| entry["bounds"]["body_bytes_max"] = 100_000.into(), |_| {}).await;
+    let head = "POST /portal/x HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n186a1\r\n";
+    let mut bytes = head.as_bytes().to_vec();
+    bytes.extend(std::iter::repeat_n(b'a', 100_001));
+    bytes.extend(b"\r\n0\r\n\r\n");
+    let mut stream = TcpStream::connect(cluster.entries[0].callers()).await.expect("connect");
+    stream.write_all(&bytes).await.expect("write");
+    let answer = read_all(stream).await;
+
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("\"code\":1006"), "{answer}");
+    assert!(cluster.executed().is_empty());
+    assert_unharmed(&cluster).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn body_that_breaks_off_is_never_passed_off_as_whole() {
     let cluster = cluster::start(1, 1).await;
