Let the faulty network be led to another target, so that tests reserve no ports

Cause: another_request_under_a_used_key_is_refused failed once: the entry couldn't bind the port that the harness had found free a moment before. Ruled out: a retry in the harness, which would hide a daemon that doesn't start. Change: daemons bind a port of their own; the network in front is told where it leads afterwards. Conclusion: the cause is gone, since no port is released and taken again.

--- a/crates/standins/src/network.rs
+++ b/crates/standins/src/network.rs
@@ -65,6 +65,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     faults: Mutex<Faults>,
+    /// Where new connections lead.
+    target: Mutex<Option<SocketAddr>>,
     accepted: AtomicU64,
     /// Connections up to this number are silent for good.
     silenced: AtomicU64,
@@ -103,7 +105,8 @@
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let shared = Arc::new(Shared::default());
-    let accept = tokio::spawn(accept(listener, target, Arc::clone(&shared))).abort_handle();
+    *lock(&shared.target) = Some(target);
+    let accept = tokio::spawn(accept(listener, Arc::clone(&shared))).abort_handle();
     Ok(Handle { address, shared, accept })
 }
 
@@ -114,6 +117,11 @@
         self.address
     }
 
+    /// Leads new connections to another target; open ones stay.
+    pub fn set_target(&self, target: SocketAddr) {
+        *lock(&self.shared.target) = Some(target);
+    }
+
     /// Replaces the faults in force, for open and new connections.
     ///
     /// A direction that has lost bytes stays silent, since its stream can't be whole any more.
@@ -142,7 +150,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let Ok((caller, _)) = listener.accept().await else { continue };
         if lock(&shared.faults).refuse_new {
@@ -151,6 +159,7 @@
             continue;
         }
         let connection = shared.accepted.fetch_add(1, Ordering::SeqCst) + 1;
+        let Some(target) = *lock(&shared.target) else { continue };
         let carrying = carry(caller, target, Arc::clone(&shared), connection);
         let mut connections = lock(&shared.connections);
         while connections.try_join_next().is_some() {}
--- a/tests/entry_lost.rs
+++ b/tests/entry_lost.rs
@@ -6,7 +6,6 @@
 
 use harness::cluster::{self, Cluster};
 use harness::{Answer, send, wait_for_workers};
-use serde_json::json;
 
 /// Sends `count` requests to one entry, 8 at a time.
 async fn send_many(cluster: &Cluster, entry: usize, count: usize) -> Vec<Result<Answer, String>> {
@@ -66,10 +65,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_find_entries_again_when_all_were_replaced() {
     let mut cluster = cluster::start(1, 2).await;
-    let links = cluster.entries[0].process.address("links_address");
     cluster.entries[0].process.kill();
+    cluster.add_entry("entry-9", |_| {}).await;
     // The address at which agents look first leads to whatever entry is there now, as a balancer's does.
-    cluster.add_entry("entry-9", |settings| settings["links_address"] = json!(links)).await;
+    cluster.entries[0].network.set_target(cluster.entries[1].process.address("links_address"));
 
     wait_for_workers(&cluster.entries[1].process, 2).await;
     let answer = send(cluster.entries[1].callers(), "POST", "/portal/x", &[], Vec::new()).await.expect("answer");
--- a/tests/harness/cluster.rs
+++ b/tests/harness/cluster.rs
@@ -53,12 +53,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Finds a port that was free a moment ago.
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_port()).expect("bind");
-    listener.local_addr().expect("address")
-}
-
 /// Starts a cluster of `entries` entries and `workers` workers, and waits until every entry knows every worker.
 pub async fn start(entries: usize, workers: usize) -> Cluster {
     start_with(entries, workers, |_| {}, |_| {}).await
@@ -88,13 +82,12 @@
 impl Cluster {
     /// Starts a further entry.
     pub async fn add_entry(&mut self, name: &str, adjust: impl Fn(&mut Value)) {
-        let links = free_port();
-        let network = network::bind(any_port(), links).await.expect("network");
+        let network = network::bind(any_port(), any_port()).await.expect("network");
         let mut settings = entry_settings(name, self.platform.address());
-        settings["links_address"] = json!(links);
         settings["links_advertised_address"] = json!(network.address());
         adjust(&mut settings);
         let process = spawn_entry(&self.directory, &settings);
+        network.set_target(process.address("links_address"));
         self.entries.push(Entry { process, network });
     }
 
