--- a/crates/operator/src/form.rs
+++ b/crates/operator/src/form.rs
@@ -37,6 +37,7 @@
     ("link_secrets", Shape::SecretList),
     ("operator_secrets", Shape::SecretList),
     ("bounds", BOUNDS),
+    ("batch", Shape::Typed),
     ("log_directory", Shape::Optional(&Shape::Text)),
 ]);
 
@@ -56,6 +57,7 @@
     ("link_secrets", Shape::SecretList),
     ("operator_secrets", Shape::SecretList),
     ("bounds", BOUNDS),
+    ("batch", Shape::Typed),
     ("log_directory", Shape::Optional(&Shape::Text)),
 ]);
 
--- a/crates/operator/src/shape.rs
+++ b/crates/operator/src/shape.rs
@@ -45,6 +45,8 @@
     SecretList,
     /// Field that may be absent.
     Optional(&'static Shape),
+    /// Field that may be absent and that the typed form checks alone.
+    Typed,
     /// Object with the given fields, none of which is required.
     Defaults(&'static [(&'static str, Shape)]),
     /// Whole number within bounds.
@@ -155,7 +157,7 @@
             (Shape::Names(inner), Value::Object(object)) => self.names(object, inner, path),
             (Shape::NameList, Value::Array(list)) => self.name_list(list, path),
             (Shape::MethodList, Value::Array(list)) => self.method_list(list, path),
-            (Shape::Flag, Value::Bool(_)) => {}
+            (Shape::Flag, Value::Bool(_)) | (Shape::Typed, _) => {}
             (Shape::Text, Value::String(text)) => self.text(text, path),
             (Shape::Address, Value::String(text)) => self.address(text, path),
             (Shape::AddressList, Value::Array(list)) => self.list(list, &Shape::Address, path),
@@ -176,7 +178,7 @@
             return;
         }
         let is_absent = |(known, shape): &&(&str, Shape)| {
-            !object.contains_key(*known) && !matches!(shape, Shape::Optional(_) | Shape::Defaults(_))
+            !object.contains_key(*known) && !matches!(shape, Shape::Optional(_) | Shape::Typed | Shape::Defaults(_))
         };
         for (known, _) in fields.iter().filter(is_absent) {
             self.push(&field(path, known), Code::MissingField, "the field is required");
@@ -295,7 +297,7 @@
 
     fn wrong_type(&mut self, value: &Value, shape: &Shape, path: &str) {
         let wanted = match shape {
-            Shape::Object(_) | Shape::Names(_) | Shape::Defaults(_) => "an object",
+            Shape::Object(_) | Shape::Names(_) | Shape::Defaults(_) | Shape::Typed => "an object",
             Shape::NameList | Shape::MethodList | Shape::AddressList | Shape::SecretList => "a list",
             Shape::Text => "text",
             Shape::Address => "an IP address with a port",
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod args;
+mod cancel;
 mod check;
 mod client;
 mod drain;
@@ -11,8 +12,10 @@
 mod error;
 mod explain;
 mod history;
+mod jobs;
 mod plan;
 mod status;
+mod submit;
 pub mod timestamp;
 mod workers;
 
@@ -31,7 +34,10 @@
     status     Show which processes don't enforce the accepted version yet
     workers    List the workers
     drain      Tell a worker to take no new work
-    explain    Tell what happened to a request and why
+    submit     Submit a job
+    jobs       List the jobs or show one of them
+    cancel     Cancel jobs or a task
+    explain    Tell what happened to a request or a task and why
     dump       Print the state of a process
 
 Options:
@@ -49,13 +55,16 @@
 
 const COMMANDS: &[(&str, Run)] = &[
     ("accept", accept::run),
+    ("cancel", cancel::run),
     ("check", check::run),
     ("drain", drain::run),
     ("dump", dump::run),
     ("explain", explain::run),
     ("history", history::run),
+    ("jobs", jobs::run),
     ("plan", plan::run),
     ("status", status::run),
+    ("submit", submit::run),
     ("workers", workers::run),
 ];
 
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -11,12 +11,15 @@
 const USAGE: &str = "\
 Usage: chervilledge explain ID --entry ADDRESS --secret-file FILE [OPTIONS]
 
-Tells what happened to a request and why, one line for each step in order, with the time since the request came. ID is
-what the caller got as 'x-request-id', or an identifier that a backend server saw. The entry that took the
-request answers; it remembers the latest 4096 requests that have ended.
+Tells what happened to a request or a task and why, one line for each step in order.
+
+The ID of a request is what the caller got as 'x-request-id', or an identifier that a backend server saw. The entry that
+took the request answers, with the time since it came; it remembers the latest 4096 requests that have ended.
+
+The ID of a task is JOB/INDEX. The entry that places the task answers, with the time since each event.
 
 Options:
-    --entry ADDRESS       Entry that took the request, as IP:PORT
+    --entry ADDRESS       Entry that took the request or places the task, as IP:PORT
     --secret-file FILE    File with an operators' secret of the entry
     --json                Write JSON
     -h, --help            Show this text
@@ -37,7 +40,23 @@
     if matches.opt_present("json") {
         return Ok(writeln!(out, "{answer}")?);
     }
-    write_request(&client, &answer, out)
+    if answer.get("task").is_some() { write_task(&client, &answer, out) } else { write_request(&client, &answer, out) }
+}
+
+fn write_task(client: &Client, answer: &Value, out: &mut dyn Write) -> Result<(), Error> {
+    let fault = || client.fault("answer: not the events of a task".to_owned());
+    let (task, events) = answer["task"].as_str().zip(answer["events"].as_array()).ok_or_else(fault)?;
+    let state = plain(&answer["row"]["row"]["state"]);
+    writeln!(out, "Task {task}, in the table: {state}")?;
+    writeln!(out, "{:>10}  {:14}  DETAILS", "AGO MS", "EVENT")?;
+    for event in events {
+        let event = event.as_object().ok_or_else(fault)?;
+        let age_ms = event.get("age_ms").and_then(Value::as_u64).unwrap_or_default();
+        let name = event.get("what").map(plain).unwrap_or_default();
+        let details = details(event, &["age_ms", "what"]);
+        writeln!(out, "{}", format!("{age_ms:>10}  {name:14}  {details}").trim_end())?;
+    }
+    Ok(())
 }
 
 fn write_request(client: &Client, answer: &Value, out: &mut dyn Write) -> Result<(), Error> {
--- a/tests/cmd_check.rs
+++ b/tests/cmd_check.rs
@@ -60,13 +60,16 @@
 
 #[rstest]
 #[case("accept")]
+#[case("cancel")]
 #[case("check")]
 #[case("drain")]
 #[case("dump")]
 #[case("explain")]
 #[case("history")]
+#[case("jobs")]
 #[case("plan")]
 #[case("status")]
+#[case("submit")]
 #[case("workers")]
 fn every_command_has_a_help_with_an_example(#[case] command: &str) {
     let dir = WorkDir::new(&format!("help_{command}"));
