Show in status which other entries lag

Cause: status listed agents alone; an entry that woke with an older version was seen by asking it only. Ruled out: a route by which entries ask each other, a further protocol; the row that each entry renews carries it. Change: the entry's row has the version that it enforces and is renewed at once when that changes; status counts other entries as entries/NAME; the test of stopped processes waits until both are named and, at the end, nobody. Conclusion: status of one entry shows all entries and the agents linked to it.

--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -9,6 +9,7 @@
 
 use crate::collections::Map;
 use crate::id::{BootId, Name};
+use crate::rollout::Stamp;
 
 /// Row by which an entry announces itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -23,6 +24,9 @@
     pub address: Name,
     /// Strictly increasing within one start.
     pub counter: u64,
+    /// Version of the configuration that the entry enforced when it renewed the row, if it knew any.
+    #[serde(default)]
+    pub enforced: Option<Stamp>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/policy/tests/peers.rs
+++ b/crates/policy/tests/peers.rs
@@ -15,6 +15,7 @@
         failure_domain: "hobart-1".into(),
         address: "127.0.0.1:7000".into(),
         counter,
+        enforced: None,
     }
 }
 
--- a/examples/local.sh
+++ b/examples/local.sh
@@ -145,11 +145,12 @@
 "$bin/chervilledge" accept "$dir/first-plan.json" --entry "${operators[0]}" --secret-file "$dir/operator.secret" \
     --operator local
 
-# Waits until every agent reports version 1 to every entry.
+# Waits until every agent and the other entries report version 1 to every entry.
+others=$((WORKERS + ENTRIES - 1))
 for address in "${operators[@]}"; do
     waited=0
     until "$bin/chervilledge" status --entry "$address" --secret-file "$dir/operator.secret" \
-        | grep -q "in force at $WORKERS of $WORKERS processes"; do
+        | grep -q "in force at $others of $others processes"; do
         if [ "$waited" -ge "$START_PATIENCE_S" ]; then
             echo "the configuration isn't in force after $START_PATIENCE_S s" >&2
             exit 1
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -11,7 +11,8 @@
 const USAGE: &str = "\
 Usage: chervilledge status --entry ADDRESS --secret-file FILE [OPTIONS]
 
-Shows the version that the entry enforces, and the processes that report to it but don't enforce that version yet.
+Shows the version that the entry enforces, and which of the agents linked to it and of the other entries don't enforce
+that version yet. Other entries are named 'entries/NAME'; they report every 2 seconds.
 
 Options:
     --entry ADDRESS       Entry to ask, as IP:PORT
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -145,6 +145,7 @@
             failure_domain: Name::clone(&settings.failure_domain),
             address: Name::from(settings.links_advertised_address.unwrap_or(links.address()).to_string()),
             counter: 0,
+            enforced: None,
         },
         live,
     };
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -11,6 +11,7 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{self, Announced, Change, Heard, Heartbeat, Member, Members};
+use chervilledge_policy::peers::EntryRow;
 use chervilledge_policy::retry::{self, Retries};
 use chervilledge_policy::rollout::{self, Stamp};
 use chervilledge_policy::routing::{self, Choice, Finished, Table};
@@ -19,6 +20,8 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
+use crate::entry::peers::entry_key;
+
 /// What the driver of a request hears of a dispatch.
 #[derive(Debug)]
 pub enum Frame {
@@ -222,6 +225,17 @@
         lock(&self.inner).versions.observe(self.clock.now(), link.process(), stamp);
     }
 
+    /// Takes in the configuration versions that other entries enforce, as their rows tell.
+    pub fn observe_entries<'a>(&self, rows: impl Iterator<Item = &'a EntryRow>) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        for row in rows {
+            // Named as in the table, so that a worker may have the name of an entry.
+            let process = rollout::Process { name: Name::from(entry_key(&row.name)), boot: row.boot };
+            inner.versions.observe(now, process, row.enforced);
+        }
+    }
+
     /// Gives the open links to agents that enforce neither `target` nor a higher version.
     #[must_use]
     pub fn lagging_links(&self, target: Stamp) -> Vec<Link> {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -62,14 +62,17 @@
 pub fn spawn_announcements(mut context: Context) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut peers = Peers::new(ENTRY_SILENCE);
+        let mut enforced = context.enforced.subscribe();
         loop {
             context.row.counter += 1;
+            context.row.enforced = *enforced.borrow_and_update();
             renew(&context).await;
             if follow(&context, &mut peers).await {
                 tell_agents(&context.fleet, peers.live());
                 context.live.send_replace(peers.live().to_vec());
             }
-            tokio::time::sleep(jittered(RENEW_INTERVAL)).await;
+            // A version that comes into force is told at once.
+            drop(tokio::time::timeout(jittered(RENEW_INTERVAL), enforced.changed()).await);
         }
     })
 }
@@ -123,7 +126,7 @@
 
 /// Takes the entry's row away, so that agents link to other entries at once.
 pub async fn retire(context: &Context) {
-    let key = key(&context.row.name);
+    let key = entry_key(&context.row.name);
     let outcome =
         context.platform.commit(context.platform.next_write_id(), vec![Write::delete(key, Expect::Any)]).await;
     log::info!(event = "entry_retired", outcome:? = outcome; "");
@@ -143,7 +146,7 @@
 
 async fn renew(context: &Context) {
     let value = serde_json::json!(context.row);
-    let write = Write::put(key(&context.row.name), Expect::Any, value);
+    let write = Write::put(entry_key(&context.row.name), Expect::Any, value);
     let outcome = context.platform.commit(context.platform.next_write_id(), vec![write]).await;
     log::debug!(event = "entry_renewed", outcome:? = outcome; "");
 }
@@ -151,7 +154,11 @@
 /// Reads the rows of the entries; tells whether they changed.
 async fn follow(context: &Context, peers: &mut Peers) -> bool {
     match context.platform.scan(ENTRIES_PREFIX, None, ENTRIES_MAX).await {
-        Ok(rows) => peers.observe(context.clock.now(), rows.into_iter().filter_map(entry_row).collect()),
+        Ok(rows) => {
+            let is_changed = peers.observe(context.clock.now(), rows.into_iter().filter_map(entry_row).collect());
+            context.fleet.observe_entries(peers.live().iter().filter(|row| row.boot != context.row.boot));
+            is_changed
+        }
         Err(error) => {
             log::debug!(event = "entries_unread", error:% = error; "");
             false
@@ -191,7 +198,9 @@
     serde_json::from_value(row.value).ok()
 }
 
-fn key(name: &str) -> String {
+/// Key of an entry's row.
+#[must_use]
+pub fn entry_key(name: &str) -> String {
     format!("{ENTRIES_PREFIX}{name}")
 }
 
--- a/tests/local.rs
+++ b/tests/local.rs
@@ -82,7 +82,7 @@
         let operators = address(entry, "operators_address");
         let status = format!("status --entry {operators} --secret-file operator.secret");
         let status = operator::run(&directory, &status).await;
-        assert!(status.out.contains("Version 1 ") && status.out.contains("in force at 3 of 3"), "{status:?}");
+        assert!(status.out.contains("Version 1 ") && status.out.contains("in force at 4 of 4"), "{status:?}");
     }
     let ids: Vec<u64> = rows.iter().filter_map(|row| row["process_id"].as_u64()).collect();
     assert_eq!(ids.len(), rows.len());
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -9,7 +9,7 @@
 use harness::cluster::{self, Cluster};
 use harness::watch::Watch;
 use harness::{Process, operator, send, spawn_agent, state, wait_for_version, wait_until};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Time for which a fault lasts, so that several polls and announcements fall into it.
 const FAULT_TIME: Duration = Duration::from_secs(3);
@@ -97,9 +97,13 @@
     }
     wait_for_version(&cluster.entries[0].process, "entry", 4).await;
     wait_for_version(&cluster.workers[0].agent, "agent", 4).await;
-    let laggards = status(&cluster).await["laggards"].clone();
-    assert_eq!(laggards[0]["process"]["name"], "worker-2", "status names who lags: {laggards}");
-    assert_eq!(laggards[0]["enforced"]["version"], 1);
+    let (observed, expected) = (&cluster, json!([["entries/entry-2", 1], ["worker-2", 1]]));
+    wait_until("status names who lags", || async {
+        let laggards = status(observed).await["laggards"].clone();
+        let pair = |one: &Value| json!([one["process"]["name"], one["enforced"]["version"]]);
+        laggards.as_array().is_some_and(|all| json!(all.iter().map(pair).collect::<Vec<_>>()) == expected)
+    })
+    .await;
     // The stopped agent's link counts as lost before it wakes.
     tokio::time::sleep(FAULT_TIME).await;
     for process in stopped {
@@ -107,6 +111,7 @@
     }
     wait_everywhere(&cluster, 4).await;
     cluster.wait_for_workers(2).await;
+    wait_until("nobody lags", || async { status(observed).await["laggards"] == json!([]) }).await;
     let samples = watch.assert_never_decreased();
     assert_eq!(samples.len(), 4, "each process was sampled under one start");
 }
@@ -122,7 +127,7 @@
     // The entry is replaced at its address; no other process but the agents knows the version.
     cluster.entries[0].process.kill();
     let mut settings = harness::entry_settings("entry-new", cluster.platform.address());
-    settings["links_address"] = serde_json::json!(address);
+    settings["links_address"] = json!(address);
     cluster.entries[0].process = harness::spawn_entry(&cluster.directory, &settings);
     let watch = Watch::cluster(&cluster);
     wait_everywhere(&cluster, 2).await;
@@ -149,7 +154,7 @@
     wait_everywhere(&cluster, 2).await;
     cluster.wait_for_workers(2).await;
     let status = status(&cluster).await;
-    assert_eq!((&status["processes"], &status["laggards"]), (&2.into(), &serde_json::json!([])), "{status}");
+    assert_eq!((&status["processes"], &status["laggards"]), (&2.into(), &json!([])), "{status}");
     watch.assert_never_decreased();
 }
 
@@ -255,7 +260,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_that_cannot_enforce_the_version_is_named() {
     let mut cluster = cluster::start(1, 1).await;
-    cluster.add_worker("worker-elsewhere", |settings| settings["site"] = serde_json::json!("nowhere")).await;
+    cluster.add_worker("worker-elsewhere", |settings| settings["site"] = json!("nowhere")).await;
     let cluster = &cluster;
     wait_until("status names the agent", || async move {
         let laggards = status(cluster).await["laggards"].clone();
