Ask another entry for the configuration when the asked link is gone

Cause: an agent remembered which entry it had asked, not on which link. Ruled out: the retirement of links, which the state dumps showed to be over; the version announced in the welcome. Change: the question is remembered by its link and time, and asked again at a tick. Conclusion: agents behind a balancer learn the configuration.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -26,6 +26,9 @@
 use crate::agent::exchange::{BodyPart, Exchange, Route, RouteAsked, open_credit};
 use crate::rollout::Enforced;
 
+/// Time for an entry to send the documents that it was asked for, before another one is asked.
+const WANT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Message to the actor.
 #[derive(Debug)]
 pub enum Message {
@@ -94,6 +97,8 @@
     reported: Load,
     needs_whole: bool,
     close: CancellationToken,
+    /// Highest configuration version that the entry announced.
+    enforced: Option<Stamp>,
 }
 
 /// Request that waits for a slot or runs.
@@ -127,8 +132,8 @@
     backend: Backend,
     is_backend_ready: bool,
     enforced: Arc<Enforced>,
-    /// Version whose documents were asked for, and the entry that was asked.
-    wanted: Option<(u64, BootId)>,
+    /// Link on which documents were asked for, and when.
+    wanted: Option<(LinkId, Duration)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
     links: Map<BootId, Link>,
     /// Addresses whose links are to end once nothing is in progress on them.
@@ -205,12 +210,11 @@
             dial::Event::Open { link: id, welcome, sender, close } => {
                 self.links_opened += 1;
                 let reported = Load::default();
-                let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close };
+                let enforced = welcome.enforced;
+                let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close, enforced };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
-                if let Some(stamp) = welcome.enforced {
-                    self.on_enforced(welcome.entry, stamp);
-                }
+                self.want_configuration();
             }
             dial::Event::Message { entry, message } => self.on_message(myself, entry, message),
             dial::Event::Closed { link, entry, error } => {
@@ -272,16 +276,25 @@
         }
     }
 
-    /// Asks for the documents of a version that goes before the one in force; one entry at a time is asked.
     fn on_enforced(&mut self, entry: BootId, stamp: Stamp) {
-        let is_asked =
-            self.wanted.is_some_and(|(wanted, from)| wanted >= stamp.version && self.links.contains_key(&from));
-        if is_asked || !self.enforced.lacks(stamp) {
+        if let Some(link) = self.links.get_mut(&entry) {
+            link.enforced = Some(stamp);
+        }
+        self.want_configuration();
+    }
+
+    /// Asks for the documents of a version that goes before the one in force, one entry at a time.
+    fn want_configuration(&mut self) {
+        let now = self.clock.now();
+        let is_open = |id| self.links.values().any(|link| link.id == id);
+        if self.wanted.is_some_and(|(id, asked)| is_open(id) && now < asked + WANT_TIMEOUT) {
             return;
         }
-        if let Some(link) = self.links.get(&entry) {
-            self.wanted = Some((stamp.version, entry));
+        let lacks = |link: &&Link| link.enforced.is_some_and(|stamp| self.enforced.lacks(stamp));
+        let newest = self.links.values().filter(lacks).max_by_key(|link| link.enforced.map(|stamp| stamp.version));
+        if let Some(link) = newest {
             link.sender.post(ToEntry::WantConfiguration);
+            self.wanted = Some((link.id, now));
         }
     }
 
@@ -401,6 +414,7 @@
     fn on_tick(&mut self, myself: &ActorRef<Message>) {
         let actions = self.admission.tick(self.clock.now());
         self.perform(myself, actions);
+        self.want_configuration();
         let load = self.admission.load();
         for link in self.links.values_mut() {
             let is_retired = self.retired.contains(&link.id.address);
--- a/tests/entry_lost.rs
+++ b/tests/entry_lost.rs
@@ -74,3 +74,14 @@
     let answer = send(cluster.entries[1].callers(), "POST", "/portal/x", &[], Vec::new()).await.expect("answer");
     assert_eq!(answer.status, 200, "{answer:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_that_move_from_the_balancer_to_their_entries_learn_the_configuration() {
+    // Agents find entries at one address and then link to the addresses that the entries announce.
+    let announce_own = |entry: &mut serde_json::Value| entry["links_advertised_address"] = serde_json::Value::Null;
+    for _ in 0..4 {
+        let cluster = cluster::start_with(2, 3, announce_own, |_| {}).await;
+        let answer = send(cluster.entries[0].callers(), "POST", "/portal/x", &[], Vec::new()).await.expect("answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
