link: Hold 4 KiB to read and no queue ahead of need for each link

Cause: entry_size showed 138 KiB for each link, 517.5 MiB at 3,700 workers against 64. The WebSocket library reserves 128 KiB to read for each connection and clears them before each read; the writer reserved room for 64 messages. Ruled out: 8 KiB to read, which leaves 80.1 MiB at 3,700 workers, and 68.0 MiB once the writer reserves nothing. A large message still gets its whole length reserved by the library, but is read 4 KiB at a time; what that costs large bodies wasn't measured. Change: two lines in connection.rs and the named constant.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -30,6 +30,9 @@
 /// Messages that the writer takes at once before it flushes.
 const WRITER_BATCH: usize = 64;
 
+/// Buffer that each link holds for what it reads; an entry holds one for every worker.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Bound on opening a link, from the first packet to the end of the handshake.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -171,7 +174,10 @@
 }
 
 fn socket_config() -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(MESSAGE_BYTES_MAX)).max_frame_size(Some(MESSAGE_BYTES_MAX))
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_BYTES_MAX))
+        .max_frame_size(Some(MESSAGE_BYTES_MAX))
+        .read_buffer_size(READ_BUFFER_BYTES)
 }
 
 #[expect(clippy::result_large_err, reason = "the WebSocket library fixes the type of the refusal")]
@@ -198,7 +204,7 @@
     mut sink: impl Sink<Message, Error = SocketError> + Unpin,
     mut messages: mpsc::Receiver<M>,
 ) {
-    let mut batch = Vec::with_capacity(WRITER_BATCH);
+    let mut batch = Vec::new();
     while messages.recv_many(&mut batch, WRITER_BATCH).await > 0 {
         for message in batch.drain(..) {
             let Ok(bytes) = encode(&message) else { return };
