Measure the request path without the proxy of the tests

Cause: through entry and agent the median was 2.7 ms above direct, whatever the load. Hand-made requests to the same daemons without the tests' proxy showed 0.45 ms: the proxy's timer delays each message by up to a millisecond. Ruled out: the load of the machine; the threads of the daemons (TOKIO_WORKER_THREADS 1 or 2 left 2.7 ms). Change: the benchmark starts its processes itself, with links straight to the entries.

--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -13,7 +13,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use harness::cluster::{Cluster, start};
+use chervilledge_standins::{platform, worker};
+use harness::cluster::any_port;
+use harness::{
+    Process, WorkDir, accept, agent_settings, documents, entry_settings, spawn_agent, spawn_entry, wait_for_workers,
+};
 use hdrhistogram::Histogram;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Empty};
@@ -26,7 +30,7 @@
 use tokio::task::JoinSet;
 
 /// Entries.
-const ENTRIES: usize = 2;
+const ENTRIES: u32 = 2;
 /// Workers, each with eight slots.
 const WORKERS: u32 = 3;
 /// Slots of a worker.
@@ -49,6 +53,15 @@
 
 type Caller = Client<HttpConnector, Empty<Bytes>>;
 
+/// Entries and workers with their agents.
+struct Cluster {
+    entries: Vec<Process>,
+    machines: Vec<worker::Handle>,
+    agents: Vec<Process>,
+    _platform: platform::Handle,
+    _directory: WorkDir,
+}
+
 /// Way that a request takes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Way {
@@ -72,7 +85,7 @@
 #[tokio::main(worker_threads = 8)]
 async fn main() -> ExitCode {
     let mut report = Report::open("request_path");
-    let cluster = start(ENTRIES, WORKERS as usize).await;
+    let cluster = open().await;
     drop(drive(&cluster, WARM_UP).await);
     let before = usages(&cluster);
     let (direct, through) = drive(&cluster, MEASURE).await;
@@ -91,6 +104,28 @@
     report.finish()
 }
 
+/// Starts the processes without the proxy of the tests, which delays each message by up to a millisecond.
+async fn open() -> Cluster {
+    let directory = WorkDir::new();
+    let platform = platform::bind(any_port(), platform::Settings::default()).await.expect("platform");
+    accept(platform.address(), 1, documents()).await;
+    let settings = |number| entry_settings(&format!("entry-{number}"), platform.address());
+    let entries: Vec<Process> = (1..=ENTRIES).map(|number| spawn_entry(&directory, &settings(number))).collect();
+    let links: Vec<SocketAddr> = entries.iter().map(|entry| entry.address("links_address")).collect();
+    let (mut machines, mut agents) = (Vec::new(), Vec::new());
+    for number in 1..=WORKERS {
+        let name = format!("worker-{number}");
+        let machine = worker::Settings { worker: name.as_str().into(), ..worker::Settings::default() };
+        let machine = worker::bind(any_port(), machine).await.expect("worker");
+        agents.push(spawn_agent(&directory, &agent_settings(&name, &links, machine.address())));
+        machines.push(machine);
+    }
+    for entry in &entries {
+        wait_for_workers(entry, WORKERS as usize).await;
+    }
+    Cluster { entries, machines, agents, _platform: platform, _directory: directory }
+}
+
 fn print_latencies(report: &mut Report, way: &str, results: &Results) {
     let at: At<'_> = &[("requests", results.latency_us.len())];
     for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("p99_9", 0.999)] {
@@ -111,8 +146,8 @@
 
 /// Usage of all entries and of all agents.
 fn usages(cluster: &Cluster) -> [Vec<Usage>; 2] {
-    let entries = cluster.entries.iter().map(|entry| usage(&entry.process)).collect();
-    let agents = cluster.workers.iter().map(|worker| usage(&worker.agent)).collect();
+    let entries = cluster.entries.iter().map(usage).collect();
+    let agents = cluster.agents.iter().map(usage).collect();
     [entries, agents]
 }
 
@@ -124,8 +159,8 @@
 /// Sends requests at random intervals for a while, both ways in turn.
 async fn drive(cluster: &Cluster, time: Duration) -> (Results, Results) {
     let caller: Caller = Client::builder(TokioExecutor::new()).build(connector());
-    let entries: Vec<SocketAddr> = cluster.entries.iter().map(harness::cluster::Entry::callers).collect();
-    let backends: Vec<SocketAddr> = cluster.workers.iter().map(|worker| worker.machine.address()).collect();
+    let entries: Vec<SocketAddr> = cluster.entries.iter().map(|entry| entry.address("callers_address")).collect();
+    let backends: Vec<SocketAddr> = cluster.machines.iter().map(worker::Handle::address).collect();
     let mean_interval = WORK.mul_f64(2.0 / f64::from(WORKERS * SLOTS));
     let mut requests = JoinSet::new();
     let begin = tokio::time::Instant::now();
