--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -15,10 +15,10 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::request::{Action, End, Event, Origin, Request, Spec};
-use chervilledge_policy::retry::Retries;
+use chervilledge_policy::retry::{self, Retries};
 use chervilledge_policy::routing::{Choice, Finished};
 use futures_util::stream;
-use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame as BodyFrame, Incoming};
 use rustc_hash::FxHasher;
@@ -87,6 +87,8 @@
     pub headers: Vec<Header>,
     /// Whether the request may be shed before others.
     pub sheddable: bool,
+    /// Bounds on retries of the service.
+    pub retry: retry::Settings,
     /// Body of the request.
     pub body: WorkBody,
 }
@@ -145,6 +147,14 @@
     Refusal { code, outcome, request, retry_after }
 }
 
+/// What a task of a request tells its driver.
+enum Noted {
+    /// An event about a link.
+    Event(Event),
+    /// The request body couldn't be handed on whole.
+    UploadFailed(Code),
+}
+
 /// Where the answer goes.
 enum Caller {
     /// Nothing was sent yet.
@@ -173,9 +183,11 @@
     caller: Caller,
     frames: mpsc::UnboundedReceiver<Frame>,
     frames_sender: mpsc::UnboundedSender<Frame>,
-    /// Events about links, from tasks that wait for one.
-    events: mpsc::UnboundedReceiver<Event>,
-    events_sender: mpsc::UnboundedSender<Event>,
+    /// What tasks of the request noted.
+    noted: mpsc::UnboundedReceiver<Noted>,
+    noted_sender: mpsc::UnboundedSender<Noted>,
+    /// Why the request body couldn't be handed on whole.
+    upload_fault: Option<Code>,
     dispatches: Map<RequestId, Dispatched>,
     /// Parts that were received and not yet taken by the caller's connection.
     parts: VecDeque<(RequestId, Bytes)>,
@@ -194,10 +206,10 @@
         head: oneshot::Sender<Response<Body>>,
     ) -> Self {
         let trace = Trace::new(id, Name::clone(&work.service), context.clock.now());
-        let retries = context.fleet.retries(&work.service);
+        let retries = context.fleet.retries(&work.service, work.retry);
         let (request, first_actions) = Request::open(context.clock.now(), spec, &mut lock(&retries));
         let (frames_sender, frames) = mpsc::unbounded_channel();
-        let (events_sender, events) = mpsc::unbounded_channel();
+        let (noted_sender, noted) = mpsc::unbounded_channel();
         Self {
             context,
             trace,
@@ -207,8 +219,9 @@
             caller: Caller::Waiting(head),
             frames,
             frames_sender,
-            events,
-            events_sender,
+            noted,
+            noted_sender,
+            upload_fault: None,
             dispatches: Map::default(),
             parts: VecDeque::new(),
             first_actions,
@@ -240,7 +253,7 @@
         let has_parts = !self.parts.is_empty();
         tokio::select! {
             Some(frame) = self.frames.recv() => self.on_frame(frame).await,
-            Some(event) = self.events.recv() => self.on_event(&event, None).await,
+            Some(noted) = self.noted.recv() => self.on_noted(noted).await,
             is_taken = offer(&self.caller, has_parts) => {
                 if is_taken { self.pass_on().await } else { self.on_caller_gone().await }
             }
@@ -255,6 +268,16 @@
         self.perform(actions, bytes).await;
     }
 
+    async fn on_noted(&mut self, noted: Noted) {
+        match noted {
+            Noted::Event(event) => self.on_event(&event, None).await,
+            Noted::UploadFailed(code) => {
+                self.upload_fault = Some(code);
+                self.on_event(&Event::CallerCancelled, None).await;
+            }
+        }
+    }
+
     async fn on_caller_gone(&mut self) {
         self.note(What::CallerGone);
         self.on_event(&Event::CallerCancelled, None).await;
@@ -326,10 +349,11 @@
         if self.request.attempts() > 1 {
             self.context.ends.retries.fetch_add(1, Ordering::Relaxed);
         }
-        let (choice, link) = match self.context.fleet.choose(&self.work.service, self.request.excluded()) {
-            Ok(chosen) => chosen,
-            Err(code) => return self.not_dispatched(code),
-        };
+        let (choice, link) =
+            match self.context.fleet.choose(&self.work.service, self.work.sheddable, self.request.excluded()) {
+                Ok(chosen) => chosen,
+                Err(code) => return self.not_dispatched(code),
+            };
         // The first dispatch carries the identifier that the caller is told.
         let id = if self.request.attempts() <= 1 { self.trace.request } else { self.context.next_id() };
         if !link.expect(id, self.frames_sender.clone()) {
@@ -340,6 +364,11 @@
         let now = self.context.clock.now();
         let event = Event::Dispatched { id, choice: choice.clone() };
         let actions = self.request.on(now, &event, &mut lock(&self.retries));
+        if is_cancelled(&actions, id) {
+            link.forget(id);
+            self.context.fleet.finished(&self.work.service, &choice, Finished::NotStarted);
+            return actions;
+        }
         let start = self.start(id, choice.agent_boot, now);
         let dispatched = Dispatched { choice, link: link.clone(), sent_at: now, credit: Arc::new(Semaphore::new(0)) };
         self.dispatches.insert(id, dispatched);
@@ -384,11 +413,11 @@
             rest,
             bytes_max: streamed.bytes_max,
         };
-        let events = self.events_sender.clone();
+        let events = self.noted_sender.clone();
         tokio::spawn(async move {
-            if upload.run().await.is_err() {
+            if let Err(code) = upload.run().await {
                 // The driver may have ended with the request.
-                drop(events.send(Event::CallerCancelled));
+                drop(events.send(Noted::UploadFailed(code)));
             }
         });
     }
@@ -404,7 +433,7 @@
         let Some(lost) = self.dispatches.get(&origin.id).map(|dispatched| dispatched.link.number) else { return };
         let fleet = Arc::clone(&self.context.fleet);
         let frames = self.frames_sender.clone();
-        let events = self.events_sender.clone();
+        let events = self.noted_sender.clone();
         tokio::spawn(async move {
             let next = tokio::select! {
                 next = fleet.next_link(&choice.worker, choice.agent_boot, lost) => next,
@@ -412,11 +441,11 @@
             };
             let Ok(link) = next else {
                 let outcome = chervilledge_policy::request::Outcome::UnknownBoot;
-                drop(events.send(Event::Outcome { origin, outcome }));
+                drop(events.send(Noted::Event(Event::Outcome { origin, outcome })));
                 return;
             };
             if !link.expect(origin.id, frames) {
-                drop(events.send(Event::LinkLost { id: origin.id }));
+                drop(events.send(Noted::Event(Event::LinkLost { id: origin.id })));
                 return;
             }
             link.send(ToAgent::Ask { origin, agent: choice.agent_boot }).await;
@@ -434,6 +463,8 @@
     fn forward_head(&mut self, content: Option<Content>) {
         let Some(Content::Head { origin, status, headers, length_bytes }) = content else { return };
         let (sender, receiver) = mpsc::channel(ANSWER_QUEUE);
+        // An answer to HEAD states the length of a body that doesn't follow.
+        let length_bytes = length_bytes.filter(|_| self.work.method != Method::HEAD.as_str());
         let response = answer_head(origin.id, status, &headers, length_bytes, receiver);
         if let Caller::Waiting(head) = std::mem::replace(&mut self.caller, Caller::Receiving(sender)) {
             // A caller that went away is noticed at the next part.
@@ -493,6 +524,7 @@
                 self.refuse(code, Outcome::NotRun, retry_after);
             }
             End::Unknown { code, retry_after, .. } => {
+                let code = self.upload_fault.unwrap_or(code);
                 self.context.ends.unknown.fetch_add(1, Ordering::Relaxed);
                 self.note(What::Unknown { code });
                 self.refuse(code, Outcome::Unknown, retry_after);
@@ -517,6 +549,11 @@
     }
 }
 
+/// Tells whether a dispatch isn't to be handed over after all.
+fn is_cancelled(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Cancel { id: cancelled, .. } if *cancelled == id))
+}
+
 /// Content of a reply that an action may forward.
 enum Content {
     Head { origin: Origin, status: u16, headers: Vec<Header>, length_bytes: Option<u64> },
