--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -20,6 +20,16 @@
     agent_settings("worker-1", &[any_port()], any_port())
 }
 
+/// Every bound with its default.
+fn bounds() -> Value {
+    json!({
+        "heartbeat_interval_ms": 500, "link_silence_ms": 1600, "link_backoff_max_ms": 2000, "request_timeout_ms": 10000,
+        "request_timeout_max_ms": 300_000, "drain_timeout_ms": 300_000, "head_bytes_max": 16_384,
+        "body_bytes_max": 67_108_864, "inline_body_bytes_max": 65_536, "caller_connections_max": 4096,
+        "agent_queue_max": 16,
+    })
+}
+
 /// Runs a daemon with `--check` over a text.
 fn check(program: &str, text: &str) -> (i32, String) {
     let directory = WorkDir::new();
@@ -53,15 +63,9 @@
 
 #[test]
 fn every_field_is_known() {
-    let bounds = json!({
-        "heartbeat_interval_ms": 500, "link_silence_ms": 1600, "link_backoff_max_ms": 2000, "request_timeout_ms": 10000,
-        "request_timeout_max_ms": 300_000, "drain_timeout_ms": 300_000, "head_bytes_max": 16_384,
-        "body_bytes_max": 67_108_864, "inline_body_bytes_max": 65_536, "caller_connections_max": 4096,
-        "agent_queue_max": 16,
-    });
     let directory = WorkDir::new();
     for (program, settings) in [(ENTRY, entry()), (AGENT, agent())] {
-        let settings = changed(settings, "/bounds", bounds.clone());
+        let settings = changed(settings, "/bounds", bounds());
         let settings = changed(settings, "/log_directory", json!(directory.path()));
         assert_eq!(check(program, &settings.to_string()), (0, String::new()));
     }
@@ -73,6 +77,22 @@
     assert_eq!(check(ENTRY, &advertised.to_string()), (0, String::new()));
 }
 
+/// Fields of an object and of the objects in it.
+fn fields(value: &Value) -> Vec<String> {
+    let Some(object) = value.as_object() else { return Vec::new() };
+    object.iter().flat_map(|(name, value)| [vec![name.clone()], fields(value)].concat()).collect()
+}
+
+#[test]
+fn the_page_for_operators_has_every_field() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).expect("the page is there");
+    for field in [fields(&entry()), fields(&agent()), fields(&bounds())].concat() {
+        let forms = [format!("`{field}`"), format!(".{field}`"), format!("{field}.")];
+        assert!(forms.iter().any(|form| page.contains(form)), "the page lacks {field}");
+    }
+}
+
 #[rstest]
 #[case::missing("/site", Value::Null, "$.site: missing field (4103)")]
 #[case::empty("/name", json!(""), "$.name: out of range (4105)")]
