Show a task's state in explain as the table holds it

Ruled out: the listener of tests/cmd_jobs.rs as proof of that form; it had the same wrong guess and is corrected. Change: src/cmd/explain.rs, the answer in tests/cmd_jobs.rs.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -46,8 +46,7 @@
 fn write_task(client: &Client, answer: &Value, out: &mut dyn Write) -> Result<(), Error> {
     let fault = || client.fault("answer: not the events of a task".to_owned());
     let (task, events) = answer["task"].as_str().zip(answer["events"].as_array()).ok_or_else(fault)?;
-    let state = plain(&answer["row"]["row"]["state"]);
-    writeln!(out, "Task {task}, in the table: {state}")?;
+    writeln!(out, "Task {task}, in the table: {}", state_name(&answer["row"]["state"]))?;
     writeln!(out, "{:>10}  {:14}  DETAILS", "AGO MS", "EVENT")?;
     for event in events {
         let event = event.as_object().ok_or_else(fault)?;
@@ -59,6 +58,15 @@
     Ok(())
 }
 
+/// Name of a task's state, whose particulars the events tell.
+fn state_name(state: &Value) -> &str {
+    match state {
+        Value::String(name) => name,
+        Value::Object(named) => named.keys().next().map_or("unknown", String::as_str),
+        _ => "none",
+    }
+}
+
 fn write_request(client: &Client, answer: &Value, out: &mut dyn Write) -> Result<(), Error> {
     let fault = || client.fault("answer: not the steps of a request".to_owned());
     let (request, service) = (&answer["request"], &answer["service"]);
--- a/tests/cmd_jobs.rs
+++ b/tests/cmd_jobs.rs
@@ -46,7 +46,7 @@
 }
 
 fn explanation() -> Value {
-    json!({ "task": "0f0f/1", "row": { "row": { "state": "done" } }, "events": [
+    json!({ "task": "0f0f/1", "row": { "state": { "failed": 3003 } }, "events": [
         { "age_ms": 900, "what": "queued", "epoch": 1, "worker": null, "code": null, "text": null },
         { "age_ms": 200, "what": "evicted", "epoch": 2, "worker": "hobart-1", "code": 3007,
           "text": "evicted to protect request latency" },
@@ -145,7 +145,7 @@
 fn a_task_is_explained() {
     let fixture = Fixture::bind("jobs_explain");
     let expected = "\
-Task 0f0f/1, in the table: done
+Task 0f0f/1, in the table: failed
     AGO MS  EVENT           DETAILS
        900  queued          epoch=1
        200  evicted         code=3007 epoch=2 text=evicted to protect request latency worker=hobart-1
