--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,13 +3,12 @@
 //! Every module is a state machine or a function of `(now, event)`. Time is a [`std::time::Duration`] since an
 //! arbitrary origin, read by the caller from a [`clock::Clock`]; randomness is a seeded generator.
 
-mod room;
-
 pub mod admission;
 pub mod capacity;
 pub mod clock;
 pub mod code;
 pub mod collections;
+pub mod event;
 pub mod health;
 pub mod id;
 pub mod interference;
@@ -25,6 +24,7 @@
 pub mod reservation;
 pub mod retry;
 pub mod rollout;
+mod room;
 pub mod routing;
 pub mod shard;
 pub mod task;
