Run batch tasks through entry, agent and the worker's task runtime

Ruled out: a row for each queued task, which costs a write per task at submission: a task without a row is queued at its first epoch, and a submission is one transaction. Conditions on the shard's row with each task's write, which group commit can't share: the task's own row is the condition, and a lost write brings the row as it is. A second liveness signal for entries: shards follow the lease rows, whose terms each row carries. Change: messages for tasks in their own module, client of the task runtime, the agent's actor (stock before admission, start bounded by a short lease that is renewed), the entry's actor (lease, shards, placement, claims, handover), operators' routes for jobs, settings of batch work. In policy only four codes (3021 to 3024).

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod connection;
 pub mod error;
 pub mod message;
+pub mod task;
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{Announcement, Heartbeat, Load};
@@ -11,8 +10,10 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::task::{TaskCommand, TaskReport};
+
 /// Version of the messages; a peer with another version is refused.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// Bytes of an answer or of a request body that may be under way without a [`ToAgent::Window`] or
 /// [`Reply::Window`].
@@ -273,84 +274,6 @@
     pub bytes: Vec<u8>,
 }
 
-/// Command for one batch task.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum TaskCommand {
-    /// Start a claimed task, or renew its lease when it runs already under this epoch.
-    Run(Box<TaskStart>),
-    /// Renew the lease of a task, counted from the receipt of the message.
-    Renew {
-        /// Identifier of the task.
-        task: Name,
-        /// Epoch of the claim.
-        epoch: u64,
-        /// Time that the lease lasts.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
-        lease_ms: Duration,
-    },
-    /// Stop a task and forget it.
-    Stop {
-        /// Identifier of the task.
-        task: Name,
-        /// Epoch of the claim.
-        epoch: u64,
-    },
-}
-
-/// Start of a batch task.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct TaskStart {
-    /// Identifier of the task.
-    pub task: Name,
-    /// Epoch of the claim.
-    pub epoch: u64,
-    /// Kind of the task.
-    pub kind: Name,
-    /// Declared needs.
-    pub resources: Resources,
-    /// Declared run time.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub run_ms: Duration,
-    /// Progress to resume from, in milliseconds of run time.
-    pub progress_ms: u64,
-    /// Time that the lease lasts, counted from the receipt of the message.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub lease_ms: Duration,
-}
-
-/// State of one batch task on a worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TaskReport {
-    /// Identifier of the task.
-    pub task: Name,
-    /// Epoch of the claim.
-    pub epoch: u64,
-    /// What happened.
-    pub state: TaskState,
-}
-
-/// What happened to a batch task on a worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum TaskState {
-    /// The task runs.
-    Running,
-    /// The task was refused and never ran under this epoch.
-    Refused(Code),
-    /// The task finished.
-    Done,
-    /// The task failed on its own.
-    Failed,
-    /// The task was checkpointed and stopped.
-    Evicted {
-        /// Reason of the eviction.
-        code: Code,
-        /// Progress kept, in milliseconds of run time.
-        progress_ms: u64,
-    },
-}
-
 /// Accepted configuration as carried by links.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Configuration {
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -101,6 +101,14 @@
     StoppedForLatency = 3013, "stopped to protect request latency";
     /// Request latency has recovered.
     LatencyRecovered = 3014, "request latency has recovered";
+    /// The worker couldn't start the task.
+    TaskStartFailed = 3021, "task failed to start";
+    /// A job with the same key was submitted with other content.
+    JobKeyInUse = 3022, "job key already in use";
+    /// No job or task has the identifier.
+    UnknownJob = 3023, "unknown job or task";
+    /// The task was resumed under another entry's lease.
+    LeaseHandedOver = 3024, "claim handed over to another entry's lease";
     // 4000 to 4999: configuration.
     /// The configuration has faults.
     ConfigurationInvalid = 4001, "configuration has faults";
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -1,3 +1,4 @@
 //! HTTP towards the backend server and the worker's task runtime.
 
 pub mod backend;
+pub mod runtime;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -4,6 +4,7 @@
 pub mod dial;
 pub mod exchange;
 pub mod links;
+pub mod tasks;
 
 use std::fmt;
 use std::io;
@@ -21,7 +22,7 @@
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership::{Announcement, Load};
 use chervilledge_policy::rollout::Stamp;
-use chervilledge_worker::backend;
+use chervilledge_worker::{backend, runtime};
 use ractor::{Actor, ActorRef, SpawnErr};
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -92,6 +93,7 @@
 #[derive(Debug)]
 pub struct Agent {
     core: ActorRef<Message>,
+    batch: ActorRef<tasks::Message>,
     operators: listen::Handle,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
@@ -108,6 +110,7 @@
     let backend_connections = settings.capacity.connections as usize;
     let (entries, entries_heard) = mpsc::unbounded_channel();
     let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
+    let (batch, _) = Actor::spawn(None, tasks::Tasks, batch_arguments(&settings, &clock, boot)).await?;
     let arguments = Arguments {
         boot,
         enforced: Arc::clone(&enforced),
@@ -115,20 +118,22 @@
         admission: Admission::open(boot, admission_settings(&settings)),
         backend: backend::open(settings.backend_address, backend_connections),
         entries,
+        tasks: batch.clone(),
     };
     let (core, _) = Actor::spawn(None, Core, arguments).await?;
     let operators = listen::bind(
         settings.operators_address,
         listen::Settings::new(operator_secrets),
-        routes(&core, Name::clone(&settings.worker)),
+        routes(&core, &batch, Name::clone(&settings.worker)),
     )
     .await?;
     let tasks = vec![
+        tasks::spawn_ticks(batch.clone(), settings.batch.tick_ms),
         spawn_ticks(core.clone(), settings.bounds.heartbeat_interval_ms),
         spawn_probe(core.clone(), settings.backend_address),
         spawn_links(&core, &settings, &link_secrets, boot, enforced, entries_heard),
     ];
-    Ok(Agent { core, operators, tasks, drain_timeout: settings.bounds.drain_timeout_ms })
+    Ok(Agent { core, batch, operators, tasks, drain_timeout: settings.bounds.drain_timeout_ms })
 }
 
 impl Agent {
@@ -140,6 +145,7 @@
 
     /// Takes no new work, finishes what is in progress within the drain timeout, and ends.
     pub async fn drain(self) {
+        drop(self.batch.cast(tasks::Message::Drain));
         drop(self.core.cast(Message::Drain));
         let drained = wait_drained(&self.core);
         if tokio::time::timeout(self.drain_timeout, drained).await.is_err() {
@@ -155,6 +161,7 @@
             task.abort();
         }
         self.core.kill();
+        self.batch.kill();
     }
 }
 
@@ -164,6 +171,16 @@
     }
 }
 
+fn batch_arguments(settings: &settings::Agent, clock: &Clock, boot: BootId) -> tasks::Arguments {
+    tasks::Arguments {
+        boot,
+        clock: clock.clone(),
+        runtime: runtime::open(settings.runtime_address),
+        capacity: settings.capacity.resources,
+        settings: settings.batch.clone(),
+    }
+}
+
 fn admission_settings(settings: &settings::Agent) -> admission::Settings {
     admission::Settings {
         slots: settings.capacity.slots,
@@ -173,14 +190,17 @@
     }
 }
 
-fn routes(core: &ActorRef<Message>, worker: Name) -> Routes {
+fn routes(core: &ActorRef<Message>, batch: &ActorRef<tasks::Message>, worker: Name) -> Routes {
     let core = core.clone();
+    let batch = batch.clone();
     let dump = move |_| {
         let core = core.clone();
+        let batch = batch.clone();
         let worker = Name::clone(&worker);
         async move {
             let state = ractor::call_t!(core, Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
-            Ok(json!({ "role": "agent", "name": worker, "agent": state }))
+            let batch = ractor::call_t!(batch, tasks::Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
+            Ok(json!({ "role": "agent", "name": worker, "agent": state, "batch": batch }))
         }
     };
     Routes::new().route(http::Method::GET, "/state", dump).metrics(Reader::new())
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -22,6 +22,7 @@
 
 use crate::agent::dial::{self, LinkId};
 use crate::agent::exchange::{BodyPart, Exchange, Route, RouteAsked, open_credit};
+use crate::agent::tasks;
 use crate::rollout::Enforced;
 
 /// Message to the actor.
@@ -72,6 +73,8 @@
     pub enforced: Arc<Enforced>,
     /// Takes entries that were heard of.
     pub entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
+    /// Actor that holds the batch tasks.
+    pub tasks: ActorRef<tasks::Message>,
 }
 
 /// Link to one entry.
@@ -116,6 +119,7 @@
     /// Version whose documents were asked for, and the entry that was asked.
     wanted: Option<(u64, BootId)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
+    tasks: ActorRef<tasks::Message>,
     links: Map<BootId, Link>,
     held: Map<RequestId, Held>,
     links_opened: u64,
@@ -142,6 +146,7 @@
             enforced: args.enforced,
             wanted: None,
             entries: args.entries,
+            tasks: args.tasks,
             links: Map::default(),
             held: Map::default(),
             links_opened: 0,
@@ -184,6 +189,7 @@
         match event {
             dial::Event::Open { link: id, welcome, sender } => {
                 self.links_opened += 1;
+                self.tell_tasks(tasks::Message::Linked { entry: welcome.entry, link: id, sender: sender.clone() });
                 let link = Link { id, sender, sequence: 0, reported: Load::default(), needs_whole: true };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
@@ -198,12 +204,18 @@
                     event = "link_closed", address:% = link.address, code = error.code().number(), error:% = error; ""
                 );
                 if let Some(entry) = entry {
+                    self.tell_tasks(tasks::Message::Unlinked { entry, link });
                     self.close_link(entry, link);
                 }
             }
         }
     }
 
+    fn tell_tasks(&self, message: tasks::Message) {
+        // The actor stops with the process only.
+        drop(self.tasks.cast(message));
+    }
+
     fn hear_of(&self, entries: Vec<chervilledge_link::message::EntryAddress>) {
         // The keeper of links ends with the process only.
         drop(self.entries.send(entries));
@@ -246,7 +258,8 @@
                 self.enforced.offer_text(&configuration.accepted, Source::Peer);
                 self.apply_configuration();
             }
-            ToAgent::Heartbeat { .. } | ToAgent::Tasks(_) => {}
+            ToAgent::Tasks(commands) => self.tell_tasks(tasks::Message::Commands { entry, commands }),
+            ToAgent::Heartbeat { .. } => {}
             ToAgent::Welcome(_) | ToAgent::Refused(_) => self.dropped_messages += 1,
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry: takes callers' requests and chooses where they run.
 
+pub mod batch;
 pub mod exchange;
 pub mod fleet;
 pub mod links;
@@ -23,6 +24,7 @@
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership;
 use chervilledge_policy::peers::EntryRow;
+use ractor::{Actor, ActorRef, SpawnErr};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -46,6 +48,9 @@
 /// Time for which a draining entry tries to take its row away.
 const RETIRE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for the actor to answer a question.
+const ASK_TIMEOUT_MS: u64 = 1_000;
+
 /// Reason why an entry can't start.
 #[derive(Debug)]
 pub enum Error {
@@ -53,6 +58,8 @@
     Bind(io::Error),
     /// A secret can't be taken.
     Secret(secret::Error),
+    /// The actor can't be started.
+    Spawn(SpawnErr),
 }
 
 impl fmt::Display for Error {
@@ -60,6 +67,7 @@
         match self {
             Self::Bind(error) => write!(f, "listener can't be bound: {error}"),
             Self::Secret(error) => write!(f, "secret can't be taken: {error}"),
+            Self::Spawn(error) => write!(f, "actor can't be started: {error}"),
         }
     }
 }
@@ -78,6 +86,12 @@
     }
 }
 
+impl From<SpawnErr> for Error {
+    fn from(error: SpawnErr) -> Self {
+        Self::Spawn(error)
+    }
+}
+
 /// Running entry; it ends at once when it is dropped.
 #[derive(Debug)]
 pub struct Entry {
@@ -87,6 +101,7 @@
     operators: listen::Handle,
     requests: Arc<Requests>,
     peers: peers::Context,
+    batch: ActorRef<batch::Message>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
 }
@@ -102,6 +117,16 @@
     let fleet = Arc::new(open_fleet(&settings, &clock, boot));
     let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
     let live = watch::Sender::new(Vec::new());
+    let platform = client::open(platform_settings(&settings), boot, clock.clone());
+    let batch = batch::Context {
+        platform: platform.clone(),
+        clock: clock.clone(),
+        fleet: Arc::clone(&fleet),
+        enforced: Arc::clone(&enforced),
+        settings: settings.batch.clone(),
+        boot,
+    };
+    let (batch_actor, _) = Actor::spawn(None, batch::Batch, batch.clone()).await?;
     let links = links::Context {
         fleet: Arc::clone(&fleet),
         secrets: Arc::new(link_secrets),
@@ -112,15 +137,16 @@
         boot,
         live: live.subscribe(),
         enforced: Arc::clone(&enforced),
-        on_tasks: OnTasks(Arc::new(|_, _| {})),
+        on_tasks: on_tasks(&batch_actor),
     };
     let links = links::bind(settings.links_address, links).await?;
     let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced));
-    let routes = routes(&requests, Name::clone(&settings.name));
+    let routes =
+        batch::jobs::routes(routes(&requests, &batch_actor, Name::clone(&settings.name)), &batch, &batch_actor);
     let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
     let callers = bind_callers(&settings, &requests).await?;
     let peers = peers::Context {
-        platform: client::open(platform_settings(&settings), boot, clock.clone()),
+        platform,
         clock,
         fleet: Arc::clone(&fleet),
         enforced,
@@ -136,6 +162,7 @@
     let mut tasks = peers::spawn_configuration(peers.clone());
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
+    tasks.push(batch::spawn_ticks(batch_actor.clone(), settings.batch.tick_ms));
     Ok(Entry {
         callers_address: callers.address(),
         callers: Some(callers),
@@ -143,6 +170,7 @@
         operators,
         requests,
         peers,
+        batch: batch_actor,
         tasks,
         drain_timeout: settings.bounds.drain_timeout_ms,
     })
@@ -190,6 +218,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         self.stop_tasks();
+        self.batch.kill();
     }
 }
 
@@ -239,10 +268,26 @@
     listener::bind(settings.callers_address, bounds, handler).await
 }
 
-fn routes(requests: &Arc<Requests>, name: Name) -> Routes {
+/// Passes reports on batch tasks to the actor.
+fn on_tasks(batch: &ActorRef<batch::Message>) -> OnTasks {
+    let batch = batch.clone();
+    OnTasks(Arc::new(move |link, reports| {
+        // The actor stops with the process only.
+        drop(batch.cast(batch::Message::Reports { link: link.clone(), reports }));
+    }))
+}
+
+fn routes(requests: &Arc<Requests>, batch: &ActorRef<batch::Message>, name: Name) -> Routes {
     let requests = Arc::clone(requests);
-    let dump = move || json!({ "role": "entry", "name": name, "entry": dump(&requests) });
-    Routes::new().state(dump).metrics(Reader::new())
+    let batch = batch.clone();
+    let dump = move |_| {
+        let (requests, batch, name) = (Arc::clone(&requests), batch.clone(), Name::clone(&name));
+        async move {
+            let tasks = ractor::call_t!(batch, batch::Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
+            Ok(json!({ "role": "entry", "name": name, "entry": dump(&requests), "batch": tasks }))
+        }
+    };
+    Routes::new().route(http::Method::GET, "/state", dump).metrics(Reader::new())
 }
 
 fn dump(requests: &Requests) -> Value {
--- /dev/null
+++ b/src/entry/batch/placing.rs
@@ -0,0 +1,172 @@
+//! From the queue to a worker: placement, claim and start.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_link::task::{TaskCommand, TaskStart};
+use chervilledge_policy::code::Code;
+use chervilledge_policy::id::Name;
+use chervilledge_policy::placement::{Unplaced, Want, WorkerId};
+use chervilledge_policy::queue::Item;
+use chervilledge_policy::task::{Change, Claim, TaskId};
+
+use crate::entry::batch::State;
+use crate::entry::batch::claims::{Held, Stage, Step};
+use crate::entry::batch::explain::What;
+use crate::entry::batch::rows::{JobRecord, TaskRecord};
+
+/// Tasks taken from the queue at once.
+const ROUND_MAX: usize = 256;
+
+/// Tasks without a place in a row after which a round ends.
+const UNPLACED_MAX: usize = 16;
+
+/// Time after which a task without a place is looked at again.
+const UNPLACED_WAIT: Duration = Duration::from_millis(250);
+
+/// Draws of a worker that the task hasn't failed on.
+const DRAWS: usize = 8;
+
+impl State {
+    /// Takes tasks from the queue and claims them for workers.
+    pub(super) fn place(&mut self) {
+        let now = self.now();
+        let may_place = self.own.is_registered() && !self.context.platform.is_away() && now >= self.place_due;
+        if !may_place || self.queue.is_empty() || self.workers.is_empty() {
+            return;
+        }
+        self.workers.set_complete(self.is_fleet_complete(now));
+        let in_flight = self.claims.values().filter(|held| matches!(held.stage, Stage::Claiming | Stage::Sent)).count();
+        let room = self.context.settings.claims_in_flight_max.saturating_sub(in_flight).min(ROUND_MAX);
+        let mut unplaced = 0;
+        for item in self.queue.take_batch(now, room) {
+            if unplaced >= UNPLACED_MAX {
+                self.queue.defer(item, now);
+            } else if !self.place_one(item, now) {
+                unplaced += 1;
+            }
+        }
+        if unplaced >= UNPLACED_MAX {
+            self.place_due = now + UNPLACED_WAIT;
+        }
+    }
+
+    fn place_one(&mut self, item: Item, now: Duration) -> bool {
+        let Some(job) = self.jobs.get(&item.task.job).cloned() else {
+            self.queue.release(&item.team, &item.resources);
+            return true;
+        };
+        let (record, version) = match self.known.get(&item.task) {
+            Some((record, version)) => (record.clone(), Some(*version)),
+            None => (job.task(item.task.index), None),
+        };
+        let want = Want { kind: self.kinds.id(&item.kind), resources: item.resources };
+        match self.choose(&want, &record, now) {
+            Ok(worker) => self.claim(&item, worker, Held::open(record, version, job, Stage::Claiming, Name::from(""))),
+            Err(unplaced) => return self.leave_unplaced(item, unplaced, &record, job, now),
+        }
+        true
+    }
+
+    /// Chooses a worker, one that the task hasn't failed on if there is any.
+    fn choose(&mut self, want: &Want, record: &TaskRecord, now: Duration) -> Result<WorkerId, Unplaced> {
+        let mut drawn = Vec::new();
+        let mut chosen = Err(Unplaced::NoRoom);
+        for _ in 0..DRAWS {
+            chosen = self.workers.place(want, &self.interference, &self.usage, now);
+            let Ok(worker) = chosen else { break };
+            let has_failed = |name: &Name| record.row.attempts.iter().any(|attempt| attempt.worker == *name);
+            if !self.workers.name(worker).is_some_and(has_failed) {
+                break;
+            }
+            drawn.push(worker);
+            chosen = Err(Unplaced::NoRoom);
+        }
+        if chosen.is_err()
+            && let Some(worker) = drawn.pop()
+        {
+            // Only workers are left on which it has failed before.
+            chosen = Ok(worker);
+        }
+        for worker in drawn {
+            self.workers.declined(worker, want, None);
+        }
+        chosen
+    }
+
+    fn leave_unplaced(
+        &mut self,
+        item: Item,
+        unplaced: Unplaced,
+        record: &TaskRecord,
+        job: Arc<JobRecord>,
+        now: Duration,
+    ) -> bool {
+        let epoch = record.row.epoch;
+        self.history.note(now, &item.task, epoch, What::NotPlaced, None, Some(unplaced.code()));
+        match unplaced {
+            Unplaced::NoRoom => {
+                self.queue.defer(item, now + UNPLACED_WAIT);
+                false
+            }
+            Unplaced::Impossible(_) => {
+                self.queue.release(&item.team, &item.resources);
+                let version = self.known.remove(&item.task).map(|(_, version)| version);
+                let held = Held::open(record.clone(), version, job, Stage::Other, Name::from(""));
+                self.claims.insert(item.task.clone(), held);
+                self.step(&item.task, Step::of(Change::Reject(Code::Unschedulable)));
+                true
+            }
+        }
+    }
+
+    fn claim(&mut self, item: &Item, worker: WorkerId, mut held: Held) {
+        let Some(name) = self.workers.name(worker).cloned() else { return };
+        held.worker = Name::clone(&name);
+        held.is_charged = true;
+        self.known.remove(&item.task);
+        self.claims.insert(item.task.clone(), held);
+        let claim = Claim { worker: name, entry: self.own.id() };
+        self.step(&item.task, Step::of(Change::Claim(claim)));
+    }
+
+    /// Sends the start of a task whose claim is in the table.
+    pub(super) fn send_start(&mut self, id: &TaskId, now: Duration) {
+        let Some(held) = self.claims.get_mut(id) else { return };
+        held.stage = Stage::Sent;
+        held.told = now;
+        let worker = Name::clone(&held.worker);
+        let Some(ask) = self.agents.get(&worker).and_then(|agent| agent.ask) else {
+            // Nothing was sent, so that nothing can have started.
+            self.step(id, Step { code: Some(Code::LinkClosed), ..Step::of(Change::Decline) });
+            return;
+        };
+        let start = TaskStart {
+            claim: held.claim(),
+            kind: Name::clone(&held.job.row.kind),
+            resources: held.job.row.declared,
+            run_ms: held.job.row.run_time,
+            progress_ms: held.record.progress_ms,
+            checkpoint_interval_ms: held.job.checkpoint_interval_ms,
+            may_throttle: held.job.may_throttle,
+            may_evict: held.job.may_evict,
+            lease: self.own.id(),
+            ask,
+        };
+        let (claim, epoch) = (start.claim.task.clone(), start.claim.epoch);
+        self.own.start_sent(&worker, now);
+        self.send(&worker, TaskCommand::Start(Box::new(start)));
+        self.history.note(now, &claim, epoch, What::StartSent, Some(&worker), None);
+    }
+
+    /// Tells whether the linked workers are all that there are, as far as can be known.
+    fn is_fleet_complete(&self, now: Duration) -> bool {
+        if now >= self.started + self.context.settings.full_look_ms {
+            return true;
+        }
+        let Ok(in_force) = self.context.enforced.in_force() else { return false };
+        let shapes = in_force.document.sites.values().flat_map(|site| site.worker_shapes.values());
+        let declared: usize = shapes.map(|shape| shape.workers as usize).sum();
+        declared > 0 && self.workers.len() >= declared
+    }
+}
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,7 +10,7 @@
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::{BootId, Name, RequestId};
-use chervilledge_policy::membership::{self, Announced, Change, Heard, Heartbeat, Member, Members};
+use chervilledge_policy::membership::{self, Announced, Announcement, Change, Heard, Heartbeat, Member, Members};
 use chervilledge_policy::retry::{self, Retries};
 use chervilledge_policy::rollout::{self, Stamp};
 use chervilledge_policy::routing::{self, Choice, Finished, Table};
@@ -291,6 +291,12 @@
         lock(&self.inner).links.values().cloned().collect()
     }
 
+    /// Gives the announcement of a worker.
+    #[must_use]
+    pub fn announcement(&self, worker: &str) -> Option<Announcement> {
+        lock(&self.inner).members.get(worker).map(|member| member.announcement.clone())
+    }
+
     /// Counts a reply that no driver waited for.
     pub fn count_late_reply(&self) {
         lock(&self.inner).counters.late_replies += 1;
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -8,7 +8,8 @@
 
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_link::error::Error;
-use chervilledge_link::message::{Hello, Reply, TaskReport, ToAgent, ToEntry, VERSION, Welcome};
+use chervilledge_link::message::{Hello, Reply, ToAgent, ToEntry, VERSION, Welcome};
+use chervilledge_link::task::TaskReport;
 use chervilledge_operator::secret::Secrets;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::BootId;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the daemons, read from JSON files.
 
+pub mod batch;
+
 use std::fmt;
 use std::fs;
 use std::io;
@@ -39,6 +41,9 @@
     /// Bounds, with defaults.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Batch work, with defaults.
+    #[serde(default)]
+    pub batch: batch::Batch,
     /// Where logs go; standard error when absent.
     #[serde(default)]
     pub log_directory: Option<PathBuf>,
@@ -77,6 +82,9 @@
     /// Bounds, with defaults.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Batch work, with defaults.
+    #[serde(default)]
+    pub batch: batch::Batch,
     /// Where logs go; standard error when absent.
     #[serde(default)]
     pub log_directory: Option<PathBuf>,
@@ -179,6 +187,7 @@
 pub fn read_entry(path: &Path) -> Result<Entry, Error> {
     let settings: Entry = read(path)?;
     let mut faults = settings.bounds.faults();
+    settings.batch.faults(&mut faults);
     push_if(&mut faults, settings.name.is_empty(), "$.name", "is empty");
     push_if(&mut faults, settings.failure_domain.is_empty(), "$.failure_domain", "is empty");
     push_if(&mut faults, settings.link_secrets.is_empty(), "$.link_secrets", "holds no secret");
@@ -194,6 +203,7 @@
 pub fn read_agent(path: &Path) -> Result<Agent, Error> {
     let settings: Agent = read(path)?;
     let mut faults = settings.bounds.faults();
+    settings.batch.faults(&mut faults);
     push_if(&mut faults, settings.worker.is_empty(), "$.worker", "is empty");
     push_if(&mut faults, settings.service.is_empty(), "$.service", "is empty");
     push_if(&mut faults, settings.failure_domain.is_empty(), "$.failure_domain", "is empty");
@@ -244,7 +254,7 @@
     serde_json::from_str(&text).map_err(|error| Error::Json(path.to_owned(), error))
 }
 
-fn push_if(faults: &mut Vec<Fault>, is_fault: bool, path: &'static str, text: &'static str) {
+pub(crate) fn push_if(faults: &mut Vec<Fault>, is_fault: bool, path: &'static str, text: &'static str) {
     if is_fault {
         faults.push(Fault { path, text });
     }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod batch;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader};
