--- a/src/agent.rs
+++ b/src/agent.rs
@@ -42,6 +42,9 @@
 /// Time for the actor to answer a question.
 const ASK_TIMEOUT_MS: u64 = 1_000;
 
+/// Time that evicted tasks get until their ends are recorded.
+const BATCH_DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time between two looks at whether a drain has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -151,6 +154,10 @@
         if tokio::time::timeout(self.drain_timeout, drained).await.is_err() {
             log::warn!(event = "drain_timed_out"; "");
         }
+        let bound = self.drain_timeout.min(BATCH_DRAIN_TIMEOUT);
+        if tokio::time::timeout(bound, wait_evicted(&self.batch)).await.is_err() {
+            log::warn!(event = "evictions_timed_out"; "");
+        }
         tokio::time::sleep(FLUSH_TIME).await;
     }
 }
@@ -165,6 +172,12 @@
     }
 }
 
+async fn wait_evicted(batch: &ActorRef<tasks::Message>) {
+    while let Ok(false) = ractor::call_t!(batch, tasks::Message::IsDrained, ASK_TIMEOUT_MS) {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 async fn wait_drained(core: &ActorRef<Message>) {
     while let Ok(false) = ractor::call_t!(core, Message::IsDrained, ASK_TIMEOUT_MS) {
         tokio::time::sleep(DRAIN_POLL).await;
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -18,6 +18,7 @@
 use chervilledge_link::task::{ClaimId, End, TaskCommand, TaskReport, WorkerState};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::clock::Clock;
+use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::BootId;
 use chervilledge_policy::lease::Holder;
@@ -29,8 +30,8 @@
 use tokio::task::JoinHandle;
 
 use crate::agent::dial::LinkId;
-use crate::agent::tasks::calls::{Call, Called, Calls};
-use crate::agent::tasks::held::Task;
+use crate::agent::tasks::calls::{Call, Called, Calls, Order};
+use crate::agent::tasks::held::{Stage, Task};
 use crate::settings::batch::Batch;
 
 /// Time within which the worker obeys a start or never does; it is renewed to the whole lease afterwards.
@@ -71,8 +72,10 @@
     Called(Called),
     /// Time for the next step.
     Tick,
-    /// No new task is to be taken.
+    /// No new task is to be taken, and those held are to be evicted.
     Drain,
+    /// Asks whether a drain has ended.
+    IsDrained(RpcReplyPort<bool>),
     /// Asks for a dump of the state.
     Dump(RpcReplyPort<Value>),
 }
@@ -183,7 +186,8 @@
             Message::Commands { entry, commands } => state.on_commands(entry, commands),
             Message::Called(called) => state.on_called(called),
             Message::Tick => state.on_tick(),
-            Message::Drain => state.is_draining = true,
+            Message::Drain => state.drain(),
+            Message::IsDrained(reply) => drop(reply.send(state.tasks.is_empty() && state.unsettled.is_empty())),
             Message::Dump(reply) => drop(reply.send(state.dump())),
         }
         Ok(())
@@ -210,6 +214,9 @@
         self.join(now);
         self.tell_state();
         self.keep_leases(now);
+        if self.is_draining {
+            self.drain();
+        }
         self.keep_tasks(now);
         self.report_unsettled(now);
     }
@@ -243,6 +250,26 @@
         WorkerState { free, used: self.reservations.reserved(), request_load_permille: 0, latency_permille: 0 }
     }
 
+    /// Evicts every task with its progress, so that it goes on elsewhere.
+    fn drain(&mut self) {
+        self.is_draining = true;
+        self.tell_state();
+        let held: Vec<ClaimId> =
+            self.tasks.iter().map(|(task, held)| ClaimId { task: task.clone(), epoch: held.epoch }).collect();
+        for claim in held {
+            self.evict(&claim, Code::Draining);
+        }
+    }
+
+    /// Stops a task and reports the progress that it had.
+    fn evict(&mut self, claim: &ClaimId, code: Code) {
+        let Some(task) = self.tasks.get_mut(&claim.task).filter(|task| task.epoch == claim.epoch) else { return };
+        if matches!(task.stage, Stage::Held) {
+            task.stage = Stage::Stopping(End::Evicted { code, progress_ms: 0 });
+            self.calls.order(claim, Order::Stop);
+        }
+    }
+
     /// Notes the end of a claim, and reports it.
     fn end(&mut self, claim: ClaimId, end: End, lease: Option<BootId>) {
         log::info!(event = "claim_ended", task:% = claim.task, epoch = claim.epoch.0, end:? = end; "");
--- a/src/agent/tasks/leases.rs
+++ b/src/agent/tasks/leases.rs
@@ -32,12 +32,25 @@
     }
 
     pub(super) fn on_granted(&mut self, lease: BootId, ask: Ask) {
+        let now = self.clock.now();
         let Some(holder) = self.holders.get_mut(&lease) else { return };
+        let had_ended = holder.phase(now) == Phase::Ended;
         holder.granted(ask);
         let covered: Vec<TaskId> =
             self.tasks.iter().filter(|(_, task)| task.lease == Some(lease)).map(|(id, _)| id.clone()).collect();
-        for task in covered {
-            self.extend(&task);
+        for id in covered {
+            if had_ended {
+                // The claim may have ended meanwhile, so that the table is asked before the task goes on.
+                self.uncover(&id);
+            } else {
+                self.extend(&id);
+            }
+        }
+    }
+
+    fn uncover(&mut self, id: &TaskId) {
+        if let Some(task) = self.tasks.get_mut(id) {
+            task.lease = None;
         }
     }
 
--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -195,7 +195,7 @@
         let gather = group::Settings { wait: context.settings.commit_gather_ms, ..group::Settings::default() };
         Ok(State {
             commits: group::spawn(context.platform.clone(), gather),
-            own: Own::open(context.settings.lease),
+            own: Own::open(context.settings.lease, now),
             seen: Map::default(),
             agents: Map::default(),
             workers: placement::Fleet::open(context.boot.0),
@@ -299,6 +299,7 @@
         let closed: Vec<Name> =
             self.agents.iter().filter(|(_, agent)| !is_open(agent)).map(|(name, _)| Name::clone(name)).collect();
         for name in closed {
+            self.own.bar(&name);
             if let Some(worker) = self.agents.remove(&name).and_then(|agent| agent.worker) {
                 self.workers.leave(worker);
             }
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -429,6 +429,7 @@
         if self.context.platform.is_away() {
             return;
         }
+        self.bar_silent(now);
         let own: Vec<TaskId> = self
             .claims
             .iter()
@@ -453,6 +454,21 @@
         }
     }
 
+    /// Bars agents that haven't asked for a whole lease, also on links that are open.
+    fn bar_silent(&mut self, now: Duration) {
+        let length = self.context.settings.lease.length;
+        let is_silent = |granted: Option<Duration>| granted.is_some_and(|granted| now >= granted + length);
+        for (worker, agent) in &mut self.agents {
+            if is_silent(agent.granted) && agent.worker.is_some() {
+                self.own.bar(worker);
+                (agent.ask, agent.granted) = (None, None);
+                if let Some(id) = agent.worker.take() {
+                    self.workers.leave(id);
+                }
+            }
+        }
+    }
+
     /// Repeats commands that an agent hasn't answered.
     pub(super) fn repeat_commands(&mut self, now: Duration) {
         let interval = self.context.settings.lease.renew_every;
--- a/src/entry/batch/leases.rs
+++ b/src/entry/batch/leases.rs
@@ -54,16 +54,10 @@
 impl Own {
     /// Opens a lease that isn't in the table yet.
     #[must_use]
-    pub fn open(terms: Terms) -> Self {
-        Self {
-            terms,
-            id: boot::new_id(),
-            group: Group::open(terms, 0),
-            version: None,
-            asked: None,
-            begun: None,
-            sequence: 0,
-        }
+    pub fn open(terms: Terms, now: Duration) -> Self {
+        let mut group = Group::open(terms, 0, now);
+        group.admit(&Name::from(SELF));
+        Self { terms, id: boot::new_id(), group, version: None, asked: None, begun: None, sequence: 0 }
     }
 
     /// Identifier of the lease.
@@ -90,10 +84,19 @@
     }
 
     /// Notes an agent's ask.
+    ///
+    /// An agent whose lease has lapsed asks for a handover of each claim before the claim goes on, so that a grant
+    /// never revives a claim that has ended.
     pub fn asked(&mut self, worker: &Name, ask: Ask) {
+        self.group.admit(worker);
         self.group.asked(worker, ask);
     }
 
+    /// Gives the worker no more grants until its agent asks again.
+    pub fn bar(&mut self, worker: &Name) {
+        self.group.bar(worker);
+    }
+
     fn begin(&mut self, now: Duration, gather: Duration) -> Option<GroupRow> {
         if self.begun.is_some_and(|begun| now < begun + gather) {
             return None;
@@ -173,7 +176,7 @@
     /// What the old lease covered is dealt with by whoever has taken it, and by agents that ask for a handover.
     fn lose_lease(&mut self) {
         log::error!(event = "lease_lost", lease:% = self.own.id; "");
-        self.own = Own::open(self.own.terms);
+        self.own = Own::open(self.own.terms, self.now());
         self.claims.clear();
         self.known.clear();
         self.shards = Shards::default();
