--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -125,6 +125,8 @@
     link: Link,
     /// Newest ask under the entry's present lease.
     ask: Option<Ask>,
+    /// When that ask came.
+    asked: Option<Duration>,
     /// When a renewal was last granted.
     granted: Option<Duration>,
     state: WorkerState,
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -455,16 +455,18 @@
     }
 
     /// Bars agents that haven't asked for a whole lease, also on links that are open.
+    ///
+    /// An agent that asks while the table is away isn't silent: it goes on once its asks can be granted.
     fn bar_silent(&mut self, now: Duration) {
         let length = self.context.settings.lease.length;
-        let is_silent = |granted: Option<Duration>| granted.is_some_and(|granted| now >= granted + length);
         for (worker, agent) in &mut self.agents {
-            if is_silent(agent.granted) && agent.worker.is_some() {
-                self.own.bar(worker);
-                (agent.ask, agent.granted) = (None, None);
-                if let Some(id) = agent.worker.take() {
-                    self.workers.leave(id);
-                }
+            if agent.asked.is_none_or(|asked| now < asked + length) {
+                continue;
+            }
+            self.own.bar(worker);
+            (agent.ask, agent.asked) = (None, None);
+            if let Some(id) = agent.worker.take() {
+                self.workers.leave(id);
             }
         }
     }
--- a/src/entry/batch/leases.rs
+++ b/src/entry/batch/leases.rs
@@ -186,7 +186,7 @@
         let workers: Vec<Name> = self.agents.keys().cloned().collect();
         for worker in workers {
             if let Some(agent) = self.agents.get_mut(&worker) {
-                (agent.ask, agent.granted) = (None, None);
+                (agent.ask, agent.asked, agent.granted) = (None, None, None);
                 if let Some(id) = agent.worker.take() {
                     self.workers.leave(id);
                 }
--- a/src/entry/batch/reports.rs
+++ b/src/entry/batch/reports.rs
@@ -43,7 +43,7 @@
 
     fn on_joined(&mut self, link: &Link, state: WorkerState) {
         let worker = Name::clone(&link.worker);
-        let agent = Agent { link: link.clone(), ask: None, granted: None, state, worker: None };
+        let agent = Agent { link: link.clone(), ask: None, asked: None, granted: None, state, worker: None };
         if let Some(id) = self.agents.insert(Name::clone(&worker), agent).and_then(|old| old.worker) {
             self.workers.leave(id);
         }
@@ -66,10 +66,12 @@
     }
 
     fn on_ask(&mut self, link: &Link, ask: Ask) {
+        let now = self.now();
         let Some(agent) = self.agents.get_mut(&link.worker).filter(|agent| agent.link.number == link.number) else {
             return;
         };
         agent.ask = Some(ask);
+        agent.asked = Some(now);
         self.own.asked(&link.worker, ask);
     }
 
--- /dev/null
+++ b/tests/batch_finishes.rs
@@ -0,0 +1,107 @@
+//! Batch work finishes eventually, whatever happened meanwhile.
+
+mod harness;
+
+use std::time::Duration;
+
+use chervilledge_standins::{judge, platform, worker};
+use harness::batch::{Site, bind_platform, bind_worker, effects, ledgers, starts, wait_ledger};
+use serde_json::json;
+
+/// Several leases long.
+const LONG_OUTAGE: Duration = Duration::from_secs(12);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_is_down_for_long() {
+    let platform = bind_platform().await;
+    let worker = bind_worker("worker-1").await;
+    let mut site = Site::open(platform.address()).await;
+    let entries = [site.entry("entry-1"), site.entry("entry-2")];
+    site.agent("worker-1", worker.address());
+    for entry in entries {
+        site.wait_granted(entry, 1).await;
+    }
+    let job = site.submit(entries[0], "orders-1", "medium", 12).await;
+    wait_ledger("tasks run", &[&worker], |events| starts(events) >= 4).await;
+
+    platform.control(platform::Faults { down: true, ..platform::Faults::default() });
+    tokio::time::sleep(LONG_OUTAGE).await;
+    platform.control(platform::Faults::default());
+
+    let job = site.wait_finished(entries[1], &job).await;
+    assert_eq!(job["counts"], json!({ "done": 12 }));
+    let events = worker.ledger();
+    assert_eq!(judge::violations(&events), Vec::new());
+    assert_eq!(effects(&events), 12);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_of_cancellations_leaves_the_rest_to_finish() {
+    let platform = bind_platform().await;
+    let (first, second) = (bind_worker("worker-1").await, bind_worker("worker-2").await);
+    let mut site = Site::open(platform.address()).await;
+    let entries = [site.entry("entry-1"), site.entry("entry-2")];
+    site.agent("worker-1", first.address());
+    site.agent("worker-2", second.address());
+    for entry in entries {
+        site.wait_granted(entry, 2).await;
+    }
+    let kept = site.submit(entries[0], "orders-kept", "medium", 8).await;
+    let mut wave = Vec::new();
+    for number in 0..20 {
+        wave.push(site.submit(entries[number % 2], &format!("orders-{number}"), "long", 10).await);
+    }
+    wait_ledger("tasks run", &[&first, &second], |events| starts(events) >= 8).await;
+
+    let cancelled = site.post(entries[1], "/jobs/cancel", json!({ "jobs": wave })).await;
+
+    assert_eq!(cancelled.status, 200, "{cancelled:?}");
+    let job = site.wait_finished(entries[0], &kept).await;
+    assert_eq!(job["counts"], json!({ "done": 8 }));
+    for job in wave {
+        let job = site.wait_finished(entries[0], &job).await;
+        let counts = job["counts"].as_object().expect("counts");
+        let ended: u64 = ["cancelled", "done"].iter().filter_map(|state| counts.get(*state)?.as_u64()).sum();
+        assert_eq!(ended, 10, "{job}");
+    }
+    let events = ledgers(&[&first, &second]);
+    assert_eq!(judge::violations(&events), Vec::new());
+    assert!(starts(&events) < 60, "{} starts of tasks that were cancelled", starts(&events));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn worker_that_fails_everything_is_avoided() {
+    let platform = bind_platform().await;
+    let (bad, good) = (bind_worker("worker-1").await, bind_worker("worker-2").await);
+    bad.control(worker::Faults { fail_starts: true, ..worker::Faults::default() });
+    let mut site = Site::open(platform.address()).await;
+    let entry = site.entry("entry-1");
+    site.agent("worker-1", bad.address());
+    site.agent("worker-2", good.address());
+    site.wait_granted(entry, 2).await;
+
+    let job = site.submit(entry, "orders-1", "quick", 40).await;
+
+    let job = site.wait_finished(entry, &job).await;
+    assert_eq!(job["counts"], json!({ "done": 40 }));
+    let events = ledgers(&[&bad, &good]);
+    assert_eq!(judge::violations(&events), Vec::new());
+    assert_eq!(effects(&events), 40);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn task_that_fails_everywhere_stops_with_its_reason() {
+    let platform = bind_platform().await;
+    let worker = bind_worker("worker-1").await;
+    worker.control(worker::Faults { fail_starts: true, ..worker::Faults::default() });
+    let mut site = Site::open(platform.address()).await;
+    let entry = site.entry("entry-1");
+    site.agent("worker-1", worker.address());
+
+    let job = site.submit(entry, "orders-1", "quick", 1).await;
+
+    let job = site.wait_finished(entry, &job).await;
+    assert_eq!(job["counts"], json!({ "failed": 1 }));
+    assert_eq!(job["tasks"][0]["code"], 3003, "{job}");
+    assert_eq!(job["tasks"][0]["attempts"].as_array().map(Vec::len), Some(3), "{job}");
+}
--- a/tests/harness/batch.rs
+++ b/tests/harness/batch.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use chervilledge_operator::documents::Documents;
+use chervilledge_policy::id::Name;
+use chervilledge_standins::worker::{Event, What};
+use chervilledge_standins::{platform, worker};
 use serde_json::{Value, json};
 
 use super::{
@@ -163,3 +166,41 @@
         .await;
     }
 }
+
+/// Events of several workers together.
+pub fn ledgers(workers: &[&worker::Handle]) -> Vec<Event> {
+    workers.iter().flat_map(|worker| worker.ledger()).collect()
+}
+
+/// Starts a worker's stand-in; its name tells its ledger apart.
+pub async fn bind_worker(name: &str) -> worker::Handle {
+    let settings = worker::Settings { worker: Name::from(name), ..worker::Settings::default() };
+    worker::bind(SocketAddr::from(([127, 0, 0, 1], 0)), settings).await.expect("worker")
+}
+
+/// Starts a platform's stand-in with the usual rates.
+pub async fn bind_platform() -> platform::Handle {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    platform::bind(address, platform::Settings::default()).await.expect("platform")
+}
+
+/// Number of events that are as wanted.
+pub fn count(events: &[Event], is_wanted: impl Fn(&What) -> bool) -> usize {
+    events.iter().filter(|event| is_wanted(&event.what)).count()
+}
+
+/// Number of effects of tasks.
+pub fn effects(events: &[Event]) -> usize {
+    count(events, |what| matches!(what, What::TaskEffect { .. }))
+}
+
+/// Number of starts of tasks.
+pub fn starts(events: &[Event]) -> usize {
+    count(events, |what| matches!(what, What::TaskStarted { .. }))
+}
+
+/// Waits until the workers' ledgers are as wanted.
+pub async fn wait_ledger(what: &str, workers: &[&worker::Handle], is_wanted: impl Fn(&[Event]) -> bool) {
+    let is_wanted = &is_wanted;
+    wait_until(what, || async move { is_wanted(&ledgers(workers)) }).await;
+}
