--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -50,6 +50,8 @@
         lease: BootId,
         /// Handover that is answered.
         cover: Ask,
+        /// What the agent may do to the task.
+        traits: TaskTraits,
     },
     /// Asks for [`TaskReport::Gone`] unless the worker holds the claim.
     Confirm(ClaimId),
@@ -75,6 +77,18 @@
     /// Progress to resume from.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub progress_ms: Duration,
+    /// What the agent may do to the task.
+    pub traits: TaskTraits,
+    /// Lease that covers the claim.
+    pub lease: BootId,
+    /// Newest ask that the entry has received; bounds a start that is delayed.
+    pub ask: Ask,
+}
+
+/// What an agent may do to a task.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskTraits {
     /// Time between two checkpoints.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub checkpoint_interval_ms: Duration,
@@ -82,10 +96,6 @@
     pub may_throttle: bool,
     /// The task may be evicted to protect request latency.
     pub may_evict: bool,
-    /// Lease that covers the claim.
-    pub lease: BootId,
-    /// Newest ask that the entry has received; bounds a start that is delayed.
-    pub ask: Ask,
 }
 
 /// Report of an agent to an entry.
@@ -134,8 +144,6 @@
     pub free: Resources,
     /// Resources used, with the lag of the measurement.
     pub used: Resources,
-    /// Part of the request slots in use, in thousandths.
-    pub request_load_permille: u32,
     /// 99th percentile of request latency over its target, in thousandths.
     pub latency_permille: u32,
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -113,7 +113,7 @@
     let backend_connections = settings.capacity.connections as usize;
     let (entries, entries_heard) = mpsc::unbounded_channel();
     let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
-    let (batch, _) = Actor::spawn(None, tasks::Tasks, batch_arguments(&settings, &clock, boot)).await?;
+    let (batch, _) = Actor::spawn(None, tasks::Tasks, batch_arguments(&settings, &clock, boot, &enforced)).await?;
     let arguments = Arguments {
         boot,
         enforced: Arc::clone(&enforced),
@@ -184,13 +184,20 @@
     }
 }
 
-fn batch_arguments(settings: &settings::Agent, clock: &Clock, boot: BootId) -> tasks::Arguments {
+fn batch_arguments(
+    settings: &settings::Agent,
+    clock: &Clock,
+    boot: BootId,
+    enforced: &Arc<Enforced>,
+) -> tasks::Arguments {
     tasks::Arguments {
         boot,
         clock: clock.clone(),
         runtime: runtime::open(settings.runtime_address),
         capacity: settings.capacity.resources,
         settings: settings.batch.clone(),
+        service: Name::clone(&settings.service),
+        enforced: Arc::clone(enforced),
     }
 }
 
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -455,13 +455,19 @@
         };
         let backend = self.backend.clone();
         let core = myself.clone();
+        let (tasks, asker_tasks) = (self.tasks.clone(), self.tasks.clone());
+        let (clock, began) = (self.clock.clone(), self.clock.now());
+        self.tell_tasks(tasks::Message::RequestStarted(request));
         tokio::spawn(async move {
             let asker = core.clone();
             let ask_route = move |asked| {
+                let latency = clock.now().saturating_sub(began);
+                drop(asker_tasks.cast(tasks::Message::RequestAnswered { request, latency }));
                 // An actor that has stopped leaves the question unanswered.
                 drop(asker.cast(Message::AnswerReady { request, asked }));
             };
             let finished = exchange.run(backend, ask_route).await;
+            drop(tasks.cast(tasks::Message::RequestLeft(request)));
             drop(core.cast(Message::Finished { request, finished }));
         });
     }
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -7,10 +7,12 @@
 pub mod calls;
 pub mod held;
 
+mod colocation;
 mod commands;
 mod leases;
 mod stock;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_link::connection::Sender;
@@ -20,7 +22,7 @@
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
-use chervilledge_policy::id::BootId;
+use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::lease::Holder;
 use chervilledge_policy::reservation::Reservations;
 use chervilledge_policy::task::TaskId;
@@ -31,7 +33,9 @@
 
 use crate::agent::dial::LinkId;
 use crate::agent::tasks::calls::{Call, Called, Calls, Order};
+use crate::agent::tasks::colocation::Colocation;
 use crate::agent::tasks::held::{Stage, Task};
+use crate::rollout::Enforced;
 use crate::settings::batch::Batch;
 
 /// Time within which the worker obeys a start or never does; it is renewed to the whole lease afterwards.
@@ -42,6 +46,12 @@
 /// Time between two reports of something that an entry hasn't settled.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two reports of nothing but another latency.
+const LATENCY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Steps in which latency is reported, in thousandths of its target.
+const LATENCY_STEP_PERMILLE: u64 = 100;
+
 /// Message to the actor.
 #[derive(Debug)]
 pub enum Message {
@@ -70,6 +80,17 @@
     },
     /// Result of a call to the worker.
     Called(Called),
+    /// The backend server was given a request.
+    RequestStarted(RequestId),
+    /// The backend server has begun to answer a request.
+    RequestAnswered {
+        /// The request.
+        request: RequestId,
+        /// Time that it took.
+        latency: Duration,
+    },
+    /// A request has left the backend server, answered or not.
+    RequestLeft(RequestId),
     /// Time for the next step.
     Tick,
     /// No new task is to be taken, and those held are to be evicted.
@@ -93,6 +114,10 @@
     pub capacity: Resources,
     /// Settings of batch work.
     pub settings: Batch,
+    /// Service of the backend server.
+    pub service: Name,
+    /// Configuration that the agent enforces.
+    pub enforced: Arc<Enforced>,
 }
 
 /// Link to one entry.
@@ -103,6 +128,8 @@
     /// Lease that the entry holds, once it has named it.
     lease: Option<BootId>,
     joined: Option<Duration>,
+    /// When the entry was last told the state.
+    told_at: Duration,
     /// State that the entry was told.
     told: WorkerState,
 }
@@ -124,6 +151,7 @@
     settings: Batch,
     calls: Calls,
     reservations: Reservations,
+    colocation: Colocation,
     tasks: Map<TaskId, Task>,
     unsettled: Map<ClaimId, Unsettled>,
     peers: Map<BootId, Peer>,
@@ -155,6 +183,7 @@
             clock: args.clock,
             settings: args.settings,
             reservations: Reservations::open(args.capacity),
+            colocation: Colocation::open(args.service, args.enforced, now),
             tasks: Map::default(),
             unsettled: Map::default(),
             peers: Map::default(),
@@ -174,7 +203,14 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             Message::Linked { entry, link, sender } => {
-                let peer = Peer { link, sender, lease: None, joined: None, told: WorkerState::default() };
+                let peer = Peer {
+                    link,
+                    sender,
+                    lease: None,
+                    joined: None,
+                    told_at: Duration::ZERO,
+                    told: WorkerState::default(),
+                };
                 state.peers.insert(entry, peer);
                 state.join(state.clock.now());
             }
@@ -185,6 +221,11 @@
             }
             Message::Commands { entry, commands } => state.on_commands(entry, commands),
             Message::Called(called) => state.on_called(called),
+            Message::RequestStarted(request) => state.colocation.request_started(request, state.clock.now()),
+            Message::RequestAnswered { request, latency } => {
+                state.colocation.request_ended(request, latency, state.clock.now());
+            }
+            Message::RequestLeft(request) => state.colocation.request_left(request),
             Message::Tick => state.on_tick(),
             Message::Drain => state.drain(),
             Message::IsDrained(reply) => drop(reply.send(state.tasks.is_empty() && state.unsettled.is_empty())),
@@ -218,6 +259,7 @@
             self.drain();
         }
         self.keep_tasks(now);
+        self.control_colocation(now);
         self.report_unsettled(now);
     }
 
@@ -238,8 +280,14 @@
     }
 
     fn tell_state(&mut self) {
+        let now = self.clock.now();
         let state = self.worker_state();
         for peer in self.peers.values_mut().filter(|peer| peer.joined.is_some() && peer.told != state) {
+            let is_latency_only = WorkerState { latency_permille: state.latency_permille, ..peer.told } == state;
+            if is_latency_only && now < peer.told_at + LATENCY_INTERVAL {
+                continue;
+            }
+            peer.told_at = now;
             peer.told = state;
             peer.report(TaskReport::State(state));
         }
@@ -247,7 +295,9 @@
 
     fn worker_state(&self) -> WorkerState {
         let free = if self.is_draining { Resources::default() } else { self.reservations.free() };
-        WorkerState { free, used: self.reservations.reserved(), request_load_permille: 0, latency_permille: 0 }
+        let latency = self.colocation.latency_permille() / LATENCY_STEP_PERMILLE * LATENCY_STEP_PERMILLE;
+        let latency_permille = u32::try_from(latency).unwrap_or(u32::MAX);
+        WorkerState { free, used: self.reservations.reserved(), latency_permille }
     }
 
     /// Evicts every task with its progress, so that it goes on elsewhere.
@@ -266,6 +316,7 @@
         let Some(task) = self.tasks.get_mut(&claim.task).filter(|task| task.epoch == claim.epoch) else { return };
         if matches!(task.stage, Stage::Held) {
             task.stage = Stage::Stopping(End::Evicted { code, progress_ms: 0 });
+            self.calls.order(claim, Order::Checkpoint);
             self.calls.order(claim, Order::Stop);
         }
     }
--- a/src/agent/tasks/commands.rs
+++ b/src/agent/tasks/commands.rs
@@ -27,7 +27,13 @@
                 }
                 TaskCommand::Granted { lease, ask } => self.on_granted(lease, ask),
                 TaskCommand::Start(start) => self.on_start(entry, &start, now),
-                TaskCommand::Cover { claim, lease, cover } => self.on_cover(&claim, lease, cover, now),
+                TaskCommand::Cover { claim, lease, cover, traits } => {
+                    if self.on_cover(&claim, lease, cover, now)
+                        && let Some(task) = self.tasks.get_mut(&claim.task)
+                    {
+                        task.allow(&traits);
+                    }
+                }
                 TaskCommand::Confirm(claim) => self.on_confirm(entry, &claim, now),
                 TaskCommand::Stop(claim) => self.on_stop(&claim, now),
                 TaskCommand::Settled(claim) => self.on_settled(&claim),
@@ -87,15 +93,17 @@
         self.calls.push(Call::Start { claim, start: Box::new(start), until });
     }
 
-    fn on_cover(&mut self, claim: &ClaimId, lease: BootId, cover: Ask, now: Duration) {
+    /// Takes in that another lease covers a claim; tells whether this was awaited.
+    fn on_cover(&mut self, claim: &ClaimId, lease: BootId, cover: Ask, now: Duration) -> bool {
         let is_valid = self.holders.get(&lease).is_some_and(|holder| holder.phase(now) != Phase::Ended);
-        let Some(task) = self.tasks.get_mut(&claim.task).filter(|task| task.epoch == claim.epoch) else { return };
+        let Some(task) = self.tasks.get_mut(&claim.task).filter(|task| task.epoch == claim.epoch) else { return false };
         let is_awaited = task.handover.is_some_and(|handover| handover.cover == cover && handover.lease == lease);
         if is_valid && is_awaited {
             task.handover = None;
             task.lease = Some(lease);
             self.extend(&claim.task);
         }
+        is_valid && is_awaited
     }
 
     fn on_confirm(&mut self, entry: BootId, claim: &ClaimId, now: Duration) {
--- a/src/agent/tasks/held.rs
+++ b/src/agent/tasks/held.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilledge_link::task::{ClaimId, End, TaskStart};
+use chervilledge_link::task::{ClaimId, End, TaskStart, TaskTraits};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::Ask;
@@ -82,9 +82,9 @@
             progress: start.progress_ms,
             kept: start.progress_ms,
             checkpoint_asked: now,
-            checkpoint_interval: start.checkpoint_interval_ms,
-            may_throttle: start.may_throttle,
-            may_evict: start.may_evict,
+            checkpoint_interval: start.traits.checkpoint_interval_ms,
+            may_throttle: start.traits.may_throttle,
+            may_evict: start.traits.may_evict,
         }
     }
 
@@ -109,6 +109,13 @@
         }
     }
 
+    /// Takes in what the agent may do to the task.
+    pub const fn allow(&mut self, traits: &TaskTraits) {
+        self.checkpoint_interval = traits.checkpoint_interval_ms;
+        self.may_throttle = traits.may_throttle;
+        self.may_evict = traits.may_evict;
+    }
+
     /// Takes in what the worker tells.
     pub fn observe(&mut self, status: &Status) {
         self.state = status.state;
--- a/src/agent/tasks/stock.rs
+++ b/src/agent/tasks/stock.rs
@@ -131,6 +131,7 @@
                 if let Some(peer) = peer {
                     peer.report(TaskReport::Started(claim.clone()));
                 }
+                self.colocation.task_started();
                 self.extend(&claim.task);
                 self.tell_state();
             }
@@ -179,6 +180,8 @@
     fn finish_stopped(&mut self, claim: &ClaimId) {
         let Some(task) = self.tasks.get(&claim.task) else { return };
         let end = match task.stage {
+            // A stopped task resumes from the progress that was kept before.
+            Stage::Stopping(end @ End::Evicted { code: Code::StoppedForLatency, .. }) => end,
             Stage::Stopping(End::Evicted { code, .. }) => End::Evicted { code, progress_ms: millis(task.progress) },
             Stage::Stopping(end) => end,
             _ => return,
@@ -191,6 +194,7 @@
     /// Releases what a claim held, after the worker has confirmed that nothing of it is left.
     pub(super) fn finish(&mut self, claim: &ClaimId, end: End) {
         let Some(task) = self.tasks.remove(&claim.task) else { return };
+        self.colocation.task_ended(&claim.task);
         self.reservations.release(&claim.task, claim.epoch, self.clock.now());
         self.end(claim.clone(), end, task.lease);
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -102,6 +102,7 @@
     requests: Arc<Requests>,
     peers: peers::Context,
     batch: ActorRef<batch::Message>,
+    batch_ticks: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
 }
@@ -162,7 +163,7 @@
     let mut tasks = peers::spawn_configuration(peers.clone());
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
-    tasks.push(batch::spawn_ticks(batch_actor.clone(), settings.batch.tick_ms));
+    let batch_ticks = batch::spawn_ticks(batch_actor.clone(), settings.batch.tick_ms);
     Ok(Entry {
         callers_address: callers.address(),
         callers: Some(callers),
@@ -171,6 +172,7 @@
         requests,
         peers,
         batch: batch_actor,
+        batch_ticks,
         tasks,
         drain_timeout: settings.bounds.drain_timeout_ms,
     })
@@ -199,6 +201,8 @@
     pub async fn drain(mut self) {
         self.requests.is_draining.store(true, Ordering::Relaxed);
         self.stop_tasks();
+        // The actor goes on to renew its lease, so that tasks run on until the entry ends.
+        drop(self.batch.cast(batch::Message::Retire));
         let retired = tokio::time::timeout(RETIRE_TIMEOUT, peers::retire(&self.peers));
         let Some(callers) = self.callers.take() else { return };
         let drained = tokio::time::timeout(self.drain_timeout, callers.drain());
@@ -218,6 +222,7 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         self.stop_tasks();
+        self.batch_ticks.abort();
         self.batch.kill();
     }
 }
--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -96,6 +96,8 @@
     },
     /// Row of a claim that an agent has reported and this entry doesn't hold.
     Found(Box<Found>),
+    /// The entry is about to end: others are to take its shards.
+    Retire,
     /// Asks what happened to a task.
     Explain(TaskId, RpcReplyPort<Vec<Event>>),
     /// Asks for a dump of the state.
@@ -164,6 +166,8 @@
     poll_due: Duration,
     is_polling: bool,
     place_due: Duration,
+    /// When tasks were last placed.
+    placed: Duration,
     counters: Counters,
 }
 
@@ -217,6 +221,7 @@
             poll_due: now,
             is_polling: false,
             place_due: now,
+            placed: Duration::ZERO,
             counters: Counters::default(),
             context,
             myself,
@@ -241,6 +246,7 @@
             Message::MarkDeleted { shard, job, is_deleted } => state.on_mark_deleted(shard, &job, is_deleted),
             Message::Written { claim, written } => state.on_written(&claim, written),
             Message::Found(found) => state.on_found(*found),
+            Message::Retire => state.retire(),
             Message::Explain(task, reply) => drop(reply.send(state.history.of(&task, state.now()))),
             Message::Dump(reply) => drop(reply.send(state.dump())),
         }
@@ -343,6 +349,15 @@
         })
     }
 
+    /// Number of claims of this entry, by team.
+    fn running(&self) -> Map<Name, u32> {
+        let mut running: Map<Name, u32> = Map::default();
+        for held in self.claims.values().filter(|held| held.is_charged) {
+            *running.entry(Name::clone(&held.job.row.team)).or_default() += 1;
+        }
+        running
+    }
+
     /// Resources that the claims of this entry hold, by team.
     fn used(&self) -> std::collections::BTreeMap<Name, Resources> {
         let mut used: std::collections::BTreeMap<Name, Resources> = std::collections::BTreeMap::new();
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -266,7 +266,8 @@
         }
         self.own.start_sent(&worker, now);
         if let Some(cover) = cover {
-            self.send(&worker, TaskCommand::Cover { claim: claim.clone(), lease: self.own.id(), cover });
+            let traits = job.traits();
+            self.send(&worker, TaskCommand::Cover { claim: claim.clone(), lease: self.own.id(), cover, traits });
         }
         if is_claimed {
             self.step(&claim.task, Step::of(Change::Start));
--- a/src/entry/batch/leases.rs
+++ b/src/entry/batch/leases.rs
@@ -1,12 +1,15 @@
 //! The entry's own lease, and those of other entries.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilledge_link::task::TaskCommand;
+use chervilledge_link::task::{TaskCommand, WorkerState};
 use chervilledge_platform::error::{Outcome, Reason};
 use chervilledge_platform::table::{Expect, Row, Write};
+use chervilledge_policy::capacity::{Capacity, Resources};
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::{Ask, Group, GroupRow, Terms, Watch};
+use chervilledge_policy::membership::Load;
 use chervilledge_policy::placement::{Report, WorkerInfo};
 use chervilledge_policy::queue::{Aging, Queue};
 
@@ -32,6 +35,7 @@
     asked: Option<Duration>,
     begun: Option<Duration>,
     sequence: u64,
+    is_retiring: bool,
 }
 
 /// Result of a write of the entry's own lease.
@@ -57,7 +61,16 @@
     pub fn open(terms: Terms, now: Duration) -> Self {
         let mut group = Group::open(terms, 0, now);
         group.admit(&Name::from(SELF));
-        Self { terms, id: boot::new_id(), group, version: None, asked: None, begun: None, sequence: 0 }
+        Self {
+            terms,
+            id: boot::new_id(),
+            group,
+            version: None,
+            asked: None,
+            begun: None,
+            sequence: 0,
+            is_retiring: false,
+        }
     }
 
     /// Identifier of the lease.
@@ -72,6 +85,12 @@
         self.version.is_some()
     }
 
+    /// Tells whether the entry is about to end.
+    #[must_use]
+    pub const fn is_retiring(&self) -> bool {
+        self.is_retiring
+    }
+
     /// Notes a start or a cover that is about to be sent.
     pub fn start_sent(&mut self, worker: &Name, now: Duration) {
         self.group.start_sent(worker, now);
@@ -117,7 +136,13 @@
     pub(super) fn renew(&mut self) {
         let now = self.now();
         let Some(row) = self.own.begin(now, self.context.settings.renew_gather_ms) else { return };
-        let record = LeaseRecord { row, terms: self.own.terms, used: self.used() };
+        let record = LeaseRecord {
+            row,
+            terms: self.own.terms,
+            is_retiring: self.own.is_retiring,
+            running: self.running().into_iter().collect(),
+            used: self.used(),
+        };
         let expect = self.own.version.map_or(Expect::Absent, Expect::Version);
         let lease = self.own.id;
         let write = Write::put(lease_key(lease), expect, serde_json::json!(record));
@@ -128,6 +153,20 @@
         });
     }
 
+    /// Tells the other entries, by the lease's row, to take this entry's shards.
+    pub(super) fn retire(&mut self) {
+        self.own.is_retiring = true;
+        self.own.asked = None;
+        self.own.begun = None;
+        self.renew();
+    }
+
+    /// Number of the team's tasks that other entries' leases cover, as last read.
+    pub(super) fn running_elsewhere(&self, team: &Name) -> u32 {
+        let live = self.seen.values().filter(|seen| seen.ended.is_none());
+        live.filter_map(|seen| seen.record.running.get(team)).sum()
+    }
+
     pub(super) fn on_renewed(&mut self, renewed: Renewed) {
         if renewed.lease != self.own.id {
             return;
@@ -159,14 +198,15 @@
     /// Makes a worker known to placement, once its agent holds a lease.
     fn join_placement(&mut self, worker: &Name) {
         let Some(agent) = self.agents.get_mut(worker).filter(|agent| agent.worker.is_none()) else { return };
-        let Some(announcement) = self.context.fleet.announcement(worker) else { return };
+        let Some(member) = self.context.fleet.member(worker) else { return };
+        let (announcement, load) = (member.announcement, member.load);
         let info = WorkerInfo {
             name: Name::clone(worker),
-            rack: announcement.rack,
+            rack: Name::clone(&announcement.rack),
             capacity: announcement.capacity.resources,
             service: Some(self.kinds.id(&announcement.service)),
         };
-        agent.worker = Some(self.workers.join(info, report(&agent.state)));
+        agent.worker = Some(self.workers.join(info, report(&agent.state, request_load(&announcement.capacity, &load))));
         self.place_due = Duration::ZERO;
         self.reconsider();
     }
@@ -234,9 +274,7 @@
             self.queue.set_quota(team, settings.quota.resources());
             let live = self.seen.values().filter(|seen| seen.ended.is_none());
             let used = live.filter_map(|seen| seen.record.used.get(team));
-            let used = used.fold(chervilledge_policy::capacity::Resources::default(), |sum, used| {
-                sum.checked_add(used).unwrap_or(sum)
-            });
+            let used = used.fold(Resources::default(), |sum, used| sum.checked_add(used).unwrap_or(sum));
             self.queue.set_used_elsewhere(team, used);
         }
     }
@@ -261,7 +299,13 @@
         for lease in self.unlisted_leases() {
             // Absence that was read may be old; that it can be written is the proof that no renewal follows.
             let row = GroupRow { entry: lease, group: 0, counter: 0, taken_by: Some(self.own.id) };
-            let record = LeaseRecord { row, terms: self.own.terms, used: std::collections::BTreeMap::new() };
+            let record = LeaseRecord {
+                row,
+                terms: self.own.terms,
+                is_retiring: true,
+                running: BTreeMap::new(),
+                used: BTreeMap::new(),
+            };
             writes.push((lease, Write::put(lease_key(lease), Expect::Absent, serde_json::json!(record))));
         }
         for (lease, write) in writes {
@@ -306,17 +350,23 @@
 
     /// Leases that haven't ended, the own one among them.
     pub(super) fn live_leases(&self) -> Vec<BootId> {
-        let others = self.seen.iter().filter(|(_, seen)| seen.ended.is_none()).map(|(lease, _)| *lease);
+        let is_live = |seen: &Seen| seen.ended.is_none() && !seen.record.is_retiring;
+        let others = self.seen.iter().filter(|(_, seen)| is_live(seen)).map(|(lease, _)| *lease);
         others.chain([self.own.id]).collect()
     }
 }
 
 /// Form in which placement takes the state of a worker.
-pub fn report(state: &chervilledge_link::task::WorkerState) -> Report {
+pub fn report(state: &WorkerState, request_load: f64) -> Report {
     Report {
         free: state.free,
         used: state.used,
-        request_load: f64::from(state.request_load_permille) / 1000.0,
+        request_load,
         latency_ratio: f64::from(state.latency_permille) / 1000.0,
     }
 }
+
+/// Part of a backend server's slots that requests occupy.
+pub fn request_load(capacity: &Capacity, load: &Load) -> f64 {
+    f64::from(load.in_progress) / f64::from(capacity.slots.max(1))
+}
--- a/src/entry/batch/placing.rs
+++ b/src/entry/batch/placing.rs
@@ -5,6 +5,7 @@
 
 use chervilledge_link::task::{TaskCommand, TaskStart};
 use chervilledge_policy::code::Code;
+use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::placement::{Unplaced, Want, WorkerId};
 use chervilledge_policy::queue::Item;
@@ -15,9 +16,15 @@
 use crate::entry::batch::explain::What;
 use crate::entry::batch::rows::{JobRecord, TaskRecord};
 
-/// Tasks taken from the queue at once.
+/// Tasks taken from the queue in one round.
 const ROUND_MAX: usize = 256;
 
+/// Tasks taken from the queue at once.
+const BATCH_MAX: usize = 16;
+
+/// Shortest time between two rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Tasks without a place in a row after which a round ends.
 const UNPLACED_MAX: usize = 16;
 
@@ -31,27 +38,36 @@
     /// Takes tasks from the queue and claims them for workers.
     pub(super) fn place(&mut self) {
         let now = self.now();
-        let may_place = self.own.is_registered() && !self.context.platform.is_away() && now >= self.place_due;
+        let may_place = self.own.is_registered()
+            && !self.own.is_retiring()
+            && !self.context.platform.is_away()
+            && now >= self.place_due.max(self.placed + ROUND_INTERVAL);
         if !may_place || self.queue.is_empty() || self.workers.is_empty() {
             return;
         }
         self.workers.set_complete(self.is_fleet_complete(now));
         let in_flight = self.claims.values().filter(|held| matches!(held.stage, Stage::Claiming | Stage::Sent)).count();
-        let room = self.context.settings.claims_in_flight_max.saturating_sub(in_flight).min(ROUND_MAX);
+        let mut room = self.context.settings.claims_in_flight_max.saturating_sub(in_flight).min(ROUND_MAX);
+        let mut running = self.running();
         let mut unplaced = 0;
-        for item in self.queue.take_batch(now, room) {
-            if unplaced >= UNPLACED_MAX {
-                self.queue.defer(item, now);
-            } else if !self.place_one(item, now) {
-                unplaced += 1;
+        while room > 0 && unplaced < UNPLACED_MAX {
+            let batch = self.queue.take_batch(now, room.min(BATCH_MAX));
+            if batch.is_empty() {
+                break;
+            }
+            room -= batch.len();
+            for item in batch {
+                unplaced += usize::from(!self.place_one(item, &mut running, now));
             }
         }
+        self.placed = now;
         if unplaced >= UNPLACED_MAX {
             self.place_due = now + UNPLACED_WAIT;
         }
     }
 
-    fn place_one(&mut self, item: Item, now: Duration) -> bool {
+    /// Claims a task for a worker; tells whether it need not be looked at again soon.
+    fn place_one(&mut self, item: Item, running: &mut Map<Name, u32>, now: Duration) -> bool {
         let Some(job) = self.jobs.get(&item.task.job).cloned() else {
             self.queue.release(&item.team, &item.resources);
             return true;
@@ -61,13 +77,29 @@
             None => (job.task(item.task.index), None),
         };
         let want = Want { kind: self.kinds.id(&item.kind), resources: item.resources };
+        if !self.may_run_another(&item.team, running) {
+            let code = Code::QuotaTooSmall;
+            self.history.note(now, &item.task, record.row.epoch, What::NotPlaced, None, Some(code));
+            self.queue.defer(item, now + UNPLACED_WAIT);
+            return false;
+        }
         match self.choose(&want, &record, now) {
-            Ok(worker) => self.claim(&item, worker, Held::open(record, version, job, Stage::Claiming, Name::from(""))),
+            Ok(worker) => {
+                *running.entry(Name::clone(&item.team)).or_default() += 1;
+                self.claim(&item, worker, Held::open(record, version, job, Stage::Claiming, Name::from("")));
+            }
             Err(unplaced) => return self.leave_unplaced(item, unplaced, &record, job, now),
         }
         true
     }
 
+    /// Tells whether the team's quota of running tasks leaves room for one more.
+    fn may_run_another(&self, team: &Name, running: &Map<Name, u32>) -> bool {
+        let Ok(in_force) = self.context.enforced.in_force() else { return false };
+        let quota = in_force.document.teams.get(team).map_or(0, |team| team.quota.running_tasks);
+        running.get(team).copied().unwrap_or(0) + self.running_elsewhere(team) < quota
+    }
+
     /// Chooses a worker, one that the task hasn't failed on if there is any.
     fn choose(&mut self, want: &Want, record: &TaskRecord, now: Duration) -> Result<WorkerId, Unplaced> {
         let mut drawn = Vec::new();
@@ -147,9 +179,7 @@
             resources: held.job.row.declared,
             run_ms: held.job.row.run_time,
             progress_ms: held.record.progress_ms,
-            checkpoint_interval_ms: held.job.checkpoint_interval_ms,
-            may_throttle: held.job.may_throttle,
-            may_evict: held.job.may_evict,
+            traits: held.job.traits(),
             lease: self.own.id(),
             ask,
         };
--- a/src/entry/batch/reports.rs
+++ b/src/entry/batch/reports.rs
@@ -12,7 +12,7 @@
 use chervilledge_policy::task::{Change, CheckpointKey, TaskId, TaskState};
 
 use crate::entry::batch::claims::{Held, Stage, Step};
-use crate::entry::batch::leases::report;
+use crate::entry::batch::leases::{report, request_load};
 use crate::entry::batch::rows::{JobRecord, TaskRecord, content, job_key, task_key};
 use crate::entry::batch::{Agent, Message, State};
 use crate::entry::fleet::Link;
@@ -79,7 +79,9 @@
         let Some(agent) = self.agents.get_mut(&link.worker) else { return };
         agent.state = state;
         if let Some(worker) = agent.worker {
-            self.workers.report(worker, report(&state));
+            let load = self.context.fleet.member(&link.worker);
+            let load = load.map_or(0.0, |member| request_load(&member.announcement.capacity, &member.load));
+            self.workers.report(worker, report(&state, load));
         }
         self.place_due = Duration::ZERO;
     }
--- a/src/entry/batch/rows.rs
+++ b/src/entry/batch/rows.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_link::task::TaskTraits;
 use chervilledge_platform::table::Row;
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::{BootId, Name};
@@ -60,6 +61,16 @@
         self.cancelled || self.cancelled_tasks.contains(&index)
     }
 
+    /// What agents may do to the job's tasks.
+    #[must_use]
+    pub const fn traits(&self) -> TaskTraits {
+        TaskTraits {
+            checkpoint_interval_ms: self.checkpoint_interval_ms,
+            may_throttle: self.may_throttle,
+            may_evict: self.may_evict,
+        }
+    }
+
     /// Record of a task that has no row.
     #[must_use]
     pub fn task(&self, index: u32) -> TaskRecord {
@@ -121,6 +132,12 @@
     pub row: GroupRow,
     /// Terms that the entry grants, and that others wait out.
     pub terms: Terms,
+    /// The entry is about to end, so that its shards are to be taken.
+    #[serde(default)]
+    pub is_retiring: bool,
+    /// Number of each team's tasks that the lease covers.
+    #[serde(default)]
+    pub running: BTreeMap<Name, u32>,
     /// Resources of each team's tasks that the lease covers.
     #[serde(default)]
     pub used: BTreeMap<Name, Resources>,
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,7 +10,7 @@
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::{BootId, Name, RequestId};
-use chervilledge_policy::membership::{self, Announced, Announcement, Change, Heard, Heartbeat, Member, Members};
+use chervilledge_policy::membership::{self, Announced, Change, Heard, Heartbeat, Member, Members};
 use chervilledge_policy::retry::{self, Retries};
 use chervilledge_policy::rollout::{self, Stamp};
 use chervilledge_policy::routing::{self, Choice, Finished, Table};
@@ -292,10 +292,10 @@
         lock(&self.inner).links.values().cloned().collect()
     }
 
-    /// Gives the announcement of a worker.
+    /// Gives what is known of a worker.
     #[must_use]
-    pub fn announcement(&self, worker: &str) -> Option<Announcement> {
-        lock(&self.inner).members.get(worker).map(|member| member.announcement.clone())
+    pub fn member(&self, worker: &str) -> Option<Member> {
+        lock(&self.inner).members.get(worker).cloned()
     }
 
     /// Counts a reply that no driver waited for.
--- a/src/settings/batch.rs
+++ b/src/settings/batch.rs
@@ -31,6 +31,13 @@
     /// Time between two steps of an entry's or an agent's batch work.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub tick_ms: Duration,
+    /// Window over which an agent takes the 99th percentile of request latency.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub latency_window_ms: Duration,
+    /// Requests in that window below which an agent concludes nothing from it.
+    pub latency_requests_min: u64,
+    /// Evictions to protect request latency, in thousandths of task starts; 0 only throttles.
+    pub evictions_max_permille: u64,
     /// Time after which workers that haven't linked up count as absent, for naming tasks that can never run.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub full_look_ms: Duration,
@@ -46,6 +53,9 @@
             renew_gather_ms: Duration::from_millis(300),
             poll_interval_ms: Duration::from_millis(500),
             tick_ms: Duration::from_millis(100),
+            latency_window_ms: Duration::from_secs(2),
+            latency_requests_min: 20,
+            evictions_max_permille: 10,
             full_look_ms: Duration::from_secs(30),
         }
     }
--- a/tests/harness/batch.rs
+++ b/tests/harness/batch.rs
@@ -23,6 +23,8 @@
         "poll_interval_ms": 100,
         "tick_ms": 25,
         "full_look_ms": 3_000,
+        "latency_window_ms": 1_000,
+        "latency_requests_min": 5,
     })
 }
 
@@ -51,6 +53,7 @@
         "quick": kind(100, 1_000, 0),
         "medium": kind(1_500, 4_000, 0),
         "long": kind(6_000, 4_000, 0),
+        "steady": kind(20_000, 4_000, 0),
         "over_quota": kind(100, 1_000, 5),
         "over_worker": kind(100, 1_000, 1),
     });
@@ -72,6 +75,8 @@
 pub struct Site {
     directory: WorkDir,
     platform: SocketAddr,
+    /// Settings of batch work of the processes that are started next.
+    pub batch: Value,
     /// Entries by number.
     pub entries: Vec<Process>,
     /// Agents by number.
@@ -82,13 +87,13 @@
     /// Accepts the configuration on the platform; no process runs yet.
     pub async fn open(platform: SocketAddr) -> Self {
         accept(platform, 1, batch_documents()).await;
-        Self { directory: WorkDir::new(), platform, entries: Vec::new(), agents: Vec::new() }
+        Self { directory: WorkDir::new(), platform, batch: settings(), entries: Vec::new(), agents: Vec::new() }
     }
 
     /// Starts an entry and gives its number.
     pub fn entry(&mut self, name: &str) -> usize {
         let mut settings = entry_settings(name, self.platform);
-        settings["batch"] = self::settings();
+        settings["batch"] = self.batch.clone();
         self.entries.push(spawn_entry(&self.directory, &settings));
         self.entries.len() - 1
     }
@@ -97,7 +102,7 @@
     pub fn agent(&mut self, worker: &str, runtime: SocketAddr) -> usize {
         let entries: Vec<SocketAddr> = self.entries.iter().map(|entry| entry.address("links_address")).collect();
         let mut settings = agent_settings(worker, &entries, runtime);
-        settings["batch"] = self::settings();
+        settings["batch"] = self.batch.clone();
         self.agents.push(spawn_agent(&self.directory, &settings));
         self.agents.len() - 1
     }
@@ -113,19 +118,7 @@
     }
 
     async fn send(&self, entry: usize, method: &str, path: &str, body: Vec<u8>) -> Answer {
-        let operators = self.entries[entry].address("operators_address");
-        let authorization = format!("Bearer {OPERATOR_SECRET}");
-        let headers = [("authorization", authorization.as_str())];
-        // An entry refuses while it has no configuration yet, and while the platform is away.
-        for _ in 0..200 {
-            if let Ok(answer) = send(operators, method, path, &headers, body.clone()).await
-                && answer.status != 503
-            {
-                return answer;
-            }
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-        panic!("{method} {path}: no answer");
+        operate(self.entries[entry].address("operators_address"), method, path, body).await
     }
 
     /// Submits a job and gives its identifier.
@@ -157,14 +150,34 @@
 
     /// Waits until an entry has given leases to so many workers.
     pub async fn wait_granted(&self, entry: usize, count: usize) {
-        let operators = self.entries[entry].address("operators_address");
-        wait_until("workers have leases", || async move {
-            let state = state(operators).await;
-            let agents = state["batch"]["agents"].as_array().cloned().unwrap_or_default();
-            agents.iter().filter(|agent| agent["granted"] == true).count() == count
-        })
-        .await;
+        wait_granted_at(self.entries[entry].address("operators_address"), count).await;
+    }
+}
+
+/// Waits until an entry has given leases to so many workers.
+pub async fn wait_granted_at(operators: SocketAddr, count: usize) {
+    wait_until("workers have leases", || async move {
+        let state = state(operators).await;
+        let agents = state["batch"]["agents"].as_array().cloned().unwrap_or_default();
+        agents.iter().filter(|agent| agent["granted"] == true).count() == count
+    })
+    .await;
+}
+
+/// Sends an operator's request, again while the entry refuses it for a time.
+pub async fn operate(operators: SocketAddr, method: &str, path: &str, body: Vec<u8>) -> Answer {
+    let authorization = format!("Bearer {OPERATOR_SECRET}");
+    let headers = [("authorization", authorization.as_str())];
+    // An entry refuses while it has no configuration yet, and while the platform is away.
+    for _ in 0..200 {
+        if let Ok(answer) = send(operators, method, path, &headers, body.clone()).await
+            && answer.status != 503
+        {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    panic!("{method} {path}: no answer");
 }
 
 /// Events of several workers together.
