--- a/crates/link/src/task.rs
+++ b/crates/link/src/task.rs
@@ -53,9 +53,14 @@
         /// What the agent may do to the task.
         traits: TaskTraits,
     },
-    /// Asks for [`TaskReport::Gone`] unless the worker holds the claim.
-    Confirm(ClaimId),
-    /// Stops a task; answered by [`TaskReport::Gone`].
+    /// Asks for the end of a claim unless the worker holds it.
+    Confirm {
+        /// Claim.
+        claim: ClaimId,
+        /// Start of the agent that the claim names.
+        agent: BootId,
+    },
+    /// Stops a task; answered by [`TaskReport::Ended`].
     Stop(ClaimId),
     /// The end of a claim has been recorded.
     Settled(ClaimId),
@@ -79,6 +84,8 @@
     pub progress_ms: Duration,
     /// What the agent may do to the task.
     pub traits: TaskTraits,
+    /// Start of the agent that the claim names.
+    pub agent: BootId,
     /// Lease that covers the claim.
     pub lease: BootId,
     /// Newest ask that the entry has received; bounds a start that is delayed.
@@ -153,8 +160,8 @@
 pub enum End {
     /// The task was never started under the claim.
     Refused(Refusal),
-    /// The start came later than the lease allows; it was never obeyed.
-    Late,
+    /// The task was never started under the claim, and never will be: the start was late or didn't come.
+    NeverStarted,
     /// The task completed.
     Completed,
     /// The task failed.
@@ -166,6 +173,6 @@
         /// Progress kept, as run time.
         progress_ms: u64,
     },
-    /// Nothing of the task is on the worker.
+    /// Nothing of the task is on the worker; whether it was started isn't known.
     Gone,
 }
--- a/crates/operator/src/listen.rs
+++ b/crates/operator/src/listen.rs
@@ -32,6 +32,8 @@
 
 /// Time that requests in progress get when the listener shuts down.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(5);
+/// Longest part of a refused path that is logged.
+const PATH_LOGGED_BYTES: usize = 64;
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -46,11 +48,11 @@
     pub body_limit_bytes: usize,
     /// Connections at the same time; further ones wait.
     pub connections: usize,
-    /// Time for a whole request head to arrive, also on an idle connection.
+    /// Time for a whole request head to arrive.
     pub head_timeout_ms: Duration,
     /// Time for a request body to arrive and be handled.
     pub request_timeout_ms: Duration,
-    /// Time after which a connection is closed, whatever it does.
+    /// Time after which a connection is closed, whatever it does; longer than both other times together.
     pub connection_lifetime_ms: Duration,
 }
 
@@ -61,11 +63,11 @@
         Self {
             secrets,
             head_limit_bytes: 16 * 1024,
-            body_limit_bytes: 2 * 1024 * 1024,
+            body_limit_bytes: 512 * 1024,
             connections: 64,
             head_timeout_ms: Duration::from_secs(10),
             request_timeout_ms: Duration::from_secs(30),
-            connection_lifetime_ms: Duration::from_mins(5),
+            connection_lifetime_ms: Duration::from_mins(1),
         }
     }
 }
@@ -209,10 +211,10 @@
     /// Stops accepting, lets requests in progress finish within a bound, and ends.
     pub async fn shutdown(self) {
         if self.stop.send(()).is_err() {
-            log::debug!("operator_listener_already_ended");
+            log::debug!(event = "operator_listener_already_ended"; "");
         }
         if let Err(error) = self.task.await {
-            log::error!(error:% = error; "operator_listener_failed");
+            log::error!(event = "operator_listener_failed", error:% = error; "");
         }
     }
 }
@@ -247,7 +249,7 @@
                     tokio::spawn(serve(stream, Arc::clone(&shared), graceful.watcher(), place));
                 }
                 Err(error) => {
-                    log::warn!(error:% = error; "operator_accept_failed");
+                    log::warn!(event = "operator_accept_failed", error:% = error; "");
                     time::sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -256,7 +258,7 @@
     }
     drop(listener);
     if time::timeout(SHUTDOWN_GRACE, graceful.shutdown()).await.is_err() {
-        log::warn!("operator_requests_cut_off");
+        log::warn!(event = "operator_requests_cut_off"; "");
     }
 }
 
@@ -270,14 +272,16 @@
     let lifetime = shared.settings.connection_lifetime_ms;
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
+    // One request a connection: operators ask seldom, and a connection then never ends between two requests.
+    builder.keep_alive(false);
     builder.header_read_timeout(shared.settings.head_timeout_ms);
     builder.max_buf_size(shared.settings.head_limit_bytes);
     let service = service_fn(move |request| respond(Arc::clone(&shared), request));
     let connection = watcher.watch(builder.serve_connection(TokioIo::new(stream), service));
     match time::timeout(lifetime, connection).await {
         Ok(Ok(())) => {}
-        Ok(Err(error)) => log::debug!(error:% = error; "operator_connection_failed"),
-        Err(_) => log::debug!("operator_connection_expired"),
+        Ok(Err(error)) => log::debug!(event = "operator_connection_failed", error:% = error; ""),
+        Err(_) => log::debug!(event = "operator_connection_expired"; ""),
     }
     drop(place);
 }
@@ -296,7 +300,7 @@
     let (head, body) = request.into_parts();
     authorize(&shared.settings.secrets, &head)?;
     if let Some(reader) = &shared.routes.reader
-        && head.uri.path() == "/metrics"
+        && (&head.method, head.uri.path()) == (&Method::GET, "/metrics")
     {
         return Ok(response(StatusCode::OK, metrics::CONTENT_TYPE, reader.render()));
     }
@@ -312,7 +316,9 @@
     if presented.is_some_and(|value| secrets.accepts_bearer(value.as_bytes())) {
         return Ok(());
     }
-    log::warn!(code = Code::OperatorSecret.number(), path = head.uri.path(); "operator_request_refused");
+    let path = head.uri.path();
+    let path = path.get(..PATH_LOGGED_BYTES).unwrap_or(path);
+    log::warn!(event = "operator_request_refused", code = Code::OperatorSecret.number(), path; "");
     Err(Failure::new(StatusCode::UNAUTHORIZED, Code::OperatorSecret))
 }
 
--- /dev/null
+++ b/crates/platform/benches/commit.rs
@@ -0,0 +1,162 @@
+//! Group commit within the platform's 300 transactions a second.
+//!
+//! First as many starts as are carried, by members of a transaction; then 320 starts a second, offered evenly; then
+//! three writes for each of these starts, from four clients; the latter two by the interval between transactions.
+//! Exits with 1 when 320 starts a second aren't carried within the rate.
+
+#![expect(clippy::cast_precision_loss, reason = "figures are printed with few digits")]
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use chervilledge_platform::client;
+use chervilledge_platform::error::Outcome;
+use chervilledge_platform::group::{self, Group, Settings};
+use chervilledge_platform::table::{Expect, Write};
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::BootId;
+use chervilledge_standins::platform::{self, Counts, Handle};
+use hdrhistogram::Histogram;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+/// Time of one run.
+const RUN: Duration = Duration::from_secs(5);
+/// Greatest latency told apart.
+const LATENCY_LIMIT_US: u64 = 60_000_000;
+/// Starts a second at the peak.
+const STARTS_PER_S: u32 = 320;
+/// Writes of a task from its submission to its end: queued, claimed and done.
+const WRITES_PER_TASK: u32 = 3;
+/// Entries that write at the same time, each with its own client.
+const ENTRIES: u32 = 4;
+/// Share of the offered starts that has to be carried.
+const CARRIED_BOUND: f64 = 0.99;
+/// Transactions a second that the platform carries, with its tolerance at the edges of a run.
+const COMMITS_PER_S_BOUND: f64 = 303.0;
+
+struct Bench {
+    store: Handle,
+    groups: Vec<Group>,
+    sequence: Arc<AtomicU64>,
+}
+
+struct Report {
+    starts: u64,
+    not_done: u64,
+    elapsed: Duration,
+    counts: Counts,
+    latency_us: Histogram<u64>,
+}
+
+impl Report {
+    fn per_s(&self, count: u64) -> f64 {
+        count as f64 / self.elapsed.as_secs_f64()
+    }
+
+    fn print(&self, name: &str) {
+        println!(
+            "{name:<28} starts/s {:>7.1}  not done {:>5}  commits/s {:>6.1}  writes/start {:>5.3}  reads/start {:>5.3}  \
+             bytes/start {:>6.1}  p50 {:>7.1} ms  p99 {:>7.1} ms",
+            self.per_s(self.starts),
+            self.not_done,
+            self.per_s(self.counts.writes),
+            self.counts.writes as f64 / self.starts as f64,
+            self.counts.reads as f64 / self.starts as f64,
+            self.counts.commit_bytes as f64 / self.starts as f64,
+            self.latency_us.value_at_quantile(0.5) as f64 / 1e3,
+            self.latency_us.value_at_quantile(0.99) as f64 / 1e3,
+        );
+    }
+}
+
+async fn open(entries: u32, settings: Settings) -> Bench {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = platform::bind(address, platform::Settings::default()).await.expect("a free port");
+    let origin = Instant::now();
+    let spawn = |entry: u32| {
+        let of_client = client::Settings { address: store.address(), ..client::Settings::default() };
+        let client = client::open(of_client, BootId(u64::from(entry)), Clock::new(move || origin.elapsed()));
+        group::spawn(client, settings.clone())
+    };
+    let groups = (0..entries).map(spawn).collect();
+    Bench { store, groups, sequence: Arc::default() }
+}
+
+impl Bench {
+    /// Starts one task as an entry does: one row, conditional, about the size of a claim.
+    async fn start_task(group: Group, sequence: Arc<AtomicU64>) -> (Duration, bool) {
+        let number = sequence.fetch_add(1, Ordering::Relaxed);
+        let value = json!({ "state": "claimed", "epoch": 1, "worker": "hobart-rack-3-worker-117", "checkpoint": null });
+        let write = Write::put(format!("task/{number:012}"), Expect::Absent, value);
+        let begin = Instant::now();
+        let submitted = group.submit(vec![write]).await;
+        (begin.elapsed(), matches!(submitted.outcome, Outcome::Done(_)))
+    }
+
+    /// Keeps a number of submitters busy.
+    async fn saturate(&self, submitters: usize) -> Report {
+        let begin = Instant::now();
+        let mut tasks = JoinSet::new();
+        for _ in 0..submitters {
+            let (group, sequence) = (self.groups[0].clone(), Arc::clone(&self.sequence));
+            tasks.spawn(async move {
+                let mut results = Vec::new();
+                while begin.elapsed() < RUN {
+                    results.push(Self::start_task(group.clone(), Arc::clone(&sequence)).await);
+                }
+                results
+            });
+        }
+        let results = tasks.join_all().await.concat();
+        self.report(begin, &results)
+    }
+
+    /// Offers starts at an even rate, whatever becomes of the earlier ones.
+    async fn offer(&self, starts_per_s: u32) -> Report {
+        let begin = Instant::now();
+        let mut tasks = JoinSet::new();
+        let mut ticks = tokio::time::interval(Duration::from_secs(1) / starts_per_s);
+        for group in self.groups.iter().cycle() {
+            if begin.elapsed() >= RUN {
+                break;
+            }
+            ticks.tick().await;
+            tasks.spawn(Self::start_task(group.clone(), Arc::clone(&self.sequence)));
+        }
+        let results = tasks.join_all().await;
+        self.report(begin, &results)
+    }
+
+    fn report(&self, begin: Instant, results: &[(Duration, bool)]) -> Report {
+        let mut latency_us = Histogram::new_with_max(LATENCY_LIMIT_US, 3).expect("bounds are in order");
+        for (latency, _) in results {
+            latency_us.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        }
+        let starts = results.iter().filter(|(_, done)| *done).count() as u64;
+        let not_done = results.len() as u64 - starts;
+        Report { starts, not_done, elapsed: begin.elapsed(), counts: self.store.counts(), latency_us }
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    for members in [1, 4, 16, 64] {
+        let bench = open(1, Settings { members, interval: Duration::ZERO, ..Settings::default() }).await;
+        bench.saturate(members * 8).await.print(&format!("saturated, {members} members"));
+    }
+    let mut bounds_hold = true;
+    for interval_ms in [0, 10, 25, 50] {
+        let settings = Settings { interval: Duration::from_millis(interval_ms), ..Settings::default() };
+        let report = open(1, settings.clone()).await.offer(STARTS_PER_S).await;
+        report.print(&format!("320/s, 1 entry, {interval_ms} ms"));
+        let carried = report.per_s(report.starts) >= f64::from(STARTS_PER_S) * CARRIED_BOUND;
+        bounds_hold &= carried && report.per_s(report.counts.writes) <= COMMITS_PER_S_BOUND;
+        let report = open(ENTRIES, settings).await.offer(STARTS_PER_S * WRITES_PER_TASK).await;
+        report.print(&format!("960/s, 4 entries, {interval_ms} ms"));
+    }
+    if bounds_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/platform/src/resolve.rs
+++ b/crates/platform/src/resolve.rs
@@ -14,10 +14,23 @@
     Done(u64),
     /// The write didn't take effect and never will.
     NotDone,
-    /// This client can't tell: another process issued the write, or its outcome was known long ago.
+    /// This client can't tell: another process issued the write, its outcome was known long ago, or its history row was
+    /// swept because this process was taken for dead.
     Forgotten,
 }
 
+impl Resolution {
+    /// Outcome of a transaction with the given number of writes.
+    #[must_use]
+    pub fn outcome(self, writes: usize) -> Outcome {
+        match self {
+            Self::Done(version) => Outcome::Done(vec![version; writes]),
+            Self::NotDone => Outcome::NotDone(Reason::Fenced),
+            Self::Forgotten => Outcome::Unknown,
+        }
+    }
+}
+
 impl Client {
     /// Asks until the outcome of a write of this process is proved.
     ///
@@ -36,17 +49,10 @@
     /// Commits like [`Client::commit`] and resolves an unknown outcome; never returns [`Outcome::Unknown`] unless
     /// the write is no longer known to the client.
     pub async fn commit_and_resolve(&self, write_id: WriteId, writes: Vec<Write>) -> Outcome {
-        let Some(key) = writes.first().map(|write| Arc::clone(&write.key)) else {
-            return Outcome::Done(Vec::new());
-        };
-        let count = writes.len();
-        match self.commit(write_id, writes).await {
-            Outcome::Unknown => match self.resolve(write_id, &key).await {
-                Resolution::Done(version) => Outcome::Done(vec![version; count]),
-                Resolution::NotDone => Outcome::NotDone(Reason::Fenced),
-                Resolution::Forgotten => Outcome::Unknown,
-            },
-            known => known,
+        let (key, count) = (writes.first().map(|write| Arc::clone(&write.key)), writes.len());
+        match (self.commit(write_id, writes).await, key) {
+            (Outcome::Unknown, Some(key)) => self.resolve(write_id, &key).await.outcome(count),
+            (known, _) => known,
         }
     }
 
@@ -77,9 +83,12 @@
     }
 
     async fn fence(&self, write_id: WriteId) -> Option<Resolution> {
-        let commit = Commit { write_id: self.next_write_id(), writes: vec![history::record(write_id)] };
+        let commit = Commit { write_id: self.next_write_id(), writes: history::fence(write_id) };
         match self.send_commit(&commit).await {
             Outcome::Done(_) => Some(Resolution::NotDone),
+            Outcome::NotDone(Reason::Conflict(conflict)) if conflict.key == history::swept_key(write_id.boot) => {
+                Some(Resolution::Forgotten)
+            }
             Outcome::NotDone(Reason::Conflict(conflict)) => {
                 conflict.current.map(|row| history::resolution(&row, write_id))
             }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -59,6 +59,8 @@
     KeyInUse = 1010, "idempotency key already in use";
     /// The process has no accepted configuration.
     NoConfiguration = 1011, "no accepted configuration";
+    /// An earlier request with the idempotency key was answered.
+    KeyAnswered = 1012, "earlier request with the idempotency key was answered";
     // 2000 to 2999: links between entry and agent.
     /// The peer speaks a version that isn't supported.
     LinkVersion = 2001, "unsupported link version";
@@ -120,6 +122,8 @@
     DocumentTooLarge = 4004, "documents too large";
     /// The plan doesn't belong to the documents sent with it.
     PlanMismatch = 4005, "plan doesn't match the documents";
+    /// The history doesn't hold the version.
+    UnknownVersion = 4006, "version not in the history";
     /// A document isn't JSON.
     NotJson = 4101, "not JSON";
     /// A field isn't part of the configuration.
@@ -147,6 +151,10 @@
     PlatformUnavailable = 5001, "platform unavailable";
     /// The outcome of a write isn't known yet.
     WriteUnknown = 5002, "outcome of a write unknown";
+    /// Another write changed the row first; nothing was written.
+    WriteConflict = 5003, "row changed by another write";
+    /// The platform and this process don't understand each other.
+    PlatformInvalid = 5004, "invalid call to the platform";
     // 6000 to 6999: command line and settings.
     /// The command line is wrong.
     Usage = 6001, "wrong usage";
@@ -168,6 +176,10 @@
     EntryUnreachable = 6009, "entry unreachable";
     /// A file can't be read.
     FileUnreadable = 6010, "file unreadable";
+    /// The entry has no link to the worker.
+    UnknownWorker = 6011, "no link to the worker";
+    /// The entry doesn't remember the request.
+    UnknownRequest = 6012, "request not remembered";
 }
 
 /// A number that belongs to no code.
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -21,6 +21,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
+    /// Part of a backend server's queue up to which batch requests are sent to it, from 0 to 100; the rest is kept for
+    /// latency-critical requests.
+    pub batch_queue_percent: u32,
     /// Another failure domain is chosen when the own one costs more than this many times as much; at least 1.
     pub clearly_worse_ratio: f64,
     /// Time in which the weight of a latency sample halves; positive.
@@ -38,6 +41,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            batch_queue_percent: 25,
             clearly_worse_ratio: 1.5,
             latency_half_life: Duration::from_secs(2),
             latency_floor: Duration::from_millis(1),
@@ -68,6 +72,26 @@
     Cancelled,
 }
 
+/// Requests that a backend server may hold.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    queue: u32,
+    slots: u32,
+}
+
+impl Limits {
+    /// The load is kept below it.
+    fn all(self) -> u32 {
+        self.slots.saturating_add(self.queue)
+    }
+
+    /// Load from which no batch request is sent; at most [`Limits::all`].
+    fn batch(self, queue_percent: u32) -> u32 {
+        let queue = u64::from(self.queue) * u64::from(queue_percent.min(100)) / 100;
+        self.slots.saturating_add(u32::try_from(queue).unwrap_or(self.queue))
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Backend {
     choice: Choice,
@@ -75,8 +99,7 @@
     near: bool,
     /// Takes new requests: live and not draining.
     open: bool,
-    /// Slots plus queue; `others + own` is kept below it.
-    limit: u32,
+    limits: Limits,
     /// Requests of other entries, by the latest heartbeat.
     others: u32,
     /// Requests of this entry that haven't finished.
@@ -96,7 +119,7 @@
     }
 
     fn available(&self) -> bool {
-        self.open && self.load() < self.limit && !self.health.is_ejected()
+        self.open && self.load() < self.limits.all() && !self.health.is_ejected()
     }
 }
 
@@ -135,25 +158,31 @@
         }
     }
 
+    /// Puts other weights in force.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.detector.set_settings(settings.outlier);
+        self.settings = settings;
+    }
+
     /// Adds a backend server, or takes over a changed announcement of it.
     ///
     /// Another start of the agent begins with no load and no history.
     pub fn upsert(&mut self, now: Duration, announcement: &Announcement) {
-        let limit = announcement.capacity.slots.saturating_add(announcement.queue);
+        let limits = Limits { queue: announcement.queue, slots: announcement.capacity.slots };
         let near = announcement.failure_domain == self.own_domain;
         if let Some(&at) = self.index.get(&announcement.worker) {
             let known = &self.backends[at as usize];
             if known.choice.agent_boot == announcement.agent_boot && known.near == near {
-                self.backends[at as usize].limit = limit;
+                self.backends[at as usize].limits = limits;
                 self.place(at);
                 return;
             }
             self.remove(&announcement.worker);
         }
-        self.insert(now, announcement, near, limit);
+        self.insert(now, announcement, near, limits);
     }
 
-    fn insert(&mut self, now: Duration, announcement: &Announcement, near: bool, limit: u32) {
+    fn insert(&mut self, now: Duration, announcement: &Announcement, near: bool, limits: Limits) {
         let at = to_index(self.backends.len());
         let worker = Name::clone(&announcement.worker);
         self.index.insert(Name::clone(&worker), at);
@@ -161,7 +190,7 @@
             choice: Choice { worker, agent_boot: announcement.agent_boot },
             near,
             open: true,
-            limit,
+            limits,
             others: 0,
             own: 0,
             latency_s: None,
@@ -227,6 +256,22 @@
         Ok(self.backends[at as usize].choice.clone())
     }
 
+    /// Chooses a backend server for a batch request, which leaves room in the queues for latency-critical ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Table::choose`]; also [`Code::Overloaded`] if the chosen one has no room for batch.
+    pub fn choose_batch(&self, now: Duration, excluded: &[Name], rng: &mut impl Rng) -> Result<Choice, Code> {
+        let choice = self.choose(now, excluded, rng)?;
+        let has_room = self.find(&choice).is_some_and(|at| self.has_room_for_batch(at));
+        if has_room { Ok(choice) } else { Err(Code::Overloaded) }
+    }
+
+    fn has_room_for_batch(&self, at: u32) -> bool {
+        let backend = &self.backends[at as usize];
+        backend.load() < backend.limits.batch(self.settings.batch_queue_percent)
+    }
+
     fn reason_for_none(&self) -> Code {
         if self.open > 0 { Code::Overloaded } else { Code::NoBackendServer }
     }
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use chervilledge_link::connection::Sender;
 use chervilledge_link::message::{Reply, Start, StartBody, ToAgent, ToEntry};
-use chervilledge_policy::admission::{Action, Admission, Finished, Offer, Priority};
+use chervilledge_policy::admission::{self, Action, Admission, Finished, Offer, Priority};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::{Map, Set};
-use chervilledge_policy::id::{BootId, RequestId};
+use chervilledge_policy::id::{BootId, Name, RequestId};
 use chervilledge_policy::membership::{Heartbeat, Load, LoadDelta};
 use chervilledge_policy::request::{Origin, Outcome};
 use chervilledge_policy::rollout::{Source, Stamp};
@@ -27,6 +27,9 @@
 use crate::agent::tasks;
 use crate::rollout::Enforced;
 
+/// Time for an entry to send the documents that it was asked for, before another one is asked.
+const WANT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Message to the actor.
 #[derive(Debug)]
 pub enum Message {
@@ -74,8 +77,10 @@
     pub boot: BootId,
     /// Clock of the process.
     pub clock: Clock,
-    /// Admission of requests.
-    pub admission: Admission,
+    /// Service of the backend server.
+    pub service: Name,
+    /// Limits of the worker, within which the configuration sets those of the service.
+    pub limits: admission::Settings,
     /// Client of the backend server.
     pub backend: Backend,
     /// Configuration that the agent enforces.
@@ -95,6 +100,8 @@
     reported: Load,
     needs_whole: bool,
     close: CancellationToken,
+    /// Highest configuration version that the entry announced.
+    enforced: Option<Stamp>,
 }
 
 /// Request that waits for a slot or runs.
@@ -122,12 +129,14 @@
 pub struct State {
     boot: BootId,
     clock: Clock,
+    service: Name,
+    limits: admission::Settings,
     admission: Admission,
     backend: Backend,
     is_backend_ready: bool,
     enforced: Arc<Enforced>,
-    /// Version whose documents were asked for, and the entry that was asked.
-    wanted: Option<(u64, BootId)>,
+    /// Link on which documents were asked for, and when.
+    wanted: Option<(LinkId, Duration)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
     tasks: ActorRef<tasks::Message>,
     links: Map<BootId, Link>,
@@ -152,7 +161,9 @@
         Ok(State {
             boot: args.boot,
             clock: args.clock,
-            admission: args.admission,
+            admission: Admission::open(args.boot, args.limits),
+            service: args.service,
+            limits: args.limits,
             backend: args.backend,
             is_backend_ready: false,
             enforced: args.enforced,
@@ -205,12 +216,11 @@
                 self.links_opened += 1;
                 self.tell_tasks(tasks::Message::Linked { entry: welcome.entry, link: id, sender: sender.clone() });
                 let reported = Load::default();
-                let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close };
+                let enforced = welcome.enforced;
+                let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close, enforced };
                 self.links.insert(welcome.entry, link);
                 self.hear_of(welcome.entries);
-                if let Some(stamp) = welcome.enforced {
-                    self.on_enforced(welcome.entry, stamp);
-                }
+                self.want_configuration();
             }
             dial::Event::Message { entry, message } => self.on_message(myself, entry, message),
             dial::Event::Closed { link, entry, error } => {
@@ -279,16 +289,25 @@
         }
     }
 
-    /// Asks for the documents of a version that goes before the one in force; one entry at a time is asked.
     fn on_enforced(&mut self, entry: BootId, stamp: Stamp) {
-        let is_asked =
-            self.wanted.is_some_and(|(wanted, from)| wanted >= stamp.version && self.links.contains_key(&from));
-        if is_asked || !self.enforced.lacks(stamp) {
+        if let Some(link) = self.links.get_mut(&entry) {
+            link.enforced = Some(stamp);
+        }
+        self.want_configuration();
+    }
+
+    /// Asks for the documents of a version that goes before the one in force, one entry at a time.
+    fn want_configuration(&mut self) {
+        let now = self.clock.now();
+        let is_open = |id| self.links.values().any(|link| link.id == id);
+        if self.wanted.is_some_and(|(id, asked)| is_open(id) && now < asked + WANT_TIMEOUT) {
             return;
         }
-        if let Some(link) = self.links.get(&entry) {
-            self.wanted = Some((stamp.version, entry));
+        let lacks = |link: &&Link| link.enforced.is_some_and(|stamp| self.enforced.lacks(stamp));
+        let newest = self.links.values().filter(lacks).max_by_key(|link| link.enforced.map(|stamp| stamp.version));
+        if let Some(link) = newest {
             link.sender.post(ToEntry::WantConfiguration);
+            self.wanted = Some((link.id, now));
         }
     }
 
@@ -301,6 +320,10 @@
     /// Puts the version in force to use and tells every entry of it.
     fn apply_configuration(&mut self, myself: &ActorRef<Message>) {
         self.wanted = None;
+        if let Some(settings) = self.configured_admission() {
+            let actions = self.admission.set_settings(self.clock.now(), settings);
+            self.perform(myself, actions);
+        }
         self.refresh_ready(myself);
         let Some(stamp) = self.enforced.stamp() else { return };
         for link in self.links.values() {
@@ -308,6 +331,19 @@
         }
     }
 
+    /// Limits of the configuration in force, never above what the worker can hold.
+    fn configured_admission(&self) -> Option<admission::Settings> {
+        let in_force = self.enforced.in_force().ok()?;
+        let service = in_force.document.services.get(&self.service)?;
+        Some(admission::Settings {
+            slots: service.slots.min(self.limits.slots),
+            connections: service.connections.min(self.limits.connections),
+            queue: service.queue_limit.min(self.limits.queue),
+            queue_wait: service.queue_wait_ms,
+            ..self.limits
+        })
+    }
+
     /// Lets requests in while the backend server takes them and a configuration is in force.
     fn refresh_ready(&mut self, myself: &ActorRef<Message>) {
         let is_ready = self.is_backend_ready && self.enforced.stamp().is_some();
@@ -391,6 +427,7 @@
     fn on_tick(&mut self, myself: &ActorRef<Message>) {
         let actions = self.admission.tick(self.clock.now());
         self.perform(myself, actions);
+        self.want_configuration();
         let load = self.admission.load();
         for link in self.links.values_mut() {
             let is_retired = self.retired.contains(&link.id.address);
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -182,7 +182,7 @@
             calls: calls::spawn(args.runtime, args.clock.clone(), called),
             clock: args.clock,
             settings: args.settings,
-            reservations: Reservations::open(args.capacity),
+            reservations: Reservations::open(args.capacity, args.boot),
             colocation: Colocation::open(args.service, args.enforced, now),
             tasks: Map::default(),
             unsettled: Map::default(),
--- a/src/agent/tasks/colocation.rs
+++ b/src/agent/tasks/colocation.rs
@@ -7,7 +7,7 @@
 use chervilledge_link::task::{ClaimId, End};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::collections::Map;
-use chervilledge_policy::colocation::{Action, Control, Resident, Settings, Step};
+use chervilledge_policy::colocation::{Action, Control, Resident, SHARE_FULL_PERMILLE, Settings, Step};
 use chervilledge_policy::id::{Name, RequestId};
 use chervilledge_policy::interference::Interference;
 use chervilledge_policy::kind::{KindId, Kinds};
@@ -152,10 +152,12 @@
 
     /// Decides what to do to the residents, and learns from what they do to requests.
     fn step(&mut self, residents: &[Resident], kinds: &[KindId], now: Duration) -> Vec<Action> {
-        if let Some(slowdown) = self.control.slowdown() {
+        if let Some(latency_ratio) = self.control.latency_ratio() {
             let service = self.kinds.id(&self.service);
-            let beside: Vec<(KindId, u32)> = kinds.iter().map(|kind| (*kind, 1)).collect();
-            self.interference.observe(service, &beside, slowdown, now);
+            let share = |resident: &Resident| f64::from(resident.share_permille) / f64::from(SHARE_FULL_PERMILLE);
+            let beside: Vec<(KindId, f64)> =
+                kinds.iter().zip(residents).map(|(kind, resident)| (*kind, share(resident))).collect();
+            self.interference.observe(service, &beside, latency_ratio, now);
         }
         self.control.step(residents, now)
     }
--- a/src/agent/tasks/commands.rs
+++ b/src/agent/tasks/commands.rs
@@ -6,7 +6,7 @@
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::{Ask, Holder, Phase};
-use chervilledge_policy::reservation::{Admission, Refusal, Reservation};
+use chervilledge_policy::reservation::{Admission, Fenced, Refusal, Reservation};
 use chervilledge_worker::runtime::{Lease, Start};
 
 use crate::agent::tasks::calls::{Call, Order};
@@ -34,7 +34,7 @@
                         task.allow(&traits);
                     }
                 }
-                TaskCommand::Confirm(claim) => self.on_confirm(entry, &claim, now),
+                TaskCommand::Confirm { claim, agent } => self.on_confirm(entry, &claim, agent, now),
                 TaskCommand::Stop(claim) => self.on_stop(&claim, now),
                 TaskCommand::Settled(claim) => self.on_settled(&claim),
             }
@@ -55,9 +55,7 @@
                 }
             }
             Err(end) => {
-                // The refusal ends the claim, so that a second copy of the start must not be obeyed.
-                self.reservations.fence(&claim.task, claim.epoch.next(), now);
-                self.end(claim.clone(), end, Some(start.lease));
+                self.refuse(claim, start.agent, end, now);
             }
         }
     }
@@ -66,13 +64,27 @@
         let claim = &start.claim;
         let is_current = self.holders.get(&start.lease).is_some_and(|holder| holder.is_start_current(start.ask, now));
         if !is_current && self.reservations.epoch_of(&claim.task) != Some(claim.epoch) {
-            return Err(End::Late);
+            return Err(End::NeverStarted);
         }
         if self.is_draining {
             return Err(End::Refused(Refusal::NoRoom { free: Resources::default() }));
         }
         let wanted = Reservation { task: claim.task.clone(), epoch: claim.epoch, resources: start.resources };
-        self.reservations.reserve(&wanted).map_err(End::Refused)
+        self.reservations.reserve(&wanted, start.agent, now).map_err(End::Refused)
+    }
+
+    /// Ends a claim that isn't started, so that no copy of its start is obeyed later.
+    fn refuse(&mut self, claim: &ClaimId, agent: BootId, end: End, now: Duration) {
+        match self.reservations.fence(&claim.task, claim.epoch, agent, now) {
+            Fenced::NeverStarted => self.end(claim.clone(), end, None),
+            Fenced::Held(held) if held < claim.epoch => {
+                self.calls.order(&ClaimId { task: claim.task.clone(), epoch: held }, Order::Stop);
+                self.end(claim.clone(), end, None);
+            }
+            Fenced::Unknown => self.end(claim.clone(), End::Gone, None),
+            // Its end is reported, or was recorded.
+            Fenced::Held(_) | Fenced::Ended => {}
+        }
     }
 
     fn start(&mut self, start: &TaskStart, now: Duration) {
@@ -106,7 +118,7 @@
         is_valid && is_awaited
     }
 
-    fn on_confirm(&mut self, entry: BootId, claim: &ClaimId, now: Duration) {
+    fn on_confirm(&mut self, entry: BootId, claim: &ClaimId, agent: BootId, now: Duration) {
         if let Some(task) = self.tasks.get(&claim.task).filter(|task| task.epoch == claim.epoch) {
             if let Some(peer) = self.peers.get(&entry).filter(|_| task.stage == Stage::Held) {
                 peer.report(TaskReport::Started(claim.clone()));
@@ -116,15 +128,14 @@
         if self.unsettled.contains_key(claim) || !self.reservations.is_stock_taken() {
             return;
         }
-        self.reservations.fence(&claim.task, claim.epoch.next(), now);
-        self.end(claim.clone(), End::Gone, None);
+        self.refuse(claim, agent, End::NeverStarted, now);
     }
 
     fn on_stop(&mut self, claim: &ClaimId, now: Duration) {
         if !self.reservations.is_stock_taken() || self.unsettled.contains_key(claim) {
             return;
         }
-        self.reservations.fence(&claim.task, claim.epoch.next(), now);
+        self.reservations.fence(&claim.task, claim.epoch, self.boot, now);
         match self.tasks.get_mut(&claim.task).filter(|task| task.epoch == claim.epoch) {
             Some(task) => {
                 if !matches!(task.stage, Stage::Stopping(_)) {
@@ -137,6 +148,7 @@
     }
 
     fn on_settled(&mut self, claim: &ClaimId) {
+        self.reservations.acknowledge(&claim.task, claim.epoch, self.clock.now());
         if self.unsettled.remove(claim).is_some_and(|unsettled| unsettled.end == End::Completed) {
             self.calls.order(claim, Order::Forget);
         }
--- a/src/agent/tasks/stock.rs
+++ b/src/agent/tasks/stock.rs
@@ -135,7 +135,7 @@
                 self.extend(&claim.task);
                 self.tell_state();
             }
-            Err(Error::Refused(Refusal::LeaseEnded)) => self.finish(claim, End::Late),
+            Err(Error::Refused(Refusal::LeaseEnded)) => self.finish(claim, End::NeverStarted),
             // The next list tells whether it runs.
             Err(Error::Unknown(_) | Error::Refused(Refusal::AlreadyHeld)) => {
                 if let Stage::Starting(until) = task.stage {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,11 @@
 pub mod batch;
 pub mod exchange;
 pub mod fleet;
+pub mod journal;
+pub mod keys;
 pub mod links;
+pub mod metrics;
+pub mod operators;
 pub mod peers;
 pub mod requests;
 pub mod upload;
@@ -16,22 +20,23 @@
 use std::time::Duration;
 
 use chervilledge_caller::listener;
-use chervilledge_operator::listen::{self, Routes};
-use chervilledge_operator::metrics::Reader;
+use chervilledge_operator::listen;
 use chervilledge_operator::secret::{self, Secrets};
-use chervilledge_platform::client;
+use chervilledge_platform::{client, group};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership;
 use chervilledge_policy::peers::EntryRow;
 use ractor::{Actor, ActorRef, SpawnErr};
-use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::entry::exchange::{Context, Ends};
 use crate::entry::fleet::Fleet;
+use crate::entry::journal::Journal;
+use crate::entry::keys::Keys;
 use crate::entry::links::{Listener as LinkListener, OnTasks};
+use crate::entry::metrics::Metrics;
 use crate::entry::requests::Requests;
 use crate::rollout::Enforced;
 use crate::settings;
@@ -48,8 +53,8 @@
 /// Time for which a draining entry tries to take its row away.
 const RETIRE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time for the actor to answer a question.
-const ASK_TIMEOUT_MS: u64 = 1_000;
+/// Shortest time between two commits of idempotency keys: at most 20 a second for each entry.
+const KEY_COMMIT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Reason why an entry can't start.
 #[derive(Debug)]
@@ -100,6 +105,8 @@
     links: LinkListener,
     operators: listen::Handle,
     requests: Arc<Requests>,
+    /// Keeps the instruments.
+    _metrics: Metrics,
     peers: peers::Context,
     batch: ActorRef<batch::Message>,
     batch_ticks: JoinHandle<()>,
@@ -141,9 +148,12 @@
         on_tasks: on_tasks(&batch_actor),
     };
     let links = links::bind(settings.links_address, links).await?;
-    let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced));
-    let routes =
-        batch::jobs::routes(routes(&requests, &batch_actor, Name::clone(&settings.name)), &batch, &batch_actor);
+    let key_commits = group::Settings { interval: KEY_COMMIT_INTERVAL, ..group::Settings::default() };
+    let keys = Keys::new(platform.clone(), group::spawn(platform.clone(), key_commits));
+    let key_sweeps = keys.spawn_sweeps();
+    let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced, keys));
+    let metrics = metrics::open(&requests.context);
+    let routes = operators::routes(&requests, &platform, &metrics, (&batch, &batch_actor), Name::clone(&settings.name));
     let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
     let callers = bind_callers(&settings, &requests).await?;
     let peers = peers::Context {
@@ -160,16 +170,20 @@
         },
         live,
     };
+    let history_sweeps = peers::spawn_history_sweeps(peers.platform.clone(), peers.live.subscribe());
     let mut tasks = peers::spawn_configuration(peers.clone());
+    tasks.push(history_sweeps);
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
     let batch_ticks = batch::spawn_ticks(batch_actor.clone(), settings.batch.tick_ms);
+    tasks.push(key_sweeps);
     Ok(Entry {
         callers_address: callers.address(),
         callers: Some(callers),
         links,
         operators,
         requests,
+        _metrics: metrics,
         peers,
         batch: batch_actor,
         batch_ticks,
@@ -239,6 +253,7 @@
     boot: BootId,
     fleet: &Arc<Fleet>,
     enforced: &Arc<Enforced>,
+    keys: Keys,
 ) -> Requests {
     let context = Context {
         fleet: Arc::clone(fleet),
@@ -246,10 +261,12 @@
         boot,
         sequence: AtomicU64::new(0),
         ends: Ends::default(),
+        journal: Journal::default(),
     };
     Requests {
         context: Arc::new(context),
         enforced: Arc::clone(enforced),
+        keys,
         bounds: settings.bounds.clone(),
         is_draining: AtomicBool::new(false),
     }
@@ -282,35 +299,6 @@
     }))
 }
 
-fn routes(requests: &Arc<Requests>, batch: &ActorRef<batch::Message>, name: Name) -> Routes {
-    let requests = Arc::clone(requests);
-    let batch = batch.clone();
-    let dump = move |_| {
-        let (requests, batch, name) = (Arc::clone(&requests), batch.clone(), Name::clone(&name));
-        async move {
-            let tasks = ractor::call_t!(batch, batch::Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
-            Ok(json!({ "role": "entry", "name": name, "entry": dump(&requests), "batch": tasks }))
-        }
-    };
-    Routes::new().route(http::Method::GET, "/state", dump).metrics(Reader::new())
-}
-
-fn dump(requests: &Requests) -> Value {
-    let context = &requests.context;
-    let ends = &context.ends;
-    json!({
-        "boot": context.boot,
-        "draining": requests.is_draining.load(Ordering::Relaxed),
-        "answered": ends.answered.load(Ordering::Relaxed),
-        "not_run": ends.not_run.load(Ordering::Relaxed),
-        "unknown": ends.unknown.load(Ordering::Relaxed),
-        "retries": ends.retries.load(Ordering::Relaxed),
-        "dropped_replies": ends.dropped_replies.load(Ordering::Relaxed),
-        "configuration": requests.enforced.dump(),
-        "fleet": context.fleet.dump(),
-    })
-}
-
 fn spawn_sweeps(fleet: Arc<Fleet>) -> JoinHandle<()> {
     tokio::spawn(async move {
         loop {
--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -8,11 +8,13 @@
 pub mod rows;
 
 mod claims;
+mod ends;
 mod leases;
 mod placing;
 mod poll;
 mod reports;
 mod shards;
+mod steps;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -38,13 +40,14 @@
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
-use crate::entry::batch::claims::{Held, Stage, Written};
+use crate::entry::batch::claims::{Held, Stage};
 use crate::entry::batch::explain::{Event, History};
 use crate::entry::batch::leases::{Own, Renewed, Seen};
 use crate::entry::batch::poll::Polled;
 use crate::entry::batch::reports::Found;
 use crate::entry::batch::rows::{JobRecord, TaskRecord};
 use crate::entry::batch::shards::{Loaded, Shards};
+use crate::entry::batch::steps::Written;
 use crate::entry::fleet::{Fleet, Link};
 use crate::rollout::Enforced;
 use crate::settings::batch::Batch as Settings;
@@ -198,7 +201,7 @@
     async fn pre_start(&self, myself: ActorRef<Message>, args: Context) -> Result<State, ActorProcessingErr> {
         let context = args;
         let now = context.clock.now();
-        let gather = group::Settings { wait: context.settings.commit_gather_ms, ..group::Settings::default() };
+        let gather = group::Settings { interval: context.settings.commit_gather_ms, ..group::Settings::default() };
         Ok(State {
             commits: group::spawn(context.platform.clone(), gather),
             own: Own::open(context.settings.lease, now),
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -5,27 +5,22 @@
 use std::time::Duration;
 
 use chervilledge_link::task::{ClaimId, TaskCommand};
-use chervilledge_platform::client::{Client, Resolution};
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::group::Group;
 use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::lease::Ask;
 use chervilledge_policy::placement::Want;
 use chervilledge_policy::shard::shard_of;
-use chervilledge_policy::task::{self, Change, TaskId, TaskState, Transition};
+use chervilledge_policy::task::{Change, TaskId, TaskState};
 
 use crate::entry::batch::explain::What;
 use crate::entry::batch::rows::{JobRecord, TaskRecord, content, task_key};
+use crate::entry::batch::steps::{Step, Written, ends, explain, next_record, put};
 use crate::entry::batch::{Message, State};
 
 /// Shortest and longest wait before a write that didn't reach the table is tried again.
 const RETRY_WAIT_MS: std::ops::Range<u64> = 200..1_000;
 
-/// Longest pause between two reads of a row whose write has an unknown outcome.
-const REREAD_PAUSE: Duration = Duration::from_secs(1);
-
 /// Where a claim stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -39,27 +34,6 @@
     Other,
 }
 
-/// Change to be written.
-#[derive(Clone, Debug)]
-pub struct Step {
-    /// The change.
-    pub change: Change,
-    /// Progress that goes with it.
-    pub progress: Option<Duration>,
-    /// Handover that goes with it.
-    pub cover: Option<Ask>,
-    /// Reason, to explain it.
-    pub code: Option<Code>,
-}
-
-impl Step {
-    /// Makes a step that is nothing but a change.
-    #[must_use]
-    pub const fn of(change: Change) -> Self {
-        Self { change, progress: None, cover: None, code: None }
-    }
-}
-
 /// Task about which this entry writes.
 #[derive(Debug)]
 pub struct Held {
@@ -84,17 +58,6 @@
     retry_at: Option<Duration>,
 }
 
-/// Result of a write of a task's row.
-#[derive(Debug)]
-pub enum Written {
-    /// The write took effect; version of the row.
-    Done(u64),
-    /// Another write came first, or the outcome wasn't found out; this is the row.
-    Row(Option<Row>),
-    /// The write didn't take effect and may be tried again.
-    Retry,
-}
-
 impl Held {
     /// Opens a claim about which nothing is written yet.
     #[must_use]
@@ -119,6 +82,13 @@
         ClaimId { task: self.record.row.id.clone(), epoch: self.record.row.epoch }
     }
 
+    /// Question whether the agent holds the claim.
+    #[must_use]
+    pub fn confirm(&self) -> Option<TaskCommand> {
+        let agent = self.record.row.state.claim()?.agent;
+        Some(TaskCommand::Confirm { claim: self.claim(), agent })
+    }
+
     /// Tells whether a step that ends the claim waits.
     #[must_use]
     pub fn is_ending(&self) -> bool {
@@ -126,13 +96,6 @@
     }
 }
 
-const fn ends(change: &Change) -> bool {
-    matches!(
-        change,
-        Change::Complete | Change::Evict(_) | Change::Fail(_) | Change::Expire | Change::Cancel | Change::Decline
-    )
-}
-
 impl State {
     /// Adds a step to a task that is held, and writes it as soon as the steps before it are written.
     pub(super) fn step(&mut self, task: &TaskId, step: Step) {
@@ -305,6 +268,7 @@
             Change::Decline => self.workers.declined(id, &want, None),
             _ => self.workers.withdrawn(id, &want),
         }
+        self.refresh_worker(worker);
         self.place_due = Duration::ZERO;
     }
 
@@ -401,156 +365,4 @@
         }
         self.reload(&claim.task);
     }
-
-    /// Cancels what a job's row says is cancelled.
-    pub(super) fn cancel(&mut self, job: &Name) {
-        let Some(record) = self.jobs.get(job).cloned() else { return };
-        let waiting = self.queue.cancel_wave(|task| task.job == record.row.id && record.is_cancelled(task.index));
-        for task in waiting {
-            let epoch = self.known.remove(&task).map_or(record.task(0).row.epoch, |(known, _)| known.row.epoch);
-            self.history.note(self.now(), &task, epoch, What::Cancelled, None, Some(Code::Cancelled));
-            self.count_end(&task);
-        }
-        let running: Vec<TaskId> = self
-            .claims
-            .iter()
-            .filter(|(task, held)| task.job == *job && record.is_cancelled(task.index) && !held.is_ending())
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in running {
-            if let Some(held) = self.claims.get_mut(&task) {
-                held.job = Arc::clone(&record);
-            }
-            self.step(&task, Step { code: Some(Code::Cancelled), ..Step::of(Change::Cancel) });
-        }
-    }
-
-    /// Ends claims whose lease has surely ended: this entry's by its agents, other entries' after a takeover.
-    pub(super) fn expire_claims(&mut self, now: Duration) {
-        if self.context.platform.is_away() {
-            return;
-        }
-        self.bar_silent(now);
-        let own: Vec<TaskId> = self
-            .claims
-            .iter()
-            .filter(|(_, held)| matches!(held.stage, Stage::Sent | Stage::Started) && !held.is_ending())
-            .filter(|(_, held)| self.own.has_agent_ended(&held.worker, now))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in own {
-            self.step(&task, Step { code: Some(Code::LeaseEnded), ..Step::of(Change::Expire) });
-        }
-        // Agents that are alive ask for a handover meanwhile, which keeps the work done so far.
-        let grace = self.context.settings.lease.renew_every * 2;
-        let others: Vec<TaskId> = self
-            .known
-            .iter()
-            .filter_map(|(task, (record, _))| Some((task, record.row.state.claim()?)))
-            .filter(|(_, claim)| self.lease_ended(claim.entry).is_some_and(|ended| now >= ended + grace))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in others {
-            self.change_known(&task, Change::Expire);
-        }
-    }
-
-    /// Bars agents that haven't asked for a whole lease, also on links that are open.
-    ///
-    /// An agent that asks while the table is away isn't silent: it goes on once its asks can be granted.
-    fn bar_silent(&mut self, now: Duration) {
-        let length = self.context.settings.lease.length;
-        for (worker, agent) in &mut self.agents {
-            if agent.asked.is_none_or(|asked| now < asked + length) {
-                continue;
-            }
-            self.own.bar(worker);
-            (agent.ask, agent.asked) = (None, None);
-            if let Some(id) = agent.worker.take() {
-                self.workers.leave(id);
-            }
-        }
-    }
-
-    /// Repeats commands that an agent hasn't answered.
-    pub(super) fn repeat_commands(&mut self, now: Duration) {
-        let interval = self.context.settings.lease.renew_every;
-        let mut asked = Vec::new();
-        for held in self.claims.values_mut() {
-            if held.stage == Stage::Sent && now >= held.told + interval {
-                held.told = now;
-                asked.push((Name::clone(&held.worker), TaskCommand::Confirm(held.claim())));
-            }
-        }
-        for (claim, (worker, told)) in &mut self.stops {
-            if now >= *told + interval {
-                *told = now;
-                asked.push((Name::clone(worker), TaskCommand::Stop(claim.clone())));
-            }
-        }
-        for (worker, command) in asked {
-            self.send(&worker, command);
-        }
-        // A worker that isn't linked is told when its agent asks about the claim.
-        self.stops.retain(|_, (worker, _)| self.agents.contains_key(worker));
-    }
-}
-
-fn next_record(record: &TaskRecord, step: &Step) -> Option<TaskRecord> {
-    let transition = Transition { epoch: record.row.epoch, change: step.change.clone() };
-    let row = task::apply(&record.row, transition).ok()?;
-    let mut next = TaskRecord { row, progress_ms: record.progress_ms, cover: record.cover };
-    match &step.change {
-        Change::Claim(_) => next.cover = None,
-        Change::Adopt(_) => next.cover = Some(step.cover.filter(|cover| record.is_newer(*cover))?),
-        Change::Checkpoint(_) | Change::Evict(_) => next.progress_ms = step.progress.unwrap_or(record.progress_ms),
-        _ => {}
-    }
-    Some(next)
-}
-
-fn explain(change: &Change, code: Option<Code>, record: &TaskRecord) -> (Option<What>, Option<Code>) {
-    let what = match change {
-        Change::Claim(_) => What::Claimed,
-        Change::Start => What::Started,
-        Change::Adopt(_) => return (Some(What::HandedOver), Some(Code::LeaseHandedOver)),
-        Change::Decline => What::Refused,
-        Change::Checkpoint(_) => What::Checkpointed,
-        Change::Complete => What::Completed,
-        Change::Evict(_) => What::Evicted,
-        Change::Fail(code) => {
-            let code = if let TaskState::Failed(code) = record.row.state { code } else { *code };
-            return (Some(What::Failed), Some(code));
-        }
-        Change::Expire => return (Some(What::Expired), Some(code.unwrap_or(Code::LeaseEnded))),
-        Change::Cancel => return (Some(What::Cancelled), Some(Code::Cancelled)),
-        Change::Reject(code) => return (Some(What::Unschedulable), Some(*code)),
-        Change::Reconsider => What::Queued,
-    };
-    (Some(what), code)
-}
-
-/// Writes a row along with those of other tasks, and finds out what became of it.
-async fn put(platform: &Client, commits: &Group, write: Write) -> Written {
-    let key = Arc::clone(&write.key);
-    let submitted = commits.submit(vec![write]).await;
-    let outcome = match (submitted.outcome, submitted.write_id) {
-        (Outcome::Unknown, Some(write_id)) => match platform.resolve(write_id, &key).await {
-            Resolution::Done(version) => Outcome::Done(vec![version]),
-            Resolution::NotDone => Outcome::NotDone(Reason::Fenced),
-            Resolution::Forgotten => Outcome::Unknown,
-        },
-        (outcome, _) => outcome,
-    };
-    match outcome {
-        Outcome::Done(versions) => versions.first().map_or(Written::Retry, |version| Written::Done(*version)),
-        Outcome::NotDone(Reason::Conflict(conflict)) => Written::Row(conflict.current),
-        Outcome::NotDone(_) => Written::Retry,
-        Outcome::Unknown => loop {
-            if let Ok(row) = platform.read_one(Arc::clone(&key)).await {
-                break Written::Row(row);
-            }
-            tokio::time::sleep(REREAD_PAUSE.mul_f64(rand::random_range(0.5..1.0))).await;
-        },
-    }
 }
--- a/src/entry/batch/jobs.rs
+++ b/src/entry/batch/jobs.rs
@@ -80,8 +80,7 @@
 #[must_use]
 pub fn routes(routes: Routes, context: &Context, batch: &ActorRef<Message>) -> Routes {
     let shared = Arc::new((context.clone(), batch.clone()));
-    let (submits, lists, gets, cancels, explains) =
-        (Arc::clone(&shared), Arc::clone(&shared), Arc::clone(&shared), Arc::clone(&shared), shared);
+    let (submits, lists, gets, cancels) = (Arc::clone(&shared), Arc::clone(&shared), Arc::clone(&shared), shared);
     routes
         .route(Method::POST, "/jobs", move |request| {
             let shared = Arc::clone(&submits);
@@ -99,10 +98,6 @@
             let shared = Arc::clone(&gets);
             async move { get(&shared.0, &request.rest).await }
         })
-        .route(Method::GET, "/explain/", move |request| {
-            let shared = Arc::clone(&explains);
-            async move { explain(&shared.0, &shared.1, &request.rest).await }
-        })
 }
 
 async fn submit(context: &Context, batch: &ActorRef<Message>, request: &Request) -> Answer {
@@ -332,7 +327,12 @@
     Err(away(Code::PlatformUnavailable))
 }
 
-async fn explain(context: &Context, batch: &ActorRef<Message>, id: &str) -> Answer {
+/// Tells what happened to a task and why.
+///
+/// # Errors
+///
+/// The identifier names no task, or the actor doesn't answer.
+pub async fn explain(context: &Context, batch: &ActorRef<Message>, id: &str) -> Answer {
     let task = parse_task(id)?;
     let events = ractor::call_t!(batch, Message::Explain, ASK_TIMEOUT_MS, task.clone());
     let events = events.or(Err(away(Code::PlatformUnavailable)))?;
--- a/src/entry/batch/leases.rs
+++ b/src/entry/batch/leases.rs
@@ -107,8 +107,8 @@
     /// An agent whose lease has lapsed asks for a handover of each claim before the claim goes on, so that a grant
     /// never revives a claim that has ended.
     pub fn asked(&mut self, worker: &Name, ask: Ask) {
-        self.group.admit(worker);
         self.group.asked(worker, ask);
+        self.group.admit(worker);
     }
 
     /// Gives the worker no more grants until its agent asks again.
--- a/src/entry/batch/placing.rs
+++ b/src/entry/batch/placing.rs
@@ -12,9 +12,10 @@
 use chervilledge_policy::task::{Change, Claim, TaskId};
 
 use crate::entry::batch::State;
-use crate::entry::batch::claims::{Held, Stage, Step};
+use crate::entry::batch::claims::{Held, Stage};
 use crate::entry::batch::explain::What;
 use crate::entry::batch::rows::{JobRecord, TaskRecord};
+use crate::entry::batch::steps::Step;
 
 /// Tasks taken from the queue in one round.
 const ROUND_MAX: usize = 256;
@@ -154,11 +155,12 @@
 
     fn claim(&mut self, item: &Item, worker: WorkerId, mut held: Held) {
         let Some(name) = self.workers.name(worker).cloned() else { return };
+        let Some(agent) = self.agents.get(&name).map(|agent| agent.link.agent) else { return };
         held.worker = Name::clone(&name);
         held.is_charged = true;
         self.known.remove(&item.task);
         self.claims.insert(item.task.clone(), held);
-        let claim = Claim { worker: name, entry: self.own.id() };
+        let claim = Claim { worker: name, agent, entry: self.own.id() };
         self.step(&item.task, Step::of(Change::Claim(claim)));
     }
 
@@ -168,7 +170,9 @@
         held.stage = Stage::Sent;
         held.told = now;
         let worker = Name::clone(&held.worker);
-        let Some(ask) = self.agents.get(&worker).and_then(|agent| agent.ask) else {
+        let named = held.record.row.state.claim().map(|claim| claim.agent);
+        let agent = self.agents.get(&worker).filter(|agent| Some(agent.link.agent) == named);
+        let Some((agent, ask)) = agent.and_then(|agent| Some((agent.link.agent, agent.ask?))) else {
             // Nothing was sent, so that nothing can have started.
             self.step(id, Step { code: Some(Code::LinkClosed), ..Step::of(Change::Decline) });
             return;
@@ -180,6 +184,7 @@
             run_ms: held.job.row.run_time,
             progress_ms: held.record.progress_ms,
             traits: held.job.traits(),
+            agent,
             lease: self.own.id(),
             ask,
         };
--- a/src/entry/batch/reports.rs
+++ b/src/entry/batch/reports.rs
@@ -11,9 +11,10 @@
 use chervilledge_policy::placement::Want;
 use chervilledge_policy::task::{Change, CheckpointKey, TaskId, TaskState};
 
-use crate::entry::batch::claims::{Held, Stage, Step};
+use crate::entry::batch::claims::{Held, Stage};
 use crate::entry::batch::leases::{report, request_load};
 use crate::entry::batch::rows::{JobRecord, TaskRecord, content, job_key, task_key};
+use crate::entry::batch::steps::Step;
 use crate::entry::batch::{Agent, Message, State};
 use crate::entry::fleet::Link;
 
@@ -49,14 +50,14 @@
         }
         self.name_lease(&worker);
         // A restarted agent may know nothing of what was started before.
-        let claims: Vec<ClaimId> = self
+        let claims: Vec<TaskCommand> = self
             .claims
             .values()
             .filter(|held| held.worker == worker && matches!(held.stage, Stage::Sent | Stage::Started))
-            .map(Held::claim)
+            .filter_map(Held::confirm)
             .collect();
-        for claim in claims {
-            self.send(&worker, TaskCommand::Confirm(claim));
+        for command in claims {
+            self.send(&worker, command);
         }
     }
 
@@ -78,14 +79,21 @@
     fn on_state(&mut self, link: &Link, state: WorkerState) {
         let Some(agent) = self.agents.get_mut(&link.worker) else { return };
         agent.state = state;
-        if let Some(worker) = agent.worker {
-            let load = self.context.fleet.member(&link.worker);
-            let load = load.map_or(0.0, |member| request_load(&member.announcement.capacity, &member.load));
-            self.workers.report(worker, report(&state, load));
-        }
+        self.refresh_worker(&link.worker);
         self.place_due = Duration::ZERO;
     }
 
+    /// Puts the agent's own account in force again, after placement has counted a start or an end by itself.
+    ///
+    /// The agent reports its account only when it changes, and before the entry has recorded what changed it.
+    pub(super) fn refresh_worker(&mut self, worker: &str) {
+        let Some(agent) = self.agents.get(worker) else { return };
+        let Some(id) = agent.worker else { return };
+        let load = self.context.fleet.member(worker);
+        let load = load.map_or(0.0, |member| request_load(&member.announcement.capacity, &member.load));
+        self.workers.report(id, report(&agent.state, load));
+    }
+
     fn on_started(&mut self, claim: &ClaimId) {
         let Some(held) = self.claims.get_mut(&claim.task) else { return };
         if held.claim() != *claim || held.stage != Stage::Sent {
@@ -97,6 +105,7 @@
         if let Some(id) = self.agents.get(&worker).and_then(|agent| agent.worker) {
             let want = Want { kind: self.kinds.id(&job.row.kind), resources: job.row.declared };
             self.workers.admitted(id, &want);
+            self.refresh_worker(&worker);
         }
         self.step(&claim.task, Step::of(Change::Start));
     }
@@ -193,10 +202,10 @@
     let is_claimed = matches!(held.record.row.state, TaskState::Claimed(_));
     match end {
         End::Refused(refusal) if is_claimed => Step { code: Some(refusal.code()), ..Step::of(Change::Decline) },
-        End::Late | End::Gone if is_claimed => {
+        End::NeverStarted if is_claimed => {
             Step { code: Some(chervilledge_policy::code::Code::LeaseEnded), ..Step::of(Change::Decline) }
         }
-        End::Refused(_) | End::Late | End::Gone => Step::of(Change::Expire),
+        End::Refused(_) | End::NeverStarted | End::Gone => Step::of(Change::Expire),
         End::Completed => Step::of(Change::Complete),
         End::Failed(code) => Step { code: Some(code), ..Step::of(Change::Fail(code)) },
         End::Evicted { code, progress_ms } => {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -104,6 +104,8 @@
     pub links_opened: u64,
     /// Links that ended.
     pub links_closed: u64,
+    /// Connections that were refused before they became a link.
+    pub links_refused: u64,
     /// Replies that no driver waited for.
     pub late_replies: u64,
 }
@@ -212,6 +214,11 @@
         lock(&self.inner).versions.observe(self.clock.now(), process, Some(stamp));
     }
 
+    /// Gives what is known of the versions that agents enforce.
+    pub fn with_versions<T>(&self, read: impl FnOnce(&rollout::Fleet) -> T) -> T {
+        read(&lock(&self.inner).versions)
+    }
+
     /// Takes in the end of a link.
     pub fn close_link(&self, link: &Link) {
         link.close();
@@ -226,15 +233,21 @@
 
     /// Chooses a backend server of `service` that isn't on an excluded worker, and counts the request.
     ///
+    /// A request that may be shed leaves room in the queues for others.
+    ///
     /// # Errors
     ///
     /// The reason why none can be chosen.
-    pub fn choose(&self, service: &str, excluded: &[Name]) -> Result<(Choice, Link), Code> {
+    pub fn choose(&self, service: &str, sheddable: bool, excluded: &[Name]) -> Result<(Choice, Link), Code> {
         let now = self.clock.now();
         let mut guard = lock(&self.inner);
         let inner = &mut *guard;
         let table = inner.tables.get_mut(service).ok_or(Code::NoBackendServer)?;
-        let choice = table.choose(now, excluded, &mut inner.rng)?;
+        let choice = if sheddable {
+            table.choose_batch(now, excluded, &mut inner.rng)?
+        } else {
+            table.choose(now, excluded, &mut inner.rng)?
+        };
         let link = inner.links.get(&choice.worker).cloned().ok_or(Code::NoBackendServer)?;
         table.started(&choice);
         Ok((choice, link))
@@ -249,15 +262,20 @@
         }
     }
 
-    /// Gives the retry budget of a service.
-    pub fn retries(&self, service: &Name) -> Arc<Mutex<Retries>> {
+    /// Gives the retry budget of a service, with `settings` in force.
+    pub fn retries(&self, service: &Name, settings: retry::Settings) -> Arc<Mutex<Retries>> {
         let mut inner = lock(&self.inner);
         let seed = self.seed;
         let retries = inner
             .retries
             .entry(Name::clone(service))
-            .or_insert_with(|| Arc::new(Mutex::new(Retries::new(retry::Settings::default(), seed))));
-        Arc::clone(retries)
+            .or_insert_with(|| Arc::new(Mutex::new(Retries::new(settings, seed))));
+        let retries = Arc::clone(retries);
+        drop(inner);
+        if *lock(&retries).settings() != settings {
+            lock(&retries).set_settings(settings);
+        }
+        retries
     }
 
     /// Waits for an open link, other than `lost`, to the same start of an agent.
@@ -298,6 +316,11 @@
         lock(&self.inner).members.get(worker).cloned()
     }
 
+    /// Counts a connection that was refused before it became a link.
+    pub fn count_refused_link(&self) {
+        lock(&self.inner).counters.links_refused += 1;
+    }
+
     /// Counts a reply that no driver waited for.
     pub fn count_late_reply(&self) {
         lock(&self.inner).counters.late_replies += 1;
@@ -335,6 +358,7 @@
             "workers": workers,
             "links_opened": counters.links_opened,
             "links_closed": counters.links_closed,
+            "links_refused": counters.links_refused,
             "late_replies": counters.late_replies,
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod boot;
 pub mod clock;
+pub mod cmd;
 pub mod daemon;
 pub mod entry;
 pub mod logs;
