--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry: takes callers' requests and chooses where they run.
 
+pub mod batch;
 pub mod exchange;
 pub mod fleet;
 pub mod journal;
@@ -26,6 +27,7 @@
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership;
 use chervilledge_policy::peers::EntryRow;
+use ractor::{Actor, ActorRef, SpawnErr};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -61,6 +63,8 @@
     Bind(io::Error),
     /// A secret can't be taken.
     Secret(secret::Error),
+    /// The actor can't be started.
+    Spawn(SpawnErr),
 }
 
 impl fmt::Display for Error {
@@ -68,6 +72,7 @@
         match self {
             Self::Bind(error) => write!(f, "listener can't be bound: {error}"),
             Self::Secret(error) => write!(f, "secret can't be taken: {error}"),
+            Self::Spawn(error) => write!(f, "actor can't be started: {error}"),
         }
     }
 }
@@ -86,6 +91,12 @@
     }
 }
 
+impl From<SpawnErr> for Error {
+    fn from(error: SpawnErr) -> Self {
+        Self::Spawn(error)
+    }
+}
+
 /// Running entry; it ends at once when it is dropped.
 #[derive(Debug)]
 pub struct Entry {
@@ -97,6 +108,8 @@
     /// Keeps the instruments.
     _metrics: Metrics,
     peers: peers::Context,
+    batch: ActorRef<batch::Message>,
+    batch_ticks: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
     drain_timeout: Duration,
 }
@@ -112,6 +125,16 @@
     let fleet = Arc::new(open_fleet(&settings, &clock, boot));
     let enforced = Arc::new(Enforced::new(Name::clone(&settings.site)));
     let live = watch::Sender::new(Vec::new());
+    let platform = client::open(platform_settings(&settings), boot, clock.clone());
+    let batch = batch::Context {
+        platform: platform.clone(),
+        clock: clock.clone(),
+        fleet: Arc::clone(&fleet),
+        enforced: Arc::clone(&enforced),
+        settings: settings.batch.clone(),
+        boot,
+    };
+    let (batch_actor, _) = Actor::spawn(None, batch::Batch, batch.clone()).await?;
     let links = links::Context {
         fleet: Arc::clone(&fleet),
         secrets: Arc::new(link_secrets),
@@ -122,16 +145,15 @@
         boot,
         live: live.subscribe(),
         enforced: Arc::clone(&enforced),
-        on_tasks: OnTasks(Arc::new(|_, _| {})),
+        on_tasks: on_tasks(&batch_actor),
     };
     let links = links::bind(settings.links_address, links).await?;
-    let platform = client::open(platform_settings(&settings), boot, clock.clone());
     let key_commits = group::Settings { interval: KEY_COMMIT_INTERVAL, ..group::Settings::default() };
     let keys = Keys::new(platform.clone(), group::spawn(platform.clone(), key_commits));
     let key_sweeps = keys.spawn_sweeps();
     let requests = Arc::new(open_requests(&settings, &clock, boot, &fleet, &enforced, keys));
     let metrics = metrics::open(&requests.context);
-    let routes = operators::routes(&requests, &platform, &metrics, Name::clone(&settings.name));
+    let routes = operators::routes(&requests, &platform, &metrics, (&batch, &batch_actor), Name::clone(&settings.name));
     let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
     let callers = bind_callers(&settings, &requests).await?;
     let peers = peers::Context {
@@ -153,6 +175,7 @@
     tasks.push(history_sweeps);
     tasks.push(peers::spawn_announcements(peers.clone()));
     tasks.push(spawn_sweeps(fleet));
+    let batch_ticks = batch::spawn_ticks(batch_actor.clone(), settings.batch.tick_ms);
     tasks.push(key_sweeps);
     Ok(Entry {
         callers_address: callers.address(),
@@ -162,6 +185,8 @@
         requests,
         _metrics: metrics,
         peers,
+        batch: batch_actor,
+        batch_ticks,
         tasks,
         drain_timeout: settings.bounds.drain_timeout_ms,
     })
@@ -190,6 +215,8 @@
     pub async fn drain(mut self) {
         self.requests.is_draining.store(true, Ordering::Relaxed);
         self.stop_tasks();
+        // The actor goes on to renew its lease, so that tasks run on until the entry ends.
+        drop(self.batch.cast(batch::Message::Retire));
         let retired = tokio::time::timeout(RETIRE_TIMEOUT, peers::retire(&self.peers));
         let Some(callers) = self.callers.take() else { return };
         let drained = tokio::time::timeout(self.drain_timeout, callers.drain());
@@ -209,6 +236,8 @@
 impl Drop for Entry {
     fn drop(&mut self) {
         self.stop_tasks();
+        self.batch_ticks.abort();
+        self.batch.kill();
     }
 }
 
@@ -261,6 +290,15 @@
     listener::bind(settings.callers_address, bounds, handler).await
 }
 
+/// Passes reports on batch tasks to the actor.
+fn on_tasks(batch: &ActorRef<batch::Message>) -> OnTasks {
+    let batch = batch.clone();
+    OnTasks(Arc::new(move |link, reports| {
+        // The actor stops with the process only.
+        drop(batch.cast(batch::Message::Reports { link: link.clone(), reports }));
+    }))
+}
+
 fn spawn_sweeps(fleet: Arc<Fleet>) -> JoinHandle<()> {
     tokio::spawn(async move {
         loop {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -310,6 +310,12 @@
         lock(&self.inner).links.values().cloned().collect()
     }
 
+    /// Gives what is known of a worker.
+    #[must_use]
+    pub fn member(&self, worker: &str) -> Option<Member> {
+        lock(&self.inner).members.get(worker).cloned()
+    }
+
     /// Counts a connection that was refused before it became a link.
     pub fn count_refused_link(&self) {
         lock(&self.inner).counters.links_refused += 1;
