--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -24,6 +24,7 @@
 
 use crate::agent::dial::{self, LinkId};
 use crate::agent::exchange::{BodyPart, Exchange, Route, RouteAsked, open_credit};
+use crate::agent::tasks;
 use crate::rollout::Enforced;
 
 /// Time for an entry to send the documents that it was asked for, before another one is asked.
@@ -86,6 +87,8 @@
     pub enforced: Arc<Enforced>,
     /// Takes entries that were heard of.
     pub entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
+    /// Actor that holds the batch tasks.
+    pub tasks: ActorRef<tasks::Message>,
 }
 
 /// Link to one entry.
@@ -135,6 +138,7 @@
     /// Link on which documents were asked for, and when.
     wanted: Option<(LinkId, Duration)>,
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
+    tasks: ActorRef<tasks::Message>,
     links: Map<BootId, Link>,
     /// Addresses whose links are to end once nothing is in progress on them.
     retired: Set<SocketAddr>,
@@ -165,6 +169,7 @@
             enforced: args.enforced,
             wanted: None,
             entries: args.entries,
+            tasks: args.tasks,
             links: Map::default(),
             retired: Set::default(),
             held: Map::default(),
@@ -209,6 +214,7 @@
         match event {
             dial::Event::Open { link: id, welcome, sender, close } => {
                 self.links_opened += 1;
+                self.tell_tasks(tasks::Message::Linked { entry: welcome.entry, link: id, sender: sender.clone() });
                 let reported = Load::default();
                 let enforced = welcome.enforced;
                 let link = Link { id, sender, sequence: 0, reported, needs_whole: true, close, enforced };
@@ -227,12 +233,18 @@
                     event = "link_closed", address:% = link.address, code = error.code().number(), error:% = error; ""
                 );
                 if let Some(entry) = entry {
+                    self.tell_tasks(tasks::Message::Unlinked { entry, link });
                     self.close_link(entry, link);
                 }
             }
         }
     }
 
+    fn tell_tasks(&self, message: tasks::Message) {
+        // The actor stops with the process only.
+        drop(self.tasks.cast(message));
+    }
+
     fn hear_of(&self, entries: Vec<chervilledge_link::message::EntryAddress>) {
         // The keeper of links ends with the process only.
         drop(self.entries.send(entries));
@@ -275,7 +287,8 @@
                 self.enforced.offer_text(&configuration.accepted, Source::Peer);
                 self.apply_configuration(myself);
             }
-            ToAgent::Heartbeat { .. } | ToAgent::Tasks(_) => {}
+            ToAgent::Tasks(commands) => self.tell_tasks(tasks::Message::Commands { entry, commands }),
+            ToAgent::Heartbeat { .. } => {}
             ToAgent::Welcome(_) | ToAgent::Refused(_) => self.dropped_messages += 1,
         }
     }
@@ -483,13 +496,19 @@
         };
         let backend = self.backend.clone();
         let core = myself.clone();
+        let (tasks, asker_tasks) = (self.tasks.clone(), self.tasks.clone());
+        let (clock, began) = (self.clock.clone(), self.clock.now());
+        self.tell_tasks(tasks::Message::RequestStarted(request));
         tokio::spawn(async move {
             let asker = core.clone();
             let ask_route = move |asked| {
+                let latency = clock.now().saturating_sub(began);
+                drop(asker_tasks.cast(tasks::Message::RequestAnswered { request, latency }));
                 // An actor that has stopped leaves the question unanswered.
                 drop(asker.cast(Message::AnswerReady { request, asked }));
             };
             let finished = exchange.run(backend, ask_route).await;
+            drop(tasks.cast(tasks::Message::RequestLeft(request)));
             drop(core.cast(Message::Finished { request, finished }));
         });
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the daemons, read from JSON files.
 
+pub mod batch;
+
 use std::fmt;
 use std::fs;
 use std::io;
@@ -43,6 +45,9 @@
     /// Bounds, with defaults.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Batch work, with defaults.
+    #[serde(default)]
+    pub batch: batch::Batch,
     /// Where logs go; standard error when absent.
     #[serde(default)]
     pub log_directory: Option<PathBuf>,
@@ -81,6 +86,9 @@
     /// Bounds, with defaults.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Batch work, with defaults.
+    #[serde(default)]
+    pub batch: batch::Batch,
     /// Where logs go; standard error when absent.
     #[serde(default)]
     pub log_directory: Option<PathBuf>,
@@ -120,6 +128,8 @@
     pub caller_connections_max: usize,
     /// Requests that an agent lets wait for a slot.
     pub agent_queue_max: u32,
+    /// Threads of the process's runtime.
+    pub threads: usize,
 }
 
 impl Default for Bounds {
@@ -136,6 +146,7 @@
             inline_body_bytes_max: 64 * 1024,
             caller_connections_max: 4_096,
             agent_queue_max: 16,
+            threads: 1,
         }
     }
 }
@@ -192,6 +203,7 @@
 pub fn read_entry(path: &Path) -> Result<Entry, Error> {
     let settings: Entry = read(path, Role::Entry)?;
     let mut faults = settings.bounds.faults();
+    settings.batch.faults(&mut faults);
     push_if(&mut faults, settings.name.is_empty(), "$.name", "is empty");
     push_if(&mut faults, settings.failure_domain.is_empty(), "$.failure_domain", "is empty");
     push_if(&mut faults, settings.link_secrets.is_empty(), "$.link_secrets", "holds no secret");
@@ -208,6 +220,7 @@
 pub fn read_agent(path: &Path) -> Result<Agent, Error> {
     let settings: Agent = read(path, Role::Agent)?;
     let mut faults = settings.bounds.faults();
+    settings.batch.faults(&mut faults);
     push_if(&mut faults, settings.worker.is_empty(), "$.worker", "is empty");
     push_if(&mut faults, settings.service.is_empty(), "$.service", "is empty");
     push_if(&mut faults, settings.failure_domain.is_empty(), "$.failure_domain", "is empty");
@@ -268,7 +281,7 @@
         .try_for_each(|(path, sources)| Secrets::open(sources).map(drop).map_err(|error| Error::Secret(path, error)))
 }
 
-fn push_if(faults: &mut Vec<Fault>, is_fault: bool, path: &'static str, text: &'static str) {
+pub(crate) fn push_if(faults: &mut Vec<Fault>, is_fault: bool, path: &'static str, text: &'static str) {
     if is_fault {
         faults.push(Fault { path, text });
     }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -233,7 +233,7 @@
     let cluster = cluster::start(1, 1).await;
     // The write takes effect and its reply is lost; the read that proves it ends after the bound on a claim.
     let slow = Duration::from_millis(850);
-    cluster.platform.control(PlatformFaults { lose_reply_next: 1, slow, ..PlatformFaults::default() });
+    cluster.platform.control(PlatformFaults { lose_reply_next: 1_000, slow, ..PlatformFaults::default() });
     let callers = cluster.entries[0].callers();
     let refused = send(callers, "POST", "/portal/order", &[(KEY, "order-12")], Vec::new()).await.expect("answer");
     assert_eq!(refused.outcome(), Some("not-run"), "{refused:?}");
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod batch;
 pub mod cluster;
 pub mod operator;
 pub mod watch;
