--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,21 +4,27 @@
 
 mod accept;
 mod args;
+mod cancel;
 mod check;
 mod client;
+mod drain;
 mod dump;
 mod error;
+mod explain;
 mod history;
+mod jobs;
 mod plan;
 mod status;
+mod submit;
 pub mod timestamp;
+mod workers;
 
 pub use error::{Error, exit_status};
 
 const USAGE: &str = "\
 Usage: chervilledge COMMAND [ARGUMENTS] [OPTIONS]
 
-Reviews, accepts and observes the configuration of the scheduler.
+Reviews, accepts and observes the configuration of the scheduler, and shows what the scheduler does.
 
 Commands:
     check      Find every fault of a directory of documents
@@ -26,6 +32,12 @@
     accept     Accept a plan
     history    List accepted versions or print one of them
     status     Show which processes don't enforce the accepted version yet
+    workers    List the workers
+    drain      Tell a worker to take no new work
+    submit     Submit a job
+    jobs       List the jobs or show one of them
+    cancel     Cancel jobs or a task
+    explain    Tell what happened to a request or a task and why
     dump       Print the state of a process
 
 Options:
@@ -43,11 +55,17 @@
 
 const COMMANDS: &[(&str, Run)] = &[
     ("accept", accept::run),
+    ("cancel", cancel::run),
     ("check", check::run),
+    ("drain", drain::run),
     ("dump", dump::run),
+    ("explain", explain::run),
     ("history", history::run),
+    ("jobs", jobs::run),
     ("plan", plan::run),
     ("status", status::run),
+    ("submit", submit::run),
+    ("workers", workers::run),
 ];
 
 /// Runs the command with its arguments and gives the exit status.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, ToAgent};
-use chervilledge_operator::accept::CURRENT_KEY;
+use chervilledge_operator::accept::{self, CURRENT_KEY};
 use chervilledge_platform::client::Client;
 use chervilledge_platform::sweep;
 use chervilledge_platform::table::{Expect, Row, Write};
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::entry::fleet::Fleet;
+use crate::entry::operators;
 use crate::rollout::Enforced;
 
 /// Prefix of the rows by which entries announce themselves.
@@ -30,6 +31,9 @@
 /// Time between two looks at the accepted configuration.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two announcements of a version to agents that don't enforce it yet.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time between two passes over what processes that are gone left behind.
 const HISTORY_SWEEP_INTERVAL: Duration = Duration::from_mins(2);
 
@@ -58,14 +62,17 @@
 pub fn spawn_announcements(mut context: Context) -> JoinHandle<()> {
     tokio::spawn(async move {
         let mut peers = Peers::new(ENTRY_SILENCE);
+        let mut enforced = context.enforced.subscribe();
         loop {
             context.row.counter += 1;
+            context.row.enforced = *enforced.borrow_and_update();
             renew(&context).await;
             if follow(&context, &mut peers).await {
                 tell_agents(&context.fleet, peers.live());
                 context.live.send_replace(peers.live().to_vec());
             }
-            tokio::time::sleep(jittered(RENEW_INTERVAL)).await;
+            // A version that comes into force is told at once.
+            drop(tokio::time::timeout(jittered(RENEW_INTERVAL), enforced.changed()).await);
         }
     })
 }
@@ -84,9 +91,12 @@
     });
     let announce = tokio::spawn(async move {
         let mut changed = context.enforced.subscribe();
-        while changed.changed().await.is_ok() {
+        loop {
+            let waited = tokio::time::timeout(ANNOUNCE_INTERVAL, changed.changed()).await;
             let Some(stamp) = *changed.borrow_and_update() else { continue };
-            for link in context.fleet.links() {
+            // A link that was being opened may have missed the announcement, so it is made again to those who lag.
+            let links = if waited.is_ok() { context.fleet.links() } else { context.fleet.lagging_links(stamp) };
+            for link in links {
                 link.post(ToAgent::Enforced(stamp));
             }
         }
@@ -116,7 +126,7 @@
 
 /// Takes the entry's row away, so that agents link to other entries at once.
 pub async fn retire(context: &Context) {
-    let key = key(&context.row.name);
+    let key = entry_key(&context.row.name);
     let outcome =
         context.platform.commit(context.platform.next_write_id(), vec![Write::delete(key, Expect::Any)]).await;
     log::info!(event = "entry_retired", outcome:? = outcome; "");
@@ -136,7 +146,7 @@
 
 async fn renew(context: &Context) {
     let value = serde_json::json!(context.row);
-    let write = Write::put(key(&context.row.name), Expect::Any, value);
+    let write = Write::put(entry_key(&context.row.name), Expect::Any, value);
     let outcome = context.platform.commit(context.platform.next_write_id(), vec![write]).await;
     log::debug!(event = "entry_renewed", outcome:? = outcome; "");
 }
@@ -144,7 +154,11 @@
 /// Reads the rows of the entries; tells whether they changed.
 async fn follow(context: &Context, peers: &mut Peers) -> bool {
     match context.platform.scan(ENTRIES_PREFIX, None, ENTRIES_MAX).await {
-        Ok(rows) => peers.observe(context.clock.now(), rows.into_iter().filter_map(entry_row).collect()),
+        Ok(rows) => {
+            let is_changed = peers.observe(context.clock.now(), rows.into_iter().filter_map(entry_row).collect());
+            context.fleet.observe_entries(peers.live().iter().filter(|row| row.boot != context.row.boot));
+            is_changed
+        }
         Err(error) => {
             log::debug!(event = "entries_unread", error:% = error; "");
             false
@@ -153,13 +167,27 @@
 }
 
 async fn poll_configuration(context: &Context) {
-    match context.platform.read_one(CURRENT_KEY).await {
-        Ok(Some(row)) => context.enforced.offer_value(row.value, Source::Table),
-        Ok(None) => {}
-        Err(error) => log::debug!(event = "configuration_unread", error:% = error; ""),
+    let row = match context.platform.read_one(CURRENT_KEY).await {
+        Ok(row) => row,
+        Err(error) => return log::debug!(event = "configuration_unread", error:% = error; ""),
+    };
+    let table_version = row.as_ref().and_then(|row| row.value.get("version")?.as_u64()).unwrap_or(0);
+    if let Some(row) = row {
+        context.enforced.offer_value(row.value, Source::Table);
+    }
+    if context.enforced.stamp().is_some_and(|stamp| stamp.version > table_version) {
+        restore_configuration(context).await;
     }
 }
 
+/// Writes the version in force back to a table that fell behind it; a stale read changes nothing, since the write is
+/// conditional on the rows that were read.
+async fn restore_configuration(context: &Context) {
+    let Some(accepted) = context.enforced.accepted() else { return };
+    let outcome = accept::restore(&operators::store(&context.platform), &accepted).await;
+    log::warn!(event = "configuration_restored", version = accepted.version, outcome:? = outcome; "");
+}
+
 fn tell_agents(fleet: &Fleet, live: &[EntryRow]) {
     for link in fleet.links() {
         link.post(ToAgent::Entries(addresses(live)));
@@ -170,7 +198,9 @@
     serde_json::from_value(row.value).ok()
 }
 
-fn key(name: &str) -> String {
+/// Key of an entry's row.
+#[must_use]
+pub fn entry_key(name: &str) -> String {
     format!("{ENTRIES_PREFIX}{name}")
 }
 
--- a/tests/harness/cluster.rs
+++ b/tests/harness/cluster.rs
@@ -42,10 +42,10 @@
     pub directory: WorkDir,
     /// Stand-in for the platform.
     pub platform: platform::Handle,
+    /// Workers. They end before the entries, whose ports another test's entries may take next.
+    pub workers: Vec<Worker>,
     /// Entries.
     pub entries: Vec<Entry>,
-    /// Workers.
-    pub workers: Vec<Worker>,
 }
 
 /// Any free port of this machine.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod batch;
 pub mod cluster;
+pub mod operator;
+pub mod watch;
 
 use std::collections::BTreeMap;
 use std::fs;
