Report a refused claim to the entry that made it

Cause: an agent that refused a claim reported the end without the lease it was made under, and so to any entry. That entry wrote the end and the agent was told that it was settled; the entry that had made the claim went on holding it, asked again and was answered by way of the wrong entry. Traced by explain and the dumps of three entries: entry-1 held 5 claims as sent whose rows were queued at epoch 2, the refusals were in entry-2's history. Ruled out: placement's account, lost marks, conflicts of writes (0 counted), the queue's quota (nothing waited).

--- a/src/agent/tasks/commands.rs
+++ b/src/agent/tasks/commands.rs
@@ -55,7 +55,7 @@
                 }
             }
             Err(end) => {
-                self.refuse(claim, start.agent, end, now);
+                self.refuse(entry, claim, start.agent, end, now);
             }
         }
     }
@@ -74,16 +74,24 @@
     }
 
     /// Ends a claim that isn't started, so that no copy of its start is obeyed later.
-    fn refuse(&mut self, claim: &ClaimId, agent: BootId, end: End, now: Duration) {
+    /// Ends a claim that doesn't run here, towards the entry that asked.
+    fn refuse(&mut self, entry: BootId, claim: &ClaimId, agent: BootId, end: End, now: Duration) {
+        let lease = self.peers.get(&entry).and_then(|peer| peer.lease);
         match self.reservations.fence(&claim.task, claim.epoch, agent, now) {
-            Fenced::NeverStarted => self.end(claim.clone(), end, None),
+            Fenced::NeverStarted => self.end(claim.clone(), end, lease),
             Fenced::Held(held) if held < claim.epoch => {
                 self.calls.order(&ClaimId { task: claim.task.clone(), epoch: held }, Order::Stop);
-                self.end(claim.clone(), end, None);
+                self.end(claim.clone(), end, lease);
             }
-            Fenced::Unknown => self.end(claim.clone(), End::Gone, None),
-            // Its end is reported, or was recorded.
-            Fenced::Held(_) | Fenced::Ended => {}
+            Fenced::Unknown => self.end(claim.clone(), End::Gone, lease),
+            // Its end is in the row by way of another entry: the one that asks finds it there.
+            Fenced::Ended => {
+                if let Some(peer) = self.peers.get(&entry) {
+                    peer.report(TaskReport::Ended { claim: claim.clone(), end: End::Gone });
+                }
+            }
+            // Its end is reported.
+            Fenced::Held(_) => {}
         }
     }
 
@@ -128,7 +136,7 @@
         if self.unsettled.contains_key(claim) || !self.reservations.is_stock_taken() {
             return;
         }
-        self.refuse(claim, agent, End::NeverStarted, now);
+        self.refuse(entry, claim, agent, End::NeverStarted, now);
     }
 
     fn on_stop(&mut self, claim: &ClaimId, now: Duration) {
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilledge_link::task::{ClaimId, TaskCommand};
-use chervilledge_platform::table::{Expect, Row, Write};
+use chervilledge_platform::table::{Expect, Write};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::lease::Ask;
@@ -168,7 +168,11 @@
                 self.after(claim, &step, now);
                 self.advance(&claim.task);
             }
-            Written::Row(row) => self.on_conflict(claim, row.as_ref()),
+            Written::Row(row) => {
+                self.counters.conflicts += 1;
+                let current = row.and_then(|row| Some((content::<TaskRecord>(&row)?, row.version)));
+                self.on_conflict(claim, current);
+            }
             Written::Retry if held.stage == Stage::Claiming => self.withdraw(claim, now),
             Written::Retry => {
                 let wait = Duration::from_millis(rand::random_range(RETRY_WAIT_MS));
@@ -308,12 +312,21 @@
         self.let_go(&claim.task);
     }
 
+    /// Drops a claim whose row has gone on to a later epoch by another entry's write.
+    ///
+    /// An agent tells any entry of a refusal or an end when it can't reach the one that holds the claim.
+    pub(super) fn overtake(&mut self, task: &TaskId, row: &(TaskRecord, u64)) {
+        let Some(held) = self.claims.get(task).filter(|held| held.writing.is_none()) else { return };
+        if row.0.row.epoch > held.record.row.epoch {
+            let claim = held.claim();
+            self.on_conflict(&claim, Some(row.clone()));
+        }
+    }
+
     /// Goes on from the row as it is, after a write was lost to another one.
-    fn on_conflict(&mut self, claim: &ClaimId, row: Option<&Row>) {
-        self.counters.conflicts += 1;
+    fn on_conflict(&mut self, claim: &ClaimId, current: Option<(TaskRecord, u64)>) {
         let now = self.now();
         let lease = self.own.id();
-        let current = row.and_then(|row| Some((content::<TaskRecord>(row)?, row.version)));
         let Some(held) = self.claims.get_mut(&claim.task) else { return };
         let Some((record, version)) = current else {
             // A row is never deleted, so that the read was old.
--- a/src/entry/batch/shards.rs
+++ b/src/entry/batch/shards.rs
@@ -229,6 +229,9 @@
 
     /// Takes in a task of an owned shard; tells whether it is open.
     fn take_in(&mut self, job: &Arc<JobRecord>, task: &TaskId, row: Option<(TaskRecord, u64)>) -> bool {
+        if let Some(row) = &row {
+            self.overtake(task, row);
+        }
         if self.claims.contains_key(task) {
             return true;
         }
