--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -38,6 +38,12 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 /// Time of the measurement.
 const MEASURE: Duration = Duration::from_secs(20);
+/// Load of the measurement, in percent of the workers' capacity.
+const LOAD_PERCENT: u32 = 50;
+/// Loads at which only processor time is measured.
+const OTHER_LOADS_PERCENT: [u32; 2] = [15, 75];
+/// Time of each of these measurements.
+const MEASURE_OTHER: Duration = Duration::from_secs(8);
 
 /// Most that the 99th percentile may be above that of requests straight to a backend server.
 const P99_ADDED_TARGET_MS: f64 = 1.0;
@@ -79,9 +85,9 @@
     let mut report = Report::open("request_path");
     // Links go straight to the entries: the faulty network would add its own latency.
     let cluster = start_with(ENTRIES, WORKERS as usize, leave_network_out, |_| {}).await;
-    drop(drive(&cluster, WARM_UP).await);
+    drop(drive(&cluster, WARM_UP, LOAD_PERCENT).await);
     let before = usages(&cluster);
-    let (direct, through) = drive(&cluster, MEASURE).await;
+    let (direct, through) = drive(&cluster, MEASURE, LOAD_PERCENT).await;
     let after = usages(&cluster);
     print_latencies(&mut report, "direct", &direct);
     print_latencies(&mut report, "through", &through);
@@ -93,6 +99,9 @@
         report.bounded(&name, &[], processor_us(before, after) / to_f64(requests), "us", PROCESSOR_TARGET_US);
     }
     print_memory(&mut report, &after);
+    for percent in OTHER_LOADS_PERCENT {
+        print_processor(&mut report, &cluster, percent).await;
+    }
     report.bounded("requests_failed", &[], to_f64(through.failed + direct.failed), "requests", 0.0);
     report.finish()
 }
@@ -104,6 +113,19 @@
     }
 }
 
+/// Processor time of a request at another load.
+async fn print_processor(report: &mut Report, cluster: &Cluster, load_percent: u32) {
+    let before = usages(cluster);
+    let (_, through) = drive(cluster, MEASURE_OTHER, load_percent).await;
+    let after = usages(cluster);
+    let requests = to_f64(through.latency_us.len() + through.failed);
+    let at: At<'_> = &[("load_percent", u64::from(load_percent))];
+    for (role, (before, after)) in ["entry", "agent"].iter().zip(before.iter().zip(&after)) {
+        let name = format!("{role}_processor_per_request");
+        report.figure(&name, at, processor_us(before, after) / requests, "us");
+    }
+}
+
 fn print_memory(report: &mut Report, usages: &[Vec<Usage>; 2]) {
     for (role, usages) in ["entry", "agent"].iter().zip(usages) {
         let greatest = usages.iter().map(Usage::resident_mib).fold(0.0, f64::max);
@@ -128,11 +150,11 @@
 }
 
 /// Sends requests at random intervals for a while, both ways in turn.
-async fn drive(cluster: &Cluster, time: Duration) -> (Results, Results) {
+async fn drive(cluster: &Cluster, time: Duration, load_percent: u32) -> (Results, Results) {
     let caller: Caller = Client::builder(TokioExecutor::new()).build(connector());
     let entries: Vec<SocketAddr> = cluster.entries.iter().map(harness::cluster::Entry::callers).collect();
     let backends: Vec<SocketAddr> = cluster.workers.iter().map(|worker| worker.machine.address()).collect();
-    let mean_interval = WORK.mul_f64(2.0 / f64::from(WORKERS * SLOTS));
+    let mean_interval = WORK.mul_f64(100.0 / f64::from(load_percent * WORKERS * SLOTS));
     let mut requests = JoinSet::new();
     let begin = tokio::time::Instant::now();
     let mut due = begin;
