--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -15,20 +15,38 @@
 use chervilledge_policy::id::{Name, RequestId};
 use chervilledge_policy::rollout::Source;
 use http::{Method, StatusCode};
+use ractor::ActorRef;
 use serde_json::{Value, json};
 
+use crate::entry::batch::{self, jobs};
 use crate::entry::metrics::Metrics;
 use crate::entry::requests::Requests;
 
+/// Time for the actor of batch work to answer a question.
+const ASK_TIMEOUT_MS: u64 = 1_000;
+
 /// Makes the routes of an entry called `name`.
 #[must_use]
-pub fn routes(requests: &Arc<Requests>, platform: &Client, metrics: &Metrics, name: Name) -> Routes {
+pub fn routes(
+    requests: &Arc<Requests>,
+    platform: &Client,
+    metrics: &Metrics,
+    (context, batch): (&batch::Context, &ActorRef<batch::Message>),
+    name: Name,
+) -> Routes {
     let dumped = Arc::clone(requests);
     let listed = Arc::clone(requests);
     let drained = Arc::clone(requests);
-    let explained = Arc::clone(requests);
+    let explained = (Arc::clone(requests), context.clone(), batch.clone());
+    let asked = batch.clone();
     let routes = Routes::new()
-        .state(move || json!({ "role": "entry", "name": name, "entry": dump(&dumped) }))
+        .route(Method::GET, "/state", move |_| {
+            let (requests, batch, name) = (Arc::clone(&dumped), asked.clone(), Name::clone(&name));
+            async move {
+                let tasks = ractor::call_t!(batch, batch::Message::Dump, ASK_TIMEOUT_MS).unwrap_or_default();
+                Ok(json!({ "role": "entry", "name": name, "entry": dump(&requests), "batch": tasks }))
+            }
+        })
         .metrics(metrics.reader())
         .route(Method::GET, "/workers", move |_| {
             let workers = listed.context.fleet.dump()["workers"].clone();
@@ -39,9 +57,17 @@
             async move { answer }
         })
         .route(Method::GET, "/explain/", move |request| {
-            let answer = explain(&explained, &request);
-            async move { answer }
+            let (requests, context, batch) = explained.clone();
+            async move {
+                // A task's identifier holds its job's, a request's holds no slash.
+                if request.rest.contains('/') {
+                    jobs::explain(&context, &batch, &request.rest).await
+                } else {
+                    explain(&requests, &request)
+                }
+            }
         });
+    let routes = jobs::routes(routes, context, batch);
     api::routes(routes, &configuration(requests, platform))
 }
 
