Let a link that another takes the place of finish what is in progress on it

Cause: an agent that found its entries by the first address moved at once to the announced one. Ruled out: waiting longer in the test; closing the earlier link sooner, which loses the answer too. Change: replies are taken from the link that carried the dispatch, until that link ends; an agent answers on the link of the message, keeps a replaced link alive while something is in progress on it, and counts only links to chosen addresses when it looks whether it is alone.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -140,6 +140,8 @@
     entries: mpsc::UnboundedSender<Vec<chervilledge_link::message::EntryAddress>>,
     tasks: ActorRef<tasks::Message>,
     links: Map<BootId, Link>,
+    /// Links whose place another link to the same entry has taken; they end once nothing is in progress on them.
+    leaving: Vec<Link>,
     /// Addresses whose links are to end once nothing is in progress on them.
     retired: Set<SocketAddr>,
     held: Map<RequestId, Held>,
@@ -171,6 +173,7 @@
             entries: args.entries,
             tasks: args.tasks,
             links: Map::default(),
+            leaving: Vec::new(),
             retired: Set::default(),
             held: Map::default(),
             links_opened: 0,
@@ -222,11 +225,11 @@
                 if let Some(stamp) = self.enforced.stamp() {
                     link.sender.post(ToEntry::Enforced(stamp));
                 }
-                self.links.insert(welcome.entry, link);
+                self.leaving.extend(self.links.insert(welcome.entry, link));
                 self.hear_of(welcome.entries);
                 self.want_configuration();
             }
-            dial::Event::Message { entry, message } => self.on_message(myself, entry, message),
+            dial::Event::Message { link, entry, message } => self.on_message(myself, link, entry, message),
             dial::Event::Closed { link, entry, error } => {
                 self.links_closed += u64::from(entry.is_some());
                 log::info!(
@@ -250,19 +253,25 @@
         drop(self.entries.send(entries));
     }
 
+    /// Finds an open link, also one that is leaving.
+    fn find_link(&self, id: LinkId) -> Option<&Link> {
+        self.links.values().chain(&self.leaving).find(|link| link.id == id)
+    }
+
     /// Forgets a link; what waits on it waits for the entry's question on another one.
     fn close_link(&mut self, entry: BootId, id: LinkId) {
         if self.links.get(&entry).is_some_and(|link| link.id == id) {
             self.links.remove(&entry);
         }
+        self.leaving.retain(|link| link.id != id);
         for held in self.held.values_mut().filter(|held| held.link == Some(id)) {
             held.link = None;
         }
     }
 
-    fn on_message(&mut self, myself: &ActorRef<Message>, entry: BootId, message: ToAgent) {
+    fn on_message(&mut self, myself: &ActorRef<Message>, link: LinkId, entry: BootId, message: ToAgent) {
         match message {
-            ToAgent::Start(start) => self.on_start(myself, entry, start),
+            ToAgent::Start(start) => self.on_start(myself, link, entry, start),
             ToAgent::Body(chunk) => {
                 let part = BodyPart::Chunk { offset_bytes: chunk.offset_bytes, bytes: Bytes::from(chunk.bytes) };
                 self.on_body(chunk.request, part);
@@ -272,7 +281,7 @@
                 let actions = self.admission.cancel(self.clock.now(), request);
                 self.perform(myself, actions);
             }
-            ToAgent::Ask { origin, agent } => self.on_ask(entry, origin, agent),
+            ToAgent::Ask { origin, agent } => self.on_ask(link, origin, agent),
             ToAgent::Window { request, bytes } => self.on_window(request, bytes),
             ToAgent::WholeHeartbeat => {
                 if let Some(link) = self.links.get_mut(&entry) {
@@ -357,8 +366,9 @@
         }
     }
 
-    fn on_start(&mut self, myself: &ActorRef<Message>, entry: BootId, start: Box<Start>) {
-        let Some(link) = self.links.get(&entry) else { return };
+    fn on_start(&mut self, myself: &ActorRef<Message>, link: LinkId, entry: BootId, start: Box<Start>) {
+        let Some(link) = self.find_link(link) else { return };
+        let link = (link.id, link.sender.clone());
         let now = self.clock.now();
         let offer = Offer {
             agent_boot: start.agent,
@@ -388,8 +398,8 @@
         }
     }
 
-    fn on_ask(&mut self, entry: BootId, origin: Origin, agent: BootId) {
-        let Some(link) = self.links.get(&entry) else { return };
+    fn on_ask(&mut self, link: LinkId, origin: Origin, agent: BootId) {
+        let Some(link) = self.find_link(link) else { return };
         let (id, sender) = (link.id, link.sender.clone());
         let outcome = self.admission.ask(self.clock.now(), origin.id, agent, origin.epoch);
         sender.post(ToEntry::Request(Reply::Outcome { origin, outcome }));
@@ -443,6 +453,17 @@
                 link.close.cancel();
             }
         }
+        self.tick_leaving(&load);
+    }
+
+    /// Keeps links that are leaving alive for what is in progress on them, and ends the others.
+    fn tick_leaving(&mut self, load: &Load) {
+        for link in &mut self.leaving {
+            send_heartbeat(self.boot, link, &Load { ready: false, ..*load });
+            if !self.held.values().any(|held| held.link == Some(link.id)) {
+                link.close.cancel();
+            }
+        }
     }
 
     fn on_retire(&mut self, myself: &ActorRef<Message>, address: SocketAddr, is_retired: bool) {
@@ -545,7 +566,7 @@
     }
 }
 
-fn hold(entry: BootId, link: &Link, start: Box<Start>) -> Held {
+fn hold(entry: BootId, (link, sender): (LinkId, Sender<ToEntry>), start: Box<Start>) -> Held {
     let (parts, parts_taken) = mpsc::unbounded_channel();
     Held {
         start: Some(start),
@@ -554,8 +575,8 @@
         parts_taken: Some(parts_taken),
         credit: open_credit(),
         abandoned: watch::Sender::new(false),
-        link: Some(link.id),
-        sender: link.sender.clone(),
+        link: Some(link),
+        sender,
         asked: None,
     }
 }
--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -52,6 +52,8 @@
     },
     /// A message came.
     Message {
+        /// Link that it came on.
+        link: LinkId,
         /// Start of the entry that sent it.
         entry: BootId,
         /// The message.
@@ -92,7 +94,7 @@
                     let entry = welcome.entry;
                     let close = CancellationToken::new();
                     events(Event::Open { link, welcome, sender, close: close.clone() });
-                    (Some(entry), run(&settings, entry, receiver, &events, close).await)
+                    (Some(entry), run(&settings, link, entry, receiver, &events, close).await)
                 }
                 Err(error) => (None, error),
             };
@@ -115,6 +117,7 @@
 
 async fn run(
     settings: &Settings,
+    link: LinkId,
     entry: BootId,
     mut receiver: Receiver,
     events: &impl Fn(Event),
@@ -126,7 +129,7 @@
             () = close.cancelled() => Err(Error::Closed),
         };
         match next {
-            Ok(message) => events(Event::Message { entry, message }),
+            Ok(message) => events(Event::Message { link, entry, message }),
             Err(error) => return error,
         }
     }
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -1,18 +1,18 @@
 //! Keeps links to a bounded subset of the entries.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, Hello};
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use chervilledge_policy::membership::{EntryPeer, choose_entries};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 use crate::agent::dial::{self, Event};
+use crate::sync::lock;
 
 /// Time without an open link after which entries are sought where they are found first.
 const LONELY_AFTER: Duration = Duration::from_secs(1);
@@ -59,7 +59,7 @@
 {
     let ports = Arc::new(ports);
     tokio::spawn(async move {
-        let open = Arc::new(AtomicUsize::new(0));
+        let open = Arc::new(Open::default());
         let mut dialers = Dialers(Map::default());
         let mut known: Vec<EntryAddress> = Vec::new();
         let mut lonely = false;
@@ -73,7 +73,7 @@
                     let open = Arc::clone(&open);
                     let hello = move || (hello_ports.hello)();
                     let events = move |event| {
-                        count(&open, &event);
+                        open.note(&event);
                         (event_ports.events)(event);
                     };
                     dial::spawn(dial_settings(&settings, address), hello, events, is_wanted)
@@ -82,22 +82,33 @@
             match tokio::time::timeout(LONELY_AFTER, entries.recv()).await {
                 Ok(Some(heard)) => known = heard,
                 Ok(None) => return,
-                Err(_) => lonely = open.load(Ordering::Relaxed) == 0,
+                // A link by way of the first address doesn't count: it would end itself.
+                Err(_) => lonely = !open.has_any(&chosen(&settings, &known)),
             }
         }
     })
 }
 
-/// Counts the links that are open.
-fn count(open: &AtomicUsize, event: &Event) {
-    match event {
-        Event::Open { .. } => {
-            open.fetch_add(1, Ordering::Relaxed);
-        }
-        Event::Closed { entry: Some(_), .. } => {
-            open.fetch_sub(1, Ordering::Relaxed);
+/// Addresses to which links are open.
+#[derive(Debug, Default)]
+struct Open(Mutex<Set<SocketAddr>>);
+
+impl Open {
+    fn note(&self, event: &Event) {
+        match event {
+            Event::Open { link, .. } => {
+                lock(&self.0).insert(link.address);
+            }
+            Event::Closed { link, .. } => {
+                lock(&self.0).remove(&link.address);
+            }
+            Event::Message { .. } => {}
         }
-        Event::Closed { entry: None, .. } | Event::Message { .. } => {}
+    }
+
+    fn has_any(&self, addresses: &[SocketAddr]) -> bool {
+        let open = lock(&self.0);
+        addresses.iter().any(|address| open.contains(address))
     }
 }
 
@@ -150,9 +161,18 @@
     }
 }
 
-/// Addresses to which links are to be held: chosen among the known entries, and where entries are found first while
-/// no link is open.
+/// Addresses to which links are to be held: chosen among the known entries, and where entries are found first while no
+/// link to a chosen one is open.
 fn wanted(settings: &Settings, known: &[EntryAddress], lonely: bool) -> Vec<SocketAddr> {
+    let mut addresses = chosen(settings, known);
+    if lonely || addresses.is_empty() {
+        addresses.extend(&settings.bootstrap);
+    }
+    addresses
+}
+
+/// Addresses of the entries that are chosen among the known ones.
+fn chosen(settings: &Settings, known: &[EntryAddress]) -> Vec<SocketAddr> {
     let peers: Vec<EntryPeer> = known
         .iter()
         .map(|entry| EntryPeer {
@@ -161,11 +181,7 @@
         })
         .collect();
     let chosen = choose_entries(&settings.worker, &peers, settings.links_max);
-    let mut addresses: Vec<SocketAddr> = chosen.iter().filter_map(|peer| peer.address.parse().ok()).collect();
-    if lonely || addresses.is_empty() {
-        addresses.extend(&settings.bootstrap);
-    }
-    addresses
+    chosen.iter().filter_map(|peer| peer.address.parse().ok()).collect()
 }
 
 fn dial_settings(settings: &Settings, address: SocketAddr) -> dial::Settings {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -24,10 +24,11 @@
 use rustc_hash::FxHasher;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-use crate::entry::fleet::{Fleet, Frame, Link, lock};
+use crate::entry::fleet::{Fleet, Frame, Link};
 use crate::entry::journal::{Journal, Trace, What};
 use crate::entry::keys::Claim;
 use crate::entry::upload;
+use crate::sync::lock;
 
 /// Parts of an answer that may wait between the driver and the caller's connection.
 const ANSWER_QUEUE: usize = 2;
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -1,7 +1,7 @@
 //! Workers known to an entry, with the links to their agents.
 
 use std::fmt;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chervilledge_link::connection::Sender;
@@ -20,6 +20,8 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
+use crate::sync::lock;
+
 use crate::entry::peers::entry_key;
 
 /// What the driver of a request hears of a dispatch.
@@ -201,11 +203,9 @@
             inner.members.drain(&worker, announcement.agent_boot);
         }
         link.post(ToAgent::Welcome(welcome));
-        let replaced = inner.links.insert(worker, link.clone());
+        // What is in progress on the link before goes on there until that link ends.
+        inner.links.insert(worker, link.clone());
         drop(inner);
-        if let Some(replaced) = replaced {
-            replaced.close();
-        }
         self.opened.send_modify(|count| *count += 1);
         Ok(link)
     }
@@ -448,8 +448,3 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Locks a mutex whose data is valid between any two statements, so that a panic elsewhere can't break it.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -9,7 +9,7 @@
 use chervilledge_policy::request::Outcome;
 use serde::Serialize;
 
-use crate::entry::fleet::lock;
+use crate::sync::lock;
 
 /// Requests that are kept; about 1 MB.
 const TRACES_MAX: usize = 4_096;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod logs;
 pub mod rollout;
 pub mod settings;
+mod sync;
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-use crate::entry::fleet::lock;
+use crate::sync::lock;
 
 /// Configuration in force, with the form in which it is handed on.
 #[derive(Debug)]
--- a/tests/entry_lost.rs
+++ b/tests/entry_lost.rs
@@ -85,3 +85,22 @@
         assert_eq!(answer.status, 200, "{answer:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn link_by_the_first_address_stays_while_the_announced_ones_cannot_be_reached() {
+    let nowhere = |entry: &mut serde_json::Value| entry["links_advertised_address"] = "127.0.0.1:1".into();
+    let cluster = cluster::start_with(1, 1, nowhere, |_| {}).await;
+    let links_opened = || async {
+        let state = harness::state(cluster.workers[0].agent.address("operators_address")).await;
+        state["agent"]["links_opened"].as_u64().expect("count")
+    };
+    // The first announcement of the entries and the time without a link may cost a link each.
+    harness::wait_until("the link has settled", || async {
+        let before = links_opened().await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        links_opened().await == before
+    })
+    .await;
+    let answer = send(cluster.entries[0].callers(), "POST", "/portal/x", &[], Vec::new()).await.expect("answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
