--- a/benches/group_entries.rs
+++ b/benches/group_entries.rs
@@ -12,11 +12,11 @@
 use std::time::{Duration, Instant};
 
 use chervilledge::{boot, clock};
-use chervilledge_platform::client;
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::group::{self, Group, Settings};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_standins::platform;
+use chervilledge_store::client;
+use chervilledge_store::error::Outcome;
+use chervilledge_store::group::{self, Group, Settings};
+use chervilledge_store::table::{Expect, Write};
 use figure::Report;
 use hdrhistogram::Histogram;
 use serde_json::json;
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -142,6 +142,18 @@
 ///
 /// [`Error::Refused`] when the entry doesn't accept the secret, [`Error::TimedOut`] when the entry doesn't answer.
 pub async fn open(address: SocketAddr, secret: &str) -> Result<(Sender<ToEntry>, Receiver), Error> {
+    connect(address, secret).await
+}
+
+/// Opens a link that carries messages of any one type to the peer.
+///
+/// # Errors
+///
+/// As [`open`].
+pub async fn connect<M>(address: SocketAddr, secret: &str) -> Result<(Sender<M>, Receiver), Error>
+where
+    M: Send + Serialize + 'static,
+{
     tokio::time::timeout(OPEN_TIMEOUT, dial(address, secret)).await.or(Err(Error::TimedOut))?
 }
 
@@ -154,6 +166,21 @@
     stream: TcpStream,
     is_valid: impl Fn(&str) -> bool + Unpin,
 ) -> Result<(Sender<ToAgent>, Receiver), Error> {
+    accept_typed(stream, is_valid).await
+}
+
+/// Accepts a link that carries messages of any one type to the peer.
+///
+/// # Errors
+///
+/// As [`accept`].
+pub async fn accept_typed<M>(
+    stream: TcpStream,
+    is_valid: impl Fn(&str) -> bool + Unpin,
+) -> Result<(Sender<M>, Receiver), Error>
+where
+    M: Send + Serialize + 'static,
+{
     stream.set_nodelay(true)?;
     let handshake = accept_hdr_async_with_config(stream, authorize(is_valid), Some(socket_config()));
     let socket = tokio::time::timeout(OPEN_TIMEOUT, handshake).await.or(Err(Error::TimedOut))?;
@@ -161,7 +188,10 @@
     Ok(split(socket))
 }
 
-async fn dial(address: SocketAddr, secret: &str) -> Result<(Sender<ToEntry>, Receiver), Error> {
+async fn dial<M>(address: SocketAddr, secret: &str) -> Result<(Sender<M>, Receiver), Error>
+where
+    M: Send + Serialize + 'static,
+{
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let mut request = format!("ws://{address}/link").into_client_request().map_err(|error| socket_error(&error))?;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chervilledge_platform::object::OBJECT_PREFIX;
-use chervilledge_platform::table::{COMMIT_PATH, Commit, Committed, READ_PATH, Read, Row, Rows, SCAN_PATH, Scan};
+use chervilledge_store::object::OBJECT_PREFIX;
+use chervilledge_store::table::{COMMIT_PATH, Commit, Committed, READ_PATH, Read, Row, Rows, SCAN_PATH, Scan};
 use http::header::IF_NONE_MATCH;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, StatusCode};
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chervilledge_platform::table::{Commit, Conflict, Row, Scan, Write, WriteId};
+use chervilledge_store::table::{Commit, Conflict, Row, Scan, Write, WriteId};
 use serde::{Deserialize, Serialize};
 
 /// One committed transaction.
--- a/crates/platform/benches/commit.rs
+++ b/crates/store/benches/commit.rs
@@ -12,13 +12,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use chervilledge_platform::client;
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::group::{self, Group, Settings};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::BootId;
 use chervilledge_standins::platform::{self, Counts, Handle};
+use chervilledge_store::client;
+use chervilledge_store::error::Outcome;
+use chervilledge_store::group::{self, Group, Settings};
+use chervilledge_store::table::{Expect, Write};
 use hdrhistogram::Histogram;
 use serde_json::json;
 use tokio::task::JoinSet;
--- a/crates/platform/benches/recovery.rs
+++ b/crates/store/benches/recovery.rs
@@ -9,13 +9,13 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use chervilledge_platform::client::{self, Client, Settings};
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::group::{self, Group};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::BootId;
 use chervilledge_standins::platform::{self, Faults};
+use chervilledge_store::client::{self, Client, Settings};
+use chervilledge_store::error::Outcome;
+use chervilledge_store::group::{self, Group};
+use chervilledge_store::table::{Expect, Write};
 use serde_json::json;
 use tokio::task::JoinSet;
 
--- a/crates/platform/tests/group.rs
+++ b/crates/store/tests/group.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use chervilledge_platform::client::{Client, Resolution};
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::group::{self, Group, Settings, Submitted};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_standins::platform::{self, Faults, Handle};
+use chervilledge_store::client::{Client, Resolution};
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::group::{self, Group, Settings, Submitted};
+use chervilledge_store::table::{Expect, Write};
 use rstest::rstest;
 use serde_json::json;
 use support::{open_client, start_store};
--- a/crates/platform/tests/network.rs
+++ b/crates/store/tests/network.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::{Client, Resolution};
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::table::{Expect, Write, WriteId};
 use chervilledge_standins::network::{self, Faults};
 use chervilledge_standins::platform::{Handle, Settings};
+use chervilledge_store::client::{Client, Resolution};
+use chervilledge_store::error::Outcome;
+use chervilledge_store::table::{Expect, Write, WriteId};
 use rstest::rstest;
 use serde_json::json;
 use support::{open_client_with, start_store};
--- a/crates/platform/tests/object.rs
+++ b/crates/store/tests/object.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use bytes::Bytes;
-use chervilledge_platform::object::{InvalidKey, Key, Put};
 use chervilledge_standins::platform::{Faults, Settings};
+use chervilledge_store::object::{InvalidKey, Key, Put};
 use rstest::rstest;
 use support::{open_client, start_store};
 
--- a/crates/platform/tests/outcome.rs
+++ b/crates/store/tests/outcome.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use chervilledge_platform::client::{Client, Resolution};
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::table::{Expect, Write, WriteId};
 use chervilledge_standins::platform::{Entry, Faults, Handle, Settings};
+use chervilledge_store::client::{Client, Resolution};
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::table::{Expect, Write, WriteId};
 use rstest::rstest;
 use serde_json::json;
 use support::{open_client, open_client_with, start_store};
--- a/crates/platform/tests/storm.rs
+++ b/crates/store/tests/storm.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::{Client, Settings};
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::group::{self, Group, Submitted};
-use chervilledge_platform::table::{Expect, Row, Write, WriteId};
 use chervilledge_standins::platform::{self, Faults, Handle};
+use chervilledge_store::client::{Client, Settings};
+use chervilledge_store::error::Outcome;
+use chervilledge_store::group::{self, Group, Submitted};
+use chervilledge_store::table::{Expect, Row, Write, WriteId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use chervilledge_platform::client::{self, Client, Settings};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::BootId;
 use chervilledge_standins::platform;
+use chervilledge_store::client::{self, Client, Settings};
 
 /// Starts a stand-in with the given rates.
 pub async fn start_store(settings: platform::Settings) -> platform::Handle {
--- a/crates/platform/tests/sweep.rs
+++ b/crates/store/tests/sweep.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::{Client, Resolution, Settings};
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::sweep;
-use chervilledge_platform::table::{Expect, Write, WriteId};
 use chervilledge_standins::network::{self, Faults};
 use chervilledge_standins::platform::{self, Handle};
+use chervilledge_store::client::{Client, Resolution, Settings};
+use chervilledge_store::error::Outcome;
+use chervilledge_store::sweep;
+use chervilledge_store::table::{Expect, Write, WriteId};
 use serde_json::json;
 use support::{open_client, open_client_from, open_client_with, start_store};
 use tokio::time::{sleep, timeout};
--- a/crates/platform/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -4,10 +4,10 @@
 
 use std::sync::Arc;
 
-use chervilledge_platform::client::Client;
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_standins::platform;
+use chervilledge_store::client::Client;
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::table::{Expect, Write};
 use rstest::rstest;
 use serde_json::json;
 use support::{open_client, start_store};
--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -22,8 +22,6 @@
 
 use chervilledge_link::message::ToAgent;
 use chervilledge_link::task::{ClaimId, TaskCommand, TaskReport, WorkerState};
-use chervilledge_platform::client::Client;
-use chervilledge_platform::group::Group;
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
@@ -36,6 +34,8 @@
 use chervilledge_policy::rollout::Stamp;
 use chervilledge_policy::task::TaskId;
 use chervilledge_policy::usage::Usage;
+use chervilledge_store::client::Client;
+use chervilledge_store::group::Group;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use chervilledge_link::task::{ClaimId, TaskCommand};
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::lease::Ask;
 use chervilledge_policy::placement::Want;
 use chervilledge_policy::shard::shard_of;
 use chervilledge_policy::task::{Change, TaskId, TaskState};
+use chervilledge_store::table::{Expect, Write};
 
 use crate::entry::batch::explain::What;
 use crate::entry::batch::rows::{JobRecord, TaskRecord, content, task_key};
--- a/src/entry/batch/jobs.rs
+++ b/src/entry/batch/jobs.rs
@@ -6,14 +6,14 @@
 
 use chervilledge_operator::config::Document;
 use chervilledge_operator::listen::{Answer, Failure, Request, Routes};
-use chervilledge_platform::client::Client;
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::shard::shard_of;
 use chervilledge_policy::task::{Effects, JobRow, Priority, TaskId, TaskState};
+use chervilledge_store::client::Client;
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::table::{Expect, Row, Write};
 use http::{Method, StatusCode};
 use ractor::ActorRef;
 use serde::Deserialize;
--- a/src/entry/batch/leases.rs
+++ b/src/entry/batch/leases.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use chervilledge_link::task::{TaskCommand, WorkerState};
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::capacity::{Capacity, Resources};
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::{Ask, Group, GroupRow, Terms, Watch};
 use chervilledge_policy::membership::Load;
 use chervilledge_policy::placement::{Report, WorkerInfo};
 use chervilledge_policy::queue::{Aging, Queue};
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::table::{Expect, Row, Write};
 
 use crate::boot;
 use crate::entry::batch::rows::{LeaseRecord, content, lease_key};
--- a/src/entry/batch/poll.rs
+++ b/src/entry/batch/poll.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::Client;
-use chervilledge_platform::error::Error;
-use chervilledge_platform::table::Row;
 use chervilledge_policy::id::Name;
+use chervilledge_store::client::Client;
+use chervilledge_store::error::Error;
+use chervilledge_store::table::Row;
 
 use crate::entry::batch::rows::{JobRecord, LEASES_PREFIX, SHARDS_PREFIX, content, job_key, queue_prefix};
 use crate::entry::batch::{Message, State};
--- a/src/entry/batch/reports.rs
+++ b/src/entry/batch/reports.rs
@@ -5,11 +5,11 @@
 
 use chervilledge_link::message::ToAgent;
 use chervilledge_link::task::{ClaimId, End, TaskCommand, TaskReport, WorkerState};
-use chervilledge_platform::table::Row;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::lease::Ask;
 use chervilledge_policy::placement::Want;
 use chervilledge_policy::task::{Change, CheckpointKey, TaskId, TaskState};
+use chervilledge_store::table::Row;
 
 use crate::entry::batch::claims::{Held, Stage};
 use crate::entry::batch::leases::{report, request_load};
--- a/src/entry/batch/rows.rs
+++ b/src/entry/batch/rows.rs
@@ -13,12 +13,12 @@
 use std::time::Duration;
 
 use chervilledge_link::task::TaskTraits;
-use chervilledge_platform::table::Row;
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::lease::{Ask, GroupRow, Terms};
 use chervilledge_policy::shard::shard_of;
 use chervilledge_policy::task::{JobRow, TaskId, TaskRow, TaskState};
+use chervilledge_store::table::Row;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
--- a/src/entry/batch/shards.rs
+++ b/src/entry/batch/shards.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::Client;
-use chervilledge_platform::error::{Error, Outcome};
-use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::queue::Item;
 use chervilledge_policy::shard::{self, ShardRow, shard_of};
 use chervilledge_policy::task::{TaskId, TaskState};
+use chervilledge_store::client::Client;
+use chervilledge_store::error::{Error, Outcome};
+use chervilledge_store::table::{Expect, Row, Write};
 use serde_json::json;
 
 use crate::entry::batch::explain::What;
--- a/src/entry/batch/steps.rs
+++ b/src/entry/batch/steps.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_platform::client::{Client, Resolution};
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::group::Group;
-use chervilledge_platform::table::{Row, Write};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::lease::Ask;
 use chervilledge_policy::task::{self, Change, TaskState, Transition};
+use chervilledge_store::client::{Client, Resolution};
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::group::Group;
+use chervilledge_store::table::{Row, Write};
 
 use crate::entry::batch::explain::What;
 use crate::entry::batch::rows::TaskRecord;
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -5,13 +5,13 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use chervilledge_platform::client::Client;
-use chervilledge_platform::error::{Outcome, Reason};
-use chervilledge_platform::group::Group;
-use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::{Name, RequestId};
 use chervilledge_policy::request::End;
+use chervilledge_store::client::Client;
+use chervilledge_store::error::{Outcome, Reason};
+use chervilledge_store::group::Group;
+use chervilledge_store::table::{Expect, Row, Write};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::sync::oneshot;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -5,14 +5,14 @@
 
 use chervilledge_link::message::{EntryAddress, ToAgent};
 use chervilledge_operator::accept::{self, CURRENT_KEY};
-use chervilledge_platform::client::Client;
-use chervilledge_platform::group::Group;
-use chervilledge_platform::sweep;
-use chervilledge_platform::table::{Expect, Row, Write};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::peers::{EntryRow, Peers, commit_interval};
 use chervilledge_policy::rollout::Source;
+use chervilledge_store::client::Client;
+use chervilledge_store::group::Group;
+use chervilledge_store::sweep;
+use chervilledge_store::table::{Expect, Row, Write};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -19,10 +19,10 @@
 use chervilledge::{boot, clock};
 use chervilledge_operator::accept::CURRENT_KEY;
 use chervilledge_operator::documents::{Accepted, Documents};
-use chervilledge_platform::client;
-use chervilledge_platform::error::Outcome;
-use chervilledge_platform::table::{Expect, Write};
 use chervilledge_policy::rollout::Checksum;
+use chervilledge_store::client;
+use chervilledge_store::error::Outcome;
+use chervilledge_store::table::{Expect, Write};
 use serde_json::{Value, json};
 
 /// Secret of every link in tests.
