--- /dev/null
+++ b/crates/cell/src/authority.rs
@@ -0,0 +1,58 @@
+//! Time for which a placer may act, and for which its successor waits.
+
+use std::time::Duration;
+
+/// Time after its last confirmation at the store for which a placer may act.
+///
+/// Longer than the store's usual outages, which no successor survives either; only a takeover with a silent agent waits
+/// for it.
+pub const AUTHORITY: Duration = Duration::from_secs(10);
+
+/// Part by which a worker's clock may be slow.
+const CLOCK_ERROR: f64 = 0.02;
+
+/// Time for what can't be measured: the way of a call to the worker and a late timer.
+pub const LEASE_SLACK: Duration = Duration::from_millis(400);
+
+/// Time after which a lease of `lease` has ended for certain, counted from the reading that it was granted for.
+#[must_use]
+pub fn lapse_after(lease: Duration) -> Duration {
+    lease.mul_f64(1.0 + CLOCK_ERROR) + LEASE_SLACK
+}
+
+/// Time that a new placer waits for an agent that doesn't answer.
+#[must_use]
+pub fn takeover_wait(lease: Duration) -> Duration {
+    AUTHORITY + lapse_after(lease)
+}
+
+/// Whether a placer may act, from its last confirmation.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Authority {
+    /// When the last confirmation was asked for, not when it was answered.
+    confirmed: Option<Duration>,
+}
+
+impl Authority {
+    /// Takes note that the store confirmed the term, in answer to a call that was sent at `asked`.
+    pub fn confirmed(&mut self, asked: Duration) {
+        self.confirmed = Some(self.confirmed.map_or(asked, |earlier| earlier.max(asked)));
+    }
+
+    /// Ends the authority at once.
+    pub fn revoke(&mut self) {
+        self.confirmed = None;
+    }
+
+    /// Whether the placer may act now.
+    #[must_use]
+    pub fn holds(&self, now: Duration) -> bool {
+        self.confirmed.is_some_and(|confirmed| now < confirmed + AUTHORITY)
+    }
+
+    /// Age of the last confirmation.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.saturating_sub(confirmed))
+    }
+}
--- /dev/null
+++ b/crates/cell/src/cell.rs
@@ -0,0 +1,296 @@
+//! State of a cell, as its placer holds it.
+//!
+//! The placer feeds in what it learns from rows, agents and callers, and carries out the [`Action`]s and
+//! [`Write`](writes::Write)s that come out.
+
+mod agents;
+mod ends;
+mod jobs;
+mod placing;
+mod stragglers;
+pub mod writes;
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::collections::{Map, Set};
+use chervilledge_policy::id::Name;
+
+pub use self::agents::{Contact, Inventory};
+use self::jobs::JobEntry;
+use self::writes::Writes;
+use crate::configuration::{Configuration, Queue};
+use crate::health::Health;
+use crate::job::{JobId, JobState, TaskId, TaskKey};
+use crate::packing::Load;
+use crate::worker::{Life, StartOrder, Worker};
+
+/// Runs of a task that one term can number.
+const RUNS_PER_TERM: u64 = 10_000;
+
+/// What the placer is to tell an agent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start a run.
+    Start {
+        /// Agent to tell.
+        agent: Name,
+        /// Life of its worker that is meant.
+        life: Life,
+        /// The order.
+        order: StartOrder,
+    },
+    /// Stop a run, or make sure that it never starts.
+    Stop {
+        /// Agent to tell.
+        agent: Name,
+        /// Life of its worker that is meant.
+        life: Life,
+        /// Task of the run.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Why, for the log.
+        reason: &'static str,
+    },
+    /// Let the worker forget ends.
+    Settle {
+        /// Agent to tell.
+        agent: Name,
+        /// Life of its worker that is meant.
+        life: Life,
+        /// Every end up to this number is durable.
+        cursor: u64,
+    },
+}
+
+/// Something that was decided or learnt, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A task was given to a worker.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Age of the job.
+        job_age: Duration,
+        /// Tasks that waited for room at the time.
+        waiting: usize,
+    },
+    /// A run is over.
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// How it ended.
+        how: &'static str,
+        /// Failed runs of the task so far.
+        failures: u32,
+    },
+    /// A job has ended.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+        /// Its age.
+        age: Duration,
+        /// Task that decided it, when one did.
+        task: Option<TaskId>,
+    },
+    /// A worker is left out for a while.
+    WorkerEjected {
+        /// Agent of the worker.
+        agent: Name,
+        /// Why.
+        reason: &'static str,
+    },
+    /// An agent has another standing.
+    AgentChanged {
+        /// The agent.
+        agent: Name,
+        /// What is believed of it now.
+        standing: &'static str,
+        /// Runs on its worker.
+        runs: usize,
+    },
+}
+
+/// Counters of a cell since the placer took it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Jobs that became known.
+    pub jobs: u64,
+    /// Orders to start a run.
+    pub starts: u64,
+    /// Runs that ended as done.
+    pub done: u64,
+    /// Runs that ended as failed.
+    pub failed: u64,
+    /// Runs that were lost with their worker or lease.
+    pub lost: u64,
+    /// Orders to start that were refused.
+    pub refused: u64,
+    /// Second copies of slow runs.
+    pub copies: u64,
+    /// Runs stopped because they stood still or were slow.
+    pub restarts: u64,
+}
+
+/// An agent and its worker.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) contact: Contact,
+    pub(crate) worker: Option<Worker>,
+    /// Until when the worker's lease may last, by the grants that were given.
+    pub(crate) lease_until: Duration,
+    pub(crate) load: Load,
+    /// Runs that count against `load`, by task and number.
+    pub(crate) runs: Set<(TaskId, u64)>,
+    /// Runs on the worker whose job isn't known here; nothing is placed beside them.
+    pub(crate) strays: Set<(TaskId, u64)>,
+    pub(crate) health: Health,
+    /// Nothing is placed before this time, after a refusal.
+    pub(crate) paused_until: Duration,
+    /// Highest end of the worker's life that was taken note of.
+    pub(crate) ends_seen: u64,
+    /// When the leaving of the worker became known.
+    pub(crate) leaving_since: Option<Duration>,
+}
+
+/// State of a cell.
+#[derive(Debug)]
+pub struct Cell {
+    term: u64,
+    lease: Duration,
+    configuration: Option<Arc<Configuration>>,
+    /// Queues that were ever configured, so that work of a removed queue can end.
+    queues: Map<Name, Queue>,
+    jobs: Map<JobId, JobEntry>,
+    agents: Map<Name, Agent>,
+    /// Tasks that wait for room.
+    ready: BTreeSet<TaskId>,
+    /// Runs by task, for those that are active.
+    pending_by_queue: Map<Name, usize>,
+    /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
+    unresolved: Set<Name>,
+    actions: VecDeque<Action>,
+    notes: Vec<Note>,
+    writes: Writes,
+    /// Ratio of the time that runs take to their estimates, by queue.
+    estimates: Map<Name, f64>,
+    counters: Counters,
+    needs_placing: bool,
+}
+
+impl Cell {
+    /// Starts with an empty cell under `term`; `lease` is the longest grant.
+    #[must_use]
+    pub fn new(term: u64, lease: Duration) -> Self {
+        Self {
+            term,
+            lease,
+            configuration: None,
+            queues: Map::default(),
+            jobs: Map::default(),
+            agents: Map::default(),
+            ready: BTreeSet::new(),
+            pending_by_queue: Map::default(),
+            unresolved: Set::default(),
+            actions: VecDeque::new(),
+            notes: Vec::new(),
+            writes: Writes::default(),
+            estimates: Map::default(),
+            counters: Counters::default(),
+            needs_placing: false,
+        }
+    }
+
+    /// Term of the placer.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Puts a configuration in force; an older one is ignored.
+    pub fn configure(&mut self, configuration: Arc<Configuration>) {
+        if self.configuration.as_ref().is_some_and(|present| present.version >= configuration.version) {
+            return;
+        }
+        for queue in &configuration.queues {
+            self.queues.insert(Arc::clone(&queue.name), queue.clone());
+        }
+        self.configuration = Some(configuration);
+        self.needs_placing = true;
+    }
+
+    /// Takes the actions that are due.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        self.actions.drain(..).collect()
+    }
+
+    /// Takes what is to be logged.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Counters since the placer took the cell.
+    #[must_use]
+    pub const fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// State of a job as far as it is durable; `None` when the job isn't known here.
+    #[must_use]
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        self.jobs.get(&id).map(JobEntry::state)
+    }
+
+    /// Accepted jobs of each queue of which no task has started.
+    #[must_use]
+    pub fn pending(&self) -> &Map<Name, usize> {
+        &self.pending_by_queue
+    }
+
+    /// Tasks that wait for room.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Jobs that are known, and those of them that haven't ended.
+    #[must_use]
+    pub fn job_counts(&self) -> (usize, usize) {
+        (self.jobs.len(), self.jobs.values().filter(|entry| entry.outcome.is_none()).count())
+    }
+
+    /// Agents that are known, with their contact and runs.
+    pub fn agents(&self) -> impl Iterator<Item = (&Name, Contact, usize)> {
+        self.agents.iter().map(|(name, agent)| (name, agent.contact, agent.runs.len()))
+    }
+
+    fn queue_terms(&self, entry: &JobEntry) -> crate::job::Terms {
+        self.queues.get(&entry.job.queue).map_or_else(|| entry.job.terms.clone(), |queue| queue.terms.clone())
+    }
+
+    fn run_number(&self, starts: u64) -> u64 {
+        (self.term - 1) * RUNS_PER_TERM + starts
+    }
+
+    fn note_agent(&mut self, name: &Name, standing: &'static str) {
+        let runs = self.agents.get(name).map_or(0, |agent| agent.runs.len());
+        self.notes.push(Note::AgentChanged { agent: Arc::clone(name), standing, runs });
+    }
+}
+
+/// Name of a task of a job.
+pub(crate) const fn task_id(job: JobId, key: TaskKey) -> TaskId {
+    TaskId { job, key }
+}
--- /dev/null
+++ b/crates/cell/src/cell/ends.rs
@@ -0,0 +1,175 @@
+//! Ends of runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::id::Name;
+
+use super::agents::{tasks_of_step, verdict};
+use super::{Cell, Note};
+use crate::job::TaskId;
+use crate::progress::Outcome;
+use crate::worker::{End, EndKind};
+
+/// Pause before a failed task starts again; doubles with each failure.
+const RETRY_FIRST: Duration = Duration::from_millis(20);
+/// Longest such pause.
+const RETRY_MAX: Duration = Duration::from_millis(500);
+/// Weight of a new run in the ratio of durations to estimates.
+const ESTIMATE_WEIGHT: f64 = 0.05;
+/// Bounds of that ratio.
+const ESTIMATE_RATIO: (f64, f64) = (0.2, 8.0);
+
+impl Cell {
+    /// Takes in ends that a worker lists.
+    ///
+    /// Each is settled once what follows from it is durable.
+    pub fn ended(&mut self, name: &Name, mut ends: Vec<End>, now: Duration) {
+        ends.sort_unstable_by_key(|end| end.number);
+        for end in ends {
+            let Some(agent) = self.agents.get_mut(name) else { return };
+            if end.number <= agent.ends_seen {
+                continue;
+            }
+            agent.ends_seen = end.number;
+            let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
+            self.take_end(name, &end, now);
+            self.writes.ended(Arc::clone(name), life, end.number);
+        }
+    }
+
+    fn take_end(&mut self, name: &Name, end: &End, now: Duration) {
+        self.stray_over(name, (end.task, end.run));
+        let was_known = self.release(name, end.task, end.run);
+        let took =
+            self.run_mut(end.task, end.run).and_then(|run| run.started).map(|started| now.saturating_sub(started));
+        if was_known {
+            self.judge_worker(name, end.kind, now);
+        }
+        match end.kind {
+            EndKind::Done => self.task_done(end.task, took, now),
+            EndKind::Failed => self.task_failed(name, end.task, was_known, now),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.keep_checkpoint(end);
+            }
+        }
+        if was_known {
+            self.run_over(end.task, end.run, now);
+        }
+        self.note_end(name, end);
+    }
+
+    fn judge_worker(&mut self, name: &Name, kind: EndKind, now: Duration) {
+        let Some(is_good) = verdict(kind) else { return };
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        if agent.health.ended(is_good, now) {
+            self.notes.push(Note::WorkerEjected { agent: Arc::clone(name), reason: "failures" });
+        }
+    }
+
+    fn note_end(&mut self, name: &Name, end: &End) {
+        let how = match end.kind {
+            EndKind::Done => "done",
+            EndKind::Failed => "failed",
+            EndKind::Stopped => "stopped",
+            EndKind::Lapsed => "lapsed",
+            EndKind::Broken => "broken",
+            EndKind::Alone => "alone",
+        };
+        let failures = self.task_mut(end.task).map_or(0, |task| task.failures);
+        self.notes.push(Note::Ended { task: end.task, run: end.run, agent: Arc::clone(name), how, failures });
+    }
+
+    fn keep_checkpoint(&mut self, end: &End) {
+        if end.checkpoint.is_empty() {
+            return;
+        }
+        if let Some(task) = self.task_mut(end.task) {
+            task.checkpoint.0 = Arc::clone(&end.checkpoint);
+        }
+        let Some(entry) = self.jobs.get_mut(&end.task.job).filter(|entry| entry.is_open()) else { return };
+        entry.progress.checkpoints.insert(end.task.key, Arc::clone(&end.checkpoint));
+        self.mark_dirty(end.task.job);
+    }
+
+    fn task_done(&mut self, task: TaskId, took: Option<Duration>, now: Duration) {
+        self.counters.done += 1;
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(step) = entry.job.step(task.key) else { return };
+        if let Some(took) = took.filter(|_| !step.estimate.is_zero()) {
+            let ratio = (took.as_secs_f64() / step.estimate.as_secs_f64()).clamp(ESTIMATE_RATIO.0, ESTIMATE_RATIO.1);
+            let queue = Arc::clone(&entry.job.queue);
+            let known = self.estimates.entry(queue).or_insert(1.0);
+            *known += (ratio - *known) * ESTIMATE_WEIGHT;
+        }
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        // A lasting task starts again however it ends; members of a gang end together.
+        let done = match entry.job.step(task.key) {
+            Some(step) if step.lasting => return,
+            Some(step) if step.gang => tasks_of_step(entry, task.key.occurrence, task.key.step),
+            _ => vec![task],
+        };
+        let is_open = entry.is_open();
+        for task in done {
+            self.mark_done(task);
+        }
+        if is_open {
+            self.mark_dirty(task.job);
+            self.queue_due_tasks(task.job);
+            self.finish_if_done(task.job, now);
+        }
+    }
+
+    fn mark_done(&mut self, task: TaskId) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(state) = entry.tasks.get_mut(&task.key) else { return };
+        if state.is_done {
+            return;
+        }
+        state.is_done = true;
+        if let Some(left) = entry.left.get_mut(&(task.key.occurrence, task.key.step)) {
+            *left = left.saturating_sub(1);
+        }
+        entry.progress.done.insert(task.key);
+        entry.progress.failures.remove(&task.key);
+        entry.progress.checkpoints.remove(&task.key);
+        self.ready.remove(&task);
+        self.stop_runs(task, "done_elsewhere", |_| true);
+    }
+
+    fn task_failed(&mut self, name: &Name, task: TaskId, was_known: bool, now: Duration) {
+        self.counters.failed += 1;
+        let Some(entry) = self.jobs.get_mut(&task.job).filter(|entry| entry.is_open()) else { return };
+        let Some(step) = entry.job.step(task.key) else { return };
+        let (is_lasting, is_gang) = (step.lasting, step.gang);
+        let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.is_done) else { return };
+        state.failures += 1;
+        let failures = state.failures;
+        state.not_before = now + RETRY_FIRST.saturating_mul(1 << failures.min(6)).min(RETRY_MAX);
+        if was_known && !state.avoided.contains(name) {
+            state.avoided.push(Arc::clone(name));
+        }
+        if is_lasting {
+            return;
+        }
+        let failures = if is_gang { self.gang_failures(task) } else { failures };
+        if let Some(entry) = self.jobs.get_mut(&task.job) {
+            entry.progress.failures.insert(task.key, failures);
+        }
+        self.mark_dirty(task.job);
+        let terms = self.jobs.get(&task.job).map(|entry| self.queue_terms(entry));
+        if terms.is_some_and(|terms| failures >= terms.attempts_max.max(1)) {
+            self.end_job(task.job, Outcome::Failed, Some(task), now);
+        }
+    }
+
+    /// Failed runs of a gang: those of all members together, since a run of one is a run of all.
+    fn gang_failures(&self, task: TaskId) -> u32 {
+        let Some(entry) = self.jobs.get(&task.job) else { return 0 };
+        tasks_of_step(entry, task.key.occurrence, task.key.step)
+            .iter()
+            .filter_map(|member| entry.tasks.get(&member.key))
+            .map(|state| state.failures)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/cell/src/cell/jobs.rs
@@ -0,0 +1,317 @@
+//! Jobs and the stages of their tasks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::collections::{Map, Set};
+use chervilledge_policy::id::Name;
+
+use super::{Cell, Note, task_id};
+use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::packing::Need;
+use crate::progress::{Outcome, Progress};
+use crate::worker::Life;
+
+/// A run that was ordered and hasn't ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) number: u64,
+    pub(crate) agent: Name,
+    pub(crate) life: Life,
+    pub(crate) ordered: Duration,
+    /// When the worker took it, or was first seen to run it.
+    pub(crate) started: Option<Duration>,
+    pub(crate) percent: u32,
+    /// When `percent` last changed.
+    pub(crate) moved: Duration,
+    /// The run was told to stop.
+    pub(crate) is_stopping: bool,
+}
+
+/// A task of a job.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    pub(crate) is_done: bool,
+    pub(crate) runs: Vec<Run>,
+    /// Starts under this term.
+    pub(crate) starts: u64,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: Checkpoint,
+    /// Nothing is started before this time.
+    pub(crate) not_before: Duration,
+    /// Agents on whose workers the task failed or stood still.
+    pub(crate) avoided: Vec<Name>,
+}
+
+/// Checkpoint to begin from; empty when there is none.
+#[derive(Clone, Debug)]
+pub(crate) struct Checkpoint(pub(crate) Name);
+
+impl Default for Checkpoint {
+    fn default() -> Self {
+        Self(Arc::from(""))
+    }
+}
+
+/// A job that the placer knows.
+#[derive(Debug)]
+pub(crate) struct JobEntry {
+    pub(crate) job: Arc<Job>,
+    pub(crate) tasks: Map<TaskKey, Task>,
+    /// Tasks of each occurrence and step that aren't done.
+    pub(crate) left: Map<(u32, u32), u32>,
+    pub(crate) progress: Progress,
+    /// Revision of the row of progress; 0 when there is none.
+    pub(crate) revision: u64,
+    pub(crate) is_dirty: bool,
+    /// How the job ends; shown once it is durable.
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) shown: Option<Outcome>,
+    /// Some task has started.
+    pub(crate) has_begun: bool,
+    pub(crate) submitted: Duration,
+    /// Occurrences whose tasks exist.
+    pub(crate) opened: u32,
+    /// Longest chain of estimates from each step to the end.
+    pub(crate) chains: Vec<Duration>,
+    /// When the outcome became durable.
+    pub(crate) shown_at: Option<Duration>,
+}
+
+impl JobEntry {
+    pub(crate) fn state(&self) -> JobState {
+        match self.shown {
+            Some(Outcome::Completed) => JobState::Completed,
+            Some(Outcome::Failed) => JobState::Failed,
+            Some(Outcome::Canceled) => JobState::Canceled,
+            None if self.has_begun => JobState::Running,
+            None => JobState::Queued,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    /// Whether every earlier step that the task waits for is done.
+    pub(crate) fn is_due(&self, key: TaskKey) -> bool {
+        let Some(step) = self.job.step(key) else { return false };
+        step.after.iter().all(|earlier| self.left.get(&(key.occurrence, *earlier)).copied().unwrap_or(0) == 0)
+    }
+
+    /// Longest chain of estimates of the whole job.
+    pub(crate) fn chain(&self) -> Duration {
+        self.chains.iter().copied().max().unwrap_or_default()
+    }
+
+    pub(crate) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.submitted)
+    }
+}
+
+/// What a task of a step needs of a worker.
+pub(crate) fn need(job: &Job, key: TaskKey) -> Need {
+    job.step(key).map_or_else(Need::default, |step| Need {
+        resources: step.resources,
+        is_filling: step.filling,
+        is_serving: step.lasting,
+        is_far: false,
+    })
+}
+
+impl Cell {
+    /// Takes in a job with what is durable of it; `age` is the time since it was accepted.
+    ///
+    /// A job that is known already is left as it is.
+    pub fn load(&mut self, job: Job, progress: Progress, revision: u64, age: Duration, now: Duration) {
+        if self.jobs.contains_key(&job.id) {
+            return;
+        }
+        self.counters.jobs += 1;
+        let id = job.id;
+        let outcome = progress.outcome;
+        let has_begun = revision > 0;
+        let chains = (0..job.steps.len()).map(|step| job.chain_from(step)).collect();
+        let entry = JobEntry {
+            job: Arc::new(job),
+            tasks: Map::default(),
+            left: Map::default(),
+            progress,
+            revision,
+            is_dirty: false,
+            outcome,
+            shown: outcome,
+            has_begun,
+            submitted: now.saturating_sub(age),
+            opened: 0,
+            chains,
+            shown_at: outcome.map(|_| now),
+        };
+        if !has_begun {
+            *self.pending_by_queue.entry(Arc::clone(&entry.job.queue)).or_default() += 1;
+        }
+        self.jobs.insert(id, entry);
+        if outcome.is_none() {
+            self.open_occurrences(id, None, now);
+        }
+    }
+
+    /// Opens occurrences that are due; `unix_ms` is the wall clock, needed for jobs with a schedule only.
+    pub fn open_due(&mut self, unix_ms: u64, now: Duration) {
+        let scheduled: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| entry.is_open() && entry.job.schedule.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in scheduled {
+            self.open_occurrences(id, Some(unix_ms), now);
+        }
+    }
+
+    fn open_occurrences(&mut self, id: JobId, unix_ms: Option<u64>, now: Duration) {
+        loop {
+            let Some(entry) = self.jobs.get_mut(&id) else { return };
+            let occurrence = entry.opened;
+            let is_due = match (entry.job.due_unix_ms(occurrence), unix_ms) {
+                (None, _) => true,
+                (Some(due), Some(unix_ms)) => unix_ms >= due,
+                (Some(_), None) => false,
+            };
+            if occurrence >= entry.job.occurrences() || !is_due {
+                break;
+            }
+            entry.opened += 1;
+            open_occurrence(entry, occurrence);
+        }
+        self.queue_due_tasks(id);
+        self.finish_if_done(id, now);
+    }
+
+    /// Puts every task that may start, and has no run, among the waiting ones.
+    pub(crate) fn queue_due_tasks(&mut self, id: JobId) {
+        let Some(entry) = self.jobs.get(&id) else { return };
+        if !entry.is_open() {
+            return;
+        }
+        for (key, task) in &entry.tasks {
+            if !task.is_done && task.runs.is_empty() && entry.is_due(*key) {
+                self.ready.insert(task_id(id, *key));
+            }
+        }
+        self.needs_placing = true;
+    }
+
+    /// Cancels a job. One that has ended stays as it is.
+    pub fn cancel(&mut self, id: JobId, now: Duration) {
+        self.end_job(id, Outcome::Canceled, None, now);
+    }
+
+    /// Whether a job is known.
+    #[must_use]
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    /// Decides how a job ends, and stops what runs of it.
+    pub(crate) fn end_job(&mut self, id: JobId, outcome: Outcome, task: Option<TaskId>, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        if entry.outcome.is_some() {
+            return;
+        }
+        entry.outcome = Some(outcome);
+        entry.progress.outcome = Some(outcome);
+        let age = entry.age(now);
+        let state = match outcome {
+            Outcome::Completed => JobState::Completed,
+            Outcome::Failed => JobState::Failed,
+            Outcome::Canceled => JobState::Canceled,
+        };
+        let keys: Vec<TaskKey> = entry.tasks.keys().copied().collect();
+        if !entry.has_begun {
+            entry.has_begun = true;
+            let queue = Arc::clone(&entry.job.queue);
+            self.one_pending_less(&queue);
+        }
+        self.notes.push(Note::JobEnded { job: id, state, age, task });
+        self.mark_dirty(id);
+        for key in keys {
+            self.ready.remove(&task_id(id, key));
+            self.stop_runs(task_id(id, key), "job_ended", |_| true);
+        }
+    }
+
+    /// Marks a job as begun.
+    pub(crate) fn begin(&mut self, id: JobId) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        if entry.has_begun {
+            return;
+        }
+        entry.has_begun = true;
+        let queue = Arc::clone(&entry.job.queue);
+        self.one_pending_less(&queue);
+    }
+
+    fn one_pending_less(&mut self, queue: &Name) {
+        if let Some(count) = self.pending_by_queue.get_mut(queue) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Ends the job as completed when every task of every occurrence is done.
+    pub(crate) fn finish_if_done(&mut self, id: JobId, now: Duration) {
+        let Some(entry) = self.jobs.get(&id) else { return };
+        let is_done = entry.opened == entry.job.occurrences() && entry.left.values().all(|left| *left == 0);
+        if is_done && entry.is_open() {
+            self.end_job(id, Outcome::Completed, None, now);
+        }
+    }
+
+    /// Jobs whose outcome has been shown for `retention`, with the revisions of their rows.
+    #[must_use]
+    pub fn expired(&self, retention: Duration, now: Duration) -> Vec<(JobId, u64)> {
+        self.jobs
+            .iter()
+            .filter(|(_, entry)| entry.shown_at.is_some_and(|shown| now >= shown + retention))
+            .filter(|(_, entry)| entry.tasks.values().all(|task| task.runs.is_empty()))
+            .map(|(id, entry)| (*id, entry.revision))
+            .collect()
+    }
+
+    /// Forgets a job whose rows are gone.
+    pub fn forget(&mut self, id: JobId) {
+        if let Some(entry) = self.jobs.remove(&id)
+            && !entry.has_begun
+        {
+            self.one_pending_less(&entry.job.queue);
+        }
+        self.ready.retain(|task| task.job != id);
+    }
+
+    /// Jobs that haven't ended.
+    #[must_use]
+    pub fn open_jobs(&self) -> Set<JobId> {
+        self.jobs.iter().filter(|(_, entry)| entry.is_open()).map(|(id, _)| *id).collect()
+    }
+}
+
+fn open_occurrence(entry: &mut JobEntry, occurrence: u32) {
+    for (position, step) in entry.job.steps.iter().enumerate() {
+        let position = u32::try_from(position).unwrap_or(u32::MAX);
+        let mut left = 0;
+        for index in 0..step.count {
+            let key = TaskKey { occurrence, step: position, index };
+            let mut task = Task {
+                is_done: entry.progress.done.contains(&key),
+                failures: entry.progress.failures.get(&key).copied().unwrap_or(0),
+                ..Task::default()
+            };
+            if let Some(checkpoint) = entry.progress.checkpoints.get(&key) {
+                task.checkpoint = Checkpoint(Arc::clone(checkpoint));
+            }
+            left += u32::from(!task.is_done);
+            entry.tasks.insert(key, task);
+        }
+        entry.left.insert((occurrence, position), left);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/cell/placing.rs
@@ -0,0 +1,246 @@
+//! Placing of tasks that wait for room.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::collections::{Map, Set};
+use chervilledge_policy::id::Name;
+
+use super::agents::{Contact, tasks_of_step};
+use super::jobs::{JobEntry, Run, need};
+use super::{Action, Agent, Cell, Note};
+use crate::job::{JobId, Step, TaskId};
+use crate::packing::{self, Need};
+use crate::urgency::{self, Rank};
+use crate::worker::{RunTraits, StartOrder, Worker};
+
+/// Waiting tasks that one pass looks at.
+const PASS_MAX: usize = 512;
+
+/// A task that waits for room.
+struct Waiting {
+    rank: Rank,
+    task: TaskId,
+}
+
+impl Cell {
+    /// Places what has room.
+    ///
+    /// Nothing is placed while runs of a predecessor may go on where they can't be seen.
+    pub fn place(&mut self, now: Duration) {
+        if !self.unresolved.is_empty() || self.configuration.is_none() {
+            return;
+        }
+        self.needs_placing = false;
+        let mut waiting = self.rank_waiting(now);
+        waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.task));
+        // Tasks of a step are alike: where one has no room, the others have none.
+        let mut full: Set<(JobId, u32, u32)> = Set::default();
+        for Waiting { task, .. } in waiting.into_iter().take(PASS_MAX) {
+            let group = (task.job, task.key.occurrence, task.key.step);
+            if !self.ready.contains(&task) || full.contains(&group) {
+                continue;
+            }
+            let is_gang = self.step_of(task).is_some_and(|step| step.gang);
+            let is_placed = if is_gang { self.place_gang(task, now) } else { self.place_task(task, now) };
+            if !is_placed {
+                full.insert(group);
+            }
+        }
+    }
+
+    /// Whether something has changed since the last pass.
+    #[must_use]
+    pub const fn needs_placing(&self) -> bool {
+        self.needs_placing
+    }
+
+    /// Asks for a pass, since time alone may have made room.
+    pub fn ask_placing(&mut self) {
+        self.needs_placing |= !self.ready.is_empty();
+    }
+
+    fn rank_waiting(&self, now: Duration) -> Vec<Waiting> {
+        let mut ranks: Map<(JobId, u32), Rank> = Map::default();
+        let mut waiting = Vec::with_capacity(self.ready.len());
+        for task in &self.ready {
+            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let state = entry.tasks.get(&task.key);
+            if state.is_none_or(|state| state.not_before > now) {
+                continue;
+            }
+            let rank = ranks.entry((task.job, task.key.step)).or_insert_with(|| self.rank(entry, task.key.step, now));
+            waiting.push(Waiting { rank: *rank, task: *task });
+        }
+        waiting
+    }
+
+    fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
+        let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
+        let left = entry.chains.get(step as usize).copied().unwrap_or_default().mul_f64(ratio);
+        let chain = entry.chain().mul_f64(ratio);
+        let is_lasting = entry.job.steps.get(step as usize).is_some_and(|step| step.lasting);
+        let age = if entry.job.schedule.is_some() { Duration::ZERO } else { entry.age(now) };
+        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
+        urgency::rank(terms, is_lasting, age, chain, left)
+    }
+
+    fn step_of(&self, task: TaskId) -> Option<&Step> {
+        self.jobs.get(&task.job)?.job.step(task.key)
+    }
+
+    fn place_task(&mut self, task: TaskId, now: Duration) -> bool {
+        let Some(agent) = self.choose(task, None, now) else { return false };
+        self.start(task, &agent, None, now);
+        true
+    }
+
+    /// Places every member of a gang, or none.
+    fn place_gang(&mut self, task: TaskId, now: Duration) -> bool {
+        let Some(entry) = self.jobs.get(&task.job) else { return false };
+        let members = tasks_of_step(entry, task.key.occurrence, task.key.step);
+        // A member that still runs has to end before the gang starts anew.
+        let is_whole = members.iter().all(|member| self.ready.contains(member));
+        if !is_whole {
+            return false;
+        }
+        let racks = if self.step_of(task).is_some_and(|step| step.same_rack) { self.racks() } else { vec![None] };
+        for rack in racks {
+            if let Some(places) = self.choose_all(&members, rack.as_ref(), now) {
+                let starts = self.gang_starts(&members);
+                for (member, agent) in members.iter().zip(&places) {
+                    self.start(*member, agent, Some(starts), now);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Chooses a worker for each member, or none at all; leaves the loads as they were.
+    fn choose_all(&mut self, members: &[TaskId], rack: Option<&Name>, now: Duration) -> Option<Vec<Name>> {
+        let mut places = Vec::with_capacity(members.len());
+        for member in members {
+            let Some(agent) = self.choose(*member, rack, now) else { break };
+            self.reserve(*member, &agent);
+            places.push(agent);
+        }
+        for (member, agent) in members.iter().zip(&places) {
+            self.unreserve(*member, agent);
+        }
+        (places.len() == members.len()).then_some(places)
+    }
+
+    fn reserve(&mut self, task: TaskId, agent: &Name) {
+        let Some(need) = self.jobs.get(&task.job).map(|entry| need(&entry.job, task.key)) else { return };
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.load.add(&need);
+            agent.runs.insert((task, 0));
+        }
+    }
+
+    fn unreserve(&mut self, task: TaskId, agent: &Name) {
+        let Some(need) = self.jobs.get(&task.job).map(|entry| need(&entry.job, task.key)) else { return };
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.load.remove(&need);
+            agent.runs.remove(&(task, 0));
+        }
+    }
+
+    fn gang_starts(&self, members: &[TaskId]) -> u64 {
+        let starts = |member: &TaskId| self.jobs.get(&member.job)?.tasks.get(&member.key).map(|state| state.starts);
+        members.iter().filter_map(starts).max().unwrap_or(0) + 1
+    }
+
+    fn racks(&self) -> Vec<Option<Name>> {
+        let mut racks: Vec<Option<Name>> =
+            self.agents.values().filter_map(|agent| agent.worker.as_ref()).map(|worker| worker.rack.clone()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        racks.push(None);
+        racks
+    }
+
+    /// Chooses a worker for a task.
+    pub(crate) fn choose(&self, task: TaskId, rack: Option<&Name>, now: Duration) -> Option<Name> {
+        let entry = self.jobs.get(&task.job)?;
+        let step = entry.job.step(task.key)?;
+        let state = entry.tasks.get(&task.key)?;
+        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
+        let need = need(&entry.job, task.key);
+        let eligible = |name: &Name, agent: &Agent| -> Option<i64> {
+            let worker = open_worker(agent, now)?;
+            let fits = worker.service == terms.service
+                && step.required_label.as_ref().is_none_or(|label| worker.has_label(label))
+                && rack.is_none_or(|rack| worker.rack.as_ref() == Some(rack))
+                && state.runs.iter().all(|run| run.agent != *name)
+                && step.per_worker_max.is_none_or(|max| siblings(agent, task) < max);
+            let is_far = step.data_rack.is_some() && step.data_rack != worker.rack;
+            fits.then(|| packing::score(&agent.load, &Need { is_far, ..need })).flatten()
+        };
+        let best = |is_avoiding: bool| {
+            self.agents
+                .iter()
+                .filter(|(name, _)| !is_avoiding || !state.avoided.contains(name))
+                .filter_map(|(name, agent)| Some((eligible(name, agent)?, name)))
+                .min()
+                .map(|(_, name)| Arc::clone(name))
+        };
+        best(true).or_else(|| if state.avoided.is_empty() { None } else { best(false) })
+    }
+
+    /// Orders a run; `starts` is given for members of a gang, which share their number.
+    pub(crate) fn start(&mut self, task: TaskId, name: &Name, starts: Option<u64>, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let job = Arc::clone(&entry.job);
+        let age = entry.age(now);
+        let Some(step) = job.step(task.key) else { return };
+        let need = need(&job, task.key);
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
+        let Some(state) = entry.tasks.get_mut(&task.key) else { return };
+        state.starts = starts.unwrap_or(state.starts + 1);
+        let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.0));
+        agent.load.add(&need);
+        let run = self.run_number(number);
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.runs.insert((task, run));
+        if let Some(state) = self.task_mut(task) {
+            state.runs.push(Run {
+                number: run,
+                agent: Arc::clone(name),
+                life: life.clone(),
+                ordered: now,
+                started: None,
+                percent: 0,
+                moved: now,
+                is_stopping: false,
+            });
+        }
+        self.ready.remove(&task);
+        self.counters.starts += 1;
+        let traits = RunTraits::of(step);
+        let order = StartOrder { task, run, spec: Arc::clone(&job.spec), checkpoint, traits };
+        self.actions.push_back(Action::Start { agent: Arc::clone(name), life, order });
+        let waiting = self.ready.len();
+        self.notes.push(Note::Placed { task, run, agent: Arc::clone(name), job_age: age, waiting });
+    }
+}
+
+/// The worker of an agent, if something may be placed on it.
+fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
+    let is_open = agent.contact == Contact::Linked
+        && agent.strays.is_empty()
+        && now >= agent.paused_until
+        && !agent.health.is_ejected(now);
+    agent.worker.as_ref().filter(|worker| is_open && worker.leaves_in.is_none())
+}
+
+/// Runs of the same step and occurrence on an agent's worker.
+fn siblings(agent: &Agent, task: TaskId) -> u32 {
+    let is_sibling = |other: &TaskId| {
+        other.job == task.job && other.key.occurrence == task.key.occurrence && other.key.step == task.key.step
+    };
+    let count = agent.runs.iter().filter(|(other, _)| is_sibling(other)).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/cell/src/configuration.rs
@@ -0,0 +1,75 @@
+//! Configuration of queues and services.
+
+use std::time::Duration;
+
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+
+use crate::job::Terms;
+
+/// A queue of jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Name, unique among queues.
+    pub name: Name,
+    /// Host that callers name.
+    pub host: Name,
+    /// Start of the paths that belong to the queue.
+    pub path_prefix: Name,
+    /// What the queue grants its jobs.
+    pub terms: Terms,
+}
+
+/// A service: the workers that run tasks of its queues.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Service {
+    /// Workers reject what doesn't fit.
+    pub enforces_capacity: bool,
+    /// Workers are off until they are needed.
+    pub is_standby: bool,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest body of a request, in bytes.
+    pub body_bytes_max: usize,
+    /// Largest head of a request, in bytes.
+    pub head_bytes_max: usize,
+    /// Longest time that a head may take to arrive.
+    pub head_timeout: Duration,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Grows with each change.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Services by name.
+    pub services: Map<Name, Service>,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+}
+
+impl Configuration {
+    /// Finds the queue of a request: same host, longest prefix; gives the rest of the path too.
+    ///
+    /// A port in `host` doesn't count, nor does the case of letters.
+    #[must_use]
+    pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let host = host.split(':').next().unwrap_or_default();
+        self.queues
+            .iter()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+            .filter_map(|queue| Some((queue, path.strip_prefix(&*queue.path_prefix)?)))
+            .max_by_key(|(queue, _)| queue.path_prefix.len())
+    }
+
+    /// Queue by name.
+    #[must_use]
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| &*queue.name == name)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/grant.rs
@@ -0,0 +1,44 @@
+//! Arithmetic of an agent's lease on its worker.
+
+use std::time::Duration;
+
+/// Part of a lease that is used on the worker's clock, which may be slow.
+const CLOCK_MARGIN: f64 = 0.98;
+
+/// Grant of a placer, by the agent's own clock.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Grant {
+    /// Until when the worker's lease may last.
+    pub until: Duration,
+}
+
+impl Grant {
+    /// Takes a grant of `lease` that was asked for at `asked`; an older one never shortens it.
+    pub fn extend(&mut self, asked: Duration, lease: Duration) {
+        self.until = self.until.max(asked + lease);
+    }
+
+    /// Whether the grant covers `now`.
+    #[must_use]
+    pub fn holds(&self, now: Duration) -> bool {
+        now < self.until
+    }
+}
+
+/// A reading of the worker's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// What the worker's clock showed, in milliseconds.
+    pub worker_ms: u64,
+    /// When the answer with the reading came; the clock showed it no later than that.
+    pub received: Duration,
+}
+
+/// End of the worker's lease on the worker's clock, so that it has ended at `until` for certain.
+///
+/// `None` when that is past.
+#[must_use]
+pub fn lease_end_ms(reading: Reading, until: Duration) -> Option<u64> {
+    let left = until.checked_sub(reading.received)?.mul_f64(CLOCK_MARGIN);
+    Some(reading.worker_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2))
+}
--- /dev/null
+++ b/crates/cell/src/job.rs
@@ -0,0 +1,290 @@
+//! Jobs as they are submitted, and the names of their tasks.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::id::Name;
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, DurationMilliSeconds, SerializeDisplay, serde_as};
+
+/// Hexadecimal digits of a [`JobId`].
+const JOB_ID_DIGITS: usize = 16;
+
+/// Most tasks that one occurrence of a job may have; a larger job is refused before it is stored.
+pub const TASKS_MAX: u64 = 10_000;
+
+/// Most steps of a job.
+pub const STEPS_MAX: usize = 1_000;
+
+/// Identifier that the caller chose for a job.
+#[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
+pub struct JobId(pub u64);
+
+/// Text isn't an identifier of the expected form.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ParseError;
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not an identifier")
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_canonical = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != JOB_ID_DIGITS || !text.bytes().all(is_canonical) {
+            return Err(ParseError);
+        }
+        u64::from_str_radix(text, 16).map(Self).or(Err(ParseError))
+    }
+}
+
+/// Names a task within its job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskKey {
+    /// Occurrence of the job, 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// Position of the step.
+    pub step: u32,
+    /// Position within the step.
+    pub index: u32,
+}
+
+/// Names a task.
+#[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
+pub struct TaskId {
+    /// Job of the task.
+    pub job: JobId,
+    /// Task within the job.
+    pub key: TaskKey,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.key.occurrence, self.key.step, self.key.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or(ParseError)?.parse()?;
+        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or(ParseError);
+        let key = TaskKey { occurrence: number()?, step: number()?, index: number()? };
+        if parts.next().is_some() {
+            return Err(ParseError);
+        }
+        Ok(Self { job, key })
+    }
+}
+
+/// Tasks of a job that are alike.
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task needs.
+    pub resources: Resources,
+    /// Rough time that a task takes, as its owner says.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "estimate_ms")]
+    pub estimate: Duration,
+    /// Steps of which every task must be done first. Each is smaller than the position of this step.
+    pub after: Vec<u32>,
+    /// Tasks save their progress.
+    pub checkpointing: bool,
+    /// Tasks work only together and end together.
+    pub gang: bool,
+    /// Tasks are slow unless they share a rack.
+    pub same_rack: bool,
+    /// Label that the worker must have.
+    pub required_label: Option<Name>,
+    /// Rack where the data is.
+    pub data_rack: Option<Name>,
+    /// Most tasks of the step and occurrence on one worker.
+    pub per_worker_max: Option<u32>,
+    /// Copies of a task may run at the same time.
+    pub speculative: bool,
+    /// Tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Name>,
+    /// Latency that the tail of a serving task's own answers must stay below.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "latency_target_ms")]
+    pub latency_target: Option<Duration>,
+    /// Tasks take only processor time that others leave unused; it isn't counted against the worker.
+    pub filling: bool,
+    /// Most tasks of the step that the scheduler may make unavailable at the same time.
+    pub unavailable_max: Option<u32>,
+}
+
+/// Times at which a job repeats.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Due time of the first occurrence, in milliseconds since 1970.
+    pub first_unix_ms: u64,
+    /// Time between two occurrences.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "interval_ms")]
+    pub interval: Duration,
+    /// Number of occurrences, at least 1.
+    pub occurrences: u32,
+}
+
+/// What a queue grants its jobs.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Terms {
+    /// Service whose workers run the tasks.
+    pub service: Name,
+    /// Importance; 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task after which the job has failed.
+    pub attempts_max: u32,
+    /// Longest chain of work times this, and the latency objective, is the time that a job should take.
+    pub stretch: f64,
+    /// See `stretch`.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "latency_objective_ms")]
+    pub latency_objective: Duration,
+}
+
+/// A job as it is stored.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Job {
+    /// Identifier.
+    pub id: JobId,
+    /// Name of the queue.
+    pub queue: Name,
+    /// What the queue granted when the job was accepted.
+    pub terms: Terms,
+    /// Opaque text for the worker.
+    pub spec: Arc<str>,
+    /// At least one step.
+    pub steps: Vec<Step>,
+    /// Present when the job repeats.
+    pub schedule: Option<Schedule>,
+    /// When the job was accepted, by the wall clock of the entry; used for ordering only.
+    pub accepted_unix_ms: u64,
+}
+
+/// Reason why a job can't be accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// There is no step, or a step without tasks.
+    Empty,
+    /// A step waits for itself, a later step or none that exists.
+    Order,
+    /// There are too many tasks or steps.
+    Size,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Empty => "a job needs a step, and a step needs a task",
+            Self::Order => "a step may only wait for earlier steps",
+            Self::Size => "the job has too many tasks",
+        })
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Job {
+    /// Checks what the types can't say.
+    ///
+    /// # Errors
+    ///
+    /// The first fault.
+    pub fn check(&self) -> Result<(), Fault> {
+        if self.steps.is_empty() || self.steps.iter().any(|step| step.count == 0) {
+            return Err(Fault::Empty);
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks > TASKS_MAX || self.steps.len() > STEPS_MAX {
+            return Err(Fault::Size);
+        }
+        for (position, step) in self.steps.iter().enumerate() {
+            if step.after.iter().any(|earlier| *earlier as usize >= position) {
+                return Err(Fault::Order);
+            }
+        }
+        Ok(())
+    }
+
+    /// Step of a task, if the job has it.
+    #[must_use]
+    pub fn step(&self, key: TaskKey) -> Option<&Step> {
+        self.steps.get(key.step as usize).filter(|step| key.index < step.count)
+    }
+
+    /// Occurrences of the job; 1 without a schedule.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.occurrences.max(1))
+    }
+
+    /// Due time of an occurrence, in milliseconds since 1970; `None` when the job has no schedule.
+    #[must_use]
+    pub fn due_unix_ms(&self, occurrence: u32) -> Option<u64> {
+        let schedule = self.schedule?;
+        let interval_ms = u64::try_from(schedule.interval.as_millis()).unwrap_or(u64::MAX);
+        Some(schedule.first_unix_ms.saturating_add(interval_ms.saturating_mul(u64::from(occurrence))))
+    }
+
+    /// Whether any step lasts until the job is cancelled.
+    #[must_use]
+    pub fn is_lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+
+    /// Longest chain of estimates from a step to the end, that step included.
+    #[must_use]
+    pub fn chain_from(&self, step: usize) -> Duration {
+        let mut longest = vec![Duration::ZERO; self.steps.len()];
+        for position in (0..self.steps.len()).rev() {
+            longest[position] += self.steps[position].estimate;
+            for earlier in &self.steps[position].after {
+                let earlier = *earlier as usize;
+                longest[earlier] = longest[earlier].max(longest[position]);
+            }
+        }
+        longest.get(step).copied().unwrap_or_default()
+    }
+}
+
+/// State of a job, as callers see it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// Some task has started.
+    Running,
+    /// Every task is done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// A caller cancelled it.
+    Canceled,
+}
--- /dev/null
+++ b/crates/cell/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of a cell: a bounded set of workers whose work one placer orders.
+//!
+//! Nothing here does I/O. Time is a [`std::time::Duration`] since an arbitrary origin, passed in by the caller.
+
+pub mod authority;
+pub mod cell;
+pub mod configuration;
+pub mod grant;
+pub mod health;
+pub mod job;
+pub mod pace;
+pub mod packing;
+pub mod progress;
+pub mod urgency;
+pub mod worker;
--- /dev/null
+++ b/crates/cell/src/packing.rs
@@ -0,0 +1,126 @@
+//! Choice of a worker for a task.
+//!
+//! Answers a cell where serving tasks, tasks that fill unused processor time and short tasks share workers. Serving
+//! tasks are kept together, so that most filling tasks run where they disturb nobody; short tasks go beside serving
+//! ones, whose processors they may use without disturbing them.
+
+use chervilledge_policy::capacity::Resources;
+
+/// Load of a worker as the choice sees it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// What the worker can hold.
+    pub total: Resources,
+    /// What its runs hold; processor time of filling runs isn't part of it.
+    pub used: Resources,
+    /// Processor time that filling runs ask for, in thousandths of a core.
+    pub filling_millicores: u64,
+    /// Processor time that serving runs hold, part of `used`.
+    pub serving_millicores: u64,
+    /// Runs that serve.
+    pub serving: u32,
+}
+
+/// What a task needs of a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Need {
+    /// Resources.
+    pub resources: Resources,
+    /// Takes what others leave unused.
+    pub is_filling: bool,
+    /// Lasts and has a latency target.
+    pub is_serving: bool,
+    /// Its data is on another rack than the worker.
+    pub is_far: bool,
+}
+
+/// Part of the processors of a worker that filling runs may ask for beyond what is left, in percent of the total.
+///
+/// Serving runs hold more than they use most of the time.
+const OVERCOMMIT_PERCENT: u64 = 10;
+/// Part of a serving run's processor time that is taken as used, in percent.
+const SERVING_USE_PERCENT: u64 = 60;
+/// Score of a run beside one of the other sort, in thousandths of a core.
+const DISTURBANCE_SCORE: i64 = 8_000;
+/// Score of data on another rack, in thousandths of a core.
+const FAR_SCORE: i64 = 64_000;
+
+impl Load {
+    /// Processor time that filling runs may still ask for, in thousandths of a core; negative when there is too much.
+    #[must_use]
+    pub fn filling_left_millicores(&self) -> i64 {
+        let total = self.total.processor_millicores;
+        let idle_serving = self.serving_millicores * (100 - SERVING_USE_PERCENT) / 100;
+        let used = self.used.processor_millicores.saturating_sub(idle_serving);
+        signed(total) - signed(used) - signed(self.filling_millicores)
+    }
+
+    /// What the worker can still hold.
+    #[must_use]
+    pub fn free(&self) -> Resources {
+        self.total.saturating_sub(&self.used)
+    }
+
+    /// Resources that a task takes, without processor time that isn't counted.
+    #[must_use]
+    pub fn counted(need: &Need) -> Resources {
+        if need.is_filling { Resources { processor_millicores: 0, ..need.resources } } else { need.resources }
+    }
+
+    /// Adds a task.
+    pub fn add(&mut self, need: &Need) {
+        let counted = Self::counted(need);
+        self.used = self.used.checked_add(&counted).unwrap_or(self.total);
+        if need.is_filling {
+            self.filling_millicores += need.resources.processor_millicores;
+        }
+        if need.is_serving {
+            self.serving += 1;
+            self.serving_millicores += need.resources.processor_millicores;
+        }
+    }
+
+    /// Takes a task away.
+    pub fn remove(&mut self, need: &Need) {
+        self.used = self.used.saturating_sub(&Self::counted(need));
+        if need.is_filling {
+            self.filling_millicores = self.filling_millicores.saturating_sub(need.resources.processor_millicores);
+        }
+        if need.is_serving {
+            self.serving = self.serving.saturating_sub(1);
+            self.serving_millicores = self.serving_millicores.saturating_sub(need.resources.processor_millicores);
+        }
+    }
+}
+
+/// Rates a worker for a task; the smallest is the best, `None` when the task has no room.
+#[must_use]
+pub fn score(load: &Load, need: &Need) -> Option<i64> {
+    if !load.free().covers(&Load::counted(need)) {
+        return None;
+    }
+    let far = if need.is_far { FAR_SCORE } else { 0 };
+    let processor = signed(need.resources.processor_millicores);
+    if need.is_filling {
+        let left = load.filling_left_millicores();
+        let spare = signed(load.total.processor_millicores * OVERCOMMIT_PERCENT / 100);
+        if left + spare < processor {
+            return None;
+        }
+        let disturbed = if load.serving > 0 { DISTURBANCE_SCORE } else { 0 };
+        return Some(far + disturbed - left);
+    }
+    let free = signed(load.free().processor_millicores);
+    if need.is_serving {
+        let disturbing = signed(load.filling_millicores);
+        return Some(far + disturbing + free);
+    }
+    // A short task takes processor time from filling ones.
+    let pressed = if load.filling_left_millicores() < processor { DISTURBANCE_SCORE } else { 0 };
+    let beside = if load.serving > 0 { 0 } else { DISTURBANCE_SCORE / 2 };
+    Some(far + pressed + beside - free)
+}
+
+fn signed(amount: u64) -> i64 {
+    i64::try_from(amount).unwrap_or(i64::MAX / 8)
+}
--- /dev/null
+++ b/crates/cell/src/progress.rs
@@ -0,0 +1,32 @@
+//! What is durable of a job's progress.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chervilledge_policy::id::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::job::TaskKey;
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Outcome {
+    /// Every task is done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// A caller cancelled it.
+    Canceled,
+}
+
+/// Content of the row of a job's progress: what a new placer can't learn from agents.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Progress {
+    /// Tasks that are done.
+    pub done: BTreeSet<TaskKey>,
+    /// Failed runs of tasks that aren't done.
+    pub failures: BTreeMap<TaskKey, u32>,
+    /// Saved progress of tasks that aren't done.
+    pub checkpoints: BTreeMap<TaskKey, Name>,
+    /// Present once the job has ended.
+    pub outcome: Option<Outcome>,
+}
--- /dev/null
+++ b/crates/scheduler/src/agent/looks.rs
@@ -0,0 +1,141 @@
+//! Looks at the worker: lease, runs and ends.
+
+use std::time::Duration;
+
+use chervilledge_cell::grant::Reading;
+use chervilledge_cell::worker::Life;
+
+use super::{Message, State};
+use crate::message::FromAgent;
+use crate::worker::{Ask, Look, LookError};
+
+/// Time that a look waits for an end when nothing else is to be seen.
+const WAIT_IDLE: Duration = Duration::from_millis(1_000);
+/// The same while filling runs stand beside serving ones; the worker measures over half a second.
+const WAIT_PACING: Duration = Duration::from_millis(450);
+/// Pause before the next look while ends aren't settled; the worker answers at once meanwhile.
+const UNSETTLED_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after a look without an answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Refused connections in a row after which the worker is taken to be gone.
+const ABSENCES_MAX: u32 = 2;
+/// Least time between two reports of progress.
+const REPORT_INTERVAL: Duration = Duration::from_millis(600);
+
+impl State {
+    /// Looks at the worker when it is time and no look is under way.
+    pub(super) fn look_if_due(&mut self, now: Duration) {
+        let is_pacing = self.has_pacing();
+        let is_urgent = self.inventory_due.is_some() || self.stopping.values().any(|stopping| stopping.taken.is_some());
+        let Some(own) = &self.own else { return };
+        if own.is_looking || now < own.look_due || self.term == 0 {
+            return;
+        }
+        let wait = if is_urgent || !own.ends.is_empty() || own.failures > 0 {
+            Duration::ZERO
+        } else if is_pacing {
+            WAIT_PACING
+        } else {
+            WAIT_IDLE
+        };
+        // A lease that is extended while the worker is silent would only have to be waited for.
+        let lease_end_ms = if own.failures >= 2 { None } else { self.lease(now) };
+        let (Some(target), Some(own)) = (self.target(), self.own.as_mut()) else { return };
+        own.is_looking = true;
+        let ask = Ask { cursor: own.cursor, lease_end_ms, wait };
+        let (life, term) = (own.worker.life.clone(), self.term);
+        let answer = (self.context.calls.look)(target, ask);
+        let myself = self.myself.clone();
+        tokio::spawn(async move {
+            let look = answer.await;
+            // The agent may have ended.
+            drop(myself.cast(Message::Looked { life, term, sent: now, look }));
+        });
+    }
+
+    pub(super) fn looked(
+        &mut self,
+        life: &Life,
+        term: u64,
+        sent: Duration,
+        look: Result<Look, LookError>,
+        now: Duration,
+    ) {
+        let Some(own) = self.own.as_mut().filter(|own| own.worker.life == *life) else { return };
+        own.is_looking = false;
+        match look {
+            Ok(look) if look.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => {
+                self.worker_over("started_again", now);
+            }
+            Ok(look) => self.take_look(look, term, sent, now),
+            Err(error) => self.look_failed(error, now),
+        }
+    }
+
+    fn look_failed(&mut self, error: LookError, now: Duration) {
+        let Some(own) = &mut self.own else { return };
+        own.failures += 1;
+        own.look_due = now + FAILURE_PAUSE;
+        own.absences = if error == LookError::NotThere { own.absences + 1 } else { 0 };
+        let (failures, absences) = (own.failures, own.absences);
+        log::info!(event = "look_failed", error:? = error, failures = failures; "");
+        if error == LookError::OtherLife {
+            self.worker_over("other_life", now);
+        } else if absences >= ABSENCES_MAX {
+            self.worker_over("not_there", now);
+        }
+    }
+
+    fn take_look(&mut self, look: Look, term: u64, sent: Duration, now: Duration) {
+        let Some(own) = &mut self.own else { return };
+        own.failures = 0;
+        own.absences = 0;
+        own.reading = Some(Reading { worker_ms: look.clock_ms, received: now });
+        own.running = look.running;
+        let cursor = own.cursor;
+        own.ends = look.ends.into_iter().filter(|end| end.number > cursor).collect();
+        own.ends.sort_unstable_by_key(|end| end.number);
+        own.look_due = if own.ends.is_empty() { now } else { now + UNSETTLED_PAUSE };
+        self.forget_ended();
+        self.tell_absent(sent);
+        if term == self.term && self.inventory_due.is_some_and(|due| sent >= due) {
+            self.send_inventory();
+        } else if self.inventory_due.is_none() {
+            self.tell_ends();
+        }
+        self.set_paces();
+    }
+
+    fn tell_ends(&mut self) {
+        let Some(own) = &mut self.own else { return };
+        let told = own.told;
+        let ends: Vec<_> = own.ends.iter().filter(|end| end.number > told).cloned().collect();
+        let Some(last) = ends.last().map(|end| end.number) else { return };
+        own.told = last;
+        let life = own.worker.life.clone();
+        self.tell(FromAgent::Ends { life, ends });
+    }
+
+    /// Tells the placer how far runs are, as far as that has changed.
+    pub(super) fn report_progress(&mut self, now: Duration) {
+        if now < self.report_due || self.inventory_due.is_some() || self.link.is_none() {
+            return;
+        }
+        self.report_due = now + REPORT_INTERVAL;
+        let Some(own) = &mut self.own else { return };
+        let mut changed = Vec::new();
+        for report in &own.running {
+            let run = (report.task, report.run);
+            let known = own.reported.get(&run);
+            if known.is_none_or(|(percent, saved)| *percent != report.percent || *saved != report.checkpoint) {
+                own.reported.insert(run, (report.percent, report.checkpoint.clone()));
+                changed.push(report.clone());
+            }
+        }
+        let running = &own.running;
+        own.reported.retain(|run, _| running.iter().any(|report| (report.task, report.run) == *run));
+        if !changed.is_empty() {
+            self.tell(FromAgent::Running(changed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/agent/orders.rs
@@ -0,0 +1,180 @@
+//! Starts and stops of runs.
+
+use std::time::Duration;
+
+use chervilledge_cell::worker::{Life, Refusal, StartOrder};
+
+use super::{Message, RunId, Starting, State, Stopping};
+use crate::message::FromAgent;
+use crate::worker::{Ordered, Started};
+
+/// Attempts at a start before the run is stopped, which makes sure that it never starts.
+const START_ATTEMPTS: u32 = 3;
+/// Pause before a stop without an answer is repeated.
+const STOP_RETRY: Duration = Duration::from_millis(250);
+
+impl State {
+    pub(super) fn start(&mut self, life: &Life, order: StartOrder, now: Duration) {
+        let run = (order.task, order.run);
+        let own = self.own.as_ref().filter(|own| own.worker.life == *life);
+        let refusal = match own {
+            // The life that was meant is over, so the run never starts.
+            None => Some(Refusal::Leaving),
+            Some(own) if own.worker.leaves_in.is_some() => Some(Refusal::Leaving),
+            Some(_) if !self.grant.holds(now) => Some(Refusal::Late),
+            Some(_) => None,
+        };
+        if let Some(refusal) = refusal {
+            self.refuse(run, refusal);
+            return;
+        }
+        self.traits.insert(run, order.traits.clone());
+        self.starting.insert(run, Starting { order, attempts: 0 });
+        self.call_start(run, now);
+    }
+
+    fn refuse(&mut self, run: RunId, refusal: Refusal) {
+        self.starting.remove(&run);
+        self.traits.remove(&run);
+        self.tell(FromAgent::Refused { task: run.0, run: run.1, refusal });
+    }
+
+    fn call_start(&mut self, run: RunId, now: Duration) {
+        let (Some(target), Some(lease_end)) = (self.target(), self.lease(now)) else {
+            // An earlier attempt may still be carried out.
+            if self.starting.get(&run).is_some_and(|starting| starting.attempts > 0) {
+                self.make_sure_absent(run, now);
+            } else {
+                self.refuse(run, Refusal::Late);
+            }
+            return;
+        };
+        let Some(life) = self.own.as_ref().map(|own| own.worker.life.clone()) else { return };
+        let Some(starting) = self.starting.get_mut(&run) else { return };
+        starting.attempts += 1;
+        let answer = (self.context.calls.start)(target, starting.order.clone(), lease_end);
+        let myself = self.myself.clone();
+        tokio::spawn(async move {
+            let result = answer.await;
+            // The agent may have ended.
+            drop(myself.cast(Message::Started { run, life, result }));
+        });
+    }
+
+    pub(super) fn started(&mut self, run: RunId, life: &Life, result: Started, now: Duration) {
+        let is_present = self.own.as_ref().is_some_and(|own| own.worker.life == *life);
+        let Some(attempts) = self.starting.get(&run).map(|starting| starting.attempts).filter(|_| is_present) else {
+            return;
+        };
+        if result != Started::Running {
+            log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
+        }
+        match result {
+            Started::Running => {
+                self.starting.remove(&run);
+                self.tell(FromAgent::Started { task: run.0, run: run.1 });
+                self.pace_new_run(run);
+            }
+            Started::Unknown if attempts < START_ATTEMPTS => self.call_start(run, now),
+            // A late attempt may have been carried out, so that the worker has to say what became of the run.
+            Started::Unknown | Started::Outdated => self.make_sure_absent(run, now),
+            Started::Refused(_) if attempts > 1 => self.make_sure_absent(run, now),
+            Started::Refused(refusal) => self.refuse(run, refusal),
+            Started::OtherLife => self.worker_over("other_life", now),
+        }
+    }
+
+    fn make_sure_absent(&mut self, run: RunId, now: Duration) {
+        self.starting.remove(&run);
+        self.stopping.entry(run).or_insert(Stopping { taken: None, is_calling: false, due: now });
+        self.repeat_stops(now);
+    }
+
+    pub(super) fn stop(&mut self, life: &Life, run: RunId, now: Duration) {
+        if self.own.as_ref().is_none_or(|own| own.worker.life != *life) {
+            self.tell(FromAgent::Absent { task: run.0, run: run.1 });
+            return;
+        }
+        // The answer to a start that is under way comes to nothing now.
+        self.make_sure_absent(run, now);
+    }
+
+    /// Sends the stops that the worker hasn't taken.
+    pub(super) fn repeat_stops(&mut self, now: Duration) {
+        let Some(target) = self.target() else { return };
+        let Some(life) = self.own.as_ref().map(|own| own.worker.life.clone()) else { return };
+        for (run, stopping) in &mut self.stopping {
+            if stopping.taken.is_some() || stopping.is_calling || now < stopping.due {
+                continue;
+            }
+            stopping.is_calling = true;
+            let answer = (self.context.calls.stop)(target.clone(), run.0, run.1);
+            let (run, life, myself) = (*run, life.clone(), self.myself.clone());
+            tokio::spawn(async move {
+                let result = answer.await;
+                // The agent may have ended.
+                drop(myself.cast(Message::Stopped { run, life, result }));
+            });
+        }
+    }
+
+    pub(super) fn stopped(&mut self, run: RunId, life: &Life, result: Ordered, now: Duration) {
+        if self.own.as_ref().is_none_or(|own| own.worker.life != *life) {
+            return;
+        }
+        let Some(stopping) = self.stopping.get_mut(&run) else { return };
+        stopping.is_calling = false;
+        match result {
+            Ordered::Taken => {
+                stopping.taken = Some(now);
+                if let Some(own) = &mut self.own {
+                    own.look_due = now;
+                }
+            }
+            Ordered::Fenced | Ordered::Unknown => stopping.due = now + STOP_RETRY,
+        }
+    }
+
+    pub(super) fn settle(&mut self, life: &Life, cursor: u64, now: Duration) {
+        let Some(own) = self.own.as_mut().filter(|own| own.worker.life == *life) else { return };
+        own.cursor = own.cursor.max(cursor);
+        own.ends.retain(|end| end.number > cursor);
+        if own.ends.is_empty() {
+            own.look_due = now;
+        }
+    }
+
+    /// Tells of stopped runs that the worker neither runs nor lists, by a look that was sent after the stop was taken.
+    pub(super) fn tell_absent(&mut self, sent: Duration) {
+        let Some(own) = &self.own else { return };
+        let is_listed = |run: &RunId| {
+            own.running.iter().any(|report| (report.task, report.run) == *run)
+                || own.ends.iter().any(|end| (end.task, end.run) == *run)
+        };
+        let absent: Vec<RunId> = self
+            .stopping
+            .iter()
+            .filter(|(run, stopping)| stopping.taken.is_some_and(|taken| taken <= sent) && !is_listed(run))
+            .map(|(run, _)| *run)
+            .collect();
+        for run in absent {
+            self.stopping.remove(&run);
+            self.traits.remove(&run);
+            self.tell(FromAgent::Absent { task: run.0, run: run.1 });
+        }
+    }
+
+    /// Forgets what was to be done about runs that have ended.
+    pub(super) fn forget_ended(&mut self) {
+        let Some(own) = &self.own else { return };
+        for end in &own.ends {
+            let run = (end.task, end.run);
+            self.stopping.remove(&run);
+            self.traits.remove(&run);
+            self.paces.remove(&run);
+            if self.starting.remove(&run).is_some() {
+                log::info!(event = "run_ended_before_answer", task:% = run.0, run = run.1; "");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/election.rs
@@ -0,0 +1,70 @@
+//! Takes the cell over when it is due, and runs the placer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{Entry, Way, lock};
+use crate::candidate;
+use crate::placer;
+
+/// Interval of looks whether the cell has a placer.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+/// Upper bound of the random pause before a claim, so that entries don't claim together.
+const CLAIM_JITTER: Duration = Duration::from_millis(120);
+
+/// Runs until the entry ends.
+pub(super) async fn run(entry: Entry) {
+    let mut link_lost: Option<Duration> = None;
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        if entry.inner.is_stopping.load(Ordering::Relaxed) || entry.own_placer().is_some() {
+            continue;
+        }
+        let now = entry.now();
+        link_lost = match *entry.inner.way.borrow() {
+            Way::None => link_lost.or(Some(now)),
+            Way::Here(_) | Way::There(_) => None,
+        };
+        let Some(roster) = entry.roster() else { continue };
+        if !candidate::is_due(&roster, &entry.inner.settings.name, link_lost, now) {
+            continue;
+        }
+        let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
+        tokio::time::sleep(jitter).await;
+        let Some(roster) = entry.roster() else { continue };
+        if candidate::is_due(&roster, &entry.inner.settings.name, link_lost, entry.now()) {
+            claim(&entry, &roster).await;
+        }
+    }
+}
+
+async fn claim(entry: &Entry, roster: &crate::roster::Roster) {
+    let inner = &entry.inner;
+    let claimed = entry.now();
+    let address = inner.settings.links_address;
+    let Some((term, revision)) = candidate::claim(&inner.store, roster, &inner.settings.name, address).await else {
+        return;
+    };
+    let context = placer::Context {
+        name: Arc::clone(&inner.settings.name),
+        clock: inner.clock.clone(),
+        store: Arc::clone(&inner.store),
+        roster: inner.roster.view.clone(),
+        configuration: inner.configuration.clone(),
+        term,
+        revision,
+        claimed,
+        lease: inner.settings.lease(),
+        ended_jobs_kept: inner.settings.ended_jobs_kept,
+    };
+    match placer::spawn(context).await {
+        Ok(actor) => {
+            *lock(&inner.own_placer) = Some((term, actor.clone()));
+            inner.way.send_replace(Way::Here(actor));
+        }
+        Err(error) => log::error!(event = "placer_not_started", term = term, error:% = error; ""),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/links.rs
@@ -0,0 +1,207 @@
+//! Links between entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_link::connection::{self, Sender};
+use chervilledge_policy::id::Name;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Entry, Way, lock};
+use crate::message::{FromEntry, SILENCE, Stored, ToEntry};
+use crate::peer::{self, Link, Pending};
+use crate::placer;
+
+/// Pause after a failed accept, which is mostly a shortage of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before the placer is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(100);
+/// Interval at which the placer tells of waiting jobs.
+const PENDING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that the placer's process may take to answer a question on a link.
+const QUESTION_TIMEOUT_MS: u64 = 1_000;
+/// Time that a relayed write may take.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Keeps a way to the placer: its actor when it is here, a link otherwise.
+pub(super) async fn follow_placer(entry: Entry) {
+    loop {
+        if let Some((_, placer)) = entry.own_placer() {
+            follow_own(&entry, placer).await;
+            continue;
+        }
+        let holder = entry.roster().and_then(|roster| {
+            let (placer, _) = roster.placer.as_ref()?;
+            let is_other = placer.holder.as_ref().is_some_and(|holder| *holder != entry.inner.settings.name);
+            is_other.then_some((placer.term, placer.address))
+        });
+        let link = match holder {
+            Some((term, address)) => peer::open(address).await.map(|link| (term, link)),
+            None => None,
+        };
+        match link {
+            Some((term, link)) => {
+                log::info!(event = "placer_linked", term = term; "");
+                entry.inner.way.send_replace(Way::There(Arc::clone(&link)));
+                follow_link(&entry, &link, term).await;
+                log::info!(event = "placer_unlinked", term = term; "");
+                clear_way(&entry);
+            }
+            None => {
+                clear_way(&entry);
+                tokio::time::sleep(REDIAL_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn clear_way(entry: &Entry) {
+    entry.inner.way.send_if_modified(|way| {
+        let is_other = !matches!(way, Way::Here(_)) || entry.own_placer().is_none();
+        let was_set = !matches!(way, Way::None);
+        if is_other {
+            *way = Way::None;
+        }
+        is_other && was_set
+    });
+}
+
+/// Takes the counts of the own placer until it ends.
+async fn follow_own(entry: &Entry, placer: ractor::ActorRef<placer::Message>) {
+    while entry.own_placer().is_some() {
+        if let Ok(pending) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS) {
+            *lock(&entry.inner.pending) = Some((pending, entry.now()));
+        }
+        tokio::time::sleep(PENDING_INTERVAL).await;
+    }
+    clear_way(entry);
+}
+
+/// Takes the counts of the linked placer until the link ends or another placer is named.
+async fn follow_link(entry: &Entry, link: &Arc<Link>, term: u64) {
+    let mut pending = link.pending.clone();
+    let mut ended = link.ended.clone();
+    let mut roster = entry.inner.roster.view.clone();
+    loop {
+        tokio::select! {
+            _ = ended.wait_for(|ended| *ended) => return,
+            changed = pending.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if let Some(counts) = pending.borrow_and_update().clone() {
+                    *lock(&entry.inner.pending) = Some((counts, entry.now()));
+                }
+            }
+            changed = roster.changed() => {
+                let named = roster.borrow_and_update().as_ref().and_then(|roster| roster.placer.as_ref().map(|placer| placer.0.term));
+                if changed.is_err() || named.is_some_and(|named| named != term) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+pub(super) async fn accept_all(listener: TcpListener, entry: Entry) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, entry.clone()));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, entry: Entry) {
+    let Ok((sender, mut receiver)) = connection::accept_typed::<FromEntry>(stream, |_| true).await else { return };
+    let counts = tokio::spawn(tell_pending(entry.clone(), sender.clone()));
+    loop {
+        match receiver.receive::<ToEntry>(SILENCE).await {
+            Ok(message) => entry.take(message, &sender),
+            Err(error) => {
+                log::debug!(event = "entry_link_ended", error:% = error; "");
+                break;
+            }
+        }
+    }
+    counts.abort();
+}
+
+/// Tells a linked entry of waiting jobs while this one places.
+async fn tell_pending(entry: Entry, sender: Sender<FromEntry>) {
+    let mut told: Option<Pending> = None;
+    loop {
+        if let Some((_, placer)) = entry.own_placer()
+            && let Ok(pending) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS)
+            && told.as_ref() != Some(&pending)
+        {
+            let counts = pending.iter().map(|(queue, count)| (Arc::clone(queue), *count)).collect();
+            told = Some(pending);
+            if sender.send(FromEntry::Pending(counts)).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(PENDING_INTERVAL).await;
+    }
+}
+
+impl Entry {
+    fn take(&self, message: ToEntry, sender: &Sender<FromEntry>) {
+        let own = self.own_placer();
+        match message {
+            ToEntry::Beat => sender.post(FromEntry::Beat { term: own.map(|(term, _)| term) }),
+            ToEntry::State { question, job } => {
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    let state = match &own {
+                        Some((_, placer)) => {
+                            ractor::call_t!(placer, placer::Message::State, QUESTION_TIMEOUT_MS, job).ok()
+                        }
+                        None => None,
+                    };
+                    let is_placer = state.is_some();
+                    sender.post(FromEntry::State { question, state: state.flatten(), is_placer });
+                });
+            }
+            ToEntry::Submitted(job) => {
+                if let Some((_, placer)) = own {
+                    // A placer that has just ended reads the row later, or its successor does.
+                    drop(placer.cast(placer::Message::Submitted(job)));
+                }
+            }
+            ToEntry::Canceled(job) => {
+                if let Some((_, placer)) = own {
+                    drop(placer.cast(placer::Message::Canceled(job)));
+                }
+            }
+            ToEntry::Relay { question, job, cancel } => {
+                let (sender, submitter) = (sender.clone(), self.inner.submitter.clone());
+                let deadline = self.now() + RELAY_TIMEOUT;
+                tokio::spawn(async move {
+                    let stored = match (job, cancel) {
+                        (Some(job), _) => submitter.store_job(*job, deadline).await,
+                        (None, Some(id)) => submitter.store_cancel(id, deadline).await,
+                        (None, None) => Stored::Refused,
+                    };
+                    sender.post(FromEntry::Relayed { question, stored });
+                });
+            }
+        }
+    }
+
+    /// A link to another entry, opened if there is none.
+    pub(super) async fn relay_link(&self, name: &Name, address: std::net::SocketAddr) -> Option<Arc<Link>> {
+        let known = lock(&self.inner.relays).get(name).cloned();
+        if let Some(link) = known.filter(|link| !link.has_ended()) {
+            return Some(link);
+        }
+        let link = peer::open(address).await?;
+        lock(&self.inner.relays).insert(Arc::clone(name), Arc::clone(&link));
+        Some(link)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/entry/requests.rs
@@ -0,0 +1,179 @@
+//! Callers' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::job::{Job, JobId, JobState};
+use chervilledge_cell::progress::{Outcome, Progress};
+use chervilledge_policy::code::Code;
+
+use super::{Entry, Reply, Way, lock};
+use crate::message::{FromEntry, Stored, ToEntry};
+use crate::placer;
+use crate::rows;
+use crate::store::Table;
+
+/// Time that the placer may take to tell a state before the rows are read.
+const STATE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Age up to which counts of waiting jobs are given out; callers may be told figures of two seconds ago, and a takeover
+/// takes as long.
+const PENDING_FRESH: Duration = Duration::from_secs(6);
+/// When a caller may come back that the store's outage has turned away.
+const OUTAGE_RETRY: Duration = Duration::from_millis(1_000);
+/// Time kept back for telling the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Time that a peer may take to store a row.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Peers that are asked to store a row.
+const RELAYS_MAX: usize = 2;
+
+impl Entry {
+    /// Accepts a job: it is stored when the answer says so.
+    pub async fn submit(&self, job: Job, timeout: Duration) -> Reply {
+        let id = job.id;
+        let queue = Arc::clone(&job.queue);
+        let deadline = self.now() + timeout.saturating_sub(ANSWER_MARGIN);
+        let began = self.now();
+        let mut stored = self.inner.submitter.store_job(job.clone(), deadline).await;
+        let mut by = "own";
+        if stored == Stored::Refused {
+            stored = self
+                .relay(deadline, |question| ToEntry::Relay { question, job: Some(Box::new(job.clone())), cancel: None })
+                .await;
+            by = "relay";
+        }
+        let took_ms = self.now().saturating_sub(began).as_millis() as u64;
+        log::info!(event = "submitted", job:% = id, queue = &*queue, stored:? = stored, by = by, took_ms = took_ms; "");
+        if stored == Stored::Done {
+            self.tell_placer(ToEntry::Submitted(Box::new(job)));
+        }
+        reply(stored, Reply::Accepted)
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: JobId, timeout: Duration) -> Reply {
+        let deadline = self.now() + timeout.saturating_sub(ANSWER_MARGIN);
+        match self.known_state(id).await {
+            Ok(Some(_)) => {}
+            Ok(None) => return Reply::NoJob,
+            Err(()) => return refused(),
+        }
+        let mut stored = self.inner.submitter.store_cancel(id, deadline).await;
+        if stored == Stored::Refused {
+            stored = self.relay(deadline, |question| ToEntry::Relay { question, job: None, cancel: Some(id) }).await;
+        }
+        log::info!(event = "cancelled", job:% = id, stored:? = stored; "");
+        if stored == Stored::Done {
+            self.tell_placer(ToEntry::Canceled(id));
+        }
+        reply(stored, Reply::Cancelled)
+    }
+
+    /// Tells the state of a job.
+    pub async fn state(&self, id: JobId) -> Reply {
+        match self.known_state(id).await {
+            Ok(Some(state)) => Reply::State(state),
+            Ok(None) => Reply::NoJob,
+            Err(()) => refused(),
+        }
+    }
+
+    /// Tells how many accepted jobs of a queue wait for their first start.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> Reply {
+        let known = lock(&self.inner.pending).clone();
+        match known {
+            Some((counts, at)) if self.now().saturating_sub(at) < PENDING_FRESH || self.is_linked() => {
+                Reply::Pending(counts.get(queue).copied().unwrap_or(0))
+            }
+            _ => refused(),
+        }
+    }
+
+    fn is_linked(&self) -> bool {
+        !matches!(*self.inner.way.borrow(), Way::None)
+    }
+
+    fn tell_placer(&self, message: ToEntry) {
+        let way = self.inner.way.borrow().clone();
+        match (way, message) {
+            (Way::Here(placer), ToEntry::Submitted(job)) => drop(placer.cast(placer::Message::Submitted(job))),
+            (Way::Here(placer), ToEntry::Canceled(id)) => drop(placer.cast(placer::Message::Canceled(id))),
+            (Way::There(link), message) => link.tell(message),
+            (Way::Here(_) | Way::None, _) => {}
+        }
+    }
+
+    /// State of a job, `Ok(None)` when there is no such job, an error when that can't be told.
+    async fn known_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
+        if let Some(state) = self.placer_state(id).await {
+            return Ok(Some(state));
+        }
+        self.stored_state(id).await
+    }
+
+    /// State as the placer knows it.
+    async fn placer_state(&self, id: JobId) -> Option<JobState> {
+        let way = self.inner.way.borrow().clone();
+        match way {
+            Way::Here(placer) => {
+                let timeout_ms = u64::try_from(STATE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+                ractor::call_t!(placer, placer::Message::State, timeout_ms, id).ok().flatten()
+            }
+            Way::There(link) => match link.ask(STATE_TIMEOUT, |question| ToEntry::State { question, job: id }).await {
+                Some(FromEntry::State { state, is_placer: true, .. }) => state,
+                _ => None,
+            },
+            Way::None => None,
+        }
+    }
+
+    /// State by the rows.
+    async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
+        let key = rows::job_key(id);
+        let progress = (self.inner.store.read_one)(Table::Progress, Arc::clone(&key)).await.map_err(drop)?;
+        let content = progress.and_then(|row| row.value).and_then(|value| rows::decode::<Progress>(&key, &value));
+        if let Some(progress) = content {
+            return Ok(Some(match progress.outcome {
+                Some(Outcome::Completed) => JobState::Completed,
+                Some(Outcome::Failed) => JobState::Failed,
+                Some(Outcome::Canceled) => JobState::Canceled,
+                None => JobState::Running,
+            }));
+        }
+        let job = (self.inner.store.read_one)(Table::Jobs, key).await.map_err(drop)?;
+        Ok(job.map(|_| JobState::Queued))
+    }
+
+    /// Has another entry write a row.
+    async fn relay(&self, deadline: Duration, message: impl Fn(u64) -> ToEntry) -> Stored {
+        let Some(roster) = self.roster() else { return Stored::Refused };
+        let others = roster.entries.iter().filter(|(name, _)| **name != self.inner.settings.name);
+        for (name, address) in others.take(RELAYS_MAX) {
+            let left = deadline.saturating_sub(self.now());
+            if left.is_zero() {
+                return Stored::Refused;
+            }
+            let Some(link) = self.relay_link(name, *address).await else { continue };
+            match link.ask(left.min(RELAY_TIMEOUT), &message).await {
+                Some(FromEntry::Relayed { stored: Stored::Refused, .. }) => {}
+                Some(FromEntry::Relayed { stored, .. }) => return stored,
+                // The peer may have written it.
+                _ => return Stored::Unknown,
+            }
+        }
+        Stored::Refused
+    }
+}
+
+fn reply(stored: Stored, done: Reply) -> Reply {
+    match stored {
+        Stored::Done => done,
+        Stored::Refused => refused(),
+        Stored::Unknown => Reply::Undecided,
+    }
+}
+
+const fn refused() -> Reply {
+    Reply::Refused { code: Code::PlatformUnavailable, retry_after: OUTAGE_RETRY }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,19 @@
+//! Entry, placer and agent of a cell.
+//!
+//! Decisions lie in `chervilledge-cell`; here they are driven by links, rows and timers. The wire of the platform is
+//! reached through the closures of [`store::Store`] and [`worker::Calls`].
+
+pub mod agent;
+pub mod candidate;
+pub mod clock;
+pub mod entry;
+pub mod logs;
+pub mod message;
+pub mod peer;
+pub mod placer;
+pub mod roster;
+pub mod rows;
+pub mod settings;
+pub mod store;
+pub mod submit;
+pub mod worker;
--- /dev/null
+++ b/crates/scheduler/src/logs.rs
@@ -0,0 +1,136 @@
+//! JSON lines on standard output, bounded and never blocking.
+//!
+//! A thread of its own writes; lines that come faster than they are written are dropped and counted.
+
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, json};
+
+/// Default filter of log levels.
+const DEFAULT_FILTER: &str = "info, hyper=warn, ractor=warn, tungstenite=warn";
+/// Lines that may wait for the writer; about a second of the busiest process.
+const QUEUE_LINES: usize = 2_048;
+/// Lines that are written at once.
+const BATCH_LINES: usize = 256;
+
+/// Running logger; logging stops when it is dropped.
+#[expect(missing_debug_implementations, reason = "the library's handle has none")]
+pub struct Logs(LoggerHandle);
+
+impl Logs {
+    /// Waits until what was logged is written.
+    pub fn flush(&self) {
+        self.0.flush();
+    }
+}
+
+/// Starts logging.
+///
+/// # Errors
+///
+/// The library's error when a logger runs already.
+pub fn open(node: &str, role: &str) -> Result<Logs, FlexiLoggerError> {
+    let (sender, lines) = sync_channel(QUEUE_LINES);
+    let writer = Lines { sender, dropped: AtomicU64::new(0), node: node.to_owned(), role: role.to_owned() };
+    thread::Builder::new().name("logs".to_owned()).spawn(move || write_all(&lines)).map_err(FlexiLoggerError::from)?;
+    Logger::try_with_env_or_str(DEFAULT_FILTER)?.log_to_writer(Box::new(writer)).start().map(Logs)
+}
+
+enum Item {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+struct Lines {
+    sender: SyncSender<Item>,
+    dropped: AtomicU64,
+    node: String,
+    role: String,
+}
+
+impl fmt::Debug for Lines {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Lines").field("dropped", &self.dropped).finish_non_exhaustive()
+    }
+}
+
+impl LogWriter for Lines {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut fields = Fields(Map::new());
+        fields.0.insert("at".to_owned(), json!(now.now().format("%H:%M:%S%.3f").to_string()));
+        fields.0.insert("level".to_owned(), json!(record.level().as_str()));
+        fields.0.insert("node".to_owned(), json!(self.node));
+        fields.0.insert("role".to_owned(), json!(self.role));
+        record.key_values().visit(&mut fields).map_err(io::Error::other)?;
+        let text = record.args().to_string();
+        if !text.is_empty() {
+            fields.0.insert("text".to_owned(), json!(text));
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            fields.0.insert("lines_dropped_before".to_owned(), json!(dropped));
+        }
+        let mut line = serde_json::to_vec(&fields.0)?;
+        line.push(b'\n');
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = self.sender.try_send(Item::Line(line)) {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let (done, written) = sync_channel(1);
+        if self.sender.send(Item::Flush(done)).is_ok() {
+            // The writer may have ended with standard output.
+            drop(written.recv());
+        }
+        Ok(())
+    }
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = if let Some(number) = value.to_u64() {
+            json!(number)
+        } else if let Some(number) = value.to_f64() {
+            json!(number)
+        } else if let Some(truth) = value.to_bool() {
+            json!(truth)
+        } else {
+            json!(value.to_string())
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
+fn write_all(items: &Receiver<Item>) {
+    let mut output = io::stdout();
+    while let Ok(first) = items.recv() {
+        let mut bytes = Vec::new();
+        let mut waiting = Vec::new();
+        let mut take = |item| match item {
+            Item::Line(line) => bytes.extend_from_slice(&line),
+            Item::Flush(done) => waiting.push(done),
+        };
+        take(first);
+        items.try_iter().take(BATCH_LINES).for_each(&mut take);
+        if output.write_all(&bytes).and_then(|()| output.flush()).is_err() {
+            return;
+        }
+        for done in waiting {
+            // Whoever asked may be gone.
+            drop(done.send(()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/peer.rs
@@ -0,0 +1,131 @@
+//! Links from one entry to others: to the placer for the state of jobs, to any other to have a row written.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chervilledge_link::connection::{self, Receiver, Sender};
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+
+use crate::message::{BEAT_INTERVAL, FromEntry, NO_SECRET, SILENCE, ToEntry};
+
+/// Time for opening a link to a peer; a caller waits meanwhile.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Questions without an answer, by their number.
+type Questions = Arc<Mutex<Map<u64, oneshot::Sender<FromEntry>>>>;
+
+/// Waiting jobs by queue, as the placer told last.
+pub type Pending = Arc<Map<Name, usize>>;
+
+/// Open link to another entry.
+#[derive(Debug)]
+pub struct Link {
+    sender: Sender<ToEntry>,
+    questions: Questions,
+    next: AtomicU64,
+    /// What the peer said of waiting jobs; `None` before that.
+    pub pending: watch::Receiver<Option<Pending>>,
+    /// Turns true when the link has ended.
+    pub ended: watch::Receiver<bool>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Opens a link; `None` when the peer doesn't take it in time.
+pub async fn open(address: SocketAddr) -> Option<Arc<Link>> {
+    let opened = tokio::time::timeout(OPEN_TIMEOUT, connection::connect(address, NO_SECRET)).await.ok()?;
+    let (sender, receiver) = match opened {
+        Ok(link) => link,
+        Err(error) => {
+            log::debug!(event = "peer_not_linked", address:% = address, error:% = error; "");
+            return None;
+        }
+    };
+    let questions = Questions::default();
+    let (pending_sender, pending) = watch::channel(None);
+    let (end, ended) = watch::channel(false);
+    let reader = tokio::spawn(read(receiver, Arc::clone(&questions), pending_sender, end));
+    let beats = tokio::spawn(beat(sender.clone()));
+    Some(Arc::new(Link { sender, questions, next: AtomicU64::new(1), pending, ended, tasks: [reader, beats] }))
+}
+
+impl Link {
+    /// Asks a question and waits for its answer at most for `timeout`.
+    pub async fn ask(&self, timeout: Duration, question: impl FnOnce(u64) -> ToEntry) -> Option<FromEntry> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        lock(&self.questions).insert(number, answer);
+        if !self.sender.try_send(question(number)) {
+            lock(&self.questions).remove(&number);
+            return None;
+        }
+        let answer = tokio::time::timeout(timeout, answered).await;
+        lock(&self.questions).remove(&number);
+        answer.ok()?.ok()
+    }
+
+    /// Tells something; it is lost if the link is.
+    pub fn tell(&self, message: ToEntry) {
+        if !self.sender.try_send(message) {
+            log::debug!(event = "peer_message_dropped"; "");
+        }
+    }
+
+    /// Whether the link has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+}
+
+fn lock(questions: &Questions) -> MutexGuard<'_, Map<u64, oneshot::Sender<FromEntry>>> {
+    questions.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn beat(sender: Sender<ToEntry>) {
+    while sender.send(ToEntry::Beat).await.is_ok() {
+        tokio::time::sleep(BEAT_INTERVAL).await;
+    }
+}
+
+async fn read(
+    mut receiver: Receiver,
+    questions: Questions,
+    pending: watch::Sender<Option<Pending>>,
+    end: watch::Sender<bool>,
+) {
+    loop {
+        let message = match receiver.receive::<FromEntry>(SILENCE).await {
+            Ok(message) => message,
+            Err(error) => {
+                log::info!(event = "peer_link_ended", error:% = error; "");
+                break;
+            }
+        };
+        match &message {
+            FromEntry::Beat { .. } => {}
+            FromEntry::Pending(counts) => {
+                pending.send_replace(Some(Arc::new(counts.iter().cloned().collect())));
+            }
+            FromEntry::State { question, .. } | FromEntry::Relayed { question, .. } => {
+                let waiting = lock(&questions).remove(question);
+                if let Some(waiting) = waiting {
+                    // The caller may have gone away.
+                    drop(waiting.send(message));
+                }
+            }
+        }
+    }
+    lock(&questions).clear();
+    end.send_replace(true);
+}
--- /dev/null
+++ b/crates/scheduler/src/placer.rs
@@ -0,0 +1,642 @@
+//! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
+
+mod feed;
+mod links;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::authority::Authority;
+use chervilledge_cell::cell::writes::Batch;
+use chervilledge_cell::cell::{Action, Cell, Inventory, Note};
+use chervilledge_cell::configuration::Configuration;
+use chervilledge_cell::job::{Job, JobId, JobState};
+use chervilledge_cell::progress::Progress;
+use chervilledge_link::connection::Sender;
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::collections::{Map, Set};
+use chervilledge_policy::id::Name;
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::candidate::BEAT_INTERVAL;
+use crate::clock::unix_ms;
+use crate::message::{FromAgent, ToAgent};
+use crate::peer::Pending;
+use crate::roster::Roster;
+use crate::rows::{self, AGENT_PREFIX, BEAT, PLACER};
+use crate::store::{Change, Condition, Handle, Outcome, Row, Table, Transaction};
+
+/// Interval of looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(100);
+/// Interval of looks for runs that stand still.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Least time between two batches of progress, so that ends gather.
+const BATCH_GAP: Duration = Duration::from_millis(20);
+/// Pause after a write that didn't take effect.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Interval of looks for jobs and agents whose rows may go.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+/// Jobs whose rows go in one transaction.
+const EXPIRY_MAX: usize = 20;
+/// Time after which the row of an agent goes that can't be reached.
+const AGENT_KEPT: Duration = Duration::from_secs(25);
+
+/// What a placer works with.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Name of the entry.
+    pub name: Name,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The store.
+    pub store: Handle,
+    /// The cell's processes.
+    pub roster: watch::Receiver<Option<Arc<Roster>>>,
+    /// Configuration in force.
+    pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    /// Term of the placer.
+    pub term: u64,
+    /// Revision of the placer's row.
+    pub revision: u64,
+    /// When the claim was made.
+    pub claimed: Duration,
+    /// Longest lease that is granted.
+    pub lease: Duration,
+    /// Time for which ended jobs are kept.
+    pub ended_jobs_kept: Duration,
+}
+
+/// Message to the placer.
+#[derive(Debug)]
+pub enum Message {
+    /// Time for the next step.
+    Tick,
+    /// The store confirmed the term, in answer to a write of that time.
+    Confirmed(Duration),
+    /// Another placer has taken the cell.
+    Deposed(&'static str),
+    /// Rows of jobs and progress at the takeover.
+    Loaded {
+        /// Rows of jobs.
+        jobs: Vec<Row>,
+        /// Rows of progress.
+        progress: Vec<Row>,
+    },
+    /// Changed rows of jobs.
+    Jobs(Vec<Row>),
+    /// A job that another process has stored.
+    Submitted(Box<Job>),
+    /// A cancellation that another process has stored.
+    Canceled(JobId),
+    /// The rows of the cell have changed.
+    Roster,
+    /// A configuration is in force.
+    Configured,
+    /// A link to an agent is open.
+    Linked {
+        /// Agent.
+        agent: Name,
+        /// Number of the link.
+        link: u64,
+        /// Sends on it.
+        sender: Sender<ToAgent>,
+    },
+    /// A link to an agent has ended.
+    Unlinked {
+        /// Agent.
+        agent: Name,
+        /// Number of the link.
+        link: u64,
+    },
+    /// Message of an agent.
+    FromAgent {
+        /// Agent.
+        agent: Name,
+        /// Number of the link.
+        link: u64,
+        /// The message.
+        message: Box<FromAgent>,
+    },
+    /// What became of a batch of progress.
+    Written {
+        /// The batch.
+        batch: Box<Batch>,
+        /// What became of it.
+        outcome: Outcome,
+        /// When it was sent.
+        asked: Duration,
+    },
+    /// Rows of these jobs are gone.
+    Expired(Vec<JobId>),
+    /// Asks for the state of a job; `None` when it isn't known.
+    State(JobId, RpcReplyPort<Option<JobState>>),
+    /// Asks for the waiting jobs of each queue.
+    Pending(RpcReplyPort<Pending>),
+    /// Asks for a dump of the state.
+    Dump(RpcReplyPort<Value>),
+    /// The entry ends: the cell is given up.
+    Retire(RpcReplyPort<()>),
+}
+
+/// Link to an agent.
+#[derive(Debug)]
+struct AgentLink {
+    number: u64,
+    sender: Sender<ToAgent>,
+}
+
+/// Task that keeps a link to an agent open.
+#[derive(Debug)]
+struct Dialer {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+    since: Duration,
+}
+
+/// State of the placer.
+#[derive(Debug)]
+pub struct State {
+    context: Context,
+    myself: ActorRef<Message>,
+    cell: Cell,
+    authority: Authority,
+    had_authority: bool,
+    is_loaded: bool,
+    links: Map<Name, AgentLink>,
+    dialers: Map<Name, Dialer>,
+    next_link: u64,
+    /// Cancellations of jobs whose row hasn't come yet.
+    early_cancels: Set<JobId>,
+    batch_due: Duration,
+    watch_due: Duration,
+    expiry_due: Duration,
+    is_expiring: bool,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for State {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.dialers.values().for_each(|dialer| dialer.task.abort());
+    }
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct Placer;
+
+/// Starts to place under a claimed term.
+///
+/// # Errors
+///
+/// The runtime's error when the actor can't be started.
+pub async fn spawn(context: Context) -> Result<ActorRef<Message>, ractor::SpawnErr> {
+    let (actor, _) = Actor::spawn(None, Placer, context).await?;
+    Ok(actor)
+}
+
+impl Actor for Placer {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Context;
+
+    async fn pre_start(&self, myself: ActorRef<Message>, context: Context) -> Result<State, ActorProcessingErr> {
+        log::info!(event = "placer_started", term = context.term, revision = context.revision; "");
+        let mut authority = Authority::default();
+        authority.confirmed(context.claimed);
+        let tasks = vec![
+            tokio::spawn(tick(myself.clone())),
+            tokio::spawn(feed::confirm(context.clone(), myself.clone())),
+            tokio::spawn(feed::follow_jobs(context.clone(), myself.clone())),
+            tokio::spawn(follow(context.roster.clone(), myself.clone(), || Message::Roster)),
+            tokio::spawn(follow(context.configuration.clone(), myself.clone(), || Message::Configured)),
+        ];
+        let cell = Cell::new(context.term, context.lease);
+        let mut state = State {
+            cell,
+            authority,
+            had_authority: true,
+            is_loaded: false,
+            links: Map::default(),
+            dialers: Map::default(),
+            next_link: 1,
+            early_cancels: Set::default(),
+            batch_due: Duration::ZERO,
+            watch_due: Duration::ZERO,
+            expiry_due: context.clock.now() + EXPIRY_INTERVAL,
+            is_expiring: false,
+            tasks,
+            context,
+            myself,
+        };
+        state.take_roster();
+        state.take_configuration();
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Deposed(by) => {
+                log::warn!(event = "placer_deposed", term = state.context.term, by = by; "");
+                myself.stop(None);
+                return Ok(());
+            }
+            Message::Retire(reply) => {
+                state.retire().await;
+                drop(reply.send(()));
+                myself.stop(None);
+                return Ok(());
+            }
+            message => state.take(message),
+        }
+        state.drive();
+        Ok(())
+    }
+}
+
+async fn tick(placer: ActorRef<Message>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if placer.cast(Message::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow<T>(mut view: watch::Receiver<T>, placer: ActorRef<Message>, message: fn() -> Message) {
+    while view.changed().await.is_ok() {
+        if placer.cast(message()).is_err() {
+            return;
+        }
+    }
+}
+
+impl State {
+    fn take(&mut self, message: Message) {
+        let now = self.context.clock.now();
+        match message {
+            Message::Tick => self.tick(now),
+            Message::Confirmed(asked) => self.authority.confirmed(asked),
+            Message::Loaded { jobs, progress } => self.load(&jobs, &progress, now),
+            Message::Jobs(rows) => self.take_jobs(&rows, now),
+            Message::Submitted(job) => self.submitted(*job, now),
+            Message::Canceled(id) => self.cancel(id, now),
+            Message::Roster => self.take_roster(),
+            Message::Configured => self.take_configuration(),
+            Message::Linked { agent, link, sender } => self.linked(agent, link, sender),
+            Message::Unlinked { agent, link } => self.unlinked(&agent, link),
+            Message::FromAgent { agent, link, message } => {
+                if self.links.get(&agent).is_some_and(|known| known.number == link) {
+                    self.from_agent(&agent, *message, now);
+                }
+            }
+            Message::Written { batch, outcome, asked } => self.written(&batch, outcome, asked, now),
+            Message::Expired(jobs) => {
+                self.is_expiring = false;
+                for job in jobs {
+                    self.cell.forget(job);
+                }
+            }
+            Message::State(id, reply) => {
+                let state = if self.is_loaded { self.cell.state(id) } else { None };
+                drop(reply.send(state));
+            }
+            Message::Pending(reply) => {
+                drop(reply.send(Arc::new(self.cell.pending().clone())));
+            }
+            Message::Dump(reply) => {
+                drop(reply.send(self.dump(now)));
+            }
+            Message::Deposed(_) | Message::Retire(_) => {}
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let holds = self.authority.holds(now);
+        if holds != self.had_authority {
+            let age_ms = self.authority.age(now).map_or(0, |age| age.as_millis() as u64);
+            log::warn!(event = "authority", term = self.context.term, holds = holds, confirmed_ms_ago = age_ms; "");
+            self.had_authority = holds;
+        }
+        self.cell.open_due(unix_ms(), now);
+        self.cell.ask_placing();
+        if now >= self.watch_due {
+            self.watch_due = now + WATCH_INTERVAL;
+            if holds {
+                self.cell.lapse(now);
+                self.cell.watch_runs(now);
+            }
+        }
+        if now >= self.expiry_due && !self.is_expiring {
+            self.expiry_due = now + EXPIRY_INTERVAL;
+            self.expire(now);
+        }
+    }
+
+    /// Places, orders, writes and logs what the cell has decided.
+    fn drive(&mut self) {
+        let now = self.context.clock.now();
+        if self.is_loaded && self.authority.holds(now) && self.cell.needs_placing() {
+            self.cell.place(now);
+        }
+        if now >= self.batch_due
+            && self.is_loaded
+            && let Some(batch) = self.cell.next_batch()
+        {
+            self.batch_due = now + BATCH_GAP;
+            self.write(batch, now);
+        }
+        for action in self.cell.take_actions() {
+            self.carry_out(action);
+        }
+        for note in self.cell.take_notes() {
+            log_note(&note, self.context.term);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let (agent, message) = match action {
+            Action::Start { agent, life, order } => (agent, ToAgent::Start { life, order }),
+            Action::Stop { agent, life, task, run, reason } => {
+                log::info!(event = "stop_ordered", task:% = task, run = run, agent = &*agent, reason = reason; "");
+                (agent, ToAgent::Stop { life, task, run })
+            }
+            Action::Settle { agent, life, cursor } => (agent, ToAgent::Settle { life, cursor }),
+        };
+        // Without a link the order is lost; the agent's next inventory shows that.
+        if let Some(link) = self.links.get(&agent) {
+            link.sender.post(message);
+        }
+    }
+
+    fn load(&mut self, jobs: &[Row], progress: &[Row], now: Duration) {
+        let mut known: Map<JobId, (Progress, u64)> = Map::default();
+        for row in progress {
+            let (Ok(id), Some(value)) = (row.key.parse::<JobId>(), row.value.as_deref()) else { continue };
+            if let Some(content) = rows::decode::<Progress>(&row.key, value) {
+                known.insert(id, (content, row.revision));
+            }
+        }
+        let wall_ms = unix_ms();
+        for row in jobs {
+            let Some(job) = decode_job(row) else { continue };
+            let (progress, revision) = known.remove(&job.id).unwrap_or_default();
+            // Wall clocks of two processes may differ; the age only ranks.
+            let age = Duration::from_millis(wall_ms.saturating_sub(job.accepted_unix_ms)).min(Duration::from_mins(5));
+            self.cell.load(job, progress, revision, age, now);
+        }
+        self.take_jobs(jobs, now);
+        let (all, open) = self.cell.job_counts();
+        log::info!(event = "jobs_loaded", term = self.context.term, jobs = all, open = open,
+            agents_unheard = self.cell.unresolved(); "");
+        self.is_loaded = true;
+        self.take_roster();
+        self.cell.ask_placing();
+    }
+
+    fn take_jobs(&mut self, rows: &[Row], now: Duration) {
+        for row in rows {
+            match rows::parse_job_key(&row.key) {
+                Some(rows::JobKey::Job(id)) if !self.cell.knows(id) => {
+                    if let Some(job) = decode_job(row) {
+                        self.submitted(job, now);
+                    }
+                }
+                Some(rows::JobKey::Cancel(id)) if row.value.is_some() => self.cancel(id, now),
+                Some(_) => {}
+                None => log::warn!(event = "row_unknown", key = &*row.key; ""),
+            }
+        }
+    }
+
+    fn submitted(&mut self, job: Job, now: Duration) {
+        let id = job.id;
+        // Until the rows are read, what is durable of the job isn't known.
+        if !self.is_loaded || self.cell.knows(id) {
+            return;
+        }
+        self.cell.load(job, Progress::default(), 0, Duration::ZERO, now);
+        if self.early_cancels.remove(&id) {
+            self.cell.cancel(id, now);
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, now: Duration) {
+        if self.cell.knows(id) {
+            self.cell.cancel(id, now);
+        } else {
+            self.early_cancels.insert(id);
+        }
+    }
+
+    fn take_configuration(&mut self) {
+        let configuration = self.context.configuration.borrow().clone();
+        if let Some(configuration) = configuration {
+            self.cell.configure(configuration);
+        }
+    }
+
+    fn write(&self, batch: Batch, now: Duration) {
+        let transaction = Transaction {
+            conditions: std::iter::once(self.is_placer())
+                .chain(batch.writes.iter().map(|write| Condition {
+                    table: Table::Progress,
+                    key: rows::job_key(write.job),
+                    revision: write.revision,
+                }))
+                .collect(),
+            changes: batch
+                .writes
+                .iter()
+                .map(|write| Change {
+                    table: Table::Progress,
+                    key: rows::job_key(write.job),
+                    value: Some(rows::encode(&write.progress)),
+                })
+                .collect(),
+        };
+        let answer = (self.context.store.commit)(transaction);
+        let myself = self.myself.clone();
+        tokio::spawn(async move {
+            let outcome = answer.await;
+            if !matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            // The placer may have ended meanwhile.
+            drop(myself.cast(Message::Written { batch: Box::new(batch), outcome, asked: now }));
+        });
+    }
+
+    fn is_placer(&self) -> Condition {
+        Condition { table: Table::Cell, key: Arc::from(PLACER), revision: self.context.revision }
+    }
+
+    fn written(&mut self, batch: &Batch, outcome: Outcome, asked: Duration, now: Duration) {
+        match outcome {
+            Outcome::Done(revision) => {
+                self.authority.confirmed(asked);
+                self.cell.committed(batch, revision, now);
+            }
+            Outcome::Conflict(rows) => {
+                let row = |table: Table, key: &str| {
+                    rows.iter().find(|(name, row)| &**name == table.name() && &*row.key == key).map(|(_, row)| row)
+                };
+                if row(Table::Cell, PLACER).is_none_or(|row| row.revision != self.context.revision) {
+                    drop(self.myself.cast(Message::Deposed("progress")));
+                    return;
+                }
+                let revisions: Vec<(JobId, u64)> = batch
+                    .writes
+                    .iter()
+                    .map(|write| {
+                        let row = row(Table::Progress, &rows::job_key(write.job));
+                        (write.job, row.map_or(0, |row| row.revision))
+                    })
+                    .collect();
+                log::info!(event = "progress_conflict", batch = batch.number, jobs = batch.writes.len(); "");
+                self.cell.conflicted(batch, &revisions);
+            }
+            Outcome::Refused | Outcome::Unknown => {
+                log::warn!(event = "progress_not_written", batch = batch.number, outcome:? = outcome; "");
+                self.cell.give_back(batch);
+            }
+        }
+    }
+
+    /// Removes the rows of jobs that ended long ago, and of agents that are gone.
+    fn expire(&mut self, now: Duration) {
+        let mut expired = self.cell.expired(self.context.ended_jobs_kept, now);
+        expired.truncate(EXPIRY_MAX);
+        let gone = self.gone_agents(now);
+        if expired.is_empty() && gone.is_empty() {
+            return;
+        }
+        let removal = |table, key| Change { table, key, value: None };
+        let mut changes: Vec<Change> = expired
+            .iter()
+            .flat_map(|(id, _)| {
+                [
+                    removal(Table::Jobs, rows::job_key(*id)),
+                    removal(Table::Jobs, rows::cancel_key(*id)),
+                    removal(Table::Progress, rows::job_key(*id)),
+                ]
+            })
+            .collect();
+        changes.extend(gone.iter().map(|name| removal(Table::Cell, Arc::from(format!("{AGENT_PREFIX}{name}")))));
+        let answer = (self.context.store.commit)(Transaction { conditions: vec![self.is_placer()], changes });
+        let myself = self.myself.clone();
+        self.is_expiring = true;
+        tokio::spawn(async move {
+            let is_done = matches!(answer.await, Outcome::Done(_));
+            let jobs = if is_done { expired.into_iter().map(|(id, _)| id).collect() } else { Vec::new() };
+            drop(myself.cast(Message::Expired(jobs)));
+        });
+    }
+
+    fn gone_agents(&self, now: Duration) -> Vec<Name> {
+        self.dialers
+            .iter()
+            .filter(|(name, dialer)| self.cell.is_lapsed(name) && now.saturating_sub(dialer.since) >= AGENT_KEPT)
+            .map(|(name, _)| Arc::clone(name))
+            .collect()
+    }
+
+    /// Gives the cell up, so that another entry takes it at once.
+    async fn retire(&mut self) {
+        let now = self.context.clock.now();
+        self.authority.revoke();
+        if let Some(batch) = self.cell.next_batch() {
+            self.write(batch, now);
+        }
+        let roster = self.context.roster.borrow().clone();
+        let Some(address) = roster.and_then(|roster| roster.placer.as_ref().map(|(placer, _)| placer.address)) else {
+            return;
+        };
+        let row = rows::Placer { term: self.context.term, holder: None, address };
+        let transaction = Transaction {
+            conditions: vec![self.is_placer()],
+            changes: vec![Change { table: Table::Cell, key: Arc::from(PLACER), value: Some(rows::encode(&row)) }],
+        };
+        let outcome = (self.context.store.commit)(transaction).await;
+        log::info!(event = "cell_given_up", term = self.context.term, outcome:? = outcome; "");
+    }
+
+    fn dump(&self, now: Duration) -> Value {
+        let (jobs, open) = self.cell.job_counts();
+        let agents: Vec<Value> = self
+            .cell
+            .agents()
+            .map(|(name, contact, runs)| json!({"agent": name, "contact": format!("{contact:?}"), "runs": runs}))
+            .collect();
+        json!({
+            "term": self.context.term,
+            "has_authority": self.authority.holds(now),
+            "jobs": jobs,
+            "jobs_open": open,
+            "tasks_waiting": self.cell.waiting(),
+            "agents_unheard": self.cell.unresolved(),
+            "agents": agents,
+            "counters": format!("{:?}", self.cell.counters()),
+        })
+    }
+}
+
+fn decode_job(row: &Row) -> Option<Job> {
+    if !matches!(rows::parse_job_key(&row.key), Some(rows::JobKey::Job(_))) {
+        return None;
+    }
+    rows::decode(&row.key, row.value.as_deref()?)
+}
+
+fn log_note(note: &Note, term: u64) {
+    match note {
+        Note::Placed { task, run, agent, job_age, waiting } => {
+            log::info!(event = "placed", task:% = task, run = run, agent = &**agent, term = term,
+                job_age_ms = job_age.as_millis() as u64, waiting = waiting; "");
+        }
+        Note::Ended { task, run, agent, how, failures } => {
+            log::info!(event = "run_ended", task:% = task, run = run, agent = &**agent, how = how,
+                failures = failures; "");
+        }
+        Note::JobEnded { job, state, age, task } => {
+            let task = task.map_or_else(String::new, |task| task.to_string());
+            log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = age.as_millis() as u64,
+                task = task; "");
+        }
+        Note::WorkerEjected { agent, reason } => {
+            log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
+        }
+        Note::AgentChanged { agent, standing, runs } => {
+            log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
+        }
+    }
+}
+
+/// Keeps the beat interval beside what it is for.
+const _: () = assert!(BEAT_INTERVAL.as_millis() < 2_000, "takeovers count on a beat in two seconds");
+
+/// Key of the placer's sign of life.
+fn beat_change() -> Change {
+    Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(Vec::new()) }
+}
+
+impl State {
+    fn inventory_taken(&mut self, agent: &Name, inventory: Inventory, now: Duration) {
+        self.cell.agent_linked(agent, inventory, now);
+        let described = self.cell.describe(agent);
+        if let Some(link) = self.links.get(agent).filter(|_| !described.is_empty()) {
+            link.sender.post(ToAgent::Describe(described));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/placer/feed.rs
@@ -0,0 +1,88 @@
+//! Tasks of the placer that talk to the store: confirming the term, following the jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::ActorRef;
+
+use super::{Context, Message, beat_change};
+use crate::candidate::BEAT_INTERVAL;
+use crate::rows::PLACER;
+use crate::store::{self, Condition, Outcome, ReadError, Table, Transaction};
+
+/// Pause after a confirmation that failed.
+const CONFIRM_RETRY: Duration = Duration::from_millis(250);
+/// Time that the store may hold the answer of the feed back.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a read that failed.
+const READ_RETRY: Duration = Duration::from_millis(150);
+
+/// Writes the placer's sign of life at intervals, on condition that it still is the placer.
+pub(super) async fn confirm(context: Context, placer: ActorRef<Message>) {
+    let mut is_lost = false;
+    loop {
+        tokio::time::sleep(if is_lost { CONFIRM_RETRY } else { BEAT_INTERVAL }).await;
+        let asked = context.clock.now();
+        let transaction = Transaction {
+            conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER), revision: context.revision }],
+            changes: vec![beat_change()],
+        };
+        let outcome = (context.store.commit)(transaction).await;
+        let message = match outcome {
+            Outcome::Done(_) => {
+                if std::mem::take(&mut is_lost) {
+                    log::info!(event = "store_regained", by = "confirmation", term = context.term; "");
+                }
+                Message::Confirmed(asked)
+            }
+            Outcome::Conflict(_) => Message::Deposed("confirmation"),
+            Outcome::Refused | Outcome::Unknown => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!(event = "store_lost", by = "confirmation", outcome:? = outcome, term = context.term; "");
+                }
+                continue;
+            }
+        };
+        if placer.cast(message).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads all jobs and their progress, then follows the jobs.
+pub(super) async fn follow_jobs(context: Context, placer: ActorRef<Message>) {
+    let mut is_loaded = false;
+    loop {
+        let error = match follow_once(&context, &placer, &mut is_loaded).await {
+            Ok(()) => return,
+            Err(error) => error,
+        };
+        log::info!(event = "jobs_feed_broken", error:% = error, term = context.term; "");
+        if error != ReadError::HistoryLost {
+            tokio::time::sleep(READ_RETRY).await;
+        }
+    }
+}
+
+/// Follows the jobs until the placer has ended.
+async fn follow_once(context: &Context, placer: &ActorRef<Message>, is_loaded: &mut bool) -> Result<(), ReadError> {
+    let jobs = store::read_all(&context.store, Table::Jobs).await?;
+    let mut after = jobs.revision;
+    let message = if *is_loaded {
+        Message::Jobs(jobs.rows)
+    } else {
+        let progress = store::read_all(&context.store, Table::Progress).await?.rows;
+        Message::Loaded { jobs: jobs.rows, progress }
+    };
+    if placer.cast(message).is_err() {
+        return Ok(());
+    }
+    *is_loaded = true;
+    loop {
+        let changes = (context.store.watch)(Table::Jobs, after, WATCH_WAIT).await?;
+        after = after.max(changes.revision);
+        if !changes.rows.is_empty() && placer.cast(Message::Jobs(changes.rows)).is_err() {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/placer/links.rs
@@ -0,0 +1,158 @@
+//! Links from the placer to agents.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::authority::AUTHORITY;
+use chervilledge_cell::cell::Inventory;
+use chervilledge_link::connection::{self, Sender};
+use chervilledge_policy::id::Name;
+use ractor::ActorRef;
+
+use super::{AgentLink, Dialer, Message, State};
+use crate::message::{FromAgent, NO_SECRET, SILENCE, ToAgent};
+
+/// Time for opening a link.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before an agent is dialled again; grows to the second figure.
+const REDIAL_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+
+impl State {
+    /// Dials agents that are new or have moved.
+    pub(super) fn take_roster(&mut self) {
+        let Some(roster) = self.context.roster.borrow().clone() else { return };
+        if let Some((placer, revision)) = &roster.placer
+            && (placer.term > self.context.term
+                || (placer.term == self.context.term && *revision > self.context.revision))
+        {
+            drop(self.myself.cast(Message::Deposed("roster")));
+            return;
+        }
+        let now = self.context.clock.now();
+        // An agent that is new to this placer may obey the former one as long as that may act.
+        let is_of_predecessor = self.context.term > 1 && now < self.context.claimed + AUTHORITY;
+        for name in roster.agents.keys() {
+            self.cell.agent_known(name, is_of_predecessor, now);
+        }
+        // Runs can be told from strays only when the jobs are known.
+        if !self.is_loaded {
+            return;
+        }
+        for (name, address) in &roster.agents {
+            if self.dialers.get(name).is_some_and(|dialer| dialer.address == *address) {
+                continue;
+            }
+            let number = self.next_link;
+            self.next_link += 1_000_000;
+            let task = tokio::spawn(dial(Arc::clone(name), *address, self.context.term, number, self.myself.clone()));
+            let dialer = Dialer { address: *address, task, since: now };
+            if let Some(former) = self.dialers.insert(Arc::clone(name), dialer) {
+                former.task.abort();
+                self.links.remove(name);
+                self.cell.agent_silent(name);
+            }
+        }
+        let gone: Vec<Name> = self.dialers.keys().filter(|name| !roster.agents.contains_key(*name)).cloned().collect();
+        for name in gone {
+            if let Some(dialer) = self.dialers.remove(&name) {
+                dialer.task.abort();
+            }
+            self.links.remove(&name);
+            self.cell.forget_agent(&name);
+        }
+    }
+
+    pub(super) fn linked(&mut self, agent: Name, link: u64, sender: Sender<ToAgent>) {
+        self.links.insert(agent, AgentLink { number: link, sender });
+    }
+
+    pub(super) fn unlinked(&mut self, agent: &Name, link: u64) {
+        if self.links.get(agent).is_some_and(|known| known.number == link) {
+            self.links.remove(agent);
+            self.cell.agent_silent(agent);
+            if let Some(dialer) = self.dialers.get_mut(agent) {
+                dialer.since = self.context.clock.now();
+            }
+        }
+    }
+
+    pub(super) fn from_agent(&mut self, agent: &Name, message: FromAgent, now: Duration) {
+        match message {
+            FromAgent::Inventory { worker, running, starting, ends, is_empty } => {
+                self.inventory_taken(agent, Inventory { worker, running, starting, ends, is_empty }, now);
+            }
+            FromAgent::Superseded { term } => {
+                log::warn!(event = "agent_obeys_newer_term", agent = &**agent, term = term; "");
+                if term > self.context.term {
+                    drop(self.myself.cast(Message::Deposed("agent")));
+                }
+            }
+            FromAgent::Ask { asked } => self.grant(agent, asked, now),
+            FromAgent::Worker(worker) => self.cell.worker_seen(agent, worker, now),
+            FromAgent::Gone(life) => {
+                if self.cell.life_of(agent) == Some(&life) {
+                    self.cell.worker_gone(agent, now);
+                }
+            }
+            FromAgent::Started { task, run } => self.cell.run_started(task, run, now),
+            FromAgent::Refused { task, run, refusal } => {
+                log::info!(event = "start_refused", task:% = task, run = run, agent = &**agent, refusal:? = refusal; "");
+                self.cell.run_refused(agent, task, run, refusal, now);
+            }
+            FromAgent::Absent { task, run } => {
+                log::info!(event = "run_absent", task:% = task, run = run, agent = &**agent; "");
+                self.cell.run_absent(agent, task, run, now);
+            }
+            FromAgent::Ends { life, ends } => {
+                if self.cell.life_of(agent) == Some(&life) {
+                    self.cell.ended(agent, ends, now);
+                }
+            }
+            FromAgent::Running(running) => self.cell.reported(&running, now),
+        }
+    }
+
+    fn grant(&mut self, agent: &Name, asked: Duration, now: Duration) {
+        if !self.authority.holds(now) {
+            return;
+        }
+        if let (Some(lease), Some(link)) = (self.cell.grant(agent, now), self.links.get(agent)) {
+            link.sender.post(ToAgent::Grant { asked, lease });
+        }
+    }
+}
+
+/// Keeps a link to an agent open.
+async fn dial(name: Name, address: SocketAddr, term: u64, first: u64, placer: ActorRef<Message>) {
+    let mut pause = REDIAL_PAUSE.0;
+    for number in first.. {
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, connection::connect::<ToAgent>(address, NO_SECRET)).await;
+        if let Ok(Ok((sender, mut receiver))) = opened {
+            pause = REDIAL_PAUSE.0;
+            sender.post(ToAgent::Hello { term });
+            let linked = Message::Linked { agent: Arc::clone(&name), link: number, sender };
+            if placer.cast(linked).is_err() {
+                return;
+            }
+            let error = loop {
+                match receiver.receive::<FromAgent>(SILENCE).await {
+                    Ok(message) => {
+                        let message =
+                            Message::FromAgent { agent: Arc::clone(&name), link: number, message: Box::new(message) };
+                        if placer.cast(message).is_err() {
+                            return;
+                        }
+                    }
+                    Err(error) => break error,
+                }
+            };
+            log::info!(event = "agent_link_ended", agent = &*name, error:% = error, term = term; "");
+            if placer.cast(Message::Unlinked { agent: Arc::clone(&name), link: number }).is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(REDIAL_PAUSE.1);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/roster.rs
@@ -0,0 +1,162 @@
+//! What the rows of the cell say of its processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::rows::{self, AGENT_PREFIX, BEAT, ENTRY_PREFIX, PLACER, Process};
+use crate::store::{self, Handle, ReadError, Row, Table};
+
+/// Time that the store may hold the answer of a feed back.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The cell's processes, as last read.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    /// The placer's row and its revision.
+    pub placer: Option<(rows::Placer, u64)>,
+    /// Revision of the placer's sign of life.
+    pub beat_revision: u64,
+    /// When that revision, or the placer, was first seen.
+    pub beat_seen: Duration,
+    /// When the rows were last read.
+    pub read: Duration,
+    /// Agents and where they take links.
+    pub agents: Map<Name, SocketAddr>,
+    /// Entries and where they take links.
+    pub entries: Map<Name, SocketAddr>,
+}
+
+/// Running reader of the cell's rows.
+#[derive(Debug)]
+pub struct Reader {
+    /// What was read last; `None` before the first read.
+    pub view: watch::Receiver<Option<Arc<Roster>>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts to follow the cell's rows.
+#[must_use]
+pub fn spawn(store: Handle, clock: Clock) -> Reader {
+    let (sender, view) = watch::channel(None);
+    let task = tokio::spawn(follow(store, clock, sender));
+    Reader { view, task }
+}
+
+async fn follow(store: Handle, clock: Clock, view: watch::Sender<Option<Arc<Roster>>>) {
+    let mut is_lost = false;
+    loop {
+        match follow_once(&store, &clock, &view, &mut is_lost).await {
+            ReadError::HistoryLost => log::info!(event = "feed_history_lost", table = "cell"; ""),
+            error => {
+                if !is_lost {
+                    log::warn!(event = "store_lost", by = "cell_feed", error:% = error; "");
+                }
+                is_lost = true;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads all rows and then follows the feed until it breaks.
+async fn follow_once(
+    store: &Handle,
+    clock: &Clock,
+    view: &watch::Sender<Option<Arc<Roster>>>,
+    is_lost: &mut bool,
+) -> ReadError {
+    let all = match store::read_all(store, Table::Cell).await {
+        Ok(all) => all,
+        Err(error) => return error,
+    };
+    if std::mem::take(is_lost) {
+        log::info!(event = "store_regained", by = "cell_feed", revision = all.revision; "");
+    }
+    let former = view.borrow().clone();
+    let mut roster = Roster::default();
+    if let Some(former) = &former {
+        roster.beat_revision = former.beat_revision;
+        roster.beat_seen = former.beat_seen;
+    }
+    let mut after = all.revision;
+    let now = clock.now();
+    for row in &all.rows {
+        roster.take(row, now);
+    }
+    roster.read = now;
+    view.send_replace(Some(Arc::new(roster.clone())));
+    loop {
+        let changes = match (store.watch)(Table::Cell, after, WATCH_WAIT).await {
+            Ok(changes) => changes,
+            Err(error) => return error,
+        };
+        after = after.max(changes.revision);
+        let now = clock.now();
+        for row in &changes.rows {
+            roster.take(row, now);
+        }
+        roster.read = now;
+        view.send_replace(Some(Arc::new(roster.clone())));
+    }
+}
+
+impl Roster {
+    fn take(&mut self, row: &Row, now: Duration) {
+        match &*row.key {
+            PLACER => self.take_placer(row, now),
+            BEAT => {
+                if row.revision > self.beat_revision {
+                    self.beat_revision = row.revision;
+                    self.beat_seen = now;
+                }
+            }
+            key => {
+                if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
+                    take_process(&mut self.agents, name, row);
+                } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
+                    take_process(&mut self.entries, name, row);
+                }
+            }
+        }
+    }
+
+    fn take_placer(&mut self, row: &Row, now: Duration) {
+        if self.placer.as_ref().is_some_and(|(_, revision)| *revision >= row.revision) {
+            return;
+        }
+        let content = row.value.as_deref().and_then(|value| rows::decode::<rows::Placer>(&row.key, value));
+        if let Some(placer) = &content {
+            log::info!(event = "placer_row", term = placer.term, holder = placer.holder.as_deref().unwrap_or("none"),
+                revision = row.revision; "");
+        }
+        self.placer = content.map(|content| (content, row.revision));
+        self.beat_seen = now;
+    }
+}
+
+fn take_process(processes: &mut Map<Name, SocketAddr>, name: &str, row: &Row) {
+    let content = row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value));
+    match content {
+        Some(process) => {
+            processes.insert(Arc::from(name), process.address);
+        }
+        None => {
+            processes.remove(name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/rows.rs
@@ -0,0 +1,92 @@
+//! Keys and contents of the cell's rows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chervilledge_cell::job::JobId;
+use chervilledge_policy::id::Name;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Row of the placer, in table `cell`.
+pub const PLACER: &str = "placer";
+/// Row that the placer writes at intervals, in table `cell`.
+pub const BEAT: &str = "beat";
+/// Start of the keys of agents, in table `cell`.
+pub const AGENT_PREFIX: &str = "agent/";
+/// Start of the keys of entries, in table `cell`.
+pub const ENTRY_PREFIX: &str = "entry/";
+/// End of the keys of cancellations, in table `jobs`.
+const CANCEL_SUFFIX: &str = "/cancel";
+
+/// Content of the placer's row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Placer {
+    /// Grows by 1 with each placer.
+    pub term: u64,
+    /// Name of the entry that places; `None` when it gave the cell up.
+    pub holder: Option<Name>,
+    /// Where that entry takes links.
+    pub address: SocketAddr,
+}
+
+/// Content of the row of an agent or entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Process {
+    /// Where the process takes links.
+    pub address: SocketAddr,
+}
+
+/// A key of table `jobs`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobKey {
+    /// The job itself.
+    Job(JobId),
+    /// Its cancellation.
+    Cancel(JobId),
+}
+
+/// Key of a job's row.
+#[must_use]
+pub fn job_key(id: JobId) -> Name {
+    Arc::from(id.to_string())
+}
+
+/// Key of the row that cancels a job.
+#[must_use]
+pub fn cancel_key(id: JobId) -> Name {
+    Arc::from(format!("{id}{CANCEL_SUFFIX}"))
+}
+
+/// Reads a key of table `jobs`; `None` for a key of no known form.
+#[must_use]
+pub fn parse_job_key(key: &str) -> Option<JobKey> {
+    match key.strip_suffix(CANCEL_SUFFIX) {
+        Some(id) => id.parse().ok().map(JobKey::Cancel),
+        None => key.parse().ok().map(JobKey::Job),
+    }
+}
+
+/// Writes the content of a row.
+///
+/// # Panics
+///
+/// Never for the types of this module: all of them have a CBOR form.
+#[must_use]
+pub fn encode<T: Serialize>(content: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(content, &mut bytes).expect("rows have a CBOR form");
+    bytes
+}
+
+/// Reads the content of a row; logs and gives `None` when it can't be understood.
+#[must_use]
+pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
+    match ciborium::from_reader(value) {
+        Ok(content) => Some(content),
+        Err(error) => {
+            log::warn!(event = "row_malformed", key = key, error:% = error; "");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of the processes of a cell.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervilledge_policy::id::Name;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+
+/// Longest lease of a worker that is useful: an agent's restart must fit, and a lost worker's tasks wait that long.
+pub const LEASE_MAX: Duration = Duration::from_secs(5);
+
+/// Settings of an entry.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Name, unique among entries.
+    pub name: Name,
+    /// Where links are taken.
+    pub links_address: SocketAddr,
+    /// Longest lease that a worker grants its runs.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "worker_lease_max_ms")]
+    pub worker_lease_max: Duration,
+    /// Time for which the state of an ended job is kept.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(rename = "ended_jobs_kept_s")]
+    pub ended_jobs_kept: Duration,
+    /// Time between SIGTERM and SIGKILL.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(rename = "stop_timeout_s")]
+    pub stop_timeout: Duration,
+}
+
+impl Entry {
+    /// Lease that the placer grants.
+    #[must_use]
+    pub fn lease(&self) -> Duration {
+        self.worker_lease_max.min(LEASE_MAX)
+    }
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agent {
+    /// Name, unique among agents.
+    pub name: Name,
+    /// Where links are taken.
+    pub links_address: SocketAddr,
+}
--- /dev/null
+++ b/crates/scheduler/src/store.rs
@@ -0,0 +1,172 @@
+//! The store as the scheduler needs it: rows with revisions, conditional transactions and a feed of changes.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::configuration::Configuration;
+use chervilledge_policy::id::Name;
+
+/// Future of a call.
+pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// A table of the cell.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Table {
+    /// Placer, agents and entries of the cell.
+    Cell,
+    /// Jobs as they were accepted, and their cancellations.
+    Jobs,
+    /// What is durable of the progress of jobs.
+    Progress,
+}
+
+impl Table {
+    /// Name of the table in the store.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Cell => "cell",
+            Self::Jobs => "jobs",
+            Self::Progress => "progress",
+        }
+    }
+}
+
+/// A stored row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// Key within the table.
+    pub key: Name,
+    /// Content; `None` for a row that was removed, in a feed.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the store at which the row was last written.
+    pub revision: u64,
+}
+
+/// Condition of a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Condition {
+    /// Table of the row.
+    pub table: Table,
+    /// Key of the row.
+    pub key: Name,
+    /// Revision that the row must have; 0 when it must not exist.
+    pub revision: u64,
+}
+
+/// Change of a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Table of the row.
+    pub table: Table,
+    /// Key of the row.
+    pub key: Name,
+    /// New content; `None` removes the row.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Changes that take effect together, if every condition holds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Transaction {
+    /// Conditions.
+    pub conditions: Vec<Condition>,
+    /// Changes.
+    pub changes: Vec<Change>,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It took effect, at this revision.
+    Done(u64),
+    /// A condition didn't hold; the rows of the conditions as they are, by table name and key.
+    Conflict(Vec<(Name, Row)>),
+    /// The store turned the call away; it didn't and won't take effect.
+    Refused,
+    /// It may have taken effect or may still do so while its conditions hold.
+    Unknown,
+}
+
+/// Why rows couldn't be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadError {
+    /// No answer, or a refusal.
+    Unavailable,
+    /// The feed's history before the revision is gone.
+    HistoryLost,
+    /// The answer can't be understood.
+    Malformed,
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unavailable => "store unavailable",
+            Self::HistoryLost => "history lost",
+            Self::Malformed => "answer malformed",
+        })
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+/// Rows as of one revision.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Rows {
+    /// The rows, ascending by key in a read, by revision in a feed.
+    pub rows: Vec<Row>,
+    /// Newest revision of the store at that moment.
+    pub revision: u64,
+    /// There are more rows behind the last one.
+    pub has_more: bool,
+}
+
+/// Calls to the store.
+pub struct Store {
+    /// Commits a transaction in one attempt.
+    pub commit: Box<dyn Fn(Transaction) -> Answer<Outcome> + Send + Sync>,
+    /// Reads the rows of a table from a key on.
+    pub read: Box<dyn Fn(Table, Name) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
+    /// Reads one row.
+    pub read_one: Box<dyn Fn(Table, Name) -> Answer<Result<Option<Row>, ReadError>> + Send + Sync>,
+    /// Waits for changes of a table after a revision, at most for some time.
+    pub watch: Box<dyn Fn(Table, u64, Duration) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
+    /// Waits for a configuration that was written after a revision, at most for some time; gives the revision to go on
+    /// from. A revision of 0 reads what there is.
+    pub watch_configuration:
+        Box<dyn Fn(u64, Duration) -> Answer<Result<(Option<Configuration>, u64), ReadError>> + Send + Sync>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").finish_non_exhaustive()
+    }
+}
+
+/// Handle on the store.
+pub type Handle = Arc<Store>;
+
+/// Reads a whole table, in as many calls as it takes; the revision is that of the first call.
+///
+/// # Errors
+///
+/// The first error.
+pub async fn read_all(store: &Store, table: Table) -> Result<Rows, ReadError> {
+    let mut all = Rows::default();
+    let mut from: Name = Arc::from("");
+    loop {
+        let page = (store.read)(table, Arc::clone(&from)).await?;
+        if all.revision == 0 {
+            all.revision = page.revision;
+        }
+        let Some(last) = page.rows.last() else { return Ok(all) };
+        // The smallest key behind the last one.
+        from = Arc::from(format!("{}\0", last.key));
+        all.rows.extend(page.rows);
+        if !page.has_more {
+            return Ok(all);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/submit.rs
@@ -0,0 +1,177 @@
+//! Stores jobs and cancellations for callers, many in one transaction.
+//!
+//! Every row is written on a condition that makes a repetition harmless, so an attempt without an answer is simply
+//! made again. A request is told that nothing was written only if no attempt for it is left without an answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::job::{Job, JobId};
+use chervilledge_policy::clock::Clock;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::message::Stored;
+use crate::rows;
+use crate::store::{Change, Condition, Handle, Outcome, Table, Transaction};
+
+/// Rows in one transaction; below the store's bound on conditions and changes together.
+const GROUP_MAX: usize = 45;
+/// Requests that may wait for the next transaction; more are refused at once.
+const QUEUE_MAX: usize = 1_024;
+/// Pause before an attempt that had no answer is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// What is to be stored.
+#[derive(Clone, Debug)]
+enum Content {
+    Job(Box<Job>),
+    Cancel(JobId),
+}
+
+#[derive(Debug)]
+struct Request {
+    content: Content,
+    /// Nobody waits for the answer after this time.
+    deadline: Duration,
+    /// An attempt for the request is left without an answer.
+    is_unknown: bool,
+    answer: oneshot::Sender<Stored>,
+}
+
+/// Handle on the running writer.
+#[derive(Clone, Debug)]
+pub struct Submitter {
+    requests: mpsc::Sender<Request>,
+}
+
+/// Starts the writer.
+#[must_use]
+pub fn spawn(store: Handle, clock: Clock) -> Submitter {
+    let (requests, queue) = mpsc::channel(QUEUE_MAX);
+    tokio::spawn(write_all(store, clock, queue));
+    Submitter { requests }
+}
+
+impl Submitter {
+    /// Stores a job unless it is stored already.
+    pub async fn store_job(&self, job: Job, deadline: Duration) -> Stored {
+        self.ask(Content::Job(Box::new(job)), deadline).await
+    }
+
+    /// Stores the cancellation of a job.
+    pub async fn store_cancel(&self, id: JobId, deadline: Duration) -> Stored {
+        self.ask(Content::Cancel(id), deadline).await
+    }
+
+    async fn ask(&self, content: Content, deadline: Duration) -> Stored {
+        let (answer, stored) = oneshot::channel();
+        let request = Request { content, deadline, is_unknown: false, answer };
+        if self.requests.try_send(request).is_err() {
+            return Stored::Refused;
+        }
+        stored.await.unwrap_or(Stored::Unknown)
+    }
+}
+
+async fn write_all(store: Handle, clock: Clock, mut queue: mpsc::Receiver<Request>) {
+    let mut open: Vec<Request> = Vec::new();
+    loop {
+        if open.is_empty() {
+            match queue.recv().await {
+                Some(request) => open.push(request),
+                None => return,
+            }
+        }
+        while open.len() < GROUP_MAX {
+            match queue.try_recv() {
+                Ok(request) => open.push(request),
+                Err(_) => break,
+            }
+        }
+        open = write_once(&store, &clock, open).await;
+        if open.iter().any(|request| request.is_unknown) {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Makes one attempt; gives back the requests that aren't answered yet.
+async fn write_once(store: &Handle, clock: &Clock, mut open: Vec<Request>) -> Vec<Request> {
+    let now = clock.now();
+    give_up_late(&mut open, now);
+    if open.is_empty() {
+        return open;
+    }
+    match (store.commit)(transaction(&open)).await {
+        Outcome::Done(_) => {
+            answer_all(open, Stored::Done);
+            Vec::new()
+        }
+        Outcome::Conflict(rows) => {
+            let is_stored = |request: &Request| match &request.content {
+                Content::Job(job) => {
+                    let key = rows::job_key(job.id);
+                    rows.iter().any(|(table, row)| &**table == Table::Jobs.name() && row.key == key && row.revision > 0)
+                }
+                Content::Cancel(_) => false,
+            };
+            let (stored, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(is_stored);
+            answer_all(stored, Stored::Done);
+            rest
+        }
+        Outcome::Refused => {
+            let (rest, refused): (Vec<_>, Vec<_>) = open.into_iter().partition(|request| request.is_unknown);
+            answer_all(refused, Stored::Refused);
+            rest
+        }
+        Outcome::Unknown => {
+            for request in &mut open {
+                request.is_unknown = true;
+            }
+            open
+        }
+    }
+}
+
+fn give_up_late(open: &mut Vec<Request>, now: Duration) {
+    let mut position = 0;
+    while position < open.len() {
+        if open[position].deadline <= now || open[position].answer.is_closed() {
+            let request = open.swap_remove(position);
+            let stored = if request.is_unknown { Stored::Unknown } else { Stored::Refused };
+            drop(request.answer.send(stored));
+        } else {
+            position += 1;
+        }
+    }
+}
+
+fn transaction(open: &[Request]) -> Transaction {
+    let mut transaction = Transaction::default();
+    for request in open {
+        match &request.content {
+            Content::Job(job) => {
+                let key = rows::job_key(job.id);
+                if transaction.changes.iter().any(|change| change.key == key) {
+                    continue;
+                }
+                transaction.conditions.push(Condition { table: Table::Jobs, key: Arc::clone(&key), revision: 0 });
+                transaction.changes.push(Change { table: Table::Jobs, key, value: Some(rows::encode(job)) });
+            }
+            Content::Cancel(id) => {
+                let key = rows::cancel_key(*id);
+                if !transaction.changes.iter().any(|change| change.key == key) {
+                    transaction.changes.push(Change { table: Table::Jobs, key, value: Some(Vec::new()) });
+                }
+            }
+        }
+    }
+    transaction
+}
+
+fn answer_all(requests: Vec<Request>, stored: Stored) {
+    for request in requests {
+        // The caller may have gone away.
+        drop(request.answer.send(stored));
+    }
+}
