Judge a pace only by figures that lie behind it

Ruled out: disturbance itself, since the tail fell to 31 ms of 45 as soon as one filling run was slowed. Change: after a change of pace the next one waits for half a second and the order's time; it falls towards the aim.

--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -1,32 +1,40 @@
 //! Pace of filling runs beside serving ones.
 //!
-//! Answers filling runs that disturb the latency of serving runs on the same worker. The pace falls at once by a factor
-//! and rises in small steps, so that the tail of a serving run is over its target for two looks at most.
+//! Answers filling runs that disturb the latency of serving runs on the same worker. The worker's figures are of the
+//! last half second, so that a change of pace is judged only when all of that lies behind it.
 
 use std::time::Duration;
 
+/// Part of the target that the tail is steered to.
+const AIM_RATIO: f64 = 0.75;
 /// Part of the target from which filling runs are slowed down.
-const SLOW_RATIO: f64 = 0.85;
+const SLOW_RATIO: f64 = 0.88;
 /// Part of the target below which they may go faster.
-const FAST_RATIO: f64 = 0.65;
-/// Factor by which the pace falls.
-const FALL_FACTOR: f64 = 0.5;
+const FAST_RATIO: f64 = 0.68;
+/// Least factor by which the pace falls at once.
+const FALL_FACTOR: f64 = 0.3;
 /// Step by which the pace rises, in percent.
-const RISE_PERCENT: f64 = 10.0;
+const RISE_PERCENT: f64 = 12.0;
+/// The same, while the tail is below half of its target.
+const RISE_FAST_PERCENT: f64 = 30.0;
 /// Pace below which filling runs are halted.
-const HALT_PERCENT: f64 = 8.0;
+const HALT_PERCENT: f64 = 6.0;
 /// Full pace.
 const FULL_PERCENT: f64 = 100.0;
+/// Time after a change of pace before its effect fills the worker's figures: half a second, and the time of the order.
+const SETTLE: Duration = Duration::from_millis(620);
 
 /// Pace of the filling runs of one worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pacer {
     percent: f64,
+    /// Figures of before this time say nothing of the present pace.
+    settled: Duration,
 }
 
 impl Default for Pacer {
     fn default() -> Self {
-        Self { percent: FULL_PERCENT }
+        Self { percent: FULL_PERCENT, settled: Duration::ZERO }
     }
 }
 
@@ -41,19 +49,27 @@
 
 impl Pacer {
     /// Takes a look at the serving runs, and gives the pace of the filling ones in percent.
-    pub fn observe(&mut self, tails: &[Tail]) -> u32 {
+    pub fn observe(&mut self, tails: &[Tail], now: Duration) -> u32 {
+        if now < self.settled {
+            return self.percent();
+        }
+        let former = self.percent;
         let ratio = tails
             .iter()
             .filter(|tail| !tail.target.is_zero())
             .map(|tail| tail.measured.as_secs_f64() / tail.target.as_secs_f64())
             .fold(0.0, f64::max);
         if ratio >= SLOW_RATIO {
-            self.percent *= FALL_FACTOR;
+            self.percent *= (AIM_RATIO / ratio).max(FALL_FACTOR);
             if self.percent < HALT_PERCENT {
                 self.percent = 0.0;
             }
         } else if ratio <= FAST_RATIO {
-            self.percent = (self.percent + RISE_PERCENT).min(FULL_PERCENT);
+            let step = if ratio < FAST_RATIO * AIM_RATIO { RISE_FAST_PERCENT } else { RISE_PERCENT };
+            self.percent = (self.percent + step).min(FULL_PERCENT);
+        }
+        if (self.percent - former).abs() >= 1.0 {
+            self.settled = now + SETTLE;
         }
         self.percent()
     }
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -103,7 +103,7 @@
         } else if self.inventory_due.is_none() {
             self.tell_ends();
         }
-        self.set_paces();
+        self.set_paces(now);
     }
 
     fn tell_ends(&mut self) {
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -20,7 +20,7 @@
     }
 
     /// Sets the pace of filling runs by what the last look says of serving ones.
-    pub(super) fn set_paces(&mut self) {
+    pub(super) fn set_paces(&mut self, now: Duration) {
         let Some(own) = &self.own else { return };
         let mut tails = Vec::new();
         let mut filling = Vec::new();
@@ -34,7 +34,7 @@
             }
         }
         let former = self.pacer.percent();
-        let percent = self.pacer.observe(&tails);
+        let percent = self.pacer.observe(&tails, now);
         if percent != former {
             let worst = tails.iter().max_by_key(|tail| tail.measured);
             log::info!(event = "pace", percent = percent, former_percent = former, serving = tails.len(),
