Slow down and keep apart only filling images that disturb

Change: agents learn the effect of pairs of images from their looks, the placer gathers and spreads what they learnt; only disturbing runs are slowed, and placing avoids disturbing pairs.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -22,6 +22,7 @@
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
+use crate::interference::{Effect, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
 use crate::packing::Load;
 use crate::worker::{Life, StartOrder, Worker};
@@ -152,6 +153,8 @@
     /// Until when the worker's lease may last, by the grants that were given.
     pub(crate) lease_until: Duration,
     pub(crate) load: Load,
+    /// Images of serving runs on the worker, with their number.
+    pub(crate) serving: Map<Name, u32>,
     /// Runs that count against `load`, by task and number.
     pub(crate) runs: Set<(TaskId, u64)>,
     /// Runs on the worker whose job isn't known here; nothing is placed beside them.
@@ -188,6 +191,10 @@
     estimates: Map<Name, f64>,
     counters: Counters,
     needs_placing: bool,
+    /// What each agent has learnt of pairs of images.
+    learnt: Map<Name, Vec<(Pair, Effect)>>,
+    /// The same of all agents together.
+    interference: Interference,
 }
 
 impl Cell {
@@ -210,6 +217,8 @@
             estimates: Map::default(),
             counters: Counters::default(),
             needs_placing: false,
+            learnt: Map::default(),
+            interference: Interference::default(),
         }
     }
 
@@ -231,6 +240,21 @@
         self.needs_placing = true;
     }
 
+    /// Takes in what an agent has learnt of pairs of images.
+    pub fn learn(&mut self, agent: &Name, effects: Vec<(Pair, Effect)>) {
+        self.learnt.insert(Arc::clone(agent), effects);
+        self.interference = Interference::default();
+        for effects in self.learnt.values() {
+            self.interference.merge(effects);
+        }
+    }
+
+    /// What all agents have learnt of pairs of images.
+    #[must_use]
+    pub fn effects(&self) -> Vec<(Pair, Effect)> {
+        self.interference.table()
+    }
+
     /// Takes the actions that are due.
     pub fn take_actions(&mut self) -> Vec<Action> {
         self.actions.drain(..).collect()
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Set;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use super::jobs::{Run, need};
@@ -11,7 +11,7 @@
 use crate::authority;
 use crate::health::Health;
 use crate::job::TaskId;
-use crate::packing::Load;
+use crate::packing::{Load, Need};
 use crate::worker::{End, EndKind, Life, Refusal, RunReport, RunTraits, Worker};
 
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
@@ -135,6 +135,7 @@
         agent.worker = None;
         agent.leaving_since = None;
         agent.load = Load::default();
+        agent.serving.clear();
         self.unresolved.remove(name);
         if !lost.is_empty() {
             self.note_agent(name, "worker_gone");
@@ -241,6 +242,7 @@
             return;
         };
         let need = need(&entry.job, task.key);
+        let image = entry.job.step(task.key).and_then(|step| step.image.clone());
         if let Some(state) = entry.tasks.get_mut(&task.key) {
             state.runs.push(Run {
                 number,
@@ -256,7 +258,7 @@
         self.ready.remove(&task);
         if let Some(agent) = self.agents.get_mut(name) {
             agent.runs.insert((task, number));
-            agent.load.add(&need);
+            agent.occupy(&need, image);
         }
         self.begin(task.job);
     }
@@ -326,18 +328,24 @@
 
     /// Takes a run off its worker's load; tells whether it was there.
     pub(crate) fn release(&mut self, name: &Name, task: TaskId, number: u64) -> bool {
-        let need = self.jobs.get(&task.job).map(|entry| need(&entry.job, task.key));
+        let occupied = self.occupation(task);
         let Some(agent) = self.agents.get_mut(name) else { return false };
         if !agent.runs.remove(&(task, number)) {
             return false;
         }
-        if let Some(need) = need {
-            agent.load.remove(&need);
+        if let Some((need, image)) = occupied {
+            agent.vacate(&need, image);
         }
         self.needs_placing = true;
         true
     }
 
+    /// What a task takes of a worker, and its image.
+    pub(crate) fn occupation(&self, task: TaskId) -> Option<(Need, Option<Name>)> {
+        let entry = self.jobs.get(&task.job)?;
+        Some((need(&entry.job, task.key), entry.job.step(task.key)?.image.clone()))
+    }
+
     pub(crate) fn stray_over(&mut self, name: &Name, run: (TaskId, u64)) {
         if let Some(agent) = self.agents.get_mut(name)
             && agent.strays.remove(&run)
@@ -448,12 +456,36 @@
 }
 
 impl Agent {
+    /// Counts a run against the worker's load.
+    pub(crate) fn occupy(&mut self, need: &Need, image: Option<Name>) {
+        self.load.add(need);
+        if need.is_serving {
+            *self.serving.entry(image.unwrap_or_default()).or_default() += 1;
+        }
+    }
+
+    /// Takes a run off the worker's load.
+    pub(crate) fn vacate(&mut self, need: &Need, image: Option<Name>) {
+        self.load.remove(need);
+        if !need.is_serving {
+            return;
+        }
+        let image = image.unwrap_or_default();
+        if let Some(count) = self.serving.get_mut(&image) {
+            *count -= 1;
+            if *count == 0 {
+                self.serving.remove(&image);
+            }
+        }
+    }
+
     fn new(lease_until: Duration) -> Self {
         Self {
             contact: Contact::Unheard,
             worker: None,
             lease_until,
             load: Load::default(),
+            serving: Map::default(),
             runs: Set::default(),
             strays: Set::default(),
             health: Health::default(),
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -116,6 +116,7 @@
         is_filling: step.filling,
         is_serving: step.lasting,
         is_far: false,
+        disturbed: 0,
     })
 }
 
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -132,17 +132,17 @@
     }
 
     fn reserve(&mut self, task: TaskId, agent: &Name) {
-        let Some(need) = self.jobs.get(&task.job).map(|entry| need(&entry.job, task.key)) else { return };
+        let Some((need, image)) = self.occupation(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
-            agent.load.add(&need);
+            agent.occupy(&need, image);
             agent.runs.insert((task, 0));
         }
     }
 
     fn unreserve(&mut self, task: TaskId, agent: &Name) {
-        let Some(need) = self.jobs.get(&task.job).map(|entry| need(&entry.job, task.key)) else { return };
+        let Some((need, image)) = self.occupation(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
-            agent.load.remove(&need);
+            agent.vacate(&need, image);
             agent.runs.remove(&(task, 0));
         }
     }
@@ -176,7 +176,8 @@
                 && state.runs.iter().all(|run| run.agent != *name)
                 && step.per_worker_max.is_none_or(|max| siblings(agent, task) < max);
             let is_far = step.data_rack.is_some() && step.data_rack != worker.rack;
-            fits.then(|| packing::score(&agent.load, &Need { is_far, ..need })).flatten()
+            let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
+            fits.then(|| packing::score(&agent.load, &Need { is_far, disturbed, ..need })).flatten()
         };
         let best = |is_avoiding: bool| {
             self.agents
@@ -189,6 +190,17 @@
         best(true).or_else(|| if state.avoided.is_empty() { None } else { best(false) })
     }
 
+    /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
+    fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
+        let image = step.image.clone().unwrap_or_default();
+        agent
+            .serving
+            .iter()
+            .filter(|(serving, _)| self.interference.is_disturbing(&image, serving))
+            .map(|(_, count)| *count)
+            .sum()
+    }
+
     /// Orders a run; `starts` is given for members of a gang, which share their number.
     pub(crate) fn start(&mut self, task: TaskId, name: &Name, starts: Option<u64>, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
@@ -201,7 +213,7 @@
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
         state.starts = starts.unwrap_or(state.starts + 1);
         let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.0));
-        agent.load.add(&need);
+        agent.occupy(&need, step.image.clone());
         let run = self.run_number(number);
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod grant;
 pub mod health;
+pub mod interference;
 pub mod job;
 pub mod pace;
 pub mod packing;
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -32,6 +32,8 @@
     pub is_serving: bool,
     /// Its data is on another rack than the worker.
     pub is_far: bool,
+    /// Serving runs on the worker that the task, a filling one, would disturb.
+    pub disturbed: u32,
 }
 
 /// Part of the processors of a worker that filling runs may ask for beyond what is left, in percent of the total.
@@ -40,7 +42,7 @@
 const OVERCOMMIT_PERCENT: u64 = 10;
 /// Part of a serving run's processor time that is taken as used, in percent.
 const SERVING_USE_PERCENT: u64 = 60;
-/// Score of a run beside one of the other sort, in thousandths of a core.
+/// Score of a run that disturbs another one, in thousandths of a core.
 const DISTURBANCE_SCORE: i64 = 8_000;
 /// Score of data on another rack, in thousandths of a core.
 const FAR_SCORE: i64 = 64_000;
@@ -107,7 +109,7 @@
         if left + spare < processor {
             return None;
         }
-        let disturbed = if load.serving > 0 { DISTURBANCE_SCORE } else { 0 };
+        let disturbed = DISTURBANCE_SCORE * i64::from(need.disturbed);
         return Some(far + disturbed - left);
     }
     let free = signed(load.free().processor_millicores);
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -14,6 +14,7 @@
 
 use chervilledge_cell::authority::{LEASE_SLACK, lapse_after};
 use chervilledge_cell::grant::{Grant, Reading, lease_end_ms};
+use chervilledge_cell::interference::Interference;
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::pace::Pacer;
 use chervilledge_cell::worker::{End, Life, RunReport, RunTraits, Worker};
@@ -186,6 +187,10 @@
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
     pacer: Pacer,
+    interference: Interference,
+    /// When the last look was taken in that said something of interference.
+    observed: Duration,
+    effects_due: Duration,
     ask_due: Duration,
     report_due: Duration,
     unlinked_since: Duration,
@@ -237,6 +242,9 @@
             traits: Map::default(),
             paces: Map::default(),
             pacer: Pacer::default(),
+            interference: Interference::default(),
+            observed: Duration::ZERO,
+            effects_due: Duration::ZERO,
             ask_due: Duration::ZERO,
             report_due: Duration::ZERO,
             unlinked_since: now,
@@ -294,6 +302,7 @@
         self.give_up_worker_if_lapsed(now);
         self.repeat_stops(now);
         self.report_progress(now);
+        self.tell_effects(now);
         if self.own.is_none() && self.inventory_due.is_some() && now >= self.empty_at {
             self.send_inventory();
         }
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -76,6 +76,7 @@
             ToAgent::Start { life, order } => self.start(&life, order, now),
             ToAgent::Stop { life, task, run } => self.stop(&life, (task, run), now),
             ToAgent::Settle { life, cursor } => self.settle(&life, cursor, now),
+            ToAgent::Effects(effects) => self.interference.share(effects),
             ToAgent::Describe(runs) => {
                 for (task, run, traits) in runs {
                     self.traits.insert((task, run), traits);
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -1,12 +1,26 @@
 //! Pace of filling runs beside serving ones.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::interference::Serving;
 use chervilledge_cell::pace::Tail;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
 
 use super::{Message, RunId, State};
+use crate::message::FromAgent;
 use crate::worker::Ordered;
 
+/// Time that the worker's figures are taken over; looks that come sooner show the same figures.
+const FIGURE_WINDOW: Duration = Duration::from_millis(440);
+/// Pace of disturbing runs from which the others are slowed down too.
+const DISTRUST_PERCENT: u32 = 10;
+/// Interval at which the placer is told of learnt effects.
+const EFFECTS_INTERVAL: Duration = Duration::from_secs(2);
+/// Thousandths of a core.
+const MILLICORES: f64 = 1_000.0;
+
 /// Pace of a run that was never told one.
 const FULL_PERCENT: u32 = 100;
 /// Stands for a pace that has to be set, whatever it is.
@@ -23,16 +37,29 @@
     pub(super) fn set_paces(&mut self, now: Duration) {
         let Some(own) = &self.own else { return };
         let mut tails = Vec::new();
+        let mut serving = Vec::new();
         let mut filling = Vec::new();
+        let mut cores: Map<Name, f64> = Map::default();
         for report in &own.running {
             let run = (report.task, report.run);
             let Some(traits) = self.traits.get(&run) else { continue };
+            let image = traits.image.clone().unwrap_or_default();
             if let Some(target) = traits.latency_target {
-                tails.push(Tail { measured: Duration::from_millis(report.measured), target });
+                let measured = Duration::from_millis(report.measured);
+                tails.push(Tail { measured, target });
+                if !measured.is_zero() {
+                    let log_ratio = (measured.as_secs_f64() / target.as_secs_f64()).ln();
+                    serving.push(Serving { task: report.task, image, log_ratio });
+                }
             } else if traits.is_filling {
-                filling.push(run);
+                *cores.entry(Arc::clone(&image)).or_default() += whole_to_f64(report.measured) / MILLICORES;
+                filling.push((run, image));
             }
         }
+        if now.saturating_sub(self.observed) >= FIGURE_WINDOW && !serving.is_empty() {
+            self.observed = now;
+            self.interference.observe(&serving, &cores);
+        }
         let former = self.pacer.percent();
         let percent = self.pacer.observe(&tails, now);
         if percent != former {
@@ -40,8 +67,23 @@
             log::info!(event = "pace", percent = percent, former_percent = former, serving = tails.len(),
                 filling = filling.len(), worst_tail:? = worst; "");
         }
-        for run in filling {
-            self.order_pace(run, percent);
+        for (run, image) in filling {
+            let is_disturbing = serving.iter().any(|run| self.interference.is_disturbing(&image, &run.image));
+            // When slowing down the disturbing ones isn't enough, one of the others is taken for what it isn't.
+            let pace = if is_disturbing || percent <= DISTRUST_PERCENT { percent } else { FULL_PERCENT };
+            self.order_pace(run, pace);
+        }
+    }
+
+    /// Tells the placer what was learnt of pairs of images.
+    pub(super) fn tell_effects(&mut self, now: Duration) {
+        if now < self.effects_due || self.link.is_none() {
+            return;
+        }
+        self.effects_due = now + EFFECTS_INTERVAL;
+        let table = self.interference.table();
+        if !table.is_empty() {
+            self.tell(FromAgent::Effects(table));
         }
     }
 
@@ -75,3 +117,7 @@
         }
     }
 }
+
+fn whole_to_f64(number: u64) -> f64 {
+    u32::try_from(number).map_or(f64::from(u32::MAX), f64::from)
+}
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -38,6 +38,8 @@
 const BATCH_GAP: Duration = Duration::from_millis(20);
 /// Pause after a write that didn't take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Interval at which agents are told what the others have learnt.
+const EFFECTS_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval of looks for jobs and agents whose rows may go.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Jobs whose rows go in one transaction.
@@ -173,6 +175,7 @@
     early_cancels: Set<JobId>,
     batch_due: Duration,
     watch_due: Duration,
+    effects_due: Duration,
     expiry_due: Duration,
     is_expiring: bool,
     tasks: Vec<JoinHandle<()>>,
@@ -227,6 +230,7 @@
             early_cancels: Set::default(),
             batch_due: Duration::ZERO,
             watch_due: Duration::ZERO,
+            effects_due: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
             is_expiring: false,
             tasks,
@@ -338,6 +342,10 @@
                 self.cell.watch_runs(now);
             }
         }
+        if now >= self.effects_due {
+            self.effects_due = now + EFFECTS_INTERVAL;
+            self.tell_effects();
+        }
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
             self.expire(now);
@@ -514,6 +522,17 @@
         }
     }
 
+    /// Tells every agent what all have learnt of pairs of images.
+    fn tell_effects(&self) {
+        let effects = self.cell.effects();
+        if effects.is_empty() {
+            return;
+        }
+        for link in self.links.values() {
+            link.sender.post(ToAgent::Effects(effects.clone()));
+        }
+    }
+
     /// Removes the rows of jobs that ended long ago, and of agents that are gone.
     fn expire(&mut self, now: Duration) {
         let mut expired = self.cell.expired(self.context.ended_jobs_kept, now);
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -110,6 +110,7 @@
                 }
             }
             FromAgent::Running(running) => self.cell.reported(&running, now),
+            FromAgent::Effects(effects) => self.cell.learn(agent, effects),
         }
     }
 
