Keep serving images alike on a worker, and move slowed runs away

Cause: with mixed serving images nearly every filling image disturbs one of them; disturbing runs went at 25% of their pace on average (14,545 of 43,174 sightings), the others at full pace. Ruled out: lack of processors (100 to 150 of some 200 unused cores were used). Change: serving runs prefer workers with the same image; disturbing runs are capped for each worker and moved, with their progress, to where they disturb nobody.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -143,6 +143,8 @@
     pub copies: u64,
     /// Runs stopped because they stood still or were slow.
     pub restarts: u64,
+    /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
+    pub moves: u64,
 }
 
 /// An agent and its worker.
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -17,6 +17,9 @@
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Pace below which a run counts as slowed down.
+const SLOWED_PERCENT: u32 = 40;
+
 /// What the placer knows of an agent's whereabouts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Contact {
@@ -253,6 +256,7 @@
                 percent: percent.unwrap_or(0),
                 moved: now,
                 is_stopping: false,
+                slowed: None,
             });
         }
         self.ready.remove(&task);
@@ -311,6 +315,8 @@
                 if run.started.is_none() {
                     run.started = Some(now);
                 }
+                let is_slowed = report.pace_percent < SLOWED_PERCENT;
+                run.slowed = if is_slowed { run.slowed.or(Some(now)) } else { None };
                 if run.percent != report.percent {
                     run.percent = report.percent;
                     run.moved = now;
@@ -364,6 +370,7 @@
         let is_waiting = is_open && is_due && !state.is_done && state.runs.is_empty();
         state.not_before = state.not_before.max(now);
         if is_waiting {
+            state.ready_since = now;
             self.ready.insert(task);
             self.needs_placing = true;
         }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -115,7 +115,7 @@
         }
         if is_open {
             self.mark_dirty(task.job);
-            self.queue_due_tasks(task.job);
+            self.queue_due_tasks(task.job, now);
             self.finish_if_done(task.job, now);
         }
     }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -26,6 +26,8 @@
     pub(crate) moved: Duration,
     /// The run was told to stop.
     pub(crate) is_stopping: bool,
+    /// Since when the run has been slowed down for the sake of others, without a break.
+    pub(crate) slowed: Option<Duration>,
 }
 
 /// A task of a job.
@@ -37,6 +39,8 @@
     pub(crate) starts: u64,
     pub(crate) failures: u32,
     pub(crate) checkpoint: Checkpoint,
+    /// When the task last began to wait for room.
+    pub(crate) ready_since: Duration,
     /// Nothing is started before this time.
     pub(crate) not_before: Duration,
     /// Agents on whose workers the task failed or stood still.
@@ -117,6 +121,7 @@
         is_serving: step.lasting,
         is_far: false,
         disturbed: 0,
+        unlike: 0,
     })
 }
 
@@ -185,19 +190,24 @@
             entry.opened += 1;
             open_occurrence(entry, occurrence);
         }
-        self.queue_due_tasks(id);
+        self.queue_due_tasks(id, now);
         self.finish_if_done(id, now);
     }
 
     /// Puts every task that may start, and has no run, among the waiting ones.
-    pub(crate) fn queue_due_tasks(&mut self, id: JobId) {
-        let Some(entry) = self.jobs.get(&id) else { return };
-        if !entry.is_open() {
-            return;
-        }
-        for (key, task) in &entry.tasks {
-            if !task.is_done && task.runs.is_empty() && entry.is_due(*key) {
-                self.ready.insert(task_id(id, *key));
+    pub(crate) fn queue_due_tasks(&mut self, id: JobId, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.is_open()) else { return };
+        let due: Vec<TaskKey> = entry
+            .tasks
+            .iter()
+            .filter(|(key, task)| !task.is_done && task.runs.is_empty() && entry.is_due(**key))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            if self.ready.insert(task_id(id, key))
+                && let Some(task) = entry.tasks.get_mut(&key)
+            {
+                task.ready_since = now;
             }
         }
         self.needs_placing = true;
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -17,6 +17,12 @@
 /// Waiting tasks that one pass looks at.
 const PASS_MAX: usize = 512;
 
+/// Processor time of disturbing runs on one worker from which no further one is placed there: a few cores are as much
+/// as the pace of such runs leaves them.
+const DISTURBING_MILLICORES_MAX: u64 = 4_000;
+/// Time after which a task is placed where it disturbs.
+const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
+
 /// A task that waits for room.
 struct Waiting {
     rank: Rank,
@@ -168,6 +174,8 @@
         let state = entry.tasks.get(&task.key)?;
         let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
         let need = need(&entry.job, task.key);
+        // A task that has waited for long runs slowly rather than not at all.
+        let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
         let eligible = |name: &Name, agent: &Agent| -> Option<i64> {
             let worker = open_worker(agent, now)?;
             let fits = worker.service == terms.service
@@ -177,7 +185,11 @@
                 && step.per_worker_max.is_none_or(|max| siblings(agent, task) < max);
             let is_far = step.data_rack.is_some() && step.data_rack != worker.rack;
             let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
-            fits.then(|| packing::score(&agent.load, &Need { is_far, disturbed, ..need })).flatten()
+            if disturbed > 0 && !is_patient && self.disturbing_millicores(agent) >= DISTURBING_MILLICORES_MAX {
+                return None;
+            }
+            let unlike = if step.lasting { unlike(agent, step) } else { 0 };
+            fits.then(|| packing::score(&agent.load, &Need { is_far, disturbed, unlike, ..need })).flatten()
         };
         let best = |is_avoiding: bool| {
             self.agents
@@ -190,6 +202,12 @@
         best(true).or_else(|| if state.avoided.is_empty() { None } else { best(false) })
     }
 
+    /// Whether a worker has room for a filling task where it disturbs nobody.
+    pub(crate) fn has_calm_room(&self, task: TaskId, now: Duration) -> bool {
+        let Some(agent) = self.choose(task, None, now).and_then(|name| self.agents.get(&name)) else { return false };
+        self.step_of(task).is_some_and(|step| self.disturbed(agent, step) == 0)
+    }
+
     /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
     fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
         let image = step.image.clone().unwrap_or_default();
@@ -201,6 +219,17 @@
             .sum()
     }
 
+    /// Processor time that runs on a worker ask for which disturb serving runs there.
+    fn disturbing_millicores(&self, agent: &Agent) -> u64 {
+        agent
+            .runs
+            .iter()
+            .filter_map(|(task, _)| self.step_of(*task))
+            .filter(|step| step.filling && self.disturbed(agent, step) > 0)
+            .map(|step| step.resources.processor_millicores)
+            .sum()
+    }
+
     /// Orders a run; `starts` is given for members of a gang, which share their number.
     pub(crate) fn start(&mut self, task: TaskId, name: &Name, starts: Option<u64>, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
@@ -227,6 +256,7 @@
                 percent: 0,
                 moved: now,
                 is_stopping: false,
+                slowed: None,
             });
         }
         self.ready.remove(&task);
@@ -248,6 +278,12 @@
     agent.worker.as_ref().filter(|worker| is_open && worker.leaves_in.is_none())
 }
 
+/// Serving runs on a worker of another image than the step's.
+fn unlike(agent: &Agent, step: &Step) -> u32 {
+    let image = step.image.clone().unwrap_or_default();
+    agent.serving.iter().filter(|(serving, _)| **serving != image).map(|(_, count)| *count).sum()
+}
+
 /// Runs of the same step and occurrence on an agent's worker.
 fn siblings(agent: &Agent, task: TaskId) -> u32 {
     let is_sibling = |other: &TaskId| {
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -20,6 +20,12 @@
 const STILL_MIN: Duration = Duration::from_millis(1_800);
 /// Part of the expected duration without progress after which a run counts as standing still.
 const STILL_FACTOR: f64 = 0.6;
+/// Time for which a run is slowed down before it is moved.
+const SLOWED_MIN: Duration = Duration::from_millis(1_200);
+/// Progress from which a run is left to end where it is, in percent.
+const MOVE_PERCENT_MAX: u32 = 85;
+/// Runs that are moved at one time.
+const MOVES_MAX: usize = 3;
 /// Restarts of one task for lack of progress, after which it is left where it is.
 const RESTARTS_MAX: usize = 3;
 
@@ -43,6 +49,7 @@
                 }
             }
         }
+        self.move_slowed(now);
         for task in copies {
             self.copy(task, now);
         }
@@ -51,6 +58,29 @@
         }
     }
 
+    /// Moves runs that were slowed down for long to workers where they disturb nobody; their progress is saved.
+    fn move_slowed(&mut self, now: Duration) {
+        let mut slowed: Vec<(Duration, TaskId, u64)> = Vec::new();
+        for entry in self.jobs.values().filter(|entry| entry.is_open()) {
+            for (key, state) in entry.tasks.iter().filter(|(_, state)| state.runs.len() == 1) {
+                let run = &state.runs[0];
+                let is_saved = entry.job.step(*key).is_some_and(|step| step.checkpointing);
+                if let Some(since) = run.slowed.filter(|_| is_saved && !run.is_stopping && run.percent < MOVE_PERCENT_MAX)
+                    && now.saturating_sub(since) >= SLOWED_MIN
+                {
+                    slowed.push((since, TaskId { job: entry.job.id, key: *key }, run.number));
+                }
+            }
+        }
+        slowed.sort_unstable();
+        for (_, task, number) in slowed.into_iter().take(MOVES_MAX) {
+            if self.has_calm_room(task, now) {
+                self.counters.moves += 1;
+                self.stop_runs(task, "slowed_down", |run| run.number == number);
+            }
+        }
+    }
+
     fn copy(&mut self, task: TaskId, now: Duration) {
         // Copies only use what nobody waits for.
         if !self.ready.is_empty() {
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -34,6 +34,8 @@
     pub is_far: bool,
     /// Serving runs on the worker that the task, a filling one, would disturb.
     pub disturbed: u32,
+    /// Serving runs on the worker of another image than the task, a serving one.
+    pub unlike: u32,
 }
 
 /// Part of the processors of a worker that filling runs may ask for beyond what is left, in percent of the total.
@@ -44,6 +46,8 @@
 const SERVING_USE_PERCENT: u64 = 60;
 /// Score of a run that disturbs another one, in thousandths of a core.
 const DISTURBANCE_SCORE: i64 = 8_000;
+/// Score of a serving run of another image, in thousandths of a core.
+const UNLIKE_SCORE: i64 = 12_000;
 /// Score of data on another rack, in thousandths of a core.
 const FAR_SCORE: i64 = 64_000;
 
@@ -114,8 +118,9 @@
     }
     let free = signed(load.free().processor_millicores);
     if need.is_serving {
+        // Workers whose serving runs are alike each have filling images that disturb none of them.
         let disturbing = signed(load.filling_millicores);
-        return Some(far + disturbing + free);
+        return Some(far + disturbing + free + UNLIKE_SCORE * i64::from(need.unlike));
     }
     // A short task takes processor time from filling ones.
     let pressed = if load.filling_left_millicores() < processor { DISTURBANCE_SCORE } else { 0 };
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -61,6 +61,8 @@
     pub percent: u32,
     /// Tail latency in milliseconds of a serving task, else the processor time in use in thousandths of a core.
     pub measured: u64,
+    /// Pace that the run was told, in percent; the worker doesn't say, its agent does.
+    pub pace_percent: u32,
 }
 
 /// How a run ended.
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -141,7 +141,7 @@
     ends: Vec<End>,
     running: Vec<RunReport>,
     /// Progress as the placer knows it.
-    reported: Map<RunId, (u32, Name)>,
+    reported: Map<RunId, (u32, u32, Name)>,
     /// Looks without an answer in a row.
     failures: u32,
     /// Refused connections in a row.
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use chervilledge_cell::grant::Reading;
-use chervilledge_cell::worker::Life;
+use chervilledge_cell::worker::{Life, RunReport};
 
+use super::paces::FULL_PERCENT;
 use super::{Message, State};
 use crate::message::FromAgent;
 use crate::worker::{Ask, Look, LookError};
@@ -126,10 +127,11 @@
         let mut changed = Vec::new();
         for report in &own.running {
             let run = (report.task, report.run);
-            let known = own.reported.get(&run);
-            if known.is_none_or(|(percent, saved)| *percent != report.percent || *saved != report.checkpoint) {
-                own.reported.insert(run, (report.percent, report.checkpoint.clone()));
-                changed.push(report.clone());
+            let pace = self.paces.get(&run).copied().unwrap_or(FULL_PERCENT).min(FULL_PERCENT);
+            let state = (report.percent, pace, report.checkpoint.clone());
+            if own.reported.get(&run) != Some(&state) {
+                own.reported.insert(run, state);
+                changed.push(RunReport { pace_percent: pace, ..report.clone() });
             }
         }
         let running = &own.running;
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -22,7 +22,7 @@
 const MILLICORES: f64 = 1_000.0;
 
 /// Pace of a run that was never told one.
-const FULL_PERCENT: u32 = 100;
+pub(super) const FULL_PERCENT: u32 = 100;
 /// Stands for a pace that has to be set, whatever it is.
 pub(super) const UNKNOWN_PERCENT: u32 = u32::MAX;
 
