Spread jobs over partitions and shorten the wait after a takeover

Change: jobs lie in 16 partitions; an agent's row exists only while it has a worker, and goes once its leases have lapsed; a new placer asks the former one whether it still acts, and places at once what that can't know.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -186,6 +186,8 @@
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
     unresolved: Set<Name>,
+    /// The former placer doesn't act any more; what is submitted from then on can't run anywhere.
+    is_predecessor_over: bool,
     actions: VecDeque<Action>,
     notes: Vec<Note>,
     writes: Writes,
@@ -213,6 +215,7 @@
             ready: BTreeSet::new(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
+            is_predecessor_over: term == 1,
             actions: VecDeque::new(),
             notes: Vec::new(),
             writes: Writes::default(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -54,13 +54,29 @@
         if self.agents.contains_key(name) {
             return;
         }
-        let lease_until = if is_of_predecessor { now + authority::takeover_wait(self.lease) } else { now };
+        let lease_until = match (is_of_predecessor, self.is_predecessor_over) {
+            (false, _) => now,
+            (true, true) => now + authority::lapse_after(self.lease),
+            (true, false) => now + authority::takeover_wait(self.lease),
+        };
         if is_of_predecessor {
             self.unresolved.insert(Arc::clone(name));
         }
         self.agents.insert(Arc::clone(name), Agent::new(lease_until));
     }
 
+    /// Takes note that the former placer gives no more grants.
+    pub fn predecessor_over(&mut self, now: Duration) {
+        self.is_predecessor_over = true;
+        let lapsed = now + authority::lapse_after(self.lease);
+        for name in &self.unresolved {
+            if let Some(agent) = self.agents.get_mut(name) {
+                agent.lease_until = agent.lease_until.min(lapsed);
+            }
+        }
+        self.needs_placing = true;
+    }
+
     /// Grants the agent a lease; tells its length, which is 0 while what runs there isn't known.
     ///
     /// Call when the grant is sent.
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -67,7 +67,8 @@
     pub(crate) progress: Progress,
     /// Revision of the row of progress; 0 when there is none.
     pub(crate) revision: u64,
-    pub(crate) is_dirty: bool,
+    /// No former placer can have started a task of the job.
+    pub(crate) is_fresh: bool,
     /// How the job ends; shown once it is durable.
     pub(crate) outcome: Option<Outcome>,
     pub(crate) shown: Option<Outcome>,
@@ -130,6 +131,23 @@
     ///
     /// A job that is known already is left as it is.
     pub fn load(&mut self, job: Job, progress: Progress, revision: u64, age: Duration, now: Duration) {
+        self.insert(job, progress, revision, age, false, now);
+    }
+
+    /// Takes in a job that was submitted just now.
+    pub fn submit(&mut self, job: Job, now: Duration) {
+        self.insert(job, Progress::default(), 0, Duration::ZERO, self.is_predecessor_over, now);
+    }
+
+    fn insert(
+        &mut self,
+        job: Job,
+        progress: Progress,
+        revision: u64,
+        age: Duration,
+        is_fresh: bool,
+        now: Duration,
+    ) {
         if self.jobs.contains_key(&job.id) {
             return;
         }
@@ -144,7 +162,7 @@
             left: Map::default(),
             progress,
             revision,
-            is_dirty: false,
+            is_fresh,
             outcome,
             shown: outcome,
             has_begun,
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -32,9 +32,9 @@
 impl Cell {
     /// Places what has room.
     ///
-    /// Nothing is placed while runs of a predecessor may go on where they can't be seen.
+    /// While runs of a predecessor may go on where they can't be seen, only jobs that it can't know are placed.
     pub fn place(&mut self, now: Duration) {
-        if !self.unresolved.is_empty() || self.configuration.is_none() {
+        if self.configuration.is_none() {
             return;
         }
         self.needs_placing = false;
@@ -70,7 +70,8 @@
         let mut ranks: Map<(JobId, u32), Rank> = Map::default();
         let mut waiting = Vec::with_capacity(self.ready.len());
         for task in &self.ready {
-            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let is_open = |entry: &&JobEntry| self.unresolved.is_empty() || entry.is_fresh;
+            let Some(entry) = self.jobs.get(&task.job).filter(is_open) else { continue };
             let state = entry.tasks.get(&task.key);
             if state.is_none_or(|state| state.not_before > now) {
                 continue;
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -38,6 +38,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time without a placer's link after which the agent announces itself again.
 const ANNOUNCE_AFTER: Duration = Duration::from_secs(3);
+/// Attempts at an announcement; the next one follows anyway while no placer calls.
+const ANNOUNCE_ATTEMPTS: u32 = 8;
 /// Pause after an announcement that wasn't written.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 
@@ -308,25 +310,29 @@
         }
     }
 
-    /// Writes where the agent takes links, when no placer has called for some time.
+    /// Writes where the agent takes links, when it has a worker and no placer has called for some time.
     fn announce_if_due(&mut self, now: Duration) {
-        if now < self.announce_due || self.link.is_some() {
+        if now < self.announce_due || self.link.is_some() || self.own.is_none() {
             return;
         }
         self.announce_due = now + ANNOUNCE_AFTER;
         let content = Process { address: self.context.settings.links_address };
+        self.write_row(Some(rows::encode(&content)));
+    }
+
+    /// Writes or removes the agent's row.
+    fn write_row(&self, value: Option<Vec<u8>>) {
         let key = Arc::from(format!("{AGENT_PREFIX}{}", self.context.settings.name));
-        let change = Change { table: Table::Cell, key, value: Some(rows::encode(&content)) };
+        let change = Change { table: Table::Cell, key, value };
         let store = Arc::clone(&self.context.store);
         tokio::spawn(async move {
-            for _ in 0..8 {
+            for _ in 0..ANNOUNCE_ATTEMPTS {
                 let transaction = Transaction { conditions: Vec::new(), changes: vec![change.clone()] };
                 let outcome = (store.commit)(transaction).await;
+                log::info!(event = "agent_row", is_present = change.value.is_some(), outcome:? = outcome; "");
                 if matches!(outcome, Outcome::Done(_)) {
-                    log::info!(event = "agent_announced"; "");
                     return;
                 }
-                log::warn!(event = "agent_not_announced", outcome:? = outcome; "");
                 tokio::time::sleep(ANNOUNCE_RETRY).await;
             }
         });
@@ -386,6 +392,8 @@
     fn leave(&mut self, name: &Name, now: Duration) {
         if self.own.as_ref().is_some_and(|own| own.worker.life.worker == *name) {
             self.worker_over("left", now);
+            // Nobody has to wait for an agent whose worker has left.
+            self.write_row(None);
         }
     }
 
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -121,7 +121,7 @@
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configured, configuration) = watch::channel(None);
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
-    let submitter = submit::spawn(Arc::clone(&store), clock.clone());
+    let submitter = submit::spawn(&store, &clock);
     let inner = Inner {
         settings,
         clock,
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -57,6 +57,7 @@
         term,
         revision,
         claimed,
+        former: roster.placer.as_ref().map(|(placer, _)| placer.clone()),
         lease: inner.settings.lease(),
         ended_jobs_kept: inner.settings.ended_jobs_kept,
     };
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -8,6 +8,7 @@
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
+use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
@@ -59,6 +60,37 @@
     Some(Arc::new(Link { sender, questions, next: AtomicU64::new(1), pending, ended, tasks: [reader, beats] }))
 }
 
+/// What an entry says of its role.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asked {
+    /// Nothing listens at the address.
+    NotThere,
+    /// The term under which it places, if it does.
+    Term(Option<u64>),
+    /// No answer in time.
+    Unknown,
+}
+
+/// Asks an entry under which term it places.
+pub async fn ask_term(address: SocketAddr) -> Asked {
+    // Told apart from other failures first, since a link's error doesn't say.
+    match tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => return Asked::NotThere,
+        Ok(Ok(_)) => {}
+        Ok(Err(_)) | Err(_) => return Asked::Unknown,
+    }
+    let opened = tokio::time::timeout(OPEN_TIMEOUT, connection::connect::<ToEntry>(address, NO_SECRET)).await;
+    let Ok(Ok((sender, mut receiver))) = opened else { return Asked::Unknown };
+    sender.post(ToEntry::Beat);
+    loop {
+        match receiver.receive::<FromEntry>(OPEN_TIMEOUT).await {
+            Ok(FromEntry::Beat { term }) => return Asked::Term(term),
+            Ok(_) => {}
+            Err(_) => return Asked::Unknown,
+        }
+    }
+}
+
 impl Link {
     /// Asks a question and waits for its answer at most for `timeout`.
     pub async fn ask(&self, timeout: Duration, question: impl FnOnce(u64) -> ToEntry) -> Option<FromEntry> {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -1,5 +1,6 @@
 //! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
 
+mod expiry;
 mod feed;
 mod links;
 
@@ -41,11 +42,11 @@
 /// Interval at which agents are told what the others have learnt.
 const EFFECTS_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval of looks for jobs and agents whose rows may go.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Jobs whose rows go in one transaction.
 const EXPIRY_MAX: usize = 20;
-/// Time after which the row of an agent goes that can't be reached.
-const AGENT_KEPT: Duration = Duration::from_secs(25);
+/// Time after which the row of an agent goes that can't be reached; its leases have ended before that.
+const AGENT_KEPT: Duration = Duration::from_secs(6);
 
 /// What a placer works with.
 #[derive(Clone, Debug)]
@@ -66,6 +67,8 @@
     pub revision: u64,
     /// When the claim was made.
     pub claimed: Duration,
+    /// Row of the former placer; `None` when there was none.
+    pub former: Option<rows::Placer>,
     /// Longest lease that is granted.
     pub lease: Duration,
     /// Time for which ended jobs are kept.
@@ -98,6 +101,8 @@
     Roster,
     /// A configuration is in force.
     Configured,
+    /// The former placer doesn't act any more, for certain.
+    PredecessorOver(&'static str),
     /// A link to an agent is open.
     Linked {
         /// Agent.
@@ -215,6 +220,7 @@
             tokio::spawn(tick(myself.clone())),
             tokio::spawn(feed::confirm(context.clone(), myself.clone())),
             tokio::spawn(feed::follow_jobs(context.clone(), myself.clone())),
+            tokio::spawn(feed::ask_predecessor(context.clone(), myself.clone())),
             tokio::spawn(follow(context.roster.clone(), myself.clone(), || Message::Roster)),
             tokio::spawn(follow(context.configuration.clone(), myself.clone(), || Message::Configured)),
         ];
@@ -298,6 +304,10 @@
             Message::Canceled(id) => self.cancel(id, now),
             Message::Roster => self.take_roster(),
             Message::Configured => self.take_configuration(),
+            Message::PredecessorOver(by) => {
+                log::info!(event = "predecessor_over", by = by, agents_unheard = self.cell.unresolved(); "");
+                self.cell.predecessor_over(now);
+            }
             Message::Linked { agent, link, sender } => self.linked(agent, link, sender),
             Message::Unlinked { agent, link } => self.unlinked(&agent, link),
             Message::FromAgent { agent, link, message } => {
@@ -434,7 +444,7 @@
         if !self.is_loaded || self.cell.knows(id) {
             return;
         }
-        self.cell.load(job, Progress::default(), 0, Duration::ZERO, now);
+        self.cell.submit(job, now);
         if self.early_cancels.remove(&id) {
             self.cell.cancel(id, now);
         }
@@ -541,25 +551,15 @@
         if expired.is_empty() && gone.is_empty() {
             return;
         }
-        let removal = |table, key| Change { table, key, value: None };
-        let mut changes: Vec<Change> = expired
-            .iter()
-            .flat_map(|(id, _)| {
-                [
-                    removal(Table::Jobs, rows::job_key(*id)),
-                    removal(Table::Jobs, rows::cancel_key(*id)),
-                    removal(Table::Progress, rows::job_key(*id)),
-                ]
-            })
-            .collect();
-        changes.extend(gone.iter().map(|name| removal(Table::Cell, Arc::from(format!("{AGENT_PREFIX}{name}")))));
-        let answer = (self.context.store.commit)(Transaction { conditions: vec![self.is_placer()], changes });
+        let placer = self.is_placer();
+        let store = Arc::clone(&self.context.store);
         let myself = self.myself.clone();
         self.is_expiring = true;
         tokio::spawn(async move {
-            let is_done = matches!(answer.await, Outcome::Done(_));
-            let jobs = if is_done { expired.into_iter().map(|(id, _)| id).collect() } else { Vec::new() };
-            drop(myself.cast(Message::Expired(jobs)));
+            let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
+            let removed = expiry::remove(&store, placer, &jobs, &gone).await;
+            // The placer may have ended meanwhile.
+            drop(myself.cast(Message::Expired(removed)));
         });
     }
 
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -7,11 +7,14 @@
 
 use super::{Context, Message, beat_change};
 use crate::candidate::BEAT_INTERVAL;
+use crate::peer::{self, Asked};
 use crate::rows::PLACER;
 use crate::store::{self, Condition, Outcome, ReadError, Table, Transaction};
 
 /// Pause after a confirmation that failed.
 const CONFIRM_RETRY: Duration = Duration::from_millis(250);
+/// Pause before the former placer is asked again.
+const PREDECESSOR_RETRY: Duration = Duration::from_millis(200);
 /// Time that the store may hold the answer of the feed back.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a read that failed.
@@ -49,6 +52,27 @@
     }
 }
 
+/// Finds out whether the former placer still acts.
+///
+/// It doesn't when it gave the cell up, when it was an earlier start of this process, when nothing listens at its
+/// address, or when it says that it doesn't place.
+pub(super) async fn ask_predecessor(context: Context, placer: ActorRef<Message>) {
+    let by = match &context.former {
+        None => "none",
+        Some(former) if former.holder.is_none() => "given_up",
+        Some(former) if former.holder.as_ref() == Some(&context.name) => "same_process",
+        Some(former) => loop {
+            match peer::ask_term(former.address).await {
+                Asked::NotThere => break "not_there",
+                Asked::Term(term) if term != Some(former.term) => break "says_so",
+                Asked::Term(_) | Asked::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
+            }
+        },
+    };
+    // The placer may have ended meanwhile.
+    drop(placer.cast(Message::PredecessorOver(by)));
+}
+
 /// Reads all jobs and their progress, then follows the jobs.
 pub(super) async fn follow_jobs(context: Context, placer: ActorRef<Message>) {
     let mut is_loaded = false;
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 
 use chervilledge_cell::configuration::Configuration;
+use chervilledge_cell::job::JobId;
 use chervilledge_policy::id::Name;
+use futures_util::future::try_join_all;
+
+use crate::rows;
 
 /// Future of a call.
 pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -34,6 +38,39 @@
     }
 }
 
+/// Partitions of the table of jobs: a partition carries one transaction after another, and in a slow hour a few a second.
+const JOB_PARTITIONS: u64 = 16;
+
+/// Partition of a table. A transaction holds rows of one partition only.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Partition(pub u8);
+
+impl Table {
+    /// Partition of a row: jobs are spread by their identifier, everything of the placer lies together.
+    #[must_use]
+    pub fn partition(self, key: &str) -> Partition {
+        match (self, rows::parse_job_key(key)) {
+            (Self::Jobs, Some(rows::JobKey::Job(id) | rows::JobKey::Cancel(id))) => job_partition(id),
+            _ => Partition(0),
+        }
+    }
+
+    /// Every partition of the table.
+    pub fn partitions(self) -> impl Iterator<Item = Partition> {
+        let count = match self {
+            Self::Jobs => JOB_PARTITIONS,
+            Self::Cell | Self::Progress => 1,
+        };
+        (0..count).map(|number| Partition(u8::try_from(number).unwrap_or(0)))
+    }
+}
+
+/// Partition of a job's rows.
+#[must_use]
+pub fn job_partition(id: JobId) -> Partition {
+    Partition(u8::try_from(id.0 % JOB_PARTITIONS).unwrap_or(0))
+}
+
 /// A stored row.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -127,8 +164,8 @@
 pub struct Store {
     /// Commits a transaction in one attempt.
     pub commit: Box<dyn Fn(Transaction) -> Answer<Outcome> + Send + Sync>,
-    /// Reads the rows of a table from a key on.
-    pub read: Box<dyn Fn(Table, Name) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
+    /// Reads the rows of a partition of a table from a key on.
+    pub read: Box<dyn Fn(Table, Partition, Name) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
     /// Reads one row.
     pub read_one: Box<dyn Fn(Table, Name) -> Answer<Result<Option<Row>, ReadError>> + Send + Sync>,
     /// Waits for changes of a table after a revision, at most for some time.
@@ -148,16 +185,23 @@
 /// Handle on the store.
 pub type Handle = Arc<Store>;
 
-/// Reads a whole table, in as many calls as it takes; the revision is that of the first call.
+/// Reads a whole table; the revision is that of the oldest call.
 ///
 /// # Errors
 ///
 /// The first error.
 pub async fn read_all(store: &Store, table: Table) -> Result<Rows, ReadError> {
+    let parts = try_join_all(table.partitions().map(|partition| read_partition(store, table, partition))).await?;
+    let revision = parts.iter().map(|part| part.revision).min().unwrap_or(0);
+    let rows = parts.into_iter().flat_map(|part| part.rows).collect();
+    Ok(Rows { rows, revision, has_more: false })
+}
+
+async fn read_partition(store: &Store, table: Table, partition: Partition) -> Result<Rows, ReadError> {
     let mut all = Rows::default();
     let mut from: Name = Arc::from("");
     loop {
-        let page = (store.read)(table, Arc::clone(&from)).await?;
+        let page = (store.read)(table, partition, Arc::clone(&from)).await?;
         if all.revision == 0 {
             all.revision = page.revision;
         }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -8,11 +8,12 @@
 
 use chervilledge_cell::job::{Job, JobId};
 use chervilledge_policy::clock::Clock;
+use chervilledge_policy::collections::Map;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::message::Stored;
 use crate::rows;
-use crate::store::{Change, Condition, Handle, Outcome, Table, Transaction};
+use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
 
 /// Rows in one transaction; below the store's bound on conditions and changes together.
 const GROUP_MAX: usize = 45;
@@ -38,35 +39,39 @@
     answer: oneshot::Sender<Stored>,
 }
 
-/// Handle on the running writer.
+/// Handle on the running writers, one for each partition.
 #[derive(Clone, Debug)]
 pub struct Submitter {
-    requests: mpsc::Sender<Request>,
+    writers: Arc<Map<Partition, mpsc::Sender<Request>>>,
 }
 
-/// Starts the writer.
+/// Starts the writers.
 #[must_use]
-pub fn spawn(store: Handle, clock: Clock) -> Submitter {
-    let (requests, queue) = mpsc::channel(QUEUE_MAX);
-    tokio::spawn(write_all(store, clock, queue));
-    Submitter { requests }
+pub fn spawn(store: &Handle, clock: &Clock) -> Submitter {
+    let writer = |partition| {
+        let (requests, queue) = mpsc::channel(QUEUE_MAX);
+        tokio::spawn(write_all(Arc::clone(store), clock.clone(), queue));
+        (partition, requests)
+    };
+    Submitter { writers: Arc::new(Table::Jobs.partitions().map(writer).collect()) }
 }
 
 impl Submitter {
     /// Stores a job unless it is stored already.
     pub async fn store_job(&self, job: Job, deadline: Duration) -> Stored {
-        self.ask(Content::Job(Box::new(job)), deadline).await
+        self.ask(job.id, Content::Job(Box::new(job)), deadline).await
     }
 
     /// Stores the cancellation of a job.
     pub async fn store_cancel(&self, id: JobId, deadline: Duration) -> Stored {
-        self.ask(Content::Cancel(id), deadline).await
+        self.ask(id, Content::Cancel(id), deadline).await
     }
 
-    async fn ask(&self, content: Content, deadline: Duration) -> Stored {
+    async fn ask(&self, id: JobId, content: Content, deadline: Duration) -> Stored {
+        let Some(requests) = self.writers.get(&job_partition(id)) else { return Stored::Refused };
         let (answer, stored) = oneshot::channel();
         let request = Request { content, deadline, is_unknown: false, answer };
-        if self.requests.try_send(request).is_err() {
+        if requests.try_send(request).is_err() {
             return Stored::Refused;
         }
         stored.await.unwrap_or(Stored::Unknown)
