Settle an end only when its own version is durable, and count a failed run once

MIXED: a new placer told 0 waiting jobs before it had read them. Ruled out: two placers acting at once (the former one was deposed before the second start). Change: ends wait for the version of their job; failed runs are kept by number; counts are told once jobs are read; a job is placed before all agents are heard only if its row is younger than the end of the former placer.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -93,7 +93,7 @@
         /// How it ended.
         how: &'static str,
         /// Failed runs of the task so far.
-        failures: u32,
+        failures: usize,
     },
     /// A job has ended.
     JobEnded {
@@ -186,8 +186,10 @@
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
     unresolved: Set<Name>,
-    /// The former placer doesn't act any more; what is submitted from then on can't run anywhere.
+    /// The former placer doesn't act any more.
     is_predecessor_over: bool,
+    /// What was stored after this revision can't have been started by a former placer.
+    fresh_from: Option<u64>,
     actions: VecDeque<Action>,
     notes: Vec<Note>,
     writes: Writes,
@@ -216,6 +218,7 @@
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
             is_predecessor_over: term == 1,
+            fresh_from: (term == 1).then_some(0),
             actions: VecDeque::new(),
             notes: Vec::new(),
             writes: Writes::default(),
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -1,5 +1,6 @@
 //! Ends of runs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,7 +35,7 @@
             agent.ends_seen = end.number;
             let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
             self.take_end(name, &end, now);
-            self.writes.ended(Arc::clone(name), life, end.number);
+            self.writes.ended(Arc::clone(name), life, end.number, end.task.job);
         }
     }
 
@@ -48,7 +49,7 @@
         }
         match end.kind {
             EndKind::Done => self.task_done(end.task, took, now),
-            EndKind::Failed => self.task_failed(name, end.task, was_known, now),
+            EndKind::Failed => self.task_failed(name, end.task, end.run, was_known, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
                 self.keep_checkpoint(end);
             }
@@ -76,7 +77,7 @@
             EndKind::Broken => "broken",
             EndKind::Alone => "alone",
         };
-        let failures = self.task_mut(end.task).map_or(0, |task| task.failures);
+        let failures = self.task_mut(end.task).map_or(0, |task| task.failed_runs.len());
         self.notes.push(Note::Ended { task: end.task, run: end.run, agent: Arc::clone(name), how, failures });
     }
 
@@ -137,14 +138,16 @@
         self.stop_runs(task, "done_elsewhere", |_| true);
     }
 
-    fn task_failed(&mut self, name: &Name, task: TaskId, was_known: bool, now: Duration) {
+    fn task_failed(&mut self, name: &Name, task: TaskId, run: u64, was_known: bool, now: Duration) {
         self.counters.failed += 1;
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|entry| entry.is_open()) else { return };
         let Some(step) = entry.job.step(task.key) else { return };
         let (is_lasting, is_gang) = (step.lasting, step.gang);
         let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.is_done) else { return };
-        state.failures += 1;
-        let failures = state.failures;
+        if !state.failed_runs.insert(run) {
+            return;
+        }
+        let failures = state.failed_runs.len();
         state.not_before = now + RETRY_FIRST.saturating_mul(1 << failures.min(6)).min(RETRY_MAX);
         if was_known && !state.avoided.contains(name) {
             state.avoided.push(Arc::clone(name));
@@ -152,24 +155,24 @@
         if is_lasting {
             return;
         }
+        let failed_runs = state.failed_runs.clone();
+        entry.progress.failures.insert(task.key, failed_runs);
         let failures = if is_gang { self.gang_failures(task) } else { failures };
-        if let Some(entry) = self.jobs.get_mut(&task.job) {
-            entry.progress.failures.insert(task.key, failures);
-        }
         self.mark_dirty(task.job);
         let terms = self.jobs.get(&task.job).map(|entry| self.queue_terms(entry));
-        if terms.is_some_and(|terms| failures >= terms.attempts_max.max(1)) {
+        if terms.is_some_and(|terms| failures >= terms.attempts_max.max(1) as usize) {
             self.end_job(task.job, Outcome::Failed, Some(task), now);
         }
     }
 
-    /// Failed runs of a gang: those of all members together, since a run of one is a run of all.
-    fn gang_failures(&self, task: TaskId) -> u32 {
+    /// Failed runs of a gang; its members share their numbers.
+    fn gang_failures(&self, task: TaskId) -> usize {
         let Some(entry) = self.jobs.get(&task.job) else { return 0 };
-        tasks_of_step(entry, task.key.occurrence, task.key.step)
+        let failed: BTreeSet<u64> = tasks_of_step(entry, task.key.occurrence, task.key.step)
             .iter()
             .filter_map(|member| entry.tasks.get(&member.key))
-            .map(|state| state.failures)
-            .sum()
+            .flat_map(|state| state.failed_runs.iter().copied())
+            .collect();
+        failed.len()
     }
 }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs and the stages of their tasks.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,7 +38,8 @@
     pub(crate) runs: Vec<Run>,
     /// Starts under this term.
     pub(crate) starts: u64,
-    pub(crate) failures: u32,
+    /// Numbers of runs that failed.
+    pub(crate) failed_runs: BTreeSet<u64>,
     pub(crate) checkpoint: Checkpoint,
     /// When the task last began to wait for room.
     pub(crate) ready_since: Duration,
@@ -134,20 +136,33 @@
         self.insert(job, progress, revision, age, false, now);
     }
 
-    /// Takes in a job that was submitted just now.
-    pub fn submit(&mut self, job: Job, now: Duration) {
-        self.insert(job, Progress::default(), 0, Duration::ZERO, self.is_predecessor_over, now);
+    /// Takes in a job that was submitted just now; `revision` is that of its row, once it is known.
+    pub fn submit(&mut self, job: Job, revision: Option<u64>, now: Duration) {
+        let is_fresh = self.is_fresh(revision);
+        self.insert(job, Progress::default(), 0, Duration::ZERO, is_fresh, now);
     }
 
-    fn insert(
-        &mut self,
-        job: Job,
-        progress: Progress,
-        revision: u64,
-        age: Duration,
-        is_fresh: bool,
-        now: Duration,
-    ) {
+    /// Takes note of the revision of a job's row.
+    pub fn row_seen(&mut self, id: JobId, revision: u64) {
+        if self.is_fresh(Some(revision))
+            && let Some(entry) = self.jobs.get_mut(&id)
+            && !entry.is_fresh
+        {
+            entry.is_fresh = true;
+            self.needs_placing = true;
+        }
+    }
+
+    /// Takes note that a former placer was over when the store had this revision.
+    pub fn fresh_from(&mut self, revision: u64) {
+        self.fresh_from = Some(self.fresh_from.map_or(revision, |known| known.min(revision)));
+    }
+
+    fn is_fresh(&self, revision: Option<u64>) -> bool {
+        self.fresh_from.is_some_and(|from| from == 0 || revision.is_some_and(|revision| revision > from))
+    }
+
+    fn insert(&mut self, job: Job, progress: Progress, revision: u64, age: Duration, is_fresh: bool, now: Duration) {
         if self.jobs.contains_key(&job.id) {
             return;
         }
@@ -314,6 +329,8 @@
         {
             self.one_pending_less(&entry.job.queue);
         }
+
+        self.writes.forget(id);
         self.ready.retain(|task| task.job != id);
     }
 
@@ -332,7 +349,7 @@
             let key = TaskKey { occurrence, step: position, index };
             let mut task = Task {
                 is_done: entry.progress.done.contains(&key),
-                failures: entry.progress.failures.get(&key).copied().unwrap_or(0),
+                failed_runs: entry.progress.failures.get(&key).cloned().unwrap_or_default(),
                 ..Task::default()
             };
             if let Some(checkpoint) = entry.progress.checkpoints.get(&key) {
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -65,7 +65,8 @@
             for (key, state) in entry.tasks.iter().filter(|(_, state)| state.runs.len() == 1) {
                 let run = &state.runs[0];
                 let is_saved = entry.job.step(*key).is_some_and(|step| step.checkpointing);
-                if let Some(since) = run.slowed.filter(|_| is_saved && !run.is_stopping && run.percent < MOVE_PERCENT_MAX)
+                if let Some(since) =
+                    run.slowed.filter(|_| is_saved && !run.is_stopping && run.percent < MOVE_PERCENT_MAX)
                     && now.saturating_sub(since) >= SLOWED_MIN
                 {
                     slowed.push((since, TaskId { job: entry.job.id, key: *key }, run.number));
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -1,9 +1,12 @@
 //! What must become durable, and what may follow once it is.
+//!
+//! Each change of a job's progress gives it a new version. An end may be settled when the version that holds it is
+//! durable, and every earlier end of the same worker is settled.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Set;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use super::{Action, Cell};
@@ -21,6 +24,8 @@
     pub job: JobId,
     /// Content.
     pub progress: Progress,
+    /// Version of the content.
+    pub version: u64,
     /// Revision that the row must have; 0 when it must not exist.
     pub revision: u64,
 }
@@ -34,108 +39,93 @@
     pub writes: Vec<Write>,
 }
 
+/// Versions of a job's progress.
+#[derive(Clone, Copy, Debug, Default)]
+struct Versions {
+    present: u64,
+    durable: u64,
+}
+
+#[derive(Debug)]
+struct UnsettledEnd {
+    life: Life,
+    number: u64,
+    job: JobId,
+    version: u64,
+}
+
 /// Bookkeeping of batches.
 #[derive(Debug, Default)]
 pub(crate) struct Writes {
-    /// Jobs whose progress isn't durable, in the order in which they changed.
+    /// Jobs whose progress isn't durable, in the order in which they are written.
     dirty: VecDeque<JobId>,
     /// Jobs in `dirty`.
     is_dirty: Set<JobId>,
+    versions: Map<JobId, Versions>,
     /// Number of the newest batch.
     newest: u64,
-    /// The batch that is under way.
-    in_flight: Vec<JobId>,
-    /// Ends in the order in which they came, with the last job to be written before they may be settled.
-    ends: VecDeque<UnsettledEnd>,
-    /// Marks written so far, by `marks`.
-    written_marks: u64,
-    /// Jobs that were ever marked.
-    marks: u64,
-    /// Mark of each entry of `dirty`.
-    dirty_marks: VecDeque<u64>,
-    in_flight_mark: u64,
-}
-
-#[derive(Debug)]
-struct UnsettledEnd {
-    agent: Name,
-    life: Life,
-    number: u64,
-    /// Everything marked up to here must be durable first.
-    mark: u64,
+    is_in_flight: bool,
+    /// Ends of each agent's worker in the order of their numbers.
+    ends: Map<Name, VecDeque<UnsettledEnd>>,
 }
 
 impl Writes {
-    /// Takes note of an end that may be settled once everything marked so far is durable.
-    pub(crate) fn ended(&mut self, agent: Name, life: Life, number: u64) {
-        self.ends.push_back(UnsettledEnd { agent, life, number, mark: self.marks });
+    /// Takes note of an end that may be settled once the job's present version is durable.
+    pub(crate) fn ended(&mut self, agent: Name, life: Life, number: u64, job: JobId) {
+        let version = self.versions.get(&job).map_or(0, |versions| versions.present);
+        self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version });
     }
 
-    fn mark(&mut self, job: JobId) {
-        if self.is_dirty.insert(job) {
-            self.marks += 1;
-            self.dirty.push_back(job);
-            self.dirty_marks.push_back(self.marks);
-        }
+    /// Forgets a job whose rows are gone.
+    pub(crate) fn forget(&mut self, job: JobId) {
+        self.versions.remove(&job);
     }
 
-    /// Highest mark up to which everything is durable.
-    fn durable_mark(&self) -> u64 {
-        if !self.in_flight.is_empty() {
-            return self.written_marks;
-        }
-        self.dirty_marks.front().map_or(self.marks, |first| first - 1)
+    fn is_durable(&self, end: &UnsettledEnd) -> bool {
+        self.versions.get(&end.job).is_none_or(|versions| versions.durable >= end.version)
     }
 }
 
 impl Cell {
     pub(crate) fn mark_dirty(&mut self, job: JobId) {
-        self.writes.mark(job);
-    }
-
-    /// Whether a batch is under way.
-    #[must_use]
-    pub fn is_writing(&self) -> bool {
-        !self.writes.in_flight.is_empty()
-    }
-
-    /// Whether something waits to become durable.
-    #[must_use]
-    pub fn has_writes(&self) -> bool {
-        !self.writes.dirty.is_empty() || !self.writes.ends.is_empty()
+        self.writes.versions.entry(job).or_default().present += 1;
+        if self.writes.is_dirty.insert(job) {
+            self.writes.dirty.push_back(job);
+        }
     }
 
     /// Takes the next batch, unless one is under way. Ends that need no write are settled on the way.
     pub fn next_batch(&mut self) -> Option<Batch> {
-        if self.is_writing() {
+        if self.writes.is_in_flight {
             return None;
         }
         if self.writes.dirty.is_empty() {
             self.settle();
             return None;
         }
-        self.writes.written_marks = self.writes.durable_mark();
         let count = self.writes.dirty.len().min(BATCH_MAX);
         let jobs: Vec<JobId> = self.writes.dirty.drain(..count).collect();
-        self.writes.in_flight_mark = self.writes.dirty_marks.drain(..count).next_back().unwrap_or(0);
         for job in &jobs {
             self.writes.is_dirty.remove(job);
         }
+        let write = |job: &JobId| {
+            let entry = self.jobs.get(job)?;
+            let version = self.writes.versions.get(job).map_or(0, |versions| versions.present);
+            Some(Write { job: *job, progress: entry.progress.clone(), version, revision: entry.revision })
+        };
+        let writes = jobs.iter().filter_map(write).collect();
         self.writes.newest += 1;
-        let writes = jobs
-            .iter()
-            .filter_map(|job| {
-                let entry = self.jobs.get(job)?;
-                Some(Write { job: *job, progress: entry.progress.clone(), revision: entry.revision })
-            })
-            .collect();
-        self.writes.in_flight = jobs;
+        self.writes.is_in_flight = true;
         Some(Batch { number: self.writes.newest, writes })
     }
 
     /// Takes note that a batch is durable, under `revision`.
     pub fn committed(&mut self, batch: &Batch, revision: u64, now: Duration) {
+        self.writes.is_in_flight = false;
         for write in &batch.writes {
+            if let Some(versions) = self.writes.versions.get_mut(&write.job) {
+                versions.durable = versions.durable.max(write.version);
+            }
             let Some(entry) = self.jobs.get_mut(&write.job) else { continue };
             entry.revision = revision;
             if entry.shown.is_none() && write.progress.outcome.is_some() {
@@ -143,8 +133,6 @@
                 entry.shown_at = Some(now);
             }
         }
-        self.writes.in_flight.clear();
-        self.writes.written_marks = self.writes.in_flight_mark;
         self.settle();
     }
 
@@ -160,30 +148,26 @@
 
     /// Takes note that a batch didn't take effect, or that it isn't known whether it did: it is written again.
     pub fn give_back(&mut self, batch: &Batch) {
-        self.writes.in_flight.clear();
-        // Whatever is written later holds everything that is known by then.
+        self.writes.is_in_flight = false;
         for write in batch.writes.iter().rev() {
             if self.writes.is_dirty.insert(write.job) {
                 self.writes.dirty.push_front(write.job);
-                self.writes.dirty_marks.push_front(self.writes.written_marks + 1);
-            } else if let Some(mark) = self.writes.dirty_marks.front_mut() {
-                *mark = self.writes.written_marks + 1;
             }
         }
     }
 
     fn settle(&mut self) {
-        let durable = self.writes.durable_mark();
-        while let Some(end) = self.writes.ends.front() {
-            if end.mark > durable {
-                break;
+        let mut ends = std::mem::take(&mut self.writes.ends);
+        for (agent, waiting) in &mut ends {
+            let mut settled: Option<(Life, u64)> = None;
+            while let Some(end) = waiting.pop_front_if(|end| self.writes.is_durable(end)) {
+                settled = Some((end.life, end.number));
             }
-            let Some(end) = self.writes.ends.pop_front() else { break };
-            let next_is_alike = |next: &UnsettledEnd| next.agent == end.agent && next.life == end.life;
-            if self.writes.ends.front().is_some_and(|next| next.mark <= durable && next_is_alike(next)) {
-                continue;
+            if let Some((life, cursor)) = settled {
+                self.actions.push_back(Action::Settle { agent: Name::clone(agent), life, cursor });
             }
-            self.actions.push_back(Action::Settle { agent: end.agent, life: end.life, cursor: end.number });
         }
+        ends.retain(|_, waiting| !waiting.is_empty());
+        self.writes.ends = ends;
     }
 }
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -23,8 +23,10 @@
 pub struct Progress {
     /// Tasks that are done.
     pub done: BTreeSet<TaskKey>,
-    /// Failed runs of tasks that aren't done.
-    pub failures: BTreeMap<TaskKey, u32>,
+    /// Numbers of the failed runs of tasks that aren't done.
+    ///
+    /// Numbers and no count: an end that isn't settled yet is told again to the next placer.
+    pub failures: BTreeMap<TaskKey, BTreeSet<u64>>,
     /// Saved progress of tasks that aren't done.
     pub checkpoints: BTreeMap<TaskKey, Name>,
     /// Present once the job has ended.
--- /dev/null
+++ b/crates/cell/tests/support/mod.rs
@@ -0,0 +1,219 @@
+//! A cell with workers that do as they are told.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::cell::{Action, Cell, Inventory};
+use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
+use chervilledge_cell::job::{Job, JobId, Step, TaskId, Terms};
+use chervilledge_cell::worker::{End, EndKind, Life, RunReport, StartOrder, Worker};
+use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+pub const LEASE: Duration = Duration::from_secs(5);
+pub const QUEUE: &str = "quotes";
+pub const SERVICE: &str = "portal";
+
+/// A worker that obeys.
+#[derive(Debug, Default)]
+pub struct Runs {
+    pub running: BTreeMap<(TaskId, u64), StartOrder>,
+    pub ends: Vec<End>,
+    pub next_end: u64,
+}
+
+/// A cell and its workers.
+#[derive(Debug)]
+pub struct World {
+    pub cell: Cell,
+    pub now: Duration,
+    pub workers: BTreeMap<Name, Runs>,
+    pub revision: u64,
+}
+
+pub fn name(text: &str) -> Name {
+    Arc::from(text)
+}
+
+pub fn life(agent: &Name) -> Life {
+    Life { worker: name(&format!("worker-of-{agent}")), born_unix_ms: 1 }
+}
+
+pub fn worker(agent: &Name, millicores: u64) -> Worker {
+    Worker {
+        life: life(agent),
+        service: name(SERVICE),
+        failure_domain: name("hobart"),
+        resources: Resources { processor_millicores: millicores, memory_bytes: 1 << 40, accelerators: 0 },
+        kind: None,
+        rack: None,
+        leaves_in: None,
+    }
+}
+
+pub fn terms() -> Terms {
+    Terms {
+        service: name(SERVICE),
+        priority: 0,
+        attempts_max: 3,
+        stretch: 1.5,
+        latency_objective: Duration::from_millis(250),
+    }
+}
+
+pub fn configuration() -> Configuration {
+    let queue = Queue { name: name(QUEUE), host: name("h.example"), path_prefix: name("/q/"), terms: terms() };
+    let mut services = Map::default();
+    services.insert(name(SERVICE), Service { enforces_capacity: true, is_standby: false });
+    Configuration {
+        version: 1,
+        queues: vec![queue],
+        services,
+        limits: Limits { body_bytes_max: 1 << 18, head_bytes_max: 1 << 14, head_timeout: Duration::from_secs(3) },
+    }
+}
+
+pub fn step(count: u32, millicores: u64) -> Step {
+    Step {
+        count,
+        resources: Resources { processor_millicores: millicores, memory_bytes: 1 << 20, accelerators: 0 },
+        estimate: Duration::from_millis(600),
+        ..Step::default()
+    }
+}
+
+pub fn job(id: u64, steps: Vec<Step>) -> Job {
+    Job {
+        id: JobId(id),
+        queue: name(QUEUE),
+        terms: terms(),
+        spec: name("text"),
+        steps,
+        schedule: None,
+        accepted_unix_ms: 0,
+    }
+}
+
+impl World {
+    /// A cell of the first term with linked agents.
+    pub fn with_workers(count: usize, millicores: u64) -> Self {
+        let mut cell = Cell::new(1, LEASE);
+        cell.configure(Arc::new(configuration()));
+        let mut world = Self { cell, now: Duration::from_secs(100), workers: BTreeMap::new(), revision: 10 };
+        for number in 0..count {
+            let agent = name(&format!("agent-{number}"));
+            world.cell.agent_known(&agent, false, world.now);
+            let inventory = Inventory { worker: Some(worker(&agent, millicores)), ..Inventory::default() };
+            world.cell.agent_linked(&agent, inventory, world.now);
+            world.workers.insert(agent, Runs::default());
+        }
+        world
+    }
+
+    pub fn advance_ms(&mut self, milliseconds: u64) {
+        self.now += Duration::from_millis(milliseconds);
+    }
+
+    pub fn next_revision(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
+    pub fn submit(&mut self, job: Job) {
+        let revision = self.next_revision();
+        self.cell.submit(job, Some(revision), self.now);
+    }
+
+    pub fn submit_plain(&mut self, id: u64, tasks: u32) {
+        self.submit(job(id, vec![step(tasks, 100)]));
+    }
+
+    /// Places what has room and lets the workers take what they are told.
+    pub fn place(&mut self) {
+        self.cell.place(self.now);
+        for action in self.cell.take_actions() {
+            self.carry_out(&action);
+        }
+    }
+
+    pub fn carry_out(&mut self, action: &Action) {
+        match action {
+            Action::Start { agent, order, .. } => {
+                let runs = self.workers.entry(Arc::clone(agent)).or_default();
+                runs.running.insert((order.task, order.run), order.clone());
+                self.cell.run_started(order.task, order.run, self.now);
+            }
+            Action::Stop { agent, task, run, .. } => {
+                let runs = self.workers.entry(Arc::clone(agent)).or_default();
+                if runs.running.remove(&(*task, *run)).is_some() {
+                    self.end(agent, *task, *run, EndKind::Stopped);
+                } else {
+                    self.cell.run_absent(agent, *task, *run, self.now);
+                }
+            }
+            Action::Settle { agent, cursor, .. } => {
+                self.settle(agent, *cursor);
+            }
+        }
+    }
+
+    /// Ends a run and tells the cell.
+    pub fn end(&mut self, agent: &Name, task: TaskId, run: u64, kind: EndKind) {
+        let runs = self.workers.entry(Arc::clone(agent)).or_default();
+        runs.running.remove(&(task, run));
+        runs.next_end += 1;
+        let end = End { number: runs.next_end, task, run, kind, checkpoint: name("") };
+        runs.ends.push(end.clone());
+        self.cell.ended(agent, vec![end], self.now);
+    }
+
+    pub fn end_random(&mut self, rng: &mut SmallRng, kind: EndKind) {
+        let running: Vec<(Name, TaskId, u64)> = self.all_running();
+        if running.is_empty() {
+            return;
+        }
+        let (agent, task, run) = running[rng.random_range(0..running.len())].clone();
+        self.end(&agent, task, run, kind);
+    }
+
+    pub fn all_running(&self) -> Vec<(Name, TaskId, u64)> {
+        let of_worker = |(agent, runs): (&Name, &Runs)| {
+            runs.running.keys().map(|(task, run)| (Arc::clone(agent), *task, *run)).collect::<Vec<_>>()
+        };
+        self.workers.iter().flat_map(of_worker).collect()
+    }
+
+    /// Lets a worker forget ends, and gives them.
+    pub fn settle(&mut self, agent: &Name, cursor: u64) -> Vec<End> {
+        let runs = self.workers.entry(Arc::clone(agent)).or_default();
+        let (gone, kept) = std::mem::take(&mut runs.ends).into_iter().partition(|end| end.number <= cursor);
+        runs.ends = kept;
+        gone
+    }
+
+    /// What an agent would tell a new placer.
+    pub fn inventory(&self, agent: &Name, millicores: u64) -> Inventory {
+        let runs = &self.workers[agent];
+        let report = |(task, run): &(TaskId, u64)| RunReport {
+            task: *task,
+            run: *run,
+            checkpoint: name(""),
+            percent: 10,
+            measured: 0,
+            pace_percent: 100,
+        };
+        Inventory {
+            worker: Some(worker(agent, millicores)),
+            running: runs.running.keys().map(report).collect(),
+            starting: Vec::new(),
+            ends: runs.ends.clone(),
+            is_empty: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/takeover.rs
@@ -0,0 +1,121 @@
+//! A new placer goes on where the former one was.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::authority::{lapse_after, takeover_wait};
+use chervilledge_cell::cell::{Action, Cell};
+use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::worker::EndKind;
+use rstest::rstest;
+use support::{LEASE, World, configuration, job, name, step};
+
+const MILLICORES: u64 = 16_000;
+
+/// The cell of a new placer that has read the rows, and none of whose agents has answered.
+fn successor(world: &World, term: u64, rows: &[(JobId, chervilledge_cell::progress::Progress, u64)]) -> Cell {
+    let mut cell = Cell::new(term, LEASE);
+    cell.configure(Arc::new(configuration()));
+    for agent in world.workers.keys() {
+        cell.agent_known(agent, true, world.now);
+    }
+    for (id, progress, revision) in rows {
+        let job = job(id.0, vec![step(1, 1_000)]);
+        cell.load(job, progress.clone(), *revision, Duration::ZERO, world.now);
+    }
+    cell
+}
+
+/// The grown booking site showed a job as failed after two failures of three: the third was told to two placers.
+#[test]
+fn a_failure_that_two_placers_are_told_of_counts_once() {
+    let mut world = World::with_workers(3, MILLICORES);
+    world.submit(job(1, vec![step(1, 1_000)]));
+    for _ in 0..2 {
+        world.place();
+        let (agent, task, run) = world.all_running()[0].clone();
+        world.end(&agent, task, run, EndKind::Failed);
+        world.advance_ms(1_000);
+    }
+    let batch = world.cell.next_batch().expect("failures have to be stored");
+    let rows: Vec<_> = batch.writes.iter().map(|write| (write.job, write.progress.clone(), 20)).collect();
+    // The rows are durable, and the former placer is gone before the ends are settled.
+    world.cell = successor(&world, 2, &rows);
+    for agent in world.workers.keys().cloned().collect::<Vec<_>>() {
+        let inventory = world.inventory(&agent, MILLICORES);
+        world.cell.agent_linked(&agent, inventory, world.now);
+    }
+    world.advance_ms(1_000);
+    assert_eq!(world.cell.state(JobId(1)), Some(JobState::Running));
+    world.place();
+    assert_eq!(world.all_running().len(), 1, "the third attempt is due");
+}
+
+/// Nothing that may run on the worker of a silent agent starts elsewhere before every lease has ended.
+#[rstest]
+#[case::predecessor_may_act(false, takeover_wait(LEASE))]
+#[case::predecessor_is_over(true, lapse_after(LEASE))]
+fn runs_of_a_silent_agent_are_waited_for(#[case] is_over: bool, #[case] wait: Duration) {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![step(1, 1_000)]));
+    world.place();
+    let (holder, task, _) = world.all_running()[0].clone();
+    let other = world.workers.keys().find(|agent| **agent != holder).cloned().expect("two agents");
+    world.cell = successor(&world, 2, &[(JobId(1), Default::default(), 0)]);
+    if is_over {
+        world.cell.predecessor_over(world.now);
+    }
+    let inventory = world.inventory(&other, MILLICORES);
+    world.cell.agent_linked(&other, inventory, world.now);
+    let begin = world.now;
+    while world.now < begin + wait - Duration::from_millis(20) {
+        world.advance_ms(10);
+        world.cell.lapse(world.now);
+        world.cell.place(world.now);
+        let starts = world.cell.take_actions();
+        assert!(starts.is_empty(), "{starts:?} after {:?}", world.now - begin);
+    }
+    world.advance_ms(40);
+    world.cell.lapse(world.now);
+    world.cell.place(world.now);
+    let actions = world.cell.take_actions();
+    assert!(
+        matches!(&actions[..], [Action::Start { agent, order, .. }] if *agent == other && order.task == task && order.run > 10_000),
+        "{actions:?}"
+    );
+}
+
+/// A job is placed beside an unheard agent only if its row is younger than the end of the former placer.
+#[rstest]
+#[case::older(Some(30), false)]
+#[case::unknown(None, false)]
+#[case::younger(Some(31), true)]
+fn only_jobs_that_the_predecessor_cannot_know_are_placed(#[case] revision: Option<u64>, #[case] is_placed: bool) {
+    let world = World::with_workers(2, MILLICORES);
+    let mut cell = successor(&world, 2, &[]);
+    cell.agent_linked(&name("agent-0"), world.inventory(&name("agent-0"), MILLICORES), world.now);
+    cell.predecessor_over(world.now);
+    cell.fresh_from(30);
+    cell.submit(job(5, vec![step(1, 1_000)]), revision, world.now);
+    cell.place(world.now);
+    assert_eq!(!cell.take_actions().is_empty(), is_placed);
+}
+
+/// What runs is taken over, also if nothing of the job was ever written.
+#[test]
+fn running_tasks_go_on() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![step(1, 1_000)]));
+    world.place();
+    let running = world.all_running();
+    world.cell = successor(&world, 2, &[(JobId(1), Default::default(), 0)]);
+    for agent in world.workers.keys().cloned().collect::<Vec<_>>() {
+        let inventory = world.inventory(&agent, MILLICORES);
+        world.cell.agent_linked(&agent, inventory, world.now);
+    }
+    world.place();
+    assert_eq!(world.all_running(), running);
+    assert_eq!(world.cell.state(JobId(1)), Some(JobState::Running));
+}
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -18,6 +18,8 @@
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
 /// Interval at which the placer tells of waiting jobs.
 const PENDING_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which it repeats what hasn't changed.
+const PENDING_REPEAT: Duration = Duration::from_secs(2);
 /// Time that the placer's process may take to answer a question on a link.
 const QUESTION_TIMEOUT_MS: u64 = 1_000;
 /// Time that a relayed write may take.
@@ -69,7 +71,7 @@
 /// Takes the counts of the own placer until it ends.
 async fn follow_own(entry: &Entry, placer: ractor::ActorRef<placer::Message>) {
     while entry.own_placer().is_some() {
-        if let Ok(pending) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS) {
+        if let Ok(Some(pending)) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS) {
             *lock(&entry.inner.pending) = Some((pending, entry.now()));
         }
         tokio::time::sleep(PENDING_INTERVAL).await;
@@ -134,14 +136,17 @@
 
 /// Tells a linked entry of waiting jobs while this one places.
 async fn tell_pending(entry: Entry, sender: Sender<FromEntry>) {
-    let mut told: Option<Pending> = None;
+    let mut told: Option<(Pending, Duration)> = None;
     loop {
+        let now = entry.now();
+        let is_known =
+            |pending: &Pending| told.as_ref().is_some_and(|(known, at)| known == pending && now < *at + PENDING_REPEAT);
         if let Some((_, placer)) = entry.own_placer()
-            && let Ok(pending) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS)
-            && told.as_ref() != Some(&pending)
+            && let Ok(Some(pending)) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS)
+            && !is_known(&pending)
         {
             let counts = pending.iter().map(|(queue, count)| (Arc::clone(queue), *count)).collect();
-            told = Some(pending);
+            told = Some((pending, now));
             if sender.send(FromEntry::Pending(counts)).await.is_err() {
                 return;
             }
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -83,17 +83,13 @@
     pub fn pending(&self, queue: &str) -> Reply {
         let known = lock(&self.inner.pending).clone();
         match known {
-            Some((counts, at)) if self.now().saturating_sub(at) < PENDING_FRESH || self.is_linked() => {
+            Some((counts, at)) if self.now().saturating_sub(at) < PENDING_FRESH => {
                 Reply::Pending(counts.get(queue).copied().unwrap_or(0))
             }
             _ => refused(),
         }
     }
 
-    fn is_linked(&self) -> bool {
-        !matches!(*self.inner.way.borrow(), Way::None)
-    }
-
     fn tell_placer(&self, message: ToEntry) {
         let way = self.inner.way.borrow().clone();
         match (way, message) {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -80,8 +80,13 @@
 pub enum Message {
     /// Time for the next step.
     Tick,
-    /// The store confirmed the term, in answer to a write of that time.
-    Confirmed(Duration),
+    /// The store confirmed the term.
+    Confirmed {
+        /// When the write was sent.
+        asked: Duration,
+        /// Revision at which it took effect.
+        revision: u64,
+    },
     /// Another placer has taken the cell.
     Deposed(&'static str),
     /// Rows of jobs and progress at the takeover.
@@ -141,8 +146,8 @@
     Expired(Vec<JobId>),
     /// Asks for the state of a job; `None` when it isn't known.
     State(JobId, RpcReplyPort<Option<JobState>>),
-    /// Asks for the waiting jobs of each queue.
-    Pending(RpcReplyPort<Pending>),
+    /// Asks for the waiting jobs of each queue; `None` until the jobs are read.
+    Pending(RpcReplyPort<Option<Pending>>),
     /// Asks for a dump of the state.
     Dump(RpcReplyPort<Value>),
     /// The entry ends: the cell is given up.
@@ -172,6 +177,8 @@
     cell: Cell,
     authority: Authority,
     had_authority: bool,
+    /// When it became known that the former placer doesn't act any more.
+    predecessor_over: Option<Duration>,
     is_loaded: bool,
     links: Map<Name, AgentLink>,
     dialers: Map<Name, Dialer>,
@@ -229,6 +236,7 @@
             cell,
             authority,
             had_authority: true,
+            predecessor_over: None,
             is_loaded: false,
             links: Map::default(),
             dialers: Map::default(),
@@ -297,15 +305,16 @@
         let now = self.context.clock.now();
         match message {
             Message::Tick => self.tick(now),
-            Message::Confirmed(asked) => self.authority.confirmed(asked),
+            Message::Confirmed { asked, revision } => self.confirmed(asked, revision),
             Message::Loaded { jobs, progress } => self.load(&jobs, &progress, now),
             Message::Jobs(rows) => self.take_jobs(&rows, now),
-            Message::Submitted(job) => self.submitted(*job, now),
+            Message::Submitted(job) => self.submitted(*job, None, now),
             Message::Canceled(id) => self.cancel(id, now),
             Message::Roster => self.take_roster(),
             Message::Configured => self.take_configuration(),
             Message::PredecessorOver(by) => {
                 log::info!(event = "predecessor_over", by = by, agents_unheard = self.cell.unresolved(); "");
+                self.predecessor_over = Some(now);
                 self.cell.predecessor_over(now);
             }
             Message::Linked { agent, link, sender } => self.linked(agent, link, sender),
@@ -327,7 +336,7 @@
                 drop(reply.send(state));
             }
             Message::Pending(reply) => {
-                drop(reply.send(Arc::new(self.cell.pending().clone())));
+                drop(reply.send(self.is_loaded.then(|| Arc::new(self.cell.pending().clone()))));
             }
             Message::Dump(reply) => {
                 drop(reply.send(self.dump(now)));
@@ -426,25 +435,34 @@
     fn take_jobs(&mut self, rows: &[Row], now: Duration) {
         for row in rows {
             match rows::parse_job_key(&row.key) {
-                Some(rows::JobKey::Job(id)) if !self.cell.knows(id) => {
+                Some(rows::JobKey::Job(id)) if self.cell.knows(id) => self.cell.row_seen(id, row.revision),
+                Some(rows::JobKey::Job(_)) => {
                     if let Some(job) = decode_job(row) {
-                        self.submitted(job, now);
+                        self.submitted(job, Some(row.revision), now);
                     }
                 }
                 Some(rows::JobKey::Cancel(id)) if row.value.is_some() => self.cancel(id, now),
-                Some(_) => {}
+                Some(rows::JobKey::Cancel(_)) => {}
                 None => log::warn!(event = "row_unknown", key = &*row.key; ""),
             }
         }
     }
 
-    fn submitted(&mut self, job: Job, now: Duration) {
+    fn confirmed(&mut self, asked: Duration, revision: u64) {
+        self.authority.confirmed(asked);
+        // What is stored after this revision was stored when the former placer was over.
+        if self.predecessor_over.is_some_and(|over| asked >= over) {
+            self.cell.fresh_from(revision);
+        }
+    }
+
+    fn submitted(&mut self, job: Job, revision: Option<u64>, now: Duration) {
         let id = job.id;
         // Until the rows are read, what is durable of the job isn't known.
         if !self.is_loaded || self.cell.knows(id) {
             return;
         }
-        self.cell.submit(job, now);
+        self.cell.submit(job, revision, now);
         if self.early_cancels.remove(&id) {
             self.cell.cancel(id, now);
         }
--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -21,16 +21,13 @@
     for jobs in by_partition.into_values() {
         let changes = jobs
             .iter()
-            .flat_map(|id| {
-                [removal(Table::Jobs, rows::job_key(*id)), removal(Table::Jobs, rows::cancel_key(*id))]
-            })
+            .flat_map(|id| [removal(Table::Jobs, rows::job_key(*id)), removal(Table::Jobs, rows::cancel_key(*id))])
             .collect();
         if matches!((store.commit)(Transaction { conditions: Vec::new(), changes }).await, Outcome::Done(_)) {
             removed.extend(jobs);
         }
     }
-    let mut changes: Vec<Change> =
-        removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
+    let mut changes: Vec<Change> = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
     changes.extend(agents.iter().map(|name| removal(Table::Cell, Arc::from(format!("{AGENT_PREFIX}{name}")))));
     if changes.is_empty() {
         return removed;
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -32,11 +32,11 @@
         };
         let outcome = (context.store.commit)(transaction).await;
         let message = match outcome {
-            Outcome::Done(_) => {
+            Outcome::Done(revision) => {
                 if std::mem::take(&mut is_lost) {
                     log::info!(event = "store_regained", by = "confirmation", term = context.term; "");
                 }
-                Message::Confirmed(asked)
+                Message::Confirmed { asked, revision }
             }
             Outcome::Conflict(_) => Message::Deposed("confirmation"),
             Outcome::Refused | Outcome::Unknown => {
