--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -79,6 +79,8 @@
         agent: Name,
         /// Age of the job.
         job_age: Duration,
+        /// No other task of the job was placed by this placer.
+        is_first: bool,
         /// Tasks that waited for room at the time.
         waiting: usize,
     },
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -251,7 +251,9 @@
             }
             return;
         }
-        let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
+        if agent.worker.is_none() {
+            return;
+        }
         let allowed = self.may_adopt(task);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| allowed) else {
             if let Some(agent) = self.agents.get_mut(name) {
@@ -266,8 +268,6 @@
             state.runs.push(Run {
                 number,
                 agent: Arc::clone(name),
-                life,
-                ordered: now,
                 started: percent.map(|_| now),
                 percent: percent.unwrap_or(0),
                 moved: now,
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -11,15 +11,12 @@
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
-use crate::worker::Life;
 
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub(crate) number: u64,
     pub(crate) agent: Name,
-    pub(crate) life: Life,
-    pub(crate) ordered: Duration,
     /// When the worker took it, or was first seen to run it.
     pub(crate) started: Option<Duration>,
     pub(crate) percent: u32,
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -236,6 +236,7 @@
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let job = Arc::clone(&entry.job);
         let age = entry.age(now);
+        let is_first = !entry.has_begun && entry.tasks.values().all(|task| task.starts == 0);
         let Some(step) = job.step(task.key) else { return };
         let need = need(&job, task.key);
         let Some(agent) = self.agents.get_mut(name) else { return };
@@ -251,8 +252,6 @@
             state.runs.push(Run {
                 number: run,
                 agent: Arc::clone(name),
-                life: life.clone(),
-                ordered: now,
                 started: None,
                 percent: 0,
                 moved: now,
@@ -266,7 +265,7 @@
         let order = StartOrder { task, run, spec: Arc::clone(&job.spec), checkpoint, traits };
         self.actions.push_back(Action::Start { agent: Arc::clone(name), life, order });
         let waiting = self.ready.len();
-        self.notes.push(Note::Placed { task, run, agent: Arc::clone(name), job_age: age, waiting });
+        self.notes.push(Note::Placed { task, run, agent: Arc::clone(name), job_age: age, is_first, waiting });
     }
 }
 
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -98,6 +98,7 @@
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a property that the caller states or not")]
 pub struct Step {
     /// Number of tasks.
     pub count: u32,
@@ -288,3 +289,17 @@
     /// A caller cancelled it.
     Canceled,
 }
+
+impl JobState {
+    /// Lower-case form, for logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Canceled => "canceled",
+        }
+    }
+}
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -27,7 +27,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::clock::whole_ms;
 use crate::message::{BEAT_INTERVAL, FromAgent, ToAgent};
+use crate::metrics::Metrics;
 use crate::rows::{self, AGENT_PREFIX, Process};
 use crate::settings;
 use crate::settings::LEASE_MAX;
@@ -124,6 +126,8 @@
     pub calls: Arc<Calls>,
     /// The store, in which the agent announces itself.
     pub store: Handle,
+    /// Metrics of the process.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The worker and what is known of it.
@@ -227,7 +231,8 @@
     type State = State;
     type Arguments = Context;
 
-    async fn pre_start(&self, myself: ActorRef<Message>, context: Context) -> Result<State, ActorProcessingErr> {
+    async fn pre_start(&self, myself: ActorRef<Message>, args: Context) -> Result<State, ActorProcessingErr> {
+        let context = args;
         let now = context.clock.now();
         let tasks = vec![tokio::spawn(tick(myself.clone()))];
         Ok(State {
@@ -258,7 +263,7 @@
 
     async fn handle(
         &self,
-        _: ActorRef<Message>,
+        _myself: ActorRef<Message>,
         message: Message,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
@@ -271,7 +276,7 @@
                 state.new_links.insert(link, sender);
             }
             Message::Unlinked(link) => state.unlinked(link, now),
-            Message::FromPlacer { link, message } => state.from_placer(link, *message, now),
+            Message::FromPlacer { link, message } => state.take_placer_message(link, *message, now),
             Message::Looked { life, term, sent, look } => state.looked(&life, term, sent, look, now),
             Message::Started { run, life, result } => state.started(run, &life, result, now),
             Message::Stopped { run, life, result } => state.stopped(run, &life, result, now),
@@ -446,7 +451,7 @@
         json!({
             "term": self.term,
             "is_linked": self.link.is_some(),
-            "granted_for_ms": self.grant.until.saturating_sub(now).as_millis() as u64,
+            "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
             "worker": self.own.as_ref().map(|own| own.worker.life.worker.to_string()),
             "running": self.own.as_ref().map_or(0, |own| own.running.len()),
             "starting": self.starting.len(),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    pub(super) fn from_placer(&mut self, link: u64, message: ToAgent, now: Duration) {
+    pub(super) fn take_placer_message(&mut self, link: u64, message: ToAgent, now: Duration) {
         if let ToAgent::Hello { term } = message {
             self.hello(link, term, now);
             return;
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -1,5 +1,6 @@
 //! Looks at the worker: lease, runs and ends.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_cell::grant::Reading;
@@ -11,7 +12,7 @@
 use crate::worker::{Ask, Look, LookError};
 
 /// Time that a look waits for an end when nothing else is to be seen.
-const WAIT_IDLE: Duration = Duration::from_millis(1_000);
+const WAIT_IDLE: Duration = Duration::from_secs(1);
 /// The same while filling runs stand beside serving ones; the worker measures over half a second.
 const WAIT_PACING: Duration = Duration::from_millis(450);
 /// Pause before the next look while ends aren't settled; the worker answers at once meanwhile.
@@ -45,7 +46,7 @@
         own.is_looking = true;
         let ask = Ask { cursor: own.cursor, lease_end_ms, wait };
         let (life, term) = (own.worker.life.clone(), self.term);
-        let answer = (self.context.calls.look)(target, ask);
+        let answer = (self.context.calls.look)((target, ask));
         let myself = self.myself.clone();
         tokio::spawn(async move {
             let look = answer.await;
@@ -64,6 +65,8 @@
     ) {
         let Some(own) = self.own.as_mut().filter(|own| own.worker.life == *life) else { return };
         own.is_looking = false;
+        let result = if look.is_ok() { "done" } else { "failed" };
+        self.context.metrics.look(result, now.saturating_sub(sent));
         match look {
             Ok(look) if look.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => {
                 self.worker_over("started_again", now);
@@ -128,7 +131,7 @@
         for report in &own.running {
             let run = (report.task, report.run);
             let pace = self.paces.get(&run).copied().unwrap_or(FULL_PERCENT).min(FULL_PERCENT);
-            let state = (report.percent, pace, report.checkpoint.clone());
+            let state = (report.percent, pace, Arc::clone(&report.checkpoint));
             if own.reported.get(&run) != Some(&state) {
                 own.reported.insert(run, state);
                 changed.push(RunReport { pace_percent: pace, ..report.clone() });
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -52,7 +52,7 @@
         let Some(life) = self.own.as_ref().map(|own| own.worker.life.clone()) else { return };
         let Some(starting) = self.starting.get_mut(&run) else { return };
         starting.attempts += 1;
-        let answer = (self.context.calls.start)(target, starting.order.clone(), lease_end);
+        let answer = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
         tokio::spawn(async move {
             let result = answer.await;
@@ -108,7 +108,7 @@
                 continue;
             }
             stopping.is_calling = true;
-            let answer = (self.context.calls.stop)(target.clone(), run.0, run.1);
+            let answer = (self.context.calls.stop)((target.clone(), run.0, run.1));
             let (run, life, myself) = (*run, life.clone(), self.myself.clone());
             tokio::spawn(async move {
                 let result = answer.await;
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -100,7 +100,7 @@
         }
         let Some(target) = self.target() else { return };
         self.paces.insert(run, percent);
-        let answer = (self.context.calls.pace)(target, run.0, run.1, percent);
+        let answer = (self.context.calls.pace)((target, run.0, run.1, percent));
         let myself = self.myself.clone();
         tokio::spawn(async move {
             let result = answer.await;
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -13,7 +13,7 @@
 use crate::store::{Change, Condition, Handle, Outcome, Table, Transaction};
 
 /// Interval of the placer's signs of life in the store.
-pub const BEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const BEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Age of the last sign of life from which the cell is taken over: two intervals less the time of a takeover.
 const STALE_AFTER: Duration = Duration::from_millis(1_900);
 /// The same, once the link to the placer is lost as well.
@@ -63,7 +63,7 @@
 
 /// Reads the sign of life past the feed, which may lag.
 async fn is_still_silent(store: &Handle, roster: &Roster) -> bool {
-    match (store.read_one)(Table::Cell, Arc::from(BEAT)).await {
+    match (store.read_one)((Table::Cell, Arc::from(BEAT))).await {
         Ok(row) => row.is_none_or(|row| row.revision <= roster.beat_revision),
         Err(_) => false,
     }
--- a/crates/scheduler/src/clock.rs
+++ b/crates/scheduler/src/clock.rs
@@ -18,5 +18,11 @@
 #[must_use]
 pub fn unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    whole_ms(elapsed)
+}
+
+/// Whole milliseconds of a duration, for logs and dumps.
+#[must_use]
+pub fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -20,16 +20,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::metrics::Metrics;
 use crate::peer::{Link, Pending};
 use crate::placer;
 use crate::roster::{self, Roster};
 use crate::rows::{self, ENTRY_PREFIX, Process};
 use crate::settings;
-use crate::store::{Change, Handle, Outcome, ReadError, Table, Transaction};
+use crate::store::{Change, Configured, Handle, Outcome, ReadError, Table, Transaction};
 use crate::submit::{self, Submitter};
 
 /// Time that the store may hold the answer of the configuration's feed back.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(5_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a read of the configuration that failed.
 const CONFIGURATION_RETRY: Duration = Duration::from_millis(150);
 /// Pause after an announcement that wasn't written.
@@ -93,6 +94,7 @@
     settings: settings::Entry,
     clock: Clock,
     store: Handle,
+    metrics: Arc<Metrics>,
     submitter: Submitter,
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
     roster: roster::Reader,
@@ -117,7 +119,12 @@
 /// # Errors
 ///
 /// The error of the operating system when the address for links can't be bound.
-pub async fn spawn(settings: settings::Entry, clock: Clock, store: Handle) -> std::io::Result<Entry> {
+pub async fn spawn(
+    settings: settings::Entry,
+    clock: Clock,
+    store: Handle,
+    metrics: Arc<Metrics>,
+) -> std::io::Result<Entry> {
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configured, configuration) = watch::channel(None);
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
@@ -126,6 +133,7 @@
         settings,
         clock,
         store: Arc::clone(&store),
+        metrics,
         submitter,
         configuration,
         roster,
@@ -213,8 +221,8 @@
 async fn follow_configuration(store: Handle, configured: watch::Sender<Option<Arc<Configuration>>>) {
     let mut after = 0;
     loop {
-        match (store.watch_configuration)(after, CONFIGURATION_WAIT).await {
-            Ok((configuration, revision)) => {
+        match (store.watch_configuration)((after, CONFIGURATION_WAIT)).await {
+            Ok(Configured { configuration, revision }) => {
                 after = revision;
                 let Some(configuration) = configuration else { continue };
                 let known = configured.borrow().as_ref().map(|known| known.version);
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -41,18 +41,15 @@
             Some((term, address)) => peer::open(address).await.map(|link| (term, link)),
             None => None,
         };
-        match link {
-            Some((term, link)) => {
-                log::info!(event = "placer_linked", term = term; "");
-                entry.inner.way.send_replace(Way::There(Arc::clone(&link)));
-                follow_link(&entry, &link, term).await;
-                log::info!(event = "placer_unlinked", term = term; "");
-                clear_way(&entry);
-            }
-            None => {
-                clear_way(&entry);
-                tokio::time::sleep(REDIAL_PAUSE).await;
-            }
+        if let Some((term, link)) = link {
+            log::info!(event = "placer_linked", term = term; "");
+            entry.inner.way.send_replace(Way::There(Arc::clone(&link)));
+            follow_link(&entry, &link, term).await;
+            log::info!(event = "placer_unlinked", term = term; "");
+            clear_way(&entry);
+        } else {
+            clear_way(&entry);
+            tokio::time::sleep(REDIAL_PAUSE).await;
         }
     }
 }
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -8,6 +8,7 @@
 use chervilledge_policy::code::Code;
 
 use super::{Entry, Reply, Way, lock};
+use crate::clock::whole_ms;
 use crate::message::{FromEntry, Stored, ToEntry};
 use crate::placer;
 use crate::rows;
@@ -19,7 +20,7 @@
 /// takes as long.
 const PENDING_FRESH: Duration = Duration::from_secs(6);
 /// When a caller may come back that the store's outage has turned away.
-const OUTAGE_RETRY: Duration = Duration::from_millis(1_000);
+const OUTAGE_RETRY: Duration = Duration::from_secs(1);
 /// Time kept back for telling the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time that a peer may take to store a row.
@@ -42,21 +43,22 @@
                 .await;
             by = "relay";
         }
-        let took_ms = self.now().saturating_sub(began).as_millis() as u64;
+        let took_ms = whole_ms(self.now().saturating_sub(began));
         log::info!(event = "submitted", job:% = id, queue = &*queue, stored:? = stored, by = by, took_ms = took_ms; "");
         if stored == Stored::Done {
             self.tell_placer(ToEntry::Submitted(Box::new(job)));
         }
-        reply(stored, Reply::Accepted)
+        self.counted("submit", reply(stored, Reply::Accepted), began)
     }
 
     /// Cancels a job.
     pub async fn cancel(&self, id: JobId, timeout: Duration) -> Reply {
-        let deadline = self.now() + timeout.saturating_sub(ANSWER_MARGIN);
+        let began = self.now();
+        let deadline = began + timeout.saturating_sub(ANSWER_MARGIN);
         match self.known_state(id).await {
             Ok(Some(_)) => {}
-            Ok(None) => return Reply::NoJob,
-            Err(()) => return refused(),
+            Ok(None) => return self.counted("cancel", Reply::NoJob, began),
+            Err(()) => return self.counted("cancel", refused(), began),
         }
         let mut stored = self.inner.submitter.store_cancel(id, deadline).await;
         if stored == Stored::Refused {
@@ -66,16 +68,31 @@
         if stored == Stored::Done {
             self.tell_placer(ToEntry::Canceled(id));
         }
-        reply(stored, Reply::Cancelled)
+        self.counted("cancel", reply(stored, Reply::Cancelled), began)
     }
 
     /// Tells the state of a job.
     pub async fn state(&self, id: JobId) -> Reply {
-        match self.known_state(id).await {
+        let began = self.now();
+        let reply = match self.known_state(id).await {
             Ok(Some(state)) => Reply::State(state),
             Ok(None) => Reply::NoJob,
             Err(()) => refused(),
-        }
+        };
+        self.counted("state", reply, began)
+    }
+
+    /// Counts an answer; logs one that tells the caller nothing of the job.
+    fn counted(&self, kind: &'static str, reply: Reply, began: Duration) -> Reply {
+        let answer = match &reply {
+            Reply::Accepted | Reply::Cancelled => "done",
+            Reply::State(_) | Reply::Pending(_) => "told",
+            Reply::NoJob => "no_job",
+            Reply::Refused { .. } => "refused",
+            Reply::Undecided => "undecided",
+        };
+        self.inner.metrics.request(kind, answer, self.now().saturating_sub(began));
+        reply
     }
 
     /// Tells how many accepted jobs of a queue wait for their first start.
@@ -127,7 +144,7 @@
     /// State by the rows.
     async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
         let key = rows::job_key(id);
-        let progress = (self.inner.store.read_one)(Table::Progress, Arc::clone(&key)).await.map_err(drop)?;
+        let progress = (self.inner.store.read_one)((Table::Progress, Arc::clone(&key))).await.map_err(drop)?;
         let content = progress.and_then(|row| row.value).and_then(|value| rows::decode::<Progress>(&key, &value));
         if let Some(progress) = content {
             return Ok(Some(match progress.outcome {
@@ -137,7 +154,7 @@
                 None => JobState::Running,
             }));
         }
-        let job = (self.inner.store.read_one)(Table::Jobs, key).await.map_err(drop)?;
+        let job = (self.inner.store.read_one)((Table::Jobs, key)).await.map_err(drop)?;
         Ok(job.map(|_| JobState::Queued))
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod logs;
 pub mod message;
+pub mod metrics;
 pub mod peer;
 pub mod placer;
 pub mod roster;
--- a/crates/scheduler/src/logs.rs
+++ b/crates/scheduler/src/logs.rs
@@ -90,7 +90,7 @@
         let (done, written) = sync_channel(1);
         if self.sender.send(Item::Flush(done)).is_ok() {
             // The writer may have ended with standard output.
-            drop(written.recv());
+            let _writer_ended = written.recv();
         }
         Ok(())
     }
@@ -130,7 +130,7 @@
         }
         for done in waiting {
             // Whoever asked may be gone.
-            drop(done.send(()));
+            let _nobody_waits = done.send(());
         }
     }
 }
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -16,7 +16,7 @@
 /// Pause before the former placer is asked again.
 const PREDECESSOR_RETRY: Duration = Duration::from_millis(200);
 /// Time that the store may hold the answer of the feed back.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a read that failed.
 const READ_RETRY: Duration = Duration::from_millis(150);
 
@@ -103,7 +103,7 @@
     }
     *is_loaded = true;
     loop {
-        let changes = (context.store.watch)(Table::Jobs, after, WATCH_WAIT).await?;
+        let changes = (context.store.watch)((Table::Jobs, after, WATCH_WAIT)).await?;
         after = after.max(changes.revision);
         if !changes.rows.is_empty() && placer.cast(Message::Jobs(changes.rows)).is_err() {
             return Ok(());
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    pub(super) fn from_agent(&mut self, agent: &Name, message: FromAgent, now: Duration) {
+    pub(super) fn take_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
             FromAgent::Inventory { worker, running, starting, ends, is_empty } => {
                 self.inventory_taken(agent, Inventory { worker, running, starting, ends, is_empty }, now);
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -14,7 +14,7 @@
 use crate::store::{self, Handle, ReadError, Row, Table};
 
 /// Time that the store may hold the answer of a feed back.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -101,7 +101,7 @@
     roster.read = now;
     view.send_replace(Some(Arc::new(roster.clone())));
     loop {
-        let changes = match (store.watch)(Table::Cell, after, WATCH_WAIT).await {
+        let changes = match (store.watch)((Table::Cell, after, WATCH_WAIT)).await {
             Ok(changes) => changes,
             Err(error) => return error,
         };
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -160,20 +160,31 @@
     pub has_more: bool,
 }
 
+/// What a watch of the configuration gives.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configured {
+    /// The newest configuration, if there is a new one that can be understood.
+    pub configuration: Option<Configuration>,
+    /// Revision to go on from.
+    pub revision: u64,
+}
+
+/// A call to the store or to a worker, with its arguments.
+pub type Call<A, T> = Box<dyn Fn(A) -> Answer<T> + Send + Sync>;
+
 /// Calls to the store.
 pub struct Store {
     /// Commits a transaction in one attempt.
-    pub commit: Box<dyn Fn(Transaction) -> Answer<Outcome> + Send + Sync>,
+    pub commit: Call<Transaction, Outcome>,
     /// Reads the rows of a partition of a table from a key on.
-    pub read: Box<dyn Fn(Table, Partition, Name) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
+    pub read: Call<(Table, Partition, Name), Result<Rows, ReadError>>,
     /// Reads one row.
-    pub read_one: Box<dyn Fn(Table, Name) -> Answer<Result<Option<Row>, ReadError>> + Send + Sync>,
+    pub read_one: Call<(Table, Name), Result<Option<Row>, ReadError>>,
     /// Waits for changes of a table after a revision, at most for some time.
-    pub watch: Box<dyn Fn(Table, u64, Duration) -> Answer<Result<Rows, ReadError>> + Send + Sync>,
+    pub watch: Call<(Table, u64, Duration), Result<Rows, ReadError>>,
     /// Waits for a configuration that was written after a revision, at most for some time; gives the revision to go on
     /// from. A revision of 0 reads what there is.
-    pub watch_configuration:
-        Box<dyn Fn(u64, Duration) -> Answer<Result<(Option<Configuration>, u64), ReadError>> + Send + Sync>,
+    pub watch_configuration: Call<(u64, Duration), Result<Configured, ReadError>>,
 }
 
 impl fmt::Debug for Store {
@@ -201,7 +212,7 @@
     let mut all = Rows::default();
     let mut from: Name = Arc::from("");
     loop {
-        let page = (store.read)(table, partition, Arc::clone(&from)).await?;
+        let page = (store.read)((table, partition, Arc::clone(&from))).await?;
         if all.revision == 0 {
             all.revision = page.revision;
         }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -144,7 +144,7 @@
         if open[position].deadline <= now || open[position].answer.is_closed() {
             let request = open.swap_remove(position);
             let stored = if request.is_unknown { Stored::Unknown } else { Stored::Refused };
-            drop(request.answer.send(stored));
+            let _caller_gone = request.answer.send(stored);
         } else {
             position += 1;
         }
@@ -177,6 +177,6 @@
 fn answer_all(requests: Vec<Request>, stored: Stored) {
     for request in requests {
         // The caller may have gone away.
-        drop(request.answer.send(stored));
+        let _caller_gone = request.answer.send(stored);
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -8,7 +8,7 @@
 use chervilledge_cell::worker::{End, Life, Refusal, RunReport, StartOrder};
 use chervilledge_policy::id::Name;
 
-use crate::store::Answer;
+use crate::store::Call;
 
 /// Whom a call is meant for, and under which term.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -87,13 +87,13 @@
 /// Calls to a worker, each in one attempt with a timeout of its own.
 pub struct Calls {
     /// Starts a run under a lease that ends at the given time of the worker's clock.
-    pub start: Box<dyn Fn(Target, StartOrder, u64) -> Answer<Started> + Send + Sync>,
+    pub start: Call<(Target, StartOrder, u64), Started>,
     /// Stops a run.
-    pub stop: Box<dyn Fn(Target, TaskId, u64) -> Answer<Ordered> + Send + Sync>,
+    pub stop: Call<(Target, TaskId, u64), Ordered>,
     /// Sets the pace of a run, in percent.
-    pub pace: Box<dyn Fn(Target, TaskId, u64, u32) -> Answer<Ordered> + Send + Sync>,
+    pub pace: Call<(Target, TaskId, u64, u32), Ordered>,
     /// Renews the lease and looks at what runs.
-    pub look: Box<dyn Fn(Target, Ask) -> Answer<Result<Look, LookError>> + Send + Sync>,
+    pub look: Call<(Target, Ask), Result<Look, LookError>>,
 }
 
 impl fmt::Debug for Calls {
