Don't stop runs that are done, and grant with the inventory

Ruled out: a worker at fault (no look failed, no worker was ejected). Change: a run leaves its task before what follows from its end; an inventory carries the agent's clock reading, so that the grant precedes the first start.

--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -42,8 +42,12 @@
     fn take_end(&mut self, name: &Name, end: &End, now: Duration) {
         self.stray_over(name, (end.task, end.run));
         let was_known = self.release(name, end.task, end.run);
-        let took =
-            self.run_mut(end.task, end.run).and_then(|run| run.started).map(|started| now.saturating_sub(started));
+        let started = self.run_mut(end.task, end.run).and_then(|run| run.started);
+        let took = started.map(|started| now.saturating_sub(started));
+        // What follows from the end concerns the task's other runs.
+        if let Some(task) = self.task_mut(end.task) {
+            task.runs.retain(|run| run.number != end.run);
+        }
         if was_known {
             self.judge_worker(name, end.kind, now);
         }
--- /dev/null
+++ b/crates/cell/tests/ends.rs
@@ -0,0 +1,46 @@
+//! What follows from the end of a run.
+
+mod support;
+
+use chervilledge_cell::cell::Action;
+use chervilledge_cell::worker::EndKind;
+use support::{World, job, step};
+
+/// An incident of the job portal showed a stop for every run that was done; each costs a call and a look.
+#[test]
+fn a_run_that_is_done_is_not_stopped() {
+    let mut world = World::with_workers(2, 16_000);
+    world.submit(job(1, vec![step(3, 1_000)]));
+    world.place();
+    for (agent, task, run) in world.all_running() {
+        world.end(&agent, task, run, EndKind::Done);
+    }
+    let stops = world.cell.take_actions().into_iter().filter(|action| matches!(action, Action::Stop { .. })).count();
+    assert_eq!(stops, 0);
+}
+
+/// The copy of a task that is done is stopped.
+#[test]
+fn the_other_run_of_a_task_that_is_done_is_stopped() {
+    let mut world = World::with_workers(2, 16_000);
+    let mut speculative = step(1, 1_000);
+    speculative.speculative = true;
+    world.submit(job(1, vec![speculative]));
+    world.place();
+    world.advance_ms(3_000);
+    world.cell.watch_runs(world.now);
+    for action in world.cell.take_actions() {
+        world.carry_out(&action);
+    }
+    let running = world.all_running();
+    assert_eq!(running.len(), 2, "a slow run has a copy");
+    let (agent, task, run) = running[0].clone();
+    world.end(&agent, task, run, EndKind::Done);
+    let stopped: Vec<u64> = world
+        .cell
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| if let Action::Stop { run, .. } = action { Some(run) } else { None })
+        .collect();
+    assert_eq!(stopped, [running[1].2]);
+}
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -122,6 +122,7 @@
                     starting,
                     ends: own.ends.clone(),
                     is_empty: false,
+                    asked: now,
                 }
             }
             None => FromAgent::Inventory {
@@ -130,6 +131,7 @@
                 starting,
                 ends: Vec::new(),
                 is_empty: now >= self.empty_at,
+                asked: now,
             },
         };
         let is_final = self.own.is_some() || now >= self.empty_at;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -81,6 +81,9 @@
         ends: Vec<End>,
         /// Without a worker: nothing runs there any more, for certain.
         is_empty: bool,
+        /// Reading of the agent's clock, for the grant that the first starts need.
+        #[serde_as(as = "DurationNanoSeconds<u64>")]
+        asked: Duration,
     },
     /// The agent obeys a newer term.
     Superseded {
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -79,8 +79,9 @@
 
     pub(super) fn take_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
-            FromAgent::Inventory { worker, running, starting, ends, is_empty } => {
+            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked } => {
                 self.inventory_taken(agent, Inventory { worker, running, starting, ends, is_empty }, now);
+                self.grant(agent, asked, now);
             }
             FromAgent::Superseded { term } => {
                 log::warn!(event = "agent_obeys_newer_term", agent = &**agent, term = term; "");
