Rank jobs by the work that is left within a class

Ruled out: priority by queue, since short tasks hardly take room from filling ones. Change: among jobs that can still be in time, the one with the least work left goes first.

--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -12,6 +12,9 @@
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 
+/// Thousandths of a core.
+const MILLICORES: u32 = 1_000;
+
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -108,6 +111,16 @@
         self.chains.iter().copied().max().unwrap_or_default()
     }
 
+    /// Processor time of one core that the tasks take which aren't done, by their estimates.
+    pub(crate) fn remaining_work(&self) -> Duration {
+        let work = |((_, step), left): (&(u32, u32), &u32)| {
+            let step = self.job.steps.get(*step as usize)?;
+            let millicores = u32::try_from(step.resources.processor_millicores).unwrap_or(u32::MAX);
+            Some(step.estimate.saturating_mul(*left).saturating_mul(millicores) / MILLICORES)
+        };
+        self.left.iter().filter_map(work).sum()
+    }
+
     pub(crate) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.submitted)
     }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -11,7 +11,7 @@
 use super::{Action, Agent, Cell, Note};
 use crate::job::{JobId, Step, TaskId};
 use crate::packing::{self, Need};
-use crate::urgency::{self, Rank};
+use crate::urgency::{self, Rank, Remaining};
 use crate::worker::{RunTraits, StartOrder, Worker};
 
 /// Waiting tasks that one pass looks at.
@@ -89,7 +89,7 @@
         let is_lasting = entry.job.steps.get(step as usize).is_some_and(|step| step.lasting);
         let age = if entry.job.schedule.is_some() { Duration::ZERO } else { entry.age(now) };
         let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
-        urgency::rank(terms, is_lasting, age, chain, left)
+        urgency::rank(terms, is_lasting, age, &Remaining { chain, left, work: entry.remaining_work().mul_f64(ratio) })
     }
 
     fn step_of(&self, task: TaskId) -> Option<&Step> {
--- a/crates/cell/src/urgency.rs
+++ b/crates/cell/src/urgency.rs
@@ -1,7 +1,7 @@
 //! Order of tasks that wait for room.
 //!
-//! Answers a load that exceeds the room for a while: work that can still meet its objective goes first, by the time that
-//! is left to start it, so that a burst of large jobs doesn't make everything late by the same amount.
+//! Answers a load that exceeds the room for a while: jobs that can still meet their objective go first, and among them
+//! the one with the least work left, so that a burst of large jobs doesn't make everything late by the same amount.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     class: Class,
-    /// Milliseconds that are left, or that the job waits for less than others.
+    /// Milliseconds of work that is left, or, negative, that the job has waited.
     key_ms: i64,
 }
 
@@ -36,25 +36,32 @@
     chain.mul_f64(terms.stretch.max(1.0)) + terms.latency_objective
 }
 
-/// Ranks a task of a job.
-///
-/// `age` is the job's, `chain` its longest chain of work, `left` what is left of the chain from the task on.
+/// What is left of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Remaining {
+    /// Longest chain of the whole job, done or not.
+    pub chain: Duration,
+    /// What is left of the chain from the task on.
+    pub left: Duration,
+    /// Processor time of one core that all tasks take that aren't done.
+    pub work: Duration,
+}
+
+/// Ranks a task of a job of some age.
 #[must_use]
-pub fn rank(terms: &Terms, is_lasting: bool, age: Duration, chain: Duration, left: Duration) -> Rank {
+pub fn rank(terms: &Terms, is_lasting: bool, age: Duration, remaining: &Remaining) -> Rank {
     if is_lasting {
         return Rank { class: Class::Lasting, key_ms: -milliseconds(age) };
     }
-    let objective = objective(terms, chain);
-    let spent = milliseconds(age) + milliseconds(left);
-    let slack_ms = milliseconds(objective) - spent;
-    if slack_ms >= 0 {
-        return Rank { class: Class::InTime, key_ms: slack_ms };
-    }
-    let late_ms = milliseconds(objective * LATE_FACTOR) - spent;
-    if late_ms >= 0 {
-        return Rank { class: Class::Late, key_ms: late_ms };
+    let objective = objective(terms, remaining.chain);
+    let end = age + remaining.left;
+    if end <= objective {
+        Rank { class: Class::InTime, key_ms: milliseconds(remaining.work) }
+    } else if end <= objective * LATE_FACTOR {
+        Rank { class: Class::Late, key_ms: milliseconds(remaining.work) }
+    } else {
+        Rank { class: Class::Overdue, key_ms: -milliseconds(age) }
     }
-    Rank { class: Class::Overdue, key_ms: -milliseconds(age) }
 }
 
 fn milliseconds(duration: Duration) -> i64 {
