Tell callers of an unanswered store in time, and refuse at once while it is silent

Ruled out: the placer (it goes on under its authority). Change: a second attempt after 450 ms, on another connection, finds a lost answer; after 1.25 s the caller is told that the outcome is unknown; from then on requests are refused without being sent, but for one in 250 ms.

--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -1,14 +1,18 @@
 //! Stores jobs and cancellations for callers, many in one transaction.
 //!
-//! Every row is written on a condition that makes a repetition harmless, so an attempt without an answer is simply
-//! made again. A request is told that nothing was written only if no attempt for it is left without an answer.
+//! Every row is written on a condition that makes a repetition harmless, so an attempt without an answer is made again
+//! at once. A request is told that nothing was written only if no attempt for it is left without an answer; one whose
+//! outcome is unknown is told so while its caller still has time to come again. While the store doesn't answer, requests
+//! are refused without being sent, but for one now and then.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chervilledge_cell::job::{Job, JobId};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::message::Stored;
@@ -19,8 +23,15 @@
 const GROUP_MAX: usize = 45;
 /// Requests that may wait for the next transaction; more are refused at once.
 const QUEUE_MAX: usize = 1_024;
-/// Pause before an attempt that had no answer is made again.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time without an answer after which the same transaction is sent once more, on another connection.
+///
+/// Some thirty times the usual time of a transaction; a lost answer costs the caller no more than that.
+const REPEAT_AFTER: Duration = Duration::from_millis(450);
+/// Time without an answer after which the caller is told that the outcome is unknown; under half of what callers wait,
+/// so that they can still come again.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(1_250);
+/// Interval at which one request tries the store while it doesn't answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What is to be stored.
 #[derive(Clone, Debug)]
@@ -34,8 +45,6 @@
     content: Content,
     /// Nobody waits for the answer after this time.
     deadline: Duration,
-    /// An attempt for the request is left without an answer.
-    is_unknown: bool,
     answer: oneshot::Sender<Stored>,
 }
 
@@ -43,17 +52,60 @@
 #[derive(Clone, Debug)]
 pub struct Submitter {
     writers: Arc<Map<Partition, mpsc::Sender<Request>>>,
+    outage: Arc<Mutex<Outage>>,
+    clock: Clock,
+}
+
+/// Whether the store answers, as the writers see it.
+#[derive(Debug, Default)]
+struct Outage {
+    /// When the next request may try the store; `None` while it answers.
+    probe_due: Option<Duration>,
+    /// When the store last answered.
+    answered: Duration,
+}
+
+impl Outage {
+    /// Whether a request may go to the store now.
+    fn admits(&mut self, now: Duration) -> bool {
+        match &mut self.probe_due {
+            None => true,
+            Some(due) if now < *due => false,
+            Some(due) => {
+                *due = now + PROBE_INTERVAL;
+                true
+            }
+        }
+    }
+
+    /// Takes note of what became of an attempt that began at `began`.
+    fn ended(&mut self, is_answered: bool, began: Duration, now: Duration) {
+        let was_away = self.probe_due.is_some();
+        if is_answered {
+            self.probe_due = None;
+            self.answered = now;
+        } else if !was_away && began >= self.answered {
+            self.probe_due = Some(now + PROBE_INTERVAL);
+        }
+        match (was_away, self.probe_due.is_some()) {
+            (true, false) => log::info!(event = "store_regained", by = "submissions"; ""),
+            (false, true) => log::warn!(event = "store_lost", by = "submissions"; ""),
+            (true, true) | (false, false) => {}
+        }
+    }
 }
 
 /// Starts the writers.
 #[must_use]
 pub fn spawn(store: &Handle, clock: &Clock) -> Submitter {
+    let outage = Arc::new(Mutex::new(Outage::default()));
     let writer = |partition| {
         let (requests, queue) = mpsc::channel(QUEUE_MAX);
-        tokio::spawn(write_all(Arc::clone(store), clock.clone(), queue));
+        tokio::spawn(write_all(Arc::clone(store), clock.clone(), Arc::clone(&outage), queue));
         (partition, requests)
     };
-    Submitter { writers: Arc::new(Table::Jobs.partitions().map(writer).collect()) }
+    let writers = Arc::new(Table::Jobs.partitions().map(writer).collect());
+    Submitter { writers, outage, clock: clock.clone() }
 }
 
 impl Submitter {
@@ -69,8 +121,11 @@
 
     async fn ask(&self, id: JobId, content: Content, deadline: Duration) -> Stored {
         let Some(requests) = self.writers.get(&job_partition(id)) else { return Stored::Refused };
+        if !lock(&self.outage).admits(self.clock.now()) {
+            return Stored::Refused;
+        }
         let (answer, stored) = oneshot::channel();
-        let request = Request { content, deadline, is_unknown: false, answer };
+        let request = Request { content, deadline, answer };
         if requests.try_send(request).is_err() {
             return Stored::Refused;
         }
@@ -78,7 +133,11 @@
     }
 }
 
-async fn write_all(store: Handle, clock: Clock, mut queue: mpsc::Receiver<Request>) {
+fn lock(outage: &Mutex<Outage>) -> MutexGuard<'_, Outage> {
+    outage.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn write_all(store: Handle, clock: Clock, outage: Arc<Mutex<Outage>>, mut queue: mpsc::Receiver<Request>) {
     let mut open: Vec<Request> = Vec::new();
     loop {
         if open.is_empty() {
@@ -93,21 +152,20 @@
                 Err(_) => break,
             }
         }
-        open = write_once(&store, &clock, open).await;
-        if open.iter().any(|request| request.is_unknown) {
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
+        open = write_once(&store, &clock, &outage, open).await;
     }
 }
 
 /// Makes one attempt; gives back the requests that aren't answered yet.
-async fn write_once(store: &Handle, clock: &Clock, mut open: Vec<Request>) -> Vec<Request> {
-    let now = clock.now();
-    give_up_late(&mut open, now);
+async fn write_once(store: &Handle, clock: &Clock, outage: &Mutex<Outage>, mut open: Vec<Request>) -> Vec<Request> {
+    refuse_late(&mut open, clock.now());
     if open.is_empty() {
         return open;
     }
-    match (store.commit)(transaction(&open)).await {
+    let began = clock.now();
+    let outcome = commit(store, transaction(&open)).await;
+    lock(outage).ended(outcome != Outcome::Unknown, began, clock.now());
+    match outcome {
         Outcome::Done(_) => {
             answer_all(open, Stored::Done);
             Vec::new()
@@ -125,26 +183,44 @@
             rest
         }
         Outcome::Refused => {
-            let (rest, refused): (Vec<_>, Vec<_>) = open.into_iter().partition(|request| request.is_unknown);
-            answer_all(refused, Stored::Refused);
-            rest
+            answer_all(open, Stored::Refused);
+            Vec::new()
         }
         Outcome::Unknown => {
-            for request in &mut open {
-                request.is_unknown = true;
-            }
-            open
+            answer_all(open, Stored::Unknown);
+            Vec::new()
         }
     }
 }
 
-fn give_up_late(open: &mut Vec<Request>, now: Duration) {
+/// Commits a transaction that may be sent twice.
+///
+/// Either attempt may prove that the transaction took effect. A refusal proves something only of its own attempt, so it
+/// is final only as long as there was no other.
+async fn commit(store: &Handle, transaction: Transaction) -> Outcome {
+    let attempts = async {
+        let mut attempts = FuturesUnordered::new();
+        attempts.push((store.commit)(transaction.clone()));
+        match tokio::time::timeout(REPEAT_AFTER, attempts.next()).await {
+            Ok(Some(outcome)) if outcome != Outcome::Unknown => return outcome,
+            Ok(_) | Err(_) => attempts.push((store.commit)(transaction)),
+        }
+        while let Some(outcome) = attempts.next().await {
+            if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
+                return outcome;
+            }
+        }
+        Outcome::Unknown
+    };
+    tokio::time::timeout(GIVE_UP_AFTER, attempts).await.unwrap_or(Outcome::Unknown)
+}
+
+/// Refuses requests that nobody waits for any more; nothing was sent for them.
+fn refuse_late(open: &mut Vec<Request>, now: Duration) {
     let mut position = 0;
     while position < open.len() {
         if open[position].deadline <= now || open[position].answer.is_closed() {
-            let request = open.swap_remove(position);
-            let stored = if request.is_unknown { Stored::Unknown } else { Stored::Refused };
-            let _caller_gone = request.answer.send(stored);
+            let _caller_gone = open.swap_remove(position).answer.send(Stored::Refused);
         } else {
             position += 1;
         }
--- /dev/null
+++ b/crates/scheduler/tests/submit.rs
@@ -0,0 +1,76 @@
+//! What callers are told of their job, whatever the store does.
+
+mod support;
+
+use std::time::Duration;
+
+use chervilledge_scheduler::message::Stored;
+use chervilledge_scheduler::store::Table;
+use chervilledge_scheduler::submit;
+use rstest::rstest;
+use support::{Fault, Rows, job, tokio_clock};
+use tokio::time::Instant;
+
+/// Time that callers wait.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+fn deadline() -> Duration {
+    tokio_clock().now() + DEADLINE
+}
+
+#[rstest]
+#[case::answers(Fault::None, Stored::Done, true, 50)]
+#[case::answer_is_lost(Fault::LoseAnswers(1), Stored::Done, true, 600)]
+#[case::refuses(Fault::Refuse, Stored::Refused, false, 50)]
+#[case::is_silent(Fault::Silent, Stored::Unknown, false, 1_400)]
+#[case::loses_every_answer(Fault::LoseAnswers(9), Stored::Unknown, true, 1_400)]
+#[tokio::test(start_paused = true)]
+async fn callers_are_told_what_is_known(
+    #[case] fault: Fault,
+    #[case] expected: Stored,
+    #[case] is_stored: bool,
+    #[case] within_ms: u64,
+) {
+    let rows = Rows::with(fault);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    let began = Instant::now();
+    let stored = submitter.store_job(job(1), deadline()).await;
+    assert_eq!(stored, expected);
+    assert_eq!(rows.has(Table::Jobs, "0000000000000001"), is_stored);
+    assert!(began.elapsed() < Duration::from_millis(within_ms), "took {:?}", began.elapsed());
+}
+
+/// The same job again, also while the first one is under way, is the same job.
+#[tokio::test(start_paused = true)]
+async fn the_same_job_is_stored_once() {
+    let rows = Rows::with(Fault::None);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    let (first, second) =
+        tokio::join!(submitter.store_job(job(1), deadline()), submitter.store_job(job(1), deadline()));
+    assert_eq!([first, second, submitter.store_job(job(1), deadline()).await], [Stored::Done; 3]);
+    assert_eq!(rows.writes(Table::Jobs, "0000000000000001"), 1);
+}
+
+/// A refusal of the second attempt proves nothing of the first.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_after_a_lost_answer_is_no_refusal() {
+    let rows = Rows::with(Fault::LoseAnswerThenRefuse);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    assert_eq!(submitter.store_job(job(1), deadline()).await, Stored::Unknown);
+    assert!(rows.has(Table::Jobs, "0000000000000001"));
+}
+
+/// Once the store is known to be silent, callers aren't kept waiting, and they are served soon after its return.
+#[tokio::test(start_paused = true)]
+async fn later_callers_are_refused_at_once() {
+    let rows = Rows::with(Fault::Silent);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    assert_eq!(submitter.store_job(job(1), deadline()).await, Stored::Unknown);
+    let began = Instant::now();
+    assert_eq!(submitter.store_job(job(2), deadline()).await, Stored::Refused);
+    assert!(began.elapsed() < Duration::from_millis(20));
+    rows.set(Fault::None);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(submitter.store_job(job(3), deadline()).await, Stored::Done);
+    assert_eq!(submitter.store_job(job(4), deadline()).await, Stored::Done);
+}
