Bound the placer's processor time

Ruled out: the store (its calls took their usual time). Change: passes take at most a quarter of the time; what is the same for the tasks of a step is worked out once; only changed effects are told, every 4 s; entries with little processor let others claim first.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -181,6 +181,8 @@
     /// Queues that were ever configured, so that work of a removed queue can end.
     queues: Map<Name, Queue>,
     jobs: Map<JobId, JobEntry>,
+    /// Jobs with a schedule that haven't ended.
+    scheduled: Set<JobId>,
     agents: Map<Name, Agent>,
     /// Tasks that wait for room.
     ready: BTreeSet<TaskId>,
@@ -200,7 +202,7 @@
     counters: Counters,
     needs_placing: bool,
     /// What each agent has learnt of pairs of images.
-    learnt: Map<Name, Vec<(Pair, Effect)>>,
+    learnt: Map<Name, Map<Pair, Effect>>,
     /// The same of all agents together.
     interference: Interference,
 }
@@ -215,6 +217,7 @@
             configuration: None,
             queues: Map::default(),
             jobs: Map::default(),
+            scheduled: Set::default(),
             agents: Map::default(),
             ready: BTreeSet::new(),
             pending_by_queue: Map::default(),
@@ -252,10 +255,15 @@
 
     /// Takes in what an agent has learnt of pairs of images.
     pub fn learn(&mut self, agent: &Name, effects: Vec<(Pair, Effect)>) {
-        self.learnt.insert(Arc::clone(agent), effects);
+        let learnt = self.learnt.entry(Arc::clone(agent)).or_default();
+        learnt.extend(effects);
+    }
+
+    /// Puts together what the agents have learnt.
+    pub fn merge_learnt(&mut self) {
         self.interference = Interference::default();
         for effects in self.learnt.values() {
-            self.interference.merge(effects);
+            self.interference.merge(effects.iter());
         }
     }
 
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -135,6 +135,7 @@
         is_far: false,
         disturbed: 0,
         unlike: 0,
+        slowed_millicores: 0,
     })
 }
 
@@ -199,6 +200,9 @@
         if !has_begun {
             *self.pending_by_queue.entry(Arc::clone(&entry.job.queue)).or_default() += 1;
         }
+        if outcome.is_none() && entry.job.schedule.is_some() {
+            self.scheduled.insert(id);
+        }
         self.jobs.insert(id, entry);
         if outcome.is_none() {
             self.open_occurrences(id, None, now);
@@ -207,12 +211,7 @@
 
     /// Opens occurrences that are due; `unix_ms` is the wall clock, needed for jobs with a schedule only.
     pub fn open_due(&mut self, unix_ms: u64, now: Duration) {
-        let scheduled: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, entry)| entry.is_open() && entry.job.schedule.is_some())
-            .map(|(id, _)| *id)
-            .collect();
+        let scheduled: Vec<JobId> = self.scheduled.iter().copied().collect();
         for id in scheduled {
             self.open_occurrences(id, Some(unix_ms), now);
         }
@@ -273,6 +272,7 @@
         if entry.outcome.is_some() {
             return;
         }
+        self.scheduled.remove(&id);
         entry.outcome = Some(outcome);
         entry.progress.outcome = Some(outcome);
         let age = entry.age(now);
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -23,6 +23,15 @@
 /// Time after which a task is placed where it disturbs.
 const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Tasks that are alike: job, occurrence and step.
+type Group = (JobId, u32, u32);
+
+/// A worker that may run the tasks of a step, with what is the same for all of them.
+struct Candidate {
+    agent: Name,
+    need: Need,
+}
+
 /// A task that waits for room.
 struct Waiting {
     rank: Rank,
@@ -41,14 +50,19 @@
         let mut waiting = self.rank_waiting(now);
         waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.task));
         // Tasks of a step are alike: where one has no room, the others have none.
-        let mut full: Set<(JobId, u32, u32)> = Set::default();
+        let mut full: Set<Group> = Set::default();
+        let mut candidates: (Option<Group>, Vec<Candidate>) = (None, Vec::new());
         for Waiting { task, .. } in waiting.into_iter().take(PASS_MAX) {
             let group = (task.job, task.key.occurrence, task.key.step);
             if !self.ready.contains(&task) || full.contains(&group) {
                 continue;
             }
+            if candidates.0 != Some(group) {
+                candidates = (Some(group), self.candidates(task, now));
+            }
             let is_gang = self.step_of(task).is_some_and(|step| step.gang);
-            let is_placed = if is_gang { self.place_gang(task, now) } else { self.place_task(task, now) };
+            let is_placed =
+                if is_gang { self.place_gang(task, now) } else { self.place_task(task, &mut candidates.1, now) };
             if !is_placed {
                 full.insert(group);
             }
@@ -96,9 +110,14 @@
         self.jobs.get(&task.job)?.job.step(task.key)
     }
 
-    fn place_task(&mut self, task: TaskId, now: Duration) -> bool {
-        let Some(agent) = self.choose(task, None, now) else { return false };
+    fn place_task(&mut self, task: TaskId, candidates: &mut [Candidate], now: Duration) -> bool {
+        let Some(agent) = self.choose_among(task, candidates, None, now) else { return false };
         self.start(task, &agent, None, now);
+        if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.agent == agent)
+            && candidate.need.disturbed > 0
+        {
+            candidate.need.slowed_millicores += candidate.need.resources.processor_millicores;
+        }
         true
     }
 
@@ -170,33 +189,53 @@
 
     /// Chooses a worker for a task.
     pub(crate) fn choose(&self, task: TaskId, rack: Option<&Name>, now: Duration) -> Option<Name> {
+        self.choose_among(task, &self.candidates(task, now), rack, now)
+    }
+
+    /// Workers that may run the tasks of a step, whatever room they have.
+    fn candidates(&self, task: TaskId, now: Duration) -> Vec<Candidate> {
+        let Some(entry) = self.jobs.get(&task.job) else { return Vec::new() };
+        let Some(step) = entry.job.step(task.key) else { return Vec::new() };
+        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
+        let base = need(&entry.job, task.key);
+        let candidate = |(name, agent): (&Name, &Agent)| {
+            let worker = open_worker(agent, now)?;
+            let is_allowed = worker.service == terms.service
+                && step.required_label.as_ref().is_none_or(|label| worker.has_label(label));
+            let need = Need {
+                is_far: step.data_rack.is_some() && step.data_rack != worker.rack,
+                disturbed: if step.filling { self.disturbed(agent, step) } else { 0 },
+                unlike: if step.lasting { unlike(agent, step) } else { 0 },
+                slowed_millicores: if step.filling { self.disturbing_millicores(agent) } else { 0 },
+                ..base
+            };
+            is_allowed.then(|| Candidate { agent: Arc::clone(name), need })
+        };
+        self.agents.iter().filter_map(candidate).collect()
+    }
+
+    fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let state = entry.tasks.get(&task.key)?;
-        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
-        let need = need(&entry.job, task.key);
         // A task that has waited for long runs slowly rather than not at all.
         let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
-        let eligible = |name: &Name, agent: &Agent| -> Option<i64> {
-            let worker = open_worker(agent, now)?;
-            let fits = worker.service == terms.service
-                && step.required_label.as_ref().is_none_or(|label| worker.has_label(label))
-                && rack.is_none_or(|rack| worker.rack.as_ref() == Some(rack))
+        let eligible = |candidate: &Candidate| -> Option<i64> {
+            let Candidate { agent: name, need } = candidate;
+            let agent = self.agents.get(name)?;
+            let is_full = need.disturbed > 0 && !is_patient && need.slowed_millicores >= DISTURBING_MILLICORES_MAX;
+            let fits = !is_full
+                && rack
+                    .is_none_or(|rack| agent.worker.as_ref().is_some_and(|worker| worker.rack.as_ref() == Some(rack)))
                 && state.runs.iter().all(|run| run.agent != *name)
                 && step.per_worker_max.is_none_or(|max| siblings(agent, task) < max);
-            let is_far = step.data_rack.is_some() && step.data_rack != worker.rack;
-            let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
-            if disturbed > 0 && !is_patient && self.disturbing_millicores(agent) >= DISTURBING_MILLICORES_MAX {
-                return None;
-            }
-            let unlike = if step.lasting { unlike(agent, step) } else { 0 };
-            fits.then(|| packing::score(&agent.load, &Need { is_far, disturbed, unlike, ..need })).flatten()
+            fits.then(|| packing::score(&agent.load, need)).flatten()
         };
         let best = |is_avoiding: bool| {
-            self.agents
+            candidates
                 .iter()
-                .filter(|(name, _)| !is_avoiding || !state.avoided.contains(name))
-                .filter_map(|(name, agent)| Some((eligible(name, agent)?, name)))
+                .filter(|candidate| !is_avoiding || !state.avoided.contains(&candidate.agent))
+                .filter_map(|candidate| Some((eligible(candidate)?, &candidate.agent)))
                 .min()
                 .map(|(_, name)| Arc::clone(name))
         };
--- a/crates/cell/src/interference.rs
+++ b/crates/cell/src/interference.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +65,8 @@
     effects: Map<Pair, Effect>,
     /// What others have learnt; counts for pairs that aren't known here.
     shared: Map<Pair, Effect>,
+    /// Pairs whose effect has changed since others were told.
+    changed: Set<Pair>,
     own: Map<TaskId, f64>,
 }
 
@@ -84,6 +86,7 @@
             for (filling, cores) in &used {
                 let pair = Pair { filling: Arc::clone(filling), serving: Arc::clone(&run.image) };
                 let first = self.shared.get(&pair).map_or(UNKNOWN_EFFECT, |shared| shared.per_core);
+                self.changed.insert(pair.clone());
                 let effect = self.effects.entry(pair).or_insert(Effect { per_core: first, looks: 0.0 });
                 let corrected = effect.per_core + LEARNING_RATE * error * cores / scale;
                 effect.per_core = corrected.clamp(0.0, EFFECT_MAX);
@@ -110,6 +113,17 @@
         effect.looks < KNOWN_LOOKS || effect.per_core >= DISTURBING_EFFECT
     }
 
+    /// Every pair of which something was learnt here since the last call.
+    pub fn take_changes(&mut self) -> Vec<(Pair, Effect)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().filter_map(|pair| self.effects.get(&pair).map(|effect| (pair, *effect))).collect()
+    }
+
+    /// Counts every pair as changed, for another placer.
+    pub fn tell_anew(&mut self) {
+        self.changed = self.effects.keys().cloned().collect();
+    }
+
     /// Every pair of which something was learnt here.
     #[must_use]
     pub fn table(&self) -> Vec<(Pair, Effect)> {
@@ -122,7 +136,7 @@
     }
 
     /// Adds what another process has learnt to what was learnt here, weighted by the looks behind it.
-    pub fn merge(&mut self, table: &[(Pair, Effect)]) {
+    pub fn merge<'a>(&mut self, table: impl Iterator<Item = (&'a Pair, &'a Effect)>) {
         for (pair, other) in table {
             let known = self.effects.entry(pair.clone()).or_default();
             let looks = known.looks + other.looks;
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -34,6 +34,8 @@
     pub is_far: bool,
     /// Serving runs on the worker that the task, a filling one, would disturb.
     pub disturbed: u32,
+    /// Processor time that disturbing runs on the worker ask for, in thousandths of a core.
+    pub slowed_millicores: u64,
     /// Serving runs on the worker of another image than the task, a serving one.
     pub unlike: u32,
 }
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -102,6 +102,7 @@
             // Ends and progress are told anew.
             own.told = own.cursor;
             own.reported.clear();
+            self.interference.tell_anew();
             own.look_due = now;
         } else {
             self.send_inventory();
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -17,7 +17,7 @@
 /// Pace of disturbing runs from which the others are slowed down too.
 const DISTRUST_PERCENT: u32 = 10;
 /// Interval at which the placer is told of learnt effects.
-const EFFECTS_INTERVAL: Duration = Duration::from_secs(2);
+const EFFECTS_INTERVAL: Duration = Duration::from_secs(4);
 /// Thousandths of a core.
 const MILLICORES: f64 = 1_000.0;
 
@@ -81,7 +81,7 @@
             return;
         }
         self.effects_due = now + EFFECTS_INTERVAL;
-        let table = self.interference.table();
+        let table = self.interference.take_changes();
         if !table.is_empty() {
             self.tell(FromAgent::Effects(table));
         }
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -15,6 +15,11 @@
 /// Upper bound of the random pause before a claim, so that entries don't claim together.
 const CLAIM_JITTER: Duration = Duration::from_millis(120);
 
+/// Part of a core that is enough for placing a cell of some 70 workers.
+const SHARE_ENOUGH: f64 = 0.5;
+/// Longest wait of an entry with less than that.
+const HANDICAP_MAX: Duration = Duration::from_millis(400);
+
 /// Runs until the entry ends.
 pub(super) async fn run(entry: Entry) {
     let mut link_lost: Option<Duration> = None;
@@ -33,7 +38,7 @@
             continue;
         }
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
-        tokio::time::sleep(jitter).await;
+        tokio::time::sleep(jitter + handicap(entry.inner.settings.processor_share)).await;
         let Some(roster) = entry.roster() else { continue };
         if candidate::is_due(&roster, &entry.inner.settings.name, link_lost, entry.now()) {
             claim(&entry, &roster).await;
@@ -41,6 +46,11 @@
     }
 }
 
+/// Time by which an entry with little processor waits for others to claim first.
+fn handicap(processor_share: f64) -> Duration {
+    HANDICAP_MAX.mul_f64(1.0 - (processor_share / SHARE_ENOUGH).clamp(0.0, 1.0))
+}
+
 async fn claim(entry: &Entry, roster: &crate::roster::Roster) {
     let inner = &entry.inner;
     let claimed = entry.now();
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -35,12 +35,14 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval of looks for runs that stand still.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Times the duration of a pass after which the next one may follow, so that passes take a quarter of the processor.
+const PLACE_DUTY: u32 = 4;
 /// Least time between two batches of progress, so that ends gather.
 const BATCH_GAP: Duration = Duration::from_millis(20);
 /// Pause after a write that didn't take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which agents are told what the others have learnt.
-const EFFECTS_INTERVAL: Duration = Duration::from_secs(2);
+const EFFECTS_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval of looks for jobs and agents whose rows may go.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Jobs whose rows go in one transaction.
@@ -188,6 +190,8 @@
     /// Cancellations of jobs whose row hasn't come yet.
     early_cancels: Set<JobId>,
     batch_due: Duration,
+    /// When tasks may be placed again.
+    place_due: Duration,
     watch_due: Duration,
     effects_due: Duration,
     expiry_due: Duration,
@@ -246,6 +250,7 @@
             next_link: 1,
             early_cancels: Set::default(),
             batch_due: Duration::ZERO,
+            place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
             effects_due: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
@@ -378,8 +383,10 @@
     /// Places, orders, writes and logs what the cell has decided.
     fn drive(&mut self) {
         let now = self.context.clock.now();
-        if self.is_loaded && self.authority.holds(now) && self.cell.needs_placing() {
+        if self.is_loaded && now >= self.place_due && self.authority.holds(now) && self.cell.needs_placing() {
             self.cell.place(now);
+            let took = self.context.clock.now().saturating_sub(now);
+            self.place_due = now + took * PLACE_DUTY;
         }
         if now >= self.batch_due
             && self.is_loaded
@@ -567,7 +574,8 @@
     }
 
     /// Tells every agent what all have learnt of pairs of images.
-    fn tell_effects(&self) {
+    fn tell_effects(&mut self) {
+        self.cell.merge_learnt();
         let effects = self.cell.effects();
         if effects.is_empty() {
             return;
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -12,13 +12,15 @@
 
 /// Settings of an entry.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// Name, unique among entries.
     pub name: Name,
     /// Where links are taken.
     pub links_address: SocketAddr,
+    /// Part of a core that the entry has; of two that could place, the one with more does.
+    pub processor_share: f64,
     /// Longest lease that a worker grants its runs.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "worker_lease_max_ms")]
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -95,10 +95,9 @@
     /// Answer to a transaction; `None` when it never comes.
     fn take(&mut self, transaction: &Transaction) -> Option<Outcome> {
         match self.fault {
-            Fault::None => Some(self.commit(transaction)),
+            Fault::None | Fault::LoseAnswers(0) => Some(self.commit(transaction)),
             Fault::Refuse => Some(Outcome::Refused),
             Fault::Silent => None,
-            Fault::LoseAnswers(0) => Some(self.commit(transaction)),
             Fault::LoseAnswers(left) => {
                 self.fault = Fault::LoseAnswers(left - 1);
                 self.commit(transaction);
