Give up a silent agent's runs only after a confirmation that its placer still is the placer

Ruled out: the wait of the successor (it covers agents that the successor doesn't reach). Change: runs of a silent agent are given up when the term was confirmed at the store after the lease's end. In an outage of the store for all they wait for its return.

--- a/crates/cell/src/authority.rs
+++ b/crates/cell/src/authority.rs
@@ -50,6 +50,12 @@
         self.confirmed.is_some_and(|confirmed| now < confirmed + AUTHORITY)
     }
 
+    /// When the last confirmation was asked for.
+    #[must_use]
+    pub const fn last_confirmed(&self) -> Option<Duration> {
+        self.confirmed
+    }
+
     /// Age of the last confirmation.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -176,12 +176,17 @@
         }
     }
 
-    /// Gives up what runs on workers whose lease has ended without a sign of their agent.
-    pub fn lapse(&mut self, now: Duration) {
+    /// Gives up what runs on workers whose lease had ended, without a sign of their agent, when the term was confirmed
+    /// last.
+    ///
+    /// Without a confirmation from after the lease's end, the agent may be silent because it obeys a newer placer, under
+    /// which its runs go on.
+    pub fn lapse(&mut self, confirmed: Option<Duration>, now: Duration) {
+        let Some(confirmed) = confirmed else { return };
         let lapsed: Vec<Name> = self
             .agents
             .iter()
-            .filter(|(_, agent)| agent.lease_until <= now)
+            .filter(|(_, agent)| agent.lease_until <= confirmed)
             .filter(|(name, agent)| match agent.contact {
                 Contact::Silent => true,
                 Contact::Unheard => self.unresolved.contains(*name),
--- a/crates/cell/tests/takeover.rs
+++ b/crates/cell/tests/takeover.rs
@@ -74,13 +74,13 @@
     let last = wait.saturating_sub(Duration::from_millis(20));
     while world.now < begin + last {
         world.advance_ms(10);
-        world.cell.lapse(world.now);
+        world.cell.lapse(Some(world.now), world.now);
         world.cell.place(world.now);
         let starts = world.cell.take_actions();
         assert!(starts.is_empty(), "{starts:?} after {:?}", world.now.saturating_sub(begin));
     }
     world.advance_ms(40);
-    world.cell.lapse(world.now);
+    world.cell.lapse(Some(world.now), world.now);
     world.cell.place(world.now);
     let actions = world.cell.take_actions();
     assert!(
--- /dev/null
+++ b/crates/cell/tests/walk.rs
@@ -0,0 +1,369 @@
+//! Random walks through takeovers, cuts, restarts and outages: no task runs twice, and nothing accepted is lost.
+//!
+//! Placers, agents, workers and the store are modelled; every decision is the cell's own. Each guard named here, taken
+//! out, makes the walks fail: the wait for unheard agents, the wait for a silent agent's lease, the end of the
+//! authority, the order of writing and settling.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::authority::Authority;
+use chervilledge_cell::cell::writes::Batch;
+use chervilledge_cell::cell::{Action, Cell, Inventory};
+use chervilledge_cell::grant::Grant;
+use chervilledge_cell::job::{JobId, JobState, TaskId};
+use chervilledge_cell::progress::Progress;
+use chervilledge_cell::worker::{End, EndKind, RunReport};
+use chervilledge_policy::id::Name;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use support::{LEASE, configuration, job, life, name, step, worker};
+
+const STEP: Duration = Duration::from_millis(50);
+const AGENTS: usize = 3;
+const JOBS: u64 = 12;
+const MILLICORES: u64 = 4_000;
+/// Time of trouble, and then of calm in which everything has to end.
+const TROUBLE: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(60);
+
+/// The store's rows.
+#[derive(Default)]
+struct Store {
+    term: u64,
+    progress: BTreeMap<JobId, (Progress, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    /// Writes a batch if its conditions hold; gives the revision or the conflicting ones.
+    fn write(&mut self, term: u64, batch: &Batch) -> Result<u64, Option<Vec<(JobId, u64)>>> {
+        if self.term != term {
+            return Err(None);
+        }
+        let revision = |store: &Self, job: &JobId| store.progress.get(job).map_or(0, |(_, revision)| *revision);
+        if batch.writes.iter().any(|write| revision(self, &write.job) != write.revision) {
+            return Err(Some(batch.writes.iter().map(|write| (write.job, revision(self, &write.job))).collect()));
+        }
+        self.revision += 1;
+        for write in &batch.writes {
+            self.progress.insert(write.job, (write.progress.clone(), self.revision));
+        }
+        Ok(self.revision)
+    }
+
+    fn is_done(&self, task: TaskId) -> bool {
+        self.progress.get(&task.job).is_some_and(|(progress, _)| progress.done.contains(&task.key))
+    }
+}
+
+struct Placer {
+    term: u64,
+    cell: Cell,
+    authority: Authority,
+    /// Agents that are linked.
+    links: BTreeSet<Name>,
+    /// Until when the store can't be reached.
+    cut: Duration,
+    confirm_due: Duration,
+    batch: Option<(Batch, Duration)>,
+}
+
+#[derive(Default)]
+struct Agent {
+    term: u64,
+    grant: Grant,
+    /// Highest term that the worker has seen.
+    fence: u64,
+    lease_until: Duration,
+    running: BTreeMap<(TaskId, u64), Duration>,
+    /// Runs that were stopped; the worker refuses them and what is older.
+    stopped: BTreeMap<TaskId, u64>,
+    ends: Vec<End>,
+    next_end: u64,
+    /// Until when no placer reaches the agent.
+    cut: Duration,
+}
+
+impl Agent {
+    fn end(&mut self, run: (TaskId, u64), kind: EndKind) {
+        self.running.remove(&run);
+        self.next_end += 1;
+        let end = End { number: self.next_end, task: run.0, run: run.1, kind, checkpoint: name("") };
+        self.ends.push(end);
+    }
+
+    fn inventory(&self, agent: &Name) -> Inventory {
+        let report = |(task, run): &(TaskId, u64)| RunReport {
+            task: *task,
+            run: *run,
+            checkpoint: name(""),
+            percent: 1,
+            measured: 0,
+            pace_percent: 100,
+        };
+        Inventory {
+            worker: Some(worker(agent, MILLICORES)),
+            running: self.running.keys().map(report).collect(),
+            starting: Vec::new(),
+            ends: self.ends.clone(),
+            is_empty: false,
+        }
+    }
+}
+
+struct Walk {
+    seed: u64,
+    rng: SmallRng,
+    now: Duration,
+    store: Store,
+    placers: Vec<Placer>,
+    agents: BTreeMap<Name, Agent>,
+    is_calm: bool,
+}
+
+impl Walk {
+    fn new(seed: u64) -> Self {
+        let agents = (0..AGENTS).map(|number| (name(&format!("agent-{number}")), Agent::default())).collect();
+        let rng = SmallRng::seed_from_u64(seed);
+        let now = Duration::from_secs(1_000);
+        let mut walk = Self { seed, rng, now, store: Store::default(), placers: Vec::new(), agents, is_calm: false };
+        walk.take_over();
+        walk
+    }
+
+    /// A new placer claims the cell; the former ones don't know yet.
+    fn take_over(&mut self) {
+        self.store.term += 1;
+        self.store.revision += 1;
+        let mut cell = Cell::new(self.store.term, LEASE);
+        cell.configure(Arc::new(configuration()));
+        for agent in self.agents.keys() {
+            cell.agent_known(agent, self.store.term > 1, self.now);
+        }
+        for id in 0..JOBS {
+            let (progress, revision) = self.store.progress.get(&JobId(id)).cloned().unwrap_or_default();
+            cell.load(job(id, vec![step(2, 1_000), step(1, 1_000)]), progress, revision, Duration::ZERO, self.now);
+        }
+        let mut authority = Authority::default();
+        authority.confirmed(self.now);
+        self.placers.push(Placer {
+            term: self.store.term,
+            cell,
+            authority,
+            links: BTreeSet::new(),
+            cut: self.now,
+            confirm_due: self.now,
+            batch: None,
+        });
+    }
+
+    fn trouble(&mut self) {
+        let until = self.now + Duration::from_millis(self.rng.random_range(500..15_000));
+        if self.rng.random_bool(0.004) {
+            self.take_over();
+        }
+        if self.rng.random_bool(0.01)
+            && let Some(placer) = self.placers.last_mut()
+        {
+            placer.cut = until;
+        }
+        let names: Vec<Name> = self.agents.keys().cloned().collect();
+        let agent = &names[self.rng.random_range(0..names.len())];
+        let chance: f64 = self.rng.random();
+        let Some(state) = self.agents.get_mut(agent) else { return };
+        if chance < 0.01 {
+            // No placer reaches the agent, which goes on as its grant allows.
+            state.cut = until;
+        } else if chance < 0.02 {
+            // The agent's process starts anew; its worker runs on.
+            state.term = 0;
+            state.grant = Grant::default();
+            for placer in &mut self.placers {
+                if placer.links.remove(agent) {
+                    placer.cell.agent_silent(agent);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if !self.is_calm {
+            self.trouble();
+        }
+        self.work();
+        for position in 0..self.placers.len() {
+            self.link(position);
+            self.drive(position);
+        }
+        let newest = self.store.term;
+        // A placer that reaches the store learns that it was deposed.
+        let now = self.now;
+        self.placers.retain(|placer| placer.term == newest || placer.cut > now || now < placer.confirm_due);
+        self.check();
+    }
+
+    /// Runs go on, end, and lapse.
+    fn work(&mut self) {
+        let now = self.now;
+        for agent in self.agents.values_mut() {
+            if agent.grant.holds(now) {
+                agent.lease_until = agent.lease_until.max(agent.grant.until);
+            }
+            let over: Vec<(TaskId, u64)> =
+                if now >= agent.lease_until { agent.running.keys().copied().collect() } else { Vec::new() };
+            for run in over {
+                agent.end(run, EndKind::Lapsed);
+            }
+            let ended: Vec<(TaskId, u64)> =
+                agent.running.iter().filter(|(_, end)| **end <= now).map(|(run, _)| *run).collect();
+            for run in ended {
+                agent.end(run, EndKind::Done);
+            }
+        }
+    }
+
+    /// Opens and closes links, and carries what is told on them.
+    fn link(&mut self, position: usize) {
+        let now = self.now;
+        let placer = &mut self.placers[position];
+        for (agent_name, agent) in &mut self.agents {
+            let is_reached = now >= agent.cut && agent.term <= placer.term && agent.fence <= placer.term;
+            if !is_reached {
+                if placer.links.remove(agent_name) {
+                    placer.cell.agent_silent(agent_name);
+                }
+                continue;
+            }
+            if placer.links.insert(agent_name.clone()) {
+                agent.term = placer.term;
+                agent.fence = placer.term;
+                placer.cell.agent_linked(agent_name, agent.inventory(agent_name), now);
+            } else {
+                placer.cell.ended(agent_name, agent.ends.clone(), now);
+            }
+            if placer.authority.holds(now)
+                && let Some(lease) = placer.cell.grant(agent_name, now)
+                && !lease.is_zero()
+            {
+                agent.grant.extend(now, lease);
+            }
+        }
+    }
+
+    fn drive(&mut self, position: usize) {
+        let now = self.now;
+        let placer = &mut self.placers[position];
+        if now >= placer.cut && now >= placer.confirm_due {
+            placer.confirm_due = now + Duration::from_secs(1);
+            if self.store.term == placer.term {
+                placer.authority.confirmed(now);
+            }
+        }
+        if placer.authority.holds(now) {
+            placer.cell.lapse(placer.authority.last_confirmed(), now);
+            placer.cell.place(now);
+        }
+        self.write(position);
+        let actions = self.placers[position].cell.take_actions();
+        for action in actions {
+            self.carry_out(position, action);
+        }
+    }
+
+    /// Writes progress: now, later, without an answer, or not at all.
+    fn write(&mut self, position: usize) {
+        let now = self.now;
+        let delay = Duration::from_millis(self.rng.random_range(0..400));
+        let loses_answer = !self.is_calm && self.rng.random_bool(0.1);
+        let placer = &mut self.placers[position];
+        if placer.batch.is_none() {
+            placer.batch = placer.cell.next_batch().map(|batch| (batch, now + delay));
+        }
+        let Some((batch, _)) = placer.batch.take_if(|(_, due)| *due <= now) else { return };
+        if now < placer.cut {
+            placer.cell.give_back(&batch);
+            return;
+        }
+        match self.store.write(placer.term, &batch) {
+            Ok(_) if loses_answer => placer.cell.give_back(&batch),
+            Ok(revision) => placer.cell.committed(&batch, revision, now),
+            Err(Some(revisions)) => placer.cell.conflicted(&batch, &revisions),
+            Err(None) => placer.cell.give_back(&batch),
+        }
+    }
+
+    fn carry_out(&mut self, position: usize, action: Action) {
+        let placer = &mut self.placers[position];
+        let (Action::Start { agent: agent_name, .. }
+        | Action::Stop { agent: agent_name, .. }
+        | Action::Settle { agent: agent_name, .. }) = &action;
+        let Some(agent) = self.agents.get_mut(agent_name) else { return };
+        // Without a link the order is lost.
+        if !placer.links.contains(agent_name) || agent.term != placer.term {
+            return;
+        }
+        match &action {
+            Action::Start { order, .. } => {
+                let run = (order.task, order.run);
+                let is_old = agent.stopped.get(&order.task).is_some_and(|stopped| *stopped >= order.run);
+                if agent.grant.holds(self.now) && !is_old {
+                    let end = self.now + Duration::from_millis(self.rng.random_range(300..3_000));
+                    assert!(!self.store.is_done(order.task), "seed {}: {} starts again", self.seed, order.task);
+                    agent.running.insert(run, end);
+                    placer.cell.run_started(order.task, order.run, self.now);
+                } else {
+                    placer.cell.run_absent(agent_name, order.task, order.run, self.now);
+                }
+            }
+            Action::Stop { task, run, .. } => {
+                let stopped = agent.stopped.entry(*task).or_default();
+                *stopped = (*stopped).max(*run);
+                if agent.running.contains_key(&(*task, *run)) {
+                    agent.end((*task, *run), EndKind::Stopped);
+                } else {
+                    placer.cell.run_absent(agent_name, *task, *run, self.now);
+                }
+            }
+            Action::Settle { life: meant, cursor, .. } => {
+                assert_eq!(*meant, life(agent_name));
+                for end in agent.ends.iter().filter(|end| end.number <= *cursor && end.kind == EndKind::Done) {
+                    assert!(self.store.is_done(end.task), "seed {}: {} settled too soon", self.seed, end.task);
+                }
+                agent.ends.retain(|end| end.number > *cursor);
+            }
+        }
+    }
+
+    fn check(&self) {
+        let mut running = BTreeSet::new();
+        for task in self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task)) {
+            assert!(running.insert(task), "seed {}: {task} runs twice at {:?}", self.seed, self.now);
+        }
+    }
+}
+
+#[rstest]
+fn nothing_runs_twice_and_all_jobs_end(#[values(1, 2, 3, 4, 5, 6, 7, 8)] group: u64) {
+    for seed in group * 100..group * 100 + 25 {
+        let mut walk = Walk::new(seed);
+        let calm = walk.now + TROUBLE;
+        while walk.now < calm {
+            walk.step();
+        }
+        walk.is_calm = true;
+        let end = walk.now + CALM;
+        while walk.now < end {
+            walk.step();
+        }
+        let placer = walk.placers.last().expect("a placer is left");
+        for id in 0..JOBS {
+            assert_eq!(placer.cell.state(JobId(id)), Some(JobState::Completed), "seed {seed}: job {id}");
+        }
+    }
+}
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -366,7 +366,7 @@
         if now >= self.watch_due {
             self.watch_due = now + WATCH_INTERVAL;
             if holds {
-                self.cell.lapse(now);
+                self.cell.lapse(self.authority.last_confirmed(), now);
                 self.cell.watch_runs(now);
             }
         }
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -17,6 +17,7 @@
 mod status;
 mod submit;
 pub mod timestamp;
+mod trace;
 mod workers;
 
 pub use error::{Error, exit_status};
@@ -39,6 +40,7 @@
     cancel     Cancel jobs or a task
     explain    Tell what happened to a request or a task and why
     dump       Print the state of a process
+    trace      Follow a job, a task or a worker through the logs of many processes
 
 Options:
     -h, --help       Show this text; after a command, show that command's text
@@ -65,6 +67,7 @@
     ("plan", plan::run),
     ("status", status::run),
     ("submit", submit::run),
+    ("trace", trace::run),
     ("workers", workers::run),
 ];
 
--- /dev/null
+++ b/tests/cmd_trace.rs
@@ -0,0 +1,53 @@
+//! `chervilledge trace`.
+
+#[allow(dead_code, reason = "each test file uses its part")]
+#[path = "support/work_dir.rs"]
+mod work_dir;
+
+use work_dir::WorkDir;
+
+const ENTRY: &str = r#"
+  2.10 entry-1 {"at":"13:28:22.316","event":"submitted","node":"entry-1","job":"5c0e7a21d94b36f8","stored":"Done"}
+  2.11 entry-1 {"at":"13:28:22.320","event":"submitted","node":"entry-1","job":"0000000000000001","stored":"Done"}
+not a line of ours about 5c0e7a21d94b36f8
+"#;
+
+const PLACER: &str = r#"
+{"at":"13:28:23.001","event":"run_ended","node":"entry-2","task":"5c0e7a21d94b36f8.0.0.1","how":"done","run":1}
+{"at":"13:28:22.331","event":"placed","node":"entry-2","task":"5c0e7a21d94b36f8.0.0.1","agent":"agent-3","run":1}
+{"at":"13:28:22.331","event":"placed","task":"5c0e7a21d94b36f8
+"#;
+
+#[test]
+fn lines_of_a_job_come_in_the_order_of_time() {
+    let dir = WorkDir::with_fitters("trace_order");
+    dir.write("entry.log", ENTRY);
+    dir.write("placer.log", PLACER);
+    let run = dir.run("trace 5c0e7a21d94b36f8 placer.log entry.log");
+    assert_eq!((run.status, run.err.as_str()), (0, ""));
+    assert_eq!(
+        run.out,
+        "\
+13:28:22.316 entry-1             submitted        job=5c0e7a21d94b36f8 stored=Done
+13:28:22.331 entry-2             placed           agent=agent-3 run=1 task=5c0e7a21d94b36f8.0.0.1
+13:28:23.001 entry-2             run_ended        how=done run=1 task=5c0e7a21d94b36f8.0.0.1
+"
+    );
+}
+
+#[test]
+fn lines_are_written_whole_for_scripts() {
+    let dir = WorkDir::with_fitters("trace_json");
+    dir.write("placer.log", PLACER);
+    let run = dir.run("trace 5c0e7a21d94b36f8.0.0.1 placer.log --json");
+    assert_eq!(run.out.lines().count(), 2, "{}", run.out);
+    assert!(run.out.lines().all(|line| line.starts_with('{')), "{}", run.out);
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let dir = WorkDir::with_fitters("trace_missing");
+    let run = dir.run("trace 5c0e7a21d94b36f8 nothing.log");
+    assert_ne!(run.status, 0);
+    assert!(run.err.contains("nothing.log"), "{}", run.err);
+}
