--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -117,5 +117,6 @@
 }
 
 fn is_still(run: &Run, expected: Duration, now: Duration) -> bool {
-    now.saturating_sub(run.moved) >= expected.mul_f64(STILL_FACTOR).max(STILL_MIN)
+    // A run that was slowed down for the sake of others says nothing of its worker.
+    run.slowed.is_none() && now.saturating_sub(run.moved) >= expected.mul_f64(STILL_FACTOR).max(STILL_MIN)
 }
--- /dev/null
+++ b/crates/cell/tests/pace.rs
@@ -0,0 +1,65 @@
+//! Pace of filling runs beside serving ones.
+
+use std::time::Duration;
+
+use chervilledge_cell::interference::{Interference, Serving};
+use chervilledge_cell::job::{JobId, TaskId, TaskKey};
+use chervilledge_cell::pace::{Pacer, Tail};
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+fn tail(measured_ms: u64) -> [Tail; 1] {
+    [Tail { measured: Duration::from_millis(measured_ms), target: Duration::from_millis(45) }]
+}
+
+/// Looks that end early show the same half second again; the pace of a worker was halved three times within 12 ms.
+#[test]
+fn the_same_figures_slow_down_once() {
+    let mut pacer = Pacer::default();
+    let now = Duration::from_secs(10);
+    let first = pacer.observe(&tail(230), now);
+    assert!(first <= 40, "{first}");
+    for later_ms in [3, 12, 400] {
+        assert_eq!(pacer.observe(&tail(230), now + Duration::from_millis(later_ms)), first);
+    }
+    assert!(pacer.observe(&tail(230), now + Duration::from_millis(700)) < first);
+}
+
+#[test]
+fn the_pace_comes_back_when_the_tail_is_low() {
+    let mut pacer = Pacer::default();
+    let mut now = Duration::from_secs(10);
+    pacer.observe(&tail(300), now);
+    let mut looks = 0;
+    while pacer.percent() < 100 {
+        now += Duration::from_millis(700);
+        pacer.observe(&tail(15), now);
+        looks += 1;
+        assert!(looks < 10, "still at {}", pacer.percent());
+    }
+}
+
+/// Plays looks at workers on which one of two filling images doubles the tail of a serving one, and the other does
+/// nothing; within some looks it is known which.
+#[rstest]
+fn disturbing_images_are_told_from_others(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let [heavy, light, serving]: [Name; 3] = ["heavy", "light", "serving"].map(Name::from);
+    let mut interference = Interference::default();
+    let key = TaskKey { occurrence: 0, step: 0, index: 0 };
+    for look in 0..80_u32 {
+        let cores: [f64; 2] = [rng.random_range(0.0..6.0), rng.random_range(0.0..6.0)];
+        // The serving run's own load swings slowly, and the figure is rough.
+        let own = 0.5 + 0.15 * (f64::from(look) / 15.0).sin();
+        let ratio = own * (0.2 * cores[0]).exp() * rng.random_range(0.9..1.1);
+        let run = Serving { task: TaskId { job: JobId(1), key }, image: Name::clone(&serving), log_ratio: ratio.ln() };
+        let used: Map<Name, f64> =
+            [(Name::clone(&heavy), cores[0]), (Name::clone(&light), cores[1])].into_iter().collect();
+        interference.observe(&[run], &used);
+    }
+    assert!(interference.is_disturbing(&heavy, &serving));
+    assert!(!interference.is_disturbing(&light, &serving), "{:?}", interference.effect(&light, &serving));
+}
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -28,8 +28,8 @@
 const JOBS: u64 = 12;
 const MILLICORES: u64 = 4_000;
 /// Time of trouble, and then of calm in which everything has to end.
-const TROUBLE: Duration = Duration::from_secs(60);
-const CALM: Duration = Duration::from_secs(60);
+const TROUBLE: Duration = Duration::from_mins(1);
+const CALM: Duration = Duration::from_mins(1);
 
 /// The store's rows.
 #[derive(Default)]
@@ -244,7 +244,7 @@
                 }
                 continue;
             }
-            if placer.links.insert(agent_name.clone()) {
+            if placer.links.insert(Arc::clone(agent_name)) {
                 agent.term = placer.term;
                 agent.fence = placer.term;
                 placer.cell.agent_linked(agent_name, agent.inventory(agent_name), now);
@@ -276,7 +276,7 @@
         self.write(position);
         let actions = self.placers[position].cell.take_actions();
         for action in actions {
-            self.carry_out(position, action);
+            self.carry_out(position, &action);
         }
     }
 
@@ -302,17 +302,17 @@
         }
     }
 
-    fn carry_out(&mut self, position: usize, action: Action) {
+    fn carry_out(&mut self, position: usize, action: &Action) {
         let placer = &mut self.placers[position];
         let (Action::Start { agent: agent_name, .. }
         | Action::Stop { agent: agent_name, .. }
-        | Action::Settle { agent: agent_name, .. }) = &action;
+        | Action::Settle { agent: agent_name, .. }) = action;
         let Some(agent) = self.agents.get_mut(agent_name) else { return };
         // Without a link the order is lost.
         if !placer.links.contains(agent_name) || agent.term != placer.term {
             return;
         }
-        match &action {
+        match action {
             Action::Start { order, .. } => {
                 let run = (order.task, order.run);
                 let is_old = agent.stopped.get(&order.task).is_some_and(|stopped| *stopped >= order.run);
