Test placing by its rules and loads; open relay links within 200 ms

Change: 200 ms for that; tests/placing.rs plays room, gangs, labels, racks, spread, order, failures.

--- /dev/null
+++ b/crates/cell/tests/placing.rs
@@ -0,0 +1,183 @@
+//! Where tasks are placed, and in which order.
+
+mod support;
+
+use std::time::Duration;
+
+use chervilledge_cell::cell::{Action, Inventory};
+use chervilledge_cell::interference::{Effect, Pair};
+use chervilledge_cell::job::{JobId, Step};
+use chervilledge_cell::worker::{EndKind, Worker};
+use rstest::rstest;
+use support::{World, job, name, step, worker};
+
+const MILLICORES: u64 = 8_000;
+
+/// Agents in the order in which tasks were started on them.
+fn placed(world: &mut World) -> Vec<(String, u64, u64)> {
+    world.cell.place(world.now);
+    let actions = world.cell.take_actions();
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Start { agent, order, .. } => Some((agent.to_string(), order.task.job.0, order.run)),
+        Action::Stop { .. } | Action::Settle { .. } => None,
+    });
+    let starts = starts.collect();
+    for action in &actions {
+        world.carry_out(action);
+    }
+    starts
+}
+
+fn relabel(world: &mut World, agent: &str, change: impl Fn(&mut Worker)) {
+    let agent = name(agent);
+    let mut changed = worker(&agent, MILLICORES);
+    change(&mut changed);
+    world.cell.worker_seen(&agent, changed, world.now);
+}
+
+#[test]
+fn room_is_never_exceeded() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![step(10, 3_000)]));
+    assert_eq!(placed(&mut world).len(), 4);
+    let (agent, task, run) = world.all_running()[0].clone();
+    world.end(&agent, task, run, EndKind::Done);
+    assert_eq!(placed(&mut world).len(), 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let gang = Step { gang: true, ..step(3, 4_000) };
+    let mut world = World::with_workers(1, MILLICORES);
+    world.submit(job(1, vec![gang.clone()]));
+    assert_eq!(placed(&mut world), []);
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![gang]));
+    let starts = placed(&mut world);
+    assert_eq!(starts.len(), 3);
+    assert!(starts.iter().all(|(_, _, run)| *run == starts[0].2), "{starts:?}");
+}
+
+#[rstest]
+#[case::label(Step { required_label: Some(name("b")), ..step(1, 100) })]
+#[case::rack_of_the_data(Step { data_rack: Some(name("r1-2")), ..step(1, 100) })]
+fn labels_and_racks_are_heeded(#[case] step: Step) {
+    let mut world = World::with_workers(4, MILLICORES);
+    relabel(&mut world, "agent-2", |worker| {
+        worker.kind = Some(name("b"));
+        worker.rack = Some(name("r1-2"));
+    });
+    world.submit(job(1, vec![step]));
+    assert_eq!(placed(&mut world)[0].0, "agent-2");
+}
+
+#[test]
+fn tasks_of_a_step_are_spread() {
+    let mut world = World::with_workers(3, MILLICORES);
+    world.submit(job(1, vec![Step { per_worker_max: Some(1), ..step(5, 100) }]));
+    assert_eq!(placed(&mut world).len(), 3);
+}
+
+#[test]
+fn a_later_step_waits_for_the_whole_earlier_one() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![step(2, 100), Step { after: vec![0], ..step(1, 100) }]));
+    assert_eq!(placed(&mut world).len(), 2);
+    let running = world.all_running();
+    world.end(&running[0].0, running[0].1, running[0].2, EndKind::Done);
+    assert_eq!(placed(&mut world).len(), 0);
+    world.end(&running[1].0, running[1].1, running[1].2, EndKind::Done);
+    assert_eq!(placed(&mut world).len(), 1);
+}
+
+#[test]
+fn nothing_is_placed_on_a_worker_that_leaves() {
+    let mut world = World::with_workers(2, MILLICORES);
+    relabel(&mut world, "agent-0", |worker| worker.leaves_in = Some(Duration::from_secs(2)));
+    world.submit(job(1, vec![step(4, 100)]));
+    assert!(placed(&mut world).iter().all(|(agent, ..)| agent == "agent-1"));
+}
+
+#[test]
+fn a_failed_task_goes_elsewhere_and_fails_the_job_at_its_limit() {
+    let mut world = World::with_workers(3, MILLICORES);
+    world.submit(job(1, vec![step(1, 100)]));
+    let mut agents = Vec::new();
+    for _ in 0..3 {
+        agents.extend(placed(&mut world).into_iter().map(|(agent, ..)| agent));
+        let (agent, task, run) = world.all_running()[0].clone();
+        world.end(&agent, task, run, EndKind::Failed);
+        world.advance_ms(1_000);
+    }
+    agents.sort();
+    agents.dedup();
+    assert_eq!(agents.len(), 3, "each attempt on another worker");
+    assert!(placed(&mut world).is_empty());
+    let batch = world.cell.next_batch().expect("the failure is written");
+    world.cell.committed(&batch, 50, world.now);
+    assert_eq!(world.cell.state(JobId(1)), Some(chervilledge_cell::job::JobState::Failed));
+}
+
+/// Plays the load of the booking site: serving runs fill the workers, and of two filling images one disturbs them.
+#[test]
+fn filling_tasks_go_where_they_disturb_nobody() {
+    let mut world = World::with_workers(2, MILLICORES);
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(1, vec![serving]));
+    let beside = placed(&mut world)[0].0.clone();
+    let effect = |filling: &str, per_core: f64| {
+        (Pair { filling: name(filling), serving: name("serving") }, Effect { per_core, looks: 40.0 })
+    };
+    world.cell.learn(&name("agent-0"), vec![effect("heavy", 0.2), effect("light", 0.0)]);
+    world.cell.merge_learnt();
+    let filling = |image: &str| Step { filling: true, image: Some(name(image)), ..step(2, 1_000) };
+    world.submit(job(2, vec![filling("heavy")]));
+    assert!(placed(&mut world).iter().all(|(agent, ..)| *agent != beside));
+    world.submit(job(3, vec![filling("light")]));
+    assert_eq!(placed(&mut world).len(), 2);
+}
+
+/// Plays a burst: of two jobs that can still be in time, the smaller one gets the room.
+#[test]
+fn the_job_with_the_least_work_left_goes_first() {
+    let mut world = World::with_workers(1, MILLICORES);
+    world.submit(job(1, vec![step(4, 8_000)]));
+    world.submit(job(2, vec![step(1, 8_000)]));
+    assert_eq!(placed(&mut world).iter().map(|(_, job, _)| *job).collect::<Vec<_>>(), [2]);
+}
+
+/// A worker that fails what it starts is left out, and comes back.
+#[test]
+fn a_worker_that_fails_everything_is_left_out_for_a_while() {
+    let mut world = World::with_workers(2, MILLICORES);
+    for id in 0..40 {
+        world.submit(job(id, vec![step(1, 500)]));
+    }
+    placed(&mut world);
+    for (agent, task, run) in world.all_running() {
+        let kind = if &*agent == "agent-0" { EndKind::Failed } else { EndKind::Done };
+        world.end(&agent, task, run, kind);
+    }
+    world.advance_ms(600);
+    assert!(placed(&mut world).iter().all(|(agent, ..)| agent == "agent-1"));
+    world.advance_ms(10_000);
+    for id in 100..130 {
+        world.submit(job(id, vec![step(1, 500)]));
+    }
+    assert!(placed(&mut world).iter().any(|(agent, ..)| agent == "agent-0"));
+}
+
+/// An agent that has no worker yet gets no work, and is no obstacle.
+#[test]
+fn an_agent_without_worker_is_passed_over() {
+    let mut world = World::with_workers(1, MILLICORES);
+    world.cell.agent_known(&name("agent-9"), false, world.now);
+    world.cell.agent_linked(&name("agent-9"), Inventory { is_empty: true, ..Inventory::default() }, world.now);
+    world.submit(job(1, vec![step(2, 100)]));
+    assert!(placed(&mut world).iter().all(|(agent, ..)| agent == "agent-0"));
+}
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -22,6 +22,8 @@
 const PENDING_REPEAT: Duration = Duration::from_secs(2);
 /// Time that the placer's process may take to answer a question on a link.
 const QUESTION_TIMEOUT_MS: u64 = 1_000;
+/// Time for opening a link to relay on: a caller waits, and a peer that is there answers within some milliseconds.
+const RELAY_OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time that a relayed write may take.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -202,7 +204,7 @@
         if let Some(link) = known.filter(|link| !link.has_ended()) {
             return Some(link);
         }
-        let link = peer::open(address).await?;
+        let link = tokio::time::timeout(RELAY_OPEN_TIMEOUT, peer::open(address)).await.ok()??;
         lock(&self.inner.relays).insert(Arc::clone(name), Arc::clone(&link));
         Some(link)
     }
