--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -3,6 +3,8 @@
 mod expiry;
 mod feed;
 mod links;
+mod notes;
+mod writing;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +12,7 @@
 
 use chervilledge_cell::authority::Authority;
 use chervilledge_cell::cell::writes::Batch;
-use chervilledge_cell::cell::{Action, Cell, Inventory, Note};
+use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::job::{Job, JobId, JobState};
 use chervilledge_cell::progress::Progress;
@@ -19,7 +21,7 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -29,7 +31,7 @@
 use crate::peer::Pending;
 use crate::roster::Roster;
 use crate::rows::{self, BEAT, PLACER};
-use crate::store::{Change, Condition, Handle, Outcome, Row, Table, Transaction};
+use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
 
 /// Interval of looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
@@ -399,8 +401,7 @@
             self.carry_out(action);
         }
         for note in self.cell.take_notes() {
-            self.count_note(&note);
-            log_note(&note, self.context.term);
+            self.take_note(&note);
         }
     }
 
@@ -495,84 +496,6 @@
         }
     }
 
-    fn write(&self, batch: Batch, now: Duration) {
-        let transaction = Transaction {
-            conditions: std::iter::once(self.is_placer())
-                .chain(batch.writes.iter().map(|write| Condition {
-                    table: Table::Progress,
-                    key: rows::job_key(write.job),
-                    revision: write.revision,
-                }))
-                .collect(),
-            changes: batch
-                .writes
-                .iter()
-                .map(|write| Change {
-                    table: Table::Progress,
-                    key: rows::job_key(write.job),
-                    value: Some(rows::encode(&write.progress)),
-                })
-                .collect(),
-        };
-        let answer = (self.context.store.commit)(transaction);
-        let myself = self.myself.clone();
-        tokio::spawn(async move {
-            let outcome = answer.await;
-            if !matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-            // The placer may have ended meanwhile.
-            drop(myself.cast(Message::Written { batch: Box::new(batch), outcome, asked: now }));
-        });
-    }
-
-    fn is_placer(&self) -> Condition {
-        Condition { table: Table::Cell, key: Arc::from(PLACER), revision: self.context.revision }
-    }
-
-    fn written(&mut self, batch: &Batch, outcome: Outcome, asked: Duration, now: Duration) {
-        match outcome {
-            Outcome::Done(revision) => {
-                self.authority.confirmed(asked);
-                self.context.metrics.durable(now.saturating_sub(asked));
-                self.cell.committed(batch, revision, now);
-            }
-            Outcome::Conflict(rows) => {
-                let row = |table: Table, key: &str| {
-                    rows.iter().find(|(name, row)| &**name == table.name() && &*row.key == key).map(|(_, row)| row)
-                };
-                if row(Table::Cell, PLACER).is_none_or(|row| row.revision != self.context.revision) {
-                    drop(self.myself.cast(Message::Deposed("progress")));
-                    return;
-                }
-                let revisions: Vec<(JobId, u64)> = batch
-                    .writes
-                    .iter()
-                    .map(|write| {
-                        let row = row(Table::Progress, &rows::job_key(write.job));
-                        (write.job, row.map_or(0, |row| row.revision))
-                    })
-                    .collect();
-                log::info!(event = "progress_conflict", batch = batch.number, jobs = batch.writes.len(); "");
-                self.cell.conflicted(batch, &revisions);
-            }
-            Outcome::Refused | Outcome::Unknown => {
-                log::warn!(event = "progress_not_written", batch = batch.number, outcome:? = outcome; "");
-                self.cell.give_back(batch);
-            }
-        }
-    }
-
-    fn count_note(&self, note: &Note) {
-        let metrics = &self.context.metrics;
-        match note {
-            Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
-            Note::Ended { how, .. } => metrics.run_ended(how),
-            Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
-            Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
-        }
-    }
-
     /// Tells every agent what all have learnt of pairs of images.
     fn tell_effects(&mut self) {
         self.cell.merge_learnt();
@@ -632,25 +555,6 @@
         let outcome = (self.context.store.commit)(transaction).await;
         log::info!(event = "cell_given_up", term = self.context.term, outcome:? = outcome; "");
     }
-
-    fn dump(&self, now: Duration) -> Value {
-        let (jobs, open) = self.cell.job_counts();
-        let agents: Vec<Value> = self
-            .cell
-            .agents()
-            .map(|(name, contact, runs)| json!({"agent": name, "contact": format!("{contact:?}"), "runs": runs}))
-            .collect();
-        json!({
-            "term": self.context.term,
-            "has_authority": self.authority.holds(now),
-            "jobs": jobs,
-            "jobs_open": open,
-            "tasks_waiting": self.cell.waiting(),
-            "agents_unheard": self.cell.unresolved(),
-            "agents": agents,
-            "counters": format!("{:?}", self.cell.counters()),
-        })
-    }
 }
 
 fn decode_job(row: &Row) -> Option<Job> {
@@ -660,30 +564,6 @@
     rows::decode(&row.key, row.value.as_deref()?)
 }
 
-fn log_note(note: &Note, term: u64) {
-    match note {
-        Note::Placed { task, run, agent, job_age, waiting, .. } => {
-            log::info!(event = "placed", task:% = task, run = run, agent = &**agent, term = term,
-                job_age_ms = whole_ms(*job_age), waiting = waiting; "");
-        }
-        Note::Ended { task, run, agent, how, failures } => {
-            log::info!(event = "run_ended", task:% = task, run = run, agent = &**agent, how = how,
-                failures = failures; "");
-        }
-        Note::JobEnded { job, state, age, task } => {
-            let task = task.map_or_else(String::new, |task| task.to_string());
-            log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
-                task = task; "");
-        }
-        Note::WorkerEjected { agent, reason } => {
-            log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
-        }
-        Note::AgentChanged { agent, standing, runs } => {
-            log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
-        }
-    }
-}
-
 /// Key of the placer's sign of life.
 fn beat_change() -> Change {
     Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(Vec::new()) }
--- /dev/null
+++ b/crates/scheduler/src/placer/notes.rs
@@ -0,0 +1,70 @@
+//! What a placer tells of itself: log lines, metrics, a dump of its state.
+
+use std::time::Duration;
+
+use chervilledge_cell::cell::Note;
+use serde_json::{Value, json};
+
+use super::State;
+use crate::clock::whole_ms;
+
+impl State {
+    /// Logs and counts something that the cell has decided or learnt.
+    pub(super) fn take_note(&self, note: &Note) {
+        self.count_note(note);
+        log_note(note, self.context.term);
+    }
+
+    fn count_note(&self, note: &Note) {
+        let metrics = &self.context.metrics;
+        match note {
+            Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
+            Note::Ended { how, .. } => metrics.run_ended(how),
+            Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
+            Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
+        }
+    }
+
+    pub(super) fn dump(&self, now: Duration) -> Value {
+        let (jobs, open) = self.cell.job_counts();
+        let agents: Vec<Value> = self
+            .cell
+            .agents()
+            .map(|(name, contact, runs)| json!({"agent": name, "contact": format!("{contact:?}"), "runs": runs}))
+            .collect();
+        json!({
+            "term": self.context.term,
+            "has_authority": self.authority.holds(now),
+            "jobs": jobs,
+            "jobs_open": open,
+            "tasks_waiting": self.cell.waiting(),
+            "agents_unheard": self.cell.unresolved(),
+            "agents": agents,
+            "counters": format!("{:?}", self.cell.counters()),
+        })
+    }
+}
+
+fn log_note(note: &Note, term: u64) {
+    match note {
+        Note::Placed { task, run, agent, job_age, waiting, .. } => {
+            log::info!(event = "placed", task:% = task, run = run, agent = &**agent, term = term,
+                job_age_ms = whole_ms(*job_age), waiting = waiting; "");
+        }
+        Note::Ended { task, run, agent, how, failures } => {
+            log::info!(event = "run_ended", task:% = task, run = run, agent = &**agent, how = how,
+                failures = failures; "");
+        }
+        Note::JobEnded { job, state, age, task } => {
+            let task = task.map_or_else(String::new, |task| task.to_string());
+            log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
+                task = task; "");
+        }
+        Note::WorkerEjected { agent, reason } => {
+            log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
+        }
+        Note::AgentChanged { agent, standing, runs } => {
+            log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
+        }
+    }
+}
