Never refuse a job that an earlier attempt may have stored

Change: before a refusal the placer is asked, which knows stored jobs only; a job whose outcome was unknown here within 20 s is told so again. Attempts through other entries are known to the placer only: listed as open.

--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::configuration::Configuration;
-use chervilledge_cell::job::JobState;
+use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -104,6 +104,8 @@
     /// Waiting jobs as last told, and when.
     pending: Mutex<Option<(Pending, Duration)>>,
     relays: Mutex<Map<Name, Arc<Link>>>,
+    /// Jobs whose outcome was unknown, with the time when that was told.
+    undecided: Mutex<Map<JobId, Duration>>,
     is_stopping: AtomicBool,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -141,6 +143,7 @@
         way: watch::channel(Way::None).0,
         pending: Mutex::new(None),
         relays: Mutex::default(),
+        undecided: Mutex::default(),
         is_stopping: AtomicBool::new(false),
         tasks: Mutex::default(),
     };
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -21,6 +21,9 @@
 const PENDING_FRESH: Duration = Duration::from_secs(6);
 /// When a caller may come back that the store's outage has turned away.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
+/// Time for which a job whose outcome was unknown isn't told to be refused: longer than the store takes for a write that
+/// takes effect late, and than callers come again.
+const UNDECIDED_KEPT: Duration = Duration::from_secs(20);
 /// Time kept back for telling the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time that a peer may take to store a row.
@@ -45,12 +48,42 @@
         }
         let took_ms = whole_ms(self.now().saturating_sub(began));
         log::info!(event = "submitted", job:% = id, queue = &*queue, stored:? = stored, by = by, took_ms = took_ms; "");
+        stored = self.weigh_refusal(id, stored).await;
         if stored == Stored::Done {
             self.tell_placer(ToEntry::Submitted(Box::new(job)));
         }
         self.counted("submit", reply(stored, Reply::Accepted), began)
     }
 
+    /// Corrects a refusal that an earlier attempt with the same identifier has made untrue.
+    ///
+    /// The placer knows only jobs that are stored. An attempt through this entry whose outcome is unknown may still take
+    /// effect.
+    async fn weigh_refusal(&self, id: JobId, stored: Stored) -> Stored {
+        let now = self.now();
+        match stored {
+            Stored::Done => {}
+            Stored::Unknown => {
+                let mut undecided = lock(&self.inner.undecided);
+                undecided.retain(|_, at| now.saturating_sub(*at) < UNDECIDED_KEPT);
+                undecided.insert(id, now);
+            }
+            Stored::Refused => {
+                if self.placer_state(id).await.is_some() {
+                    log::info!(event = "refusal_corrected", job:% = id, by = "placer"; "");
+                    return Stored::Done;
+                }
+                let is_undecided =
+                    lock(&self.inner.undecided).get(&id).is_some_and(|at| now.saturating_sub(*at) < UNDECIDED_KEPT);
+                if is_undecided {
+                    log::info!(event = "refusal_corrected", job:% = id, by = "earlier_attempt"; "");
+                    return Stored::Unknown;
+                }
+            }
+        }
+        stored
+    }
+
     /// Cancels a job.
     pub async fn cancel(&self, id: JobId, timeout: Duration) -> Reply {
         let began = self.now();
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -86,7 +86,12 @@
             read: Box::new(|_| Box::pin(async { Ok(Page::default()) })),
             read_one: Box::new(|_| Box::pin(async { Ok(None) })),
             watch: Box::new(|_| Box::pin(async { Err(ReadError::Unavailable) })),
-            watch_configuration: Box::new(|_| Box::pin(async { Ok(Configured { configuration: None, revision: 1 }) })),
+            watch_configuration: Box::new(|(_, wait)| {
+                Box::pin(async move {
+                    tokio::time::sleep(wait).await;
+                    Ok(Configured { configuration: None, revision: 1 })
+                })
+            }),
         })
     }
 }
