Tell a new placer of every run that may still come

An agent's inventory named starts without an answer, but neither stops that the worker hasn't taken nor starts that were answered while the look was under way. Attempts are repeated under the newer term, so the worker doesn't refuse them. A placer that took over meanwhile didn't know of the run and started the task elsewhere. A placer also placed by a view of the cell's rows from before its claim, in which an agent of its predecessor may be missing.

Ruled out: a client that sends a call twice by itself (retries are off), ends forgotten before they are durable.

Change: the inventory names every run that the look doesn't show and that may be there or still come. Nothing is placed until the view of the cell's rows holds the placer's own claim.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -40,7 +40,7 @@
     pub worker: Option<Worker>,
     /// What runs.
     pub running: Vec<RunReport>,
-    /// Starts that the worker hasn't answered.
+    /// Runs that the look behind `running` does not show and that may be there, or may still come.
     pub starting: Vec<(TaskId, u64)>,
     /// Ends that weren't settled.
     pub ends: Vec<End>,
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -189,6 +189,8 @@
     /// When a worker that is gone, or was never known, can't run anything any more.
     empty_at: Duration,
     starting: Map<RunId, Starting>,
+    /// Starts that the worker took, and when it said so, until a look that was sent after that.
+    taken: Map<RunId, Duration>,
     stopping: Map<RunId, Stopping>,
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
@@ -245,6 +247,7 @@
             own: None,
             empty_at: now + lapse_after(LEASE_MAX),
             starting: Map::default(),
+            taken: Map::default(),
             stopping: Map::default(),
             traits: Map::default(),
             paces: Map::default(),
@@ -408,6 +411,7 @@
         log::info!(event = "worker_over", worker = &*own.worker.life.worker, reason = reason,
             runs = own.running.len(), starting = self.starting.len(); "");
         self.starting.clear();
+        self.taken.clear();
         self.stopping.clear();
         self.traits.clear();
         self.paces.clear();
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -113,7 +113,7 @@
     /// Tells the placer what runs on the worker.
     pub(super) fn send_inventory(&mut self) {
         let now = self.context.clock.now();
-        let starting = self.starting.keys().copied().collect();
+        let starting = self.unseen_runs();
         let message = match &mut self.own {
             Some(own) => {
                 own.told = own.ends.last().map_or(own.told, |end| end.number.max(own.told));
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -100,6 +100,7 @@
         own.ends = look.ends.into_iter().filter(|end| end.number > cursor).collect();
         own.ends.sort_unstable_by_key(|end| end.number);
         own.look_due = if own.ends.is_empty() { now } else { now + UNSETTLED_PAUSE };
+        self.taken.retain(|_, taken| *taken > sent);
         self.forget_ended();
         self.tell_absent(sent);
         if term == self.term && self.inventory_due.is_some_and(|due| sent >= due) {
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -72,6 +72,7 @@
         match result {
             Started::Running => {
                 self.starting.remove(&run);
+                self.taken.insert(run, now);
                 self.tell(FromAgent::Started { task: run.0, run: run.1 });
                 self.pace_new_run(run);
             }
@@ -164,12 +165,19 @@
         }
     }
 
+    /// Runs that may be on the worker, or may still come there, whatever the last look showed: starts without an answer,
+    /// stops that aren't certain yet, and starts that were answered after the look was sent.
+    pub(super) fn unseen_runs(&self) -> Vec<RunId> {
+        self.starting.keys().chain(self.stopping.keys()).chain(self.taken.keys()).copied().collect()
+    }
+
     /// Forgets what was to be done about runs that have ended.
     pub(super) fn forget_ended(&mut self) {
         let Some(own) = &self.own else { return };
         for end in &own.ends {
             let run = (end.task, end.run);
             self.stopping.remove(&run);
+            self.taken.remove(&run);
             self.traits.remove(&run);
             self.paces.remove(&run);
             if self.starting.remove(&run).is_some() {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -75,7 +75,7 @@
         worker: Option<Worker>,
         /// What runs.
         running: Vec<RunReport>,
-        /// Starts without an answer.
+        /// Runs that the look doesn't show and that may be there, or may still come.
         starting: Vec<(TaskId, u64)>,
         /// Ends that weren't settled.
         ends: Vec<End>,
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -186,6 +186,8 @@
     /// When it became known that the former placer doesn't act any more.
     predecessor_over: Option<Duration>,
     is_loaded: bool,
+    /// The rows of the cell are known as of the claim, or later, so that no agent of the predecessor is missing.
+    knows_roster: bool,
     links: Map<Name, AgentLink>,
     dialers: Map<Name, Dialer>,
     next_link: u64,
@@ -247,6 +249,7 @@
             had_authority: true,
             predecessor_over: None,
             is_loaded: false,
+            knows_roster: false,
             links: Map::default(),
             dialers: Map::default(),
             next_link: 1,
@@ -385,7 +388,8 @@
     /// Places, orders, writes and logs what the cell has decided.
     fn drive(&mut self) {
         let now = self.context.clock.now();
-        if self.is_loaded && now >= self.place_due && self.authority.holds(now) && self.cell.needs_placing() {
+        let may_place = self.is_loaded && self.knows_roster && self.authority.holds(now);
+        if may_place && now >= self.place_due && self.cell.needs_placing() {
             self.cell.place(now);
             let took = self.context.clock.now().saturating_sub(now);
             self.place_due = now + took * PLACE_DUTY;
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod agent;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
