--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -186,8 +186,9 @@
     /// When it became known that the former placer doesn't act any more.
     predecessor_over: Option<Duration>,
     is_loaded: bool,
-    /// The rows of the cell are known as of the claim, or later, so that no agent of the predecessor is missing.
-    knows_roster: bool,
+    /// Revision of the placer's row in the view of the cell's rows. From that of the claim on, no agent of the predecessor
+    /// is missing from the view.
+    roster_revision: u64,
     links: Map<Name, AgentLink>,
     dialers: Map<Name, Dialer>,
     next_link: u64,
@@ -249,7 +250,7 @@
             had_authority: true,
             predecessor_over: None,
             is_loaded: false,
-            knows_roster: false,
+            roster_revision: 0,
             links: Map::default(),
             dialers: Map::default(),
             next_link: 1,
@@ -388,7 +389,8 @@
     /// Places, orders, writes and logs what the cell has decided.
     fn drive(&mut self) {
         let now = self.context.clock.now();
-        let may_place = self.is_loaded && self.knows_roster && self.authority.holds(now);
+        let knows_roster = self.roster_revision >= self.context.revision;
+        let may_place = self.is_loaded && knows_roster && self.authority.holds(now);
         if may_place && now >= self.place_due && self.cell.needs_placing() {
             self.cell.place(now);
             let took = self.context.clock.now().saturating_sub(now);
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -29,7 +29,7 @@
             drop(self.myself.cast(Message::Deposed("roster")));
             return;
         }
-        self.knows_roster |= roster.placer.as_ref().is_some_and(|(_, revision)| *revision >= self.context.revision);
+        self.roster_revision = roster.placer.as_ref().map_or(0, |(_, revision)| *revision);
         let now = self.context.clock.now();
         // An agent that is new to this placer may obey the former one as long as that may act.
         let is_of_predecessor = self.context.term > 1 && now < self.context.claimed + AUTHORITY;
