Wait until processes have announced themselves before stopping them

An entry announces its version by its second write; stopped before that, it is named with no version, or not at all, and no status ever names it with version 1.

Ruled out: load alone (8 runs of the test and 6 of the file beside 6 to 10 busy loops, all passed); names forgotten after 30 s of silence.

Change: the test waits until three other processes are known and none lags. What it checks afterwards is unchanged.

--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -85,6 +85,13 @@
 async fn stopped_processes_that_wake_enforce_no_older_version() {
     let cluster = cluster::start(2, 2).await;
     let watch = Watch::cluster(&cluster);
+    let observed = &cluster;
+    // An entry that is stopped before its announcement is written can't be named with a version.
+    wait_until("every other process has announced its version", || async {
+        let status = status(observed).await;
+        status["processes"] == 3 && status["laggards"] == json!([])
+    })
+    .await;
     let stopped = [&cluster.entries[1].process, &cluster.workers[1].agent];
     for process in stopped {
         process.signal("STOP");
@@ -97,7 +104,7 @@
     }
     wait_for_version(&cluster.entries[0].process, "entry", 4).await;
     wait_for_version(&cluster.workers[0].agent, "agent", 4).await;
-    let (observed, expected) = (&cluster, json!([["entries/entry-2", 1], ["worker-2", 1]]));
+    let expected = json!([["entries/entry-2", 1], ["worker-2", 1]]);
     wait_until("status names who lags", || async {
         let laggards = status(observed).await["laggards"].clone();
         let pair = |one: &Value| json!([one["process"]["name"], one["enforced"]["version"]]);
