--- a/crates/cell/tests/pace.rs
+++ b/crates/cell/tests/pace.rs
@@ -76,7 +76,7 @@
     let serving = Name::from("serving");
     let mut interference = Interference::default();
     let mut now = Duration::from_secs(100);
-    let phases: [f64; 4] = std::array::from_fn(|_| rng.random_range(0.0..6.28));
+    let phases: [f64; 4] = std::array::from_fn(|_| rng.random_range(0.0..std::f64::consts::TAU));
     for look in 0..20_u32 {
         now += LOOK_INTERVAL;
         // Each image runs two looks in six, one after the other, with 3.5 cores.
@@ -86,7 +86,7 @@
         let runs: Vec<Serving> = (0_u32..)
             .zip(phases)
             .map(|(index, phase)| {
-                let swing = 0.5 * (f64::from(look) / 28.0 * 6.28 + phase).sin();
+                let swing = 0.5 * (f64::from(look) / 28.0 * std::f64::consts::TAU + phase).sin();
                 let log_ratio = -0.8 + swing + added + rng.random_range(-0.15_f64..0.15);
                 let key = TaskKey { occurrence: 0, step: 0, index };
                 Serving { task: TaskId { job: JobId(1), key }, image: Name::clone(&serving), log_ratio }
