Give each filling image a pace by the serving runs that it disturbs

Cause: one pace for all disturbing filling runs of a worker, by the worst tail there.

Change: a pacer for each filling image on the worker, which looks at the serving runs that the image disturbs. A tail over its target that no known image explains slows all of them down, as before. The decision moves from the agent to crates/cell. Two tests; the former code had no such decision to try them on.

--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -1,10 +1,17 @@
 //! Pace of filling runs beside serving ones.
 //!
 //! Answers filling runs that disturb the latency of serving runs on the same worker. The worker's figures are of the
-//! last half second, so that a change of pace is judged only when all of that lies behind it.
+//! last half second, so that a change of pace is judged only when all of that lies behind it. Each filling image has a
+//! pace of its own, by the serving runs that it disturbs.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_policy::collections::{Map, Set};
+use chervilledge_policy::id::Name;
+
+use crate::interference::Interference;
+
 /// Part of the target that the tail is steered to.
 const AIM_RATIO: f64 = 0.75;
 /// Part of the target from which filling runs are slowed down.
@@ -38,27 +45,68 @@
     }
 }
 
+/// Pace from which the disturbing images that are known don't explain a tail that is still over its target.
+const DISTRUST_PERCENT: u32 = 10;
+
 /// Tail of a serving run against its target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Tail {
+    /// Image of the run.
+    pub image: Name,
     /// Tail latency in the last half second.
     pub measured: Duration,
     /// What it must stay below.
     pub target: Duration,
 }
 
+impl Tail {
+    /// The tail over its target; 0 without a target.
+    fn ratio(&self) -> f64 {
+        if self.target.is_zero() { 0.0 } else { self.measured.as_secs_f64() / self.target.as_secs_f64() }
+    }
+}
+
+/// Paces of the filling images on one worker.
+#[derive(Clone, Debug, Default)]
+pub struct Paces {
+    pacers: Map<Name, Pacer>,
+}
+
+impl Paces {
+    /// Takes a look at the serving runs beside filling runs of `images`, and decides their paces anew.
+    pub fn observe(&mut self, tails: &[Tail], images: &Set<Name>, interference: &Interference, now: Duration) {
+        self.pacers.retain(|image, _| images.contains(image));
+        let unexplained: Vec<&Tail> =
+            tails.iter().filter(|tail| tail.ratio() >= 1.0 && !self.is_explained(tail, images, interference)).collect();
+        for image in images {
+            let pacer = self.pacers.entry(Arc::clone(image)).or_default();
+            let disturbed = tails.iter().filter(|tail| interference.is_disturbing(image, &tail.image));
+            pacer.observe(disturbed.chain(unexplained.iter().copied()), now);
+        }
+    }
+
+    /// Whether a filling image that disturbs the run still has a pace that matters.
+    fn is_explained(&self, tail: &Tail, images: &Set<Name>, interference: &Interference) -> bool {
+        images
+            .iter()
+            .any(|image| interference.is_disturbing(image, &tail.image) && self.percent(image) > DISTRUST_PERCENT)
+    }
+
+    /// Pace of the runs of a filling image, in percent.
+    #[must_use]
+    pub fn percent(&self, image: &Name) -> u32 {
+        self.pacers.get(image).copied().unwrap_or_default().percent()
+    }
+}
+
 impl Pacer {
     /// Takes a look at the serving runs, and gives the pace of the filling ones in percent.
-    pub fn observe(&mut self, tails: &[Tail], now: Duration) -> u32 {
+    pub fn observe<'a>(&mut self, tails: impl Iterator<Item = &'a Tail>, now: Duration) -> u32 {
         if now < self.settled {
             return self.percent();
         }
         let former = self.percent;
-        let ratio = tails
-            .iter()
-            .filter(|tail| !tail.target.is_zero())
-            .map(|tail| tail.measured.as_secs_f64() / tail.target.as_secs_f64())
-            .fold(0.0, f64::max);
+        let ratio = tails.map(Tail::ratio).fold(0.0, f64::max);
         if ratio >= SLOW_RATIO {
             self.percent *= (AIM_RATIO / ratio).max(FALL_FACTOR);
             if self.percent < HALT_PERCENT {
--- a/crates/cell/tests/pace.rs
+++ b/crates/cell/tests/pace.rs
@@ -2,17 +2,21 @@
 
 use std::time::Duration;
 
-use chervilledge_cell::interference::{Interference, Serving};
+use chervilledge_cell::interference::{Evidence, Interference, Pair, Serving};
 use chervilledge_cell::job::{JobId, TaskId, TaskKey};
-use chervilledge_cell::pace::{Pacer, Tail};
-use chervilledge_policy::collections::Map;
+use chervilledge_cell::pace::{Pacer, Paces, Tail};
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-fn tail(measured_ms: u64) -> [Tail; 1] {
-    [Tail { measured: Duration::from_millis(measured_ms), target: Duration::from_millis(45) }]
+fn tail(measured_ms: u64) -> Tail {
+    Tail {
+        image: Name::from("serving"),
+        measured: Duration::from_millis(measured_ms),
+        target: Duration::from_millis(45),
+    }
 }
 
 /// Looks that end early show the same half second again; the pace of a worker was halved three times within 12 ms.
@@ -20,23 +24,23 @@
 fn the_same_figures_slow_down_once() {
     let mut pacer = Pacer::default();
     let now = Duration::from_secs(10);
-    let first = pacer.observe(&tail(230), now);
+    let first = pacer.observe([&tail(230)].into_iter(), now);
     assert!(first <= 40, "{first}");
     for later_ms in [3, 12, 400] {
-        assert_eq!(pacer.observe(&tail(230), now + Duration::from_millis(later_ms)), first);
+        assert_eq!(pacer.observe([&tail(230)].into_iter(), now + Duration::from_millis(later_ms)), first);
     }
-    assert!(pacer.observe(&tail(230), now + Duration::from_millis(700)) < first);
+    assert!(pacer.observe([&tail(230)].into_iter(), now + Duration::from_millis(700)) < first);
 }
 
 #[test]
 fn the_pace_comes_back_when_the_tail_is_low() {
     let mut pacer = Pacer::default();
     let mut now = Duration::from_secs(10);
-    pacer.observe(&tail(300), now);
+    pacer.observe([&tail(300)].into_iter(), now);
     let mut looks = 0;
     while pacer.percent() < 100 {
         now += Duration::from_millis(700);
-        pacer.observe(&tail(15), now);
+        pacer.observe([&tail(15)].into_iter(), now);
         looks += 1;
         assert!(looks < 10, "still at {}", pacer.percent());
     }
@@ -99,3 +103,38 @@
         assert!(!interference.is_disturbing(light, &serving), "{:?}", interference.evidence(light, &serving));
     }
 }
+
+fn known(pairs: &[(&str, &str, f64)]) -> Interference {
+    let mut interference = Interference::default();
+    let evidence = |per_core: f64| Evidence { information: 1_000.0, weighted_effect: 1_000.0 * per_core };
+    let pair = |filling: &str, serving: &str| Pair { filling: Name::from(filling), serving: Name::from(serving) };
+    let table = pairs.iter().map(|(filling, serving, per_core)| (pair(filling, serving), evidence(*per_core)));
+    interference.share(table.collect());
+    interference
+}
+
+fn beside(image: &str, measured_ms: u64) -> Tail {
+    let [measured, target] = [measured_ms, 45].map(Duration::from_millis);
+    Tail { image: Name::from(image), measured, target }
+}
+
+/// Plays a worker with serving runs of two images, of which one is over its target.
+#[test]
+fn only_images_that_disturb_the_serving_run_over_its_target_are_slowed_down() {
+    let interference = known(&[("a", "over", 0.2), ("a", "quiet", 0.2), ("b", "over", 0.0), ("b", "quiet", 0.2)]);
+    let images: Set<Name> = ["a", "b"].into_iter().map(Name::from).collect();
+    let mut paces = Paces::default();
+    paces.observe(&[beside("over", 90), beside("quiet", 20)], &images, &interference, Duration::from_secs(10));
+    assert!(paces.percent(&Name::from("a")) <= 40);
+    assert_eq!(paces.percent(&Name::from("b")), 100);
+}
+
+/// What is known may be wrong: when no known disturber is left to slow down, every image is.
+#[test]
+fn a_tail_that_nothing_known_explains_slows_down_every_image() {
+    let interference = known(&[("a", "over", 0.0)]);
+    let images: Set<Name> = [Name::from("a")].into_iter().collect();
+    let mut paces = Paces::default();
+    paces.observe(&[beside("over", 90)], &images, &interference, Duration::from_secs(10));
+    assert!(paces.percent(&Name::from("a")) <= 40);
+}
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -16,7 +16,7 @@
 use chervilledge_cell::grant::{Grant, Reading, lease_end_ms};
 use chervilledge_cell::interference::Interference;
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::pace::Pacer;
+use chervilledge_cell::pace::Paces;
 use chervilledge_cell::worker::{End, Life, RunReport, RunTraits, Worker};
 use chervilledge_link::connection::Sender;
 use chervilledge_policy::clock::Clock;
@@ -194,7 +194,8 @@
     stopping: Map<RunId, Stopping>,
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
-    pacer: Pacer,
+    /// Paces of filling images, by the serving runs beside them.
+    image_paces: Paces,
     interference: Interference,
     /// When the last look was taken in that said something of interference.
     observed: Duration,
@@ -251,7 +252,7 @@
             stopping: Map::default(),
             traits: Map::default(),
             paces: Map::default(),
-            pacer: Pacer::default(),
+            image_paces: Paces::default(),
             interference: Interference::default(),
             observed: Duration::ZERO,
             effects_due: Duration::ZERO,
@@ -460,7 +461,7 @@
             "running": self.own.as_ref().map_or(0, |own| own.running.len()),
             "starting": self.starting.len(),
             "stopping": self.stopping.len(),
-            "pace_percent": self.pacer.percent(),
+            "paces_percent": self.paces.iter().map(|((task, run), percent)| (format!("{task}#{run}"), *percent)).collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -5,7 +5,7 @@
 
 use chervilledge_cell::interference::Serving;
 use chervilledge_cell::pace::Tail;
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use super::{Message, RunId, State};
@@ -14,8 +14,6 @@
 
 /// Time that the worker's figures are taken over; looks that come sooner show the same figures.
 const FIGURE_WINDOW: Duration = Duration::from_millis(440);
-/// Pace of disturbing runs from which the others are slowed down too.
-const DISTRUST_PERCENT: u32 = 10;
 /// Interval at which the placer is told of learnt effects.
 const EFFECTS_INTERVAL: Duration = Duration::from_secs(4);
 /// Thousandths of a core.
@@ -46,7 +44,7 @@
             let image = traits.image.clone().unwrap_or_default();
             if let Some(target) = traits.latency_target {
                 let measured = Duration::from_millis(report.measured);
-                tails.push(Tail { measured, target });
+                tails.push(Tail { image: Arc::clone(&image), measured, target });
                 if !measured.is_zero() {
                     let log_ratio = (measured.as_secs_f64() / target.as_secs_f64()).ln();
                     serving.push(Serving { task: report.task, image, log_ratio });
@@ -60,18 +58,20 @@
             self.observed = now;
             self.interference.observe(&serving, &cores, now);
         }
-        let former = self.pacer.percent();
-        let percent = self.pacer.observe(&tails, now);
-        if percent != former {
-            let worst = tails.iter().max_by_key(|tail| tail.measured);
-            log::info!(event = "pace", percent = percent, former_percent = former, serving = tails.len(),
-                filling = filling.len(), worst_tail:? = worst; "");
+        let images: Set<Name> = filling.iter().map(|(_, image)| Arc::clone(image)).collect();
+        let former: Vec<(Name, u32)> =
+            images.iter().map(|image| (Arc::clone(image), self.image_paces.percent(image))).collect();
+        self.image_paces.observe(&tails, &images, &self.interference, now);
+        for (image, former) in former {
+            let percent = self.image_paces.percent(&image);
+            if percent != former {
+                let worst = tails.iter().max_by_key(|tail| tail.measured);
+                log::info!(event = "pace", image = &*image, percent = percent, former_percent = former,
+                    serving = tails.len(), filling = filling.len(), worst_tail:? = worst; "");
+            }
         }
         for (run, image) in filling {
-            let is_disturbing = serving.iter().any(|run| self.interference.is_disturbing(&image, &run.image));
-            // When slowing down the disturbing ones isn't enough, one of the others is taken for what it isn't.
-            let pace = if is_disturbing || percent <= DISTRUST_PERCENT { percent } else { FULL_PERCENT };
-            self.order_pace(run, pace);
+            self.order_pace(run, self.image_paces.percent(&image));
         }
     }
 
@@ -89,9 +89,9 @@
 
     /// Gives a run that has just started the pace in force.
     pub(super) fn pace_new_run(&mut self, run: RunId) {
-        if self.traits.get(&run).is_some_and(|traits| traits.is_filling) {
-            self.order_pace(run, self.pacer.percent());
-        }
+        let Some(traits) = self.traits.get(&run).filter(|traits| traits.is_filling) else { return };
+        let percent = self.image_paces.percent(&traits.image.clone().unwrap_or_default());
+        self.order_pace(run, percent);
     }
 
     fn order_pace(&mut self, run: RunId, percent: u32) {
