Count room that slowed filling runs leave as free

Ruled out: memory (1,060 of 1,600 GB).

Change: the placer counts what the reported pace of a filling run keeps it from using as left. A test plays it: a worker whose runs go at a fifth takes another job's tasks, and none more once the pace is back; without the change it takes none.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -17,6 +17,8 @@
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Pace of a run that isn't slowed down.
+pub(crate) const FULL_PERCENT: u32 = 100;
 /// Pace below which a run counts as slowed down.
 const SLOWED_PERCENT: u32 = 40;
 
@@ -277,6 +279,7 @@
                 percent: percent.unwrap_or(0),
                 moved: now,
                 is_stopping: false,
+                pace_percent: FULL_PERCENT,
                 slowed: None,
             });
         }
@@ -331,11 +334,16 @@
 
     /// Takes in how far runs are.
     pub fn reported(&mut self, running: &[RunReport], now: Duration) {
+        let mut paced: Set<Name> = Set::default();
         for report in running {
             if let Some(run) = self.run_mut(report.task, report.run) {
+                if run.pace_percent != report.pace_percent {
+                    paced.insert(Arc::clone(&run.agent));
+                }
                 if run.started.is_none() {
                     run.started = Some(now);
                 }
+                run.pace_percent = report.pace_percent.min(FULL_PERCENT);
                 let is_slowed = report.pace_percent < SLOWED_PERCENT;
                 run.slowed = if is_slowed { run.slowed.or(Some(now)) } else { None };
                 if run.percent != report.percent {
@@ -351,6 +359,25 @@
                 state.checkpoint.0 = Arc::clone(&report.checkpoint);
             }
         }
+        for agent in paced {
+            self.count_held_back(&agent);
+        }
+    }
+
+    /// Counts anew what the paces of filling runs keep them from using on a worker.
+    fn count_held_back(&mut self, name: &Name) {
+        let Some(agent) = self.agents.get(name) else { return };
+        let held_back = |(task, number): &(TaskId, u64)| {
+            let entry = self.jobs.get(&task.job)?;
+            let step = entry.job.step(task.key).filter(|step| step.filling)?;
+            let run = entry.tasks.get(&task.key)?.runs.iter().find(|run| run.number == *number)?;
+            Some(step.resources.processor_millicores * u64::from(FULL_PERCENT - run.pace_percent) / 100)
+        };
+        let held_back = agent.runs.iter().filter_map(held_back).sum();
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.load.held_back_millicores = held_back;
+        }
+        self.needs_placing = true;
     }
 
     /// Takes a run off its worker's load; tells whether it was there.
@@ -363,7 +390,7 @@
         if let Some((need, image)) = occupied {
             agent.vacate(&need, image);
         }
-        self.needs_placing = true;
+        self.count_held_back(name);
         true
     }
 
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -27,6 +27,8 @@
     pub(crate) moved: Duration,
     /// The run was told to stop.
     pub(crate) is_stopping: bool,
+    /// Pace in percent, as last reported.
+    pub(crate) pace_percent: u32,
     /// Since when the run has been slowed down for the sake of others, without a break.
     pub(crate) slowed: Option<Duration>,
 }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -6,6 +6,7 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
+use super::agents::FULL_PERCENT;
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, need};
 use super::{Action, Agent, Cell, Note};
@@ -295,6 +296,7 @@
                 percent: 0,
                 moved: now,
                 is_stopping: false,
+                pace_percent: FULL_PERCENT,
                 slowed: None,
             });
         }
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -15,6 +15,8 @@
     pub used: Resources,
     /// Processor time that filling runs ask for, in thousandths of a core.
     pub filling_millicores: u64,
+    /// Part of `filling_millicores` that the pace of those runs keeps them from using.
+    pub held_back_millicores: u64,
     /// Processor time that serving runs hold, part of `used`.
     pub serving_millicores: u64,
     /// Runs that serve.
@@ -60,7 +62,7 @@
         let total = self.total.processor_millicores;
         let idle_serving = self.serving_millicores * (100 - SERVING_USE_PERCENT) / 100;
         let used = self.used.processor_millicores.saturating_sub(idle_serving);
-        signed(total) - signed(used) - signed(self.filling_millicores)
+        signed(total) - signed(used) - signed(self.filling_millicores.saturating_sub(self.held_back_millicores))
     }
 
     /// What the worker can still hold.
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -7,7 +7,7 @@
 use chervilledge_cell::cell::{Action, Inventory};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{JobId, Step};
-use chervilledge_cell::worker::{EndKind, Worker};
+use chervilledge_cell::worker::{EndKind, RunReport, Worker};
 use rstest::rstest;
 use support::{World, job, name, step, worker};
 
@@ -184,3 +184,31 @@
     world.submit(job(1, vec![step(2, 100)]));
     assert!(placed(&mut world).iter().all(|(agent, ..)| agent == "agent-0"));
 }
+
+/// Plays a worker whose filling runs are slowed down to a fifth: what they leave is used by another job.
+#[test]
+fn room_that_slowed_runs_leave_is_used() {
+    let mut world = World::with_workers(1, MILLICORES);
+    let filling = |image: &str| Step { filling: true, image: Some(name(image)), ..step(4, 2_000) };
+    world.submit(job(1, vec![filling("slow")]));
+    let full = placed(&mut world);
+    assert_eq!(full.len(), 4, "the worker's processors");
+    world.submit(job(2, vec![filling("other")]));
+    assert_eq!(placed(&mut world), []);
+    let report = |(_, task, run): &(_, _, _), pace_percent| RunReport {
+        task: *task,
+        run: *run,
+        checkpoint: name(""),
+        percent: 10,
+        measured: 400,
+        pace_percent,
+    };
+    let running = world.all_running();
+    let slowed: Vec<RunReport> = running.iter().map(|run| report(run, 20)).collect();
+    world.cell.reported(&slowed, world.now);
+    assert_eq!(placed(&mut world).len(), 3, "6.4 cores are left");
+    // When the pace comes back, nothing more is placed.
+    let restored: Vec<RunReport> = running.iter().map(|run| report(run, 100)).collect();
+    world.cell.reported(&restored, world.now);
+    assert_eq!(placed(&mut world), []);
+}
