Keep workers without serving tasks free of them

Six of 18 filling images disturb most serving images, so that keeping images apart doesn't help those.

Change: a serving task goes to a worker that serves already; only then do other images count against it.

--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -51,7 +51,10 @@
 /// Score of a run that disturbs another one, in thousandths of a core.
 const DISTURBANCE_SCORE: i64 = 8_000;
 /// Score of a serving run of another image, in thousandths of a core.
-const UNLIKE_SCORE: i64 = 12_000;
+const UNLIKE_SCORE: i64 = 3_000;
+/// Score of a worker without serving runs, on which filling runs disturb nobody, for a serving task, in thousandths of a
+/// core: more than the largest worker has.
+const FIRST_SERVING_SCORE: i64 = 128_000;
 /// Score of data on another rack, in thousandths of a core.
 const FAR_SCORE: i64 = 64_000;
 
@@ -124,7 +127,8 @@
     if need.is_serving {
         // Workers whose serving runs are alike each have filling images that disturb none of them.
         let disturbing = signed(load.filling_millicores);
-        return Some(far + disturbing + free + UNLIKE_SCORE * i64::from(need.unlike));
+        let first = if load.serving > 0 { 0 } else { FIRST_SERVING_SCORE };
+        return Some(far + first + disturbing + free + UNLIKE_SCORE * i64::from(need.unlike));
     }
     // A short task takes processor time from filling ones.
     let pressed = if load.filling_left_millicores() < processor { DISTURBANCE_SCORE } else { 0 };
