Bound disturbing runs on a worker also for tasks that have waited

Change: a task that has waited for long joins at most 8 cores of disturbing runs (4 before that). A test plays the burst and fails without the change.

--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -21,6 +21,8 @@
 /// Processor time of disturbing runs on one worker from which no further one is placed there: a few cores are as much
 /// as the pace of such runs leaves them.
 const DISTURBING_MILLICORES_MAX: u64 = 4_000;
+/// The same for a task that has waited for long.
+const DISTURBING_PATIENT_MILLICORES_MAX: u64 = 8_000;
 /// Time after which a task is placed where it disturbs.
 const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -221,10 +223,11 @@
         let state = entry.tasks.get(&task.key)?;
         // A task that has waited for long runs slowly rather than not at all.
         let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
+        let disturbing_max = if is_patient { DISTURBING_PATIENT_MILLICORES_MAX } else { DISTURBING_MILLICORES_MAX };
         let eligible = |candidate: &Candidate| -> Option<i64> {
             let Candidate { agent: name, need } = candidate;
             let agent = self.agents.get(name)?;
-            let is_full = need.disturbed > 0 && !is_patient && need.slowed_millicores >= DISTURBING_MILLICORES_MAX;
+            let is_full = need.disturbed > 0 && need.slowed_millicores >= disturbing_max;
             let fits = !is_full
                 && rack
                     .is_none_or(|rack| agent.worker.as_ref().is_some_and(|worker| worker.rack.as_ref() == Some(rack)))
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -212,3 +212,28 @@
     world.cell.reported(&restored, world.now);
     assert_eq!(placed(&mut world), []);
 }
+
+/// Plays a burst of filling jobs that disturb the only worker's serving run: beyond a few cores, a slow place is worse than
+/// waiting for another, however long that takes.
+#[test]
+fn disturbing_runs_do_not_pile_up_on_a_worker() {
+    const PLENTY_MILLICORES: u64 = 64_000;
+    let mut world = World::with_workers(1, PLENTY_MILLICORES);
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(1, vec![serving]));
+    assert_eq!(placed(&mut world).len(), 1);
+    let pair = Pair { filling: name("heavy"), serving: name("serving") };
+    world.cell.learn(&name("agent-0"), vec![(pair, Evidence { information: 1_000.0, weighted_effect: 200.0 })]);
+    world.cell.merge_learnt();
+    let filling = Step { filling: true, image: Some(name("heavy")), ..step(12, 3_500) };
+    world.submit(job(2, vec![filling]));
+    let at_once = placed(&mut world).len();
+    assert!((1..=2).contains(&at_once), "{at_once}");
+    world.now += Duration::from_secs(30);
+    assert!(at_once + placed(&mut world).len() <= 3);
+}
