Place nothing beside disturbing runs that are held back

The placer put disturbing runs beside others whose pace was already near it.

Change: no disturbing run joins disturbing runs below half of their pace. A test, which fails without the change.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -370,7 +370,7 @@
         let held_back = |(task, number): &(TaskId, u64)| {
             let entry = self.jobs.get(&task.job)?;
             let step = entry.job.step(task.key).filter(|step| step.filling)?;
-            let run = entry.tasks.get(&task.key)?.runs.iter().find(|run| run.number == *number)?;
+            let run = self.run(*task, *number)?;
             Some(step.resources.processor_millicores * u64::from(FULL_PERCENT - run.pace_percent) / 100)
         };
         let held_back = agent.runs.iter().filter_map(held_back).sum();
@@ -477,6 +477,10 @@
         self.jobs.get_mut(&task.job)?.tasks.get_mut(&task.key)
     }
 
+    pub(crate) fn run(&self, task: TaskId, number: u64) -> Option<&Run> {
+        self.jobs.get(&task.job)?.tasks.get(&task.key)?.runs.iter().find(|run| run.number == number)
+    }
+
     pub(crate) fn run_mut(&mut self, task: TaskId, number: u64) -> Option<&mut Run> {
         self.task_mut(task)?.runs.iter_mut().find(|run| run.number == number)
     }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -23,6 +23,8 @@
 const DISTURBING_MILLICORES_MAX: u64 = 4_000;
 /// The same for a task that has waited for long.
 const DISTURBING_PATIENT_MILLICORES_MAX: u64 = 8_000;
+/// Pace of disturbing runs below which no further one is placed beside them, in percent.
+const CROWDED_PERCENT: u32 = 50;
 /// Time after which a task is placed where it disturbs.
 const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -119,7 +121,8 @@
         if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.agent == agent)
             && candidate.need.disturbed > 0
         {
-            candidate.need.slowed_millicores += candidate.need.resources.processor_millicores;
+            let added = candidate.need.resources.processor_millicores;
+            candidate.need.slowed_millicores = candidate.need.slowed_millicores.saturating_add(added);
         }
         true
     }
@@ -263,15 +266,22 @@
             .sum()
     }
 
-    /// Processor time that runs on a worker ask for which disturb serving runs there.
+    /// Processor time that runs on a worker ask for which disturb serving runs there; more than any worker has when they
+    /// are held back already.
     fn disturbing_millicores(&self, agent: &Agent) -> u64 {
-        agent
-            .runs
-            .iter()
-            .filter_map(|(task, _)| self.step_of(*task))
-            .filter(|step| step.filling && self.disturbed(agent, step) > 0)
-            .map(|step| step.resources.processor_millicores)
-            .sum()
+        let mut sum: u64 = 0;
+        for (task, number) in &agent.runs {
+            let Some(step) = self.step_of(*task).filter(|step| step.filling) else { continue };
+            if self.disturbed(agent, step) == 0 {
+                continue;
+            }
+            let pace_percent = self.run(*task, *number).map_or(FULL_PERCENT, |run| run.pace_percent);
+            if pace_percent < CROWDED_PERCENT {
+                return u64::MAX;
+            }
+            sum += step.resources.processor_millicores;
+        }
+        sum
     }
 
     /// Orders a run; `starts` is given for members of a gang, which share their number.
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -237,3 +237,31 @@
     world.now += Duration::from_secs(30);
     assert!(at_once + placed(&mut world).len() <= 3);
 }
+
+/// Plays a worker whose disturbing run is held back: another one would only share the little that is allowed there.
+#[test]
+fn nothing_joins_disturbing_runs_that_are_held_back() {
+    let mut world = World::with_workers(1, 64_000);
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(1, vec![serving]));
+    assert_eq!(placed(&mut world).len(), 1);
+    let pair = Pair { filling: name("heavy"), serving: name("serving") };
+    world.cell.learn(&name("agent-0"), vec![(pair, Evidence { information: 1_000.0, weighted_effect: 200.0 })]);
+    world.cell.merge_learnt();
+    let filling = |image: &str| Step { filling: true, image: Some(name(image)), ..step(1, 1_000) };
+    world.submit(job(2, vec![filling("heavy")]));
+    assert_eq!(placed(&mut world).len(), 1);
+    let (_, task, run) = world.all_running().iter().find(|(_, task, _)| task.job == JobId(2)).cloned().expect("runs");
+    let report = |pace_percent| RunReport { task, run, checkpoint: name(""), percent: 10, measured: 400, pace_percent };
+    world.cell.reported(&[report(20)], world.now);
+    world.submit(job(3, vec![filling("heavy")]));
+    world.now += Duration::from_secs(30);
+    assert_eq!(placed(&mut world), []);
+    world.cell.reported(&[report(90)], world.now);
+    assert_eq!(placed(&mut world).len(), 1);
+}
