Let runs that are stuck wait for other room while others wait

Runs that are slowed down moved only when calm room was free; waiting tasks take that first, so that 26 of several hundred moved.

Change: a run with saved progress that has been slowed down for 3 s is stopped when other tasks wait. Its progress is saved by the stop, and the jobs' order decides who gets room, which favours jobs with little left. A test plays both cases and fails in the first without the change.

--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -22,6 +22,8 @@
 const STILL_FACTOR: f64 = 0.6;
 /// Time for which a run is slowed down before it is moved.
 const SLOWED_MIN: Duration = Duration::from_millis(1_200);
+/// Time for which a run is slowed down before it waits for other room, if others wait too.
+const STUCK_MIN: Duration = Duration::from_millis(3_000);
 /// Progress from which a run is left to end where it is, in percent.
 const MOVE_PERCENT_MAX: u32 = 85;
 /// Runs that are moved at one time.
@@ -74,8 +76,11 @@
             }
         }
         slowed.sort_unstable();
-        for (_, task, number) in slowed.into_iter().take(MOVES_MAX) {
-            if self.has_calm_room(task, now) {
+        let is_contended = !self.ready.is_empty();
+        for (since, task, number) in slowed.into_iter().take(MOVES_MAX) {
+            // Room comes up again and again while others wait; their order decides who gets it.
+            let is_stuck = is_contended && now.saturating_sub(since) >= STUCK_MIN;
+            if is_stuck || self.has_calm_room(task, now) {
                 self.counters.moves += 1;
                 self.stop_runs(task, "slowed_down", |run| run.number == number);
             }
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -265,3 +265,37 @@
     world.cell.reported(&[report(90)], world.now);
     assert_eq!(placed(&mut world).len(), 1);
 }
+
+/// Plays a run that is slowed down for long: while others wait for room it waits with them, in the jobs' order; when nobody
+/// waits, a slow place is better than none.
+#[rstest]
+#[case::others_wait(true, 1)]
+#[case::nobody_waits(false, 0)]
+fn a_run_that_is_stuck_waits_for_other_room(#[case] do_others_wait: bool, #[case] stops: usize) {
+    let mut world = World::with_workers(1, MILLICORES);
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(1, vec![serving]));
+    assert_eq!(placed(&mut world).len(), 1);
+    let filling = Step { filling: true, checkpointing: true, image: Some(name("heavy")), ..step(1, 2_000) };
+    world.submit(job(2, vec![filling]));
+    assert_eq!(placed(&mut world).len(), 1);
+    if do_others_wait {
+        world.submit(job(3, vec![step(1, MILLICORES)]));
+        assert_eq!(placed(&mut world), []);
+    }
+    let (_, task, run) = world.all_running().iter().find(|(_, task, _)| task.job == JobId(2)).cloned().expect("runs");
+    let report = RunReport { task, run, checkpoint: name("c"), percent: 10, measured: 400, pace_percent: 10 };
+    world.cell.reported(&[report], world.now);
+    world.now += Duration::from_millis(2_500);
+    world.cell.watch_runs(world.now);
+    assert_eq!(world.cell.take_actions(), []);
+    world.now += Duration::from_secs(1);
+    world.cell.watch_runs(world.now);
+    let is_stop = |action: &Action| matches!(action, Action::Stop { task: stopped, .. } if *stopped == task);
+    assert_eq!(world.cell.take_actions().iter().filter(|action| is_stop(action)).count(), stops);
+}
