Start a filling run at the pace that the last tails leave

Change: a run starts at the pace that the tails of the last look leave, with what is known of its image and the standard error on top, also at later looks.

--- a/crates/cell/src/interference.rs
+++ b/crates/cell/src/interference.rs
@@ -60,6 +60,12 @@
         (known * self.variance()).clamp(0.0, EFFECT_MAX)
     }
 
+    /// The same with its standard error on top.
+    #[must_use]
+    pub fn per_core_at_most(&self) -> f64 {
+        self.per_core() + self.variance().sqrt()
+    }
+
     /// Variance of [`Self::per_core`].
     #[must_use]
     pub fn variance(&self) -> f64 {
--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -64,6 +64,8 @@
 pub struct Paces {
     harm_after: Duration,
     percents: Map<Name, f64>,
+    /// Tails as last seen.
+    tails: Vec<Tail>,
     /// Since when serving runs have been over their targets, without a break.
     over_since: Map<TaskId, Duration>,
     is_halted: bool,
@@ -73,12 +75,13 @@
     /// Starts without any image; `harm_after` is the time over its target after which users count a run as harmed.
     #[must_use]
     pub fn new(harm_after: Duration) -> Self {
-        Self { harm_after, percents: Map::default(), over_since: Map::default(), is_halted: false }
+        Self { harm_after, percents: Map::default(), tails: Vec::new(), over_since: Map::default(), is_halted: false }
     }
 
     /// Takes a look at the serving runs and at the filling images beside them, and decides the paces anew.
     pub fn observe(&mut self, tails: &[Tail], filling: &Map<Name, Cores>, interference: &Interference, now: Duration) {
         self.watch_targets(tails, now);
+        self.tails = tails.to_vec();
         self.percents.retain(|image, _| filling.contains_key(image));
         for image in filling.keys() {
             let allowed = tails
@@ -96,6 +99,21 @@
         }
     }
 
+    /// Pace of a run that starts now, until the next look.
+    #[must_use]
+    pub fn first_percent(&self, image: &Name, asked_cores: f64, interference: &Interference) -> u32 {
+        let allowed = self
+            .tails
+            .iter()
+            .filter(|tail| interference.is_disturbing(image, &tail.image))
+            .filter_map(|tail| {
+                let added = interference.evidence(image, &tail.image).per_core_at_most() * asked_cores;
+                Some(part_of(AIM_RATIO.ln() - tail.log_ratio()?, added))
+            })
+            .fold(FULL_PERCENT, f64::min);
+        whole_percent(allowed).min(self.percent(image))
+    }
+
     /// Halts everything while a run has been over its target for long.
     fn watch_targets(&mut self, tails: &[Tail], now: Duration) {
         let is_over = |tail: &&Tail| tail.log_ratio().is_some_and(|log_ratio| log_ratio >= 0.0);
@@ -111,24 +129,32 @@
 
     /// Pace of the runs of a filling image, in percent.
     #[must_use]
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the pace lies between 0 and 100")]
     pub fn percent(&self, image: &Name) -> u32 {
         if self.is_halted {
             return 0;
         }
-        self.percents.get(image).copied().unwrap_or(FULL_PERCENT).round() as u32
+        whole_percent(self.percents.get(image).copied().unwrap_or(FULL_PERCENT))
     }
 }
 
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the pace lies between 0 and 100")]
+fn whole_percent(percent: f64) -> u32 {
+    percent.round() as u32
+}
+
+/// Pace at which `room` is used up by what is added at full pace, in percent.
+fn part_of(room: f64, added_at_full_pace: f64) -> f64 {
+    (room / added_at_full_pace.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0) * FULL_PERCENT
+}
+
 /// Pace of all images that disturb a serving run at which its tail is where it is steered to; `None` without a figure.
 fn allowed_percent(tail: &Tail, filling: &Map<Name, Cores>, interference: &Interference) -> Option<f64> {
     let log_ratio = tail.log_ratio()?;
     let (mut added, mut added_at_full_pace) = (0.0, 0.0);
     for (image, cores) in filling.iter().filter(|(image, _)| interference.is_disturbing(image, &tail.image)) {
-        let per_core = interference.evidence(image, &tail.image).per_core();
-        added += per_core * cores.used;
-        added_at_full_pace += per_core * cores.asked;
+        let evidence = interference.evidence(image, &tail.image);
+        added += evidence.per_core() * cores.used;
+        added_at_full_pace += evidence.per_core_at_most() * cores.asked;
     }
-    let room = AIM_RATIO.ln() - (log_ratio - added);
-    Some((room / added_at_full_pace.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0) * FULL_PERCENT)
+    Some(part_of(AIM_RATIO.ln() - (log_ratio - added), added_at_full_pace))
 }
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -92,8 +92,9 @@
     /// Gives a run that has just started the pace in force.
     pub(super) fn pace_new_run(&mut self, run: RunId) {
         let Some(traits) = self.traits.get(&run).filter(|traits| traits.is_filling) else { return };
-        let percent = self.image_paces.percent(&traits.image.clone().unwrap_or_default());
-        self.order_pace(run, percent);
+        let image = traits.image.clone().unwrap_or_default();
+        let asked_cores = whole_to_f64(traits.processor_millicores) / MILLICORES;
+        self.order_pace(run, self.image_paces.first_percent(&image, asked_cores, &self.interference));
     }
 
     fn order_pace(&mut self, run: RunId, percent: u32) {
