Make fewer calls to the store

Change: batches that show no end of a job are 150 ms apart; the feed of jobs is read 250 ms after its last answer. A test says which writes are urgent.

--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -290,7 +290,7 @@
             self.one_pending_less(&queue);
         }
         self.notes.push(Note::JobEnded { job: id, state, age, task });
-        self.mark_dirty(id);
+        self.mark_ended(id);
         for key in keys {
             self.ready.remove(&task_id(id, key));
             self.stop_runs(task_id(id, key), "job_ended", |_| true);
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -62,6 +62,8 @@
     /// Jobs in `dirty`.
     is_dirty: Set<JobId>,
     versions: Map<JobId, Versions>,
+    /// Some of them show how a job ended.
+    is_urgent: bool,
     /// Number of the newest batch.
     newest: u64,
     is_in_flight: bool,
@@ -94,6 +96,18 @@
         }
     }
 
+    /// Marks a job as dirty whose end is to be shown.
+    pub(crate) fn mark_ended(&mut self, job: JobId) {
+        self.mark_dirty(job);
+        self.writes.is_urgent = true;
+    }
+
+    /// Whether a write waits that shows how a job ended.
+    #[must_use]
+    pub const fn has_urgent_write(&self) -> bool {
+        self.writes.is_urgent
+    }
+
     /// Takes the next batch, unless one is under way. Ends that need no write are settled on the way.
     pub fn next_batch(&mut self) -> Option<Batch> {
         if self.writes.is_in_flight {
@@ -108,6 +122,7 @@
         for job in &jobs {
             self.writes.is_dirty.remove(job);
         }
+        self.writes.is_urgent &= !self.writes.dirty.is_empty();
         let write = |job: &JobId| {
             let entry = self.jobs.get(job)?;
             let version = self.writes.versions.get(job).map_or(0, |versions| versions.present);
@@ -149,6 +164,7 @@
     /// Takes note that a batch didn't take effect, or that it isn't known whether it did: it is written again.
     pub fn give_back(&mut self, batch: &Batch) {
         self.writes.is_in_flight = false;
+        self.writes.is_urgent |= batch.writes.iter().any(|write| write.progress.outcome.is_some());
         for write in batch.writes.iter().rev() {
             if self.writes.is_dirty.insert(write.job) {
                 self.writes.dirty.push_front(write.job);
--- a/crates/cell/tests/ends.rs
+++ b/crates/cell/tests/ends.rs
@@ -44,3 +44,24 @@
         .collect();
     assert_eq!(stopped, [running[1].2]);
 }
+
+/// A caller waits for the end of its job; ends of single tasks may gather.
+#[test]
+fn only_the_end_of_a_job_is_urgent_to_write() {
+    let mut world = World::with_workers(2, 16_000);
+    world.submit(job(1, vec![step(2, 1_000)]));
+    world.place();
+    let running = world.all_running();
+    let end = |world: &mut World, at: usize| {
+        let (agent, task, run) = running[at].clone();
+        world.end(&agent, task, run, EndKind::Done);
+    };
+    end(&mut world, 0);
+    assert!(!world.cell.has_urgent_write());
+    end(&mut world, 1);
+    assert!(world.cell.has_urgent_write());
+    let batch = world.cell.next_batch().expect("a batch");
+    assert!(!world.cell.has_urgent_write(), "it is under way");
+    world.cell.give_back(&batch);
+    assert!(world.cell.has_urgent_write(), "it wasn't written");
+}
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -39,8 +39,10 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 /// Times the duration of a pass after which the next one may follow, so that passes take a quarter of the processor.
 const PLACE_DUTY: u32 = 4;
-/// Least time between two batches of progress, so that ends gather.
-const BATCH_GAP: Duration = Duration::from_millis(20);
+/// Least time between two batches of progress that show the end of a job, so that ends gather.
+const URGENT_BATCH_GAP: Duration = Duration::from_millis(20);
+/// The same while only tasks have ended, which nobody waits for: seven calls to the store a second at most.
+const BATCH_GAP: Duration = Duration::from_millis(150);
 /// Pause after a write that didn't take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which agents are told what the others have learnt.
@@ -194,7 +196,8 @@
     next_link: u64,
     /// Cancellations of jobs whose row hasn't come yet.
     early_cancels: Set<JobId>,
-    batch_due: Duration,
+    /// When the last batch was sent.
+    batch_sent: Duration,
     /// When tasks may be placed again.
     place_due: Duration,
     watch_due: Duration,
@@ -255,7 +258,7 @@
             dialers: Map::default(),
             next_link: 1,
             early_cancels: Set::default(),
-            batch_due: Duration::ZERO,
+            batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
             effects_due: Duration::ZERO,
@@ -396,11 +399,12 @@
             let took = self.context.clock.now().saturating_sub(now);
             self.place_due = now + took * PLACE_DUTY;
         }
-        if now >= self.batch_due
+        let gap = if self.cell.has_urgent_write() { URGENT_BATCH_GAP } else { BATCH_GAP };
+        if now >= self.batch_sent + gap
             && self.is_loaded
             && let Some(batch) = self.cell.next_batch()
         {
-            self.batch_due = now + BATCH_GAP;
+            self.batch_sent = now;
             self.write(batch, now);
         }
         for action in self.cell.take_actions() {
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -17,6 +17,8 @@
 const PREDECESSOR_RETRY: Duration = Duration::from_millis(200);
 /// Time that the store may hold the answer of the feed back.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Pause after changes were read: entries tell of their jobs themselves, the feed is for those that can't.
+const FEED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a read that failed.
 const READ_RETRY: Duration = Duration::from_millis(150);
 
@@ -105,8 +107,12 @@
     loop {
         let changes = (context.store.watch)((Table::Jobs, after, WATCH_WAIT)).await?;
         after = after.max(changes.revision);
-        if !changes.rows.is_empty() && placer.cast(Message::Jobs(changes.rows)).is_err() {
+        if changes.rows.is_empty() {
+            continue;
+        }
+        if placer.cast(Message::Jobs(changes.rows)).is_err() {
             return Ok(());
         }
+        tokio::time::sleep(FEED_PAUSE).await;
     }
 }
