--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -15,7 +15,7 @@
 /// Time that the worker's figures are taken over; looks that come sooner show the same figures.
 const FIGURE_WINDOW: Duration = Duration::from_millis(440);
 /// Interval at which the placer is told of learnt effects.
-const EFFECTS_INTERVAL: Duration = Duration::from_secs(4);
+const EFFECTS_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Thousandths of a core.
 const MILLICORES: f64 = 1_000.0;
 
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -46,7 +46,7 @@
 /// Pause after a write that didn't take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which agents are told what the others have learnt.
-const EFFECTS_INTERVAL: Duration = Duration::from_secs(4);
+const EFFECTS_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval of looks for jobs and agents whose rows may go.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Jobs whose rows go in one transaction.
