Let stuck runs wait for other room after 1.5 s, eight at a time

Cause: on the grown job portal a large job's steps still end 7.5 s after their mean task; hundreds of runs are slowed down at a time, of which ten a second could move.

--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -23,11 +23,11 @@
 /// Time for which a run is slowed down before it is moved.
 const SLOWED_MIN: Duration = Duration::from_millis(1_200);
 /// Time for which a run is slowed down before it waits for other room, if others wait too.
-const STUCK_MIN: Duration = Duration::from_secs(3);
+const STUCK_MIN: Duration = Duration::from_millis(1_500);
 /// Progress from which a run is left to end where it is, in percent.
 const MOVE_PERCENT_MAX: u32 = 85;
 /// Runs that are moved at one time.
-const MOVES_MAX: usize = 3;
+const MOVES_MAX: usize = 8;
 /// Restarts of one task for lack of progress, after which it is left where it is.
 const RESTARTS_MAX: usize = 3;
 
