--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -6,7 +6,7 @@
 
 use chervilledge_cell::cell::{Action, Inventory};
 use chervilledge_cell::interference::{Evidence, Pair};
-use chervilledge_cell::job::{JobId, Step};
+use chervilledge_cell::job::{JobId, Step, TaskId};
 use chervilledge_cell::worker::{EndKind, RunReport, Worker};
 use rstest::rstest;
 use support::{World, job, name, step, worker};
@@ -35,6 +35,37 @@
     world.cell.worker_seen(&agent, changed, world.now);
 }
 
+/// Starts one serving run, as job 1; gives its agent.
+fn serve(world: &mut World) -> String {
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(1, vec![serving]));
+    let starts = placed(world);
+    assert_eq!(starts.len(), 1);
+    starts[0].0.clone()
+}
+
+/// Makes it known by how much each core of filling images raises the tail of the serving run.
+fn learn(world: &mut World, effects: &[(&str, f64)]) {
+    let known = |(filling, per_core): &(&str, f64)| {
+        let pair = Pair { filling: name(filling), serving: name("serving") };
+        (pair, Evidence { information: 1_000.0, weighted_effect: 1_000.0 * per_core })
+    };
+    world.cell.learn(&name("agent-0"), effects.iter().map(known).collect());
+    world.cell.merge_learnt();
+}
+
+/// The only run of a job.
+fn run_of(world: &World, job: JobId) -> (TaskId, u64) {
+    let running = world.all_running();
+    let (_, task, run) = running.iter().find(|(_, task, _)| task.job == job).expect("the job runs");
+    (*task, *run)
+}
+
 #[test]
 fn room_is_never_exceeded() {
     let mut world = World::with_workers(2, MILLICORES);
@@ -122,22 +153,8 @@
 #[test]
 fn filling_tasks_go_where_they_disturb_nobody() {
     let mut world = World::with_workers(2, MILLICORES);
-    let serving = Step {
-        lasting: true,
-        latency_target: Some(Duration::from_millis(45)),
-        image: Some(name("serving")),
-        ..step(1, 4_000)
-    };
-    world.submit(job(1, vec![serving]));
-    let beside = placed(&mut world)[0].0.clone();
-    let effect = |filling: &str, per_core: f64| {
-        (
-            Pair { filling: name(filling), serving: name("serving") },
-            Evidence { information: 1_000.0, weighted_effect: 1_000.0 * per_core },
-        )
-    };
-    world.cell.learn(&name("agent-0"), vec![effect("heavy", 0.2), effect("light", 0.0)]);
-    world.cell.merge_learnt();
+    let beside = serve(&mut world);
+    learn(&mut world, &[("heavy", 0.2), ("light", 0.0)]);
     let filling = |image: &str| Step { filling: true, image: Some(name(image)), ..step(2, 1_000) };
     world.submit(job(2, vec![filling("heavy")]));
     assert!(placed(&mut world).iter().all(|(agent, ..)| *agent != beside));
@@ -219,17 +236,8 @@
 fn disturbing_runs_do_not_pile_up_on_a_worker() {
     const PLENTY_MILLICORES: u64 = 64_000;
     let mut world = World::with_workers(1, PLENTY_MILLICORES);
-    let serving = Step {
-        lasting: true,
-        latency_target: Some(Duration::from_millis(45)),
-        image: Some(name("serving")),
-        ..step(1, 4_000)
-    };
-    world.submit(job(1, vec![serving]));
-    assert_eq!(placed(&mut world).len(), 1);
-    let pair = Pair { filling: name("heavy"), serving: name("serving") };
-    world.cell.learn(&name("agent-0"), vec![(pair, Evidence { information: 1_000.0, weighted_effect: 200.0 })]);
-    world.cell.merge_learnt();
+    serve(&mut world);
+    learn(&mut world, &[("heavy", 0.2)]);
     let filling = Step { filling: true, image: Some(name("heavy")), ..step(12, 3_500) };
     world.submit(job(2, vec![filling]));
     let at_once = placed(&mut world).len();
@@ -242,21 +250,12 @@
 #[test]
 fn nothing_joins_disturbing_runs_that_are_held_back() {
     let mut world = World::with_workers(1, 64_000);
-    let serving = Step {
-        lasting: true,
-        latency_target: Some(Duration::from_millis(45)),
-        image: Some(name("serving")),
-        ..step(1, 4_000)
-    };
-    world.submit(job(1, vec![serving]));
-    assert_eq!(placed(&mut world).len(), 1);
-    let pair = Pair { filling: name("heavy"), serving: name("serving") };
-    world.cell.learn(&name("agent-0"), vec![(pair, Evidence { information: 1_000.0, weighted_effect: 200.0 })]);
-    world.cell.merge_learnt();
+    serve(&mut world);
+    learn(&mut world, &[("heavy", 0.2)]);
     let filling = |image: &str| Step { filling: true, image: Some(name(image)), ..step(1, 1_000) };
     world.submit(job(2, vec![filling("heavy")]));
     assert_eq!(placed(&mut world).len(), 1);
-    let (_, task, run) = world.all_running().iter().find(|(_, task, _)| task.job == JobId(2)).cloned().expect("runs");
+    let (task, run) = run_of(&world, JobId(2));
     let report = |pace_percent| RunReport { task, run, checkpoint: name(""), percent: 10, measured: 400, pace_percent };
     world.cell.reported(&[report(20)], world.now);
     world.submit(job(3, vec![filling("heavy")]));
@@ -273,14 +272,7 @@
 #[case::nobody_waits(false, 0)]
 fn a_run_that_is_stuck_waits_for_other_room(#[case] do_others_wait: bool, #[case] stops: usize) {
     let mut world = World::with_workers(1, MILLICORES);
-    let serving = Step {
-        lasting: true,
-        latency_target: Some(Duration::from_millis(45)),
-        image: Some(name("serving")),
-        ..step(1, 4_000)
-    };
-    world.submit(job(1, vec![serving]));
-    assert_eq!(placed(&mut world).len(), 1);
+    serve(&mut world);
     let filling = Step { filling: true, checkpointing: true, image: Some(name("heavy")), ..step(1, 2_000) };
     world.submit(job(2, vec![filling]));
     assert_eq!(placed(&mut world).len(), 1);
@@ -288,7 +280,7 @@
         world.submit(job(3, vec![step(1, MILLICORES)]));
         assert_eq!(placed(&mut world), []);
     }
-    let (_, task, run) = world.all_running().iter().find(|(_, task, _)| task.job == JobId(2)).cloned().expect("runs");
+    let (task, run) = run_of(&world, JobId(2));
     let report = RunReport { task, run, checkpoint: name("c"), percent: 10, measured: 400, pace_percent: 10 };
     world.cell.reported(&[report], world.now);
     world.now += Duration::from_millis(1_400);
