Log and count the reads that follow the configuration

Cause: failed reads of the feed were logged at level debug, without position, time waited and kind of failure, and no metric counted feeds.

Change: store_lost and store_regained by=configuration_feed, configuration_unread with after, waited_ms and age_ms; revision, waited_ms and age_ms in configuration; a failed read says whether nothing came in time, the connection failed or the store refused; every call to the store is counted by its result; version and age of the configuration as gauges. No logic changed.

--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::clock::whole_ms;
 use crate::metrics::Metrics;
 use crate::peer::{Link, Pending};
 use crate::placer;
@@ -149,7 +150,12 @@
     };
     let entry = Entry { inner: Arc::new(inner) };
     let tasks = vec![
-        tokio::spawn(follow_configuration(Arc::clone(&store), configured)),
+        tokio::spawn(follow_configuration(
+            Arc::clone(&store),
+            entry.inner.clock.clone(),
+            Arc::clone(&entry.inner.metrics),
+            configured,
+        )),
         tokio::spawn(announce(store, entry.inner.settings.clone())),
         tokio::spawn(links::accept_all(listener, entry.clone())),
         tokio::spawn(election::run(entry.clone())),
@@ -221,27 +227,53 @@
 }
 
 /// Follows the configuration; an older version never replaces a newer one.
-async fn follow_configuration(store: Handle, configured: watch::Sender<Option<Arc<Configuration>>>) {
+async fn follow_configuration(
+    store: Handle,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    configured: watch::Sender<Option<Arc<Configuration>>>,
+) {
     let mut after = 0;
+    // When the store last told of the configuration, or that it hasn't changed.
+    let mut told = clock.now();
+    let mut is_lost = false;
     loop {
-        match (store.watch_configuration)((after, CONFIGURATION_WAIT)).await {
+        let asked = clock.now();
+        let answer = (store.watch_configuration)((after, CONFIGURATION_WAIT)).await;
+        let now = clock.now();
+        let (waited_ms, age_ms) = (whole_ms(now.saturating_sub(asked)), whole_ms(now.saturating_sub(told)));
+        let known = configured.borrow().as_ref().map_or(0, |known| known.version);
+        match answer {
             Ok(Configured { configuration, revision }) => {
-                after = revision;
-                let Some(configuration) = configuration else { continue };
-                let known = configured.borrow().as_ref().map(|known| known.version);
-                let is_newer = known.is_none_or(|known| configuration.version > known);
-                log::info!(event = "configuration", version = configuration.version, former = known.unwrap_or(0),
-                    queues = configuration.queues.len(), is_newer = is_newer; "");
-                if is_newer {
-                    configured.send_replace(Some(Arc::new(configuration)));
+                if std::mem::take(&mut is_lost) {
+                    log::info!(event = "store_regained", by = "configuration_feed", after = after, age_ms = age_ms; "");
                 }
+                (after, told) = (revision, now);
+                if let Some(configuration) = configuration {
+                    let is_newer = configuration.version > known;
+                    log::info!(event = "configuration", version = configuration.version, former = known,
+                        queues = configuration.queues.len(), is_newer = is_newer, revision = revision,
+                        waited_ms = waited_ms, age_ms = age_ms; "");
+                    if is_newer {
+                        configured.send_replace(Some(Arc::new(configuration)));
+                    }
+                }
+            }
+            Err(ReadError::HistoryLost) => {
+                log::info!(event = "feed_history_lost", table = "configuration", after = after, age_ms = age_ms; "");
+                after = 0;
             }
-            Err(ReadError::HistoryLost) => after = 0,
             Err(error) => {
-                log::debug!(event = "configuration_unread", error:% = error; "");
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!(event = "store_lost", by = "configuration_feed", error:% = error; "");
+                }
+                log::info!(event = "configuration_unread", error:% = error, version = known, after = after,
+                    waited_ms = waited_ms, age_ms = age_ms; "");
                 tokio::time::sleep(CONFIGURATION_RETRY).await;
             }
         }
+        let version = configured.borrow().as_ref().map_or(0, |known| known.version);
+        metrics.configuration(version, clock.now().saturating_sub(told));
     }
 }
 
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
-use crate::store::{Outcome, Store};
+use crate::store::{Call, Outcome, ReadError, Store};
 
 /// Bounds of latency histograms, in milliseconds: fine around the target for a start (40 and 150 ms).
 const BOUNDS_MS: [f64; 14] =
@@ -30,6 +30,8 @@
     waiting: Gauge<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
+    configuration_version: Gauge<u64>,
+    configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
 }
 
@@ -53,6 +55,14 @@
             .with_description("age of the placer's last confirmation at the store")
             .build(),
         store_ms: latency("chervilledge_store_ms", "time of calls to the store"),
+        configuration_version: meter
+            .u64_gauge("chervilledge_configuration_version")
+            .with_description("version of the configuration in force")
+            .build(),
+        configuration_age_ms: meter
+            .u64_gauge("chervilledge_configuration_age_ms")
+            .with_description("time since the store last told the configuration, or that it hasn't changed")
+            .build(),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
         reader,
         _provider: provider,
@@ -102,6 +112,12 @@
         self.grant_age_ms.record(crate::clock::whole_ms(confirmation_age), &[]);
     }
 
+    /// Takes note of the configuration in force, and of the time since the store last told of it.
+    pub fn configuration(&self, version: u64, age: Duration) {
+        self.configuration_version.record(version, &[]);
+        self.configuration_age_ms.record(crate::clock::whole_ms(age), &[]);
+    }
+
     /// Counts a look at the worker.
     pub fn look(&self, result: &'static str, took: Duration) {
         self.look_ms.record(milliseconds(took), &[KeyValue::new("result", result)]);
@@ -112,40 +128,55 @@
     }
 }
 
-/// The same store, with the time of each write and read counted.
+/// The same store, with the time of each call counted; that of a watch includes what the store held back.
 #[must_use]
 pub fn measured(store: Store, metrics: &Arc<Metrics>, clock: &Clock) -> Store {
     let Store { commit, read, read_one, watch, watch_configuration } = store;
-    let (writes, reads) = ((Arc::clone(metrics), clock.clone()), (Arc::clone(metrics), clock.clone()));
     Store {
-        commit: Box::new(move |transaction| {
-            let (metrics, clock) = writes.clone();
-            let (began, answer) = (clock.now(), commit(transaction));
-            Box::pin(async move {
-                let outcome = answer.await;
-                let result = match outcome {
-                    Outcome::Done(_) => "done",
-                    Outcome::Conflict(_) => "conflict",
-                    Outcome::Refused => "refused",
-                    Outcome::Unknown => "unknown",
-                };
-                metrics.store("commit", result, clock.now().saturating_sub(began));
-                outcome
-            })
-        }),
-        read: Box::new(move |arguments| {
-            let (metrics, clock) = reads.clone();
-            let (began, answer) = (clock.now(), read(arguments));
-            Box::pin(async move {
-                let rows = answer.await;
-                let result = if rows.is_ok() { "done" } else { "failed" };
-                metrics.store("read", result, clock.now().saturating_sub(began));
-                rows
-            })
-        }),
-        read_one,
-        watch,
-        watch_configuration,
+        commit: timed("commit", outcome, commit, metrics, clock),
+        read: timed("read", read_result, read, metrics, clock),
+        read_one: timed("read_one", read_result, read_one, metrics, clock),
+        watch: timed("watch", read_result, watch, metrics, clock),
+        watch_configuration: timed("watch_configuration", read_result, watch_configuration, metrics, clock),
+    }
+}
+
+fn timed<A: 'static, T: 'static>(
+    name: &'static str,
+    result: fn(&T) -> &'static str,
+    call: Call<A, T>,
+    metrics: &Arc<Metrics>,
+    clock: &Clock,
+) -> Call<A, T> {
+    let (metrics, clock) = (Arc::clone(metrics), clock.clone());
+    Box::new(move |arguments| {
+        let (metrics, clock) = (Arc::clone(&metrics), clock.clone());
+        let (began, answer) = (clock.now(), call(arguments));
+        Box::pin(async move {
+            let answer = answer.await;
+            metrics.store(name, result(&answer), clock.now().saturating_sub(began));
+            answer
+        })
+    })
+}
+
+const fn outcome(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done(_) => "done",
+        Outcome::Conflict(_) => "conflict",
+        Outcome::Refused => "refused",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+const fn read_result<T>(read: &Result<T, ReadError>) -> &'static str {
+    match read {
+        Ok(_) => "done",
+        Err(ReadError::Silent) => "silent",
+        Err(ReadError::Unreachable) => "unreachable",
+        Err(ReadError::Refused) => "refused",
+        Err(ReadError::HistoryLost) => "history_lost",
+        Err(ReadError::Malformed) => "malformed",
     }
 }
 
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -129,8 +129,12 @@
 /// Why rows couldn't be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadError {
-    /// No answer, or a refusal.
-    Unavailable,
+    /// No answer came in time.
+    Silent,
+    /// No connection could be opened, or it broke.
+    Unreachable,
+    /// The store turned the call away.
+    Refused,
     /// The feed's history before the revision is gone.
     HistoryLost,
     /// The answer can't be understood.
@@ -140,7 +144,9 @@
 impl fmt::Display for ReadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Unavailable => "store unavailable",
+            Self::Silent => "no answer in time",
+            Self::Unreachable => "store unreachable",
+            Self::Refused => "refused by the store",
             Self::HistoryLost => "history lost",
             Self::Malformed => "answer malformed",
         })
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -87,7 +87,7 @@
             }),
             read: Box::new(|_| Box::pin(async { Ok(Page::default()) })),
             read_one: Box::new(|_| Box::pin(async { Ok(None) })),
-            watch: Box::new(|_| Box::pin(async { Err(ReadError::Unavailable) })),
+            watch: Box::new(|_| Box::pin(async { Err(ReadError::Unreachable) })),
             watch_configuration: Box::new(|(_, wait)| {
                 Box::pin(async move {
                     tokio::time::sleep(wait).await;
