Add a failing test of changes made while the store is silent

Callers were refused with 404 on a route whose configuration had been acknowledged more than two seconds before. The test plays the store's silences of 0.3 to 9 s at six moments of the feed, a change in each, and asks for the change 2 s after the store's return.

--- a/crates/scheduler/tests/entry.rs
+++ b/crates/scheduler/tests/entry.rs
@@ -1,4 +1,4 @@
-//! What an entry tells callers that come again.
+//! What an entry tells callers that come again, and when it enforces what the operator changed.
 
 mod support;
 
@@ -7,10 +7,13 @@
 
 use chervilledge_scheduler::entry::{self, Entry, Reply};
 use chervilledge_scheduler::{metrics, settings};
+use rstest::rstest;
 use support::{Fault, Rows, job, tokio_clock};
 
 /// Time that callers wait.
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after its acknowledgement within which a change is in force.
+const APPLY: Duration = Duration::from_secs(2);
 
 async fn spawn(rows: &Rows) -> Entry {
     let settings = settings::Entry {
@@ -38,3 +41,28 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(entry.submit(job(1), TIMEOUT).await, Reply::Accepted);
 }
+
+fn version(entry: &Entry) -> u64 {
+    entry.configuration().map_or(0, |configuration| configuration.version)
+}
+
+/// A read that the silent store has swallowed must not outlast the time within which a change is in force.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_change_made_while_the_store_was_silent_is_in_force_in_time(
+    #[values(0, 700, 1_400, 2_300, 3_700, 5_200)] begins_after_ms: u64,
+    #[values(300, 1_500, 3_500, 4_500, 9_000)] silent_for_ms: u64,
+) {
+    let rows = Rows::with(Fault::None);
+    rows.configure(2);
+    let entry = spawn(&rows).await;
+    tokio::time::sleep(Duration::from_millis(500 + begins_after_ms)).await;
+    assert_eq!(version(&entry), 2);
+    rows.set(Fault::Silent);
+    tokio::time::sleep(Duration::from_millis(silent_for_ms / 2)).await;
+    rows.configure(6);
+    tokio::time::sleep(Duration::from_millis(silent_for_ms - silent_for_ms / 2)).await;
+    rows.set(Fault::None);
+    tokio::time::sleep(APPLY).await;
+    assert_eq!(version(&entry), 6, "not in force {APPLY:?} after the store is back");
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -8,8 +8,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_cell::configuration::{Configuration, Limits};
 use chervilledge_cell::job::{Job, JobId, Step, Terms};
 use chervilledge_policy::clock::Clock;
+use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::store::{
     Configured, Handle, Outcome, ReadError, Row, Rows as Page, Store, Table, Transaction,
@@ -19,7 +21,10 @@
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(10);
 
-/// What the store does with transactions.
+/// Time beyond the wait of a feed after which a client of the store gives up an answer.
+const WATCH_MARGIN: Duration = Duration::from_secs(1);
+
+/// What the store does with transactions; a silent one answers no read of the configuration either.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
     /// Answers.
@@ -40,6 +45,8 @@
     writes: BTreeMap<(&'static str, Name), u32>,
     revision: u64,
     fault: Fault,
+    /// Version of the configuration and the revision at which it was written.
+    configuration: Option<(u64, u64)>,
 }
 
 /// The store; clones share it.
@@ -50,7 +57,7 @@
 
 impl Rows {
     pub fn with(fault: Fault) -> Self {
-        let state = State { rows: BTreeMap::new(), writes: BTreeMap::new(), revision: 0, fault };
+        let state = State { rows: BTreeMap::new(), writes: BTreeMap::new(), revision: 0, fault, configuration: None };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -66,13 +73,39 @@
         self.lock().writes.get(&(table.name(), Arc::from(key))).copied().unwrap_or(0)
     }
 
+    /// Writes a version of the configuration, as the operator does.
+    pub fn configure(&self, version: u64) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.configuration = Some((version, state.revision));
+    }
+
+    /// Answer to a read of the configuration; none comes when the store is silent while it is held.
+    async fn watch_configuration(&self, after: u64, wait: Duration) -> Result<Configured, ReadError> {
+        let due = Instant::now() + if after == 0 { Duration::ZERO } else { wait };
+        loop {
+            tokio::time::sleep(ANSWER_TIME).await;
+            let (fault, revision, written) = {
+                let state = self.lock();
+                (state.fault, state.revision, state.configuration.filter(|(_, revision)| *revision > after))
+            };
+            if fault == Fault::Silent {
+                return std::future::pending().await;
+            }
+            if written.is_some() || Instant::now() >= due {
+                let configuration = written.map(|(version, _)| configuration(version));
+                return Ok(Configured { configuration, revision: revision.max(after).max(1) });
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The store as the scheduler uses it.
     pub fn store(&self) -> Handle {
-        let commits = self.clone();
+        let (commits, follows) = (self.clone(), self.clone());
         Arc::new(Store {
             commit: Box::new(move |transaction| {
                 let rows = commits.clone();
@@ -88,10 +121,11 @@
             read: Box::new(|_| Box::pin(async { Ok(Page::default()) })),
             read_one: Box::new(|_| Box::pin(async { Ok(None) })),
             watch: Box::new(|_| Box::pin(async { Err(ReadError::Unreachable) })),
-            watch_configuration: Box::new(|(_, wait)| {
+            watch_configuration: Box::new(move |(after, wait)| {
+                let rows = follows.clone();
                 Box::pin(async move {
-                    tokio::time::sleep(wait).await;
-                    Ok(Configured { configuration: None, revision: 1 })
+                    let answer = rows.watch_configuration(after, wait);
+                    tokio::time::timeout(wait + WATCH_MARGIN, answer).await.unwrap_or(Err(ReadError::Silent))
                 })
             }),
         })
@@ -160,6 +194,11 @@
     Clock::new(move || origin.elapsed())
 }
 
+fn configuration(version: u64) -> Configuration {
+    let limits = Limits { body_bytes_max: 1 << 18, head_bytes_max: 1 << 14, head_timeout: Duration::from_secs(3) };
+    Configuration { version, queues: Vec::new(), services: Map::default(), limits }
+}
+
 pub fn job(id: u64) -> Job {
     Job {
         id: JobId(id),
