Bound the feed of the configuration by the time that it serves

Cause: the feed let the store hold an answer for 5 s and waited 1 s more, by constants of its own. A request that the store swallowed was noticed 6 s later, though a change has to be in force 2 s after its acknowledgement (3 and 4 s on other sites); two in a row left a version out of force for 10 s.

Change: the settings carry the bound (configuration_apply_ms), and the feed's hold and the time until the next request follow from it, so that a swallowed request and a swallowed repetition leave time for a third. An overdue request is followed by another and not given up, so a slow store still answers it.

--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -21,6 +21,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::whole_ms;
+use crate::feed;
 use crate::metrics::Metrics;
 use crate::peer::{Link, Pending};
 use crate::placer;
@@ -30,10 +31,6 @@
 use crate::store::{Change, Configured, Handle, Outcome, ReadError, Table, Transaction};
 use crate::submit::{self, Submitter};
 
-/// Time that the store may hold the answer of the configuration's feed back.
-const CONFIGURATION_WAIT: Duration = Duration::from_secs(5);
-/// Pause after a read of the configuration that failed.
-const CONFIGURATION_RETRY: Duration = Duration::from_millis(150);
 /// Pause after an announcement that wasn't written.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 /// Time that a dump of the placer may take.
@@ -154,6 +151,7 @@
             Arc::clone(&store),
             entry.inner.clock.clone(),
             Arc::clone(&entry.inner.metrics),
+            feed::Timing::within(entry.inner.settings.configuration_apply),
             configured,
         )),
         tokio::spawn(announce(store, entry.inner.settings.clone())),
@@ -231,49 +229,31 @@
     store: Handle,
     clock: Clock,
     metrics: Arc<Metrics>,
+    timing: feed::Timing,
     configured: watch::Sender<Option<Arc<Configuration>>>,
 ) {
+    let mut feed = feed::open("configuration", timing, clock);
     let mut after = 0;
-    // When the store last told of the configuration, or that it hasn't changed.
-    let mut told = clock.now();
-    let mut is_lost = false;
     loop {
-        let asked = clock.now();
-        let answer = (store.watch_configuration)((after, CONFIGURATION_WAIT)).await;
-        let now = clock.now();
-        let (waited_ms, age_ms) = (whole_ms(now.saturating_sub(asked)), whole_ms(now.saturating_sub(told)));
+        let age = feed.age();
         let known = configured.borrow().as_ref().map_or(0, |known| known.version);
-        match answer {
+        metrics.configuration(known, age);
+        match feed.next(after, |wait| (store.watch_configuration)((after, wait))).await {
             Ok(Configured { configuration, revision }) => {
-                if std::mem::take(&mut is_lost) {
-                    log::info!(event = "store_regained", by = "configuration_feed", after = after, age_ms = age_ms; "");
+                after = revision;
+                let Some(configuration) = configuration else { continue };
+                let is_newer = configuration.version > known;
+                log::info!(event = "configuration", version = configuration.version, former = known,
+                    queues = configuration.queues.len(), is_newer = is_newer, revision = revision,
+                    age_ms = whole_ms(age); "");
+                if is_newer {
+                    configured.send_replace(Some(Arc::new(configuration)));
                 }
-                (after, told) = (revision, now);
-                if let Some(configuration) = configuration {
-                    let is_newer = configuration.version > known;
-                    log::info!(event = "configuration", version = configuration.version, former = known,
-                        queues = configuration.queues.len(), is_newer = is_newer, revision = revision,
-                        waited_ms = waited_ms, age_ms = age_ms; "");
-                    if is_newer {
-                        configured.send_replace(Some(Arc::new(configuration)));
-                    }
-                }
-            }
-            Err(ReadError::HistoryLost) => {
-                log::info!(event = "feed_history_lost", table = "configuration", after = after, age_ms = age_ms; "");
-                after = 0;
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut is_lost, true) {
-                    log::warn!(event = "store_lost", by = "configuration_feed", error:% = error; "");
-                }
-                log::info!(event = "configuration_unread", error:% = error, version = known, after = after,
-                    waited_ms = waited_ms, age_ms = age_ms; "");
-                tokio::time::sleep(CONFIGURATION_RETRY).await;
             }
+            Err(ReadError::HistoryLost) => after = 0,
+            // The feed logs why, and repeats the request.
+            Err(_) => {}
         }
-        let version = configured.borrow().as_ref().map_or(0, |known| known.version);
-        metrics.configuration(version, clock.now().saturating_sub(told));
     }
 }
 
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -25,6 +25,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "worker_lease_max_ms")]
     pub worker_lease_max: Duration,
+    /// Time after its acceptance within which a configuration is in force.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "configuration_apply_ms")]
+    pub configuration_apply: Duration,
+    /// Time after its acceptance within which a cancellation stops the tasks of a job.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "cancellation_apply_ms")]
+    pub cancellation_apply: Duration,
     /// Time for which the state of an ended job is kept.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     #[serde(rename = "ended_jobs_kept_s")]
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -11,11 +11,10 @@
 use chervilledge_cell::job::{Job, JobId};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::message::Stored;
+use crate::repeat;
 use crate::rows;
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
 
@@ -23,13 +22,6 @@
 const GROUP_MAX: usize = 45;
 /// Requests that may wait for the next transaction; more are refused at once.
 const QUEUE_MAX: usize = 1_024;
-/// Time without an answer after which the same transaction is sent once more, on another connection.
-///
-/// Some thirty times the usual time of a transaction; a lost answer costs the caller no more than that.
-const REPEAT_AFTER: Duration = Duration::from_millis(450);
-/// Time without an answer after which the caller is told that the outcome is unknown; under half of what callers wait,
-/// so that they can still come again.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(1_250);
 /// Interval at which one request tries the store while it doesn't answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -163,7 +155,7 @@
         return open;
     }
     let began = clock.now();
-    let outcome = commit(store, transaction(&open)).await;
+    let outcome = repeat::commit(store, transaction(&open)).await;
     lock(outage).ended(outcome != Outcome::Unknown, began, clock.now());
     match outcome {
         Outcome::Done(_) => {
@@ -193,28 +185,6 @@
     }
 }
 
-/// Commits a transaction that may be sent twice.
-///
-/// Either attempt may prove that the transaction took effect. A refusal proves something only of its own attempt, so it
-/// is final only as long as there was no other.
-async fn commit(store: &Handle, transaction: Transaction) -> Outcome {
-    let attempts = async {
-        let mut attempts = FuturesUnordered::new();
-        attempts.push((store.commit)(transaction.clone()));
-        match tokio::time::timeout(REPEAT_AFTER, attempts.next()).await {
-            Ok(Some(outcome)) if outcome != Outcome::Unknown => return outcome,
-            Ok(_) | Err(_) => attempts.push((store.commit)(transaction)),
-        }
-        while let Some(outcome) = attempts.next().await {
-            if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
-                return outcome;
-            }
-        }
-        Outcome::Unknown
-    };
-    tokio::time::timeout(GIVE_UP_AFTER, attempts).await.unwrap_or(Outcome::Unknown)
-}
-
 /// Refuses requests that nobody waits for any more; nothing was sent for them.
 fn refuse_late(open: &mut Vec<Request>, now: Duration) {
     let mut position = 0;
--- a/crates/scheduler/tests/entry.rs
+++ b/crates/scheduler/tests/entry.rs
@@ -16,11 +16,17 @@
 const APPLY: Duration = Duration::from_secs(2);
 
 async fn spawn(rows: &Rows) -> Entry {
+    spawn_with(rows, APPLY).await
+}
+
+async fn spawn_with(rows: &Rows, configuration_apply: Duration) -> Entry {
     let settings = settings::Entry {
         name: "entry-1".into(),
         links_address: SocketAddr::from(([127, 0, 0, 1], 0)),
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
+        configuration_apply,
+        cancellation_apply: Duration::from_secs(3),
         ended_jobs_kept: Duration::from_mins(2),
         stop_timeout: Duration::from_secs(6),
     };
@@ -52,10 +58,12 @@
 async fn a_change_made_while_the_store_was_silent_is_in_force_in_time(
     #[values(0, 700, 1_400, 2_300, 3_700, 5_200)] begins_after_ms: u64,
     #[values(300, 1_500, 3_500, 4_500, 9_000)] silent_for_ms: u64,
+    #[values(1_000, 2_000, 4_000)] apply_ms: u64,
 ) {
+    let apply = Duration::from_millis(apply_ms);
     let rows = Rows::with(Fault::None);
     rows.configure(2);
-    let entry = spawn(&rows).await;
+    let entry = spawn_with(&rows, apply).await;
     tokio::time::sleep(Duration::from_millis(500 + begins_after_ms)).await;
     assert_eq!(version(&entry), 2);
     rows.set(Fault::Silent);
@@ -63,6 +71,22 @@
     rows.configure(6);
     tokio::time::sleep(Duration::from_millis(silent_for_ms - silent_for_ms / 2)).await;
     rows.set(Fault::None);
+    tokio::time::sleep(apply).await;
+    assert_eq!(version(&entry), 6, "not in force {apply:?} after the store is back");
+}
+
+/// Requests that are repeated against a slow store must not crowd out the answer to the first.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_though_every_answer_is_slow(#[values(200, 700, 1_500, 2_500)] answer_ms: u64) {
+    let answer = Duration::from_millis(answer_ms);
+    let rows = Rows::with(Fault::None);
+    rows.configure(2);
+    let entry = spawn(&rows).await;
     tokio::time::sleep(APPLY).await;
-    assert_eq!(version(&entry), 6, "not in force {APPLY:?} after the store is back");
+    rows.set(Fault::Slow(answer));
+    tokio::time::sleep(Duration::from_millis(5_300)).await;
+    rows.configure(6);
+    tokio::time::sleep(APPLY + answer * 2).await;
+    assert_eq!(version(&entry), 6);
 }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -22,7 +22,7 @@
 const ANSWER_TIME: Duration = Duration::from_millis(10);
 
 /// Time beyond the wait of a feed after which a client of the store gives up an answer.
-const WATCH_MARGIN: Duration = Duration::from_secs(1);
+const WATCH_MARGIN: Duration = Duration::from_secs(3);
 
 /// What the store does with transactions; a silent one answers no read of the configuration either.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +37,8 @@
     Refuse,
     /// Neither takes effect nor answers.
     Silent,
+    /// Answers this much later.
+    Slow(Duration),
 }
 
 #[derive(Debug)]
@@ -93,6 +95,9 @@
                 return std::future::pending().await;
             }
             if written.is_some() || Instant::now() >= due {
+                if let Fault::Slow(more) = fault {
+                    tokio::time::sleep(more).await;
+                }
                 let configuration = written.map(|(version, _)| configuration(version));
                 return Ok(Configured { configuration, revision: revision.max(after).max(1) });
             }
@@ -136,7 +141,7 @@
     /// Answer to a transaction; `None` when it never comes.
     fn take(&mut self, transaction: &Transaction) -> Option<Outcome> {
         match self.fault {
-            Fault::None | Fault::LoseAnswers(0) => Some(self.commit(transaction)),
+            Fault::None | Fault::Slow(_) | Fault::LoseAnswers(0) => Some(self.commit(transaction)),
             Fault::Refuse => Some(Outcome::Refused),
             Fault::Silent => None,
             Fault::LoseAnswers(left) => {
