Bound the other waits for the store by what they serve

- The feed of the jobs took 3 s and a pause, as long as a cancellation may take (8 of 20 new cases failed).
Its bound now comes from the settings.
- A sign of life that the store swallowed was followed by the next one 2.75 s later, though the cell is taken over after 1.9 s (its test failed).
- A state told from the rows waited for 1.5 s for each of two reads, after the placer's 0.7 s: longer than callers wait.
By reading, without a test.

Change: the three feeds share one driver, which logs, pauses and repeats; single reads, the last look before a claim and the sign of life are repeated when they are overdue. After a failed request a feed goes on from its position and doesn't read the whole table again.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -8,6 +8,7 @@
 
 use chervilledge_policy::id::Name;
 
+use crate::repeat;
 use crate::roster::Roster;
 use crate::rows::{self, BEAT, PLACER};
 use crate::store::{Change, Condition, Handle, Outcome, Table, Transaction};
@@ -15,9 +16,11 @@
 /// Interval of the placer's signs of life in the store.
 pub const BEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Age of the last sign of life from which the cell is taken over: two intervals less the time of a takeover.
-const STALE_AFTER: Duration = Duration::from_millis(1_900);
+pub const STALE_AFTER: Duration = Duration::from_millis(1_900);
 /// The same, once the link to the placer is lost as well.
 const STALE_AFTER_LINK_LOST: Duration = Duration::from_millis(500);
+/// Time for the last look before a claim; the next one follows soon.
+const LOOK_GIVE_UP: Duration = Duration::from_millis(900);
 /// Age of a read after which it says nothing of the present.
 const READ_FRESH: Duration = Duration::from_millis(2_600);
 
@@ -63,7 +66,7 @@
 
 /// Reads the sign of life past the feed, which may lag.
 async fn is_still_silent(store: &Handle, roster: &Roster) -> bool {
-    match (store.read_one)((Table::Cell, Arc::from(BEAT))).await {
+    match repeat::read(LOOK_GIVE_UP, || (store.read_one)((Table::Cell, Arc::from(BEAT)))).await {
         Ok(row) => row.is_none_or(|row| row.revision <= roster.beat_revision),
         Err(_) => false,
     }
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -69,6 +69,7 @@
         claimed,
         former: roster.placer.as_ref().map(|(placer, _)| placer.clone()),
         lease: inner.settings.lease(),
+        cancellation_apply: inner.settings.cancellation_apply,
         metrics: Arc::clone(&inner.metrics),
         ended_jobs_kept: inner.settings.ended_jobs_kept,
     };
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -6,16 +6,20 @@
 use chervilledge_cell::job::{Job, JobId, JobState};
 use chervilledge_cell::progress::{Outcome, Progress};
 use chervilledge_policy::code::Code;
+use chervilledge_policy::id::Name;
 
 use super::{Entry, Reply, Way, lock};
 use crate::clock::whole_ms;
 use crate::message::{FromEntry, Stored, ToEntry};
 use crate::placer;
+use crate::repeat;
 use crate::rows;
-use crate::store::Table;
+use crate::store::{Row, Table};
 
 /// Time that the placer may take to tell a state before the rows are read.
 const STATE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for one of the two reads that tell a state; both and the placer's time are below what callers wait.
+const ROW_GIVE_UP: Duration = Duration::from_millis(900);
 /// Age up to which counts of waiting jobs are given out; callers may be told figures of two seconds ago, and a takeover
 /// takes as long.
 const PENDING_FRESH: Duration = Duration::from_secs(6);
@@ -177,7 +181,7 @@
     /// State by the rows.
     async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
         let key = rows::job_key(id);
-        let progress = (self.inner.store.read_one)((Table::Progress, Arc::clone(&key))).await.map_err(drop)?;
+        let progress = self.read_row(Table::Progress, &key).await?;
         let content = progress.and_then(|row| row.value).and_then(|value| rows::decode::<Progress>(&key, &value));
         if let Some(progress) = content {
             return Ok(Some(match progress.outcome {
@@ -187,10 +191,17 @@
                 None => JobState::Running,
             }));
         }
-        let job = (self.inner.store.read_one)((Table::Jobs, key)).await.map_err(drop)?;
+        let job = self.read_row(Table::Jobs, &key).await?;
         Ok(job.map(|_| JobState::Queued))
     }
 
+    async fn read_row(&self, table: Table, key: &Name) -> Result<Option<Row>, ()> {
+        let row = repeat::read(ROW_GIVE_UP, || (self.inner.store.read_one)((table, Arc::clone(key)))).await;
+        row.map_err(|error| {
+            log::info!(event = "state_unread", job = &**key, table = table.name(), error:% = error; "");
+        })
+    }
+
     /// Has another entry write a row.
     async fn relay(&self, deadline: Duration, message: impl Fn(u64) -> ToEntry) -> Stored {
         let Some(roster) = self.roster() else { return Stored::Refused };
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -77,6 +77,8 @@
     pub former: Option<rows::Placer>,
     /// Longest lease that is granted.
     pub lease: Duration,
+    /// Time after its acceptance within which a cancellation stops the tasks of a job.
+    pub cancellation_apply: Duration,
     /// Metrics of the process.
     pub metrics: Arc<Metrics>,
     /// Time for which ended jobs are kept.
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -1,5 +1,6 @@
 //! Tasks of the placer that talk to the store: confirming the term, following the jobs.
 
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,16 +8,16 @@
 
 use super::{Context, Message, beat_change};
 use crate::candidate::BEAT_INTERVAL;
+use crate::feed::{self, Feed, Timing};
 use crate::peer::{self, Asked};
+use crate::repeat;
 use crate::rows::PLACER;
-use crate::store::{self, Condition, Outcome, ReadError, Table, Transaction};
+use crate::store::{self, Condition, Outcome, ReadError, Rows, Table, Transaction};
 
 /// Pause after a confirmation that failed.
 const CONFIRM_RETRY: Duration = Duration::from_millis(250);
 /// Pause before the former placer is asked again.
 const PREDECESSOR_RETRY: Duration = Duration::from_millis(200);
-/// Time that the store may hold the answer of the feed back.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after changes were read: entries tell of their jobs themselves, the feed is for those that can't.
 const FEED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a read that failed.
@@ -32,7 +33,7 @@
             conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER), revision: context.revision }],
             changes: vec![beat_change()],
         };
-        let outcome = (context.store.commit)(transaction).await;
+        let outcome = repeat::commit(&context.store, transaction).await;
         let message = match outcome {
             Outcome::Done(revision) => {
                 if std::mem::take(&mut is_lost) {
@@ -77,42 +78,56 @@
 
 /// Reads all jobs and their progress, then follows the jobs.
 pub(super) async fn follow_jobs(context: Context, placer: ActorRef<Message>) {
+    let mut feed = feed::open("jobs", Timing::within(context.cancellation_apply), context.clock.clone());
     let mut is_loaded = false;
     loop {
-        let error = match follow_once(&context, &placer, &mut is_loaded).await {
-            Ok(()) => return,
-            Err(error) => error,
-        };
-        log::info!(event = "jobs_feed_broken", error:% = error, term = context.term; "");
-        if error != ReadError::HistoryLost {
-            tokio::time::sleep(READ_RETRY).await;
+        match read_all(&context, is_loaded).await {
+            Ok((message, after)) => {
+                if placer.cast(message).is_err() || follow_from(&context, &placer, &mut feed, after).await.is_break() {
+                    return;
+                }
+                is_loaded = true;
+            }
+            Err(error) => {
+                log::info!(event = "table_unread", table = "jobs", error:% = error, term = context.term; "");
+                tokio::time::sleep(READ_RETRY).await;
+            }
         }
     }
 }
 
-/// Follows the jobs until the placer has ended.
-async fn follow_once(context: &Context, placer: &ActorRef<Message>, is_loaded: &mut bool) -> Result<(), ReadError> {
+/// Reads all jobs, and their progress unless that is loaded; gives the revision to follow them from.
+async fn read_all(context: &Context, is_loaded: bool) -> Result<(Message, u64), ReadError> {
     let jobs = store::read_all(&context.store, Table::Jobs).await?;
-    let mut after = jobs.revision;
-    let message = if *is_loaded {
-        Message::Jobs(jobs.rows)
-    } else {
-        let progress = store::read_all(&context.store, Table::Progress).await?.rows;
-        Message::Loaded { jobs: jobs.rows, progress }
-    };
-    if placer.cast(message).is_err() {
-        return Ok(());
+    if is_loaded {
+        return Ok((Message::Jobs(jobs.rows), jobs.revision));
     }
-    *is_loaded = true;
+    let progress = store::read_all(&context.store, Table::Progress).await?.rows;
+    Ok((Message::Loaded { jobs: jobs.rows, progress }, jobs.revision))
+}
+
+/// Follows the jobs until the history of the feed is lost; breaks off when the placer has ended.
+async fn follow_from(
+    context: &Context,
+    placer: &ActorRef<Message>,
+    feed: &mut Feed<Rows>,
+    mut after: u64,
+) -> ControlFlow<()> {
     loop {
-        let changes = (context.store.watch)((Table::Jobs, after, WATCH_WAIT)).await?;
-        after = after.max(changes.revision);
-        if changes.rows.is_empty() {
-            continue;
-        }
-        if placer.cast(Message::Jobs(changes.rows)).is_err() {
-            return Ok(());
+        match feed.next(after, |wait| (context.store.watch)((Table::Jobs, after, wait))).await {
+            Ok(changes) => {
+                after = after.max(changes.revision);
+                if changes.rows.is_empty() {
+                    continue;
+                }
+                if placer.cast(Message::Jobs(changes.rows)).is_err() {
+                    return ControlFlow::Break(());
+                }
+                tokio::time::sleep(FEED_PAUSE).await;
+            }
+            Err(ReadError::HistoryLost) => return ControlFlow::Continue(()),
+            // The feed logs why, and repeats the request.
+            Err(_) => {}
         }
-        tokio::time::sleep(FEED_PAUSE).await;
     }
 }
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -10,11 +10,14 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::feed::{self, Feed, Timing};
 use crate::rows::{self, AGENT_PREFIX, BEAT, ENTRY_PREFIX, PLACER, Process};
-use crate::store::{self, Handle, ReadError, Row, Table};
+use crate::store::{self, Handle, ReadError, Row, Rows, Table};
 
-/// Time that the store may hold the answer of a feed back.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Name of the feed in logs.
+const FEED: &str = "cell";
+/// Time within which the end of a placer has to be seen, so that leases outlast a takeover.
+const TIMING: Timing = Timing { wait: Duration::from_millis(1_200), overdue: Duration::from_millis(1_500) };
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -58,35 +61,26 @@
 }
 
 async fn follow(store: Handle, clock: Clock, view: watch::Sender<Option<Arc<Roster>>>) {
-    let mut is_lost = false;
+    let mut feed = feed::open(FEED, TIMING, clock.clone());
     loop {
-        match follow_once(&store, &clock, &view, &mut is_lost).await {
-            ReadError::HistoryLost => log::info!(event = "feed_history_lost", table = "cell"; ""),
-            error => {
-                if !is_lost {
-                    log::warn!(event = "store_lost", by = "cell_feed", error:% = error; "");
-                }
-                is_lost = true;
+        match store::read_all(&store, Table::Cell).await {
+            Ok(all) => follow_from(&store, &clock, &mut feed, &view, &all).await,
+            Err(error) => {
+                log::info!(event = "table_unread", table = FEED, error:% = error; "");
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
-/// Reads all rows and then follows the feed until it breaks.
-async fn follow_once(
+/// Takes in all rows and follows their changes until the history of the feed is lost.
+async fn follow_from(
     store: &Handle,
     clock: &Clock,
+    feed: &mut Feed<Rows>,
     view: &watch::Sender<Option<Arc<Roster>>>,
-    is_lost: &mut bool,
-) -> ReadError {
-    let all = match store::read_all(store, Table::Cell).await {
-        Ok(all) => all,
-        Err(error) => return error,
-    };
-    if std::mem::take(is_lost) {
-        log::info!(event = "store_regained", by = "cell_feed", revision = all.revision; "");
-    }
+    all: &Rows,
+) {
     let former = view.borrow().clone();
     let mut roster = Roster::default();
     if let Some(former) = &former {
@@ -94,28 +88,30 @@
         roster.beat_seen = former.beat_seen;
     }
     let mut after = all.revision;
-    let now = clock.now();
-    for row in &all.rows {
-        roster.take(row, now);
-    }
-    roster.read = now;
+    roster.take_all(&all.rows, clock.now());
     view.send_replace(Some(Arc::new(roster.clone())));
     loop {
-        let changes = match (store.watch)((Table::Cell, after, WATCH_WAIT)).await {
-            Ok(changes) => changes,
-            Err(error) => return error,
-        };
-        after = after.max(changes.revision);
-        let now = clock.now();
-        for row in &changes.rows {
-            roster.take(row, now);
+        match feed.next(after, |wait| (store.watch)((Table::Cell, after, wait))).await {
+            Ok(changes) => {
+                after = after.max(changes.revision);
+                roster.take_all(&changes.rows, clock.now());
+                view.send_replace(Some(Arc::new(roster.clone())));
+            }
+            Err(ReadError::HistoryLost) => return,
+            // The feed logs why, and repeats the request.
+            Err(_) => {}
         }
-        roster.read = now;
-        view.send_replace(Some(Arc::new(roster.clone())));
     }
 }
 
 impl Roster {
+    fn take_all(&mut self, rows: &[Row], now: Duration) {
+        for row in rows {
+            self.take(row, now);
+        }
+        self.read = now;
+    }
+
     fn take(&mut self, row: &Row, now: Duration) {
         match &*row.key {
             PLACER => self.take_placer(row, now),
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -10,8 +10,12 @@
 use chervilledge_policy::id::Name;
 use futures_util::future::try_join_all;
 
+use crate::repeat;
 use crate::rows;
 
+/// Time for one of the reads that a whole table takes; beyond it the table is read anew.
+const PAGE_GIVE_UP: Duration = Duration::from_secs(3);
+
 /// Future of a call.
 pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -218,7 +222,7 @@
     let mut all = Rows::default();
     let mut from: Name = Arc::from("");
     loop {
-        let page = (store.read)((table, partition, Arc::clone(&from))).await?;
+        let page = repeat::read(PAGE_GIVE_UP, || (store.read)((table, partition, Arc::clone(&from)))).await?;
         if all.revision == 0 {
             all.revision = page.revision;
         }
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -7,18 +7,25 @@
 use std::time::Duration;
 
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
+use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
+use chervilledge_scheduler::candidate::{BEAT_INTERVAL, STALE_AFTER};
 use chervilledge_scheduler::placer::{self, Context, Message};
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows;
+use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{clock, metrics};
-use support::{Fault, Rows, agent, job};
+use rstest::rstest;
+use support::{Fault, Rows, agent, job, tokio_clock};
 use tokio::sync::watch;
 
 /// Term and revision of the placer under test.
 const TERM: u64 = 2;
 const REVISION: u64 = 9;
+/// Time after its acknowledgement within which a cancellation stops the tasks of a job.
+const CANCELLATION_APPLY: Duration = Duration::from_secs(3);
 /// Time in which a placer that doesn't wait would have placed.
 const A_WHILE: Duration = Duration::from_millis(800);
 
@@ -42,26 +49,39 @@
     Arc::new(Configuration { version: 1, queues: vec![queue], services, limits })
 }
 
-/// A view of the cell from before the claim may lack an agent that the former placer gave work to.
-#[tokio::test]
-async fn nothing_is_placed_by_a_view_of_the_cell_from_before_the_claim() {
-    let agent = agent::spawn().await;
-    let (view, roster_view) = watch::channel(Some(roster(TERM - 1, REVISION - 1, &[("agent-1", agent.address)])));
-    let clock = clock::system();
-    let context = Context {
+/// A store in which the placer's row has the revision of the claim.
+fn claimed_rows() -> Rows {
+    let rows = Rows::with(Fault::None);
+    for _ in 0..REVISION {
+        rows.write(Table::Cell, rows::PLACER, Some(rows::encode(&placer_row(TERM, Some("entry-1")))));
+    }
+    rows
+}
+
+fn context(rows: &Rows, clock: Clock, roster: watch::Receiver<Option<Arc<Roster>>>) -> Context {
+    Context {
         name: Arc::from("entry-1"),
         claimed: clock.now(),
         clock,
-        store: Rows::with(Fault::None).store(),
-        roster: roster_view,
+        store: rows.store(),
+        roster,
         configuration: watch::channel(Some(configuration())).1,
         term: TERM,
         revision: REVISION,
         former: Some(placer_row(TERM - 1, None)),
         lease: Duration::from_secs(5),
+        cancellation_apply: CANCELLATION_APPLY,
         metrics: metrics::open(),
         ended_jobs_kept: Duration::from_mins(2),
-    };
+    }
+}
+
+/// A view of the cell from before the claim may lack an agent that the former placer gave work to.
+#[tokio::test]
+async fn nothing_is_placed_by_a_view_of_the_cell_from_before_the_claim() {
+    let agent = agent::spawn().await;
+    let (view, roster_view) = watch::channel(Some(roster(TERM - 1, REVISION - 1, &[("agent-1", agent.address)])));
+    let context = context(&Rows::with(Fault::None), clock::system(), roster_view);
     let placer = placer::spawn(context).await.expect("placer");
     agent.worker.wait_for("a look under the new term", |script| script.looks.len() > 2).await;
     placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
@@ -70,3 +90,44 @@
     view.send_replace(Some(roster(TERM, REVISION, &[("agent-1", agent.address)])));
     agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
 }
+
+/// A read that the silent store has swallowed must not hide a cancellation for longer than its tasks may run on.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_stored_while_the_store_was_silent_takes_effect_in_time(
+    #[values(0, 700, 1_400, 2_300, 3_700)] begins_after_ms: u64,
+    #[values(300, 1_500, 3_500, 4_500)] silent_for_ms: u64,
+) {
+    let rows = claimed_rows();
+    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&job(1))));
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let placer = placer::spawn(context(&rows, tokio_clock(), roster_view)).await.expect("placer");
+    let state = || async { ractor::call_t!(placer, Message::State, 500, JobId(1)).expect("running") };
+    tokio::time::sleep(Duration::from_millis(1_000 + begins_after_ms)).await;
+    assert_eq!(state().await, Some(JobState::Queued));
+    rows.set(Fault::Silent);
+    tokio::time::sleep(Duration::from_millis(silent_for_ms / 2)).await;
+    rows.write(Table::Jobs, &rows::cancel_key(JobId(1)), Some(Vec::new()));
+    tokio::time::sleep(Duration::from_millis(silent_for_ms - silent_for_ms / 2)).await;
+    rows.set(Fault::None);
+    tokio::time::sleep(CANCELLATION_APPLY).await;
+    assert_eq!(state().await, Some(JobState::Canceled), "{CANCELLATION_APPLY:?} after the store is back");
+}
+
+/// One sign of life that the store swallowed must not look like the end of the placer.
+#[tokio::test(start_paused = true)]
+async fn a_swallowed_sign_of_life_is_repeated_before_the_cell_is_taken_over() {
+    let rows = claimed_rows();
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let _placer = placer::spawn(context(&rows, tokio_clock(), roster_view)).await.expect("placer");
+    let beats = || rows.writes(Table::Cell, rows::BEAT);
+    tokio::time::sleep(BEAT_INTERVAL * 5 / 4).await;
+    let before = beats();
+    tokio::time::sleep(BEAT_INTERVAL / 2).await;
+    rows.set(Fault::Silent);
+    tokio::time::sleep(BEAT_INTERVAL / 2).await;
+    rows.set(Fault::None);
+    assert_eq!(beats(), before, "the sign of life was swallowed");
+    tokio::time::sleep(STALE_AFTER.saturating_sub(BEAT_INTERVAL * 5 / 4)).await;
+    assert!(beats() > before);
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -14,7 +14,7 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::store::{
-    Configured, Handle, Outcome, ReadError, Row, Rows as Page, Store, Table, Transaction,
+    Change, Configured, Handle, Outcome, Partition, ReadError, Row, Rows as Page, Store, Table, Transaction,
 };
 use tokio::time::Instant;
 
@@ -24,7 +24,7 @@
 /// Time beyond the wait of a feed after which a client of the store gives up an answer.
 const WATCH_MARGIN: Duration = Duration::from_secs(3);
 
-/// What the store does with transactions; a silent one answers no read of the configuration either.
+/// What the store does with calls; only the silent and the slow one treat reads differently.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
     /// Answers.
@@ -44,6 +44,7 @@
 #[derive(Debug)]
 struct State {
     rows: BTreeMap<(&'static str, Name), (Vec<u8>, u64)>,
+    removed: BTreeMap<(&'static str, Name), u64>,
     writes: BTreeMap<(&'static str, Name), u32>,
     revision: u64,
     fault: Fault,
@@ -59,7 +60,14 @@
 
 impl Rows {
     pub fn with(fault: Fault) -> Self {
-        let state = State { rows: BTreeMap::new(), writes: BTreeMap::new(), revision: 0, fault, configuration: None };
+        let state = State {
+            rows: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            writes: BTreeMap::new(),
+            revision: 0,
+            fault,
+            configuration: None,
+        };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -82,35 +90,65 @@
         state.configuration = Some((version, state.revision));
     }
 
-    /// Answer to a read of the configuration; none comes when the store is silent while it is held.
-    async fn watch_configuration(&self, after: u64, wait: Duration) -> Result<Configured, ReadError> {
-        let due = Instant::now() + if after == 0 { Duration::ZERO } else { wait };
+    /// Writes or removes a row, as another process does.
+    pub fn write(&self, table: Table, key: &str, value: Option<Vec<u8>>) {
+        let change = Change { table, key: Arc::from(key), value };
+        self.lock().commit(&Transaction { conditions: Vec::new(), changes: vec![change] });
+    }
+
+    /// Answer to a read, as soon as there is one or after `wait`; none comes when the store is silent meanwhile.
+    async fn answer<T>(&self, wait: Duration, found: impl Fn(&State) -> Option<T>, nothing: impl Fn(&State) -> T) -> T {
+        let due = Instant::now() + wait;
         loop {
             tokio::time::sleep(ANSWER_TIME).await;
-            let (fault, revision, written) = {
+            let (fault, answer) = {
                 let state = self.lock();
-                (state.fault, state.revision, state.configuration.filter(|(_, revision)| *revision > after))
+                (state.fault, found(&state).or_else(|| (Instant::now() >= due).then(|| nothing(&state))))
             };
             if fault == Fault::Silent {
                 return std::future::pending().await;
             }
-            if written.is_some() || Instant::now() >= due {
+            if let Some(answer) = answer {
                 if let Fault::Slow(more) = fault {
                     tokio::time::sleep(more).await;
                 }
-                let configuration = written.map(|(version, _)| configuration(version));
-                return Ok(Configured { configuration, revision: revision.max(after).max(1) });
+                return answer;
             }
         }
     }
 
+    async fn read(&self, table: Table, partition: Partition, from: Name) -> Page {
+        let found = |state: &State| {
+            Some(
+                state.page(|(name, key)| *name == table.name() && table.partition(key) == partition && *key >= from, 0),
+            )
+        };
+        self.answer(Duration::ZERO, found, |_| Page::default()).await
+    }
+
+    async fn watch(&self, table: Table, after: u64, wait: Duration) -> Page {
+        let changed = |state: &State| state.page(|(name, _)| *name == table.name(), after);
+        self.answer(wait, |state| Some(changed(state)).filter(|page| !page.rows.is_empty()), changed).await
+    }
+
+    async fn watch_configuration(&self, after: u64, wait: Duration) -> Configured {
+        let told = |state: &State| {
+            let written = state.configuration.filter(|(_, revision)| *revision > after);
+            let configuration = written.map(|(version, _)| configuration(version));
+            Configured { configuration, revision: state.revision.max(after).max(1) }
+        };
+        let wait = if after == 0 { Duration::ZERO } else { wait };
+        self.answer(wait, |state| Some(told(state)).filter(|told| told.configuration.is_some()), told).await
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The store as the scheduler uses it.
     pub fn store(&self) -> Handle {
-        let (commits, follows) = (self.clone(), self.clone());
+        let (commits, reads, reads_one) = (self.clone(), self.clone(), self.clone());
+        let (watches, follows) = (self.clone(), self.clone());
         Arc::new(Store {
             commit: Box::new(move |transaction| {
                 let rows = commits.clone();
@@ -123,21 +161,52 @@
                     }
                 })
             }),
-            read: Box::new(|_| Box::pin(async { Ok(Page::default()) })),
-            read_one: Box::new(|_| Box::pin(async { Ok(None) })),
-            watch: Box::new(|_| Box::pin(async { Err(ReadError::Unreachable) })),
+            read: Box::new(move |(table, partition, from)| {
+                let rows = reads.clone();
+                Box::pin(in_time(Duration::ZERO, async move { rows.read(table, partition, from).await }))
+            }),
+            read_one: Box::new(move |(table, key)| {
+                let rows = reads_one.clone();
+                Box::pin(in_time(Duration::ZERO, async move {
+                    let page = rows.read(table, table.partition(&key), Arc::clone(&key)).await;
+                    page.rows.into_iter().next().filter(|row| row.key == key)
+                }))
+            }),
+            watch: Box::new(move |(table, after, wait)| {
+                let rows = watches.clone();
+                Box::pin(in_time(wait, async move { rows.watch(table, after, wait).await }))
+            }),
             watch_configuration: Box::new(move |(after, wait)| {
                 let rows = follows.clone();
-                Box::pin(async move {
-                    let answer = rows.watch_configuration(after, wait);
-                    tokio::time::timeout(wait + WATCH_MARGIN, answer).await.unwrap_or(Err(ReadError::Silent))
-                })
+                Box::pin(in_time(wait, async move { rows.watch_configuration(after, wait).await }))
             }),
         })
     }
 }
 
+/// Gives an answer up as a client of the store does.
+async fn in_time<T>(wait: Duration, answer: impl Future<Output = T>) -> Result<T, ReadError> {
+    tokio::time::timeout(wait + WATCH_MARGIN, answer).await.or(Err(ReadError::Silent))
+}
+
 impl State {
+    /// Rows that were changed after a revision.
+    fn page(&self, is_wanted: impl Fn(&(&'static str, Name)) -> bool, after: u64) -> Page {
+        let row = |key: &Name, value: Option<&Vec<u8>>, revision: u64| Row {
+            key: Arc::clone(key),
+            value: value.cloned(),
+            revision,
+        };
+        let kept = self.rows.iter().filter(|(id, (_, revision))| is_wanted(id) && *revision > after);
+        let mut rows: Vec<Row> = kept.map(|(id, (value, revision))| row(&id.1, Some(value), *revision)).collect();
+        if after > 0 {
+            let removed = self.removed.iter().filter(|(id, revision)| is_wanted(id) && **revision > after);
+            rows.extend(removed.map(|(id, revision)| row(&id.1, None, *revision)));
+            rows.sort_by_key(|row| row.revision);
+        }
+        Page { rows, revision: self.revision, has_more: false }
+    }
+
     /// Answer to a transaction; `None` when it never comes.
     fn take(&mut self, transaction: &Transaction) -> Option<Outcome> {
         match self.fault {
@@ -176,14 +245,13 @@
         self.revision += 1;
         for change in &transaction.changes {
             let key = (change.table.name(), Arc::clone(&change.key));
-            match &change.value {
-                Some(value) => {
-                    self.rows.insert(key.clone(), (value.clone(), self.revision));
-                    *self.writes.entry(key).or_default() += 1;
-                }
-                None => {
-                    self.rows.remove(&key);
-                }
+            if let Some(value) = &change.value {
+                self.removed.remove(&key);
+                self.rows.insert(key.clone(), (value.clone(), self.revision));
+                *self.writes.entry(key).or_default() += 1;
+            } else {
+                self.rows.remove(&key);
+                self.removed.insert(key, self.revision);
             }
         }
         Outcome::Done(self.revision)
