Keep what agents tell of jobs whose rows aren't read yet

What callers saw: a task on two workers for some tenths of a second (TWICE) after the placer was cut off from the store.

Cause: the former placer still takes jobs, a peer writes their rows, and it starts them until its agents obey the new term. A successor that had read the rows before took such a run for one without a job: it was stopped, and started elsewhere as soon as the row came, while the stop took its time. An end of such a run was settled at once, so that the task would run again.

Two new cases of takeover.rs failed before; the random walk, extended by rows that are read late and stops that take time, fails with either guard taken out.

Change: runs and ends of unknown jobs are kept until the rows are read up to a revision that the store had after the news; then they are taken in, or stopped and settled. Why it works: a job's row is stored before its first start, so a read that reaches a later revision holds it if it exists.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod placing;
 mod stragglers;
+mod unread;
 pub mod writes;
 
 use std::collections::{BTreeSet, VecDeque};
@@ -19,6 +20,7 @@
 
 pub use self::agents::{Contact, Inventory};
 use self::jobs::JobEntry;
+use self::unread::Unread;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
@@ -161,7 +163,7 @@
     pub(crate) serving: Map<Name, u32>,
     /// Runs that count against `load`, by task and number.
     pub(crate) runs: Set<(TaskId, u64)>,
-    /// Runs on the worker whose job isn't known here; nothing is placed beside them.
+    /// Runs on the worker that aren't, or not yet, runs of a task; nothing is placed beside them.
     pub(crate) strays: Set<(TaskId, u64)>,
     pub(crate) health: Health,
     /// Nothing is placed before this time, after a refusal.
@@ -190,6 +192,8 @@
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
     unresolved: Set<Name>,
+    /// What agents told of jobs that aren't known, in the order in which it was told.
+    unread: Vec<Unread>,
     /// The former placer doesn't act any more.
     is_predecessor_over: bool,
     /// What was stored after this revision can't have been started by a former placer.
@@ -222,6 +226,7 @@
             ready: BTreeSet::new(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
+            unread: Vec::new(),
             is_predecessor_over: term == 1,
             fresh_from: (term == 1).then_some(0),
             actions: VecDeque::new(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -247,7 +247,7 @@
     }
 
     /// Takes a run on a worker for a run of its task, or has it stopped.
-    fn adopt(&mut self, name: &Name, task: TaskId, number: u64, percent: Option<u32>, now: Duration) {
+    pub(crate) fn adopt(&mut self, name: &Name, task: TaskId, number: u64, percent: Option<u32>, now: Duration) {
         let Some(agent) = self.agents.get(name) else { return };
         if agent.runs.contains(&(task, number)) {
             if percent.is_some() {
@@ -261,6 +261,10 @@
         if agent.worker.is_none() {
             return;
         }
+        if !self.jobs.contains_key(&task.job) {
+            self.keep_unread_run(name, (task, number), percent, now);
+            return;
+        }
         let allowed = self.may_adopt(task);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| allowed) else {
             if let Some(agent) = self.agents.get_mut(name) {
@@ -441,7 +445,7 @@
         }
     }
 
-    fn order_stop(&mut self, name: &Name, task: TaskId, run: u64, reason: &'static str) {
+    pub(crate) fn order_stop(&mut self, name: &Name, task: TaskId, run: u64, reason: &'static str) {
         if let Some(state) = self.run_mut(task, run) {
             state.is_stopping = true;
         }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -34,12 +34,16 @@
             }
             agent.ends_seen = end.number;
             let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
+            if !self.jobs.contains_key(&end.task.job) {
+                self.keep_unread_end(name, life, end, now);
+                continue;
+            }
             self.take_end(name, &end, now);
             self.writes.ended(Arc::clone(name), life, end.number, end.task.job);
         }
     }
 
-    fn take_end(&mut self, name: &Name, end: &End, now: Duration) {
+    pub(crate) fn take_end(&mut self, name: &Name, end: &End, now: Duration) {
         self.stray_over(name, (end.task, end.run));
         let was_known = self.release(name, end.task, end.run);
         let started = self.run_mut(end.task, end.run).and_then(|run| run.started);
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -209,6 +209,7 @@
         if outcome.is_none() {
             self.open_occurrences(id, None, now);
         }
+        self.take_unread(id, now);
     }
 
     /// Opens occurrences that are due; `unix_ms` is the wall clock, needed for jobs with a schedule only.
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -51,7 +51,8 @@
     life: Life,
     number: u64,
     job: JobId,
-    version: u64,
+    /// Version of the job's progress that holds the end; `None` while the job isn't known.
+    version: Option<u64>,
 }
 
 /// Bookkeeping of batches.
@@ -74,17 +75,35 @@
 impl Writes {
     /// Takes note of an end that may be settled once the job's present version is durable.
     pub(crate) fn ended(&mut self, agent: Name, life: Life, number: u64, job: JobId) {
-        let version = self.versions.get(&job).map_or(0, |versions| versions.present);
+        let version = Some(self.present(job));
         self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version });
     }
 
+    /// Takes note of an end that may not be settled until its job is released.
+    pub(crate) fn hold(&mut self, agent: Name, life: Life, number: u64, job: JobId) {
+        self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version: None });
+    }
+
+    /// Lets ends of a job that were held be settled once its present version is durable.
+    pub(crate) fn release(&mut self, job: JobId) {
+        let version = self.present(job);
+        for end in self.ends.values_mut().flatten().filter(|end| end.job == job) {
+            end.version.get_or_insert(version);
+        }
+    }
+
+    fn present(&self, job: JobId) -> u64 {
+        self.versions.get(&job).map_or(0, |versions| versions.present)
+    }
+
     /// Forgets a job whose rows are gone.
     pub(crate) fn forget(&mut self, job: JobId) {
         self.versions.remove(&job);
     }
 
     fn is_durable(&self, end: &UnsettledEnd) -> bool {
-        self.versions.get(&end.job).is_none_or(|versions| versions.durable >= end.version)
+        let Some(version) = end.version else { return false };
+        self.versions.get(&end.job).is_none_or(|versions| versions.durable >= version)
     }
 }
 
--- a/crates/cell/tests/takeover.rs
+++ b/crates/cell/tests/takeover.rs
@@ -121,3 +121,64 @@
     assert_eq!(world.all_running(), running);
     assert_eq!(world.cell.state(JobId(1)), Some(JobState::Running));
 }
+
+/// A task must not start elsewhere because its job's row came after the news that it runs.
+#[rstest]
+#[case::runs(None)]
+#[case::is_done(Some(EndKind::Done))]
+fn a_task_started_by_the_predecessor_of_a_job_read_later_runs_once(#[case] ended: Option<EndKind>) {
+    let mut world = World::with_workers(3, MILLICORES);
+    world.submit(job(1, vec![step(1, 1_000)]));
+    world.place();
+    let running = world.all_running();
+    let (agent, task, run) = running[0].clone();
+    if let Some(kind) = ended {
+        world.end(&agent, task, run, kind);
+    }
+    world.cell = successor(&world, 2, &[]);
+    for agent in world.workers.keys().cloned().collect::<Vec<_>>() {
+        let inventory = world.inventory(&agent, MILLICORES);
+        world.cell.agent_linked(&agent, inventory, world.now);
+    }
+    assert_eq!(world.cell.next_batch(), None);
+    assert_eq!(world.cell.take_actions(), [], "nothing is stopped or settled before the rows are read");
+    world.submit(job(1, vec![step(1, 1_000)]));
+    world.cell.place(world.now);
+    assert_eq!(world.cell.take_actions(), [], "the task isn't started, nor its run stopped");
+    if ended.is_none() {
+        world.end(&agent, task, run, EndKind::Done);
+    }
+    let batch = world.cell.next_batch().expect("the end has to be stored");
+    world.cell.committed(&batch, 40, world.now);
+    assert_eq!(world.cell.state(JobId(1)), Some(JobState::Completed));
+    assert!(matches!(&*world.cell.take_actions(), [Action::Settle { cursor: 1, .. }]));
+}
+
+/// What is left of a job whose rows are gone is stopped and settled, though not before that is certain.
+#[test]
+fn runs_and_ends_without_a_job_go_once_the_rows_are_read() {
+    let mut world = World::with_workers(3, MILLICORES);
+    world.submit(job(1, vec![step(2, 1_000)]));
+    world.place();
+    let (agent, task, run) = world.all_running()[0].clone();
+    world.end(&agent, task, run, EndKind::Done);
+    world.cell = successor(&world, 2, &[]);
+    for agent in world.workers.keys().cloned().collect::<Vec<_>>() {
+        let inventory = world.inventory(&agent, MILLICORES);
+        world.cell.agent_linked(&agent, inventory, world.now);
+    }
+    let told = world.now;
+    world.cell.stored_by(told.saturating_sub(Duration::from_millis(1)), 30);
+    world.cell.jobs_read(35);
+    assert_eq!(world.cell.next_batch(), None);
+    assert_eq!(world.cell.take_actions(), [], "that revision is from before the news");
+    world.cell.stored_by(told, 40);
+    world.cell.jobs_read(39);
+    assert_eq!(world.cell.next_batch(), None);
+    assert_eq!(world.cell.take_actions(), [], "the rows are read to an earlier revision");
+    world.cell.jobs_read(40);
+    assert_eq!(world.cell.next_batch(), None);
+    let actions = world.cell.take_actions();
+    assert!(actions.iter().any(|action| matches!(action, Action::Stop { .. })), "{actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, Action::Settle { cursor: 1, .. })), "{actions:?}");
+}
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -14,7 +14,7 @@
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::grant::Grant;
-use chervilledge_cell::job::{JobId, JobState, TaskId};
+use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::{End, EndKind, RunReport};
 use chervilledge_policy::id::Name;
@@ -27,6 +27,8 @@
 const AGENTS: usize = 3;
 const JOBS: u64 = 12;
 const MILLICORES: u64 = 4_000;
+/// Time that a worker takes to stop a run.
+const STOP_TIME: Duration = Duration::from_millis(400);
 /// Time of trouble, and then of calm in which everything has to end.
 const TROUBLE: Duration = Duration::from_mins(1);
 const CALM: Duration = Duration::from_mins(1);
@@ -35,6 +37,8 @@
 #[derive(Default)]
 struct Store {
     term: u64,
+    /// Jobs with the revisions of their rows.
+    jobs: BTreeMap<JobId, u64>,
     progress: BTreeMap<JobId, (Progress, u64)>,
     revision: u64,
 }
@@ -71,6 +75,8 @@
     cut: Duration,
     confirm_due: Duration,
     batch: Option<(Batch, Duration)>,
+    /// Revision up to which the jobs are read.
+    read: u64,
 }
 
 #[derive(Default)]
@@ -80,9 +86,12 @@
     /// Highest term that the worker has seen.
     fence: u64,
     lease_until: Duration,
+    /// Runs with the times at which they end.
     running: BTreeMap<(TaskId, u64), Duration>,
     /// Runs that were stopped; the worker refuses them and what is older.
     stopped: BTreeMap<TaskId, u64>,
+    /// Runs that stop, until when.
+    stopping: BTreeMap<(TaskId, u64), Duration>,
     ends: Vec<End>,
     next_end: u64,
     /// Until when placers don't reach the agent.
@@ -94,6 +103,7 @@
 impl Agent {
     fn end(&mut self, run: (TaskId, u64), kind: EndKind) {
         self.running.remove(&run);
+        self.stopping.remove(&run);
         self.next_end += 1;
         let end = End { number: self.next_end, task: run.0, run: run.1, kind, checkpoint: name("") };
         self.ends.push(end);
@@ -147,9 +157,9 @@
         for agent in self.agents.keys() {
             cell.agent_known(agent, self.store.term > 1, self.now);
         }
-        for id in 0..JOBS {
-            let (progress, revision) = self.store.progress.get(&JobId(id)).cloned().unwrap_or_default();
-            cell.load(job(id, vec![step(2, 1_000), step(1, 1_000)]), progress, revision, Duration::ZERO, self.now);
+        for id in self.store.jobs.keys() {
+            let (progress, revision) = self.store.progress.get(id).cloned().unwrap_or_default();
+            cell.load(content(*id), progress, revision, Duration::ZERO, self.now);
         }
         let mut authority = Authority::default();
         authority.confirmed(self.now);
@@ -161,9 +171,42 @@
             cut: self.now,
             confirm_due: self.now,
             batch: None,
+            read: self.store.revision,
         });
     }
 
+    /// A caller's job is stored, and told to some of those that believe to be the placer.
+    fn accept(&mut self) {
+        let id = JobId(self.store.jobs.len() as u64);
+        if id.0 == JOBS {
+            return;
+        }
+        self.store.revision += 1;
+        self.store.jobs.insert(id, self.store.revision);
+        for placer in &mut self.placers {
+            if self.rng.random_bool(0.5) {
+                placer.cell.submit(content(id), None, self.now);
+            }
+        }
+    }
+
+    /// Reads the jobs that were stored since the last time.
+    fn read(&mut self, position: usize) {
+        let placer = &mut self.placers[position];
+        if self.now < placer.cut || !self.rng.random_bool(0.05) {
+            return;
+        }
+        for (id, revision) in self.store.jobs.iter().filter(|(_, revision)| **revision > placer.read) {
+            if placer.cell.knows(*id) {
+                placer.cell.row_seen(*id, *revision);
+            } else {
+                placer.cell.submit(content(*id), Some(*revision), self.now);
+            }
+        }
+        placer.read = self.store.revision;
+        placer.cell.jobs_read(placer.read);
+    }
+
     fn trouble(&mut self) {
         let until = self.now + Duration::from_millis(self.rng.random_range(500..30_000));
         if self.rng.random_bool(0.004) {
@@ -198,8 +241,12 @@
         if !self.is_calm {
             self.trouble();
         }
+        if self.is_calm || self.rng.random_bool(0.02) {
+            self.accept();
+        }
         self.work();
         for position in 0..self.placers.len() {
+            self.read(position);
             self.link(position);
             self.drive(position);
         }
@@ -227,6 +274,11 @@
             for run in ended {
                 agent.end(run, EndKind::Done);
             }
+            let stopped: Vec<(TaskId, u64)> =
+                agent.stopping.iter().filter(|(_, end)| **end <= now).map(|(run, _)| *run).collect();
+            for run in stopped {
+                agent.end(run, EndKind::Stopped);
+            }
         }
     }
 
@@ -267,6 +319,8 @@
             placer.confirm_due = now + Duration::from_secs(1);
             if self.store.term == placer.term {
                 placer.authority.confirmed(now);
+                self.store.revision += 1;
+                placer.cell.stored_by(now, self.store.revision);
             }
         }
         if placer.authority.holds(now) {
@@ -329,7 +383,7 @@
                 let stopped = agent.stopped.entry(*task).or_default();
                 *stopped = (*stopped).max(*run);
                 if agent.running.contains_key(&(*task, *run)) {
-                    agent.end((*task, *run), EndKind::Stopped);
+                    agent.stopping.entry((*task, *run)).or_insert(self.now + STOP_TIME);
                 } else {
                     placer.cell.run_absent(agent_name, *task, *run, self.now);
                 }
@@ -352,6 +406,10 @@
     }
 }
 
+fn content(id: JobId) -> Job {
+    job(id.0, vec![step(2, 1_000), step(1, 1_000)])
+}
+
 #[rstest]
 fn nothing_runs_twice_and_all_jobs_end(#[values(1, 2, 3, 4, 5, 6, 7, 8)] group: u64) {
     for seed in group * 100..group * 100 + 25 {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -105,9 +105,16 @@
         jobs: Vec<Row>,
         /// Rows of progress.
         progress: Vec<Row>,
+        /// Revision up to which the jobs are read.
+        revision: u64,
     },
     /// Changed rows of jobs.
-    Jobs(Vec<Row>),
+    Jobs {
+        /// The rows.
+        rows: Vec<Row>,
+        /// Revision up to which the jobs are read.
+        revision: u64,
+    },
     /// A job that another process has stored.
     Submitted(Box<Job>),
     /// A cancellation that another process has stored.
@@ -325,8 +332,14 @@
         match message {
             Message::Tick => self.tick(now),
             Message::Confirmed { asked, revision } => self.confirmed(asked, revision),
-            Message::Loaded { jobs, progress } => self.load(&jobs, &progress, now),
-            Message::Jobs(rows) => self.take_jobs(&rows, now),
+            Message::Loaded { jobs, progress, revision } => {
+                self.load(&jobs, &progress, now);
+                self.cell.jobs_read(revision);
+            }
+            Message::Jobs { rows, revision } => {
+                self.take_jobs(&rows, now);
+                self.cell.jobs_read(revision);
+            }
             Message::Submitted(job) => self.submitted(*job, None, now),
             Message::Canceled(id) => self.cancel(id, now),
             Message::Roster => self.take_roster(),
@@ -475,6 +488,7 @@
 
     fn confirmed(&mut self, asked: Duration, revision: u64) {
         self.authority.confirmed(asked);
+        self.cell.stored_by(asked, revision);
         // What is stored after this revision was stored when the former placer was over.
         if self.predecessor_over.is_some_and(|over| asked >= over) {
             self.cell.fresh_from(revision);
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -99,11 +99,12 @@
 /// Reads all jobs, and their progress unless that is loaded; gives the revision to follow them from.
 async fn read_all(context: &Context, is_loaded: bool) -> Result<(Message, u64), ReadError> {
     let jobs = store::read_all(&context.store, Table::Jobs).await?;
+    let revision = jobs.revision;
     if is_loaded {
-        return Ok((Message::Jobs(jobs.rows), jobs.revision));
+        return Ok((Message::Jobs { rows: jobs.rows, revision }, revision));
     }
     let progress = store::read_all(&context.store, Table::Progress).await?.rows;
-    Ok((Message::Loaded { jobs: jobs.rows, progress }, jobs.revision))
+    Ok((Message::Loaded { jobs: jobs.rows, progress, revision }, revision))
 }
 
 /// Follows the jobs until the history of the feed is lost; breaks off when the placer has ended.
@@ -117,13 +118,13 @@
         match feed.next(after, |wait| (context.store.watch)((Table::Jobs, after, wait))).await {
             Ok(changes) => {
                 after = after.max(changes.revision);
-                if changes.rows.is_empty() {
-                    continue;
-                }
-                if placer.cast(Message::Jobs(changes.rows)).is_err() {
+                let is_changed = !changes.rows.is_empty();
+                if placer.cast(Message::Jobs { rows: changes.rows, revision: changes.revision }).is_err() {
                     return ControlFlow::Break(());
                 }
-                tokio::time::sleep(FEED_PAUSE).await;
+                if is_changed {
+                    tokio::time::sleep(FEED_PAUSE).await;
+                }
             }
             Err(ReadError::HistoryLost) => return ControlFlow::Continue(()),
             // The feed logs why, and repeats the request.
--- a/crates/scheduler/src/placer/writing.rs
+++ b/crates/scheduler/src/placer/writing.rs
@@ -51,6 +51,7 @@
         match outcome {
             Outcome::Done(revision) => {
                 self.authority.confirmed(asked);
+                self.cell.stored_by(asked, revision);
                 self.context.metrics.durable(now.saturating_sub(asked));
                 self.cell.committed(batch, revision, now);
             }
