Write log lines in chunks that a pipe takes whole

Cause: up to 256 lines went out in one write of tens of kilobytes. A pipe takes only 4,096 bytes in one piece; a longer write is taken in parts, and whoever reads or writes in between cuts a line.

Change: whole lines are put together up to that size and written one chunk a call. A full pipe that doesn't block is waited for by the writing thread; it ended the thread, and with it all logs, before (by reading).

--- a/crates/scheduler/src/logs.rs
+++ b/crates/scheduler/src/logs.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
+use std::time::Duration;
 
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
@@ -18,8 +19,12 @@
 const DEFAULT_FILTER: &str = "info, hyper=warn, ractor=warn, tungstenite=warn";
 /// Lines that may wait for the writer; about a second of the busiest process.
 const QUEUE_LINES: usize = 2_048;
-/// Lines that are written at once.
+/// Lines that are taken from the queue at once.
 const BATCH_LINES: usize = 256;
+/// Bytes that a pipe takes in one piece: `PIPE_BUF` of the operating system.
+const CHUNK_BYTES: usize = 4_096;
+/// Pause while a pipe that doesn't block is full.
+const READER_PAUSE: Duration = Duration::from_millis(5);
 
 /// Running logger; logging stops when it is dropped.
 #[expect(missing_debug_implementations, reason = "the library's handle has none")]
@@ -117,16 +122,18 @@
 fn write_all(items: &Receiver<Item>) {
     let mut output = io::stdout();
     while let Ok(first) = items.recv() {
-        let mut bytes = Vec::new();
+        let mut lines = Vec::new();
         let mut waiting = Vec::new();
         let mut take = |item| match item {
-            Item::Line(line) => bytes.extend_from_slice(&line),
+            Item::Line(line) => lines.push(line),
             Item::Flush(done) => waiting.push(done),
         };
         take(first);
         items.try_iter().take(BATCH_LINES).for_each(&mut take);
-        if output.write_all(&bytes).and_then(|()| output.flush()).is_err() {
-            return;
+        for chunk in chunks(&lines) {
+            if write_chunk(&mut output, &chunk).is_err() {
+                return;
+            }
         }
         for done in waiting {
             // Whoever asked may be gone.
@@ -134,3 +141,29 @@
         }
     }
 }
+
+/// Puts lines together into chunks that a pipe takes whole or not at all.
+///
+/// A longer write may be taken in parts, with the lines of other processes or a restart between them. A line that alone
+/// exceeds a chunk has one of its own.
+#[must_use]
+pub fn chunks(lines: &[Vec<u8>]) -> Vec<Vec<u8>> {
+    let mut chunks: Vec<Vec<u8>> = Vec::new();
+    for line in lines {
+        match chunks.last_mut().filter(|chunk| chunk.len() + line.len() <= CHUNK_BYTES) {
+            Some(chunk) => chunk.extend_from_slice(line),
+            None => chunks.push(line.clone()),
+        }
+    }
+    chunks
+}
+
+/// Writes a chunk in one call; waits while whoever reads the logs is slow.
+fn write_chunk(output: &mut impl Write, chunk: &[u8]) -> io::Result<()> {
+    loop {
+        match output.write_all(chunk).and_then(|()| output.flush()) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(READER_PAUSE),
+            done => return done,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/logs.rs
@@ -0,0 +1,29 @@
+//! How log lines reach whoever reads them.
+
+use chervilledge_scheduler::logs::chunks;
+use rstest::rstest;
+
+/// Bytes that a pipe takes in one piece.
+const PIPE_BUF: usize = 4_096;
+
+fn line(length: usize) -> Vec<u8> {
+    let mut line = vec![b'x'; length - 1];
+    line.push(b'\n');
+    line
+}
+
+/// A write beyond what a pipe takes in one piece is cut in the middle of a line.
+#[rstest]
+#[case::one(&[300])]
+#[case::many(&[300; 200])]
+#[case::exact(&[2_048, 2_048, 1, 4_096, 1])]
+#[case::long(&[300, 9_000, 300])]
+fn no_line_is_cut_between_two_writes(#[case] lengths: &[usize]) {
+    let lines: Vec<Vec<u8>> = lengths.iter().map(|length| line(*length)).collect();
+    let chunks = chunks(&lines);
+    assert_eq!(chunks.concat(), lines.concat());
+    for chunk in chunks {
+        assert!(chunk.ends_with(b"\n"));
+        assert!(chunk.len() <= PIPE_BUF || lines.contains(&chunk), "{} bytes", chunk.len());
+    }
+}
