Give the daemons' store client the pool that leaves silent connections

Cause, the same as in the platform's client: after connections went silent for good, each unused one in the pool cost a call its whole timeout.

Evidence: unused_connections_that_went_silent_cost_one_call opens eight connections through the faulty network and silences them; the second call met the next silent one before and is carried now.

Change: the HTTP client moves out of platform/ into a package of its own that both use; the copy of the pool in crates/store is gone. platform/ only translates again.

--- a/platform/src/client.rs
+++ b/crates/client/src/lib.rs
@@ -1,4 +1,4 @@
-//! HTTP client with a timeout for each call.
+//! HTTP client with a timeout for each call, which leaves connections that have gone silent.
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -13,10 +13,6 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 
-/// Largest answer that is read, in bytes; the platform's own answers end at 1 MB of content.
-const ANSWER_BYTES_MAX: usize = 16 << 20;
-/// Time for opening a connection; a machine that has no power never answers.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time without an answer, beyond that for which it may be held back, after which open connections are used no more.
 ///
 /// Below the time after which the scheduler repeats a call, so that the repetition takes a new connection.
@@ -24,11 +20,22 @@
 /// Time for which an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Bounds of a client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Time for opening a connection; a machine that has no power never answers.
+    pub connect_timeout: Duration,
+    /// Largest answer that is read, in bytes.
+    pub answer_bytes_max: usize,
+}
+
 /// Answer with its whole body.
 #[derive(Debug)]
 pub struct Answer {
     /// Status.
     pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -66,6 +73,7 @@
 /// Client; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Client {
+    bounds: Bounds,
     connections: Arc<Mutex<Connections>>,
 }
 
@@ -79,14 +87,15 @@
 
 /// Opens a client; connections are made when calls need them.
 #[must_use]
-pub fn open() -> Client {
-    Client { connections: Arc::new(Mutex::new(Connections { generation: 0, pool: pool() })) }
+pub fn open(bounds: Bounds) -> Client {
+    let connections = Connections { generation: 0, pool: pool(bounds) };
+    Client { bounds, connections: Arc::new(Mutex::new(connections)) }
 }
 
-fn pool() -> Pool<HttpConnector, Full<Bytes>> {
+fn pool(bounds: Bounds) -> Pool<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(bounds.connect_timeout));
     Pool::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
@@ -110,15 +119,15 @@
         method: Method,
         path: &str,
         headers: HeaderMap,
-        body: Vec<u8>,
+        body: Bytes,
         patience: Patience,
     ) -> Result<Answer, Failure> {
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.headers_mut() = headers;
         *request.uri_mut() = format!("http://{address}{path}").parse().or(Err(Failure::NeverSent))?;
         let (generation, pool) = self.current();
-        let mut answer = pin!(exchange(&pool, request));
+        let mut answer = pin!(exchange(&pool, request, self.bounds.answer_bytes_max));
         let suspect = SUSPECT_AFTER.min(patience.timeout);
         if let Ok(answer) = tokio::time::timeout(patience.held + suspect, &mut answer).await {
             return answer;
@@ -142,7 +151,7 @@
     ) -> Result<Answer, Failure> {
         let Ok(body) = serde_json::to_vec(body) else { return Err(Failure::NeverSent) };
         headers.insert(header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
-        self.call(address, Method::POST, path, headers, body, patience).await
+        self.call(address, Method::POST, path, headers, body.into(), patience).await
     }
 
     fn current(&self) -> (u64, Pool<HttpConnector, Full<Bytes>>) {
@@ -154,7 +163,7 @@
     fn replace(&self, generation: u64, address: SocketAddr) {
         let mut connections = lock(&self.connections);
         if connections.generation == generation {
-            *connections = Connections { generation: generation + 1, pool: pool() };
+            *connections = Connections { generation: generation + 1, pool: pool(self.bounds) };
             log::info!(event = "connections_replaced", address:% = address, generation = generation + 1; "");
         }
     }
@@ -164,11 +173,15 @@
     connections.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn exchange(pool: &Pool<HttpConnector, Full<Bytes>>, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
+async fn exchange(
+    pool: &Pool<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    answer_bytes_max: usize,
+) -> Result<Answer, Failure> {
     let response = pool.request(request).await.map_err(|error| failure(&error))?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await.or(Err(Failure::Broken))?;
-    Ok(Answer { status: parts.status, body: body.to_bytes() })
+    let body = Limited::new(body, answer_bytes_max).collect().await.or(Err(Failure::Broken))?;
+    Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
 }
 
 fn failure(error: &hyper_util::client::legacy::Error) -> Failure {
--- a/platform/tests/silent_connections.rs
+++ b/crates/client/tests/silent_connections.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use chervilledge_platform::client::{self, Client, Failure, Patience};
+use bytes::Bytes;
+use chervilledge_client::{Bounds, Client, Failure, Patience};
 use futures_util::future::join_all;
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,6 +16,7 @@
 const OPEN: usize = 8;
 /// Time for an answer; each call that meets a silent connection takes as long.
 const TIMEOUT: Duration = Duration::from_millis(600);
+const BOUNDS: Bounds = Bounds { connect_timeout: TIMEOUT, answer_bytes_max: 1 << 20 };
 /// Time that the server takes, so that calls sent together need a connection each.
 const ANSWER_TIME: Duration = Duration::from_millis(30);
 
@@ -38,7 +40,7 @@
 }
 
 async fn call(client: &Client, address: SocketAddr) -> Result<(), Failure> {
-    client.call(address, Method::GET, "/", HeaderMap::new(), Vec::new(), Patience::at_once(TIMEOUT)).await.map(drop)
+    client.call(address, Method::GET, "/", HeaderMap::new(), Bytes::new(), Patience::at_once(TIMEOUT)).await.map(drop)
 }
 
 /// Each unused connection that has gone silent must not cost a timeout of its own.
@@ -48,7 +50,7 @@
     let address = listener.local_addr().expect("bound");
     let silent = Arc::new(AtomicUsize::new(0));
     tokio::spawn(serve(listener, Arc::clone(&silent)));
-    let client = client::open();
+    let client = chervilledge_client::open(BOUNDS);
     let opened = join_all((0..OPEN).map(|_| call(&client, address))).await;
     assert!(opened.iter().all(Result::is_ok), "{opened:?}");
     silent.store(OPEN, Ordering::SeqCst);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervilledge_client::Answer;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::BootId;
 use http::{HeaderMap, Method, StatusCode};
@@ -21,7 +22,7 @@
 use crate::table::{
     COMMIT_PATH, Commit, Committed, Conflict, Expect, READ_PATH, Read, Row, Rows, SCAN_PATH, Scan, Write, WriteId,
 };
-use crate::transport::{Answer, Failure, Transport};
+use crate::transport::{self, Failure, Transport};
 
 /// Settings of a [`Client`].
 #[serde_as]
@@ -244,7 +245,9 @@
                 .map_or(Outcome::Unknown, |committed| Outcome::Done(committed.versions)),
             StatusCode::CONFLICT => decode::<Conflict>(&answer.body)
                 .map_or(Outcome::Unknown, |conflict| Outcome::NotDone(Reason::Conflict(conflict))),
-            StatusCode::TOO_MANY_REQUESTS => Outcome::NotDone(Reason::Refused { retry_after: answer.retry_after() }),
+            StatusCode::TOO_MANY_REQUESTS => {
+                Outcome::NotDone(Reason::Refused { retry_after: transport::retry_after(&answer) })
+            }
             StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED => {
                 Outcome::NotDone(Reason::Invalid(String::from_utf8_lossy(&answer.body).into_owned()))
             }
@@ -279,7 +282,7 @@
     ) -> Result<Answer, Error> {
         let answer = self.inner.transport.call(method, path, headers, body).await?;
         if answer.status == StatusCode::TOO_MANY_REQUESTS {
-            return Err(Error::Refused { retry_after: answer.retry_after() });
+            return Err(Error::Refused { retry_after: transport::retry_after(&answer) });
         }
         Ok(answer)
     }
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use chervilledge_client::Answer;
 use http::header::IF_NONE_MATCH;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use crate::client::Client;
 use crate::error::Error;
-use crate::transport::Answer;
 
 /// Start of the path of an object.
 pub const OBJECT_PREFIX: &str = "/objects/";
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -5,12 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervilledge_client::{Answer, Client, Patience};
 use chervilledge_policy::clock::Clock;
-use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use http::{HeaderMap, Method};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Semaphore;
@@ -23,23 +20,13 @@
 /// Wait when a refusal doesn't name one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Whole answer to a call.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl Answer {
-    /// Reads the wait that a refusal asks for.
-    pub(crate) fn retry_after(&self) -> Duration {
-        let header = |name: &str| self.headers.get(name)?.to_str().ok()?.parse().ok();
-        header("retry-after-ms")
-            .map(Duration::from_millis)
-            .or_else(|| header("retry-after").map(Duration::from_secs))
-            .unwrap_or(DEFAULT_RETRY_AFTER)
-    }
+/// Reads the wait that a refusal asks for.
+pub(crate) fn retry_after(answer: &Answer) -> Duration {
+    let header = |name: &str| answer.headers.get(name)?.to_str().ok()?.parse().ok();
+    header("retry-after-ms")
+        .map(Duration::from_millis)
+        .or_else(|| header("retry-after").map(Duration::from_secs))
+        .unwrap_or(DEFAULT_RETRY_AFTER)
 }
 
 /// Failure of a call, by what it proves.
@@ -57,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Transport {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client,
     permits: Semaphore,
     gate: Mutex<Gate>,
     call_timeout: Duration,
@@ -67,15 +54,11 @@
 
 impl Transport {
     pub(crate) fn open(address: SocketAddr, bounds: Bounds, clock: Clock, seed: u64) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        // Ends before the call does, so that a failed connect is told apart from a lost answer.
-        connector.set_connect_timeout(Some(bounds.call_timeout / 2));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            // A write that is sent twice could take effect twice.
-            .retry_canceled_requests(false)
-            .build(connector);
+        let client = chervilledge_client::open(chervilledge_client::Bounds {
+            // Ends before the call does, so that a failed connect is told apart from a lost answer.
+            connect_timeout: bounds.call_timeout / 2,
+            answer_bytes_max: ANSWER_LIMIT_BYTES,
+        });
         let permits = Semaphore::new(bounds.concurrent_calls as usize);
         let gate = Mutex::new(Gate::new(bounds));
         let rng = Mutex::new(SmallRng::seed_from_u64(seed));
@@ -91,7 +74,6 @@
         body: Bytes,
     ) -> Result<Answer, Failure> {
         let deadline = Instant::now() + self.call_timeout;
-        let request = self.request(method, path, headers, body).ok_or(Failure::NeverSent)?;
         let admission = self.gate().admit(self.clock.now()).ok_or(Failure::NeverSent)?;
         let permit = timeout_at(deadline, self.permits.acquire_many(admission.weight)).await;
         let Ok(Ok(_permit)) = permit else {
@@ -101,7 +83,9 @@
         if !admission.probe && self.is_away() {
             return Err(Failure::NeverSent);
         }
-        let result = timeout_at(deadline, self.exchange(request)).await.unwrap_or(Err(Failure::TimedOut));
+        let patience = Patience::at_once(deadline.saturating_duration_since(Instant::now()));
+        let answer = self.client.call(self.address, method, path, headers, body, patience).await;
+        let result = answer.map_err(failure);
         self.take_note(admission, result.is_ok());
         result
     }
@@ -133,25 +117,12 @@
             log::warn!(away = gate.is_away(); "platform_availability");
         }
     }
+}
 
-    fn request(&self, method: Method, path: &str, headers: HeaderMap, body: Bytes) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = method;
-        *request.headers_mut() = headers;
-        *request.uri_mut() = format!("http://{}{path}", self.address).parse().ok()?;
-        Some(request)
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, Failure> {
-        let response = self
-            .client
-            .request(request)
-            .await
-            .map_err(|error| if error.is_connect() { Failure::NeverSent } else { Failure::Lost })?;
-        let (parts, body) = response.into_parts();
-        let Ok(body) = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await else {
-            return Err(Failure::Lost);
-        };
-        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+const fn failure(failure: chervilledge_client::Failure) -> Failure {
+    match failure {
+        chervilledge_client::Failure::NotThere | chervilledge_client::Failure::NeverSent => Failure::NeverSent,
+        chervilledge_client::Failure::Broken => Failure::Lost,
+        chervilledge_client::Failure::Silent => Failure::TimedOut,
     }
 }
--- a/crates/store/tests/network.rs
+++ b/crates/store/tests/network.rs
@@ -11,12 +11,15 @@
 use chervilledge_store::client::{Client, Resolution};
 use chervilledge_store::error::Outcome;
 use chervilledge_store::table::{Expect, Write, WriteId};
+use futures_util::future::join_all;
 use rstest::rstest;
 use serde_json::json;
 use support::{open_client_with, start_store};
 
 /// Long enough for a call on a busy machine, short enough to wait for in a test.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Connections that are open and unused when they go silent.
+const CONNECTIONS: usize = 8;
 const PATIENCE: Duration = Duration::from_mins(1);
 
 async fn start() -> (Handle, network::Handle, Client) {
@@ -60,6 +63,21 @@
     assert!(matches!(outcome, Outcome::Done(_)) && took_effect(&store, id), "{outcome:?}");
 }
 
+/// Each unused connection that has gone silent must not cost a call of its own.
+#[tokio::test]
+async fn unused_connections_that_went_silent_cost_one_call() {
+    let (store, proxy, client) = start().await;
+    proxy.set(Faults { delay: Duration::from_millis(50), ..Faults::default() });
+    let opened = join_all((0..CONNECTIONS).map(|_| client.read_one("row"))).await;
+    assert!(opened.iter().all(Result::is_ok), "{opened:?}");
+    proxy.set(Faults::default());
+    proxy.half_open();
+    let (lost, outcome) = put(&client).await;
+    assert_eq!((outcome, took_effect(&store, lost)), (Outcome::Unknown, false));
+    let (id, outcome) = put(&client).await;
+    assert!(matches!(outcome, Outcome::Done(_)) && took_effect(&store, id), "{outcome:?}");
+}
+
 #[tokio::test]
 async fn a_cut_connection_is_replaced() {
     let (store, proxy, client) = start().await;
