Take no entry for dead by the first read after an outage

Cause: the count of a row's silence went on through an outage of the store, so the first read after one of more than ten seconds showed every other entry as gone, though nobody could have renewed its row. Agents were then told of one entry and let their links to the others go, until the next renewal.

The list of entries is published before agents are told, so that a link that opens in between can't miss both.

--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -51,6 +51,8 @@
 pub struct Peers {
     /// Time for which a counter may stay unchanged.
     silence: Duration,
+    /// Longest time between two reads for which the rows count as watched.
+    gap_max: Duration,
     seen: Map<Name, Seen>,
     /// Live entries by name, as last given out.
     live: Vec<EntryRow>,
@@ -58,9 +60,12 @@
 
 impl Peers {
     /// Makes an empty set.
+    ///
+    /// Reads further apart than `gap_max` start the count again: after an outage every entry gets the whole bound to renew
+    /// its row.
     #[must_use]
-    pub fn new(silence: Duration) -> Self {
-        Self { silence, seen: Map::default(), live: Vec::new() }
+    pub fn new(silence: Duration, gap_max: Duration) -> Self {
+        Self { silence, gap_max, seen: Map::default(), live: Vec::new() }
     }
 
     /// Takes in all rows of one read; tells whether the live entries, or a start or address of one, have changed.
@@ -80,7 +85,7 @@
 
     fn observe_row(&mut self, now: Duration, row: EntryRow) {
         match self.seen.get_mut(&row.name) {
-            Some(seen) if seen.row == row => seen.confirmed = now,
+            Some(seen) if seen.row == row && now <= seen.confirmed + self.gap_max => seen.confirmed = now,
             _ => {
                 let seen = Seen { since: now, confirmed: now, row };
                 self.seen.insert(Name::clone(&seen.row.name), seen);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -29,6 +29,9 @@
 /// Time for which a row may stay unchanged before its entry counts as gone.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
+/// Longest time between two reads for which rows count as watched: two intervals, their jitter and the calls.
+const READ_GAP_MAX: Duration = Duration::from_secs(6);
+
 /// Time between two looks at the accepted configuration.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,15 +65,16 @@
 #[must_use]
 pub fn spawn_announcements(mut context: Context) -> JoinHandle<()> {
     tokio::spawn(async move {
-        let mut peers = Peers::new(ENTRY_SILENCE);
+        let mut peers = Peers::new(ENTRY_SILENCE, READ_GAP_MAX);
         let mut enforced = context.enforced.subscribe();
         loop {
             context.row.counter += 1;
             context.row.enforced = *enforced.borrow_and_update();
             renew(&context).await;
             if follow(&context, &mut peers).await {
-                tell_agents(&context.fleet, peers.live());
+                // A link that opens meanwhile is told by its first message, so that comes first.
                 context.live.send_replace(peers.live().to_vec());
+                tell_agents(&context.fleet, peers.live());
             }
             // A version that comes into force is told at once.
             drop(tokio::time::timeout(jittered(RENEW_INTERVAL), enforced.changed()).await);
