Ask what the former placer knew of its own predecessor

Change: the sign of life says whether no former placer acts any more, and is written at once when that becomes known. A successor takes the answer of the last placer for the whole chain only if that one knew; otherwise it waits for the authority of whoever acted before its own claim. No further writes but one beat a takeover.

Evidence: a_chain_of_former_placers_is_over_when_the_last_one_knew; it needs the new field, so it can't run on the code before. The test of the cell's view lacked the placer's row, which the earlier sign of life shows; it has it now.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -47,12 +47,13 @@
         return None;
     }
     let term = former + 1;
+    let beat = rows::Beat { term, is_alone: false };
     let row = rows::Placer { term, holder: Some(Arc::clone(me)), address };
     let transaction = Transaction {
         conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER), revision }],
         changes: vec![
             Change { table: Table::Cell, key: Arc::from(PLACER), value: Some(rows::encode(&row)) },
-            Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(Vec::new()) },
+            Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(rows::encode(&beat)) },
         ],
     };
     let outcome = (store.commit)(transaction).await;
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -68,6 +68,7 @@
         revision,
         claimed,
         former: roster.placer.as_ref().map(|(placer, _)| placer.clone()),
+        is_former_alone: roster.is_placer_alone(),
         lease: inner.settings.lease(),
         cancellation_apply: inner.settings.cancellation_apply,
         metrics: Arc::clone(&inner.metrics),
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -75,6 +75,8 @@
     pub claimed: Duration,
     /// Row of the former placer; `None` when there was none.
     pub former: Option<rows::Placer>,
+    /// Whether the former placer knew that none before it acts any more.
+    pub is_former_alone: bool,
     /// Longest lease that is granted.
     pub lease: Duration,
     /// Time after its acceptance within which a cancellation stops the tasks of a job.
@@ -123,7 +125,7 @@
     Roster,
     /// A configuration is in force.
     Configured,
-    /// The former placer doesn't act any more, for certain.
+    /// No former placer acts any more, for certain.
     PredecessorOver(&'static str),
     /// A link to an agent is open.
     Linked {
@@ -194,8 +196,10 @@
     cell: Cell,
     authority: Authority,
     had_authority: bool,
-    /// When it became known that the former placer doesn't act any more.
+    /// When it became known that no former placer acts any more.
     predecessor_over: Option<Duration>,
+    /// The same, for the sign of life.
+    is_alone: watch::Sender<bool>,
     is_loaded: bool,
     /// Revision of the placer's row in the view of the cell's rows. From that of the claim on, no agent of the predecessor
     /// is missing from the view.
@@ -247,9 +251,10 @@
         log::info!(event = "placer_started", term = context.term, revision = context.revision; "");
         let mut authority = Authority::default();
         authority.confirmed(context.claimed);
+        let is_alone = watch::Sender::new(false);
         let tasks = vec![
             tokio::spawn(tick(myself.clone())),
-            tokio::spawn(feed::confirm(context.clone(), myself.clone())),
+            tokio::spawn(feed::confirm(context.clone(), is_alone.subscribe(), myself.clone())),
             tokio::spawn(feed::follow_jobs(context.clone(), myself.clone())),
             tokio::spawn(feed::ask_predecessor(context.clone(), myself.clone())),
             tokio::spawn(follow(context.roster.clone(), myself.clone(), || Message::Roster)),
@@ -261,6 +266,7 @@
             authority,
             had_authority: true,
             predecessor_over: None,
+            is_alone,
             is_loaded: false,
             roster_revision: 0,
             links: Map::default(),
@@ -347,6 +353,7 @@
             Message::PredecessorOver(by) => {
                 log::info!(event = "predecessor_over", by = by, agents_unheard = self.cell.unresolved(); "");
                 self.predecessor_over = Some(now);
+                self.is_alone.send_replace(true);
                 self.cell.predecessor_over(now);
             }
             Message::Linked { agent, link, sender } => self.linked(agent, link, sender),
@@ -590,9 +597,10 @@
     rows::decode(&row.key, row.value.as_deref()?)
 }
 
-/// Key of the placer's sign of life.
-fn beat_change() -> Change {
-    Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(Vec::new()) }
+/// Write of the placer's sign of life.
+fn beat_change(term: u64, is_alone: bool) -> Change {
+    let beat = rows::Beat { term, is_alone };
+    Change { table: Table::Cell, key: Arc::from(BEAT), value: Some(rows::encode(&beat)) }
 }
 
 impl State {
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::AUTHORITY;
 use ractor::ActorRef;
+use tokio::sync::watch;
 
 use super::{Context, Message, beat_change};
 use crate::candidate::BEAT_INTERVAL;
@@ -24,14 +26,17 @@
 const READ_RETRY: Duration = Duration::from_millis(150);
 
 /// Writes the placer's sign of life at intervals, on condition that it still is the placer.
-pub(super) async fn confirm(context: Context, placer: ActorRef<Message>) {
+pub(super) async fn confirm(context: Context, mut is_alone: watch::Receiver<bool>, placer: ActorRef<Message>) {
     let mut is_lost = false;
     loop {
-        tokio::time::sleep(if is_lost { CONFIRM_RETRY } else { BEAT_INTERVAL }).await;
+        let pause = if is_lost { CONFIRM_RETRY } else { BEAT_INTERVAL };
+        // That no former placer acts is told at once, since a successor that doesn't know it waits for long.
+        drop(tokio::time::timeout(pause, is_alone.changed()).await);
+        let is_alone = *is_alone.borrow_and_update();
         let asked = context.clock.now();
         let transaction = Transaction {
             conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER), revision: context.revision }],
-            changes: vec![beat_change()],
+            changes: vec![beat_change(context.term, is_alone)],
         };
         let outcome = repeat::commit(&context.store, transaction).await;
         let message = match outcome {
@@ -55,10 +60,11 @@
     }
 }
 
-/// Finds out whether the former placer still acts.
+/// Finds out when no former placer acts any more.
 ///
-/// It doesn't when it gave the cell up, when it was an earlier start of this process, when nothing listens at its
-/// address, or when it says that it doesn't place.
+/// The one before doesn't when it gave the cell up, when it was an earlier start of this process, when nothing listens at its
+/// address, or when it says that it doesn't place. Those before it are over when it knew so, or when the authority of
+/// whoever acted before this claim has ended.
 pub(super) async fn ask_predecessor(context: Context, placer: ActorRef<Message>) {
     let by = match &context.former {
         None => "none",
@@ -72,6 +78,13 @@
             }
         },
     };
+    let by = if context.is_former_alone {
+        by
+    } else {
+        let ended = context.claimed + AUTHORITY;
+        tokio::time::sleep(ended.saturating_sub(context.clock.now())).await;
+        "authority_ended"
+    };
     // The placer may have ended meanwhile.
     drop(placer.cast(Message::PredecessorOver(by)));
 }
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -28,6 +28,8 @@
     pub placer: Option<(rows::Placer, u64)>,
     /// Revision of the placer's sign of life.
     pub beat_revision: u64,
+    /// Content of the sign of life.
+    pub beat: Option<rows::Beat>,
     /// When that revision, or the placer, was first seen.
     pub beat_seen: Duration,
     /// When the rows were last read.
@@ -120,6 +122,7 @@
                     self.beat_revision = row.revision;
                     self.beat_seen = now;
                 }
+                self.beat = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
             }
             key => {
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
@@ -131,6 +134,13 @@
         }
     }
 
+    /// Whether the placer of the row, or whoever gave the cell up last, knew that no earlier placer acts any more.
+    #[must_use]
+    pub fn is_placer_alone(&self) -> bool {
+        let Some((placer, _)) = &self.placer else { return true };
+        self.beat.is_some_and(|beat| beat.term == placer.term && beat.is_alone)
+    }
+
     fn take_placer(&mut self, row: &Row, now: Duration) {
         if self.placer.as_ref().is_some_and(|(_, revision)| *revision >= row.revision) {
             return;
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -30,6 +30,15 @@
     pub address: SocketAddr,
 }
 
+/// Content of the placer's sign of life.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Term of the placer.
+    pub term: u64,
+    /// No placer of an earlier term acts any more, for certain.
+    pub is_alone: bool,
+}
+
 /// Content of the row of an agent or entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Process {
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::AUTHORITY;
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_policy::clock::Clock;
@@ -69,6 +70,7 @@
         term: TERM,
         revision: REVISION,
         former: Some(placer_row(TERM - 1, None)),
+        is_former_alone: true,
         lease: Duration::from_secs(5),
         cancellation_apply: CANCELLATION_APPLY,
         metrics: metrics::open(),
@@ -81,7 +83,7 @@
 async fn nothing_is_placed_by_a_view_of_the_cell_from_before_the_claim() {
     let agent = agent::spawn().await;
     let (view, roster_view) = watch::channel(Some(roster(TERM - 1, REVISION - 1, &[("agent-1", agent.address)])));
-    let context = context(&Rows::with(Fault::None), clock::system(), roster_view);
+    let context = context(&claimed_rows(), clock::system(), roster_view);
     let placer = placer::spawn(context).await.expect("placer");
     agent.worker.wait_for("a look under the new term", |script| script.looks.len() > 2).await;
     placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
@@ -131,3 +133,26 @@
     tokio::time::sleep(STALE_AFTER.saturating_sub(BEAT_INTERVAL * 5 / 4)).await;
     assert!(beats() > before);
 }
+
+/// A former placer that died before it knew of its own predecessor's end says nothing of that one's runs.
+#[rstest]
+#[case::former_knew(true, Duration::from_secs(1))]
+#[case::former_did_not_know(false, AUTHORITY)]
+#[tokio::test(start_paused = true)]
+async fn a_chain_of_former_placers_is_over_when_the_last_one_knew(
+    #[case] is_former_alone: bool,
+    #[case] after: Duration,
+) {
+    let rows = claimed_rows();
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let context = Context { is_former_alone, ..context(&rows, tokio_clock(), roster_view) };
+    let _placer = placer::spawn(context).await.expect("placer");
+    let is_alone = || {
+        let beat = rows.value(Table::Cell, rows::BEAT).and_then(|value| rows::decode::<rows::Beat>(rows::BEAT, &value));
+        beat.is_some_and(|beat| beat.term == TERM && beat.is_alone)
+    };
+    tokio::time::sleep(after.saturating_sub(BEAT_INTERVAL)).await;
+    let early = is_alone();
+    tokio::time::sleep(BEAT_INTERVAL * 3 / 2).await;
+    assert_eq!((early, is_alone()), (is_former_alone && after > BEAT_INTERVAL, true));
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -79,6 +79,10 @@
         self.lock().rows.contains_key(&(table.name(), Arc::from(key)))
     }
 
+    pub fn value(&self, table: Table, key: &str) -> Option<Vec<u8>> {
+        self.lock().rows.get(&(table.name(), Arc::from(key))).map(|(value, _)| value.clone())
+    }
+
     pub fn writes(&self, table: Table, key: &str) -> u32 {
         self.lock().writes.get(&(table.name(), Arc::from(key))).copied().unwrap_or(0)
     }
