--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -11,14 +11,13 @@
 use crate::authority;
 use crate::health::Health;
 use crate::job::TaskId;
+use crate::pace::FULL_PERCENT;
 use crate::packing::{Load, Need};
 use crate::worker::{End, EndKind, Life, Refusal, RunReport, RunTraits, Worker};
 
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pace of a run that isn't slowed down.
-pub(crate) const FULL_PERCENT: u32 = 100;
 /// Pace below which a run counts as slowed down.
 const SLOWED_PERCENT: u32 = 40;
 
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -6,11 +6,11 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
-use super::agents::FULL_PERCENT;
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, need};
 use super::{Action, Agent, Cell, Note};
 use crate::job::{JobId, Step, TaskId};
+use crate::pace::FULL_PERCENT;
 use crate::packing::{self, Need};
 use crate::urgency::{self, Rank, Remaining};
 use crate::worker::{RunTraits, StartOrder, Worker};
--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -23,8 +23,8 @@
 const HALT_PERCENT: f64 = 4.0;
 /// Change of a pace that is worth an order, in percent.
 const CHANGE_MIN_PERCENT: f64 = 4.0;
-/// Full pace, in percent.
-const FULL_PERCENT: f64 = 100.0;
+/// Pace of a run that isn't slowed down, in percent.
+pub const FULL_PERCENT: u32 = 100;
 /// Part of the time after which users count a tail over its target as harm, after which all filling runs are halted. The
 /// rest is for the next look, the order, and the half second of the figures.
 const HALT_AFTER_PART: f64 = 0.5;
@@ -88,11 +88,11 @@
                 .iter()
                 .filter(|tail| interference.is_disturbing(image, &tail.image))
                 .filter_map(|tail| allowed_percent(tail, filling, interference))
-                .fold(FULL_PERCENT, f64::min);
-            let former = self.percents.get(image).copied().unwrap_or(FULL_PERCENT);
+                .fold(f64::from(FULL_PERCENT), f64::min);
+            let former = self.percents.get(image).copied().unwrap_or(f64::from(FULL_PERCENT));
             let percent = if allowed > former { former + (allowed - former) * RISE_PART } else { allowed };
             let percent = if percent < HALT_PERCENT { 0.0 } else { percent };
-            let is_end = percent == 0.0 || allowed >= FULL_PERCENT;
+            let is_end = percent == 0.0 || allowed >= f64::from(FULL_PERCENT);
             if is_end || (percent - former).abs() >= CHANGE_MIN_PERCENT {
                 self.percents.insert(Arc::clone(image), percent);
             }
@@ -110,7 +110,7 @@
                 let added = interference.evidence(image, &tail.image).per_core_at_most() * asked_cores;
                 Some(part_of(AIM_RATIO.ln() - tail.log_ratio()?, added))
             })
-            .fold(FULL_PERCENT, f64::min);
+            .fold(f64::from(FULL_PERCENT), f64::min);
         whole_percent(allowed).min(self.percent(image))
     }
 
@@ -133,7 +133,7 @@
         if self.is_halted {
             return 0;
         }
-        whole_percent(self.percents.get(image).copied().unwrap_or(FULL_PERCENT))
+        whole_percent(self.percents.get(image).copied().unwrap_or(f64::from(FULL_PERCENT)))
     }
 }
 
@@ -144,7 +144,7 @@
 
 /// Pace at which `room` is used up by what is added at full pace, in percent.
 fn part_of(room: f64, added_at_full_pace: f64) -> f64 {
-    (room / added_at_full_pace.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0) * FULL_PERCENT
+    (room / added_at_full_pace.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0) * f64::from(FULL_PERCENT)
 }
 
 /// Pace of all images that disturb a serving run at which its tail is where it is steered to; `None` without a figure.
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use chervilledge_cell::grant::Reading;
+use chervilledge_cell::pace::FULL_PERCENT;
 use chervilledge_cell::worker::{Life, RunReport};
 
-use super::paces::FULL_PERCENT;
 use super::{Message, State};
 use crate::message::FromAgent;
 use crate::worker::{Ask, Look, LookError};
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::interference::Serving;
-use chervilledge_cell::pace::{Cores, Tail};
+use chervilledge_cell::pace::{Cores, FULL_PERCENT, Tail};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 
@@ -19,11 +19,22 @@
 /// Thousandths of a core.
 const MILLICORES: f64 = 1_000.0;
 
-/// Pace of a run that was never told one.
-pub(super) const FULL_PERCENT: u32 = 100;
 /// Stands for a pace that has to be set, whatever it is.
 pub(super) const UNKNOWN_PERCENT: u32 = u32::MAX;
 
+/// Runs on the worker that concern one another.
+#[derive(Default)]
+struct Seen {
+    /// Tails of serving runs, also without a figure.
+    tails: Vec<Tail>,
+    /// Serving runs with a figure.
+    serving: Vec<Serving>,
+    /// Filling runs and their images.
+    filling: Vec<(RunId, Name)>,
+    /// Processor time of each filling image.
+    cores: Map<Name, Cores>,
+}
+
 impl State {
     /// Whether filling runs stand beside serving ones.
     pub(super) fn has_pacing(&self) -> bool {
@@ -33,29 +44,7 @@
 
     /// Sets the pace of filling runs by what the last look says of serving ones.
     pub(super) fn set_paces(&mut self, now: Duration) {
-        let Some(own) = &self.own else { return };
-        let mut tails = Vec::new();
-        let mut serving = Vec::new();
-        let mut filling = Vec::new();
-        let mut cores: Map<Name, Cores> = Map::default();
-        for report in &own.running {
-            let run = (report.task, report.run);
-            let Some(traits) = self.traits.get(&run) else { continue };
-            let image = traits.image.clone().unwrap_or_default();
-            if let Some(target) = traits.latency_target {
-                let measured = Duration::from_millis(report.measured);
-                tails.push(Tail { task: report.task, image: Arc::clone(&image), measured, target });
-                if !measured.is_zero() {
-                    let log_ratio = (measured.as_secs_f64() / target.as_secs_f64()).ln();
-                    serving.push(Serving { task: report.task, image, log_ratio });
-                }
-            } else if traits.is_filling {
-                let cores = cores.entry(Arc::clone(&image)).or_default();
-                cores.used += whole_to_f64(report.measured) / MILLICORES;
-                cores.asked += whole_to_f64(traits.processor_millicores) / MILLICORES;
-                filling.push((run, image));
-            }
-        }
+        let Some(Seen { tails, serving, filling, cores }) = self.colocated() else { return };
         if now.saturating_sub(self.observed) >= FIGURE_WINDOW && !serving.is_empty() {
             self.observed = now;
             let used = cores.iter().map(|(image, cores)| (Arc::clone(image), cores.used)).collect();
@@ -77,6 +66,30 @@
         }
     }
 
+    /// What the last look shows of serving and filling runs; `None` without a worker.
+    fn colocated(&self) -> Option<Seen> {
+        let mut seen = Seen::default();
+        for report in &self.own.as_ref()?.running {
+            let run = (report.task, report.run);
+            let Some(traits) = self.traits.get(&run) else { continue };
+            let image = traits.image.clone().unwrap_or_default();
+            if let Some(target) = traits.latency_target {
+                let measured = Duration::from_millis(report.measured);
+                seen.tails.push(Tail { task: report.task, image: Arc::clone(&image), measured, target });
+                if !measured.is_zero() {
+                    let log_ratio = (measured.as_secs_f64() / target.as_secs_f64()).ln();
+                    seen.serving.push(Serving { task: report.task, image, log_ratio });
+                }
+            } else if traits.is_filling {
+                let cores = seen.cores.entry(Arc::clone(&image)).or_default();
+                cores.used += whole_to_f64(report.measured) / MILLICORES;
+                cores.asked += whole_to_f64(traits.processor_millicores) / MILLICORES;
+                seen.filling.push((run, image));
+            }
+        }
+        Some(seen)
+    }
+
     /// Tells the placer what was learnt of pairs of images.
     pub(super) fn tell_effects(&mut self, now: Duration) {
         if now < self.effects_due || self.link.is_none() {
