Let an entry look for the store within a part of its lease

Other entries take a lease that they have seen unchanged for its length and margin, 2.5 s in that test; an entry that looks 2 s later than the others has half a second to renew.

Evidence: a new test asks that four entries renew within half a lease of the store's return.

Change: the limit of the pauses is a sixth of the lease, at most the client's default.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -59,6 +59,9 @@
 /// Shortest time between two commits of idempotency keys by one entry.
 const KEY_COMMIT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Pauses between two looks whether the store is back that fit into the length of a lease.
+const BACKOFF_PER_LEASE: u32 = 6;
+
 /// Commits of idempotency keys that all entries share. With those of tasks well below what the platform carries.
 const KEY_COMMITS_PER_S: u32 = 60;
 
@@ -254,7 +257,10 @@
 }
 
 fn platform_settings(settings: &settings::Entry) -> client::Settings {
-    client::Settings { address: settings.platform_address, ..client::Settings::default() }
+    let defaults = client::Settings::default();
+    // A pause must not outlast the time in which the entry has to renew its lease once the store is back.
+    let backoff_limit = defaults.backoff_limit.min(settings.batch.lease.length / BACKOFF_PER_LEASE);
+    client::Settings { address: settings.platform_address, backoff_limit, ..defaults }
 }
 
 async fn bind_callers(settings: &settings::Entry, requests: &Arc<Requests>) -> io::Result<listener::Listener> {
--- a/tests/batch_exclusive.rs
+++ b/tests/batch_exclusive.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use chervilledge_standins::platform::Faults;
@@ -14,6 +15,12 @@
 /// Far beyond the end of a lease and the time after which another entry takes over.
 const PAST_LEASE: Duration = Duration::from_secs(5);
 
+/// Length of leases in these tests.
+const LEASE: Duration = Duration::from_secs(2);
+
+/// Several times the longest pause of a client that waits for the store.
+const LONG_OUTAGE: Duration = Duration::from_secs(8);
+
 /// Tells whether a commit of the platform holds a task in a state.
 fn has_state(platform: &platform::Handle, state: &str) -> bool {
     let entries = platform.ledger_after(0);
@@ -146,6 +153,29 @@
     assert_eq!((starts(&events), effects(&events)), (4, 4));
 }
 
+/// A pause before the next look at the store must not outlast the lease that others would then take.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_renew_their_leases_in_time_after_a_long_outage() {
+    const ENTRIES: usize = 4;
+    let platform = bind_platform().await;
+    let mut site = Site::open(platform.address()).await;
+    for number in 0..ENTRIES {
+        site.entry(&format!("entry-{number}"));
+    }
+    let leases = |after| {
+        let writes = platform.ledger_after(after).into_iter().flat_map(|entry| entry.writes);
+        writes.filter(|write| write.key.starts_with("leases/")).map(|write| write.key).collect::<HashSet<_>>()
+    };
+    wait_until("every entry has a lease", || async { leases(0).len() == ENTRIES }).await;
+    platform.control(Faults { down: true, ..Faults::default() });
+    // Long enough for pauses between two looks to reach their limit.
+    tokio::time::sleep(LONG_OUTAGE).await;
+    let before = platform.ledger_after(0).last().map_or(0, |entry| entry.number);
+    platform.control(Faults::default());
+    tokio::time::sleep(LEASE / 2).await;
+    assert_eq!(leases(before).len(), ENTRIES, "renewed within half a lease");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn two_entries_race_for_shards() {
     let platform = bind_platform().await;
