Account for orders that the next life of a worker may have carried out

Cause: an order names the worker and not its life. A start that was sent before the agent knew of the restart was taken by the next life, while the agent told the placer that the former life was gone with all its runs.

Change: the agent lets the inventory of the next life tell the placer, stops there what had no answer, and names it until that is certain. A stop for a former life of the same name goes to the present one.

Evidence: three new cases of tests/agent.rs failed before, with the message that the former life is gone.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -186,9 +186,13 @@
     inventory_due: Option<Duration>,
     grant: Grant,
     own: Option<Own>,
+    /// Life of the worker that the placer counts with, when that isn't the present one.
+    former: Option<Life>,
     /// When a worker that is gone, or was never known, can't run anything any more.
     empty_at: Duration,
     starting: Map<RunId, Starting>,
+    /// Starts of which an attempt had no answer, and when that was.
+    unanswered: Map<RunId, Duration>,
     /// Starts that the worker took, and when it said so, until a look that was sent after that.
     taken: Map<RunId, Duration>,
     stopping: Map<RunId, Stopping>,
@@ -246,8 +250,10 @@
             inventory_due: None,
             grant: Grant::default(),
             own: None,
+            former: None,
             empty_at: now + lapse_after(LEASE_MAX),
             starting: Map::default(),
+            unanswered: Map::default(),
             taken: Map::default(),
             stopping: Map::default(),
             traits: Map::default(),
@@ -373,14 +379,30 @@
                 log::info!(event = "report_of_former_life", worker = &*report.worker.life.worker; "");
                 return;
             }
-            self.worker_over("replaced", now);
+            if own.worker.life.worker == report.worker.life.worker {
+                self.begin_next_life(now);
+            } else {
+                self.worker_over("replaced", now);
+            }
         }
-        log::info!(event = "worker_registered", worker = &*report.worker.life.worker,
-            born_unix_ms = report.worker.life.born_unix_ms, address:% = report.address; "");
+        self.register(report.worker, report.address, report.sequence, reading, now);
+    }
+
+    /// Takes note of a life of the worker.
+    fn register(
+        &mut self,
+        worker: Worker,
+        address: SocketAddr,
+        sequence: u64,
+        reading: Option<Reading>,
+        now: Duration,
+    ) {
+        log::info!(event = "worker_registered", worker = &*worker.life.worker,
+            born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
         self.own = Some(Own {
-            worker: report.worker,
-            address: report.address,
-            sequence: report.sequence,
+            worker,
+            address,
+            sequence,
             reading,
             lease_until: Duration::ZERO,
             cursor: 0,
@@ -406,6 +428,26 @@
         }
     }
 
+    /// Prepares for the next life of a worker that came back under its name.
+    ///
+    /// Orders name the worker, not its life, so those that were meant for the former one may have been carried out in the
+    /// next, or may still be. The placer learns of the change by the inventory, which names such runs.
+    fn begin_next_life(&mut self, now: Duration) {
+        let Some(own) = self.own.take() else { return };
+        let doubtful: Vec<RunId> =
+            self.starting.keys().chain(self.stopping.keys()).chain(self.unanswered.keys()).copied().collect();
+        log::info!(event = "worker_reborn", worker = &*own.worker.life.worker, runs = own.running.len(),
+            doubtful = doubtful.len(); "");
+        self.former.get_or_insert(own.worker.life);
+        self.starting.clear();
+        self.taken.clear();
+        self.traits.clear();
+        self.paces.clear();
+        self.stopping =
+            doubtful.into_iter().map(|run| (run, Stopping { taken: None, is_calling: false, due: now })).collect();
+        self.empty_at = self.empty_at.max(now);
+    }
+
     /// Takes note that the worker's life is over.
     fn worker_over(&mut self, reason: &'static str, now: Duration) {
         let Some(own) = self.own.take() else { return };
@@ -418,6 +460,9 @@
         self.paces.clear();
         // Before the first lease of a predecessor of this process has ended, there may be a life that isn't known.
         self.empty_at = self.empty_at.max(now);
+        if let Some(former) = self.former.take() {
+            self.tell(FromAgent::Gone(former));
+        }
         self.tell(FromAgent::Gone(own.worker.life));
     }
 
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -116,6 +116,7 @@
         let starting = self.unseen_runs();
         let message = match &mut self.own {
             Some(own) => {
+                self.former = None;
                 own.told = own.ends.last().map_or(own.told, |end| end.number.max(own.told));
                 FromAgent::Inventory {
                     worker: Some(own.worker.clone()),
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -5,7 +5,7 @@
 
 use chervilledge_cell::grant::Reading;
 use chervilledge_cell::pace::FULL_PERCENT;
-use chervilledge_cell::worker::{Life, RunReport};
+use chervilledge_cell::worker::{Life, RunReport, Worker};
 
 use super::{Message, State};
 use crate::message::FromAgent;
@@ -68,8 +68,11 @@
         let result = if look.is_ok() { "done" } else { "failed" };
         self.context.metrics.look(result, now.saturating_sub(sent));
         match look {
-            Ok(look) if look.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => {
-                self.worker_over("started_again", now);
+            Ok(Look { clock_ms, born_unix_ms: Some(born_unix_ms), .. }) if born_unix_ms != life.born_unix_ms => {
+                let (worker, address) = (own.worker.clone(), own.address);
+                let worker = Worker { life: Life { born_unix_ms, ..life.clone() }, leaves_in: None, ..worker };
+                self.begin_next_life(now);
+                self.register(worker, address, 0, Some(Reading { worker_ms: clock_ms, received: now }), now);
             }
             Ok(look) => self.take_look(look, term, sent, now),
             Err(error) => self.look_failed(error, now),
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -4,12 +4,14 @@
 
 use chervilledge_cell::worker::{Life, Refusal, StartOrder};
 
-use super::{Message, RunId, Starting, State, Stopping};
+use super::{Message, Own, RunId, Starting, State, Stopping};
 use crate::message::FromAgent;
 use crate::worker::{Ordered, Started};
 
 /// Attempts at a start before the run is stopped, which makes sure that it never starts.
 const START_ATTEMPTS: u32 = 3;
+/// Time after which an order that had no answer isn't carried out any more, with a margin: users name twelve seconds.
+const LATE_ORDERS: Duration = Duration::from_secs(15);
 /// Pause before a stop without an answer is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(250);
 
@@ -69,6 +71,10 @@
         if result != Started::Running {
             log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
         }
+        if result == Started::Unknown {
+            self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_ORDERS);
+            self.unanswered.insert(run, now);
+        }
         match result {
             Started::Running => {
                 self.starting.remove(&run);
@@ -92,8 +98,10 @@
     }
 
     pub(super) fn stop(&mut self, life: &Life, run: RunId, now: Duration) {
-        let is_meant = self.own.as_ref().is_some_and(|own| own.worker.life == *life);
-        if !is_meant {
+        // A start that was meant for a former life may have been carried out in a later one of the same name.
+        let may_be_there =
+            |own: &Own| own.worker.life.worker == life.worker && own.worker.life.born_unix_ms >= life.born_unix_ms;
+        if !self.own.as_ref().is_some_and(may_be_there) {
             if self.is_over(life, now) {
                 self.tell(FromAgent::Absent { task: run.0, run: run.1 });
             } else {
@@ -106,7 +114,7 @@
         self.make_sure_absent(run, now);
     }
 
-    /// Whether a life of the worker is over for certain. After a start of the agent it isn't, as long as no worker, or only
+    /// Whether a life is over for certain that isn't one of the present worker. After a start of the agent it isn't, as long as no worker, or only
     /// a former life, is known.
     fn is_over(&self, life: &Life, now: Duration) -> bool {
         match &self.own {
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::job::TaskId;
 use chervilledge_cell::worker::{Life, RunReport};
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
-use chervilledge_scheduler::worker::{Ordered, Started};
+use chervilledge_scheduler::worker::{Look, Ordered, Started};
 use rstest::rstest;
 use support::agent::{Link, empty_look, life, link, spawn, spawn_without_report, task};
 
@@ -74,7 +75,7 @@
     let running =
         RunReport { task: task(1), run: 1, checkpoint: "".into(), percent: 10, measured: 400, pace_percent: 100 };
     agent.worker.change(|script| {
-        script.look = Ok(chervilledge_scheduler::worker::Look { running: vec![running], ..empty_look() });
+        script.look = Ok(Look { running: vec![running], ..empty_look() });
     });
     if let Some(born_unix_ms) = former_born_unix_ms {
         agent.report(Life { born_unix_ms, ..life() });
@@ -90,3 +91,64 @@
     placer.sender.post(ToAgent::Stop { life: life(), task: task(1), run: 1 });
     agent.worker.wait_for("the stop", |script| !script.stops.is_empty()).await;
 }
+
+/// What the placer is told until an inventory of the worker's next life; that the former one is gone must not come before.
+async fn inventory_of_next_life(placer: &mut Link) -> Vec<(TaskId, u64)> {
+    let choose = |message| match message {
+        FromAgent::Gone(life) => panic!("{life:?} is said to be gone before its orders are accounted for"),
+        FromAgent::Inventory { worker: Some(worker), running, starting, .. } if worker.life == next_life() => {
+            Some(running.into_iter().map(|report| (report.task, report.run)).chain(starting).collect())
+        }
+        _ => None,
+    };
+    placer.wait_for("an inventory of the next life", choose).await
+}
+
+fn next_life() -> Life {
+    Life { born_unix_ms: 9, ..life() }
+}
+
+/// A worker that comes back under its name may carry out what was meant for its former life.
+#[rstest]
+#[case::learnt_by_report(true)]
+#[case::learnt_by_look(false)]
+#[tokio::test]
+async fn a_start_that_the_next_life_of_a_worker_took_is_not_lost(#[case] does_report: bool) {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    assert_eq!(placer.inventory().await, Vec::new());
+    placer.start(task(1), 1);
+    agent.worker.wait_for("the start", |script| !script.starts.is_empty()).await;
+    let running =
+        RunReport { task: task(1), run: 1, checkpoint: "".into(), percent: 10, measured: 400, pace_percent: 100 };
+    agent.worker.change(|script| {
+        script.look = Ok(Look { running: vec![running], born_unix_ms: Some(9), ..empty_look() });
+    });
+    if does_report {
+        agent.report(next_life());
+    }
+    assert_eq!(inventory_of_next_life(&mut placer).await, vec![(task(1), 1)]);
+}
+
+/// A start without an answer may be carried out by the worker's next life.
+#[tokio::test]
+async fn a_start_without_an_answer_is_stopped_in_the_next_life_of_a_worker() {
+    let agent = spawn().await;
+    agent.worker.change(|script| (script.start, script.stop) = (Started::Unknown, Ordered::Unknown));
+    let mut placer = link(&agent, 1).await;
+    assert_eq!(placer.inventory().await, Vec::new());
+    placer.start(task(1), 1);
+    agent.worker.wait_for("the agent gives up the start", |script| !script.stops.is_empty()).await;
+    agent.worker.change(|script| {
+        script.look = Ok(Look { born_unix_ms: Some(9), ..empty_look() });
+        script.stops.clear();
+    });
+    agent.report(next_life());
+    assert_eq!(inventory_of_next_life(&mut placer).await, vec![(task(1), 1)]);
+    agent.worker.change(|script| script.stop = Ordered::Taken);
+    let absent = |message| match message {
+        FromAgent::Absent { task, run } => Some((task, run)),
+        _ => None,
+    };
+    assert_eq!(placer.wait_for("absence", absent).await, (task(1), 1));
+}
