--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -434,6 +434,7 @@
     /// next, or may still be. The placer learns of the change by the inventory, which names such runs.
     fn begin_next_life(&mut self, now: Duration) {
         let Some(own) = self.own.take() else { return };
+        self.forget_late_orders(now);
         let doubtful: Vec<RunId> =
             self.starting.keys().chain(self.stopping.keys()).chain(self.unanswered.keys()).copied().collect();
         log::info!(event = "worker_reborn", worker = &*own.worker.life.worker, runs = own.running.len(),
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -72,7 +72,7 @@
             log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
         }
         if result == Started::Unknown {
-            self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_ORDERS);
+            self.forget_late_orders(now);
             self.unanswered.insert(run, now);
         }
         match result {
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Forgets starts without an answer that can't be carried out any more.
+    pub(super) fn forget_late_orders(&mut self, now: Duration) {
+        self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_ORDERS);
+    }
+
     fn make_sure_absent(&mut self, run: RunId, now: Duration) {
         self.starting.remove(&run);
         self.stopping.entry(run).or_insert(Stopping { taken: None, is_calling: false, due: now });
@@ -114,8 +119,9 @@
         self.make_sure_absent(run, now);
     }
 
-    /// Whether a life is over for certain that isn't one of the present worker. After a start of the agent it isn't, as long as no worker, or only
-    /// a former life, is known.
+    /// Whether a life of another worker than the present one is over for certain.
+    ///
+    /// After a start of the agent it isn't, as long as no worker, or only a former life, is known.
     fn is_over(&self, life: &Life, now: Duration) -> bool {
         match &self.own {
             Some(own) => own.worker.life.born_unix_ms >= life.born_unix_ms,
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -49,10 +49,6 @@
 const EFFECTS_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval of looks for jobs and agents whose rows may go.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
-/// Jobs whose rows go in one transaction.
-const EXPIRY_MAX: usize = 20;
-/// Time after which the row of an agent goes that can't be reached; its leases have ended before that.
-const AGENT_KEPT: Duration = Duration::from_secs(6);
 
 /// What a placer works with.
 #[derive(Clone, Debug)]
@@ -541,34 +537,6 @@
         }
     }
 
-    /// Removes the rows of jobs that ended long ago, and of agents that are gone.
-    fn expire(&mut self, now: Duration) {
-        let mut expired = self.cell.expired(self.context.ended_jobs_kept, now);
-        expired.truncate(EXPIRY_MAX);
-        let gone = self.gone_agents(now);
-        if expired.is_empty() && gone.is_empty() {
-            return;
-        }
-        let placer = self.is_placer();
-        let store = Arc::clone(&self.context.store);
-        let myself = self.myself.clone();
-        self.is_expiring = true;
-        tokio::spawn(async move {
-            let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
-            let removed = expiry::remove(&store, placer, &jobs, &gone).await;
-            // The placer may have ended meanwhile.
-            drop(myself.cast(Message::Expired(removed)));
-        });
-    }
-
-    fn gone_agents(&self, now: Duration) -> Vec<Name> {
-        self.dialers
-            .iter()
-            .filter(|(name, dialer)| self.cell.is_lapsed(name) && now.saturating_sub(dialer.since) >= AGENT_KEPT)
-            .map(|(name, _)| Arc::clone(name))
-            .collect()
-    }
-
     /// Gives the cell up, so that another entry takes it at once.
     async fn retire(&mut self) {
         let now = self.context.clock.now();
--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -2,17 +2,54 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilledge_cell::job::JobId;
 use chervilledge_policy::id::Name;
 
+use super::{Message, State};
 use crate::rows::{self, AGENT_PREFIX};
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
 
+/// Jobs whose rows go in one transaction.
+const EXPIRY_MAX: usize = 20;
+/// Time after which the row of an agent goes that can't be reached; its leases have ended before that.
+const AGENT_KEPT: Duration = Duration::from_secs(6);
+
+impl State {
+    /// Removes the rows of jobs that ended long ago, and of agents that are gone.
+    pub(super) fn expire(&mut self, now: Duration) {
+        let mut expired = self.cell.expired(self.context.ended_jobs_kept, now);
+        expired.truncate(EXPIRY_MAX);
+        let gone = self.gone_agents(now);
+        if expired.is_empty() && gone.is_empty() {
+            return;
+        }
+        let placer = self.is_placer();
+        let store = Arc::clone(&self.context.store);
+        let myself = self.myself.clone();
+        self.is_expiring = true;
+        tokio::spawn(async move {
+            let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
+            let removed = remove(&store, placer, &jobs, &gone).await;
+            // The placer may have ended meanwhile.
+            drop(myself.cast(Message::Expired(removed)));
+        });
+    }
+
+    fn gone_agents(&self, now: Duration) -> Vec<Name> {
+        self.dialers
+            .iter()
+            .filter(|(name, dialer)| self.cell.is_lapsed(name) && now.saturating_sub(dialer.since) >= AGENT_KEPT)
+            .map(|(name, _)| Arc::clone(name))
+            .collect()
+    }
+}
+
 /// Removes the rows of ended jobs and of agents that are gone; gives the jobs whose rows are gone.
 ///
 /// The row of a job goes before that of its progress: a job without progress would be run anew.
-pub(super) async fn remove(store: &Handle, placer: Condition, jobs: &[JobId], agents: &[Name]) -> Vec<JobId> {
+async fn remove(store: &Handle, placer: Condition, jobs: &[JobId], agents: &[Name]) -> Vec<JobId> {
     let mut by_partition: BTreeMap<Partition, Vec<JobId>> = BTreeMap::new();
     for job in jobs {
         by_partition.entry(job_partition(*job)).or_default().push(*job);
