Ask the peers that relay a job whether an attempt of theirs is undecided

What callers could see: told by one entry that the outcome is unknown, and by the next that the job was not accepted and never runs, while the first write could still take effect.

Change: an entry that is asked to write a row for a peer, and is refused by the store, says that the outcome is unknown when an attempt of its own has none.

Evidence: a_job_that_may_be_stored_by_a_peer_is_not_refused was refused before.

--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -184,12 +184,12 @@
                 }
             }
             ToEntry::Relay { question, job, cancel } => {
-                let (sender, submitter) = (sender.clone(), self.inner.submitter.clone());
+                let (sender, entry) = (sender.clone(), self.clone());
                 let deadline = self.now() + RELAY_TIMEOUT;
                 tokio::spawn(async move {
                     let stored = match (job, cancel) {
-                        (Some(job), _) => submitter.store_job(*job, deadline).await,
-                        (None, Some(id)) => submitter.store_cancel(id, deadline).await,
+                        (Some(job), _) => entry.store_for_peer(*job, deadline).await,
+                        (None, Some(id)) => entry.inner.submitter.store_cancel(id, deadline).await,
                         (None, None) => Stored::Refused,
                     };
                     sender.post(FromEntry::Relayed { question, stored });
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -77,9 +77,7 @@
                     log::info!(event = "refusal_corrected", job:% = id, by = "placer"; "");
                     return Stored::Done;
                 }
-                let is_undecided =
-                    lock(&self.inner.undecided).get(&id).is_some_and(|at| now.saturating_sub(*at) < UNDECIDED_KEPT);
-                if is_undecided {
+                if self.is_undecided(id) {
                     log::info!(event = "refusal_corrected", job:% = id, by = "earlier_attempt"; "");
                     return Stored::Unknown;
                 }
@@ -88,6 +86,21 @@
         stored
     }
 
+    /// Stores a job for a peer. An attempt through this entry that may still take effect makes a refusal untrue.
+    pub(super) async fn store_for_peer(&self, job: Job, deadline: Duration) -> Stored {
+        let id = job.id;
+        match self.inner.submitter.store_job(job, deadline).await {
+            Stored::Refused if self.is_undecided(id) => Stored::Unknown,
+            stored => stored,
+        }
+    }
+
+    /// Whether an attempt through this entry had no outcome and may still take effect.
+    fn is_undecided(&self, id: JobId) -> bool {
+        let now = self.now();
+        lock(&self.inner.undecided).get(&id).is_some_and(|at| now.saturating_sub(*at) < UNDECIDED_KEPT)
+    }
+
     /// Cancels a job.
     pub async fn cancel(&self, id: JobId, timeout: Duration) -> Reply {
         let began = self.now();
--- a/crates/scheduler/tests/entry.rs
+++ b/crates/scheduler/tests/entry.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
 use chervilledge_scheduler::entry::{self, Entry, Reply};
+use chervilledge_scheduler::rows::{self, ENTRY_PREFIX, Process};
+use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
 use support::{Fault, Rows, job, tokio_clock};
@@ -20,9 +22,13 @@
 }
 
 async fn spawn_with(rows: &Rows, configuration_apply: Duration) -> Entry {
+    spawn_at("entry-1", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), rows, configuration_apply).await
+}
+
+async fn spawn_at(name: &str, links_address: SocketAddr, rows: &Rows, configuration_apply: Duration) -> Entry {
     let settings = settings::Entry {
-        name: "entry-1".into(),
-        links_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        name: name.into(),
+        links_address,
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
         configuration_apply,
@@ -48,6 +54,22 @@
     assert_eq!(entry.submit(job(1), TIMEOUT).await, Reply::Accepted);
 }
 
+/// The same through another entry, which asks those that it has the job written by.
+#[tokio::test]
+async fn a_job_that_may_be_stored_by_a_peer_is_not_refused() {
+    let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
+    let loses = Rows::with(Fault::LoseAnswers(u32::MAX));
+    let peer = spawn_at("entry-2", address, &loses, APPLY).await;
+    let refuses = Rows::with(Fault::Refuse);
+    refuses.write(Table::Cell, &format!("{ENTRY_PREFIX}entry-2"), Some(rows::encode(&Process { address })));
+    let entry = spawn(&refuses).await;
+    assert_eq!(peer.submit(job(1), TIMEOUT).await, Reply::Undecided);
+    loses.set(Fault::Refuse);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(entry.submit(job(1), TIMEOUT).await, Reply::Undecided);
+    assert!(matches!(entry.submit(job(2), TIMEOUT).await, Reply::Refused { .. }));
+}
+
 fn version(entry: &Entry) -> u64 {
     entry.configuration().map_or(0, |configuration| configuration.version)
 }
