Settle nothing with a worker that may have begun another life

Cause: a worker that comes back under its name numbers its ends anew. Ruled out: the check of the intended worker, which names the worker and not its life. Change: after a look that failed, a start without an answer, or one whose answer shows a clock that began anew, looks settle nothing until one shows the life that is known. The answer to a start tells the worker's clock.

--- a/crates/cell/src/grant.rs
+++ b/crates/cell/src/grant.rs
@@ -42,3 +42,13 @@
     let left = until.checked_sub(reading.received)?.mul_f64(CLOCK_MARGIN);
     Some(reading.worker_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2))
 }
+
+/// Whether the worker's clock may show `worker_ms` in answer to a call that was sent at `sent`, after a reading.
+///
+/// The clock of a worker's next life begins anew.
+#[must_use]
+pub fn is_later(reading: Reading, worker_ms: u64, sent: Duration) -> bool {
+    let passed = sent.saturating_sub(reading.received).mul_f64(CLOCK_MARGIN);
+    let least = Duration::from_millis(reading.worker_ms) + passed;
+    Duration::from_millis(worker_ms + 1) >= least
+}
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -90,6 +90,8 @@
         run: RunId,
         /// Life that was meant.
         life: Life,
+        /// When the call was sent.
+        sent: Duration,
         /// Result.
         result: Started,
     },
@@ -152,10 +154,19 @@
     failures: u32,
     /// Refused connections in a row.
     absences: u32,
+    /// Since when the worker may have begun another life; nothing is settled before a look shows this one again.
+    doubtful_since: Option<Duration>,
     is_looking: bool,
     look_due: Duration,
 }
 
+impl Own {
+    /// Takes note that the worker may have begun another life.
+    fn doubt(&mut self, now: Duration) {
+        self.doubtful_since = Some(now);
+    }
+}
+
 /// A start that the worker hasn't answered.
 #[derive(Debug)]
 struct Starting {
@@ -288,7 +299,7 @@
             Message::Unlinked(link) => state.unlinked(link, now),
             Message::FromPlacer { link, message } => state.take_placer_message(link, *message, now),
             Message::Looked { life, term, sent, look } => state.looked(&life, term, sent, look, now),
-            Message::Started { run, life, result } => state.started(run, &life, result, now),
+            Message::Started { run, life, sent, result } => state.started(run, &life, sent, result, now),
             Message::Stopped { run, life, result } => state.stopped(run, &life, result, now),
             Message::Paced { run, percent, result } => state.paced(run, percent, result),
             Message::Dump(reply) => drop(reply.send(state.dump(now))),
@@ -412,6 +423,7 @@
             reported: Map::default(),
             failures: 0,
             absences: 0,
+            doubtful_since: None,
             is_looking: false,
             look_due: now,
         });
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -33,7 +33,7 @@
         if own.is_looking || now < own.look_due || self.term == 0 {
             return;
         }
-        let wait = if is_urgent || !own.ends.is_empty() || own.failures > 0 {
+        let wait = if is_urgent || !own.ends.is_empty() || own.doubtful_since.is_some() {
             Duration::ZERO
         } else if is_pacing {
             WAIT_PACING
@@ -44,7 +44,9 @@
         let lease_end_ms = if own.failures >= 2 { None } else { self.lease(now) };
         let (Some(target), Some(own)) = (self.target(), self.own.as_mut()) else { return };
         own.is_looking = true;
-        let ask = Ask { cursor: own.cursor, lease_end_ms, wait };
+        // Numbers of ends begin anew with each life.
+        let cursor = if own.doubtful_since.is_some() { 0 } else { own.cursor };
+        let ask = Ask { cursor, lease_end_ms, wait };
         let (life, term) = (own.worker.life.clone(), self.term);
         let answer = (self.context.calls.look)((target, ask));
         let myself = self.myself.clone();
@@ -82,6 +84,7 @@
     fn look_failed(&mut self, error: LookError, now: Duration) {
         let Some(own) = &mut self.own else { return };
         own.failures += 1;
+        own.doubt(now);
         own.look_due = now + FAILURE_PAUSE;
         own.absences = if error == LookError::NotThere { own.absences + 1 } else { 0 };
         let (failures, absences) = (own.failures, own.absences);
@@ -97,6 +100,7 @@
         let Some(own) = &mut self.own else { return };
         own.failures = 0;
         own.absences = 0;
+        own.doubtful_since = own.doubtful_since.filter(|since| *since > sent);
         own.reading = Some(Reading { worker_ms: look.clock_ms, received: now });
         own.running = look.running;
         let cursor = own.cursor;
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::grant::is_later;
 use chervilledge_cell::worker::{Life, Refusal, StartOrder};
 
 use super::{Message, Own, RunId, Starting, State, Stopping};
@@ -59,16 +60,17 @@
         tokio::spawn(async move {
             let result = answer.await;
             // The agent may have ended.
-            drop(myself.cast(Message::Started { run, life, result }));
+            drop(myself.cast(Message::Started { run, life, sent: now, result }));
         });
     }
 
-    pub(super) fn started(&mut self, run: RunId, life: &Life, result: Started, now: Duration) {
+    pub(super) fn started(&mut self, run: RunId, life: &Life, sent: Duration, result: Started, now: Duration) {
+        self.doubt_life(life, sent, result, now);
         let is_present = self.own.as_ref().is_some_and(|own| own.worker.life == *life);
         let Some(attempts) = self.starting.get(&run).map(|starting| starting.attempts).filter(|_| is_present) else {
             return;
         };
-        if result != Started::Running {
+        if !matches!(result, Started::Running { .. }) {
             log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
         }
         if result == Started::Unknown {
@@ -76,7 +78,7 @@
             self.unanswered.insert(run, now);
         }
         match result {
-            Started::Running => {
+            Started::Running { .. } => {
                 self.starting.remove(&run);
                 self.taken.insert(run, now);
                 self.tell(FromAgent::Started { task: run.0, run: run.1 });
@@ -91,6 +93,22 @@
         }
     }
 
+    /// Takes note of an answer to a start that another life of the worker may have given.
+    fn doubt_life(&mut self, life: &Life, sent: Duration, result: Started, now: Duration) {
+        let Some(own) = self.own.as_mut().filter(|own| own.worker.life == *life) else { return };
+        let is_doubtful = match result {
+            Started::Running { clock_ms: Some(clock_ms) } => {
+                own.reading.is_some_and(|reading| !is_later(reading, clock_ms, sent))
+            }
+            Started::Unknown => true,
+            Started::Running { clock_ms: None } | Started::Refused(_) | Started::Outdated | Started::OtherLife => false,
+        };
+        if is_doubtful {
+            log::info!(event = "worker_doubtful", worker = &*life.worker, result:? = result; "");
+            own.doubt(now);
+        }
+    }
+
     /// Forgets starts without an answer that can't be carried out any more.
     pub(super) fn forget_late_orders(&mut self, now: Duration) {
         self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_ORDERS);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -25,7 +25,10 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Started {
     /// The run is there.
-    Running,
+    Running {
+        /// The worker's clock, in milliseconds, if it says.
+        clock_ms: Option<u64>,
+    },
     /// The run was refused and isn't there.
     Refused(Refusal),
     /// The worker has seen this run end or be stopped, or a later one.
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::worker::{Life, RunReport};
+use chervilledge_cell::worker::{End, EndKind, Life, RunReport};
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
-use chervilledge_scheduler::worker::{Look, Ordered, Started};
+use chervilledge_scheduler::worker::{Look, LookError, Ordered, Started};
 use rstest::rstest;
 use support::agent::{Link, empty_look, life, link, spawn, spawn_without_report, task};
 
@@ -152,3 +152,51 @@
     };
     assert_eq!(placer.wait_for("absence", absent).await, (task(1), 1));
 }
+
+/// Ends of a worker's former life that are settled say nothing of its next one.
+///
+/// Seed 102 of the soak: the next life took a start, and ended it, before the agent knew of it; the look that followed let it
+/// forget that end, so that the task ran again.
+#[rstest]
+#[case::start_answered_by_a_younger_clock(Case::YoungClock)]
+#[case::look_without_an_answer(Case::LookFailed)]
+#[case::start_without_an_answer(Case::StartUnanswered)]
+#[tokio::test]
+async fn the_next_life_of_a_worker_is_not_told_to_forget_ends(#[case] case: Case) {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    assert_eq!(placer.inventory().await, Vec::new());
+    let end = End { number: 1, task: task(1), run: 1, kind: EndKind::Done, checkpoint: "".into() };
+    agent.worker.change(|script| script.look = Ok(Look { ends: vec![end], ..empty_look() }));
+    placer.wait_for("the end", |message| matches!(message, FromAgent::Ends { .. }).then_some(())).await;
+    placer.sender.post(ToAgent::Settle { life: life(), cursor: 1 });
+    agent.worker.change(|script| script.look = Ok(empty_look()));
+    agent.worker.wait_for("the end is forgotten", |script| script.looks.iter().any(|ask| ask.cursor == 1)).await;
+    // Looks are slow now, so that none is under way by chance when the next life begins.
+    agent.worker.change(|script| script.look_takes = Duration::from_millis(300));
+    let looks = agent.worker.change(|script| script.looks.len());
+    agent.worker.wait_for("a slow look", |script| script.looks.len() > looks).await;
+    agent.worker.change(|script| match case {
+        Case::YoungClock => script.start = Started::Running { clock_ms: Some(20) },
+        Case::LookFailed => script.look = Err(LookError::Unknown),
+        Case::StartUnanswered => script.start = Started::Unknown,
+    });
+    placer.start(task(2), 2);
+    agent.worker.wait_for("the start", |script| !script.starts.is_empty()).await;
+    // The look that fails is sent before anything is known.
+    let before = if case == Case::LookFailed { 1 } else { 0 };
+    let first = agent.worker.change(|script| script.looks.len()) + before;
+    agent.worker.wait_for("a look at the next life", |script| script.looks.len() > first).await;
+    assert_eq!(agent.worker.change(|script| script.looks[first].cursor), 0);
+    // The life is the same after all.
+    agent.worker.change(|script| script.look = Ok(empty_look()));
+    agent.worker.wait_for("ends are settled again", |script| script.looks.last().is_some_and(|ask| ask.cursor == 1)).await;
+}
+
+/// What shows that the worker may have begun a next life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Case {
+    YoungClock,
+    LookFailed,
+    StartUnanswered,
+}
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -128,7 +128,7 @@
     let address = free.local_addr().expect("address");
     drop(free);
     let script = Script {
-        start: Started::Running,
+        start: Started::Running { clock_ms: None },
         holds_starts: false,
         stop: Ordered::Taken,
         look: Ok(empty_look()),
