Move stuck runs at a rate that grows with the cell

Cause: eight stuck runs a look, 26 a second, are enough for 70 workers. Change: one run for each seven workers, at least eight.

--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -26,8 +26,10 @@
 const STUCK_MIN: Duration = Duration::from_millis(1_500);
 /// Progress from which a run is left to end where it is, in percent.
 const MOVE_PERCENT_MAX: u32 = 85;
-/// Runs that are moved at one time.
-const MOVES_MAX: usize = 8;
+/// Runs that are moved at one time, at least.
+const MOVES_MIN: usize = 8;
+/// Workers for each of which one run is moved at one time, so that moves keep up with the size of the cell.
+const WORKERS_PER_MOVE: usize = 7;
 /// Restarts of one task for lack of progress, after which it is left where it is.
 const RESTARTS_MAX: usize = 3;
 
@@ -77,7 +79,8 @@
         }
         slowed.sort_unstable();
         let is_contended = !self.ready.is_empty();
-        for (since, task, number) in slowed.into_iter().take(MOVES_MAX) {
+        let moves_max = self.agents.len().div_ceil(WORKERS_PER_MOVE).max(MOVES_MIN);
+        for (since, task, number) in slowed.into_iter().take(moves_max) {
             // Room comes up again and again while others wait; their order decides who gets it.
             let is_stuck = is_contended && now.saturating_sub(since) >= STUCK_MIN;
             if is_stuck || self.has_calm_room(task, now) {
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -351,3 +351,33 @@
     let jobs: Vec<u64> = placed(&mut world).iter().map(|(_, job, _)| *job).collect();
     assert_eq!(jobs, [2, 2, 2]);
 }
+
+/// Plays a cell in which runs are stuck on every worker while others wait: as many move at one time as the cell is large. With
+/// a fixed number, runs of 240 workers were stuck for 6 s in the middle before their turn came.
+#[rstest]
+#[case::small(11, 8)]
+#[case::grown(70, 10)]
+#[case::large(245, 35)]
+fn moves_keep_up_with_the_size_of_the_cell(#[case] workers: usize, #[case] moves: usize) {
+    let mut world = World::with_workers(workers, MILLICORES);
+    let filling = Step { filling: true, checkpointing: true, image: Some(name("heavy")), ..step(1, MILLICORES) };
+    let count = u32::try_from(workers).expect("a small number");
+    world.submit(job(1, vec![Step { count, ..filling }]));
+    assert_eq!(placed(&mut world).len(), workers);
+    world.submit(job(2, vec![step(count + 1, MILLICORES)]));
+    placed(&mut world);
+    let report = |(_, task, run)| RunReport {
+        task,
+        run,
+        checkpoint: name("c"),
+        percent: 10,
+        measured: 400,
+        pace_percent: 10,
+    };
+    let stuck: Vec<RunReport> = world.all_running().into_iter().map(report).collect();
+    world.cell.reported(&stuck, world.now);
+    world.now += Duration::from_millis(1_600);
+    world.cell.watch_runs(world.now);
+    let stops = world.cell.take_actions().iter().filter(|action| matches!(action, Action::Stop { .. })).count();
+    assert_eq!(stops, moves);
+}
