Keep serving images apart where there are workers enough

Cause: a serving run went rather beside runs of other images than on a worker without any. Change: a serving run goes where its image serves already, then to a worker without any, then beside other images; cells with less than four workers for each image keep the former order. Test: a fleet whose lasting jobs hold three quarters of it; all tasks of a large job start where they disturb nobody. It failed before.

--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -28,6 +28,14 @@
 /// Time after which a task is placed where it disturbs.
 const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Workers for each serving image from which images are kept apart.
+const WORKERS_PER_IMAGE: usize = 4;
+/// Score of each image that serves on a worker, for a serving task of another one, where images are kept apart, in thousandths
+/// of a core: more than that of an empty worker, which in turn is more than the largest worker has.
+const UNLIKE_IMAGE_SCORE: i64 = 160_000;
+/// Score of a serving run of another image where images share workers, in thousandths of a core.
+const UNLIKE_RUN_SCORE: i64 = 3_000;
+
 /// Time without any run after which a job gets one wherever its resources fit, however slowly it goes there; users take
 /// a job that stands still for 3 s beside free room as lost.
 const STARVED_AFTER: Duration = Duration::from_secs(2);
@@ -257,6 +265,7 @@
         let Some(step) = entry.job.step(task.key) else { return Vec::new() };
         let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
         let base = need(&entry.job, task.key);
+        let is_roomy = step.lasting && self.is_roomy();
         let candidate = |(name, agent): (&Name, &Agent)| {
             let worker = open_worker(agent, now)?;
             let is_allowed = worker.service == terms.service
@@ -264,7 +273,7 @@
             let need = Need {
                 is_far: step.data_rack.is_some() && step.data_rack != worker.rack,
                 disturbed: if step.filling { self.disturbed(agent, step) } else { 0 },
-                unlike: if step.lasting { unlike(agent, step) } else { 0 },
+                unlike_score: if step.lasting { unlike_score(agent, step, is_roomy) } else { 0 },
                 slowed_millicores: if step.filling { self.disturbing_millicores(agent) } else { 0 },
                 ..base
             };
@@ -273,6 +282,12 @@
         self.agents.iter().filter_map(candidate).collect()
     }
 
+    /// Whether there are many workers for each image that serves.
+    fn is_roomy(&self) -> bool {
+        let images: Set<&Name> = self.agents.values().flat_map(|agent| agent.serving.keys()).collect();
+        self.agents.len() >= images.len() * WORKERS_PER_IMAGE
+    }
+
     fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
@@ -385,10 +400,18 @@
     agent.worker.as_ref().filter(|worker| is_open && worker.leaves_in.is_none())
 }
 
-/// Serving runs on a worker of another image than the step's.
-fn unlike(agent: &Agent, step: &Step) -> u32 {
+/// What speaks against serving beside other images on a worker, for the tasks of a step, in thousandths of a core.
+///
+/// Each image that serves on a worker leaves fewer filling images that disturb nobody there. A cell with many workers for
+/// each image keeps images apart; in a small one they have to share, and only the runs of others count.
+fn unlike_score(agent: &Agent, step: &Step, is_roomy: bool) -> i64 {
     let image = step.image.clone().unwrap_or_default();
-    agent.serving.iter().filter(|(serving, _)| **serving != image).map(|(_, count)| *count).sum()
+    if !is_roomy {
+        let others = agent.serving.iter().filter(|(serving, _)| **serving != image);
+        return others.map(|(_, count)| UNLIKE_RUN_SCORE * i64::from(*count)).sum();
+    }
+    let has_image = agent.serving.contains_key(&image);
+    if has_image { 0 } else { UNLIKE_IMAGE_SCORE * i64::try_from(agent.serving.len()).unwrap_or(i64::MAX / 8) }
 }
 
 /// Runs of the same step and occurrence on an agent's worker.
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -38,8 +38,8 @@
     pub disturbed: u32,
     /// Processor time that disturbing runs on the worker ask for, in thousandths of a core.
     pub slowed_millicores: u64,
-    /// Serving runs on the worker of another image than the task, a serving one.
-    pub unlike: u32,
+    /// What speaks against serving beside other images there, for a serving task, in thousandths of a core.
+    pub unlike_score: i64,
     /// Processor time beyond what is left that the task, a filling one, may ask for, in thousandths of a core.
     pub excess_millicores: u64,
 }
@@ -52,8 +52,6 @@
 const SERVING_USE_PERCENT: u64 = 60;
 /// Score of a run that disturbs another one, in thousandths of a core.
 const DISTURBANCE_SCORE: i64 = 8_000;
-/// Score of a serving run of another image, in thousandths of a core.
-const UNLIKE_SCORE: i64 = 3_000;
 /// Score of a worker without serving runs, on which filling runs disturb nobody, for a serving task, in thousandths of a
 /// core: more than the largest worker has.
 const FIRST_SERVING_SCORE: i64 = 128_000;
@@ -130,7 +128,7 @@
         // Workers whose serving runs are alike each have filling images that disturb none of them.
         let disturbing = signed(load.filling_millicores);
         let first = if load.serving > 0 { 0 } else { FIRST_SERVING_SCORE };
-        return Some(far + first + disturbing + free + UNLIKE_SCORE * i64::from(need.unlike));
+        return Some(far + first + disturbing + free + need.unlike_score);
     }
     // A short task takes processor time from filling ones.
     let pressed = if load.filling_left_millicores() < processor { DISTURBANCE_SCORE } else { 0 };
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use chervilledge_cell::cell::{Action, Inventory};
@@ -366,14 +367,8 @@
     assert_eq!(placed(&mut world).len(), workers);
     world.submit(job(2, vec![step(count + 1, MILLICORES)]));
     placed(&mut world);
-    let report = |(_, task, run)| RunReport {
-        task,
-        run,
-        checkpoint: name("c"),
-        percent: 10,
-        measured: 400,
-        pace_percent: 10,
-    };
+    let report =
+        |(_, task, run)| RunReport { task, run, checkpoint: name("c"), percent: 10, measured: 400, pace_percent: 10 };
     let stuck: Vec<RunReport> = world.all_running().into_iter().map(report).collect();
     world.cell.reported(&stuck, world.now);
     world.now += Duration::from_millis(1_600);
@@ -381,3 +376,57 @@
     let stops = world.cell.take_actions().iter().filter(|action| matches!(action, Action::Stop { .. })).count();
     assert_eq!(stops, moves);
 }
+
+/// Plays a fleet whose lasting jobs, of several images and spread as their owners ask, hold three quarters of it, and then a
+/// large job whose image disturbs one of theirs: all of its tasks start at once where they disturb nobody.
+#[test]
+fn serving_images_are_kept_apart_where_there_are_workers_enough() {
+    const IMAGES: u64 = 4;
+    const JOBS_PER_IMAGE: u64 = 5;
+    let mut world = World::with_workers(32, 16_000);
+    for number in 0..IMAGES * JOBS_PER_IMAGE {
+        let serving = Step {
+            lasting: true,
+            image: Some(name(&format!("serving-{}", number % IMAGES))),
+            latency_target: Some(Duration::from_millis(20)),
+            per_worker_max: Some(1),
+            ..step(6, 3_000)
+        };
+        world.submit(job(100 + number, vec![serving]));
+    }
+    assert_eq!(placed(&mut world).len(), 6 * 20);
+    let pair = |serving: u64| (format!("serving-{serving}"), if serving == 0 { 0.3 } else { 0.0 });
+    let effects: Vec<(String, f64)> = (0..IMAGES).map(pair).collect();
+    learn_of(&mut world, "heavy", &effects);
+    let serving = serving_by_worker(&world);
+    let filling = Step { filling: true, image: Some(name("heavy")), ..step(80, 2_000) };
+    world.submit(job(1, vec![filling]));
+    let starts = placed(&mut world);
+    assert_eq!(starts.len(), 80, "tasks that start at once");
+    let is_calm =
+        |agent: &String| serving.get(agent).is_none_or(|images| images.iter().all(|image| image != "serving-0"));
+    let disturbing: Vec<_> = starts.iter().filter(|(agent, _, _)| !is_calm(agent)).collect();
+    assert!(disturbing.is_empty(), "{disturbing:?} of {serving:?}");
+}
+
+/// Images that serve on each worker.
+fn serving_by_worker(world: &World) -> BTreeMap<String, Vec<String>> {
+    let mut serving: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (agent, runs) in &world.workers {
+        let images = runs.running.values().filter(|order| order.traits.latency_target.is_some());
+        let images = images.filter_map(|order| order.traits.image.as_ref().map(ToString::to_string));
+        serving.insert(agent.to_string(), images.collect());
+    }
+    serving
+}
+
+/// Lets the cell know effects of a filling image on serving ones, for certain.
+fn learn_of(world: &mut World, filling: &str, effects: &[(String, f64)]) {
+    const INFORMATION: f64 = 2_500.0;
+    let evidence = |(serving, effect): &(String, f64)| {
+        let pair = Pair { filling: name(filling), serving: name(serving) };
+        (pair, Evidence { information: INFORMATION, weighted_effect: INFORMATION * effect })
+    };
+    world.cell.learn(&name("observer"), effects.iter().map(evidence).collect());
+    world.cell.merge_learnt();
+}
