Place filling runs by the strength of their effects

Change: half of the former score by number, the rest by the largest effect. What was learnt is looked up without copies, and what disturbing runs on a worker ask for is only counted where the task would join them, so that a pass over 240 workers stays short. Test: two workers, one of which the task disturbs little; it failed before.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -24,7 +24,7 @@
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
-use crate::interference::{Evidence, Interference, Pair};
+use crate::interference::{Effects, Evidence, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
 use crate::packing::Load;
 use crate::worker::{Life, StartOrder, Worker};
@@ -209,6 +209,8 @@
     learnt: Map<Name, Map<Pair, Evidence>>,
     /// The same of all agents together.
     interference: Interference,
+    /// What follows from it.
+    effects: Effects,
 }
 
 impl Cell {
@@ -237,6 +239,7 @@
             needs_placing: false,
             learnt: Map::default(),
             interference: Interference::default(),
+            effects: Effects::default(),
         }
     }
 
@@ -270,6 +273,7 @@
         for effects in self.learnt.values() {
             self.interference.merge(effects.iter());
         }
+        self.effects = self.interference.effects();
     }
 
     /// What all agents have learnt of pairs of images.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -268,16 +268,21 @@
         let is_roomy = step.lasting && self.is_roomy();
         let candidate = |(name, agent): (&Name, &Agent)| {
             let worker = open_worker(agent, now)?;
-            let is_allowed = worker.service == terms.service
-                && step.required_label.as_ref().is_none_or(|label| worker.has_label(label));
+            if worker.service != terms.service
+                || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
+            {
+                return None;
+            }
+            let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
             let need = Need {
                 is_far: step.data_rack.is_some() && step.data_rack != worker.rack,
-                disturbed: if step.filling { self.disturbed(agent, step) } else { 0 },
+                disturbed,
+                effect_thousandths: if disturbed > 0 { self.largest_effect_thousandths(agent, step) } else { 0 },
                 unlike_score: if step.lasting { unlike_score(agent, step, is_roomy) } else { 0 },
-                slowed_millicores: if step.filling { self.disturbing_millicores(agent) } else { 0 },
+                slowed_millicores: if disturbed > 0 { self.disturbing_millicores(agent) } else { 0 },
                 ..base
             };
-            is_allowed.then(|| Candidate { agent: Arc::clone(name), need })
+            Some(Candidate { agent: Arc::clone(name), need })
         };
         self.agents.iter().filter_map(candidate).collect()
     }
@@ -325,15 +330,25 @@
 
     /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
     fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
-        let image = step.image.clone().unwrap_or_default();
+        let unnamed = Name::default();
+        let image = step.image.as_ref().unwrap_or(&unnamed);
         agent
             .serving
             .iter()
-            .filter(|(serving, _)| self.interference.is_disturbing(&image, serving))
+            .filter(|(serving, _)| self.effects.is_disturbing(image, serving))
             .map(|(_, count)| *count)
             .sum()
     }
 
+    /// Largest effect that a filling run of the step has on a serving image of a worker, as far as is known.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "effects are small and not negative")]
+    fn largest_effect_thousandths(&self, agent: &Agent, step: &Step) -> u32 {
+        let unnamed = Name::default();
+        let image = step.image.as_ref().unwrap_or(&unnamed);
+        let effect = |serving: &Name| self.effects.per_core(image, serving);
+        (agent.serving.keys().map(effect).fold(0.0, f64::max) * 1_000.0) as u32
+    }
+
     /// Processor time that runs on a worker ask for which disturb serving runs there; more than any worker has when they
     /// are held back already.
     fn disturbing_millicores(&self, agent: &Agent) -> u64 {
--- a/crates/cell/src/interference.rs
+++ b/crates/cell/src/interference.rs
@@ -184,6 +184,17 @@
         self.own.iter().map(|(pair, evidence)| (pair.clone(), *evidence)).collect()
     }
 
+    /// Effects of the pairs of which something was learnt here.
+    #[must_use]
+    pub fn effects(&self) -> Effects {
+        let mut effects = Effects::default();
+        for (pair, evidence) in &self.own {
+            let of_filling = effects.0.entry(Arc::clone(&pair.filling)).or_default();
+            of_filling.insert(Arc::clone(&pair.serving), evidence.per_core());
+        }
+        effects
+    }
+
     /// Replaces what all observers together know.
     pub fn share(&mut self, table: Vec<(Pair, Evidence)>) {
         self.shared = table.into_iter().collect();
@@ -197,6 +208,25 @@
     }
 }
 
+/// Effects of all pairs, by filling and then by serving image, for a look-up that copies nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Effects(Map<Name, Map<Name, f64>>);
+
+impl Effects {
+    /// Logarithm of the factor by which one core of a filling image raises the tail of a serving one, as far as is known.
+    #[must_use]
+    pub fn per_core(&self, filling: &Name, serving: &Name) -> f64 {
+        let known = self.0.get(filling).and_then(|effects| effects.get(serving));
+        known.copied().unwrap_or(PRIOR_EFFECT)
+    }
+
+    /// Whether a filling image disturbs a serving one, as far as is known.
+    #[must_use]
+    pub fn is_disturbing(&self, filling: &Name, serving: &Name) -> bool {
+        self.per_core(filling, serving) >= DISTURBING_EFFECT
+    }
+}
+
 /// Images whose use of cores has changed, with the change.
 fn changes(former: &Map<Name, f64>, present: &Map<Name, f64>) -> Vec<(Name, f64)> {
     let gone = former.iter().filter(|(image, _)| !present.contains_key(*image)).map(|(image, cores)| (image, -cores));
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -36,6 +36,8 @@
     pub is_far: bool,
     /// Serving runs on the worker that the task, a filling one, would disturb.
     pub disturbed: u32,
+    /// Largest effect of the task on one of them for each core, in thousandths of the logarithm of the factor.
+    pub effect_thousandths: u32,
     /// Processor time that disturbing runs on the worker ask for, in thousandths of a core.
     pub slowed_millicores: u64,
     /// What speaks against serving beside other images there, for a serving task, in thousandths of a core.
@@ -50,8 +52,13 @@
 const OVERCOMMIT_PERCENT: u64 = 10;
 /// Part of a serving run's processor time that is taken as used, in percent.
 const SERVING_USE_PERCENT: u64 = 60;
-/// Score of a run that disturbs another one, in thousandths of a core.
+/// Score of pressing a filling run, in thousandths of a core.
 const DISTURBANCE_SCORE: i64 = 8_000;
+/// Score of each serving run that a filling one disturbs, in thousandths of a core.
+const DISTURBED_RUN_SCORE: i64 = 4_000;
+/// Score of a thousandth of the largest effect, in thousandths of a core: an effect by which a few cores bring a tail from a
+/// usual level to its target outweighs the room of a worker.
+const EFFECT_SCORE: i64 = 60;
 /// Score of a worker without serving runs, on which filling runs disturb nobody, for a serving task, in thousandths of a
 /// core: more than the largest worker has.
 const FIRST_SERVING_SCORE: i64 = 128_000;
@@ -120,7 +127,8 @@
         if left + spare < processor {
             return None;
         }
-        let disturbed = DISTURBANCE_SCORE * i64::from(need.disturbed);
+        let disturbed =
+            DISTURBED_RUN_SCORE * i64::from(need.disturbed) + EFFECT_SCORE * i64::from(need.effect_thousandths);
         return Some(far + disturbed - left);
     }
     let free = signed(load.free().processor_millicores);
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -409,6 +409,28 @@
     assert!(disturbing.is_empty(), "{disturbing:?} of {serving:?}");
 }
 
+/// Plays two workers on each of which a large task disturbs the serving run, on one of them little: it goes there, where it is
+/// slowed down less, though the other one has more room.
+#[test]
+fn a_filling_task_goes_where_it_disturbs_least() {
+    let mut world = World::with_workers(2, 16_000);
+    for (id, image, millicores) in [(100, "sensitive", 9_000), (101, "sturdy", 10_000)] {
+        let serving = Step {
+            lasting: true,
+            image: Some(name(image)),
+            latency_target: Some(Duration::from_millis(20)),
+            ..step(1, millicores)
+        };
+        world.submit(job(id, vec![serving]));
+        assert_eq!(placed(&mut world).len(), 1);
+    }
+    learn_of(&mut world, "heavy", &[("sensitive".to_owned(), 0.4), ("sturdy".to_owned(), 0.06)]);
+    let serving = serving_by_worker(&world);
+    world.submit(job(1, vec![Step { filling: true, image: Some(name("heavy")), ..step(1, 2_000) }]));
+    let starts = placed(&mut world);
+    assert_eq!(starts.iter().map(|(agent, _, _)| serving[agent].clone()).collect::<Vec<_>>(), [["sturdy"]]);
+}
+
 /// Images that serve on each worker.
 fn serving_by_worker(world: &World) -> BTreeMap<String, Vec<String>> {
     let mut serving: BTreeMap<String, Vec<String>> = BTreeMap::new();
