Keep what is known of pairs of images for the next placer

Cause: effects of filling images on serving ones lived in memory only. Also: the row of a job's progress kept every ended task after the job's end, 1.1 KB in the mean, which each taker of the cell reads. Change: the placer writes the best known pairs into table progress every 5 s, under its term; its successor uses them, at a quarter of their weight, where the agents know less, and tells them at once. Progress of an ended job is its outcome only. Tests: effects outlast two placers whose agents know nothing.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -29,6 +29,9 @@
 use crate::packing::Load;
 use crate::worker::{Life, StartOrder, Worker};
 
+/// Weight of what a former placer knew of pairs of images: a few new observations outweigh it.
+const RECALLED_PART: f64 = 0.25;
+
 /// Runs of a task that one term can number.
 const RUNS_PER_TERM: u64 = 10_000;
 
@@ -207,6 +210,8 @@
     needs_placing: bool,
     /// What each agent has learnt of pairs of images.
     learnt: Map<Name, Map<Pair, Evidence>>,
+    /// What former placers knew, where the agents know less.
+    recalled: Map<Pair, Evidence>,
     /// The same of all agents together.
     interference: Interference,
     /// What follows from it.
@@ -238,6 +243,7 @@
             counters: Counters::default(),
             needs_placing: false,
             learnt: Map::default(),
+            recalled: Map::default(),
             interference: Interference::default(),
             effects: Effects::default(),
         }
@@ -267,12 +273,20 @@
         learnt.extend(effects);
     }
 
+    /// Takes in what a former placer knew of pairs of images; it counts less, since effects change.
+    pub fn recall(&mut self, effects: Vec<(Pair, Evidence)>) {
+        let weaken = |(pair, evidence): (Pair, Evidence)| (pair, evidence.weakened(RECALLED_PART));
+        self.recalled = effects.into_iter().map(weaken).collect();
+        self.merge_learnt();
+    }
+
     /// Puts together what the agents have learnt.
     pub fn merge_learnt(&mut self) {
         self.interference = Interference::default();
         for effects in self.learnt.values() {
             self.interference.merge(effects.iter());
         }
+        self.interference.fill(self.recalled.iter());
         self.effects = self.interference.effects();
     }
 
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -279,7 +279,8 @@
         }
         self.scheduled.remove(&id);
         entry.outcome = Some(outcome);
-        entry.progress.outcome = Some(outcome);
+        // Nothing else is needed of a job that has ended, and successors read every row.
+        entry.progress = Progress { outcome: Some(outcome), ..Progress::default() };
         let age = entry.age(now);
         let state = match outcome {
             Outcome::Completed => JobState::Completed,
--- a/crates/cell/src/interference.rs
+++ b/crates/cell/src/interference.rs
@@ -72,6 +72,12 @@
         1.0 / (self.information + 1.0 / PRIOR_VARIANCE)
     }
 
+    /// The same with only a part of its weight.
+    #[must_use]
+    pub fn weakened(&self, part: f64) -> Self {
+        Self { information: self.information * part, weighted_effect: self.weighted_effect * part }
+    }
+
     /// Adds other evidence on the same pair.
     pub fn add(&mut self, other: &Self) {
         self.information += other.information;
@@ -184,6 +190,16 @@
         self.own.iter().map(|(pair, evidence)| (pair.clone(), *evidence)).collect()
     }
 
+    /// Takes evidence on pairs of which less is known here.
+    pub fn fill<'a>(&mut self, table: impl Iterator<Item = (&'a Pair, &'a Evidence)>) {
+        for (pair, evidence) in table {
+            let known = self.own.entry(pair.clone()).or_default();
+            if known.information < evidence.information {
+                *known = *evidence;
+            }
+        }
+    }
+
     /// Effects of the pairs of which something was learnt here.
     #[must_use]
     pub fn effects(&self) -> Effects {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -1,5 +1,6 @@
 //! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
 
+mod effects;
 mod expiry;
 mod feed;
 mod links;
@@ -45,8 +46,6 @@
 const BATCH_GAP: Duration = Duration::from_millis(150);
 /// Pause after a write that didn't take effect.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Interval at which agents are told what the others have learnt.
-const EFFECTS_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval of looks for jobs and agents whose rows may go.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -211,6 +210,8 @@
     place_due: Duration,
     watch_due: Duration,
     effects_due: Duration,
+    /// When what is known of pairs of images was last kept.
+    effects_kept: Duration,
     expiry_due: Duration,
     is_expiring: bool,
     tasks: Vec<JoinHandle<()>>,
@@ -273,6 +274,7 @@
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
             effects_due: Duration::ZERO,
+            effects_kept: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
             is_expiring: false,
             tasks,
@@ -397,10 +399,7 @@
                 self.cell.watch_runs(now);
             }
         }
-        if now >= self.effects_due {
-            self.effects_due = now + EFFECTS_INTERVAL;
-            self.tell_effects();
-        }
+        self.share_effects(now);
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
             self.expire(now);
@@ -456,6 +455,7 @@
                 known.insert(id, (content, row.revision));
             }
         }
+        self.recall_effects(progress);
         let wall_ms = unix_ms();
         for row in jobs {
             let Some(job) = decode_job(row) else { continue };
@@ -525,18 +525,6 @@
         }
     }
 
-    /// Tells every agent what all have learnt of pairs of images.
-    fn tell_effects(&mut self) {
-        self.cell.merge_learnt();
-        let effects = self.cell.effects();
-        if effects.is_empty() {
-            return;
-        }
-        for link in self.links.values() {
-            link.sender.post(ToAgent::Effects(effects.clone()));
-        }
-    }
-
     /// Gives the cell up, so that another entry takes it at once.
     async fn retire(&mut self) {
         let now = self.context.clock.now();
--- /dev/null
+++ b/crates/scheduler/src/placer/effects.rs
@@ -0,0 +1,83 @@
+//! What is known of pairs of images: told to agents, and kept in the store for successors.
+//!
+//! Answers all processes losing power at once: without it, every filling run counts as disturbing until the pairs have been
+//! learnt anew, which takes some ten seconds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::interference::{Evidence, Pair};
+
+use super::State;
+use crate::message::ToAgent;
+use crate::rows::{self, EFFECTS, Effect};
+use crate::store::{Change, Outcome, Row, Table, Transaction};
+
+/// Interval at which agents are told what the others have learnt.
+const TELL_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Interval at which it is kept for successors.
+const KEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Pairs that are kept; some 30 bytes each, well below what a row may hold.
+const KEPT_MAX: usize = 1_000;
+/// Evidence from which a pair is worth keeping: that of a few observations.
+const INFORMATION_MIN: f64 = 100.0;
+
+impl State {
+    /// Tells every agent what all have learnt of pairs of images, and keeps it, when it is time.
+    pub(super) fn share_effects(&mut self, now: Duration) {
+        if now < self.effects_due {
+            return;
+        }
+        self.effects_due = now + TELL_INTERVAL;
+        self.cell.merge_learnt();
+        let effects = self.cell.effects();
+        if effects.is_empty() {
+            return;
+        }
+        for link in self.links.values() {
+            link.sender.post(ToAgent::Effects(effects.clone()));
+        }
+        if now >= self.effects_kept + KEEP_INTERVAL && self.is_loaded && self.authority.holds(now) {
+            self.effects_kept = now;
+            self.keep_effects(effects);
+        }
+    }
+
+    /// Writes the best known pairs; a write that fails is followed by the next one.
+    fn keep_effects(&self, mut effects: Vec<(Pair, Evidence)>) {
+        effects.retain(|(_, evidence)| evidence.information >= INFORMATION_MIN);
+        effects.sort_unstable_by(|one, other| other.1.information.total_cmp(&one.1.information));
+        effects.truncate(KEPT_MAX);
+        let content: Vec<Effect> = effects.iter().map(effect).collect();
+        let change = Change { table: Table::Progress, key: Arc::from(EFFECTS), value: Some(rows::encode(&content)) };
+        let transaction = Transaction { conditions: vec![self.is_placer()], changes: vec![change] };
+        let answer = (self.context.store.commit)(transaction);
+        let pairs = content.len();
+        tokio::spawn(async move {
+            let outcome = answer.await;
+            if !matches!(outcome, Outcome::Done(_)) {
+                log::info!(event = "effects_not_kept", pairs = pairs, outcome:? = outcome; "");
+            }
+        });
+    }
+
+    /// Takes in what a former placer has kept.
+    pub(super) fn recall_effects(&mut self, progress: &[Row]) {
+        let kept = progress.iter().find(|row| &*row.key == EFFECTS).and_then(|row| row.value.as_deref());
+        let Some(effects) = kept.and_then(|value| rows::decode::<Vec<Effect>>(EFFECTS, value)) else { return };
+        log::info!(event = "effects_recalled", pairs = effects.len(); "");
+        self.cell.recall(effects.into_iter().map(pair).collect());
+        self.effects_due = Duration::ZERO;
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "evidence is rough")]
+fn effect((pair, evidence): &(Pair, Evidence)) -> Effect {
+    let (information, weighted_effect) = (evidence.information as f32, evidence.weighted_effect as f32);
+    Effect(Arc::clone(&pair.filling), Arc::clone(&pair.serving), information, weighted_effect)
+}
+
+fn pair(Effect(filling, serving, information, weighted_effect): Effect) -> (Pair, Evidence) {
+    let evidence = Evidence { information: f64::from(information), weighted_effect: f64::from(weighted_effect) };
+    (Pair { filling, serving }, evidence)
+}
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -12,6 +12,8 @@
 pub const PLACER: &str = "placer";
 /// Row that the placer writes at intervals, in table `cell`.
 pub const BEAT: &str = "beat";
+/// Row of what is known of pairs of images, in table `progress`, which only placers read.
+pub const EFFECTS: &str = "effects";
 /// Start of the keys of agents, in table `cell`.
 pub const AGENT_PREFIX: &str = "agent/";
 /// Start of the keys of entries, in table `cell`.
@@ -46,6 +48,19 @@
     pub address: SocketAddr,
 }
 
+/// What is known of a pair of images.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Effect(
+    /// Filling image.
+    pub Name,
+    /// Serving image.
+    pub Name,
+    /// Evidence; see [`information`](chervilledge_cell::interference::Evidence::information).
+    pub f32,
+    /// See [`weighted_effect`](chervilledge_cell::interference::Evidence::weighted_effect).
+    pub f32,
+);
+
 /// A key of table `jobs`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobKey {
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -8,11 +8,14 @@
 
 use chervilledge_cell::authority::AUTHORITY;
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
+use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::candidate::{BEAT_INTERVAL, STALE_AFTER};
+use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::placer::{self, Context, Message};
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows;
@@ -20,6 +23,7 @@
 use chervilledge_scheduler::{clock, metrics};
 use rstest::rstest;
 use support::{Fault, Rows, agent, job, tokio_clock};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// Term and revision of the placer under test.
@@ -27,6 +31,8 @@
 const REVISION: u64 = 9;
 /// Time after its acknowledgement within which a cancellation stops the tasks of a job.
 const CANCELLATION_APPLY: Duration = Duration::from_secs(3);
+/// Time for which a test waits for something that should happen soon.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Time in which a placer that doesn't wait would have placed.
 const A_WHILE: Duration = Duration::from_millis(800);
 
@@ -156,3 +162,71 @@
     tokio::time::sleep(BEAT_INTERVAL * 3 / 2).await;
     assert_eq!((early, is_alone()), (is_former_alone && after > BEAT_INTERVAL, true));
 }
+
+/// Effects of pairs of images outlast the loss of every process: the next placer tells them to agents that know nothing.
+#[tokio::test]
+async fn learnt_effects_outlast_the_loss_of_every_process() {
+    let rows = claimed_rows();
+    let pair = Pair { filling: Arc::from("heavy"), serving: Arc::from("sensitive") };
+    let learnt = Evidence { information: 900.0, weighted_effect: 270.0 };
+    let first = TestAgent::listen().await;
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", first.address)])));
+    let placer = placer::spawn(context(&rows, clock::system(), roster_view)).await.expect("placer");
+    let mut link = first.accept().await;
+    link.sender.post(FromAgent::Effects(vec![(pair.clone(), learnt)]));
+    link.wait_for_effects().await;
+    let kept = async {
+        while !rows.has(Table::Progress, rows::EFFECTS) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), kept).await.expect("the effects are kept");
+    placer.stop(None);
+    drop((link, first));
+
+    let second = TestAgent::listen().await;
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", second.address)])));
+    let _placer = placer::spawn(context(&rows, clock::system(), roster_view)).await.expect("placer");
+    let mut link = second.accept().await;
+    let effects = link.wait_for_effects().await;
+    let (told, evidence) = &effects[0];
+    assert_eq!((effects.len(), told), (1, &pair));
+    assert!(evidence.per_core() > 0.15, "{}", evidence.per_core());
+}
+
+/// An agent that only listens.
+struct TestAgent {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+/// A placer's link to it.
+struct PlacerLink {
+    sender: Sender<FromAgent>,
+    receiver: Receiver,
+}
+
+impl TestAgent {
+    async fn listen() -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("free port");
+        let address = listener.local_addr().expect("address");
+        Self { listener, address }
+    }
+
+    async fn accept(&self) -> PlacerLink {
+        let (stream, _) = self.listener.accept().await.expect("a link");
+        let (sender, receiver) = connection::accept_typed(stream, |_| true).await.expect("a handshake");
+        PlacerLink { sender, receiver }
+    }
+}
+
+impl PlacerLink {
+    async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
+        loop {
+            self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
+            if let ToAgent::Effects(effects) = self.receiver.receive::<ToAgent>(PATIENCE).await.expect("a message") {
+                return effects;
+            }
+        }
+    }
+}
