Begin slowed runs anew that can't be saved and have little done

Cause: only runs whose progress is saved were moved. Change: a run that can't be saved counts as slowed down like the others as long as it has less than 30% done. Test: fails before, and holds a run that has half of it done.

--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -26,6 +26,8 @@
 const STUCK_MIN: Duration = Duration::from_millis(1_500);
 /// Progress from which a run is left to end where it is, in percent.
 const MOVE_PERCENT_MAX: u32 = 85;
+/// The same for a run whose progress can't be saved and is lost by a move.
+const UNSAVED_PERCENT_MAX: u32 = 30;
 /// Runs that are moved at one time, at least.
 const MOVES_MIN: usize = 8;
 /// Workers for each of which one run is moved at one time, so that moves keep up with the size of the cell.
@@ -62,15 +64,15 @@
         }
     }
 
-    /// Moves runs that were slowed down for long to workers where they disturb nobody; their progress is saved.
+    /// Moves runs that were slowed down for long to workers where they disturb nobody, unless much progress would be lost.
     fn move_slowed(&mut self, now: Duration) {
         let mut slowed: Vec<(Duration, TaskId, u64)> = Vec::new();
         for entry in self.jobs.values().filter(|entry| entry.is_open()) {
             for (key, state) in entry.tasks.iter().filter(|(_, state)| state.runs.len() == 1) {
                 let run = &state.runs[0];
                 let is_saved = entry.job.step(*key).is_some_and(|step| step.checkpointing);
-                if let Some(since) =
-                    run.slowed.filter(|_| is_saved && !run.is_stopping && run.percent < MOVE_PERCENT_MAX)
+                let percent_max = if is_saved { MOVE_PERCENT_MAX } else { UNSAVED_PERCENT_MAX };
+                if let Some(since) = run.slowed.filter(|_| !run.is_stopping && run.percent < percent_max)
                     && now.saturating_sub(since) >= SLOWED_MIN
                 {
                     slowed.push((since, TaskId { job: entry.job.id, key: *key }, run.number));
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -431,6 +431,29 @@
     assert_eq!(starts.iter().map(|(agent, _, _)| serving[agent].clone()).collect::<Vec<_>>(), [["sturdy"]]);
 }
 
+/// Plays a run whose progress can't be saved and that is slowed down to a tenth, with calm room elsewhere: as long as it has got
+/// little done it begins anew there. In the incident inc-c1b3 such a run took 11 s for 2 s of work.
+#[rstest]
+#[case::little_is_lost(20, 1)]
+#[case::much_would_be_lost(50, 0)]
+fn a_slowed_run_that_cannot_be_saved_begins_anew_elsewhere(#[case] percent: u32, #[case] stops: usize) {
+    let mut world = World::with_workers(1, MILLICORES);
+    serve(&mut world);
+    learn(&mut world, &[("heavy", 0.2)]);
+    world.submit(job(2, vec![Step { filling: true, image: Some(name("heavy")), ..step(1, 2_000) }]));
+    assert_eq!(placed(&mut world).len(), 1);
+    let calm = name("agent-calm");
+    let inventory = Inventory { worker: Some(worker(&calm, MILLICORES)), ..Inventory::default() };
+    world.cell.agent_linked(&calm, inventory, world.now);
+    let (task, run) = run_of(&world, JobId(2));
+    let report = RunReport { task, run, checkpoint: name(""), percent, measured: 400, pace_percent: 10 };
+    world.cell.reported(&[report], world.now);
+    world.now += Duration::from_millis(1_600);
+    world.cell.watch_runs(world.now);
+    let is_stop = |action: &Action| matches!(action, Action::Stop { task: stopped, .. } if *stopped == task);
+    assert_eq!(world.cell.take_actions().iter().filter(|action| is_stop(action)).count(), stops);
+}
+
 /// Images that serve on each worker.
 fn serving_by_worker(world: &World) -> BTreeMap<String, Vec<String>> {
     let mut serving: BTreeMap<String, Vec<String>> = BTreeMap::new();
