Log what filling runs ask for and get

Change: the placer logs every 5 s how many filling runs there are, what they ask for and may use, how many disturb, and on how many workers how many images serve.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -5,6 +5,7 @@
 
 mod agents;
 mod ends;
+mod filling;
 mod jobs;
 mod placing;
 mod stragglers;
@@ -19,6 +20,7 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
 use self::writes::Writes;
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -172,7 +172,7 @@
         urgency::rank(terms, is_lasting, age, &Remaining { chain, left, work: entry.remaining_work().mul_f64(ratio) })
     }
 
-    fn step_of(&self, task: TaskId) -> Option<&Step> {
+    pub(super) fn step_of(&self, task: TaskId) -> Option<&Step> {
         self.jobs.get(&task.job)?.job.step(task.key)
     }
 
@@ -329,7 +329,7 @@
     }
 
     /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
-    fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
+    pub(super) fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
         let unnamed = Name::default();
         let image = step.image.as_ref().unwrap_or(&unnamed);
         agent
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilledge_cell::cell::{Action, Inventory};
+use chervilledge_cell::cell::{Action, Filling, Inventory};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{JobId, Step, TaskId};
 use chervilledge_cell::worker::{EndKind, RunReport, Worker};
@@ -454,6 +454,31 @@
     assert_eq!(world.cell.take_actions().iter().filter(|action| is_stop(action)).count(), stops);
 }
 
+/// Plays filling runs of which one disturbs its worker's serving run and is slowed down to a fifth.
+#[test]
+fn what_filling_runs_get_is_counted() {
+    let mut world = World::with_workers(1, MILLICORES);
+    serve(&mut world);
+    learn(&mut world, &[("heavy", 0.2), ("light", 0.0)]);
+    for (id, image) in [(2, "heavy"), (3, "light")] {
+        world.submit(job(id, vec![Step { filling: true, image: Some(name(image)), ..step(1, 1_000) }]));
+    }
+    assert_eq!(placed(&mut world).len(), 2);
+    let (task, run) = run_of(&world, JobId(2));
+    let report = RunReport { task, run, checkpoint: name(""), percent: 5, measured: 200, pace_percent: 20 };
+    world.cell.reported(&[report], world.now);
+    let expected = Filling {
+        runs: 2,
+        asked_millicores: 2_000,
+        paced_millicores: 1_200,
+        disturbing_runs: 1,
+        disturbing_paced_millicores: 200,
+        serving_workers: 1,
+        serving_images: 1,
+    };
+    assert_eq!(world.cell.filling(), expected);
+}
+
 /// Images that serve on each worker.
 fn serving_by_worker(world: &World) -> BTreeMap<String, Vec<String>> {
     let mut serving: BTreeMap<String, Vec<String>> = BTreeMap::new();
--- a/crates/scheduler/src/placer/effects.rs
+++ b/crates/scheduler/src/placer/effects.rs
@@ -40,9 +40,20 @@
         if now >= self.effects_kept + KEEP_INTERVAL && self.is_loaded && self.authority.holds(now) {
             self.effects_kept = now;
             self.keep_effects(effects);
+            self.log_filling();
         }
     }
 
+    /// Says how far filling runs are slowed down, in the cell as a whole.
+    fn log_filling(&self) {
+        let filling = self.cell.filling();
+        log::info!(event = "filling", waiting = self.cell.waiting(), runs = filling.runs,
+            asked_millicores = filling.asked_millicores, paced_millicores = filling.paced_millicores,
+            disturbing_runs = filling.disturbing_runs,
+            disturbing_paced_millicores = filling.disturbing_paced_millicores,
+            serving_workers = filling.serving_workers, serving_images = filling.serving_images; "");
+    }
+
     /// Writes the best known pairs; a write that fails is followed by the next one.
     fn keep_effects(&self, mut effects: Vec<(Pair, Evidence)>) {
         effects.retain(|(_, evidence)| evidence.information >= INFORMATION_MIN);
