Tell agents only of the images that serve on their workers

Every 1.5 s each agent was sent what is known of all pairs, 16 by 30 images with the names of their fields: pairs times agents. Ruled out: progress and grants, which go with the runs of one worker. Change: an agent is told of pairs whose serving image is on its worker, and a pair goes without names of fields, on links as in the store. Test: of two pairs that are kept only the one that concerns the agent's worker is told.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -292,6 +292,12 @@
         self.effects = self.interference.effects();
     }
 
+    /// Whether runs of an image serve on an agent's worker.
+    #[must_use]
+    pub fn serves(&self, agent: &Name, image: &Name) -> bool {
+        self.agents.get(agent).is_some_and(|agent| agent.serving.contains_key(image))
+    }
+
     /// What all agents have learnt of pairs of images.
     #[must_use]
     pub fn effects(&self) -> Vec<(Pair, Evidence)> {
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -9,6 +9,7 @@
 use super::paces::UNKNOWN_PERCENT;
 use super::{Message, State};
 use crate::message::{FromAgent, SILENCE, ToAgent};
+use crate::rows::Effect;
 
 /// Pause after a failed accept, which is mostly a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -76,7 +77,9 @@
             ToAgent::Start { life, order } => self.start(&life, order, now),
             ToAgent::Stop { life, task, run } => self.stop(&life, (task, run), now),
             ToAgent::Settle { life, cursor } => self.settle(&life, cursor, now),
-            ToAgent::Effects(effects) => self.interference.share(effects),
+            ToAgent::Effects(effects) => {
+                self.interference.share(effects.into_iter().map(Effect::into_evidence).collect());
+            }
             ToAgent::Describe(runs) => {
                 for (task, run, traits) in runs {
                     self.traits.insert((task, run), traits);
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -10,6 +10,7 @@
 
 use super::{Message, RunId, State};
 use crate::message::FromAgent;
+use crate::rows::Effect;
 use crate::worker::Ordered;
 
 /// Time that the worker's figures are taken over; looks that come sooner show the same figures.
@@ -98,7 +99,7 @@
         self.effects_due = now + EFFECTS_INTERVAL;
         let table = self.interference.take_changes();
         if !table.is_empty() {
-            self.tell(FromAgent::Effects(table));
+            self.tell(FromAgent::Effects(table.iter().map(Effect::of).collect()));
         }
     }
 
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
 use chervilledge_cell::worker::{End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationNanoSeconds, serde_as};
 
+use crate::rows::Effect;
+
 /// Interval of signs of life on a link.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -61,8 +62,8 @@
     },
     /// What runs are, for an agent that didn't start them.
     Describe(Vec<(TaskId, u64, RunTraits)>),
-    /// What all agents have learnt of pairs of images.
-    Effects(Vec<(Pair, Evidence)>),
+    /// What all agents have learnt of pairs of images of which one serves on the worker.
+    Effects(Vec<Effect>),
 }
 
 /// Message from an agent to a placer.
@@ -133,7 +134,7 @@
     /// How far runs are; only those that changed.
     Running(Vec<RunReport>),
     /// What this agent has learnt of pairs of images.
-    Effects(Vec<(Pair, Evidence)>),
+    Effects(Vec<Effect>),
 }
 
 /// Message from one entry to another.
--- a/crates/scheduler/src/placer/effects.rs
+++ b/crates/scheduler/src/placer/effects.rs
@@ -23,7 +23,7 @@
 const INFORMATION_MIN: f64 = 100.0;
 
 impl State {
-    /// Tells every agent what all have learnt of pairs of images, and keeps it, when it is time.
+    /// Tells every agent what all have learnt of the images that serve on its worker, and keeps it, when it is time.
     pub(super) fn share_effects(&mut self, now: Duration) {
         if now < self.effects_due {
             return;
@@ -34,8 +34,12 @@
         if effects.is_empty() {
             return;
         }
-        for link in self.links.values() {
-            link.sender.post(ToAgent::Effects(effects.clone()));
+        for (name, link) in &self.links {
+            let is_there = |(pair, _): &&(Pair, Evidence)| self.cell.serves(name, &pair.serving);
+            let of_worker: Vec<Effect> = effects.iter().filter(is_there).map(Effect::of).collect();
+            if !of_worker.is_empty() {
+                link.sender.post(ToAgent::Effects(of_worker));
+            }
         }
         if now >= self.effects_kept + KEEP_INTERVAL && self.is_loaded && self.authority.holds(now) {
             self.effects_kept = now;
@@ -59,7 +63,7 @@
         effects.retain(|(_, evidence)| evidence.information >= INFORMATION_MIN);
         effects.sort_unstable_by(|one, other| other.1.information.total_cmp(&one.1.information));
         effects.truncate(KEPT_MAX);
-        let content: Vec<Effect> = effects.iter().map(effect).collect();
+        let content: Vec<Effect> = effects.iter().map(Effect::of).collect();
         let change = Change { table: Table::Progress, key: Arc::from(EFFECTS), value: Some(rows::encode(&content)) };
         let transaction = Transaction { conditions: vec![self.is_placer()], changes: vec![change] };
         let answer = (self.context.store.commit)(transaction);
@@ -77,18 +81,7 @@
         let kept = progress.iter().find(|row| &*row.key == EFFECTS).and_then(|row| row.value.as_deref());
         let Some(effects) = kept.and_then(|value| rows::decode::<Vec<Effect>>(EFFECTS, value)) else { return };
         log::info!(event = "effects_recalled", pairs = effects.len(); "");
-        self.cell.recall(effects.into_iter().map(pair).collect());
+        self.cell.recall(effects.into_iter().map(Effect::into_evidence).collect());
         self.effects_due = Duration::ZERO;
     }
 }
-
-#[expect(clippy::cast_possible_truncation, reason = "evidence is rough")]
-fn effect((pair, evidence): &(Pair, Evidence)) -> Effect {
-    let (information, weighted_effect) = (evidence.information as f32, evidence.weighted_effect as f32);
-    Effect(Arc::clone(&pair.filling), Arc::clone(&pair.serving), information, weighted_effect)
-}
-
-fn pair(Effect(filling, serving, information, weighted_effect): Effect) -> (Pair, Evidence) {
-    let evidence = Evidence { information: f64::from(information), weighted_effect: f64::from(weighted_effect) };
-    (Pair { filling, serving }, evidence)
-}
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -12,6 +12,7 @@
 
 use super::{AgentLink, Dialer, Message, State};
 use crate::message::{FromAgent, NO_SECRET, SILENCE, ToAgent};
+use crate::rows::Effect;
 
 /// Time for opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
@@ -112,7 +113,9 @@
                 }
             }
             FromAgent::Running(running) => self.cell.reported(&running, now),
-            FromAgent::Effects(effects) => self.cell.learn(agent, effects),
+            FromAgent::Effects(effects) => {
+                self.cell.learn(agent, effects.into_iter().map(Effect::into_evidence).collect());
+            }
         }
     }
 
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::JobId;
 use chervilledge_policy::id::Name;
 use serde::de::DeserializeOwned;
@@ -48,19 +49,37 @@
     pub address: SocketAddr,
 }
 
-/// What is known of a pair of images.
+/// What is known of a pair of images, without names of fields, since there are many of them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Effect(
     /// Filling image.
     pub Name,
     /// Serving image.
     pub Name,
-    /// Evidence; see [`information`](chervilledge_cell::interference::Evidence::information).
+    /// Evidence; see [`Evidence::information`].
     pub f32,
-    /// See [`weighted_effect`](chervilledge_cell::interference::Evidence::weighted_effect).
+    /// See [`Evidence::weighted_effect`].
     pub f32,
 );
 
+impl Effect {
+    /// Short form of evidence on a pair.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "evidence is rough")]
+    pub fn of((pair, evidence): &(Pair, Evidence)) -> Self {
+        let (information, weighted_effect) = (evidence.information as f32, evidence.weighted_effect as f32);
+        Self(Arc::clone(&pair.filling), Arc::clone(&pair.serving), information, weighted_effect)
+    }
+
+    /// The pair and the evidence on it.
+    #[must_use]
+    pub fn into_evidence(self) -> (Pair, Evidence) {
+        let Self(filling, serving, information, weighted_effect) = self;
+        let evidence = Evidence { information: f64::from(information), weighted_effect: f64::from(weighted_effect) };
+        (Pair { filling, serving }, evidence)
+    }
+}
+
 /// A key of table `jobs`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobKey {
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -9,8 +9,10 @@
 use chervilledge_cell::authority::AUTHORITY;
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::interference::{Evidence, Pair};
-use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::job::{Job, JobId, JobState, Step};
+use chervilledge_cell::worker::Worker;
 use chervilledge_link::connection::{self, Receiver, Sender};
+use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -18,7 +20,7 @@
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::placer::{self, Context, Message};
 use chervilledge_scheduler::roster::Roster;
-use chervilledge_scheduler::rows;
+use chervilledge_scheduler::rows::{self, Effect};
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{clock, metrics};
 use rstest::rstest;
@@ -163,24 +165,35 @@
     assert_eq!((early, is_alone()), (is_former_alone && after > BEAT_INTERVAL, true));
 }
 
-/// Effects of pairs of images outlast the loss of every process: the next placer tells them to agents that know nothing.
+/// Effects of pairs of images outlast the loss of every process: the next placer tells them to agents that know nothing, and
+/// each agent only those of the images that serve on its worker.
 #[tokio::test]
 async fn learnt_effects_outlast_the_loss_of_every_process() {
     let rows = claimed_rows();
-    let pair = Pair { filling: Arc::from("heavy"), serving: Arc::from("sensitive") };
+    let serving = Step {
+        count: 1,
+        lasting: true,
+        image: Some(Arc::from("sensitive")),
+        latency_target: Some(Duration::from_millis(20)),
+        ..Step::default()
+    };
+    let serving = Job { steps: vec![serving], ..job(1) };
+    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&serving)));
+    let pair = |serving: &str| Pair { filling: Arc::from("heavy"), serving: Arc::from(serving) };
     let learnt = Evidence { information: 900.0, weighted_effect: 270.0 };
     let first = TestAgent::listen().await;
     let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", first.address)])));
     let placer = placer::spawn(context(&rows, clock::system(), roster_view)).await.expect("placer");
-    let mut link = first.accept().await;
-    link.sender.post(FromAgent::Effects(vec![(pair.clone(), learnt)]));
-    link.wait_for_effects().await;
+    let link = first.accept().await;
+    let all = ["sensitive", "elsewhere"].map(|serving| Effect::of(&(pair(serving), learnt)));
+    link.sender.post(FromAgent::Effects(all.to_vec()));
     let kept = async {
         while !rows.has(Table::Progress, rows::EFFECTS) {
             tokio::time::sleep(Duration::from_millis(20)).await;
+            link.sender.post(FromAgent::Ask { asked: Duration::ZERO });
         }
     };
-    tokio::time::timeout(Duration::from_secs(20), kept).await.expect("the effects are kept");
+    tokio::time::timeout(PATIENCE, kept).await.expect("the effects are kept");
     placer.stop(None);
     drop((link, first));
 
@@ -189,9 +202,9 @@
     let _placer = placer::spawn(context(&rows, clock::system(), roster_view)).await.expect("placer");
     let mut link = second.accept().await;
     let effects = link.wait_for_effects().await;
-    let (told, evidence) = &effects[0];
-    assert_eq!((effects.len(), told), (1, &pair));
-    assert!(evidence.per_core() > 0.15, "{}", evidence.per_core());
+    let told: Vec<Pair> = effects.iter().map(|(pair, _)| pair.clone()).collect();
+    assert_eq!(told, [pair("sensitive")]);
+    assert!(effects[0].1.per_core() > 0.15, "{}", effects[0].1.per_core());
 }
 
 /// An agent that only listens.
@@ -216,6 +229,23 @@
     async fn accept(&self) -> PlacerLink {
         let (stream, _) = self.listener.accept().await.expect("a link");
         let (sender, receiver) = connection::accept_typed(stream, |_| true).await.expect("a handshake");
+        let worker = Worker {
+            life: agent::life(),
+            service: Arc::from("portal"),
+            failure_domain: Arc::from("a"),
+            resources: Resources { processor_millicores: 16_000, ..Resources::default() },
+            kind: None,
+            rack: None,
+            leaves_in: None,
+        };
+        sender.post(FromAgent::Inventory {
+            worker: Some(worker),
+            running: Vec::new(),
+            starting: Vec::new(),
+            ends: Vec::new(),
+            is_empty: false,
+            asked: Duration::ZERO,
+        });
         PlacerLink { sender, receiver }
     }
 }
@@ -225,7 +255,7 @@
         loop {
             self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
             if let ToAgent::Effects(effects) = self.receiver.receive::<ToAgent>(PATIENCE).await.expect("a message") {
-                return effects;
+                return effects.into_iter().map(Effect::into_evidence).collect();
             }
         }
     }
