--- a/crates/client/tests/silent_connections.rs
+++ b/crates/client/tests/silent_connections.rs
@@ -59,3 +59,38 @@
     assert_eq!(call(&client, address).await, Ok(()));
     assert!(began.elapsed() < TIMEOUT / 2, "took {:?}", began.elapsed());
 }
+
+/// Sends an answer in parts, as a narrow link delivers it, and stops after so many of them.
+async fn answer_in_parts(listener: TcpListener, parts: usize, sent: usize) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut request = [0; 1024];
+    let _length = stream.read(&mut request).await.expect("a request");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", parts * PART.len());
+    stream.write_all(head.as_bytes()).await.expect("open");
+    for _ in 0..sent {
+        tokio::time::sleep(PART_INTERVAL).await;
+        stream.write_all(PART).await.expect("open");
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Part of an answer.
+const PART: &[u8] = &[b'x'; 100];
+/// Interval at which parts come.
+const PART_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A timeout bounds the time without any part of an answer, not that of the whole answer.
+#[tokio::test]
+async fn an_answer_that_comes_slowly_is_read_whole() {
+    const PARTS: usize = 12;
+    let patience = Patience::at_once(PART_INTERVAL * 4);
+    for (sent, expected) in [(PARTS, Ok(PARTS * PART.len())), (PARTS / 2, Err(Failure::Silent))] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("address");
+        let server = tokio::spawn(answer_in_parts(listener, PARTS, sent));
+        let client = chervilledge_client::open(BOUNDS);
+        let answer = client.call(address, Method::GET, "/", HeaderMap::new(), Bytes::new(), patience).await;
+        assert_eq!(answer.map(|answer| answer.body.len()), expected);
+        server.abort();
+    }
+}
