Start nothing in a failure domain that the operator evacuates

Change: the feed that entries follow for the configuration carries the evacuations too, with a whole and paged read from revision 0 and after lost history. No worker of an evacuated domain is a candidate for a start. The placer tells each agent the state of its worker's domain on each link, at each change and before a start; the agent keeps the highest revision and refuses starts, also those of a placer that knows less, and stops an unanswered start instead of repeating it. A refused start keeps the task's waiting time. Log lines evacuation_known, evacuation_requested, evacuation_removed and evacuation_obeyed; counters, gauges and dump.

Existing tests: literals of settings::Entry and placer::Context have their new field, the store in memory gives Configured::evacuations, and the rendering of templates knows sections. No assertion is changed.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -5,6 +5,7 @@
 
 mod agents;
 mod ends;
+mod evacuating;
 mod filling;
 mod jobs;
 mod placing;
@@ -25,6 +26,7 @@
 use self::unread::Unread;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
+use crate::evacuation::EvacuatedDomains;
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
@@ -122,6 +124,19 @@
         /// Why.
         reason: &'static str,
     },
+    /// The operator's request to evacuate a failure domain, or its removal, is in force.
+    Evacuation {
+        /// The domain.
+        domain: Name,
+        /// Revision of the row or of its removal.
+        revision: u64,
+        /// Nothing starts in the domain any more; otherwise it takes work again.
+        is_requested: bool,
+        /// Workers of the domain that are known.
+        workers: usize,
+        /// Runs on them.
+        runs: usize,
+    },
     /// An agent has another standing.
     AgentChanged {
         /// The agent.
@@ -210,6 +225,8 @@
     estimates: Map<Name, f64>,
     counters: Counters,
     needs_placing: bool,
+    /// Failure domains in which nothing may start.
+    evacuated: EvacuatedDomains,
     /// What each agent has learnt of pairs of images.
     learnt: Map<Name, Map<Pair, Evidence>>,
     /// What former placers knew, where the agents know less.
@@ -244,6 +261,7 @@
             estimates: Map::default(),
             counters: Counters::default(),
             needs_placing: false,
+            evacuated: EvacuatedDomains::default(),
             learnt: Map::default(),
             recalled: Map::default(),
             interference: Interference::default(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -315,6 +315,7 @@
     /// Takes note that a run wasn't started and never will be.
     pub fn run_refused(&mut self, name: &Name, task: TaskId, number: u64, refusal: Refusal, now: Duration) {
         self.counters.refused += 1;
+        let ready_since = self.task_mut(task).map(|state| state.ready_since);
         if let Some(agent) = self.agents.get_mut(name) {
             agent.paused_until = now + REFUSAL_PAUSE;
             if refusal == Refusal::Unhealthy {
@@ -325,6 +326,12 @@
             return;
         }
         self.run_over(task, number, now);
+        // The order counts as never given, so that the task has waited since before it.
+        if refusal == Refusal::Evacuated
+            && let (Some(state), Some(ready_since)) = (self.task_mut(task), ready_since)
+        {
+            state.ready_since = ready_since;
+        }
     }
 
     /// Takes note that a run that was told to stop isn't there and never will be.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -269,6 +269,7 @@
         let candidate = |(name, agent): (&Name, &Agent)| {
             let worker = open_worker(agent, now)?;
             if worker.service != terms.service
+                || self.evacuated.is_evacuated(&worker.failure_domain)
                 || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
             {
                 return None;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod authority;
 pub mod cell;
 pub mod configuration;
+pub mod evacuation;
 pub mod grant;
 pub mod health;
 pub mod interference;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -156,4 +156,6 @@
     Unhealthy,
     /// The worker doesn't take orders of this form.
     Invalid,
+    /// The failure domain of the worker is evacuated.
+    Evacuated,
 }
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::authority::{LEASE_SLACK, lapse_after};
+use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::grant::{Grant, Reading, lease_end_ms};
 use chervilledge_cell::interference::Interference;
 use chervilledge_cell::job::TaskId;
@@ -196,6 +197,8 @@
     /// The placer of the link waits for an inventory, from a look that was sent after this time.
     inventory_due: Option<Duration>,
     grant: Grant,
+    /// Failure domains in which nothing may start, by what any placer has told.
+    evacuated: EvacuatedDomains,
     own: Option<Own>,
     /// Life of the worker that the placer counts with, when that isn't the present one.
     former: Option<Life>,
@@ -260,6 +263,7 @@
             new_links: Map::default(),
             inventory_due: None,
             grant: Grant::default(),
+            evacuated: EvacuatedDomains::default(),
             own: None,
             former: None,
             empty_at: now + lapse_after(LEASE_MAX),
@@ -517,6 +521,7 @@
             "is_linked": self.link.is_some(),
             "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
             "worker": self.own.as_ref().map(|own| own.worker.life.worker.to_string()),
+            "is_evacuated": self.is_evacuated(),
             "running": self.own.as_ref().map_or(0, |own| own.running.len()),
             "starting": self.starting.len(),
             "stopping": self.stopping.len(),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::evacuation::Standing;
 use chervilledge_link::connection;
 use ractor::ActorRef;
 use tokio::net::{TcpListener, TcpStream};
@@ -74,6 +75,9 @@
         match message {
             ToAgent::Hello { .. } => {}
             ToAgent::Grant { asked, lease } => self.grant.extend(asked, lease),
+            ToAgent::Evacuation { domain, revision, is_requested } => {
+                self.take_evacuation(&domain, Standing { revision, is_requested });
+            }
             ToAgent::Start { life, order } => self.start(&life, order, now),
             ToAgent::Stop { life, task, run } => self.stop(&life, (task, run), now),
             ToAgent::Settle { life, cursor } => self.settle(&life, cursor, now),
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::evacuation::Standing;
 use chervilledge_cell::grant::is_later;
 use chervilledge_cell::worker::{Life, Refusal, StartOrder};
+use chervilledge_policy::id::Name;
 
 use super::{Message, Own, RunId, Starting, State, Stopping};
 use crate::message::FromAgent;
@@ -24,9 +26,13 @@
             // The life that was meant is over, so the run never starts.
             None => Some(Refusal::Leaving),
             Some(own) if own.worker.leaves_in.is_some() => Some(Refusal::Leaving),
+            Some(_) if self.is_evacuated() => Some(Refusal::Evacuated),
             Some(_) if !self.grant.holds(now) => Some(Refusal::Late),
             Some(_) => None,
         };
+        if refusal == Some(Refusal::Evacuated) {
+            self.context.metrics.start_refused_evacuated();
+        }
         if let Some(refusal) = refusal {
             self.refuse(run, refusal);
             return;
@@ -36,6 +42,19 @@
         self.call_start(run, now);
     }
 
+    /// Whether nothing may start on the worker because its failure domain is evacuated.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.own.as_ref().is_some_and(|own| self.evacuated.is_evacuated(&own.worker.failure_domain))
+    }
+
+    /// Takes note of what a placer tells of a failure domain; an older revision than the known one means nothing.
+    pub(super) fn take_evacuation(&mut self, domain: &Name, standing: Standing) {
+        if self.evacuated.note(domain, standing) {
+            log::info!(event = "evacuation_obeyed", domain = &**domain, is_requested = standing.is_requested,
+                revision = standing.revision, starting = self.starting.len(); "");
+        }
+    }
+
     fn refuse(&mut self, run: RunId, refusal: Refusal) {
         self.starting.remove(&run);
         self.traits.remove(&run);
@@ -84,7 +103,7 @@
                 self.tell(FromAgent::Started { task: run.0, run: run.1 });
                 self.pace_new_run(run);
             }
-            Started::Unknown if attempts < START_ATTEMPTS => self.call_start(run, now),
+            Started::Unknown if attempts < START_ATTEMPTS && !self.is_evacuated() => self.call_start(run, now),
             // A late attempt may have been carried out, so that the worker has to say what became of the run.
             Started::Unknown | Started::Outdated => self.make_sure_absent(run, now),
             Started::Refused(_) if attempts > 1 => self.make_sure_absent(run, now),
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod election;
 mod links;
+mod operator;
 mod requests;
 
 use std::fmt;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::configuration::Configuration;
+use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
@@ -20,7 +22,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::clock::whole_ms;
 use crate::feed;
 use crate::metrics::Metrics;
 use crate::peer::{Link, Pending};
@@ -28,7 +29,7 @@
 use crate::roster::{self, Roster};
 use crate::rows::{self, ENTRY_PREFIX, Process};
 use crate::settings;
-use crate::store::{Change, Configured, Handle, Outcome, ReadError, Table, Transaction};
+use crate::store::{Change, Handle, Outcome, Table, Transaction};
 use crate::submit::{self, Submitter};
 
 /// Pause after an announcement that wasn't written.
@@ -95,6 +96,7 @@
     metrics: Arc<Metrics>,
     submitter: Submitter,
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    evacuated: watch::Receiver<Arc<EvacuatedDomains>>,
     roster: roster::Reader,
     /// The placer that this process runs.
     own_placer: Mutex<Option<(u64, ActorRef<placer::Message>)>>,
@@ -127,6 +129,7 @@
 ) -> std::io::Result<Entry> {
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configured, configuration) = watch::channel(None);
+    let (evacuations_told, evacuated) = watch::channel(Arc::default());
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
     let submitter = submit::spawn(&store, &clock);
     let inner = Inner {
@@ -136,6 +139,7 @@
         metrics,
         submitter,
         configuration,
+        evacuated,
         roster,
         own_placer: Mutex::new(None),
         way: watch::channel(Way::None).0,
@@ -147,13 +151,14 @@
     };
     let entry = Entry { inner: Arc::new(inner) };
     let tasks = vec![
-        tokio::spawn(follow_configuration(
-            Arc::clone(&store),
-            entry.inner.clock.clone(),
-            Arc::clone(&entry.inner.metrics),
-            feed::Timing::within(entry.inner.settings.configuration_apply),
+        tokio::spawn(operator::follow(operator::Following {
+            store: Arc::clone(&store),
+            clock: entry.inner.clock.clone(),
+            metrics: Arc::clone(&entry.inner.metrics),
+            timing: feed::Timing::within(entry.inner.settings.operator_rows_known()),
             configured,
-        )),
+            evacuations_told,
+        })),
         tokio::spawn(announce(store, entry.inner.settings.clone())),
         tokio::spawn(links::accept_all(listener, entry.clone())),
         tokio::spawn(election::run(entry.clone())),
@@ -199,6 +204,7 @@
             "name": self.inner.settings.name,
             "is_ready": self.is_ready(),
             "configuration_version": self.configuration().map(|configuration| configuration.version),
+            "domains_evacuated": self.inner.evacuated.borrow().requested().collect::<Vec<_>>(),
             "way_to_placer": format!("{:?}", *self.inner.way.borrow()),
             "placer": placer,
         })
@@ -224,39 +230,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Follows the configuration; an older version never replaces a newer one.
-async fn follow_configuration(
-    store: Handle,
-    clock: Clock,
-    metrics: Arc<Metrics>,
-    timing: feed::Timing,
-    configured: watch::Sender<Option<Arc<Configuration>>>,
-) {
-    let mut feed = feed::open("configuration", timing, clock);
-    let mut after = 0;
-    loop {
-        let age = feed.age();
-        let known = configured.borrow().as_ref().map_or(0, |known| known.version);
-        metrics.configuration(known, age);
-        match feed.next(after, |wait, arrival| (store.watch_configuration)((after, wait, arrival))).await {
-            Ok(Configured { configuration, revision }) => {
-                after = revision;
-                let Some(configuration) = configuration else { continue };
-                let is_newer = configuration.version > known;
-                log::info!(event = "configuration", version = configuration.version, former = known,
-                    queues = configuration.queues.len(), is_newer = is_newer, revision = revision,
-                    age_ms = whole_ms(age); "");
-                if is_newer {
-                    configured.send_replace(Some(Arc::new(configuration)));
-                }
-            }
-            Err(ReadError::HistoryLost) => after = 0,
-            // The feed logs why, and repeats the request.
-            Err(_) => {}
-        }
-    }
-}
-
 /// Writes where the entry takes links.
 async fn announce(store: Handle, settings: settings::Entry) {
     let content = Process { address: settings.links_address };
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -64,6 +64,7 @@
         store: Arc::clone(&inner.store),
         roster: inner.roster.view.clone(),
         configuration: inner.configuration.clone(),
+        evacuated: inner.evacuated.clone(),
         term,
         revision,
         claimed,
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -37,6 +37,15 @@
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         lease: Duration,
     },
+    /// Whether the failure domain of the agent's worker is evacuated; a newer revision holds whoever tells of it.
+    Evacuation {
+        /// The domain.
+        domain: Name,
+        /// Revision of the request or of its removal.
+        revision: u64,
+        /// Nothing may start in the domain.
+        is_requested: bool,
+    },
     /// Start a run.
     Start {
         /// Life of the worker that is meant.
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -28,6 +28,10 @@
     durable_ms: Histogram<f64>,
     runs: Counter<u64>,
     waiting: Gauge<u64>,
+    evacuation_changes: Counter<u64>,
+    domains_evacuated: Gauge<u64>,
+    evacuated_runs: Gauge<u64>,
+    starts_refused: Counter<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
     configuration_version: Gauge<u64>,
@@ -50,6 +54,22 @@
         durable_ms: latency("chervilledge_durable_ms", "time until a batch of progress was written"),
         runs: meter.u64_counter("chervilledge_runs").with_description("runs by how they ended").build(),
         waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
+        evacuation_changes: meter
+            .u64_counter("chervilledge_evacuation_changes")
+            .with_description("requests to evacuate a failure domain, and their removals, by kind")
+            .build(),
+        domains_evacuated: meter
+            .u64_gauge("chervilledge_domains_evacuated")
+            .with_description("failure domains in which nothing may start")
+            .build(),
+        evacuated_runs: meter
+            .u64_gauge("chervilledge_evacuated_runs")
+            .with_description("runs on workers of evacuated failure domains")
+            .build(),
+        starts_refused: meter
+            .u64_counter("chervilledge_starts_refused_evacuated")
+            .with_description("orders to start that the agent refused since its failure domain is evacuated")
+            .build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
             .with_description("age of the placer's last confirmation at the store")
@@ -112,6 +132,22 @@
         self.grant_age_ms.record(crate::clock::whole_ms(confirmation_age), &[]);
     }
 
+    /// Counts a request to evacuate a failure domain, or its removal.
+    pub fn evacuation_changed(&self, kind: &'static str) {
+        self.evacuation_changes.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Takes note of the evacuated failure domains and of the runs on their workers.
+    pub fn evacuations(&self, domains: usize, runs: usize) {
+        self.domains_evacuated.record(domains as u64, &[]);
+        self.evacuated_runs.record(runs as u64, &[]);
+    }
+
+    /// Counts an order to start in an evacuated failure domain.
+    pub fn start_refused_evacuated(&self) {
+        self.starts_refused.add(1, &[]);
+    }
+
     /// Takes note of the configuration in force, and of the time since the store last told of it.
     pub fn configuration(&self, version: u64, age: Duration) {
         self.configuration_version.record(version, &[]);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -1,6 +1,7 @@
 //! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
 
 mod effects;
+mod evacuating;
 mod expiry;
 mod feed;
 mod links;
@@ -15,6 +16,7 @@
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::configuration::Configuration;
+use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::job::{Job, JobId, JobState};
 use chervilledge_cell::progress::Progress;
 use chervilledge_link::connection::Sender;
@@ -62,6 +64,8 @@
     pub roster: watch::Receiver<Option<Arc<Roster>>>,
     /// Configuration in force.
     pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    /// Failure domains in which nothing may start; known before the configuration.
+    pub evacuated: watch::Receiver<Arc<EvacuatedDomains>>,
     /// Term of the placer.
     pub term: u64,
     /// Revision of the placer's row.
@@ -118,6 +122,8 @@
     Canceled(JobId),
     /// The rows of the cell have changed.
     Roster,
+    /// The known evacuations have changed.
+    Evacuations,
     /// A configuration is in force.
     Configured,
     /// No former placer acts any more, for certain.
@@ -173,6 +179,8 @@
 struct AgentLink {
     number: u64,
     sender: Sender<ToAgent>,
+    /// What the agent was told of its worker's failure domain.
+    told: Option<(Name, Standing)>,
 }
 
 /// Task that keeps a link to an agent open.
@@ -256,6 +264,7 @@
             tokio::spawn(feed::ask_predecessor(context.clone(), myself.clone())),
             tokio::spawn(follow(context.roster.clone(), myself.clone(), || Message::Roster)),
             tokio::spawn(follow(context.configuration.clone(), myself.clone(), || Message::Configured)),
+            tokio::spawn(follow(context.evacuated.clone(), myself.clone(), || Message::Evacuations)),
         ];
         let cell = Cell::new(context.term, context.lease);
         let mut state = State {
@@ -347,6 +356,7 @@
             Message::Submitted(job) => self.submitted(*job, None, now),
             Message::Canceled(id) => self.cancel(id, now),
             Message::Roster => self.take_roster(),
+            Message::Evacuations => self.take_evacuations(),
             Message::Configured => self.take_configuration(),
             Message::PredecessorOver(by) => {
                 log::info!(event = "predecessor_over", by = by, agents_unheard = self.cell.unresolved(); "");
@@ -390,6 +400,7 @@
             self.had_authority = holds;
         }
         self.context.metrics.placer(self.cell.waiting(), self.authority.age(now).unwrap_or_default());
+        self.measure_evacuations();
         self.cell.open_due(unix_ms(), now);
         self.cell.ask_placing();
         if now >= self.watch_due {
@@ -434,7 +445,10 @@
 
     fn carry_out(&mut self, action: Action) {
         let (agent, message) = match action {
-            Action::Start { agent, life, order } => (agent, ToAgent::Start { life, order }),
+            Action::Start { agent, life, order } => {
+                self.tell_evacuation(&agent);
+                (agent, ToAgent::Start { life, order })
+            }
             Action::Stop { agent, life, task, run, reason } => {
                 log::info!(event = "stop_ordered", task:% = task, run = run, agent = &*agent, reason = reason; "");
                 (agent, ToAgent::Stop { life, task, run })
@@ -520,6 +534,8 @@
 
     fn take_configuration(&mut self) {
         let configuration = self.context.configuration.borrow().clone();
+        // Told before the configuration, so that it is there with the first one.
+        self.take_evacuations();
         if let Some(configuration) = configuration {
             self.cell.configure(configuration);
         }
@@ -562,6 +578,7 @@
 impl State {
     fn inventory_taken(&mut self, agent: &Name, inventory: Inventory, now: Duration) {
         self.cell.agent_linked(agent, inventory, now);
+        self.tell_evacuation(agent);
         let described = self.cell.describe(agent);
         if let Some(link) = self.links.get(agent).filter(|_| !described.is_empty()) {
             link.sender.post(ToAgent::Describe(described));
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -66,7 +66,7 @@
     }
 
     pub(super) fn linked(&mut self, agent: Name, link: u64, sender: Sender<ToAgent>) {
-        self.links.insert(agent, AgentLink { number: link, sender });
+        self.links.insert(agent, AgentLink { number: link, sender, told: None });
     }
 
     pub(super) fn unlinked(&mut self, agent: &Name, link: u64) {
@@ -92,7 +92,10 @@
                 }
             }
             FromAgent::Ask { asked } => self.grant(agent, asked, now),
-            FromAgent::Worker(worker) => self.cell.worker_seen(agent, worker, now),
+            FromAgent::Worker(worker) => {
+                self.cell.worker_seen(agent, worker, now);
+                self.tell_evacuation(agent);
+            }
             FromAgent::Gone(life) => {
                 if self.cell.life_of(agent) == Some(&life) {
                     self.cell.worker_gone(agent, now);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -21,6 +21,9 @@
             Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
             Note::Ended { how, .. } => metrics.run_ended(how),
             Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
+            Note::Evacuation { is_requested, .. } => {
+                metrics.evacuation_changed(if *is_requested { "requested" } else { "removed" });
+            }
             Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
         }
     }
@@ -32,7 +35,14 @@
             .agents()
             .map(|(name, contact, runs)| json!({"agent": name, "contact": format!("{contact:?}"), "runs": runs}))
             .collect();
+        let evacuations: Vec<Value> = self
+            .cell
+            .evacuations()
+            .into_iter()
+            .map(|(domain, workers, runs)| json!({"domain": domain, "workers": workers, "runs": runs}))
+            .collect();
         json!({
+            "evacuations": evacuations,
             "term": self.context.term,
             "has_authority": self.authority.holds(now),
             "jobs": jobs,
@@ -63,6 +73,11 @@
         Note::WorkerEjected { agent, reason } => {
             log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
         }
+        Note::Evacuation { domain, revision, is_requested, workers, runs } => {
+            let event = if *is_requested { "evacuation_requested" } else { "evacuation_removed" };
+            log::info!(event = event, domain = &**domain, revision = revision, workers = workers, runs = runs,
+                term = term; "");
+        }
         Note::AgentChanged { agent, standing, runs } => {
             log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
         }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -29,6 +29,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "configuration_apply_ms")]
     pub configuration_apply: Duration,
+    /// Time after its request within which nothing starts in an evacuated failure domain any more; absent where no domain is
+    /// evacuated.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default, rename = "evacuation_apply_ms")]
+    pub evacuation_apply: Option<Duration>,
     /// Time after its acceptance within which a cancellation stops the tasks of a job.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "cancellation_apply_ms")]
@@ -44,6 +49,14 @@
 }
 
 impl Entry {
+    /// Time within which a change of the operator's rows is known.
+    ///
+    /// That is half of the time for an evacuation: starts that were ordered before need the rest to be refused or taken.
+    #[must_use]
+    pub fn operator_rows_known(&self) -> Duration {
+        self.evacuation_apply.map_or(self.configuration_apply, |apply| self.configuration_apply.min(apply / 2))
+    }
+
     /// Lease that the placer grants.
     #[must_use]
     pub fn lease(&self) -> Duration {
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -198,11 +198,22 @@
     pub has_more: bool,
 }
 
+/// Requests to evacuate failure domains.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Evacuations {
+    /// Every request as of the revision to go on from is named: a domain that isn't has none.
+    pub is_whole: bool,
+    /// Domain, revision of the row or of its removal, and whether it is requested.
+    pub domains: Vec<(Name, u64, bool)>,
+}
+
 /// What a watch of the configuration gives.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Configured {
     /// The newest configuration, if there is a new one that can be understood.
     pub configuration: Option<Configuration>,
+    /// Requests to evacuate failure domains, and their removals.
+    pub evacuations: Evacuations,
     /// Revision to go on from.
     pub revision: u64,
 }
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -75,6 +75,7 @@
         store: rows.store(),
         roster,
         configuration: watch::channel(Some(configuration())).1,
+        evacuated: watch::channel(Arc::default()).1,
         term: TERM,
         revision: REVISION,
         former: Some(placer_row(TERM - 1, None)),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -15,8 +15,8 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::store::{
-    Change, Configured, Handle, Outcome, Page as Asked, Partition, ReadError, Row, Rows as Page, Store, Table,
-    Transaction,
+    Change, Configured, Evacuations, Handle, Outcome, Page as Asked, Partition, ReadError, Row, Rows as Page, Store,
+    Table, Transaction,
 };
 use tokio::time::Instant;
 
@@ -52,6 +52,10 @@
     fault: Fault,
     /// Version of the configuration and the revision at which it was written.
     configuration: Option<(u64, u64)>,
+    /// Requests to evacuate domains and their removals, with the revision of each.
+    evacuations: BTreeMap<Name, (u64, bool)>,
+    /// Feeds from a revision below this one have lost their history.
+    history_from: u64,
 }
 
 /// The store; clones share it.
@@ -69,6 +73,8 @@
             revision: 0,
             fault,
             configuration: None,
+            evacuations: BTreeMap::new(),
+            history_from: 0,
         };
         Self { state: Arc::new(Mutex::new(state)) }
     }
@@ -96,6 +102,21 @@
         state.configuration = Some((version, state.revision));
     }
 
+    /// Requests the evacuation of a domain or removes the request, as the operator does.
+    pub fn evacuate(&self, domain: &str, is_requested: bool) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let standing = (state.revision, is_requested);
+        state.evacuations.insert(Arc::from(domain), standing);
+    }
+
+    /// Forgets what changed up to now, as a store that was restored does.
+    pub fn lose_history(&self) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.history_from = state.revision;
+    }
+
     /// Writes or removes a row, as another process does.
     pub fn write(&self, table: Table, key: &str, value: Option<Vec<u8>>) {
         let change = Change { table, key: Arc::from(key), value };
@@ -137,14 +158,23 @@
         self.answer(wait, |state| Some(changed(state)).filter(|page| !page.rows.is_empty()), changed).await
     }
 
-    async fn watch_configuration(&self, after: u64, wait: Duration) -> Configured {
+    async fn watch_configuration(&self, after: u64, wait: Duration) -> Result<Configured, ReadError> {
         let told = |state: &State| {
             let written = state.configuration.filter(|(_, revision)| *revision > after);
             let configuration = written.map(|(version, _)| configuration(version));
-            Configured { configuration, revision: state.revision.max(after).max(1) }
+            // A whole read doesn't know what was removed.
+            let is_told = |(revision, is_requested): &(u64, bool)| *revision > after && (after > 0 || *is_requested);
+            let told = state.evacuations.iter().filter(|(_, standing)| is_told(standing));
+            let domains = told.map(|(domain, standing)| (Arc::clone(domain), standing.0, standing.1)).collect();
+            let evacuations = Evacuations { is_whole: after == 0, domains };
+            Configured { configuration, evacuations, revision: state.revision.max(after).max(1) }
         };
+        if after > 0 && after < self.lock().history_from {
+            return Err(ReadError::HistoryLost);
+        }
         let wait = if after == 0 { Duration::ZERO } else { wait };
-        self.answer(wait, |state| Some(told(state)).filter(|told| told.configuration.is_some()), told).await
+        let is_news = |told: &Configured| told.configuration.is_some() || !told.evacuations.domains.is_empty();
+        Ok(self.answer(wait, |state| Some(told(state)).filter(is_news), told).await)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -184,7 +214,9 @@
             }),
             watch_configuration: Box::new(move |(after, wait, _)| {
                 let rows = follows.clone();
-                Box::pin(in_time(wait, async move { rows.watch_configuration(after, wait).await }))
+                Box::pin(async move {
+                    in_time(wait, async move { rows.watch_configuration(after, wait).await }).await.flatten()
+                })
             }),
         })
     }
