Make the checkpoints of running tasks durable, the most unsaved work first

Cause: a placer kept the checkpoints of running tasks in memory only.

Change: once a second the cell chooses up to 20 jobs whose rows lack the most work that is saved on workers, none below one core-second. Their checkpoints go along in the grouped writes of progress, behind all ends, or alone after 0.4 s without a batch; no end waits for them to be settled, and a write that fails is repeated behind all ends. The row names the run of each checkpoint, so that the end of a run that is over and superseded doesn't replace the one in use, also not for the next placer. Log line checkpoints_chosen, a counter, a gauge and the dump.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,6 +4,7 @@
 //! [`Write`](writes::Write)s that come out.
 
 mod agents;
+mod checkpoints;
 mod ends;
 mod filling;
 mod jobs;
@@ -20,6 +21,8 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+use self::checkpoints::Checkpoints;
+pub use self::checkpoints::Unsaved;
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
@@ -115,6 +118,15 @@
         /// Task that decided it, when one did.
         task: Option<TaskId>,
     },
+    /// Checkpoints of jobs that are written next.
+    CheckpointsChosen {
+        /// Jobs that are written, and the work that this saves.
+        chosen: Unsaved,
+        /// Their tasks with a new checkpoint.
+        tasks: usize,
+        /// What is left for later.
+        left: Unsaved,
+    },
     /// A worker is left out for a while.
     WorkerEjected {
         /// Agent of the worker.
@@ -154,6 +166,8 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Checkpoints of running tasks that were chosen to become durable.
+    pub checkpoints: u64,
 }
 
 /// An agent and its worker.
@@ -206,6 +220,7 @@
     actions: VecDeque<Action>,
     notes: Vec<Note>,
     writes: Writes,
+    checkpoints: Checkpoints,
     /// Ratio of the time that runs take to their estimates, by queue.
     estimates: Map<Name, f64>,
     counters: Counters,
@@ -241,6 +256,7 @@
             actions: VecDeque::new(),
             notes: Vec::new(),
             writes: Writes::default(),
+            checkpoints: Checkpoints::default(),
             estimates: Map::default(),
             counters: Counters::default(),
             needs_placing: false,
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -227,6 +227,7 @@
     fn reconcile(&mut self, name: &Name, running: &[RunReport], starting: &[(TaskId, u64)], now: Duration) {
         for report in running {
             self.adopt(name, report.task, report.run, Some(report.percent), now);
+            self.take_checkpoint(report);
         }
         for (task, run) in starting {
             self.adopt(name, *task, *run, None, now);
@@ -275,6 +276,7 @@
         let need = need(&entry.job, task.key);
         let image = entry.job.step(task.key).and_then(|step| step.image.clone());
         if let Some(state) = entry.tasks.get_mut(&task.key) {
+            state.checkpoint.run = state.checkpoint.run.max(number);
             state.runs.push(Run {
                 number,
                 agent: Arc::clone(name),
@@ -356,11 +358,7 @@
             } else {
                 continue;
             }
-            if !report.checkpoint.is_empty()
-                && let Some(state) = self.task_mut(report.task)
-            {
-                state.checkpoint.0 = Arc::clone(&report.checkpoint);
-            }
+            self.take_checkpoint(report);
         }
         for agent in paced {
             self.count_held_back(&agent);
--- /dev/null
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -0,0 +1,221 @@
+//! Checkpoints of tasks: which one the next run begins from, and which become durable while their run goes on.
+//!
+//! Handles the loss of all workers and entries at once. The checkpoints that agents report are kept in memory only, and
+//! writing each of them would take a write for every report of every run. So the jobs with the most unsaved work are
+//! written, at a bounded rate: what is lost grows with the number of such jobs over [`JOBS_MAX`], and not with the time
+//! that their runs take.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::id::Name;
+
+use super::jobs::{JobEntry, Task};
+use super::{Cell, Note};
+use crate::job::{JobId, TaskKey};
+use crate::progress::{Checkpointed, Progress};
+use crate::worker::RunReport;
+
+/// Least time between two choices of jobs; the loss that callers notice is in seconds.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Jobs that are chosen at one time; half of a batch, so that the ends of runs have the other half.
+const JOBS_MAX: usize = 20;
+/// Unsaved work of a job, in core-milliseconds, below which a write costs more than it may save.
+const UNSAVED_MIN_CORE_MS: u64 = 1_000;
+/// Bytes of the rows that are chosen at one time: at 10 Mbit/s they delay the ends in the same batch by 70 ms.
+const CHOICE_BYTES_MAX: usize = 64 << 10;
+/// Size up to which a row takes checkpoints of more tasks. A row ends at 64 KiB, and the ends of tasks come into it too.
+const ROW_BYTES_MAX: usize = 24 << 10;
+/// Bytes of the key of a task in a row.
+const KEY_BYTES: usize = 30;
+/// Bytes of a checkpoint in a row without its text: the key twice, run and percent.
+const CHECKPOINT_BYTES: usize = 2 * KEY_BYTES + 24;
+
+/// Checkpoint that the next run of a task begins from.
+#[derive(Clone, Debug)]
+pub(crate) struct Checkpoint {
+    /// Text for the worker; empty when there is none.
+    pub(crate) text: Name,
+    /// Newest run that saved it or began from it.
+    pub(crate) run: u64,
+    /// How far the task was, by the report that first named it.
+    pub(crate) percent: u32,
+}
+
+impl Default for Checkpoint {
+    fn default() -> Self {
+        Self { text: Arc::from(""), run: 0, percent: 0 }
+    }
+}
+
+impl Checkpoint {
+    /// What a row says of a task.
+    pub(crate) fn stored(progress: &Progress, key: TaskKey) -> Self {
+        let Some(text) = progress.checkpoints.get(&key) else { return Self::default() };
+        let by = progress.checkpointed.get(&key).copied().unwrap_or_default();
+        Self { text: Arc::clone(text), run: by.run, percent: by.percent }
+    }
+}
+
+/// Work of open jobs that isn't durable, though it is saved on workers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Unsaved {
+    /// Jobs with enough of it to be written.
+    pub jobs: usize,
+    /// Their unsaved work in core-milliseconds.
+    pub core_ms: u64,
+}
+
+/// State of the choice.
+#[derive(Debug, Default)]
+pub(crate) struct Checkpoints {
+    /// When jobs are chosen next.
+    due: Duration,
+    /// What the last choice left.
+    left: Unsaved,
+}
+
+impl Task {
+    /// Takes a checkpoint of a run, and tells whether it is in use now.
+    ///
+    /// One of a run that is over and superseded isn't taken. Of two copies of a task, the one that is further counts.
+    pub(crate) fn take_checkpoint(&mut self, run: u64, text: &Name, percent: Option<u32>) -> bool {
+        let present = &self.checkpoint;
+        let percent = percent.unwrap_or(present.percent);
+        let is_active = |number: u64| self.runs.iter().any(|run| run.number == number);
+        let counts = match run.cmp(&present.run) {
+            Ordering::Equal => true,
+            Ordering::Greater => percent > present.percent || !is_active(present.run),
+            Ordering::Less => percent > present.percent && is_active(run),
+        };
+        if text.is_empty() || !counts {
+            return false;
+        }
+        self.checkpoint.run = run;
+        if self.checkpoint.text != *text {
+            self.checkpoint.text = Arc::clone(text);
+            self.checkpoint.percent = percent;
+        }
+        true
+    }
+}
+
+impl JobEntry {
+    /// Puts the checkpoint of a task into the job's progress.
+    pub(crate) fn put_checkpoint(&mut self, key: TaskKey) {
+        let Some(task) = self.tasks.get(&key) else { return };
+        let Checkpoint { text, run, percent } = &task.checkpoint;
+        self.progress.checkpoints.insert(key, Arc::clone(text));
+        self.progress.checkpointed.insert(key, Checkpointed { run: *run, percent: *percent });
+    }
+
+    /// Tasks with a checkpoint that the progress doesn't hold, with the work in core-milliseconds that it would save.
+    fn unsaved_tasks(&self) -> Vec<(u64, TaskKey)> {
+        if !self.is_open() || !self.job.steps.iter().any(|step| step.checkpointing) {
+            return Vec::new();
+        }
+        let unsaved = |(key, task): (&TaskKey, &Task)| {
+            let step = self.job.step(*key).filter(|step| step.checkpointing && !step.lasting && !task.is_done)?;
+            let is_stored = self.progress.checkpoints.get(key) == Some(&task.checkpoint.text);
+            if task.checkpoint.text.is_empty() || is_stored {
+                return None;
+            }
+            let stored_percent = self.progress.checkpointed.get(key).map_or(0, |stored| stored.percent);
+            let gained_percent = u64::from(task.checkpoint.percent.saturating_sub(stored_percent));
+            let estimate_ms = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            let core_ms = estimate_ms.saturating_mul(step.resources.processor_millicores) / 1_000;
+            Some((core_ms.saturating_mul(gained_percent) / 100, *key))
+        };
+        self.tasks.iter().filter_map(unsaved).collect()
+    }
+
+    /// Puts unsaved checkpoints into the progress, the most work first, as far as the row has room; gives their number.
+    fn put_unsaved(&mut self) -> usize {
+        let mut unsaved = self.unsaved_tasks();
+        unsaved.sort_unstable_by(|one, other| other.cmp(one));
+        let mut bytes = row_bytes(&self.progress);
+        let mut put = 0;
+        for (_, key) in unsaved {
+            let Some(task) = self.tasks.get(&key) else { continue };
+            if !self.progress.checkpoints.contains_key(&key) {
+                let more = CHECKPOINT_BYTES + task.checkpoint.text.len();
+                if bytes + more > ROW_BYTES_MAX {
+                    continue;
+                }
+                bytes += more;
+            }
+            self.put_checkpoint(key);
+            put += 1;
+        }
+        put
+    }
+}
+
+/// Approximate size of a row.
+fn row_bytes(progress: &Progress) -> usize {
+    let texts: usize = progress.checkpoints.values().map(|text| text.len()).sum();
+    (progress.done.len() + progress.failures.len()) * KEY_BYTES + progress.checkpoints.len() * CHECKPOINT_BYTES + texts
+}
+
+impl Cell {
+    /// Chooses the jobs whose checkpoints are written next, when it is time.
+    ///
+    /// Nothing is chosen while checkpoints that were chosen before aren't durable.
+    pub fn save_checkpoints(&mut self, now: Duration) {
+        if self.writes.has_checkpoints() {
+            self.writes.checkpoints_waited(now);
+            return;
+        }
+        if now < self.checkpoints.due {
+            return;
+        }
+        self.checkpoints.due = now + INTERVAL;
+        let work = |entry: &JobEntry| entry.unsaved_tasks().iter().map(|(core_ms, _)| core_ms).sum::<u64>();
+        let mut unsaved: Vec<(u64, JobId)> = self
+            .jobs
+            .iter()
+            .map(|(id, entry)| (work(entry), *id))
+            .filter(|(core_ms, _)| *core_ms >= UNSAVED_MIN_CORE_MS)
+            .collect();
+        unsaved.sort_unstable_by(|one, other| other.cmp(one));
+        let (mut tasks, mut bytes, mut chosen) = (0, 0, Unsaved::default());
+        for (core_ms, id) in unsaved.iter().take(JOBS_MAX) {
+            let Some(entry) = self.jobs.get_mut(id) else { continue };
+            let put = entry.put_unsaved();
+            bytes += row_bytes(&entry.progress);
+            if put == 0 {
+                continue;
+            }
+            tasks += put;
+            chosen.jobs += 1;
+            chosen.core_ms += core_ms;
+            self.writes.save(*id, now);
+            if bytes >= CHOICE_BYTES_MAX {
+                break;
+            }
+        }
+        let all = unsaved.iter().map(|(core_ms, _)| core_ms).sum::<u64>();
+        self.checkpoints.left =
+            Unsaved { jobs: unsaved.len() - chosen.jobs, core_ms: all.saturating_sub(chosen.core_ms) };
+        if chosen.jobs > 0 {
+            self.counters.checkpoints += tasks as u64;
+            self.notes.push(Note::CheckpointsChosen { chosen, tasks, left: self.checkpoints.left });
+        }
+    }
+
+    /// Takes in the checkpoint that a running task reports.
+    pub(crate) fn take_checkpoint(&mut self, report: &RunReport) {
+        if let Some(task) = self.task_mut(report.task)
+            && task.runs.iter().any(|run| run.number == report.run)
+        {
+            task.take_checkpoint(report.run, &report.checkpoint, Some(report.percent));
+        }
+    }
+
+    /// Unsaved work that the last choice of checkpoints has left.
+    #[must_use]
+    pub const fn unsaved(&self) -> Unsaved {
+        self.checkpoints.left
+    }
+}
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -48,6 +48,9 @@
         let was_known = self.release(name, end.task, end.run);
         let started = self.run_mut(end.task, end.run).and_then(|run| run.started);
         let took = started.map(|started| now.saturating_sub(started));
+        if matches!(end.kind, EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone) {
+            self.keep_checkpoint(end);
+        }
         // What follows from the end concerns the task's other runs.
         if let Some(task) = self.task_mut(end.task) {
             task.runs.retain(|run| run.number != end.run);
@@ -58,9 +61,7 @@
         match end.kind {
             EndKind::Done => self.task_done(end.task, took, now),
             EndKind::Failed => self.task_failed(name, end.task, end.run, was_known, now),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
-                self.keep_checkpoint(end);
-            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
         if was_known {
             self.run_over(end.task, end.run, now);
@@ -90,14 +91,13 @@
     }
 
     fn keep_checkpoint(&mut self, end: &End) {
-        if end.checkpoint.is_empty() {
+        let percent = self.run(end.task, end.run).map(|run| run.percent);
+        let Some(task) = self.task_mut(end.task).filter(|task| !task.is_done) else { return };
+        if !task.take_checkpoint(end.run, &end.checkpoint, percent) {
             return;
         }
-        if let Some(task) = self.task_mut(end.task) {
-            task.checkpoint.0 = Arc::clone(&end.checkpoint);
-        }
         let Some(entry) = self.jobs.get_mut(&end.task.job).filter(|entry| entry.is_open()) else { return };
-        entry.progress.checkpoints.insert(end.task.key, Arc::clone(&end.checkpoint));
+        entry.put_checkpoint(end.task.key);
         self.mark_dirty(end.task.job);
     }
 
@@ -142,6 +142,7 @@
         entry.progress.done.insert(task.key);
         entry.progress.failures.remove(&task.key);
         entry.progress.checkpoints.remove(&task.key);
+        entry.progress.checkpointed.remove(&task.key);
         self.ready.remove(&task);
         self.stop_runs(task, "done_elsewhere", |_| true);
     }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -7,6 +7,7 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
+use super::checkpoints::Checkpoint;
 use super::{Cell, Note, task_id};
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
 use crate::packing::Need;
@@ -51,16 +52,6 @@
     pub(crate) avoided: Vec<Name>,
 }
 
-/// Checkpoint to begin from; empty when there is none.
-#[derive(Clone, Debug)]
-pub(crate) struct Checkpoint(pub(crate) Name);
-
-impl Default for Checkpoint {
-    fn default() -> Self {
-        Self(Arc::from(""))
-    }
-}
-
 /// A job that the placer knows.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
@@ -363,14 +354,12 @@
         let mut left = 0;
         for index in 0..step.count {
             let key = TaskKey { occurrence, step: position, index };
-            let mut task = Task {
+            let task = Task {
                 is_done: entry.progress.done.contains(&key),
                 failed_runs: entry.progress.failures.get(&key).cloned().unwrap_or_default(),
+                checkpoint: Checkpoint::stored(&entry.progress, key),
                 ..Task::default()
             };
-            if let Some(checkpoint) = entry.progress.checkpoints.get(&key) {
-                task.checkpoint = Checkpoint(Arc::clone(checkpoint));
-            }
             left += u32::from(!task.is_done);
             entry.tasks.insert(key, task);
         }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -379,12 +379,13 @@
         let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
         state.starts = starts.unwrap_or(state.starts + 1);
-        let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.0));
+        let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.text));
         agent.occupy(&need, step.image.clone());
         let run = self.run_number(number);
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
         if let Some(state) = self.task_mut(task) {
+            state.checkpoint.run = run;
             state.runs.push(Run {
                 number: run,
                 agent: Arc::clone(name),
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -2,6 +2,9 @@
 //!
 //! Each change of a job's progress gives it a new version. An end may be settled when the version that holds it is
 //! durable, and every earlier end of the same worker is settled.
+//!
+//! Checkpoints of running tasks make no new version, so that no end waits for them. They take what room the changes of
+//! versions leave in a batch, and one of their own when there has been none for [`ALONE_AFTER`].
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -9,6 +12,7 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
+use super::jobs::JobEntry;
 use super::{Action, Cell};
 use crate::job::JobId;
 use crate::progress::Progress;
@@ -16,6 +20,8 @@
 
 /// Rows of progress that one batch may hold; below the store's bound on a transaction, with room for conditions.
 const BATCH_MAX: usize = 40;
+/// Time for which checkpoints wait for a batch with ends to go along with; most cells have several in that time.
+const ALONE_AFTER: Duration = Duration::from_millis(400);
 
 /// New content of the row of a job's progress.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,6 +69,14 @@
     /// Jobs in `dirty`.
     is_dirty: Set<JobId>,
     versions: Map<JobId, Versions>,
+    /// Jobs of which only checkpoints are to be written.
+    saving: VecDeque<JobId>,
+    /// Those of them that are in the batch under way.
+    saving_in_flight: Set<JobId>,
+    /// When `saving` got its first job.
+    saving_since: Duration,
+    /// They have waited long enough for a batch with ends.
+    is_saving_alone: bool,
     /// Some of them show how a job ended.
     is_urgent: bool,
     /// Number of the newest batch.
@@ -92,6 +106,25 @@
         }
     }
 
+    /// Adds a job of which only checkpoints are to be written.
+    pub(crate) fn save(&mut self, job: JobId, now: Duration) {
+        if self.saving.is_empty() {
+            self.saving_since = now;
+            self.is_saving_alone = false;
+        }
+        self.saving.push_back(job);
+    }
+
+    /// Whether checkpoints that were added aren't durable yet.
+    pub(crate) fn has_checkpoints(&self) -> bool {
+        !self.saving.is_empty() || !self.saving_in_flight.is_empty()
+    }
+
+    /// Lets checkpoints go without ends once they have waited long enough.
+    pub(crate) fn checkpoints_waited(&mut self, now: Duration) {
+        self.is_saving_alone = now >= self.saving_since + ALONE_AFTER;
+    }
+
     fn present(&self, job: JobId) -> u64 {
         self.versions.get(&job).map_or(0, |versions| versions.present)
     }
@@ -132,16 +165,22 @@
         if self.writes.is_in_flight {
             return None;
         }
-        if self.writes.dirty.is_empty() {
+        let may_save = !self.writes.dirty.is_empty() || (self.writes.is_saving_alone && !self.writes.saving.is_empty());
+        if !may_save {
             self.settle();
             return None;
         }
         let count = self.writes.dirty.len().min(BATCH_MAX);
-        let jobs: Vec<JobId> = self.writes.dirty.drain(..count).collect();
+        let mut jobs: Vec<JobId> = self.writes.dirty.drain(..count).collect();
         for job in &jobs {
             self.writes.is_dirty.remove(job);
         }
         self.writes.is_urgent &= !self.writes.dirty.is_empty();
+        self.add_checkpoints(&mut jobs);
+        if jobs.is_empty() {
+            self.settle();
+            return None;
+        }
         let write = |job: &JobId| {
             let entry = self.jobs.get(job)?;
             let version = self.writes.versions.get(job).map_or(0, |versions| versions.present);
@@ -153,9 +192,24 @@
         Some(Batch { number: self.writes.newest, writes })
     }
 
+    /// Fills a batch up with jobs of which only checkpoints are to be written.
+    fn add_checkpoints(&mut self, jobs: &mut Vec<JobId>) {
+        while jobs.len() < BATCH_MAX
+            && let Some(job) = self.writes.saving.pop_front()
+        {
+            // The end of a job, and other ends of its tasks, are written with the checkpoints that are kept beside them.
+            let is_needed = self.jobs.get(&job).is_some_and(JobEntry::is_open);
+            if is_needed && !self.writes.is_dirty.contains(&job) && !jobs.contains(&job) {
+                jobs.push(job);
+                self.writes.saving_in_flight.insert(job);
+            }
+        }
+    }
+
     /// Takes note that a batch is durable, under `revision`.
     pub fn committed(&mut self, batch: &Batch, revision: u64, now: Duration) {
         self.writes.is_in_flight = false;
+        self.writes.saving_in_flight.clear();
         for write in &batch.writes {
             if let Some(versions) = self.writes.versions.get_mut(&write.job) {
                 versions.durable = versions.durable.max(write.version);
@@ -184,8 +238,11 @@
     pub fn give_back(&mut self, batch: &Batch) {
         self.writes.is_in_flight = false;
         self.writes.is_urgent |= batch.writes.iter().any(|write| write.progress.outcome.is_some());
+        let saving = std::mem::take(&mut self.writes.saving_in_flight);
         for write in batch.writes.iter().rev() {
-            if self.writes.is_dirty.insert(write.job) {
+            if saving.contains(&write.job) {
+                self.writes.saving.push_front(write.job);
+            } else if self.writes.is_dirty.insert(write.job) {
                 self.writes.dirty.push_front(write.job);
             }
         }
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -18,6 +18,15 @@
     Canceled,
 }
 
+/// Where a saved progress comes from.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Checkpointed {
+    /// Newest run that saved it or began from it; an end of an earlier one that is told later doesn't replace it.
+    pub run: u64,
+    /// How far the task was.
+    pub percent: u32,
+}
+
 /// Content of the row of a job's progress: what a new placer can't learn from agents.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Progress {
@@ -29,6 +38,9 @@
     pub failures: BTreeMap<TaskKey, BTreeSet<u64>>,
     /// Saved progress of tasks that aren't done.
     pub checkpoints: BTreeMap<TaskKey, Name>,
+    /// Where that comes from.
+    #[serde(default)]
+    pub checkpointed: BTreeMap<TaskKey, Checkpointed>,
     /// Present once the job has ended.
     pub outcome: Option<Outcome>,
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -28,6 +28,8 @@
     durable_ms: Histogram<f64>,
     runs: Counter<u64>,
     waiting: Gauge<u64>,
+    checkpoints: Counter<u64>,
+    unsaved_core_ms: Gauge<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
     configuration_version: Gauge<u64>,
@@ -50,6 +52,14 @@
         durable_ms: latency("chervilledge_durable_ms", "time until a batch of progress was written"),
         runs: meter.u64_counter("chervilledge_runs").with_description("runs by how they ended").build(),
         waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
+        checkpoints: meter
+            .u64_counter("chervilledge_checkpoints")
+            .with_description("checkpoints of running tasks that were chosen to become durable")
+            .build(),
+        unsaved_core_ms: meter
+            .u64_gauge("chervilledge_unsaved_core_ms")
+            .with_description("work saved on workers that the last choice of checkpoints left undurable")
+            .build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
             .with_description("age of the placer's last confirmation at the store")
@@ -106,6 +116,16 @@
         self.durable_ms.record(milliseconds(took), &[]);
     }
 
+    /// Counts checkpoints of running tasks that were chosen to become durable.
+    pub fn checkpoints(&self, tasks: u64) {
+        self.checkpoints.add(tasks, &[]);
+    }
+
+    /// Takes note of the work in core-milliseconds whose checkpoints wait for a later choice.
+    pub fn unsaved(&self, core_ms: u64) {
+        self.unsaved_core_ms.record(core_ms, &[]);
+    }
+
     /// Takes note of the placer's queue and of the age of its last confirmation.
     pub fn placer(&self, waiting: usize, confirmation_age: Duration) {
         self.waiting.record(waiting as u64, &[]);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -399,6 +399,10 @@
                 self.cell.watch_runs(now);
             }
         }
+        if holds && self.is_loaded {
+            self.cell.save_checkpoints(now);
+            self.context.metrics.unsaved(self.cell.unsaved().core_ms);
+        }
         self.share_effects(now);
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -21,12 +21,14 @@
             Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
             Note::Ended { how, .. } => metrics.run_ended(how),
             Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
+            Note::CheckpointsChosen { tasks, .. } => metrics.checkpoints(*tasks as u64),
             Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
         }
     }
 
     pub(super) fn dump(&self, now: Duration) -> Value {
         let (jobs, open) = self.cell.job_counts();
+        let unsaved = self.cell.unsaved();
         let agents: Vec<Value> = self
             .cell
             .agents()
@@ -39,6 +41,7 @@
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
             "agents_unheard": self.cell.unresolved(),
+            "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
             "agents": agents,
             "counters": format!("{:?}", self.cell.counters()),
         })
@@ -60,6 +63,10 @@
             log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
                 task = task; "");
         }
+        Note::CheckpointsChosen { chosen, tasks, left } => {
+            log::info!(event = "checkpoints_chosen", jobs = chosen.jobs, tasks = tasks, core_ms = chosen.core_ms,
+                jobs_left = left.jobs, core_ms_left = left.core_ms; "");
+        }
         Note::WorkerEjected { agent, reason } => {
             log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
         }
