Refuse callers while the store breaks connections, and probe it by bounded reads

Cause: a request whose connection breaks has an unknown outcome.

Change: an outcome tells a broken and a refused connection from silence. From the first break that an entry sees, also in a feed, no caller's request is sent: 503 with Retry-After of 1 s and up to 1 s of random time. A read that began after the last break, or a probe of row cell/placer, lets one caller go first; its answer ends the outage. Probes are bounded for the whole cell, 250 ms times a third of the entries for each. A silent store is tried by callers as before. The stand-in store of the scheduler's tests gets two faults that break connections.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod interference;
 pub mod job;
+pub mod outage;
 pub mod pace;
 pub mod packing;
 pub mod progress;
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -61,7 +61,7 @@
     match outcome {
         Outcome::Done(revision) => Some((term, revision)),
         // A claim that takes effect later shows in the row, and is followed by another one under a new term.
-        Outcome::Conflict(_) | Outcome::Refused | Outcome::Unknown => None,
+        Outcome::Conflict(_) | Outcome::Refused | Outcome::NotThere | Outcome::Unknown | Outcome::Broken => None,
     }
 }
 
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -5,7 +5,7 @@
 mod requests;
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use crate::clock::whole_ms;
 use crate::feed;
 use crate::metrics::Metrics;
+use crate::outage;
 use crate::peer::{Link, Pending};
 use crate::placer;
 use crate::roster::{self, Roster};
@@ -127,8 +128,13 @@
 ) -> std::io::Result<Entry> {
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configured, configuration) = watch::channel(None);
+    let entries = Arc::new(AtomicUsize::new(1));
+    let counted = Arc::clone(&entries);
+    let view = outage::open(&clock, &metrics, Arc::new(move || counted.load(Ordering::Relaxed)));
+    let unwatched = store;
+    let store = view.watched(&unwatched);
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
-    let submitter = submit::spawn(&store, &clock);
+    let submitter = submit::spawn_with(&unwatched, &clock, view);
     let inner = Inner {
         settings,
         clock,
@@ -155,6 +161,7 @@
             configured,
         )),
         tokio::spawn(announce(store, entry.inner.settings.clone())),
+        tokio::spawn(count_entries(entry.inner.roster.view.clone(), entries)),
         tokio::spawn(links::accept_all(listener, entry.clone())),
         tokio::spawn(election::run(entry.clone())),
         tokio::spawn(links::follow_placer(entry.clone())),
@@ -200,6 +207,7 @@
             "is_ready": self.is_ready(),
             "configuration_version": self.configuration().map(|configuration| configuration.version),
             "way_to_placer": format!("{:?}", *self.inner.way.borrow()),
+            "store": self.inner.submitter.view().standing().as_str(),
             "placer": placer,
         })
     }
@@ -257,6 +265,14 @@
     }
 }
 
+/// Keeps the number of entries of the cell.
+async fn count_entries(mut view: watch::Receiver<Option<Arc<Roster>>>, entries: Arc<AtomicUsize>) {
+    while view.changed().await.is_ok() {
+        let count = view.borrow_and_update().as_ref().map_or(1, |roster| roster.entries.len().max(1));
+        entries.store(count, Ordering::Relaxed);
+    }
+}
+
 /// Writes where the entry takes links.
 async fn announce(store: Handle, settings: settings::Entry) {
     let content = Process { address: settings.links_address };
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -7,6 +7,7 @@
 use chervilledge_cell::progress::{Outcome, Progress};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
+use rand::Rng;
 
 use super::{Entry, Reply, Way, lock};
 use crate::clock::whole_ms;
@@ -25,6 +26,9 @@
 const PENDING_FRESH: Duration = Duration::from_secs(6);
 /// When a caller may come back that the store's outage has turned away.
 const OUTAGE_RETRY: Duration = Duration::from_secs(1);
+/// Longest random time beyond that while the store breaks connections: every caller is refused then, and those of one
+/// moment would come again together.
+const OUTAGE_RETRY_SPREAD: Duration = Duration::from_secs(1);
 /// Time for which a job whose outcome was unknown isn't told to be refused: longer than the store takes for a write that
 /// takes effect late, and than callers come again.
 const UNDECIDED_KEPT: Duration = Duration::from_secs(20);
@@ -56,7 +60,7 @@
         if stored == Stored::Done {
             self.tell_placer(ToEntry::Submitted(Box::new(job)));
         }
-        self.counted("submit", reply(stored, Reply::Accepted), began)
+        self.counted("submit", self.reply(stored, Reply::Accepted), began)
     }
 
     /// Corrects a refusal that an earlier attempt with the same identifier has made untrue.
@@ -108,7 +112,7 @@
         match self.known_state(id).await {
             Ok(Some(_)) => {}
             Ok(None) => return self.counted("cancel", Reply::NoJob, began),
-            Err(()) => return self.counted("cancel", refused(), began),
+            Err(()) => return self.counted("cancel", self.refused(), began),
         }
         let mut stored = self.inner.submitter.store_cancel(id, deadline).await;
         if stored == Stored::Refused {
@@ -118,7 +122,7 @@
         if stored == Stored::Done {
             self.tell_placer(ToEntry::Canceled(id));
         }
-        self.counted("cancel", reply(stored, Reply::Cancelled), began)
+        self.counted("cancel", self.reply(stored, Reply::Cancelled), began)
     }
 
     /// Tells the state of a job.
@@ -127,7 +131,7 @@
         let reply = match self.known_state(id).await {
             Ok(Some(state)) => Reply::State(state),
             Ok(None) => Reply::NoJob,
-            Err(()) => refused(),
+            Err(()) => self.refused(),
         };
         self.counted("state", reply, began)
     }
@@ -153,7 +157,7 @@
             Some((counts, at)) if self.now().saturating_sub(at) < PENDING_FRESH => {
                 Reply::Pending(counts.get(queue).copied().unwrap_or(0))
             }
-            _ => refused(),
+            _ => self.refused(),
         }
     }
 
@@ -234,16 +238,18 @@
         }
         Stored::Refused
     }
-}
 
-fn reply(stored: Stored, done: Reply) -> Reply {
-    match stored {
-        Stored::Done => done,
-        Stored::Refused => refused(),
-        Stored::Unknown => Reply::Undecided,
+    fn reply(&self, stored: Stored, done: Reply) -> Reply {
+        match stored {
+            Stored::Done => done,
+            Stored::Refused => self.refused(),
+            Stored::Unknown => Reply::Undecided,
+        }
     }
-}
 
-const fn refused() -> Reply {
-    Reply::Refused { code: Code::PlatformUnavailable, retry_after: OUTAGE_RETRY }
+    fn refused(&self) -> Reply {
+        let spread = if self.inner.submitter.view().is_broken() { OUTAGE_RETRY_SPREAD } else { Duration::ZERO };
+        let retry_after = OUTAGE_RETRY + spread.mul_f64(rand::rng().random());
+        Reply::Refused { code: Code::PlatformUnavailable, retry_after }
+    }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod message;
 pub mod metrics;
+pub mod outage;
 pub mod peer;
 pub mod placer;
 pub mod repeat;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -30,6 +30,8 @@
     waiting: Gauge<u64>,
     checkpoints: Counter<u64>,
     unsaved_core_ms: Gauge<u64>,
+    store_standings: Counter<u64>,
+    probes: Counter<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
     configuration_version: Gauge<u64>,
@@ -60,6 +62,14 @@
             .u64_gauge("chervilledge_unsaved_core_ms")
             .with_description("work saved on workers that the last choice of checkpoints left undurable")
             .build(),
+        store_standings: meter
+            .u64_counter("chervilledge_store_standings")
+            .with_description("changes of what is believed of the store, by the new standing")
+            .build(),
+        probes: meter
+            .u64_counter("chervilledge_probes")
+            .with_description("reads that try a store that breaks connections")
+            .build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
             .with_description("age of the placer's last confirmation at the store")
@@ -126,6 +136,16 @@
         self.unsaved_core_ms.record(core_ms, &[]);
     }
 
+    /// Counts a change of what is believed of the store.
+    pub fn store_standing(&self, standing: &'static str) {
+        self.store_standings.add(1, &[KeyValue::new("standing", standing)]);
+    }
+
+    /// Counts a read that tries a store that breaks connections.
+    pub fn probe(&self, result: &'static str) {
+        self.probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Takes note of the placer's queue and of the age of its last confirmation.
     pub fn placer(&self, waiting: usize, confirmation_age: Duration) {
         self.waiting.record(waiting as u64, &[]);
@@ -185,7 +205,9 @@
         Outcome::Done(_) => "done",
         Outcome::Conflict(_) => "conflict",
         Outcome::Refused => "refused",
+        Outcome::NotThere => "not_there",
         Outcome::Unknown => "unknown",
+        Outcome::Broken => "broken",
     }
 }
 
@@ -194,6 +216,7 @@
         Ok(_) => "done",
         Err(ReadError::Silent) => "silent",
         Err(ReadError::Unreachable) => "unreachable",
+        Err(ReadError::Broken) => "broken",
         Err(ReadError::Refused) => "refused",
         Err(ReadError::HistoryLost) => "history_lost",
         Err(ReadError::Malformed) => "malformed",
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -46,7 +46,7 @@
                 Message::Confirmed { asked, revision }
             }
             Outcome::Conflict(_) => Message::Deposed("confirmation"),
-            Outcome::Refused | Outcome::Unknown => {
+            Outcome::Refused | Outcome::NotThere | Outcome::Unknown | Outcome::Broken => {
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(event = "store_lost", by = "confirmation", outcome:? = outcome, term = context.term; "");
                 }
--- a/crates/scheduler/src/placer/writing.rs
+++ b/crates/scheduler/src/placer/writing.rs
@@ -74,7 +74,7 @@
                 log::info!(event = "progress_conflict", batch = batch.number, jobs = batch.writes.len(); "");
                 self.cell.conflicted(batch, &revisions);
             }
-            Outcome::Refused | Outcome::Unknown => {
+            Outcome::Refused | Outcome::NotThere | Outcome::Unknown | Outcome::Broken => {
                 log::warn!(event = "progress_not_written", batch = batch.number, outcome:? = outcome; "");
                 self.cell.give_back(batch);
             }
--- a/crates/scheduler/src/repeat.rs
+++ b/crates/scheduler/src/repeat.rs
@@ -96,21 +96,27 @@
 /// Commits a transaction that may be sent twice.
 ///
 /// Either attempt may prove that the transaction took effect. A refusal proves something only of its own attempt, so it
-/// is final only as long as there was no other.
+/// is final only as long as there was no other. The outcome is [`Outcome::Broken`] only if no attempt was silent.
 pub async fn commit(store: &Handle, transaction: Transaction) -> Outcome {
     let attempts = async {
+        let mut is_silent = false;
         let mut attempts = FuturesUnordered::new();
         attempts.push((store.commit)(transaction.clone()));
         match tokio::time::timeout(COMMIT_OVERDUE, attempts.next()).await {
-            Ok(Some(outcome)) if outcome != Outcome::Unknown => return outcome,
-            Ok(_) | Err(_) => attempts.push((store.commit)(transaction)),
+            Ok(Some(outcome)) if !matches!(outcome, Outcome::Unknown | Outcome::Broken) => return outcome,
+            Ok(first) => {
+                is_silent = first != Some(Outcome::Broken);
+                attempts.push((store.commit)(transaction));
+            }
+            Err(_) => attempts.push((store.commit)(transaction)),
         }
         while let Some(outcome) = attempts.next().await {
             if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
                 return outcome;
             }
+            is_silent |= !matches!(outcome, Outcome::Broken | Outcome::NotThere);
         }
-        Outcome::Unknown
+        if is_silent { Outcome::Unknown } else { Outcome::Broken }
     };
     tokio::time::timeout(COMMIT_GIVE_UP, attempts).await.unwrap_or(Outcome::Unknown)
 }
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -122,8 +122,12 @@
     Conflict(Vec<(Name, Row)>),
     /// The store turned the call away; it didn't and won't take effect.
     Refused,
-    /// It may have taken effect or may still do so while its conditions hold.
+    /// Nothing listens at the store's address; it didn't and won't take effect.
+    NotThere,
+    /// There was no answer; it may have taken effect or may still do so while its conditions hold.
     Unknown,
+    /// The connection broke; the same.
+    Broken,
 }
 
 /// Why rows couldn't be read.
@@ -131,8 +135,10 @@
 pub enum ReadError {
     /// No answer came in time.
     Silent,
-    /// No connection could be opened, or it broke.
+    /// No connection could be opened in time.
     Unreachable,
+    /// Nothing listens at the store's address, or the connection broke.
+    Broken,
     /// The store turned the call away.
     Refused,
     /// The feed's history before the revision is gone.
@@ -146,6 +152,7 @@
         f.write_str(match self {
             Self::Silent => "no answer in time",
             Self::Unreachable => "store unreachable",
+            Self::Broken => "connection refused or broken",
             Self::Refused => "refused by the store",
             Self::HistoryLost => "history lost",
             Self::Malformed => "answer malformed",
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -3,17 +3,20 @@
 //! Every row is written on a condition that makes a repetition harmless, so an attempt without an answer is made again
 //! at once. A request is told that nothing was written only if no attempt for it is left without an answer; one whose
 //! outcome is unknown is told so while its caller still has time to come again. While the store doesn't answer, requests
-//! are refused without being sent, but for one now and then.
+//! are refused without being sent, but for one now and then; while it breaks connections, all are.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_cell::job::{Job, JobId};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
 
 use crate::message::Stored;
+use crate::metrics;
+use crate::outage::{self, View};
 use crate::repeat;
 use crate::rows;
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
@@ -22,8 +25,6 @@
 const GROUP_MAX: usize = 45;
 /// Requests that may wait for the next transaction; more are refused at once.
 const QUEUE_MAX: usize = 1_024;
-/// Interval at which one request tries the store while it doesn't answer.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What is to be stored.
 #[derive(Clone, Debug)]
@@ -44,63 +45,47 @@
 #[derive(Clone, Debug)]
 pub struct Submitter {
     writers: Arc<Map<Partition, mpsc::Sender<Request>>>,
-    outage: Arc<Mutex<Outage>>,
-    clock: Clock,
+    view: View,
+    _prober: Arc<Prober>,
 }
 
-/// Whether the store answers, as the writers see it.
-#[derive(Debug, Default)]
-struct Outage {
-    /// When the next request may try the store; `None` while it answers.
-    probe_due: Option<Duration>,
-    /// When the store last answered.
-    answered: Duration,
-}
-
-impl Outage {
-    /// Whether a request may go to the store now.
-    fn admits(&mut self, now: Duration) -> bool {
-        match &mut self.probe_due {
-            None => true,
-            Some(due) if now < *due => false,
-            Some(due) => {
-                *due = now + PROBE_INTERVAL;
-                true
-            }
-        }
-    }
+/// Ends the probes when it is dropped.
+#[derive(Debug)]
+struct Prober(JoinHandle<()>);
 
-    /// Takes note of what became of an attempt that began at `began`.
-    fn ended(&mut self, is_answered: bool, began: Duration, now: Duration) {
-        let was_away = self.probe_due.is_some();
-        if is_answered {
-            self.probe_due = None;
-            self.answered = now;
-        } else if !was_away && began >= self.answered {
-            self.probe_due = Some(now + PROBE_INTERVAL);
-        }
-        match (was_away, self.probe_due.is_some()) {
-            (true, false) => log::info!(event = "store_regained", by = "submissions"; ""),
-            (false, true) => log::warn!(event = "store_lost", by = "submissions"; ""),
-            (true, true) | (false, false) => {}
-        }
+impl Drop for Prober {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
-/// Starts the writers.
+/// Starts the writers of the only entry of a cell.
 #[must_use]
 pub fn spawn(store: &Handle, clock: &Clock) -> Submitter {
-    let outage = Arc::new(Mutex::new(Outage::default()));
+    spawn_with(store, clock, outage::open(clock, &metrics::open(), Arc::new(|| 1)))
+}
+
+/// Starts the writers; they and the other parts of the entry share a view of the store.
+#[must_use]
+pub fn spawn_with(store: &Handle, clock: &Clock, view: View) -> Submitter {
     let writer = |partition| {
         let (requests, queue) = mpsc::channel(QUEUE_MAX);
-        tokio::spawn(write_all(Arc::clone(store), clock.clone(), Arc::clone(&outage), queue));
+        tokio::spawn(write_all(Arc::clone(store), clock.clone(), view.clone(), queue));
         (partition, requests)
     };
     let writers = Arc::new(Table::Jobs.partitions().map(writer).collect());
-    Submitter { writers, outage, clock: clock.clone() }
+    let (target, watcher) = (Arc::clone(store), view.clone());
+    let task = tokio::spawn(async move { watcher.probe(&target).await });
+    Submitter { writers, view, _prober: Arc::new(Prober(task)) }
 }
 
 impl Submitter {
+    /// View of the store.
+    #[must_use]
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
     /// Stores a job unless it is stored already.
     pub async fn store_job(&self, job: Job, deadline: Duration) -> Stored {
         self.ask(job.id, Content::Job(Box::new(job)), deadline).await
@@ -113,7 +98,7 @@
 
     async fn ask(&self, id: JobId, content: Content, deadline: Duration) -> Stored {
         let Some(requests) = self.writers.get(&job_partition(id)) else { return Stored::Refused };
-        if !lock(&self.outage).admits(self.clock.now()) {
+        if !self.view.admits() {
             return Stored::Refused;
         }
         let (answer, stored) = oneshot::channel();
@@ -125,11 +110,7 @@
     }
 }
 
-fn lock(outage: &Mutex<Outage>) -> MutexGuard<'_, Outage> {
-    outage.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-async fn write_all(store: Handle, clock: Clock, outage: Arc<Mutex<Outage>>, mut queue: mpsc::Receiver<Request>) {
+async fn write_all(store: Handle, clock: Clock, view: View, mut queue: mpsc::Receiver<Request>) {
     let mut open: Vec<Request> = Vec::new();
     loop {
         if open.is_empty() {
@@ -144,19 +125,24 @@
                 Err(_) => break,
             }
         }
-        open = write_once(&store, &clock, &outage, open).await;
+        open = write_once(&store, &clock, &view, open).await;
     }
 }
 
 /// Makes one attempt; gives back the requests that aren't answered yet.
-async fn write_once(store: &Handle, clock: &Clock, outage: &Mutex<Outage>, mut open: Vec<Request>) -> Vec<Request> {
+async fn write_once(store: &Handle, clock: &Clock, view: &View, mut open: Vec<Request>) -> Vec<Request> {
     refuse_late(&mut open, clock.now());
     if open.is_empty() {
         return open;
     }
+    if view.is_broken() {
+        // Nothing was sent for them, or a conflict has shown that nothing was written.
+        answer_all(open, Stored::Refused);
+        return Vec::new();
+    }
     let began = clock.now();
     let outcome = repeat::commit(store, transaction(&open)).await;
-    lock(outage).ended(outcome != Outcome::Unknown, began, clock.now());
+    view.written(&outcome, began);
     match outcome {
         Outcome::Done(_) => {
             answer_all(open, Stored::Done);
@@ -174,11 +160,11 @@
             answer_all(stored, Stored::Done);
             rest
         }
-        Outcome::Refused => {
+        Outcome::Refused | Outcome::NotThere => {
             answer_all(open, Stored::Refused);
             Vec::new()
         }
-        Outcome::Unknown => {
+        Outcome::Unknown | Outcome::Broken => {
             answer_all(open, Stored::Unknown);
             Vec::new()
         }
--- /dev/null
+++ b/crates/scheduler/tests/outage.rs
@@ -0,0 +1,92 @@
+//! What callers of many entries are told while the store breaks connections, and soon after.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chervilledge_scheduler::entry::{self, Entry, Reply};
+use chervilledge_scheduler::{metrics, settings};
+use rstest::rstest;
+use support::{Fault, Rows, job, tokio_clock};
+use tokio::time::Instant;
+
+const ENTRIES: usize = 55;
+/// Twice the submissions of the day on which nearly every caller got 504.
+const SUBMISSIONS_PER_S: u32 = 100;
+const OUTAGE: Duration = Duration::from_secs(4);
+/// Submissions of the whole cell that may be without an outcome in each second.
+const UNDECIDED_PER_S: usize = 12;
+
+async fn spawn(number: usize, rows: &Rows) -> Entry {
+    let settings = settings::Entry {
+        name: format!("entry-{number}").into(),
+        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        processor_share: 1.0,
+        worker_lease_max: Duration::from_secs(5),
+        configuration_apply: Duration::from_secs(2),
+        cancellation_apply: Duration::from_secs(3),
+        ended_jobs_kept: Duration::from_mins(2),
+        stop_timeout: Duration::from_secs(6),
+    };
+    entry::spawn(settings, tokio_clock(), rows.store(), metrics::open()).await.expect("an entry")
+}
+
+/// Fifty-five entries that each send a caller's request every 250 ms to a breaking store leave nearly every caller
+/// without an outcome (inc-8e73).
+#[rstest]
+#[case::of_waiting_calls_too(Fault::Broken)]
+#[case::of_new_calls(Fault::BrokenAnew)]
+#[tokio::test(start_paused = true)]
+async fn few_callers_are_without_an_outcome_while_the_store_breaks_connections(#[case] fault: Fault) {
+    let rows = Rows::with(Fault::None);
+    rows.configure(1);
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES {
+        entries.push(spawn(number, &rows).await);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let began = Instant::now();
+    let replies: Arc<Mutex<Vec<(Duration, Reply)>>> = Arc::default();
+    let mut callers = Vec::new();
+    let submissions = SUBMISSIONS_PER_S * 12;
+    for number in 0..submissions {
+        let at = Duration::from_secs(1) * number / SUBMISSIONS_PER_S;
+        // Neighbouring submissions go to distant entries.
+        let entry = &entries[(number * 7) as usize % ENTRIES];
+        let (entry, replies) = (entry.clone(), Arc::clone(&replies));
+        callers.push(tokio::spawn(async move {
+            tokio::time::sleep(at).await;
+            let reply = entry.submit(job(u64::from(number) + 1), Duration::from_secs(3)).await;
+            replies.lock().expect("replies").push((at, reply));
+        }));
+    }
+    tokio::time::sleep_until(began + Duration::from_secs(1)).await;
+    rows.set(fault);
+    tokio::time::sleep(OUTAGE).await;
+    rows.set(Fault::None);
+    for caller in callers {
+        caller.await.expect("an answer");
+    }
+    let replies = replies.lock().expect("replies");
+    let count = |from_ms: u64, to_ms: u64, is_meant: fn(&Reply) -> bool| {
+        let times = Duration::from_millis(from_ms)..Duration::from_millis(to_ms);
+        replies.iter().filter(|(at, reply)| times.contains(at) && is_meant(reply)).count()
+    };
+    let is_undecided = |reply: &Reply| *reply == Reply::Undecided;
+    let undecided: Vec<usize> =
+        (0..12).map(|second| count(second * 1_000, (second + 1) * 1_000, is_undecided)).collect();
+    let is_refused = |reply: &Reply| matches!(reply, Reply::Refused { .. });
+    let refused: Vec<usize> = (0..12).map(|second| count(second * 1_000, (second + 1) * 1_000, is_refused)).collect();
+    println!("undecided by second {undecided:?}, refused {refused:?}");
+    assert!(undecided.iter().all(|count| *count <= UNDECIDED_PER_S), "without an outcome, by second: {undecided:?}");
+    assert!(count(1_500, 5_000, is_refused) > 300, "refused, by second: {refused:?}");
+    let is_accepted = |reply: &Reply| *reply == Reply::Accepted;
+    assert_eq!(count(6_500, 12_000, is_accepted), 550, "not accepted 1.5 s after the store is back: {refused:?}");
+    let is_early = |reply: &Reply| {
+        let Reply::Refused { retry_after, .. } = reply else { return false };
+        *retry_after < Duration::from_secs(1) || *retry_after > Duration::from_secs(2)
+    };
+    assert_eq!(count(0, 12_000, is_early), 0);
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -39,6 +39,10 @@
     Refuse,
     /// Neither takes effect nor answers.
     Silent,
+    /// Breaks every connection at once, also those of calls that wait.
+    Broken,
+    /// Breaks the connections of new calls at once.
+    BrokenAnew,
     /// Answers this much later.
     Slow(Duration),
 }
@@ -147,6 +151,13 @@
         self.answer(wait, |state| Some(told(state)).filter(|told| told.configuration.is_some()), told).await
     }
 
+    /// Ends once the store breaks connections.
+    async fn breaks(&self) {
+        while self.lock().fault != Fault::Broken {
+            tokio::time::sleep(ANSWER_TIME).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -169,30 +180,36 @@
             }),
             read: Box::new(move |(Asked { table, partition, from, .. }, _)| {
                 let rows = reads.clone();
-                Box::pin(in_time(Duration::ZERO, async move { rows.read(table, partition, from).await }))
+                Box::pin(in_time(rows.clone(), Duration::ZERO, async move { rows.read(table, partition, from).await }))
             }),
             read_one: Box::new(move |(table, key)| {
                 let rows = reads_one.clone();
-                Box::pin(in_time(Duration::ZERO, async move {
+                Box::pin(in_time(rows.clone(), Duration::ZERO, async move {
                     let page = rows.read(table, table.partition(&key), Arc::clone(&key)).await;
                     page.rows.into_iter().next().filter(|row| row.key == key)
                 }))
             }),
             watch: Box::new(move |(table, after, wait, _)| {
                 let rows = watches.clone();
-                Box::pin(in_time(wait, async move { rows.watch(table, after, wait).await }))
+                Box::pin(in_time(rows.clone(), wait, async move { rows.watch(table, after, wait).await }))
             }),
             watch_configuration: Box::new(move |(after, wait, _)| {
                 let rows = follows.clone();
-                Box::pin(in_time(wait, async move { rows.watch_configuration(after, wait).await }))
+                Box::pin(in_time(rows.clone(), wait, async move { rows.watch_configuration(after, wait).await }))
             }),
         })
     }
 }
 
 /// Gives an answer up as a client of the store does.
-async fn in_time<T>(wait: Duration, answer: impl Future<Output = T>) -> Result<T, ReadError> {
-    tokio::time::timeout(wait + WATCH_MARGIN, answer).await.or(Err(ReadError::Silent))
+async fn in_time<T>(rows: Rows, wait: Duration, answer: impl Future<Output = T>) -> Result<T, ReadError> {
+    if rows.lock().fault == Fault::BrokenAnew {
+        return Err(ReadError::Broken);
+    }
+    tokio::select! {
+        answer = tokio::time::timeout(wait + WATCH_MARGIN, answer) => answer.or(Err(ReadError::Silent)),
+        () = rows.breaks() => Err(ReadError::Broken),
+    }
 }
 
 impl State {
@@ -219,6 +236,7 @@
             Fault::None | Fault::Slow(_) | Fault::LoseAnswers(0) => Some(self.commit(transaction)),
             Fault::Refuse => Some(Outcome::Refused),
             Fault::Silent => None,
+            Fault::Broken | Fault::BrokenAnew => Some(Outcome::Broken),
             Fault::LoseAnswers(left) => {
                 self.fault = Fault::LoseAnswers(left - 1);
                 self.commit(transaction);
