Give the room beside serving runs to the most urgent filling runs

Cause: every filling run of an image that disturbs a serving run had the same pace, whoever waited for it.

Change: `Paces` decides a pace for each run. What the targets of the serving runs leave is given out in the order of urgency, at full pace as long as it lasts; runs of unknown urgency come last and share one pace, by the former rule. The room itself, the bound on rises, the smallest change and the halt before harm are as before. A run that starts takes the room of less urgent ones at once. The urgency comes with the start and with `Describe`: jobs that can still meet their objective first, by the work that is left in the job. It applies to filling runs of jobs whose queue has an objective, beside serving runs that they disturb.

Tests of pace name runs instead of images; what they check is the same.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -10,6 +10,7 @@
 mod placing;
 mod stragglers;
 mod unread;
+mod urgencies;
 pub mod writes;
 
 use std::collections::{BTreeSet, VecDeque};
@@ -23,6 +24,7 @@
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
+pub use self::urgencies::Changes;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -13,6 +13,7 @@
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
 use crate::packing::{Load, Need};
+use crate::urgency::Urgency;
 use crate::worker::{End, EndKind, Life, Refusal, RunReport, RunTraits, Worker};
 
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
@@ -265,6 +266,7 @@
             return;
         }
         let allowed = self.may_adopt(task);
+        let urgency = self.urgency(task, Urgency::UNKNOWN, now);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| allowed) else {
             if let Some(agent) = self.agents.get_mut(name) {
                 agent.strays.insert((task, number));
@@ -284,6 +286,7 @@
                 is_stopping: false,
                 pace_percent: FULL_PERCENT,
                 slowed: None,
+                urgency,
             });
         }
         self.ready.remove(&task);
@@ -500,8 +503,11 @@
     #[must_use]
     pub fn describe(&self, name: &Name) -> Vec<(TaskId, u64, RunTraits)> {
         let Some(agent) = self.agents.get(name) else { return Vec::new() };
-        let traits = |task: &TaskId| self.jobs.get(&task.job)?.job.step(task.key).map(RunTraits::of);
-        agent.runs.iter().filter_map(|(task, run)| Some((*task, *run, traits(task)?))).collect()
+        let traits = |(task, run): &(TaskId, u64)| {
+            let urgency = self.run(*task, *run).map_or(Urgency::UNKNOWN, |run| run.urgency);
+            Some((*task, *run, RunTraits::of(self.step_of(*task)?, urgency)))
+        };
+        agent.runs.iter().filter_map(traits).collect()
     }
 
     /// Every run that the placer believes to be on an agent's worker.
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -7,13 +7,12 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
+use super::urgencies::Advance;
 use super::{Cell, Note, task_id};
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
-
-/// Thousandths of a core.
-const MILLICORES: u32 = 1_000;
+use crate::urgency::Urgency;
 
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
@@ -31,6 +30,8 @@
     pub(crate) pace_percent: u32,
     /// Since when the run has been slowed down for the sake of others, without a break.
     pub(crate) slowed: Option<Duration>,
+    /// Urgency, as the agent was told it.
+    pub(crate) urgency: Urgency,
 }
 
 /// A task of a job.
@@ -83,6 +84,7 @@
     pub(crate) opened: u32,
     /// Longest chain of estimates from each step to the end.
     pub(crate) chains: Vec<Duration>,
+    pub(crate) advance: Advance,
     /// When the outcome became durable.
     pub(crate) shown_at: Option<Duration>,
 }
@@ -116,9 +118,7 @@
     /// Processor time of one core that the tasks take which aren't done, by their estimates.
     pub(crate) fn remaining_work(&self) -> Duration {
         let work = |((_, step), left): (&(u32, u32), &u32)| {
-            let step = self.job.steps.get(*step as usize)?;
-            let millicores = u32::try_from(step.resources.processor_millicores).unwrap_or(u32::MAX);
-            Some(step.estimate.saturating_mul(*left).saturating_mul(millicores) / MILLICORES)
+            Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
         };
         self.left.iter().filter_map(work).sum()
     }
@@ -199,6 +199,7 @@
             submitted: now.saturating_sub(age),
             opened: 0,
             chains,
+            advance: Advance::default(),
             shown_at: outcome.map(|_| now),
         };
         if !has_begun {
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -12,7 +12,7 @@
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
 use crate::packing::{self, Need};
-use crate::urgency::{self, Rank, Remaining};
+use crate::urgency::{self, Rank, Remaining, Urgency};
 use crate::worker::{RunTraits, StartOrder, Worker};
 
 /// Tasks that one pass places, and steps for whose tasks it looks for room.
@@ -369,6 +369,7 @@
 
     /// Orders a run; `starts` is given for members of a gang, which share their number.
     pub(crate) fn start(&mut self, task: TaskId, name: &Name, starts: Option<u64>, now: Duration) {
+        let urgency = self.urgency(task, Urgency::UNKNOWN, now);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let job = Arc::clone(&entry.job);
         let age = entry.age(now);
@@ -394,11 +395,12 @@
                 is_stopping: false,
                 pace_percent: FULL_PERCENT,
                 slowed: None,
+                urgency,
             });
         }
         self.ready.remove(&task);
         self.counters.starts += 1;
-        let traits = RunTraits::of(step);
+        let traits = RunTraits::of(step, urgency);
         let order = StartOrder { task, run, spec: Arc::clone(&job.spec), checkpoint, traits };
         self.actions.push_back(Action::Start { agent: Arc::clone(name), life, order });
         let waiting = self.ready.len();
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -19,6 +19,9 @@
 /// Most steps of a job.
 pub const STEPS_MAX: usize = 1_000;
 
+/// Thousandths of a core.
+const MILLICORES: u32 = 1_000;
+
 /// Identifier that the caller chose for a job.
 #[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
 pub struct JobId(pub u64);
@@ -138,6 +141,15 @@
     pub unavailable_max: Option<u32>,
 }
 
+impl Step {
+    /// Processor time of one core that a task takes, by its estimate.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
+        self.estimate.saturating_mul(millicores) / MILLICORES
+    }
+}
+
 /// Times at which a job repeats.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/cell/src/urgency.rs
+++ b/crates/cell/src/urgency.rs
@@ -1,10 +1,12 @@
-//! Order of tasks that wait for room.
+//! Order of tasks that wait for room, and of runs that share what serving runs leave of a worker.
 //!
 //! Answers a load that exceeds the room for a while: jobs that can still meet their objective go first, and among them
 //! the one with the least work left, so that a burst of large jobs doesn't make everything late by the same amount.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::job::Terms;
 
 /// Times the objective after which a result is worth no more than at any later time.
@@ -67,3 +69,59 @@
 fn milliseconds(duration: Duration) -> i64 {
     i64::try_from(duration.as_millis()).unwrap_or(i64::MAX / 8)
 }
+
+/// Work of a job above which urgencies don't differ, in milliseconds of one core: twelve days.
+const WORK_MAX_MS: u64 = 1 << 30;
+/// Factor between the urgencies of jobs that can meet their objective and of late ones: more than between any two of either.
+const LATE_URGENCY_FACTOR: u64 = 1 << 31;
+/// Urgency of every job that is entirely late; none of them gains by going before another.
+const OVERDUE_URGENCY: u64 = 1 << 62;
+/// Part of the objective within which a job that counted as late has to end to count as in time again. Progress is told
+/// in steps, so that jobs at the limit would change their place with every report.
+const REGAINED_PART: f64 = 0.9;
+
+/// Urgency of a run among those that share what serving runs leave of a worker; the smallest is served first.
+///
+/// It grows in proportion to the work that is left in the job, so that a ratio of two urgencies is one of work.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Urgency(pub u64);
+
+impl Urgency {
+    /// Of a run whose job has no objective, or of which nothing is known.
+    pub const UNKNOWN: Self = Self(u64::MAX);
+
+    /// Whether it is smaller by a factor of 1.25 at least. Smaller differences change no order, so that runs don't alternate.
+    #[must_use]
+    pub const fn is_clearly_before(self, other: Self) -> bool {
+        self.0 < other.0 && self.0.saturating_add(self.0 / 4) <= other.0
+    }
+
+    const fn is_late(self) -> bool {
+        self.0 >= LATE_URGENCY_FACTOR
+    }
+}
+
+impl Default for Urgency {
+    fn default() -> Self {
+        Self::UNKNOWN
+    }
+}
+
+/// Urgency of a run of a job of some age; `former` is the one that it had.
+#[must_use]
+pub fn urgency(terms: &Terms, age: Duration, remaining: &Remaining, former: Urgency) -> Urgency {
+    if terms.stretch <= 0.0 && terms.latency_objective.is_zero() {
+        return Urgency::UNKNOWN;
+    }
+    let work_ms = u64::try_from(remaining.work.as_millis()).unwrap_or(WORK_MAX_MS).clamp(1, WORK_MAX_MS);
+    let late = Urgency(work_ms * LATE_URGENCY_FACTOR);
+    match rank(terms, false, age, remaining).class {
+        Class::Lasting | Class::InTime => {
+            let has_been_late = former != Urgency::UNKNOWN && former.is_late();
+            let regained = objective(terms, remaining.chain).mul_f64(REGAINED_PART);
+            if has_been_late && age + remaining.left > regained { late } else { Urgency(work_ms) }
+        }
+        Class::Late => late,
+        Class::Overdue => Urgency(OVERDUE_URGENCY),
+    }
+}
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -8,6 +8,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::job::{Step, TaskId};
+use crate::urgency::Urgency;
 
 /// One life of a worker: after a restart under the same name, nothing of before runs.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -126,17 +127,20 @@
     pub image: Option<Name>,
     /// Processor time that the task asks for.
     pub processor_millicores: u64,
+    /// Its urgency among the filling runs of the worker.
+    pub urgency: Urgency,
 }
 
 impl RunTraits {
-    /// Traits of the runs of a step.
+    /// Traits of a run of a step.
     #[must_use]
-    pub fn of(step: &Step) -> Self {
+    pub fn of(step: &Step, urgency: Urgency) -> Self {
         Self {
             is_filling: step.filling,
             latency_target: step.latency_target,
             image: step.image.clone(),
             processor_millicores: step.resources.processor_millicores,
+            urgency,
         }
     }
 }
--- a/crates/cell/tests/pace.rs
+++ b/crates/cell/tests/pace.rs
@@ -4,7 +4,8 @@
 
 use chervilledge_cell::interference::{Evidence, Interference, Pair, Serving};
 use chervilledge_cell::job::{JobId, TaskId, TaskKey};
-use chervilledge_cell::pace::{Cores, Paces, Tail};
+use chervilledge_cell::pace::{Cores, FillingRun, Paces, Tail};
+use chervilledge_cell::urgency::Urgency;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
@@ -86,8 +87,19 @@
     Tail { task: TaskId { job: JobId(measured_ms), key }, image: Name::from(image), measured, target }
 }
 
-fn filling(images: &[(&str, f64)]) -> Map<Name, Cores> {
-    images.iter().map(|(image, used)| (Name::from(*image), Cores { used: *used, asked: 4.0 })).collect()
+/// A run of an image, of which there is one in each test.
+fn run_of(image: &str) -> (TaskId, u64) {
+    let key = TaskKey { occurrence: 0, step: 0, index: 0 };
+    (TaskId { job: JobId(image.bytes().map(u64::from).sum()), key }, 1)
+}
+
+fn filling_run(image: &str, used: f64) -> FillingRun {
+    let cores = Cores { used, asked: 4.0 };
+    FillingRun { run: run_of(image), image: Name::from(image), cores, urgency: Urgency::UNKNOWN }
+}
+
+fn filling(images: &[(&str, f64)]) -> Vec<FillingRun> {
+    images.iter().map(|(image, used)| filling_run(image, *used)).collect()
 }
 
 /// Looks that end early show the same half second again; the pace of a worker was halved three times within 12 ms.
@@ -99,7 +111,7 @@
     let look = |paces: &mut Paces, later_ms| {
         let now = now + Duration::from_millis(later_ms);
         paces.observe(&[beside("serving", 60)], &filling(&[("a", 4.0)]), &interference, now);
-        paces.percent(&Name::from("a"))
+        paces.percent(run_of("a"))
     };
     let first = look(&mut paces, 0);
     assert!((1..=60).contains(&first), "{first}");
@@ -112,16 +124,16 @@
 fn the_pace_comes_back_when_the_tail_is_low() {
     let interference = known(&[("a", "serving", 0.2)]);
     let mut paces = Paces::new(HARM_AFTER);
-    let image = Name::from("a");
+    let image = run_of("a");
     let mut now = Duration::from_secs(10);
     paces.observe(&[beside("serving", 300)], &filling(&[("a", 4.0)]), &interference, now);
-    assert_eq!(paces.percent(&image), 0);
+    assert_eq!(paces.percent(image), 0);
     let mut looks = 0;
-    while paces.percent(&image) < 100 {
+    while paces.percent(image) < 100 {
         now += Duration::from_millis(450);
         paces.observe(&[beside("serving", 15)], &filling(&[("a", 0.0)]), &interference, now);
         looks += 1;
-        assert!(looks < 10, "still at {}", paces.percent(&image));
+        assert!(looks < 10, "still at {}", paces.percent(image));
     }
 }
 
@@ -132,8 +144,8 @@
     let mut paces = Paces::new(HARM_AFTER);
     let images = filling(&[("a", 4.0), ("b", 4.0)]);
     paces.observe(&[beside("over", 90), beside("quiet", 20)], &images, &interference, Duration::from_secs(10));
-    assert!(paces.percent(&Name::from("a")) <= 40);
-    assert_eq!(paces.percent(&Name::from("b")), 100);
+    assert!(paces.percent(run_of("a")) <= 40);
+    assert_eq!(paces.percent(run_of("b")), 100);
 }
 
 /// Plays a worker whose serving run is over its target by what nothing known explains, or by little of each of many: users
@@ -147,12 +159,12 @@
     let begun = now;
     while now < begun + HARM_AFTER {
         paces.observe(&[beside("over", 47)], &images, &interference, now);
-        let is_halted = images.keys().all(|image| paces.percent(image) == 0);
+        let is_halted = images.iter().all(|filling| paces.percent(filling.run) == 0);
         assert!(is_halted || now < begun + HARM_AFTER.mul_f64(0.7), "still going on");
         now += Duration::from_millis(450);
     }
     paces.observe(&[beside("over", 40)], &images, &interference, now);
-    assert_eq!(paces.percent(&Name::from("b")), 100);
+    assert_eq!(paces.percent(run_of("b")), 100);
 }
 
 /// Plays a serving run whose load swings by half within 14 s beside filling runs that would double its tail: it is seldom
@@ -162,11 +174,11 @@
     let interference = known(&[("a", "swinging", 0.2)]);
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut paces = Paces::new(HARM_AFTER);
-    let image = Name::from("a");
+    let image = run_of("a");
     let (mut over, mut used_part, mut best_part) = (0, 0.0, 0.0);
     for look in 0..200_u32 {
         let now = Duration::from_secs(10) + Duration::from_millis(450) * look;
-        let pace = f64::from(paces.percent(&image)) / 100.0;
+        let pace = f64::from(paces.percent(image)) / 100.0;
         let own = 0.45 * (0.5 * (f64::from(look) * 0.45 / 14.0 * std::f64::consts::TAU).sin()).exp();
         let ratio = own * (0.2 * 4.0 * pace).exp() * rng.random_range(0.93..1.07);
         over += u32::from(ratio >= 1.0);
@@ -193,6 +205,7 @@
     let interference = known(&[("heavy", "serving", 0.15), ("light", "serving", 0.0)]);
     let mut paces = Paces::new(HARM_AFTER);
     paces.observe(&[beside("serving", tail_ms)], &filling(&[]), &interference, Duration::from_secs(10));
-    let percent = paces.first_percent(&Name::from(image), 4.0, &interference);
+    paces.start(filling_run(image, 0.0), &interference);
+    let percent = paces.percent(run_of(image));
     assert!(expected_percent.contains(&percent), "{percent}");
 }
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -209,8 +209,8 @@
     stopping: Map<RunId, Stopping>,
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
-    /// Paces of filling images, by the serving runs beside them.
-    image_paces: Paces,
+    /// Paces of filling runs as they are decided, by the serving runs beside them and their urgencies.
+    run_paces: Paces,
     interference: Interference,
     /// When the last look was taken in that said something of interference.
     observed: Duration,
@@ -269,7 +269,7 @@
             stopping: Map::default(),
             traits: Map::default(),
             paces: Map::default(),
-            image_paces: Paces::new(context.settings.latency_harm_after),
+            run_paces: Paces::new(context.settings.latency_harm_after),
             interference: Interference::default(),
             observed: Duration::ZERO,
             effects_due: Duration::ZERO,
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use chervilledge_cell::interference::Serving;
-use chervilledge_cell::pace::{Cores, FULL_PERCENT, Tail};
+use chervilledge_cell::pace::{Cores, FULL_PERCENT, FillingRun, Tail};
+use chervilledge_cell::worker::RunTraits;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 
@@ -30,10 +31,8 @@
     tails: Vec<Tail>,
     /// Serving runs with a figure.
     serving: Vec<Serving>,
-    /// Filling runs and their images.
-    filling: Vec<(RunId, Name)>,
-    /// Processor time of each filling image.
-    cores: Map<Name, Cores>,
+    /// Filling runs.
+    filling: Vec<FillingRun>,
 }
 
 impl State {
@@ -45,32 +44,27 @@
 
     /// Sets the pace of filling runs by what the last look says of serving ones.
     pub(super) fn set_paces(&mut self, now: Duration) {
-        let Some(Seen { tails, serving, filling, cores }) = self.colocated() else { return };
+        let Some(Seen { tails, serving, filling }) = self.colocated() else { return };
         if now.saturating_sub(self.observed) >= FIGURE_WINDOW && !serving.is_empty() {
             self.observed = now;
-            let used = cores.iter().map(|(image, cores)| (Arc::clone(image), cores.used)).collect();
-            self.interference.observe(&serving, &used, now);
-        }
-        let former: Vec<(Name, u32)> =
-            cores.keys().map(|image| (Arc::clone(image), self.image_paces.percent(image))).collect();
-        self.image_paces.observe(&tails, &cores, &self.interference, now);
-        for (image, former) in former {
-            let percent = self.image_paces.percent(&image);
-            if percent != former {
-                let worst = tails.iter().max_by_key(|tail| tail.measured);
-                log::info!(event = "pace", image = &*image, percent = percent, former_percent = former,
-                    serving = tails.len(), filling = filling.len(), worst_tail:? = worst; "");
+            let mut used: Map<Name, f64> = Map::default();
+            for run in &filling {
+                *used.entry(Arc::clone(&run.image)).or_default() += run.cores.used;
             }
+            self.interference.observe(&serving, &used, now);
         }
-        for (run, image) in filling {
-            self.order_pace(run, self.image_paces.percent(&image));
+        self.run_paces.observe(&tails, &filling, &self.interference, now);
+        let worst = tails.iter().max_by_key(|tail| tail.measured);
+        for run in filling.iter().map(|run| run.run) {
+            self.order_pace(run, worst);
         }
     }
 
     /// What the last look shows of serving and filling runs; `None` without a worker.
     fn colocated(&self) -> Option<Seen> {
+        let own = self.own.as_ref()?;
         let mut seen = Seen::default();
-        for report in &self.own.as_ref()?.running {
+        for report in &own.running {
             let run = (report.task, report.run);
             let Some(traits) = self.traits.get(&run) else { continue };
             let image = traits.image.clone().unwrap_or_default();
@@ -82,10 +76,14 @@
                     seen.serving.push(Serving { task: report.task, image, log_ratio });
                 }
             } else if traits.is_filling {
-                let cores = seen.cores.entry(Arc::clone(&image)).or_default();
-                cores.used += whole_to_f64(report.measured) / MILLICORES;
-                cores.asked += whole_to_f64(traits.processor_millicores) / MILLICORES;
-                seen.filling.push((run, image));
+                seen.filling.push(filling_run(run, traits, whole_to_f64(report.measured) / MILLICORES));
+            }
+        }
+        // A run that started after the look was sent keeps its part of the room.
+        let is_shown = |run: &RunId| own.running.iter().any(|report| (report.task, report.run) == *run);
+        for run in self.taken.keys().filter(|run| !is_shown(run)) {
+            if let Some(traits) = self.traits.get(run).filter(|traits| traits.is_filling) {
+                seen.filling.push(filling_run(*run, traits, 0.0));
             }
         }
         Some(seen)
@@ -103,20 +101,31 @@
         }
     }
 
-    /// Gives a run that has just started the pace in force.
+    /// Gives a run that has just started its pace; less urgent ones give way to it.
     pub(super) fn pace_new_run(&mut self, run: RunId) {
         let Some(traits) = self.traits.get(&run).filter(|traits| traits.is_filling) else { return };
-        let image = traits.image.clone().unwrap_or_default();
-        let asked_cores = whole_to_f64(traits.processor_millicores) / MILLICORES;
-        self.order_pace(run, self.image_paces.first_percent(&image, asked_cores, &self.interference));
+        self.run_paces.start(filling_run(run, traits, 0.0), &self.interference);
+        // The last look may have shown runs of a former life of the worker.
+        let runs: Vec<RunId> = self.run_paces.runs().filter(|run| self.traits.contains_key(run)).collect();
+        for run in runs {
+            self.order_pace(run, None);
+        }
     }
 
-    fn order_pace(&mut self, run: RunId, percent: u32) {
-        if self.paces.get(&run).copied().unwrap_or(FULL_PERCENT) == percent {
+    /// Orders the pace that was decided for a run, unless it is in force.
+    fn order_pace(&mut self, run: RunId, worst_tail: Option<&Tail>) {
+        let percent = self.run_paces.percent(run);
+        let former = self.paces.get(&run).copied().unwrap_or(FULL_PERCENT);
+        if former == percent {
             return;
         }
         let Some(target) = self.target() else { return };
         self.paces.insert(run, percent);
+        let traits = self.traits.get(&run).cloned().unwrap_or_default();
+        log::info!(event = "pace", task:% = run.0, run = run.1, image = &*traits.image.unwrap_or_default(),
+            urgency = traits.urgency.0, percent = percent, former_percent = (former <= FULL_PERCENT).then_some(former),
+            worst_tail:? = worst_tail; "");
+        self.context.metrics.pace_ordered(percent, former.min(FULL_PERCENT));
         let answer = (self.context.calls.pace)((target, run.0, run.1, percent));
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -135,6 +144,11 @@
     }
 }
 
+fn filling_run(run: RunId, traits: &RunTraits, used_cores: f64) -> FillingRun {
+    let cores = Cores { used: used_cores, asked: whole_to_f64(traits.processor_millicores) / MILLICORES };
+    FillingRun { run, image: traits.image.clone().unwrap_or_default(), cores, urgency: traits.urgency }
+}
+
 fn whole_to_f64(number: u64) -> f64 {
     u32::try_from(number).map_or(f64::from(u32::MAX), f64::from)
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -33,6 +33,7 @@
     configuration_version: Gauge<u64>,
     configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
+    pace_orders: Counter<u64>,
 }
 
 /// Starts metrics.
@@ -64,6 +65,10 @@
             .with_description("time since the store last told the configuration, or that it hasn't changed")
             .build(),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
+        pace_orders: meter
+            .u64_counter("chervilledge_pace_orders")
+            .with_description("orders of a pace, by whether the run is halted, slower or faster than before")
+            .build(),
         reader,
         _provider: provider,
     })
@@ -123,6 +128,16 @@
         self.look_ms.record(milliseconds(took), &[KeyValue::new("result", result)]);
     }
 
+    /// Counts an order of a pace, in percent.
+    pub fn pace_ordered(&self, percent: u32, former: u32) {
+        let change = match percent {
+            0 => "halted",
+            _ if percent < former => "slower",
+            _ => "faster",
+        };
+        self.pace_orders.add(1, &[KeyValue::new("change", change)]);
+    }
+
     fn store(&self, call: &'static str, result: &'static str, took: Duration) {
         self.store_ms.record(milliseconds(took), &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
