Tell agents of urgencies that have changed

Cause: the urgency of a run came with its start only. While a job's tasks end, or its time runs out, its place among the others on a worker stayed what it was.

Change: once a second the placer works out the urgencies of filling runs on workers where one is below its full pace, and tells each agent those that have changed by a factor of 1.25 (`ToAgent::Urgencies`). They are kept with the run, so that `Describe` carries them again after a lost link, and a successor's carries its own. A job that counted as late is in time again only within nine tenths of its objective, so that it doesn't change its place with every report of progress.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -156,6 +156,8 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Changed urgencies of runs that agents were told.
+    pub urgencies: u64,
 }
 
 /// An agent and its worker.
--- a/crates/cell/src/cell/urgencies.rs
+++ b/crates/cell/src/cell/urgencies.rs
@@ -84,6 +84,7 @@
                 let urgency = self.urgency(task, former, now);
                 if urgency.is_clearly_before(former) || former.is_clearly_before(urgency) {
                     changes.push((task, number, urgency));
+                    self.counters.urgencies += 1;
                     if let Some(run) = self.run_mut(task, number) {
                         run.urgency = urgency;
                     }
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -77,6 +77,7 @@
             ToAgent::Start { life, order } => self.start(&life, order, now),
             ToAgent::Stop { life, task, run } => self.stop(&life, (task, run), now),
             ToAgent::Settle { life, cursor } => self.settle(&life, cursor, now),
+            ToAgent::Urgencies(changes) => self.take_urgencies(changes),
             ToAgent::Effects(effects) => {
                 self.interference.share(effects.into_iter().map(Effect::into_evidence).collect());
             }
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use chervilledge_cell::interference::Serving;
+use chervilledge_cell::job::TaskId;
 use chervilledge_cell::pace::{Cores, FULL_PERCENT, FillingRun, Tail};
+use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::RunTraits;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -89,6 +91,19 @@
         Some(seen)
     }
 
+    /// Takes in urgencies that have changed; the next look orders paces by them.
+    pub(super) fn take_urgencies(&mut self, changes: Vec<(TaskId, u64, Urgency)>) {
+        let (told, mut unknown) = (changes.len(), 0);
+        for (task, run, urgency) in changes {
+            match self.traits.get_mut(&(task, run)) {
+                Some(traits) => traits.urgency = urgency,
+                // It has ended meanwhile, or is described by the message that follows an inventory.
+                None => unknown += 1,
+            }
+        }
+        log::info!(event = "urgencies", runs = told, runs_unknown = unknown; "");
+    }
+
     /// Tells the placer what was learnt of pairs of images.
     pub(super) fn tell_effects(&mut self, now: Duration) {
         if now < self.effects_due || self.link.is_none() {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
+use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::{End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
@@ -62,6 +63,8 @@
     },
     /// What runs are, for an agent that didn't start them.
     Describe(Vec<(TaskId, u64, RunTraits)>),
+    /// Urgencies that have changed since the runs were started or described: task, number of the run, urgency.
+    Urgencies(Vec<(TaskId, u64, Urgency)>),
     /// What all agents have learnt of pairs of images of which one serves on the worker.
     Effects(Vec<Effect>),
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -34,6 +34,7 @@
     configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
     pace_orders: Counter<u64>,
+    urgencies: Counter<u64>,
 }
 
 /// Starts metrics.
@@ -69,6 +70,10 @@
             .u64_counter("chervilledge_pace_orders")
             .with_description("orders of a pace, by whether the run is halted, slower or faster than before")
             .build(),
+        urgencies: meter
+            .u64_counter("chervilledge_urgencies_told")
+            .with_description("runs of which an agent was told that their urgency has changed")
+            .build(),
         reader,
         _provider: provider,
     })
@@ -138,6 +143,11 @@
         self.pace_orders.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts runs of which an agent was told a changed urgency.
+    pub fn urgencies_told(&self, runs: usize) {
+        self.urgencies.add(runs as u64, &[]);
+    }
+
     fn store(&self, call: &'static str, result: &'static str, took: Duration) {
         self.store_ms.record(milliseconds(took), &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -5,6 +5,7 @@
 mod feed;
 mod links;
 mod notes;
+mod urgencies;
 mod writing;
 
 use std::net::SocketAddr;
@@ -212,6 +213,7 @@
     effects_due: Duration,
     /// When what is known of pairs of images was last kept.
     effects_kept: Duration,
+    urgencies_due: Duration,
     expiry_due: Duration,
     is_expiring: bool,
     tasks: Vec<JoinHandle<()>>,
@@ -275,6 +277,7 @@
             watch_due: Duration::ZERO,
             effects_due: Duration::ZERO,
             effects_kept: Duration::ZERO,
+            urgencies_due: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
             is_expiring: false,
             tasks,
@@ -400,6 +403,7 @@
             }
         }
         self.share_effects(now);
+        self.tell_urgencies(now);
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
             self.expire(now);
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -37,6 +37,8 @@
     pub starts: Vec<(TaskId, u64, u64)>,
     pub stops: Vec<(TaskId, u64, u64)>,
     pub looks: Vec<Ask>,
+    /// Orders of a pace, in percent.
+    pub paces: Vec<(TaskId, u32)>,
 }
 
 /// The script; clones share it.
@@ -59,7 +61,7 @@
     }
 
     fn calls(&self) -> Calls {
-        let (starts, stops, looks) = (self.clone(), self.clone(), self.clone());
+        let (starts, stops, looks, paces) = (self.clone(), self.clone(), self.clone(), self.clone());
         Calls {
             start: Box::new(move |(target, order, _)| {
                 let answer = starts.change(|script| {
@@ -79,7 +81,10 @@
                 });
                 Box::pin(async move { answer })
             }),
-            pace: Box::new(|_| Box::pin(async { Ordered::Taken })),
+            pace: Box::new(move |(_, task, _, percent)| {
+                paces.change(|script| script.paces.push((task, percent)));
+                Box::pin(async { Ordered::Taken })
+            }),
             look: Box::new(move |(_, ask)| {
                 let (answer, takes) = looks.change(|script| {
                     script.looks.push(ask);
@@ -136,6 +141,7 @@
         starts: Vec::new(),
         stops: Vec::new(),
         looks: Vec::new(),
+        paces: Vec::new(),
     };
     let worker = Scripted(Arc::new(Mutex::new(script)));
     let context = Context {
--- /dev/null
+++ b/crates/scheduler/tests/urgencies.rs
@@ -0,0 +1,101 @@
+//! Urgencies on their way from placers to the paces of runs.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::interference::{Evidence, Pair};
+use chervilledge_cell::job::TaskId;
+use chervilledge_cell::urgency::Urgency;
+use chervilledge_cell::worker::{RunReport, RunTraits, StartOrder};
+use chervilledge_scheduler::message::ToAgent;
+use chervilledge_scheduler::rows::Effect;
+use chervilledge_scheduler::worker::Look;
+use support::agent::{Link, Running, empty_look, life, link, spawn, task};
+
+const TARGET_MS: u64 = 1_000;
+/// Tail at which 0.208 is left, in logarithms, below 0.8 of the target: a little more than the 0.2 that a filling run adds.
+const TAIL_MS: u64 = 650;
+const EFFECT: f64 = 0.1;
+/// Time in which several looks are taken in.
+const A_WHILE: Duration = Duration::from_millis(1_200);
+
+fn serving() -> RunTraits {
+    let latency_target = Some(Duration::from_millis(TARGET_MS));
+    RunTraits { latency_target, image: Some(Arc::from("serving")), ..RunTraits::default() }
+}
+
+fn filling(urgency: u64) -> RunTraits {
+    RunTraits {
+        is_filling: true,
+        image: Some(Arc::from("heavy")),
+        processor_millicores: 2_000,
+        urgency: Urgency(urgency),
+        ..RunTraits::default()
+    }
+}
+
+fn report(task: TaskId, measured: u64) -> RunReport {
+    RunReport { task, run: 1, checkpoint: Arc::from(""), percent: 10, measured, pace_percent: 100 }
+}
+
+/// An agent on whose worker a serving run leaves room for one of two filling runs, the first of which is more urgent.
+async fn contended() -> (Running, Link) {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    assert_eq!(placer.inventory().await, Vec::new());
+    let pair = Pair { filling: Arc::from("heavy"), serving: Arc::from("serving") };
+    let evidence = Evidence { information: 1e9, weighted_effect: 1e9 * EFFECT };
+    placer.sender.post(ToAgent::Effects(vec![Effect::of(&(pair, evidence))]));
+    for (id, traits) in [(1, serving()), (2, filling(1_000)), (3, filling(9_000))] {
+        let order = StartOrder { task: task(id), run: 1, spec: Arc::from(""), checkpoint: Arc::from(""), traits };
+        placer.sender.post(ToAgent::Start { life: life(), order });
+    }
+    agent.worker.wait_for("the starts", |script| script.starts.len() == 3).await;
+    let running = vec![report(task(1), TAIL_MS), report(task(2), 0), report(task(3), 0)];
+    agent.worker.change(|script| script.look = Ok(Look { running, ..empty_look() }));
+    wait_for_paces(&agent, [100, 0]).await;
+    (agent, placer)
+}
+
+/// Pace of a filling run as ordered last.
+fn pace(paces: &[(TaskId, u32)], id: u64) -> u32 {
+    paces.iter().rev().find(|(paced, _)| *paced == task(id)).map_or(100, |(_, percent)| *percent)
+}
+
+async fn wait_for_paces(agent: &Running, expected: [u32; 2]) {
+    let what = format!("paces of {expected:?}");
+    agent.worker.wait_for(&what, |script| [2, 3].map(|id| pace(&script.paces, id)) == expected).await;
+}
+
+/// The placer ends: the order that it told last stays in force, without further orders to the worker, until a successor
+/// describes the runs anew. A message that names a run that isn't there any more counts for the others.
+#[tokio::test]
+async fn urgencies_outlast_the_placer() {
+    let (agent, former) = contended().await;
+    former.sender.post(ToAgent::Urgencies(vec![(task(9), 1, Urgency(1)), (task(3), 1, Urgency(500))]));
+    wait_for_paces(&agent, [0, 100]).await;
+    drop(former);
+    let orders = agent.worker.change(|script| script.paces.len());
+    tokio::time::sleep(A_WHILE).await;
+    assert_eq!(agent.worker.change(|script| script.paces.len()), orders);
+    let mut present = link(&agent, 2).await;
+    assert_eq!(present.inventory().await.len(), 3);
+    present.sender.post(ToAgent::Describe(vec![(task(2), 1, filling(1_000)), (task(3), 1, filling(9_000))]));
+    wait_for_paces(&agent, [100, 0]).await;
+}
+
+/// A run that the placer doesn't describe isn't slowed down, and doesn't keep the others from their order.
+#[tokio::test]
+async fn a_run_without_traits_is_left_alone() {
+    let (agent, _placer) = contended().await;
+    agent.worker.change(|script| {
+        if let Ok(look) = &mut script.look {
+            look.running.push(report(task(4), 500));
+        }
+    });
+    tokio::time::sleep(A_WHILE).await;
+    let paces = agent.worker.change(|script| script.paces.clone());
+    assert_eq!([2, 3, 4].map(|id| pace(&paces, id)), [100, 0, 100]);
+}
