Let two tests of urgencies fail without the rule that they check

The urgencies in the test of the order never crossed, and the job at its limit never came back in time. Seen failing now without the factor of 1.25 and without the margin for late jobs.

--- a/crates/cell/tests/pace_by_urgency.rs
+++ b/crates/cell/tests/pace_by_urgency.rs
@@ -167,7 +167,7 @@
 fn runs_that_are_about_as_urgent_keep_their_order() {
     let mut play = Play::new();
     let own = 0.8 * (-EFFECT * ASKED).exp();
-    let mut runs = [run(1, 0, 0.0, Urgency(10_000)), run(2, 0, 0.0, Urgency(10_500))];
+    let mut runs = [run(1, 0, 0.0, Urgency(10_000)), run(2, 0, 0.0, Urgency(10_100))];
     let paces = |play: &Play, runs: &[FillingRun; 2]| [0, 1].map(|index: usize| play.paces.percent(runs[index].run));
     for _ in 0..8 {
         play.look(own, &runs);
--- a/crates/cell/tests/urgencies.rs
+++ b/crates/cell/tests/urgencies.rs
@@ -104,11 +104,11 @@
     world.submit(filling(1, 1));
     let (task, run, first) = placed(&mut world)[0];
     // Its run begins to move so late that it ends at its limit, and is seen up to a sixth behind.
-    world.advance_ms(3_200);
+    world.advance_ms(3_000);
     let mut told = vec![first];
     for tenths in 0..60_u32 {
         world.advance_ms(100);
-        world.cell.reported(&[report(task, run, tenths / 10 * 16, 50)], world.now);
+        world.cell.reported(&[report(task, run, tenths / 10 * 17, 50)], world.now);
         let changes = world.cell.changed_urgencies(world.now);
         told.extend(changes.iter().flat_map(|(_, changes)| changes).map(|(_, _, urgency)| *urgency));
     }
