Count the pace of disturbing runs on a worker together

Cause: a worker took no further disturbing run once one of those that it had was below half of its pace. With paces by urgency a worker may have one run at its full pace and one that is halted, where both had the same pace before, and would have been closed by the halted one.

Change: the mean pace counts, by the processor time that the runs ask for. It is what it was before where all runs have one pace.

The test `what_disturbing_runs_get_together_decides_on_further_ones` fails without the change in the case of 100% and 20%; the other cases keep the former rule. All tests of `chervilledge-cell` pass.

--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -23,7 +23,8 @@
 const DISTURBING_MILLICORES_MAX: u64 = 4_000;
 /// The same for a task that has waited for long.
 const DISTURBING_PATIENT_MILLICORES_MAX: u64 = 8_000;
-/// Pace of disturbing runs below which no further one is placed beside them, in percent.
+/// Mean pace of disturbing runs, by the processor time that they ask for, below which no further one is placed beside them,
+/// in percent. The mean says how much of the room is taken, whichever of them has it.
 const CROWDED_PERCENT: u32 = 50;
 /// Time after which a task is placed where it disturbs.
 const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
@@ -352,19 +353,17 @@
     /// Processor time that runs on a worker ask for which disturb serving runs there; more than any worker has when they
     /// are held back already.
     fn disturbing_millicores(&self, agent: &Agent) -> u64 {
-        let mut sum: u64 = 0;
+        let (mut asked, mut paced): (u64, u64) = (0, 0);
         for (task, number) in &agent.runs {
             let Some(step) = self.step_of(*task).filter(|step| step.filling) else { continue };
             if self.disturbed(agent, step) == 0 {
                 continue;
             }
             let pace_percent = self.run(*task, *number).map_or(FULL_PERCENT, |run| run.pace_percent);
-            if pace_percent < CROWDED_PERCENT {
-                return u64::MAX;
-            }
-            sum += step.resources.processor_millicores;
+            asked += step.resources.processor_millicores;
+            paced += step.resources.processor_millicores * u64::from(pace_percent) / 100;
         }
-        sum
+        if paced * 100 < asked * u64::from(CROWDED_PERCENT) { u64::MAX } else { asked }
     }
 
     /// Orders a run; `starts` is given for members of a gang, which share their number.
--- a/crates/cell/tests/urgencies.rs
+++ b/crates/cell/tests/urgencies.rs
@@ -11,6 +11,7 @@
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::RunReport;
+use rstest::rstest;
 use support::{World, configuration, job, name, step, terms};
 
 const MILLICORES: u64 = 64_000;
@@ -115,3 +116,25 @@
     let turns = told.windows(2).filter(|pair| (pair[0].0 >= LATE) != (pair[1].0 >= LATE)).count();
     assert_eq!(turns, 1, "{told:?}");
 }
+
+/// A worker takes another disturbing run while those that it has go at half of their pace together. Counted for each run, a
+/// single halted one would close every worker on which the most urgent run gets its full pace.
+#[rstest]
+#[case::shared([60, 60], 1)]
+#[case::in_order([100, 20], 1)]
+#[case::shared_and_crowded([40, 40], 0)]
+#[case::in_order_and_crowded([80, 0], 0)]
+fn what_disturbing_runs_get_together_decides_on_further_ones(#[case] paces: [u32; 2], #[case] starts: usize) {
+    let mut world = World::with_workers(1, 8_000);
+    let latency_target = Some(Duration::from_millis(45));
+    let serving = Step { lasting: true, latency_target, image: Some(name("serving")), ..step(1, 4_000) };
+    world.submit(job(9, vec![serving]));
+    world.submit(filling(1, 2));
+    let started = placed(&mut world);
+    let runs = started.iter().filter(|(task, ..)| task.job == JobId(1));
+    let reports: Vec<RunReport> = runs.zip(paces).map(|((task, run, _), pace)| report(*task, *run, 10, pace)).collect();
+    assert_eq!(reports.len(), 2);
+    world.cell.reported(&reports, world.now);
+    world.submit(filling(2, 1));
+    assert_eq!(placed(&mut world).len(), starts);
+}
