--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -5,14 +5,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::interference::{Evidence, Pair};
-use chervilledge_cell::job::TaskId;
+use chervilledge_cell::job::{Job, Step, TaskId};
 use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::{RunReport, RunTraits, StartOrder};
+use chervilledge_policy::capacity::Resources;
 use chervilledge_scheduler::message::ToAgent;
-use chervilledge_scheduler::rows::Effect;
+use chervilledge_scheduler::placer::{self, Message};
+use chervilledge_scheduler::roster::Roster;
+use chervilledge_scheduler::rows::{self, EFFECTS, Effect};
+use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::worker::Look;
+use chervilledge_scheduler::{clock, metrics};
 use support::agent::{Link, Running, empty_look, life, link, spawn, task};
+use support::{Fault, Rows, job};
+use tokio::sync::watch;
 
 const TARGET_MS: u64 = 1_000;
 /// Tail at which 0.208 is left, in logarithms, below 0.8 of the target: a little more than the 0.2 that a filling run adds.
@@ -45,9 +53,7 @@
     let agent = spawn().await;
     let mut placer = link(&agent, 1).await;
     assert_eq!(placer.inventory().await, Vec::new());
-    let pair = Pair { filling: Arc::from("heavy"), serving: Arc::from("serving") };
-    let evidence = Evidence { information: 1e9, weighted_effect: 1e9 * EFFECT };
-    placer.sender.post(ToAgent::Effects(vec![Effect::of(&(pair, evidence))]));
+    placer.sender.post(ToAgent::Effects(vec![effect()]));
     for (id, traits) in [(1, serving()), (2, filling(1_000)), (3, filling(9_000))] {
         let order = StartOrder { task: task(id), run: 1, spec: Arc::from(""), checkpoint: Arc::from(""), traits };
         placer.sender.post(ToAgent::Start { life: life(), order });
@@ -99,3 +105,80 @@
     let paces = agent.worker.change(|script| script.paces.clone());
     assert_eq!([2, 3, 4].map(|id| pace(&paces, id)), [100, 0, 100]);
 }
+
+fn effect() -> Effect {
+    let pair = Pair { filling: Arc::from("heavy"), serving: Arc::from("serving") };
+    Effect::of(&(pair, Evidence { information: 1e9, weighted_effect: 1e9 * EFFECT }))
+}
+
+/// A placer of the first term, with one agent.
+fn context(agent: &Running) -> placer::Context {
+    let queue = Queue { name: job(1).queue, host: Arc::from("host"), path_prefix: Arc::from("/"), terms: job(1).terms };
+    let limits = Limits { body_bytes_max: 1 << 20, head_bytes_max: 1 << 14, head_timeout: Duration::from_secs(5) };
+    let services = [(Arc::from("portal"), Service::default())].into_iter().collect();
+    let configuration = Configuration { version: 1, queues: vec![queue], services, limits };
+    let row = rows::Placer { term: 1, holder: Some(Arc::from("entry-1")), address: agent.address };
+    let rows = Rows::with(Fault::None);
+    rows.write(Table::Cell, rows::PLACER, Some(rows::encode(&row)));
+    rows.write(Table::Progress, EFFECTS, Some(rows::encode(&vec![effect()])));
+    let agents = [(Arc::from("agent-1"), agent.address)].into_iter().collect();
+    let roster = Arc::new(Roster { placer: Some((row, 1)), agents, ..Roster::default() });
+    placer::Context {
+        name: Arc::from("entry-1"),
+        claimed: clock::system().now(),
+        clock: clock::system(),
+        store: rows.store(),
+        roster: watch::channel(Some(roster)).1,
+        configuration: watch::channel(Some(Arc::new(configuration))).1,
+        term: 1,
+        revision: 1,
+        former: None,
+        is_former_alone: true,
+        lease: Duration::from_secs(5),
+        cancellation_apply: Duration::from_secs(3),
+        metrics: metrics::open(),
+        ended_jobs_kept: Duration::from_mins(2),
+    }
+}
+
+/// Plays two jobs on one worker, of which the larger one is nearly done while the smaller one is halted or slow: the way from
+/// what the worker reports to the paces that it is told.
+#[tokio::test]
+async fn a_job_that_is_nearly_done_overtakes_a_smaller_one() {
+    let agent = spawn().await;
+    let placer = placer::spawn(context(&agent)).await.expect("placer");
+    while ractor::call_t!(placer, Message::Pending, 500).expect("running").is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let resources = Resources { processor_millicores: 2_000, ..Resources::default() };
+    let filling = |seconds: u64| Step {
+        count: 1,
+        filling: true,
+        image: Some(Arc::from("heavy")),
+        estimate: Duration::from_secs(seconds),
+        resources,
+        ..Step::default()
+    };
+    let latency_target = Some(Duration::from_millis(TARGET_MS));
+    let serving = Step {
+        count: 1,
+        lasting: true,
+        latency_target,
+        image: Some(Arc::from("serving")),
+        resources,
+        ..Step::default()
+    };
+    for (id, step) in [(1, serving), (2, filling(60)), (3, filling(90))] {
+        let job = Job { steps: vec![step], ..job(id) };
+        placer.cast(Message::Submitted(Box::new(job))).expect("running");
+        agent.worker.wait_for("a start", |script| script.starts.len() as u64 == id).await;
+    }
+    let look = |percent: u32| {
+        let nearly_done = RunReport { percent, ..report(task(3), 0) };
+        Ok(Look { running: vec![report(task(1), TAIL_MS), report(task(2), 0), nearly_done], ..empty_look() })
+    };
+    agent.worker.change(|script| script.look = look(10));
+    wait_for_paces(&agent, [100, 0]).await;
+    agent.worker.change(|script| script.look = look(90));
+    wait_for_paces(&agent, [0, 100]).await;
+}
