--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -12,6 +12,7 @@
 mod placing;
 mod stragglers;
 mod unread;
+mod urgencies;
 pub mod writes;
 
 use std::collections::{BTreeSet, VecDeque};
@@ -27,6 +28,7 @@
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
+pub use self::urgencies::Changes;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::evacuation::EvacuatedDomains;
@@ -183,6 +185,8 @@
     pub moves: u64,
     /// Checkpoints of running tasks that were chosen to become durable.
     pub checkpoints: u64,
+    /// Changed urgencies of runs that agents were told.
+    pub urgencies: u64,
 }
 
 /// An agent and its worker.
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -212,8 +212,8 @@
     stopping: Map<RunId, Stopping>,
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
-    /// Paces of filling images, by the serving runs beside them.
-    image_paces: Paces,
+    /// Paces of filling runs as they are decided, by the serving runs beside them and their urgencies.
+    run_paces: Paces,
     interference: Interference,
     /// When the last look was taken in that said something of interference.
     observed: Duration,
@@ -273,7 +273,7 @@
             stopping: Map::default(),
             traits: Map::default(),
             paces: Map::default(),
-            image_paces: Paces::new(context.settings.latency_harm_after),
+            run_paces: Paces::new(context.settings.latency_harm_after),
             interference: Interference::default(),
             observed: Duration::ZERO,
             effects_due: Duration::ZERO,
@@ -526,6 +526,10 @@
             "starting": self.starting.len(),
             "stopping": self.stopping.len(),
             "paces_percent": self.paces.iter().map(|((task, run), percent)| (format!("{task}#{run}"), *percent)).collect::<Vec<_>>(),
+            "serving_order": self.run_paces.runs().map(|(task, run)| {
+                let urgency = self.traits.get(&(task, run)).map(|traits| traits.urgency.0);
+                json!({"run": format!("{task}#{run}"), "percent": self.run_paces.percent((task, run)), "urgency": urgency})
+            }).collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -41,6 +41,8 @@
     configuration_version: Gauge<u64>,
     configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
+    pace_orders: Counter<u64>,
+    urgencies: Counter<u64>,
 }
 
 /// Starts metrics.
@@ -104,6 +106,14 @@
             .with_description("time since the store last told the configuration, or that it hasn't changed")
             .build(),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
+        pace_orders: meter
+            .u64_counter("chervilledge_pace_orders")
+            .with_description("orders of a pace, by whether the run is halted, slower or faster than before")
+            .build(),
+        urgencies: meter
+            .u64_counter("chervilledge_urgencies_told")
+            .with_description("runs of which an agent was told that their urgency has changed")
+            .build(),
         reader,
         _provider: provider,
     })
@@ -199,6 +209,21 @@
         self.look_ms.record(milliseconds(took), &[KeyValue::new("result", result)]);
     }
 
+    /// Counts an order of a pace, in percent.
+    pub fn pace_ordered(&self, percent: u32, former: u32) {
+        let change = match percent {
+            0 => "halted",
+            _ if percent < former => "slower",
+            _ => "faster",
+        };
+        self.pace_orders.add(1, &[KeyValue::new("change", change)]);
+    }
+
+    /// Counts runs of which an agent was told a changed urgency.
+    pub fn urgencies_told(&self, runs: usize) {
+        self.urgencies.add(runs as u64, &[]);
+    }
+
     fn store(&self, call: &'static str, result: &'static str, took: Duration) {
         self.store_ms.record(milliseconds(took), &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
