Leave the cell to an entry near the store when it is taken over

Cause: with two regions, half of the entries are 12 ms from the store, and a placer there makes every end durable later. Which entry claimed the cell was decided by its processor and at random.

Change: each entry measures the least time of its last reads of one row and tells it in its row. One that is more than 10 ms above what a quarter of the entries reaches waits 15 ms for each ms, at most 200 ms, before its claim. The rows share a partition with the placer's sign of life, so an entry writes its row at most once in 2 s times the number of entries, and one that starts again and finds its row there doesn't write it.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod pace;
 pub mod packing;
 pub mod progress;
+pub mod response;
 pub mod urgency;
 pub mod worker;
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: takes callers' jobs, answers what became of them, and places for the cell when it is its turn.
 
+mod announce;
 mod election;
 mod links;
 mod requests;
@@ -11,6 +12,7 @@
 
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::response::Recent;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -27,13 +29,10 @@
 use crate::peer::{Link, Pending};
 use crate::placer;
 use crate::roster::{self, Roster};
-use crate::rows::{self, ENTRY_PREFIX, Process};
 use crate::settings;
-use crate::store::{Change, Configured, Handle, Outcome, ReadError, Table, Transaction};
+use crate::store::{Configured, Handle, ReadError};
 use crate::submit::{self, Submitter};
 
-/// Pause after an announcement that wasn't written.
-const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 /// Time that a dump of the placer may take.
 const DUMP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -97,6 +96,8 @@
     submitter: Submitter,
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
     roster: roster::Reader,
+    /// Times of the last reads that measure the store.
+    responses: Mutex<Recent>,
     /// The placer that this process runs.
     own_placer: Mutex<Option<(u64, ActorRef<placer::Message>)>>,
     way: watch::Sender<Way>,
@@ -143,6 +144,7 @@
         submitter,
         configuration,
         roster,
+        responses: Mutex::default(),
         own_placer: Mutex::new(None),
         way: watch::channel(Way::None).0,
         pending: Mutex::new(None),
@@ -160,7 +162,7 @@
             feed::Timing::within(entry.inner.settings.configuration_apply),
             configured,
         )),
-        tokio::spawn(announce(store, entry.inner.settings.clone())),
+        tokio::spawn(announce::run(entry.clone())),
         tokio::spawn(count_entries(entry.inner.roster.view.clone(), entries)),
         tokio::spawn(links::accept_all(listener, entry.clone())),
         tokio::spawn(election::run(entry.clone())),
@@ -208,6 +210,8 @@
             "configuration_version": self.configuration().map(|configuration| configuration.version),
             "way_to_placer": format!("{:?}", *self.inner.way.borrow()),
             "store": self.inner.submitter.view().standing().as_str(),
+            "store_response_ms": self.response().map(whole_ms),
+            "claim_wait_ms": whole_ms(self.claim_wait()),
             "placer": placer,
         })
     }
@@ -272,17 +276,3 @@
         entries.store(count, Ordering::Relaxed);
     }
 }
-
-/// Writes where the entry takes links.
-async fn announce(store: Handle, settings: settings::Entry) {
-    let content = Process { address: settings.links_address };
-    let key: Name = Arc::from(format!("{ENTRY_PREFIX}{}", settings.name));
-    loop {
-        let change = Change { table: Table::Cell, key: Arc::clone(&key), value: Some(rows::encode(&content)) };
-        let outcome = (store.commit)(Transaction { conditions: Vec::new(), changes: vec![change] }).await;
-        if matches!(outcome, Outcome::Done(_)) {
-            return;
-        }
-        tokio::time::sleep(ANNOUNCE_RETRY).await;
-    }
-}
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -8,6 +8,7 @@
 
 use super::{Entry, Way, lock};
 use crate::candidate;
+use crate::clock::whole_ms;
 use crate::placer;
 
 /// Interval of looks whether the cell has a placer.
@@ -38,7 +39,12 @@
             continue;
         }
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
-        tokio::time::sleep(jitter + handicap(entry.inner.settings.processor_share)).await;
+        let distance = entry.claim_wait();
+        if !distance.is_zero() {
+            log::info!(event = "claim_waits", wait_ms = whole_ms(distance),
+                response_ms = entry.response().map_or(0, whole_ms); "");
+        }
+        tokio::time::sleep(jitter + handicap(entry.inner.settings.processor_share) + distance).await;
         let Some(roster) = entry.roster() else { continue };
         if candidate::is_due(&roster, &entry.inner.settings.name, link_lost, entry.now()) {
             claim(&entry, &roster).await;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -32,6 +32,7 @@
     unsaved_core_ms: Gauge<u64>,
     store_standings: Counter<u64>,
     probes: Counter<u64>,
+    store_response_ms: Gauge<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
     configuration_version: Gauge<u64>,
@@ -70,6 +71,10 @@
             .u64_counter("chervilledge_probes")
             .with_description("reads that try a store that breaks connections")
             .build(),
+        store_response_ms: meter
+            .u64_gauge("chervilledge_store_response_ms")
+            .with_description("least time of this entry's last reads of the store")
+            .build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
             .with_description("age of the placer's last confirmation at the store")
@@ -146,6 +151,11 @@
         self.probes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Takes note of the least time of the last reads of the store.
+    pub fn store_response(&self, least: Duration) {
+        self.store_response_ms.record(crate::clock::whole_ms(least), &[]);
+    }
+
     /// Takes note of the placer's queue and of the age of its last confirmation.
     pub fn placer(&self, waiting: usize, confirmation_age: Duration) {
         self.waiting.record(waiting as u64, &[]);
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use crate::feed::{self, Feed, Timing};
-use crate::rows::{self, AGENT_PREFIX, BEAT, ENTRY_PREFIX, PLACER, Process};
+use crate::rows::{self, AGENT_PREFIX, BEAT, ENTRY_PREFIX, EntryProcess, PLACER, Process};
 use crate::scan;
 use crate::store::{Handle, ReadError, Row, Rows, Table};
 
@@ -37,6 +37,8 @@
     pub agents: Map<Name, SocketAddr>,
     /// Entries and where they take links.
     pub entries: Map<Name, SocketAddr>,
+    /// Response times of the store, as entries tell them.
+    pub responses: Map<Name, Duration>,
 }
 
 /// Running reader of the cell's rows.
@@ -122,7 +124,7 @@
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
                     take_process(&mut self.agents, name, row);
                 } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
-                    take_process(&mut self.entries, name, row);
+                    self.take_entry(name, row);
                 }
             }
         }
@@ -135,6 +137,22 @@
         self.beat.is_some_and(|beat| beat.term == placer.term && beat.is_alone)
     }
 
+    fn take_entry(&mut self, name: &str, row: &Row) {
+        let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
+        self.responses.remove(name);
+        match content {
+            Some(EntryProcess { address, response }) => {
+                self.entries.insert(Arc::from(name), address);
+                if let Some(response) = response {
+                    self.responses.insert(Arc::from(name), response);
+                }
+            }
+            None => {
+                self.entries.remove(name);
+            }
+        }
+    }
+
     fn take_placer(&mut self, row: &Row, now: Duration) {
         if self.placer.as_ref().is_some_and(|(_, revision)| *revision >= row.revision) {
             return;
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::JobId;
 use chervilledge_policy::id::Name;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 /// Row of the placer, in table `cell`.
 pub const PLACER: &str = "placer";
@@ -49,6 +51,18 @@
     pub address: SocketAddr,
 }
 
+/// Content of the row of an entry.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryProcess {
+    /// Where the entry takes links.
+    pub address: SocketAddr,
+    /// Least time that the store took for one of the entry's last reads, once it is known.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default, rename = "response_ms")]
+    pub response: Option<Duration>,
+}
+
 /// What is known of a pair of images, without names of fields, since there are many of them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Effect(
--- /dev/null
+++ b/crates/scheduler/tests/election.rs
@@ -0,0 +1,116 @@
+//! Which entry takes a cell whose store is in one of two regions.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_scheduler::entry::{self, Entry};
+use chervilledge_scheduler::rows::{self, PLACER};
+use chervilledge_scheduler::store::{Call, Handle, Store, Table};
+use chervilledge_scheduler::{metrics, settings};
+use rstest::rstest;
+use support::{Fault, Rows, tokio_clock};
+use tokio::time::Instant;
+
+/// Entries in each region.
+const ENTRIES: usize = 4;
+/// Time for which takeovers are counted.
+const WATCHED: Duration = Duration::from_secs(40);
+
+/// The same store over a way that takes this long for a call and its answer.
+fn far(store: &Handle, way: Duration) -> Handle {
+    fn over<A: Send + 'static, T: Send + 'static>(
+        store: &Handle,
+        call: fn(&Store) -> &Call<A, T>,
+        way: Duration,
+    ) -> Call<A, T> {
+        let store = Arc::clone(store);
+        Box::new(move |arguments| {
+            let answer = call(&store)(arguments);
+            Box::pin(async move {
+                tokio::time::sleep(way).await;
+                answer.await
+            })
+        })
+    }
+    Arc::new(Store {
+        commit: over(store, |store| &store.commit, way),
+        read: over(store, |store| &store.read, way),
+        read_one: over(store, |store| &store.read_one, way),
+        watch: over(store, |store| &store.watch, way),
+        watch_configuration: over(store, |store| &store.watch_configuration, way),
+    })
+}
+
+async fn spawn(name: &str, store: Handle) -> Entry {
+    let settings = settings::Entry {
+        name: name.into(),
+        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        processor_share: 1.0,
+        worker_lease_max: Duration::from_secs(5),
+        configuration_apply: Duration::from_secs(2),
+        cancellation_apply: Duration::from_secs(3),
+        ended_jobs_kept: Duration::from_mins(2),
+        stop_timeout: Duration::from_secs(6),
+    };
+    entry::spawn(settings, tokio_clock(), store, metrics::open()).await.expect("an entry")
+}
+
+fn placer(rows: &Rows) -> Option<rows::Placer> {
+    rows::decode(PLACER, &rows.value(Table::Cell, PLACER)?)
+}
+
+/// A placer far from the store makes every end durable later; and where all entries are alike, nobody may wait.
+///
+/// Entries without links take the cell over when its placer's sign of life is 0.5 s old, so takeovers follow one another.
+#[rstest]
+#[case::two_regions(12, 180)]
+#[case::alike(0, 0)]
+#[tokio::test(start_paused = true)]
+async fn an_entry_near_the_store_takes_the_cell(#[case] way_ms: u64, #[case] wait_ms: u64) {
+    let rows = Rows::with(Fault::None);
+    rows.configure(1);
+    let (mut near, mut far_ones) = (Vec::new(), Vec::new());
+    for number in 0..ENTRIES {
+        near.push(spawn(&format!("near-{number}"), rows.store()).await);
+        far_ones.push(spawn(&format!("far-{number}"), far(&rows.store(), Duration::from_millis(way_ms))).await);
+    }
+    // Every entry has told its response time by then.
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    for (entries, expected_ms) in [(&near, 0), (&far_ones, wait_ms)] {
+        for entry in entries {
+            assert_eq!(entry.dump().await["claim_wait_ms"], expected_ms);
+        }
+    }
+    let (mut term, mut takeovers, mut by_near) = (0, 0, 0);
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let Some(placer) = placer(&rows).filter(|placer| placer.term > term) else { continue };
+        term = placer.term;
+        takeovers += 1;
+        by_near += u32::from(placer.holder.is_some_and(|holder| holder.starts_with("near")));
+    }
+    println!("{by_near} of {takeovers} takeovers by near entries");
+    assert!(takeovers >= 20, "{takeovers} takeovers");
+    assert!(wait_ms == 0 || by_near * 10 >= takeovers * 9, "{by_near} of {takeovers} by near entries");
+}
+
+/// The rows of entries share a partition with the placer's sign of life: when all of a cell start again at once, none may
+/// write a row that is there, and what they told before the loss of power stays known.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_starts_again_leaves_its_row() {
+    let rows = Rows::with(Fault::None);
+    let entry = spawn("near-0", rows.store()).await;
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    drop(entry);
+    let row = rows.value(Table::Cell, "entry/near-0").expect("its row");
+    let writes = rows.writes(Table::Cell, "entry/near-0");
+    assert_eq!(writes, 2, "its address, and then its response time");
+    let _again = spawn("near-0", rows.store()).await;
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    assert_eq!(rows.writes(Table::Cell, "entry/near-0"), writes);
+    assert_eq!(rows.value(Table::Cell, "entry/near-0"), Some(row));
+}
