--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod pace;
 pub mod packing;
 pub mod progress;
+pub mod response;
 pub mod urgency;
 pub mod worker;
