Stop slowed runs only where the stop serves a job

Cause: a slowed run was stopped after 1.5 s whenever anything waited, also a task that couldn't use its room, and several runs were stopped for the same calm room, which others took during the stop. Large jobs had 1.2 to 1.5 such stops on their critical task, one in ten then waited 2 to 10 s.

Change: where queues of a service differ in priority, a run moves only if its task is expected to end sooner, counting stop, restore and unsaved work, the last runs of a step first; without calm room it is stopped only if a more urgent task that waits takes the room. Room for which a run is stopped is held for its task until it starts. A task that gave up its run goes ahead of tasks of its job that have not begun. Elsewhere the former rule holds.

Result: tests/stops.rs (7 cases) passes and fails with the former rule; taking out the order of yielded tasks or the reservations fails a test of its own. Not measured under load.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -8,6 +8,7 @@
 mod filling;
 mod jobs;
 mod placing;
+mod reservations;
 mod stragglers;
 mod unread;
 pub mod writes;
@@ -22,6 +23,7 @@
 pub use self::agents::{Contact, Inventory};
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
+use self::reservations::Reservation;
 use self::unread::Unread;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
@@ -115,6 +117,32 @@
         /// Task that decided it, when one did.
         task: Option<TaskId>,
     },
+    /// A run that is slowed down is stopped, since its task is expected to end sooner elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Agent of the worker where room is held for the task.
+        to: Name,
+        /// Expected time until its end where it is.
+        here: Duration,
+        /// The same with the move.
+        there: Duration,
+    },
+    /// A run that is slowed down is stopped in favor of a more urgent task.
+    RunYielded {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Task that gets its room.
+        to: TaskId,
+    },
     /// A worker is left out for a while.
     WorkerEjected {
         /// Agent of the worker.
@@ -154,6 +182,8 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Runs stopped because they were slowed down and a more urgent task can use their room.
+    pub yields: u64,
 }
 
 /// An agent and its worker.
@@ -191,8 +221,12 @@
     /// Jobs with a schedule that haven't ended.
     scheduled: Set<JobId>,
     agents: Map<Name, Agent>,
+    /// Services whose queues differ in priority.
+    prioritized: Set<Name>,
     /// Tasks that wait for room.
     ready: BTreeSet<TaskId>,
+    /// Room that is held for tasks, since runs were stopped for their sake.
+    reserved: Map<TaskId, Reservation>,
     /// Runs by task, for those that are active.
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
@@ -232,7 +266,9 @@
             jobs: Map::default(),
             scheduled: Set::default(),
             agents: Map::default(),
+            prioritized: Set::default(),
             ready: BTreeSet::new(),
+            reserved: Map::default(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
             unread: Vec::new(),
@@ -265,6 +301,7 @@
         for queue in &configuration.queues {
             self.queues.insert(Arc::clone(&queue.name), queue.clone());
         }
+        self.prioritized = configuration.prioritized();
         self.configuration = Some(configuration);
         self.needs_placing = true;
     }
@@ -338,6 +375,12 @@
         self.ready.len()
     }
 
+    /// Tasks for which room is held while runs are stopped for their sake.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.reserved.len()
+    }
+
     /// Jobs that are known, and those of them that haven't ended.
     #[must_use]
     pub fn job_counts(&self) -> (usize, usize) {
@@ -353,6 +396,10 @@
         self.queues.get(&entry.job.queue).map_or_else(|| entry.job.terms.clone(), |queue| queue.terms.clone())
     }
 
+    fn terms_of<'a>(&'a self, entry: &'a JobEntry) -> &'a crate::job::Terms {
+        self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms)
+    }
+
     fn run_number(&self, starts: u64) -> u64 {
         (self.term - 1) * RUNS_PER_TERM + starts
     }
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -275,16 +275,8 @@
         let need = need(&entry.job, task.key);
         let image = entry.job.step(task.key).and_then(|step| step.image.clone());
         if let Some(state) = entry.tasks.get_mut(&task.key) {
-            state.runs.push(Run {
-                number,
-                agent: Arc::clone(name),
-                started: percent.map(|_| now),
-                percent: percent.unwrap_or(0),
-                moved: now,
-                is_stopping: false,
-                pace_percent: FULL_PERCENT,
-                slowed: None,
-            });
+            let (started, percent) = (percent.map(|_| now), percent.unwrap_or(0));
+            state.runs.push(Run { started, percent, ..Run::new(number, name, now) });
         }
         self.ready.remove(&task);
         if let Some(agent) = self.agents.get_mut(name) {
@@ -347,8 +339,7 @@
                     run.started = Some(now);
                 }
                 run.pace_percent = report.pace_percent.min(FULL_PERCENT);
-                let is_slowed = report.pace_percent < SLOWED_PERCENT;
-                run.slowed = if is_slowed { run.slowed.or(Some(now)) } else { None };
+                run.slow(report.pace_percent < SLOWED_PERCENT, report.percent, now);
                 if run.percent != report.percent {
                     run.percent = report.percent;
                     run.moved = now;
@@ -359,7 +350,13 @@
             if !report.checkpoint.is_empty()
                 && let Some(state) = self.task_mut(report.task)
             {
+                let is_new = state.checkpoint.0 != report.checkpoint;
                 state.checkpoint.0 = Arc::clone(&report.checkpoint);
+                if let Some(run) = state.runs.iter_mut().find(|run| run.number == report.run)
+                    && (is_new || run.saved_percent == 0)
+                {
+                    run.saved_percent = report.percent;
+                }
             }
         }
         for agent in paced {
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -9,6 +9,7 @@
 
 use super::{Cell, Note, task_id};
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 
@@ -31,6 +32,43 @@
     pub(crate) pace_percent: u32,
     /// Since when the run has been slowed down for the sake of others, without a break.
     pub(crate) slowed: Option<Duration>,
+    /// `percent` at that time.
+    pub(crate) slowed_from_percent: u32,
+    /// `percent` when the newest checkpoint was first seen; 0 without one.
+    pub(crate) saved_percent: u32,
+}
+
+impl Run {
+    /// A run that was ordered, or found on a worker, just now.
+    pub(crate) fn new(number: u64, agent: &Name, now: Duration) -> Self {
+        Self {
+            number,
+            agent: Arc::clone(agent),
+            started: None,
+            percent: 0,
+            moved: now,
+            is_stopping: false,
+            pace_percent: FULL_PERCENT,
+            slowed: None,
+            slowed_from_percent: 0,
+            saved_percent: 0,
+        }
+    }
+
+    /// Takes note of whether the run is slowed down, at a progress of `percent`.
+    pub(crate) fn slow(&mut self, is_slowed: bool, percent: u32, now: Duration) {
+        if !is_slowed {
+            self.slowed = None;
+        } else if self.slowed.is_none() {
+            self.slowed = Some(now);
+            self.slowed_from_percent = percent;
+        }
+    }
+
+    /// Progress that a stop may lose, in percent.
+    pub(crate) fn unsaved_percent(&self, is_checkpointing: bool) -> u32 {
+        if is_checkpointing { self.percent.saturating_sub(self.saved_percent) } else { self.percent }
+    }
 }
 
 /// A task of a job.
@@ -49,6 +87,8 @@
     pub(crate) not_before: Duration,
     /// Agents on whose workers the task failed or stood still.
     pub(crate) avoided: Vec<Name>,
+    /// Runs that were stopped in favor of other tasks.
+    pub(crate) displaced: u32,
 }
 
 /// Checkpoint to begin from; empty when there is none.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -7,11 +7,11 @@
 use chervilledge_policy::id::Name;
 
 use super::agents::{Contact, tasks_of_step};
-use super::jobs::{JobEntry, Run, need};
+use super::jobs::{JobEntry, Run, Task, need};
 use super::{Action, Agent, Cell, Note};
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
-use crate::packing::{self, Need};
+use crate::packing::{self, Load, Need};
 use crate::urgency::{self, Rank, Remaining};
 use crate::worker::{RunTraits, StartOrder, Worker};
 
@@ -53,7 +53,7 @@
 }
 
 /// Tasks that are alike: job, occurrence and step.
-type Group = (JobId, u32, u32);
+pub(super) type Group = (JobId, u32, u32);
 
 /// A worker that may run the tasks of a step, with what is the same for all of them.
 struct Candidate {
@@ -62,9 +62,35 @@
 }
 
 /// A task that waits for room.
-struct Waiting {
-    rank: Rank,
+pub(super) struct Waiting {
+    pub(super) rank: Rank,
+    /// No run of the task was stopped in favor of others; those go first among tasks of equal rank.
+    is_new: bool,
+    pub(super) task: TaskId,
+}
+
+/// A task for which room is looked for.
+pub(super) struct Seeker<'a> {
     task: TaskId,
+    step: &'a Step,
+    state: &'a Task,
+    /// Processor time of disturbing runs on a worker from which the task isn't placed there.
+    disturbing_millicores_max: u64,
+}
+
+impl Seeker<'_> {
+    /// Rates an agent's worker under `load`; `None` when the task has no room.
+    pub(super) fn score(&self, name: &Name, agent: &Agent, load: &Load, need: &Need) -> Option<i64> {
+        let is_full = need.disturbed > 0 && need.slowed_millicores >= self.disturbing_millicores_max;
+        let fits = !is_full
+            && self.state.runs.iter().all(|run| run.agent != *name)
+            && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
+        fits.then(|| packing::score(load, need)).flatten()
+    }
+
+    pub(super) fn avoids(&self, name: &Name) -> bool {
+        self.state.avoided.contains(name)
+    }
 }
 
 impl Cell {
@@ -76,18 +102,25 @@
             return;
         }
         self.needs_placing = false;
-        let mut waiting = self.rank_waiting(now);
-        waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.task));
+        let waiting = self.rank_waiting(now);
+        let mut held = self.hold_reserved(now);
+        self.place_reserved(&waiting, &mut held, now);
+        self.place_ranked(waiting, now);
+        self.release_held(held);
+    }
+
+    fn place_ranked(&mut self, waiting: Vec<Waiting>, now: Duration) {
         let mut starved = self.starved(&waiting, now);
         // Tasks of a step are alike: where one has no room, the others have none.
         let mut full: Set<Group> = Set::default();
         let mut candidates: (Option<Group>, Vec<Candidate>) = (None, Vec::new());
         let mut left = PASS_MAX;
         for Waiting { task, .. } in waiting {
-            let group = (task.job, task.key.occurrence, task.key.step);
+            let group = group(task);
             let is_starved = starved.contains(&task.job);
             let is_exhausted = left.placed == 0 || left.steps == 0;
-            if !self.ready.contains(&task) || full.contains(&group) || (is_exhausted && !is_starved) {
+            let is_served = !self.ready.contains(&task) || self.reserved.contains_key(&task);
+            if is_served || full.contains(&group) || (is_exhausted && !is_starved) {
                 continue;
             }
             if candidates.0 != Some(group) {
@@ -146,7 +179,8 @@
         self.needs_placing |= !self.ready.is_empty();
     }
 
-    fn rank_waiting(&self, now: Duration) -> Vec<Waiting> {
+    /// Tasks that wait for room, the most urgent first.
+    pub(super) fn rank_waiting(&self, now: Duration) -> Vec<Waiting> {
         let mut ranks: Map<(JobId, u32), Rank> = Map::default();
         let mut waiting = Vec::with_capacity(self.ready.len());
         for task in &self.ready {
@@ -157,18 +191,20 @@
                 continue;
             }
             let rank = ranks.entry((task.job, task.key.step)).or_insert_with(|| self.rank(entry, task.key.step, now));
-            waiting.push(Waiting { rank: *rank, task: *task });
+            let is_new = state.is_none_or(|state| state.displaced == 0);
+            waiting.push(Waiting { rank: *rank, is_new, task: *task });
         }
+        waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.is_new, waiting.task));
         waiting
     }
 
-    fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
+    pub(super) fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
         let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
         let left = entry.chains.get(step as usize).copied().unwrap_or_default().mul_f64(ratio);
         let chain = entry.chain().mul_f64(ratio);
         let is_lasting = entry.job.steps.get(step as usize).is_some_and(|step| step.lasting);
         let age = if entry.job.schedule.is_some() { Duration::ZERO } else { entry.age(now) };
-        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
+        let terms = self.terms_of(entry);
         urgency::rank(terms, is_lasting, age, &Remaining { chain, left, work: entry.remaining_work().mul_f64(ratio) })
     }
 
@@ -224,7 +260,7 @@
         (places.len() == members.len()).then_some(places)
     }
 
-    fn reserve(&mut self, task: TaskId, agent: &Name) {
+    pub(super) fn reserve(&mut self, task: TaskId, agent: &Name) {
         let Some((need, image)) = self.occupation(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
             agent.occupy(&need, image);
@@ -232,7 +268,7 @@
         }
     }
 
-    fn unreserve(&mut self, task: TaskId, agent: &Name) {
+    pub(super) fn unreserve(&mut self, task: TaskId, agent: &Name) {
         let Some((need, image)) = self.occupation(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
             agent.vacate(&need, image);
@@ -261,71 +297,85 @@
 
     /// Workers that may run the tasks of a step, whatever room they have.
     fn candidates(&self, task: TaskId, now: Duration) -> Vec<Candidate> {
-        let Some(entry) = self.jobs.get(&task.job) else { return Vec::new() };
-        let Some(step) = entry.job.step(task.key) else { return Vec::new() };
-        let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
-        let base = need(&entry.job, task.key);
-        let is_roomy = step.lasting && self.is_roomy();
+        let is_roomy = self.step_of(task).is_some_and(|step| step.lasting) && self.is_roomy();
         let candidate = |(name, agent): (&Name, &Agent)| {
-            let worker = open_worker(agent, now)?;
-            if worker.service != terms.service
-                || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
-            {
-                return None;
-            }
-            let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
-            let need = Need {
-                is_far: step.data_rack.is_some() && step.data_rack != worker.rack,
-                disturbed,
-                effect_thousandths: if disturbed > 0 { self.largest_effect_thousandths(agent, step) } else { 0 },
-                unlike_score: if step.lasting { unlike_score(agent, step, is_roomy) } else { 0 },
-                slowed_millicores: if disturbed > 0 { self.disturbing_millicores(agent) } else { 0 },
-                ..base
-            };
+            let need = self.need_at(task, agent, &[], is_roomy, now)?;
             Some(Candidate { agent: Arc::clone(name), need })
         };
         self.agents.iter().filter_map(candidate).collect()
     }
 
+    /// What a task needs of an agent's worker once the runs in `without` are over; `None` when it may not run there.
+    pub(super) fn need_at(
+        &self,
+        task: TaskId,
+        agent: &Agent,
+        without: &[(TaskId, u64)],
+        is_roomy: bool,
+        now: Duration,
+    ) -> Option<Need> {
+        let entry = self.jobs.get(&task.job)?;
+        let step = entry.job.step(task.key)?;
+        let terms = self.terms_of(entry);
+        let worker = open_worker(agent, now)?;
+        if worker.service != terms.service || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
+        {
+            return None;
+        }
+        let disturbed = if step.filling { self.disturbed(agent, step) } else { 0 };
+        Some(Need {
+            is_far: step.data_rack.is_some() && step.data_rack != worker.rack,
+            disturbed,
+            effect_thousandths: if disturbed > 0 { self.largest_effect_thousandths(agent, step) } else { 0 },
+            unlike_score: if step.lasting { unlike_score(agent, step, is_roomy) } else { 0 },
+            slowed_millicores: if disturbed > 0 { self.disturbing_millicores(agent, without) } else { 0 },
+            ..need(&entry.job, task.key)
+        })
+    }
+
     /// Whether there are many workers for each image that serves.
     fn is_roomy(&self) -> bool {
         let images: Set<&Name> = self.agents.values().flat_map(|agent| agent.serving.keys()).collect();
         self.agents.len() >= images.len() * WORKERS_PER_IMAGE
     }
 
-    fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
+    /// A task, with what decides where it has room.
+    pub(super) fn seeker(&self, task: TaskId, now: Duration) -> Option<Seeker<'_>> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let state = entry.tasks.get(&task.key)?;
         // A task that has waited for long runs slowly rather than not at all.
         let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
-        let disturbing_max = if is_patient { DISTURBING_PATIENT_MILLICORES_MAX } else { DISTURBING_MILLICORES_MAX };
+        let disturbing_millicores_max =
+            if is_patient { DISTURBING_PATIENT_MILLICORES_MAX } else { DISTURBING_MILLICORES_MAX };
+        Some(Seeker { task, step, state, disturbing_millicores_max })
+    }
+
+    fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
+        let seeker = self.seeker(task, now)?;
         let eligible = |candidate: &Candidate| -> Option<i64> {
-            let Candidate { agent: name, need } = candidate;
-            let agent = self.agents.get(name)?;
-            let is_full = need.disturbed > 0 && need.slowed_millicores >= disturbing_max;
-            let fits = !is_full
-                && rack
-                    .is_none_or(|rack| agent.worker.as_ref().is_some_and(|worker| worker.rack.as_ref() == Some(rack)))
-                && state.runs.iter().all(|run| run.agent != *name)
-                && step.per_worker_max.is_none_or(|max| siblings(agent, task) < max);
-            fits.then(|| packing::score(&agent.load, need)).flatten()
+            let agent = self.agents.get(&candidate.agent)?;
+            let is_there = |rack| agent.worker.as_ref().is_some_and(|worker| worker.rack.as_ref() == Some(rack));
+            rack.is_none_or(is_there)
+                .then(|| seeker.score(&candidate.agent, agent, &agent.load, &candidate.need))
+                .flatten()
         };
         let best = |is_avoiding: bool| {
             candidates
                 .iter()
-                .filter(|candidate| !is_avoiding || !state.avoided.contains(&candidate.agent))
+                .filter(|candidate| !is_avoiding || !seeker.avoids(&candidate.agent))
                 .filter_map(|candidate| Some((eligible(candidate)?, &candidate.agent)))
                 .min()
                 .map(|(_, name)| Arc::clone(name))
         };
-        best(true).or_else(|| if state.avoided.is_empty() { None } else { best(false) })
+        best(true).or_else(|| if seeker.state.avoided.is_empty() { None } else { best(false) })
     }
 
-    /// Whether a worker has room for a filling task where it disturbs nobody.
-    pub(crate) fn has_calm_room(&self, task: TaskId, now: Duration) -> bool {
-        let Some(agent) = self.choose(task, None, now).and_then(|name| self.agents.get(&name)) else { return false };
-        self.step_of(task).is_some_and(|step| self.disturbed(agent, step) == 0)
+    /// Agent on whose worker a filling task has room where it disturbs nobody.
+    pub(crate) fn calm_room(&self, task: TaskId, now: Duration) -> Option<Name> {
+        let name = self.choose(task, None, now)?;
+        let agent = self.agents.get(&name)?;
+        self.step_of(task).is_some_and(|step| self.disturbed(agent, step) == 0).then_some(name)
     }
 
     /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
@@ -350,10 +400,10 @@
     }
 
     /// Processor time that runs on a worker ask for which disturb serving runs there; more than any worker has when they
-    /// are held back already.
-    fn disturbing_millicores(&self, agent: &Agent) -> u64 {
+    /// are held back already; runs in `without` don't count.
+    fn disturbing_millicores(&self, agent: &Agent, without: &[(TaskId, u64)]) -> u64 {
         let mut sum: u64 = 0;
-        for (task, number) in &agent.runs {
+        for (task, number) in agent.runs.iter().filter(|run| !without.contains(run)) {
             let Some(step) = self.step_of(*task).filter(|step| step.filling) else { continue };
             if self.disturbed(agent, step) == 0 {
                 continue;
@@ -385,16 +435,7 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
         if let Some(state) = self.task_mut(task) {
-            state.runs.push(Run {
-                number: run,
-                agent: Arc::clone(name),
-                started: None,
-                percent: 0,
-                moved: now,
-                is_stopping: false,
-                pace_percent: FULL_PERCENT,
-                slowed: None,
-            });
+            state.runs.push(Run::new(run, name, now));
         }
         self.ready.remove(&task);
         self.counters.starts += 1;
@@ -406,6 +447,11 @@
     }
 }
 
+/// Group of a task.
+pub(super) const fn group(task: TaskId) -> Group {
+    (task.job, task.key.occurrence, task.key.step)
+}
+
 /// The worker of an agent, if something may be placed on it.
 fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
     let is_open = agent.contact == Contact::Linked
--- /dev/null
+++ b/crates/cell/src/cell/reservations.rs
@@ -0,0 +1,165 @@
+//! Room that is held for a task while the runs that are stopped for its sake end.
+//!
+//! A stop takes most of a second, during which any waiting task would take the room that another one was promised. While a
+//! reservation lasts, the room on its worker counts as taken for every other task. It is lost with the placer; a successor
+//! sees the runs end and places by urgency alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::collections::Set;
+use chervilledge_policy::id::Name;
+
+use super::Cell;
+use super::jobs::JobEntry;
+use super::placing::{Group, Waiting, group};
+use crate::job::TaskId;
+use crate::pace::FULL_PERCENT;
+use crate::urgency::Rank;
+
+/// Time for which room is held: a stop that takes three times as long as usual.
+const RESERVATION_MAX: Duration = Duration::from_secs(3);
+/// Steps for whose tasks one look tries to make room, so that a look stays short beside a long queue.
+const UNSERVED_STEPS_MAX: usize = 32;
+
+/// Room that is held for a task.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    agent: Name,
+    until: Duration,
+}
+
+/// A task and the agent to whose load it is added for now.
+pub(super) type Held = (TaskId, Name);
+
+impl Cell {
+    /// Whether queues of the job's service differ in priority.
+    pub(super) fn is_prioritized(&self, entry: &JobEntry) -> bool {
+        !self.prioritized.is_empty() && self.prioritized.contains(&self.terms_of(entry).service)
+    }
+
+    /// Adds every task with reserved room to the load of its agent; [`Self::release_held`] must follow.
+    pub(super) fn hold_reserved(&mut self, now: Duration) -> Vec<Held> {
+        let is_wanted = |task: &TaskId| {
+            let entry = self.jobs.get(&task.job).filter(|entry| entry.is_open());
+            let state = entry.and_then(|entry| entry.tasks.get(&task.key)).filter(|state| !state.is_done);
+            state.is_some_and(|state| state.runs.iter().all(|run| run.is_stopping))
+        };
+        self.reserved.retain(|task, reservation| now < reservation.until && is_wanted(task));
+        let mut held: Vec<Held> =
+            self.reserved.iter().map(|(task, reservation)| (*task, Arc::clone(&reservation.agent))).collect();
+        held.sort_unstable();
+        for (task, agent) in &held {
+            self.reserve(*task, agent);
+        }
+        held
+    }
+
+    /// Takes the tasks off the loads again.
+    pub(super) fn release_held(&mut self, held: Vec<Held>) {
+        for (task, agent) in held {
+            self.unreserve(task, &agent);
+        }
+    }
+
+    /// Reserves room for a task from now on.
+    pub(super) fn hold(&mut self, task: TaskId, agent: &Name, held: &mut Vec<Held>, now: Duration) {
+        self.reserved.insert(task, Reservation { agent: Arc::clone(agent), until: now + RESERVATION_MAX });
+        self.reserve(task, agent);
+        held.push((task, Arc::clone(agent)));
+    }
+
+    /// Places tasks with reserved room as soon as they have room anywhere, the most urgent first.
+    pub(super) fn place_reserved(&mut self, waiting: &[Waiting], held: &mut Vec<Held>, now: Duration) {
+        let mut due = Vec::new();
+        for Waiting { task, .. } in waiting {
+            if let Some(position) = held.iter().position(|(other, _)| other == task) {
+                let (_, agent) = held.swap_remove(position);
+                self.unreserve(*task, &agent);
+                due.push((*task, agent));
+            }
+        }
+        for (task, agent) in due {
+            if let Some(chosen) = self.choose(task, None, now) {
+                self.reserved.remove(&task);
+                self.start(task, &chosen, None, now);
+            } else {
+                self.reserve(task, &agent);
+                held.push((task, agent));
+            }
+        }
+    }
+
+    /// Tasks of services with priorities that wait without reserved room and have none now, the most urgent first.
+    pub(super) fn unserved(&self, now: Duration) -> Vec<(Rank, TaskId)> {
+        let mut unserved = Vec::new();
+        let mut groups: Set<Group> = Set::default();
+        let mut roomy: Set<Group> = Set::default();
+        for Waiting { task, rank, .. } in self.rank_waiting(now) {
+            let group = group(task);
+            let is_meant = self.jobs.get(&task.job).is_some_and(|entry| self.is_prioritized(entry))
+                && self.step_of(task).is_some_and(|step| !step.gang)
+                && !self.reserved.contains_key(&task);
+            if !is_meant || roomy.contains(&group) {
+                continue;
+            }
+            if !groups.contains(&group) {
+                if groups.len() == UNSERVED_STEPS_MAX {
+                    break;
+                }
+                groups.insert(group);
+                if self.choose(task, None, now).is_some() {
+                    roomy.insert(group);
+                    continue;
+                }
+            }
+            unserved.push((rank, task));
+        }
+        unserved
+    }
+
+    /// Reserves room for a task where runs are being stopped already, if that is enough.
+    pub(super) fn hold_under_way(&mut self, task: TaskId, held: &mut Vec<Held>, now: Duration) -> bool {
+        let has_stops = |name: &Name| !self.stopping(name).is_empty();
+        let under_way: Option<Name> =
+            self.agents.keys().filter(|name| has_stops(name) && self.fits_after(task, name, &[], now)).min().cloned();
+        let Some(agent) = under_way else { return false };
+        self.hold(task, &agent, held, now);
+        true
+    }
+
+    /// Whether a task has room on a worker once `stopped` and the runs that are being stopped there are over.
+    pub(super) fn fits_after(&self, task: TaskId, name: &Name, stopped: &[(TaskId, u64)], now: Duration) -> bool {
+        let Some(agent) = self.agents.get(name) else { return false };
+        let mut over = self.stopping(name);
+        over.extend(stopped);
+        let Some(need) = self.need_at(task, agent, &over, false, now) else { return false };
+        let mut load = agent.load;
+        for (other, number) in &over {
+            let Some((freed, _)) = self.occupation(*other) else { continue };
+            load.remove(&freed);
+            let pace_percent = self.run(*other, *number).map_or(FULL_PERCENT, |run| run.pace_percent);
+            if freed.is_filling {
+                let held_back = freed.resources.processor_millicores * u64::from(FULL_PERCENT - pace_percent) / 100;
+                load.held_back_millicores = load.held_back_millicores.saturating_sub(held_back);
+            }
+        }
+        let seeker = self.seeker(task, now);
+        seeker.is_some_and(|seeker| !seeker.avoids(name) && seeker.score(name, agent, &load, &need).is_some())
+    }
+
+    /// Runs on a worker that are being stopped.
+    fn stopping(&self, name: &Name) -> Vec<(TaskId, u64)> {
+        let Some(agent) = self.agents.get(name) else { return Vec::new() };
+        let is_stopping = |(task, number): &&(TaskId, u64)| self.run(*task, *number).is_some_and(|run| run.is_stopping);
+        agent.runs.iter().filter(is_stopping).copied().collect()
+    }
+
+    /// Stops a run in favor of another task.
+    pub(super) fn displace(&mut self, task: TaskId, number: u64, reason: &'static str) {
+        if let Some(state) = self.task_mut(task) {
+            state.displaced += 1;
+        }
+        self.stop_runs(task, reason, |run| run.number == number);
+    }
+}
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -2,15 +2,24 @@
 //!
 //! Answers workers on which tasks stand still or take several times as long while their health looks good. A step that
 //! allows copies gets a second one; another run is stopped, which saves its progress, and starts elsewhere.
+//!
+//! Answers as well many filling runs that share the little that serving ones leave, where queues differ in priority. There a
+//! slowed run is stopped only if its own task ends sooner by it, or if a more urgent task that waits takes its room: stops
+//! that served neither cost large jobs 5 to 6.5 s each.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_policy::collections::Set;
 use chervilledge_policy::id::Name;
 
 use super::jobs::{JobEntry, Run};
+use super::placing::{Group, group};
+use super::reservations::Held;
 use super::{Cell, Note};
 use crate::job::{TaskId, TaskKey};
+use crate::pace::FULL_PERCENT;
+use crate::urgency::Rank;
 
 /// Times its expected duration after which a run that may have a copy gets one.
 const COPY_FACTOR: f64 = 1.6;
@@ -34,6 +43,28 @@
 const WORKERS_PER_MOVE: usize = 7;
 /// Restarts of one task for lack of progress, after which it is left where it is.
 const RESTARTS_MAX: usize = 3;
+/// Unfinished tasks of a step from which on, downward, its runs count as the last ones, which decide when the step ends.
+const LAST_MAX: u32 = 4;
+/// The same as a part of the step's tasks: one in this many.
+const LAST_PART: u32 = 10;
+/// Time from the order to stop a run until its end is known, as measured.
+const STOP_TIME: Duration = Duration::from_millis(900);
+/// Time until a run that begins from a checkpoint goes on, as measured.
+const RESTORE_TIME: Duration = Duration::from_millis(600);
+/// Mean pace of filling runs that disturb nobody, as measured, in percent.
+const CALM_PACE_PERCENT: u32 = 78;
+/// Stops of a task's runs in favor of others, at most: more would keep a job from ever ending.
+pub(super) const DISPLACED_MAX: u32 = 2;
+
+/// A run that has been slowed down for long. The order is that in which runs are moved.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Slowed {
+    /// The run isn't one of the last ones of its step.
+    is_early: bool,
+    since: Duration,
+    task: TaskId,
+    number: u64,
+}
 
 impl Cell {
     /// Looks for runs that stand still or are slow, and acts on them.
@@ -56,6 +87,7 @@
             }
         }
         self.move_slowed(now);
+        self.move_or_yield(now);
         for task in copies {
             self.copy(task, now);
         }
@@ -64,10 +96,12 @@
         }
     }
 
-    /// Moves runs that were slowed down for long to workers where they disturb nobody, unless much progress would be lost.
-    fn move_slowed(&mut self, now: Duration) {
-        let mut slowed: Vec<(Duration, TaskId, u64)> = Vec::new();
-        for entry in self.jobs.values().filter(|entry| entry.is_open()) {
+    /// Runs that have been slowed down for long and may be stopped, of services whose queues differ in priority or of the
+    /// others.
+    fn slowed_runs(&self, is_prioritized: bool, now: Duration) -> Vec<Slowed> {
+        let mut slowed = Vec::new();
+        let is_meant = |entry: &&JobEntry| entry.is_open() && self.is_prioritized(entry) == is_prioritized;
+        for entry in self.jobs.values().filter(is_meant) {
             for (key, state) in entry.tasks.iter().filter(|(_, state)| state.runs.len() == 1) {
                 let run = &state.runs[0];
                 let is_saved = entry.job.step(*key).is_some_and(|step| step.checkpointing);
@@ -75,23 +109,134 @@
                 if let Some(since) = run.slowed.filter(|_| !run.is_stopping && run.percent < percent_max)
                     && now.saturating_sub(since) >= SLOWED_MIN
                 {
-                    slowed.push((since, TaskId { job: entry.job.id, key: *key }, run.number));
+                    let task = TaskId { job: entry.job.id, key: *key };
+                    slowed.push(Slowed { is_early: !is_last(entry, *key), since, task, number: run.number });
                 }
             }
         }
-        slowed.sort_unstable();
+        slowed
+    }
+
+    fn moves_max(&self) -> usize {
+        self.agents.len().div_ceil(WORKERS_PER_MOVE).max(MOVES_MIN)
+    }
+
+    /// Moves runs that were slowed down for long to workers where they disturb nobody, unless much progress would be lost.
+    fn move_slowed(&mut self, now: Duration) {
+        let mut slowed = self.slowed_runs(false, now);
+        slowed.sort_unstable_by_key(|slowed| (slowed.since, slowed.task, slowed.number));
         let is_contended = !self.ready.is_empty();
-        let moves_max = self.agents.len().div_ceil(WORKERS_PER_MOVE).max(MOVES_MIN);
-        for (since, task, number) in slowed.into_iter().take(moves_max) {
+        for Slowed { since, task, number, .. } in slowed.into_iter().take(self.moves_max()) {
             // Room comes up again and again while others wait; their order decides who gets it.
             let is_stuck = is_contended && now.saturating_sub(since) >= STUCK_MIN;
-            if is_stuck || self.has_calm_room(task, now) {
+            if is_stuck || self.calm_room(task, now).is_some() {
                 self.counters.moves += 1;
                 self.stop_runs(task, "slowed_down", |run| run.number == number);
             }
         }
     }
 
+    /// Moves slowed runs that end sooner elsewhere, the last ones of their steps first, and stops others where a more
+    /// urgent task takes the room. Applies to services whose queues differ in priority.
+    fn move_or_yield(&mut self, now: Duration) {
+        let mut slowed = self.slowed_runs(true, now);
+        if slowed.is_empty() {
+            return;
+        }
+        slowed.sort_unstable();
+        let mut held = self.hold_reserved(now);
+        let mut left = self.moves_max();
+        let mut stuck = Vec::new();
+        // Tasks of a step are alike: where one has no calm room, the others have none.
+        let mut full: Set<Group> = Set::default();
+        for run in slowed {
+            if left > 0
+                && !full.contains(&group(run.task))
+                && let Some((here, there)) = self.ends_sooner(&run, now)
+            {
+                if let Some(to) = self.calm_room(run.task, now) {
+                    left -= 1;
+                    self.move_run(&run, &to, here, there);
+                    self.hold(run.task, &to, &mut held, now);
+                    continue;
+                }
+                full.insert(group(run.task));
+            }
+            if run.is_early && now.saturating_sub(run.since) >= STUCK_MIN {
+                stuck.push(run);
+            }
+        }
+        self.yield_room(stuck, left, &mut held, now);
+        self.release_held(held);
+    }
+
+    /// Time until a run's task is expected to end where it is and with a move to calm room, if the move makes it end sooner.
+    fn ends_sooner(&self, slowed: &Slowed, now: Duration) -> Option<(Duration, Duration)> {
+        let entry = self.jobs.get(&slowed.task.job)?;
+        let step = entry.job.step(slowed.task.key)?;
+        let run = self.run(slowed.task, slowed.number)?;
+        if step.lasting || step.gang || step.estimate.is_zero() {
+            return None;
+        }
+        // The learnt ratio contains the slow paces of runs, so that it only counts where runs take less than estimated.
+        let full = step.estimate.mul_f64(self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0).min(1.0));
+        let left_percent = FULL_PERCENT.saturating_sub(run.percent);
+        let by_pace = full * left_percent / run.pace_percent.max(1);
+        let done_percent = run.percent.saturating_sub(run.slowed_from_percent).max(1);
+        let by_progress = now.saturating_sub(slowed.since) * left_percent / done_percent;
+        let here = by_pace.min(by_progress);
+        let to_do_percent = left_percent + run.unsaved_percent(step.checkpointing);
+        let there = STOP_TIME + RESTORE_TIME + full * to_do_percent / CALM_PACE_PERCENT;
+        (there < here).then_some((here, there))
+    }
+
+    fn move_run(&mut self, slowed: &Slowed, to: &Name, here: Duration, there: Duration) {
+        let Some(agent) = self.run(slowed.task, slowed.number).map(|run| Arc::clone(&run.agent)) else { return };
+        self.counters.moves += 1;
+        let (task, run, to) = (slowed.task, slowed.number, Arc::clone(to));
+        self.notes.push(Note::RunMoved { task, run, agent, to, here, there });
+        self.stop_runs(task, "slowed_down", |run| run.number == slowed.number);
+    }
+
+    /// Stops runs that are stuck where the room goes to a more urgent task that waits, the least urgent runs first.
+    fn yield_room(&mut self, stuck: Vec<Slowed>, mut left: usize, held: &mut Vec<Held>, now: Duration) {
+        let rank = |run: &Slowed| Some(self.rank(self.jobs.get(&run.task.job)?, run.task.key.step, now));
+        let is_free = |run: &Slowed| {
+            let state = self.jobs.get(&run.task.job).and_then(|entry| entry.tasks.get(&run.task.key));
+            state.is_some_and(|state| state.displaced < DISPLACED_MAX)
+                && self.step_of(run.task).is_some_and(|step| !step.lasting && !step.gang)
+        };
+        let mut stuck: Vec<(Rank, Slowed)> =
+            stuck.into_iter().filter(is_free).filter_map(|run| Some((rank(&run)?, run))).collect();
+        if stuck.is_empty() || left == 0 {
+            return;
+        }
+        stuck.sort_unstable_by(|one, other| other.cmp(one));
+        for (waiting, task) in self.unserved(now) {
+            if left == 0 {
+                return;
+            }
+            let is_worth_a_stop = stuck.iter().any(|(rank, _)| waiting.is_well_before(rank));
+            if !is_worth_a_stop || self.hold_under_way(task, held, now) {
+                continue;
+            }
+            let serves = |(rank, run): &(Rank, Slowed)| {
+                waiting.is_well_before(rank)
+                    && self
+                        .run(run.task, run.number)
+                        .is_some_and(|known| self.fits_after(task, &known.agent, &[(run.task, run.number)], now))
+            };
+            let Some(position) = stuck.iter().position(serves) else { continue };
+            let (_, run) = stuck.remove(position);
+            let Some(agent) = self.run(run.task, run.number).map(|run| Arc::clone(&run.agent)) else { continue };
+            left -= 1;
+            self.counters.yields += 1;
+            self.notes.push(Note::RunYielded { task: run.task, run: run.number, agent: Arc::clone(&agent), to: task });
+            self.displace(run.task, run.number, "yielded");
+            self.hold(task, &agent, held, now);
+        }
+    }
+
     fn copy(&mut self, task: TaskId, now: Duration) {
         // Copies only use what nobody waits for.
         if !self.ready.is_empty() {
@@ -126,6 +271,12 @@
     (!step.lasting && !step.gang && !step.estimate.is_zero()).then(|| step.estimate.mul_f64(ratio))
 }
 
+/// Whether the runs of a task's step that go on are its last ones.
+fn is_last(entry: &JobEntry, key: TaskKey) -> bool {
+    let left = entry.left.get(&(key.occurrence, key.step)).copied().unwrap_or_default();
+    entry.job.step(key).is_some_and(|step| left <= LAST_MAX.max(step.count / LAST_PART))
+}
+
 fn is_still(run: &Run, expected: Duration, now: Duration) -> bool {
     // A run that was slowed down for the sake of others says nothing of its worker.
     run.slowed.is_none() && now.saturating_sub(run.moved) >= expected.mul_f64(STILL_FACTOR).max(STILL_MIN)
--- a/crates/cell/src/configuration.rs
+++ b/crates/cell/src/configuration.rs
@@ -1,8 +1,9 @@
 //! Configuration of queues and services.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use crate::job::Terms;
@@ -67,6 +68,19 @@
             .max_by_key(|(queue, _)| queue.path_prefix.len())
     }
 
+    /// Services whose queues differ in priority.
+    #[must_use]
+    pub fn prioritized(&self) -> Set<Name> {
+        let mut priorities: Map<&Name, u32> = Map::default();
+        let mut differing = Set::default();
+        for Queue { terms, .. } in &self.queues {
+            if *priorities.entry(&terms.service).or_insert(terms.priority) != terms.priority {
+                differing.insert(Arc::clone(&terms.service));
+            }
+        }
+        differing
+    }
+
     /// Queue by name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
--- a/crates/cell/src/urgency.rs
+++ b/crates/cell/src/urgency.rs
@@ -30,6 +30,27 @@
     Overdue,
 }
 
+/// Factor between the work left of two jobs from which a run of the larger one is stopped for the smaller one: a stop and
+/// a restore cost 1.5 s, which a smaller difference doesn't win back.
+const WELL_BEFORE_FACTOR: f64 = 1.25;
+
+impl Rank {
+    /// Whether a task of this rank is so much more urgent than one of `other` that it is worth a stop.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "work is far below 2^53 ms")]
+    pub fn is_well_before(&self, other: &Self) -> bool {
+        let is_less_work = self.key_ms as f64 * WELL_BEFORE_FACTOR < other.key_ms as f64;
+        self.class < other.class
+            || (self.class == other.class && matches!(self.class, Class::InTime | Class::Late) && is_less_work)
+    }
+
+    /// Whether the job can still meet its objective, or has none to meet.
+    #[must_use]
+    pub const fn is_in_time(&self) -> bool {
+        matches!(self.class, Class::Lasting | Class::InTime)
+    }
+}
+
 /// Time that a job should take, for its longest chain of work.
 #[must_use]
 pub fn objective(terms: &Terms, chain: Duration) -> Duration {
--- /dev/null
+++ b/crates/cell/tests/stops.rs
@@ -0,0 +1,168 @@
+//! Stops of slowed runs where queues differ in priority.
+
+mod support;
+
+use std::time::Duration;
+
+use chervilledge_cell::cell::{Action, Inventory, Note};
+use chervilledge_cell::interference::{Evidence, Pair};
+use chervilledge_cell::job::{Job, JobId, Step, TaskId};
+use chervilledge_cell::worker::{EndKind, RunReport};
+use rstest::rstest;
+use support::{World, job, name, step, worker};
+
+const MILLICORES: u64 = 8_000;
+
+fn filling(count: u32, millicores: u64) -> Step {
+    Step {
+        filling: true,
+        checkpointing: true,
+        image: Some(name("heavy")),
+        estimate: Duration::from_secs(4),
+        ..step(count, millicores)
+    }
+}
+
+/// A cell with one worker, whose serving run filling ones disturb.
+fn world() -> World {
+    let mut world = World::with_priorities(1, MILLICORES);
+    let serving = Step {
+        lasting: true,
+        latency_target: Some(Duration::from_millis(45)),
+        image: Some(name("serving")),
+        ..step(1, 4_000)
+    };
+    world.submit(job(100, vec![serving]));
+    world.place();
+    let pair = Pair { filling: name("heavy"), serving: name("serving") };
+    let evidence = Evidence { information: 1_000.0, weighted_effect: 200.0 };
+    world.cell.learn(&name("agent-0"), vec![(pair, evidence)]);
+    world.cell.merge_learnt();
+    world
+}
+
+/// Adds a worker where nothing serves.
+fn add_calm_worker(world: &mut World, millicores: u64) {
+    let calm = name("agent-calm");
+    let inventory = Inventory { worker: Some(worker(&calm, millicores)), ..Inventory::default() };
+    world.cell.agent_linked(&calm, inventory, world.now);
+}
+
+/// Reports every filling run, as its progress and pace are at present.
+fn report(world: &mut World, percent: u32, pace_percent: u32) {
+    let running = world.all_running();
+    let reports: Vec<RunReport> = running
+        .into_iter()
+        .filter(|(_, task, _)| task.job != JobId(100))
+        .map(|(_, task, run)| RunReport { task, run, checkpoint: name("c"), percent, measured: 400, pace_percent })
+        .collect();
+    world.cell.reported(&reports, world.now);
+}
+
+/// Tasks whose runs are ordered to stop by a look, with the reason.
+fn stops(world: &mut World) -> Vec<(TaskId, &'static str)> {
+    world.cell.watch_runs(world.now);
+    let actions = world.cell.take_actions();
+    let stop = |action: &Action| match action {
+        Action::Stop { task, reason, .. } => Some((*task, *reason)),
+        Action::Start { .. } | Action::Settle { .. } => None,
+    };
+    let stops = actions.iter().filter_map(stop).collect();
+    for action in &actions {
+        world.carry_out(action);
+    }
+    stops
+}
+
+/// Guards against a move that ends the step later: with 35% of 4 s left at 39% of full pace, the run ends in 3.6 s where it is,
+/// and in 3.9 s with a stop, a restore, the 12% that aren't saved and the usual pace elsewhere.
+#[rstest]
+#[case::much_is_left(40, 1)]
+#[case::little_is_left(65, 0)]
+fn the_last_run_of_a_step_moves_only_when_the_step_ends_sooner(#[case] percent: u32, #[case] moves: usize) {
+    let mut world = world();
+    world.submit(job(1, vec![filling(1, 2_000)]));
+    world.place();
+    add_calm_worker(&mut world, MILLICORES);
+    report(&mut world, percent - 12, 39);
+    world.advance_ms(1_600);
+    report(&mut world, percent, 39);
+    assert_eq!(stops(&mut world).len(), moves);
+    let is_moved = |note: &Note| matches!(note, Note::RunMoved { here, there, .. } if there < here);
+    assert_eq!(world.cell.take_notes().iter().filter(|note| is_moved(note)).count(), moves);
+}
+
+/// Guards against runs that are stopped for the same calm room, of which all but one then wait; and against a waiting task
+/// that takes the room while the run that moves there ends.
+#[test]
+fn calm_room_is_promised_once() {
+    let mut world = world();
+    world.submit(job(1, vec![filling(2, 2_000)]));
+    world.place();
+    add_calm_worker(&mut world, 2_000);
+    report(&mut world, 10, 10);
+    world.advance_ms(1_300);
+    world.cell.watch_runs(world.now);
+    let mut stops = world.cell.take_actions();
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    world.submit(job(2, vec![filling(1, 2_000)]));
+    world.advance_ms(300);
+    world.cell.place(world.now);
+    world.cell.watch_runs(world.now);
+    assert_eq!(world.cell.take_actions(), []);
+    let stop = stops.remove(0);
+    world.carry_out(&stop);
+    world.place();
+    let there = world.all_running().into_iter().filter(|(agent, ..)| &**agent == "agent-calm");
+    assert_eq!(there.map(|(_, task, _)| task.job).collect::<Vec<_>>(), [JobId(1)]);
+}
+
+/// Guards against stops that serve nobody: the waiting task doesn't fit into what the run frees, or is no more urgent.
+#[rstest]
+#[case::takes_the_room(job(2, vec![filling(1, 2_000)]), 1)]
+#[case::is_too_large(job(2, vec![filling(1, 20_000)]), 0)]
+#[case::is_less_urgent(job(2, vec![filling(40, 2_000)]), 0)]
+fn a_run_yields_only_to_a_more_urgent_task_that_takes_its_room(#[case] waiting: Job, #[case] yields: usize) {
+    let mut world = world();
+    world.submit(job(1, vec![filling(9, 6_000)]));
+    world.place();
+    assert_eq!(world.all_running().len(), 2, "the serving run and one filling run");
+    report(&mut world, 10, 10);
+    world.advance_ms(1_600);
+    world.submit(waiting);
+    world.place();
+    let stops = stops(&mut world);
+    assert_eq!(stops.len(), yields, "{stops:?}");
+    assert!(stops.iter().all(|(task, reason)| task.job == JobId(1) && *reason == "yielded"));
+    assert_eq!(world.cell.counters().yields, yields as u64);
+    world.place();
+    let has_taken = world.all_running().iter().any(|(_, task, _)| task.job == JobId(2));
+    assert_eq!(has_taken, yields == 1);
+}
+
+/// Guards against a task that gave up its run, and then waits behind tasks of its own job that haven't begun.
+#[test]
+fn a_task_that_yielded_goes_before_new_tasks_of_its_job() {
+    let mut world = world();
+    let first = Step { per_worker_max: Some(1), ..filling(6, 1_000) };
+    world.submit(job(1, vec![first, filling(6, 3_000)]));
+    world.place();
+    assert_eq!(world.all_running().len(), 3, "the serving run and one run of each step");
+    let (_, yielding, run) = world.all_running().into_iter().find(|run| run.1.key.step == 1).expect("the second step");
+    let slowed = RunReport { task: yielding, run, checkpoint: name("c"), percent: 10, measured: 300, pace_percent: 10 };
+    world.cell.reported(&[slowed], world.now);
+    world.advance_ms(1_600);
+    world.submit(job(2, vec![filling(1, 3_000)]));
+    world.place();
+    assert_eq!(stops(&mut world), [(yielding, "yielded")]);
+    world.place();
+    let (agent, task, run) = world.all_running().into_iter().find(|run| run.1.job == JobId(1)).expect("the first step");
+    world.end(&agent, task, run, EndKind::Done);
+    world.cell.place(world.now);
+    let start = |action: &Action| match action {
+        Action::Start { order, .. } => Some(order.task),
+        Action::Stop { .. } | Action::Settle { .. } => None,
+    };
+    let starts: Vec<TaskId> = world.cell.take_actions().iter().filter_map(start).collect();
+    assert_eq!(starts.first(), Some(&yielding), "{starts:?}");
+}
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -18,6 +18,7 @@
 
 pub const LEASE: Duration = Duration::from_secs(5);
 pub const QUEUE: &str = "quotes";
+pub const URGENT_QUEUE: &str = "checks";
 pub const SERVICE: &str = "portal";
 
 /// A worker that obeys.
@@ -100,7 +101,22 @@
     }
 }
 
+/// A job of the queue that goes before [`QUEUE`] where the cell has both.
+pub fn urgent_job(id: u64, steps: Vec<Step>) -> Job {
+    Job { queue: name(URGENT_QUEUE), ..job(id, steps) }
+}
+
 impl World {
+    /// The same as [`Self::with_workers`] where [`QUEUE`] has priority 2 and [`URGENT_QUEUE`] priority 0.
+    pub fn with_priorities(count: usize, millicores: u64) -> Self {
+        let mut world = Self::with_workers(count, millicores);
+        let mut changed = Configuration { version: 2, ..configuration() };
+        changed.queues.push(Queue { name: name(URGENT_QUEUE), ..changed.queues[0].clone() });
+        changed.queues[0].terms.priority = 2;
+        world.cell.configure(Arc::new(changed));
+        world
+    }
+
     /// A cell of the first term with linked agents.
     pub fn with_workers(count: usize, millicores: u64) -> Self {
         let mut cell = Cell::new(1, LEASE);
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -27,6 +27,7 @@
     job_ms: Histogram<f64>,
     durable_ms: Histogram<f64>,
     runs: Counter<u64>,
+    displaced: Counter<u64>,
     waiting: Gauge<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
@@ -49,6 +50,10 @@
         job_ms: latency("chervilledge_job_ms", "age of a job when its end was decided"),
         durable_ms: latency("chervilledge_durable_ms", "time until a batch of progress was written"),
         runs: meter.u64_counter("chervilledge_runs").with_description("runs by how they ended").build(),
+        displaced: meter
+            .u64_counter("chervilledge_displaced_runs")
+            .with_description("runs stopped to end sooner elsewhere or in favor of other tasks")
+            .build(),
         waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
@@ -101,6 +106,11 @@
         self.runs.add(1, &[KeyValue::new("how", how)]);
     }
 
+    /// Counts a run that is stopped to end sooner elsewhere or in favor of another task.
+    pub fn displaced(&self, reason: &'static str) {
+        self.displaced.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a batch of progress.
     pub fn durable(&self, took: Duration) {
         self.durable_ms.record(milliseconds(took), &[]);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -21,6 +21,8 @@
             Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
             Note::Ended { how, .. } => metrics.run_ended(how),
             Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
+            Note::RunMoved { .. } => metrics.displaced("moved"),
+            Note::RunYielded { .. } => metrics.displaced("yielded"),
             Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
         }
     }
@@ -39,6 +41,7 @@
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
             "agents_unheard": self.cell.unresolved(),
+            "room_reserved": self.cell.reserved(),
             "agents": agents,
             "counters": format!("{:?}", self.cell.counters()),
         })
@@ -60,6 +63,13 @@
             log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
                 task = task; "");
         }
+        Note::RunMoved { task, run, agent, to, here, there } => {
+            log::info!(event = "run_moved", task:% = task, run = run, agent = &**agent, to = &**to,
+                here_ms = whole_ms(*here), there_ms = whole_ms(*there); "");
+        }
+        Note::RunYielded { task, run, agent, to } => {
+            log::info!(event = "run_yielded", task:% = task, run = run, agent = &**agent, to:% = to; "");
+        }
         Note::WorkerEjected { agent, reason } => {
             log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
         }
