Bound the time of looks for room in large cells

Cause: a look for runs to stop scanned all runs of all workers once for each waiting task.

Change: workers with stops under way are collected once per look, and a step for whose task nothing is found isn't tried again in the look.

--- a/crates/cell/src/cell/preempt.rs
+++ b/crates/cell/src/cell/preempt.rs
@@ -3,6 +3,7 @@
 //! Answers queues of one service of which one goes before the others by its priority; without any such difference nothing
 //! happens here.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,10 +40,14 @@
             now.saturating_sub(since) >= preemption::WAIT_MIN && self.is_ahead_of_some(entry)
         };
         let waiting = self.unserved(waits, now);
+        let mut under_way = if waiting.is_empty() { BTreeSet::new() } else { self.stops_under_way() };
         // Tasks of a step are alike: where there is nothing to stop for one, there is nothing for the others.
         let mut failed: Set<Group> = Set::default();
         for (rank, task) in waiting {
-            if !rank.is_in_time() || failed.contains(&group(task)) || self.hold_under_way(task, &mut held, now) {
+            if !rank.is_in_time()
+                || failed.contains(&group(task))
+                || self.hold_under_way(task, &under_way, &mut held, now)
+            {
                 continue;
             }
             let Some((choice, agent)) = self.cheapest_stops(task, now) else {
@@ -59,6 +64,7 @@
                 self.displace(stopped, run, "preempted");
             }
             self.hold(task, &agent, &mut held, now);
+            under_way.insert(agent);
         }
         self.release_held(held);
     }
--- a/crates/cell/src/cell/reservations.rs
+++ b/crates/cell/src/cell/reservations.rs
@@ -4,6 +4,7 @@
 //! reservation lasts, the room on its worker counts as taken for every other task. It is lost with the placer; a successor
 //! sees the runs end and places by urgency alone.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -148,13 +149,21 @@
         unserved
     }
 
-    /// Reserves room for a task where runs are being stopped already, if that is enough.
-    pub(super) fn hold_under_way(&mut self, task: TaskId, held: &mut Vec<Held>, now: Duration) -> bool {
-        let has_stops = |name: &Name| !self.stopping(name).is_empty();
-        let under_way: Option<Name> =
-            self.agents.keys().filter(|name| has_stops(name) && self.fits_after(task, name, &[], now)).min().cloned();
-        let Some(agent) = under_way else { return false };
-        self.hold(task, &agent, held, now);
+    /// Agents on whose workers runs are being stopped.
+    pub(super) fn stops_under_way(&self) -> BTreeSet<Name> {
+        self.agents.keys().filter(|name| !self.stopping(name).is_empty()).cloned().collect()
+    }
+
+    /// Reserves room for a task on one of the workers where runs are being stopped already, if that is enough.
+    pub(super) fn hold_under_way(
+        &mut self,
+        task: TaskId,
+        under_way: &BTreeSet<Name>,
+        held: &mut Vec<Held>,
+        now: Duration,
+    ) -> bool {
+        let Some(agent) = under_way.iter().find(|name| self.fits_after(task, name, &[], now)) else { return false };
+        self.hold(task, agent, held, now);
         true
     }
 
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -211,12 +211,15 @@
             return;
         }
         stuck.sort_unstable_by(|one, other| other.cmp(one));
+        let mut under_way = self.stops_under_way();
+        // Tasks of a step are alike: where no stop serves one, none serves the others.
+        let mut failed: Set<Group> = Set::default();
         for (waiting, task) in self.unserved(|_, _| true, now) {
             if left == 0 {
                 return;
             }
             let is_worth_a_stop = stuck.iter().any(|(rank, _)| waiting.is_well_before(rank));
-            if !is_worth_a_stop || self.hold_under_way(task, held, now) {
+            if !is_worth_a_stop || failed.contains(&group(task)) || self.hold_under_way(task, &under_way, held, now) {
                 continue;
             }
             let serves = |(rank, run): &(Rank, Slowed)| {
@@ -226,7 +229,10 @@
                         .run(run.task, run.number)
                         .is_some_and(|known| self.fits_after(task, &known.agent, &[(run.task, run.number)], now))
             };
-            let Some(position) = stuck.iter().position(serves) else { continue };
+            let Some(position) = stuck.iter().position(serves) else {
+                failed.insert(group(task));
+                continue;
+            };
             let (_, run) = stuck.remove(position);
             let Some(agent) = self.run(run.task, run.number).map(|run| Arc::clone(&run.agent)) else { continue };
             left -= 1;
@@ -234,6 +240,7 @@
             self.notes.push(Note::RunYielded { task: run.task, run: run.number, agent: Arc::clone(&agent), to: task });
             self.displace(run.task, run.number, "yielded");
             self.hold(task, &agent, held, now);
+            under_way.insert(agent);
         }
     }
 
