Cover the limits of stops that no test held

Cause: with unavailable_max taken out of yields, or the bound of four stops for a task, no test failed.

Change: a case for each. The load test no longer repeats the checks of the bound and of the count of stops, which have tests of their own.

--- a/crates/cell/tests/preemption.rs
+++ b/crates/cell/tests/preemption.rs
@@ -71,7 +71,7 @@
     let mut waits: Vec<Duration> = Vec::new();
     let mut stopping: Vec<(Duration, Action)> = Vec::new();
     let mut ends: Vec<(Duration, Name, TaskId, u64)> = Vec::new();
-    let mut stops: Vec<(Duration, TaskId)> = Vec::new();
+    let mut stops: Vec<TaskId> = Vec::new();
     for tick in 0..160_u64 {
         world.advance_ms(50);
         if tick % 8 == 0 && tick / 8 < SMALL_JOBS {
@@ -95,7 +95,7 @@
         for action in world.cell.take_actions() {
             match &action {
                 Action::Stop { task, .. } => {
-                    stops.push((world.now, *task));
+                    stops.push(*task);
                     stopping.push((world.now + STOP, action));
                 }
                 Action::Start { agent, order, .. } => {
@@ -112,24 +112,14 @@
     let bound = preemption::WAIT_MIN + Duration::from_millis(100) + STOP + Duration::from_millis(50);
     assert_eq!(waits.len(), usize::try_from(SMALL_JOBS).expect("small") * SMALL_TASKS as usize, "all started");
     assert!(waits.iter().all(|wait| *wait <= bound), "{:?}", waits.iter().max());
-    assert!(!stops.is_empty() && stops.iter().all(|(_, task)| task.job == JobId(1)), "{stops:?}");
-    for (at, _) in &stops {
-        let in_window =
-            stops.iter().filter(|(other, _)| *other <= *at && at.saturating_sub(*other) < preemption::WINDOW).count();
-        assert!(in_window <= WORKERS / preemption::WORKERS_PER_STOP, "{in_window} stops in 300 ms");
-    }
-    let mut by_task: BTreeMap<TaskId, u32> = BTreeMap::new();
-    for (_, task) in &stops {
-        *by_task.entry(*task).or_default() += 1;
-    }
-    assert!(by_task.values().all(|count| *count <= preemption::DISPLACED_MAX), "{by_task:?}");
+    assert!(!stops.is_empty() && stops.iter().all(|task| task.job == JobId(1)), "{stops:?}");
     // 450 millicores for each small task, of which four fit into a large one's two cores.
     let needed = (SMALL_JOBS * u64::from(SMALL_TASKS)).div_ceil(4);
     assert!(stops.len() as u64 <= needed, "{} stops for {needed}", stops.len());
 }
 
 /// Guards against stops beyond the rules: no run above 85%, none that lasts, none of an equally important queue, none when all
-/// stops together make no room, none for a job that is late anyway, and never below `unavailable_max`.
+/// stops together make no room, or more than four would, none for a job that is late anyway, and never below `unavailable_max`.
 #[rstest]
 #[case::is_allowed(large(4), 10, urgent_job(2, vec![step(1, 2_000)]), 0, 1)]
 #[case::near_its_end(large(4), 86, urgent_job(2, vec![step(1, 2_000)]), 0, 0)]
@@ -137,6 +127,7 @@
 #[case::same_priority(large(4), 10, job(2, vec![step(1, 2_000)]), 0, 0)]
 #[case::needs_two(large(4), 10, urgent_job(2, vec![step(1, 3_000)]), 0, 2)]
 #[case::needs_more_than_there_is(large(4), 10, urgent_job(2, vec![step(1, 9_000)]), 0, 0)]
+#[case::needs_five(Step { resources: step(1, 800).resources, ..large(10) }, 10, urgent_job(2, vec![step(1, 4_000)]), 0, 0)]
 #[case::is_late(large(4), 10, urgent_job(2, vec![step(1, 2_000)]), 10_000, 0)]
 #[case::one_unavailable(Step { unavailable_max: Some(1), ..large(4) }, 10, urgent_job(2, vec![step(1, 3_000)]), 0, 0)]
 #[case::two_unavailable(Step { unavailable_max: Some(2), ..large(4) }, 10, urgent_job(2, vec![step(1, 3_000)]), 0, 2)]
--- a/crates/cell/tests/stops.rs
+++ b/crates/cell/tests/stops.rs
@@ -117,14 +117,20 @@
     assert_eq!(there.map(|(_, task, _)| task.job).collect::<Vec<_>>(), [JobId(1)]);
 }
 
-/// Guards against stops that serve nobody: the waiting task doesn't fit into what the run frees, or is no more urgent.
+/// Guards against stops that serve nobody, since the waiting task doesn't fit into what the run frees or is no more urgent, and
+/// against too many unavailable tasks: eight of nine wait.
 #[rstest]
-#[case::takes_the_room(job(2, vec![filling(1, 2_000)]), 1)]
-#[case::is_too_large(job(2, vec![filling(1, 20_000)]), 0)]
-#[case::is_less_urgent(job(2, vec![filling(40, 2_000)]), 0)]
-fn a_run_yields_only_to_a_more_urgent_task_that_takes_its_room(#[case] waiting: Job, #[case] yields: usize) {
+#[case::takes_the_room(job(2, vec![filling(1, 2_000)]), Some(9), 1)]
+#[case::is_too_large(job(2, vec![filling(1, 20_000)]), None, 0)]
+#[case::is_less_urgent(job(2, vec![filling(40, 2_000)]), None, 0)]
+#[case::must_stay_available(job(2, vec![filling(1, 2_000)]), Some(8), 0)]
+fn a_run_yields_only_to_a_more_urgent_task_that_takes_its_room(
+    #[case] waiting: Job,
+    #[case] unavailable_max: Option<u32>,
+    #[case] yields: usize,
+) {
     let mut world = world();
-    world.submit(job(1, vec![filling(9, 6_000)]));
+    world.submit(job(1, vec![Step { unavailable_max, ..filling(9, 6_000) }]));
     world.place();
     assert_eq!(world.all_running().len(), 2, "the serving run and one filling run");
     report(&mut world, 10, 10);
