--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -279,17 +279,8 @@
         let image = entry.job.step(task.key).and_then(|step| step.image.clone());
         if let Some(state) = entry.tasks.get_mut(&task.key) {
             state.checkpoint.run = state.checkpoint.run.max(number);
-            state.runs.push(Run {
-                number,
-                agent: Arc::clone(name),
-                started: percent.map(|_| now),
-                percent: percent.unwrap_or(0),
-                moved: now,
-                is_stopping: false,
-                pace_percent: FULL_PERCENT,
-                slowed: None,
-                urgency,
-            });
+            let (started, percent) = (percent.map(|_| now), percent.unwrap_or(0));
+            state.runs.push(Run { started, percent, urgency, ..Run::new(number, name, now) });
         }
         self.ready.remove(&task);
         if let Some(agent) = self.agents.get_mut(name) {
@@ -359,8 +350,7 @@
                     run.started = Some(now);
                 }
                 run.pace_percent = report.pace_percent.min(FULL_PERCENT);
-                let is_slowed = report.pace_percent < SLOWED_PERCENT;
-                run.slowed = if is_slowed { run.slowed.or(Some(now)) } else { None };
+                run.slow(report.pace_percent < SLOWED_PERCENT, report.percent, now);
                 if run.percent != report.percent {
                     run.percent = report.percent;
                     run.moved = now;
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -11,6 +11,7 @@
 use super::urgencies::Advance;
 use super::{Cell, Note, task_id};
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 use crate::urgency::Urgency;
@@ -33,6 +34,36 @@
     pub(crate) slowed: Option<Duration>,
     /// Urgency, as the agent was told it.
     pub(crate) urgency: Urgency,
+    /// `percent` at that time.
+    pub(crate) slowed_from_percent: u32,
+}
+
+impl Run {
+    /// A run that was ordered, or found on a worker, just now.
+    pub(crate) fn new(number: u64, agent: &Name, now: Duration) -> Self {
+        Self {
+            number,
+            agent: Arc::clone(agent),
+            started: None,
+            percent: 0,
+            moved: now,
+            is_stopping: false,
+            pace_percent: FULL_PERCENT,
+            slowed: None,
+            urgency: Urgency::UNKNOWN,
+            slowed_from_percent: 0,
+        }
+    }
+
+    /// Takes note of whether the run is slowed down, at a progress of `percent`.
+    pub(crate) fn slow(&mut self, is_slowed: bool, percent: u32, now: Duration) {
+        if !is_slowed {
+            self.slowed = None;
+        } else if self.slowed.is_none() {
+            self.slowed = Some(now);
+            self.slowed_from_percent = percent;
+        }
+    }
 }
 
 /// A task of a job.
@@ -51,6 +82,16 @@
     pub(crate) not_before: Duration,
     /// Agents on whose workers the task failed or stood still.
     pub(crate) avoided: Vec<Name>,
+    /// Runs that were stopped in favor of other tasks.
+    pub(crate) displaced: u32,
+}
+
+impl Task {
+    /// Progress of one of its runs that a stop may lose, in percent.
+    pub(crate) fn unsaved_percent(&self, run: &Run, is_checkpointing: bool) -> u32 {
+        let is_saved = is_checkpointing && self.checkpoint.run == run.number;
+        run.percent.saturating_sub(if is_saved { self.checkpoint.percent } else { 0 })
+    }
 }
 
 /// A job that the placer knows.
@@ -125,12 +166,7 @@
         resources: step.resources,
         is_filling: step.filling,
         is_serving: step.lasting,
-        is_far: false,
-        disturbed: 0,
-        effect_thousandths: 0,
-        unlike_score: 0,
-        slowed_millicores: 0,
-        excess_millicores: 0,
+        ..Need::default()
     })
 }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outage;
 pub mod pace;
 pub mod packing;
+pub mod preemption;
 pub mod progress;
 pub mod response;
 pub mod urgency;
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -25,6 +25,9 @@
                 metrics.evacuation_changed(if *is_requested { "requested" } else { "removed" });
             }
             Note::CheckpointsChosen { tasks, .. } => metrics.checkpoints(*tasks as u64),
+            Note::RunMoved { .. } => metrics.displaced("moved"),
+            Note::RunYielded { .. } => metrics.displaced("yielded"),
+            Note::Preempted { .. } => metrics.displaced("preempted"),
             Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
         }
     }
@@ -52,6 +55,7 @@
             "tasks_waiting": self.cell.waiting(),
             "agents_unheard": self.cell.unresolved(),
             "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
+            "room_reserved": self.cell.reserved(),
             "agents": agents,
             "counters": format!("{:?}", self.cell.counters()),
         })
@@ -77,6 +81,17 @@
             log::info!(event = "checkpoints_chosen", jobs = chosen.jobs, tasks = tasks, core_ms = chosen.core_ms,
                 jobs_left = left.jobs, core_ms_left = left.core_ms; "");
         }
+        Note::RunMoved { task, run, agent, to, here, there } => {
+            log::info!(event = "run_moved", task:% = task, run = run, agent = &**agent, to = &**to,
+                here_ms = whole_ms(*here), there_ms = whole_ms(*there); "");
+        }
+        Note::RunYielded { task, run, agent, to } => {
+            log::info!(event = "run_yielded", task:% = task, run = run, agent = &**agent, to:% = to; "");
+        }
+        Note::Preempted { task, run, agent, to, unsaved } => {
+            log::info!(event = "preempted", task:% = task, run = run, agent = &**agent, to:% = to,
+                unsaved_core_ms = whole_ms(*unsaved); "");
+        }
         Note::WorkerEjected { agent, reason } => {
             log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
         }
