Move running work off evacuated domains and spread starts on their return

Cause: work that runs in an evacuated domain kept it in use, and after the removal of a request every waiting task could start on its cold workers at once.

Change: every 300 ms, after a pass of placing, the placer stops runs in evacuated domains for which a worker elsewhere has room now. The room is kept free for 5 s, and the task is placed there first once its old run is known to have ended. Lasting runs move one at a time for each step within unavailable_max; runs that save checkpoints with more than 10 s left move with the least unsaved work first, one for each seven workers at a time; the rest ends where it is. A slowed run in an evacuated domain is no longer stopped without room elsewhere.

Existing tests: literals of Worker have their new field.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -21,12 +21,14 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+use self::evacuating::Evacuating;
+pub use self::evacuating::Evacuation;
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
-use crate::evacuation::EvacuatedDomains;
+use crate::evacuation::Held;
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
@@ -137,6 +139,20 @@
         /// Runs on them.
         runs: usize,
     },
+    /// The evacuation of a failure domain has got on.
+    EvacuationProgress {
+        /// The domain.
+        domain: Name,
+        /// Runs on its workers.
+        held: Held,
+    },
+    /// An evacuation may not be what the operator means.
+    EvacuationDoubtful {
+        /// The domain; `None` when all of them are meant.
+        domain: Option<Name>,
+        /// Why.
+        reason: &'static str,
+    },
     /// An agent has another standing.
     AgentChanged {
         /// The agent.
@@ -169,6 +185,8 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Runs stopped because their failure domain is evacuated and there is room elsewhere.
+    pub evacuated: u64,
 }
 
 /// An agent and its worker.
@@ -192,6 +210,12 @@
     pub(crate) ends_seen: u64,
     /// When the leaving of the worker became known.
     pub(crate) leaving_since: Option<Duration>,
+    /// Until when the worker is slow, by its report.
+    pub(crate) cold_until: Duration,
+    /// Until when starts are spread, since the failure domain has come back into use.
+    pub(crate) returning_until: Duration,
+    /// When the next start is due while they are spread.
+    pub(crate) start_due: Duration,
 }
 
 /// State of a cell.
@@ -225,8 +249,7 @@
     estimates: Map<Name, f64>,
     counters: Counters,
     needs_placing: bool,
-    /// Failure domains in which nothing may start.
-    evacuated: EvacuatedDomains,
+    evacuating: Evacuating,
     /// What each agent has learnt of pairs of images.
     learnt: Map<Name, Map<Pair, Evidence>>,
     /// What former placers knew, where the agents know less.
@@ -261,7 +284,7 @@
             estimates: Map::default(),
             counters: Counters::default(),
             needs_placing: false,
-            evacuated: EvacuatedDomains::default(),
+            evacuating: Evacuating::default(),
             learnt: Map::default(),
             recalled: Map::default(),
             interference: Interference::default(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -136,7 +136,9 @@
             agent.ends_seen = 0;
             agent.health = Health::default();
         }
+        let is_released = self.evacuating.domains.is_released(&worker.failure_domain);
         agent.load.total = worker.resources;
+        agent.report_cold(worker.cold_for, is_released, now);
         let leaves = worker.leaves_in;
         agent.worker = Some(worker);
         if leaves.is_some() && agent.leaving_since.is_none() {
@@ -156,6 +158,7 @@
         agent.leaving_since = None;
         agent.load = Load::default();
         agent.serving.clear();
+        self.forget_room_on(name);
         self.unresolved.remove(name);
         if !lost.is_empty() {
             self.note_agent(name, "worker_gone");
@@ -280,6 +283,7 @@
                 agent: Arc::clone(name),
                 started: percent.map(|_| now),
                 percent: percent.unwrap_or(0),
+                saved_percent: 0,
                 moved: now,
                 is_stopping: false,
                 pace_percent: FULL_PERCENT,
@@ -365,8 +369,14 @@
             }
             if !report.checkpoint.is_empty()
                 && let Some(state) = self.task_mut(report.task)
+                && state.checkpoint.0 != report.checkpoint
             {
                 state.checkpoint.0 = Arc::clone(&report.checkpoint);
+                state
+                    .runs
+                    .iter_mut()
+                    .filter(|run| run.number == report.run)
+                    .for_each(|run| run.saved_percent = report.percent);
             }
         }
         for agent in paced {
@@ -561,6 +571,9 @@
             paused_until: Duration::ZERO,
             ends_seen: 0,
             leaving_since: None,
+            cold_until: Duration::ZERO,
+            returning_until: Duration::ZERO,
+            start_due: Duration::ZERO,
         }
     }
 }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -23,6 +23,8 @@
     /// When the worker took it, or was first seen to run it.
     pub(crate) started: Option<Duration>,
     pub(crate) percent: u32,
+    /// `percent` when the newest checkpoint was reported.
+    pub(crate) saved_percent: u32,
     /// When `percent` last changed.
     pub(crate) moved: Duration,
     /// The run was told to stop.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -9,6 +9,7 @@
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, need};
 use super::{Action, Agent, Cell, Note};
+use crate::evacuation::RETURN_START_GAP;
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
 use crate::packing::{self, Need};
@@ -56,7 +57,7 @@
 type Group = (JobId, u32, u32);
 
 /// A worker that may run the tasks of a step, with what is the same for all of them.
-struct Candidate {
+pub(super) struct Candidate {
     agent: Name,
     need: Need,
 }
@@ -76,6 +77,7 @@
             return;
         }
         self.needs_placing = false;
+        self.place_moved(now);
         let mut waiting = self.rank_waiting(now);
         waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.task));
         let mut starved = self.starved(&waiting, now);
@@ -176,7 +178,7 @@
         self.jobs.get(&task.job)?.job.step(task.key)
     }
 
-    fn place_task(&mut self, task: TaskId, candidates: &mut [Candidate], now: Duration) -> bool {
+    pub(super) fn place_task(&mut self, task: TaskId, candidates: &mut [Candidate], now: Duration) -> bool {
         let Some(agent) = self.choose_among(task, candidates, None, now) else { return false };
         self.start(task, &agent, None, now);
         if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.agent == agent)
@@ -260,7 +262,7 @@
     }
 
     /// Workers that may run the tasks of a step, whatever room they have.
-    fn candidates(&self, task: TaskId, now: Duration) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, task: TaskId, now: Duration) -> Vec<Candidate> {
         let Some(entry) = self.jobs.get(&task.job) else { return Vec::new() };
         let Some(step) = entry.job.step(task.key) else { return Vec::new() };
         let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
@@ -269,7 +271,7 @@
         let candidate = |(name, agent): (&Name, &Agent)| {
             let worker = open_worker(agent, now)?;
             if worker.service != terms.service
-                || self.evacuated.is_evacuated(&worker.failure_domain)
+                || self.evacuating.domains.is_evacuated(&worker.failure_domain)
                 || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
             {
                 return None;
@@ -306,6 +308,7 @@
             let agent = self.agents.get(name)?;
             let is_full = need.disturbed > 0 && need.slowed_millicores >= disturbing_max;
             let fits = !is_full
+                && !agent.is_held_back(now)
                 && rack
                     .is_none_or(|rack| agent.worker.as_ref().is_some_and(|worker| worker.rack.as_ref() == Some(rack)))
                 && state.runs.iter().all(|run| run.agent != *name)
@@ -385,12 +388,14 @@
         let run = self.run_number(number);
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
+        agent.start_due = now + RETURN_START_GAP;
         if let Some(state) = self.task_mut(task) {
             state.runs.push(Run {
                 number: run,
                 agent: Arc::clone(name),
                 started: None,
                 percent: 0,
+                saved_percent: 0,
                 moved: now,
                 is_stopping: false,
                 pace_percent: FULL_PERCENT,
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -84,7 +84,9 @@
         let moves_max = self.agents.len().div_ceil(WORKERS_PER_MOVE).max(MOVES_MIN);
         for (since, task, number) in slowed.into_iter().take(moves_max) {
             // Room comes up again and again while others wait; their order decides who gets it.
-            let is_stuck = is_contended && now.saturating_sub(since) >= STUCK_MIN;
+            // In an evacuated domain nothing is stopped without room elsewhere.
+            let is_evacuated = self.run(task, number).is_some_and(|run| self.is_evacuated(run));
+            let is_stuck = is_contended && !is_evacuated && now.saturating_sub(since) >= STUCK_MIN;
             if is_stuck || self.has_calm_room(task, now) {
                 self.counters.moves += 1;
                 self.stop_runs(task, "slowed_down", |run| run.number == number);
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -5,9 +5,21 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilledge_policy::id::Name;
 
+/// Expected remaining time from which a run that saves checkpoints is moved: below it, the stop, the restore and the wait
+/// for room cost more than they save of the time until the domain is empty.
+const MOVE_REMAINING_MIN: Duration = Duration::from_secs(10);
+/// Time after the removal of a request for which starts on each worker of the domain are spread.
+const RETURN_PERIOD: Duration = Duration::from_secs(5);
+/// Longest time for which a report of a slow worker is believed.
+const SLOW_MAX: Duration = Duration::from_mins(1);
+/// Least time between two starts on such a worker: a worker of 32 cores is full of tasks of 3 cores after 2 s, and workers
+/// that aren't cold are chosen meanwhile.
+pub const RETURN_START_GAP: Duration = Duration::from_millis(200);
+
 /// What is known of a domain.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Standing {
@@ -87,3 +99,68 @@
         self.known.iter().filter(|(_, standing)| standing.is_requested).map(|(domain, _)| domain)
     }
 }
+
+/// Until when starts on a worker are spread whose domain was released at `now`.
+#[must_use]
+pub fn returns_until(now: Duration, cold_until: Duration) -> Duration {
+    (now + RETURN_PERIOD).max(slow_until(now, cold_until))
+}
+
+/// Until when a worker counts as slow that said so.
+#[must_use]
+pub fn slow_until(now: Duration, cold_until: Duration) -> Duration {
+    cold_until.min(now + SLOW_MAX)
+}
+
+/// Whether a run that saves checkpoints has so much left to do that it is moved; `ratio` is that of run times to estimates.
+#[must_use]
+pub fn is_worth_moving(estimate: Duration, ratio: f64, percent: u32, pace_percent: u32) -> bool {
+    let left = estimate.mul_f64(f64::from(100_u32.saturating_sub(percent)) / 100.0);
+    // The ratio holds for runs at their usual pace.
+    let at_pace = left.mul_f64(100.0 / f64::from(pace_percent.max(1)));
+    left.mul_f64(ratio).max(at_pace) > MOVE_REMAINING_MIN
+}
+
+/// What keeps a run on a worker of an evacuated domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Holding {
+    /// No worker elsewhere has room for it.
+    NoRoom,
+    /// Its step would have too many unavailable tasks, or another one of them is being moved.
+    UnavailableMax,
+    /// It ends there: it is short, saves no checkpoints or belongs to a gang.
+    ShortTask,
+    /// It was told to stop, or waits for earlier moves.
+    Moving,
+}
+
+/// Runs on the workers of an evacuated domain, by what keeps them there.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Held {
+    /// See [`Holding::NoRoom`].
+    pub no_room: usize,
+    /// See [`Holding::UnavailableMax`].
+    pub unavailable_max: usize,
+    /// See [`Holding::ShortTask`].
+    pub short_task: usize,
+    /// See [`Holding::Moving`].
+    pub moving: usize,
+}
+
+impl Held {
+    /// Counts a run.
+    pub const fn count(&mut self, holding: Holding) {
+        match holding {
+            Holding::NoRoom => self.no_room += 1,
+            Holding::UnavailableMax => self.unavailable_max += 1,
+            Holding::ShortTask => self.short_task += 1,
+            Holding::Moving => self.moving += 1,
+        }
+    }
+
+    /// All runs.
+    #[must_use]
+    pub const fn runs(&self) -> usize {
+        self.no_room + self.unavailable_max + self.short_task + self.moving
+    }
+}
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -38,6 +38,10 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "leaves_in_ms")]
     pub leaves_in: Option<Duration>,
+    /// Time for which it will still be slow after its start.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default, rename = "cold_ms")]
+    pub cold_for: Duration,
 }
 
 impl Worker {
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -54,6 +54,7 @@
         kind: None,
         rack: None,
         leaves_in: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -139,6 +139,8 @@
     worker: Worker,
     address: SocketAddr,
     sequence: u64,
+    /// Until when the worker is slow, by its newest report.
+    cold_until: Duration,
     reading: Option<Reading>,
     /// Until when the worker's lease may last, by what was sent to it.
     lease_until: Duration,
@@ -381,7 +383,9 @@
                 own.address = report.address;
                 let is_news = own.worker.leaves_in.is_some() != report.worker.leaves_in.is_some()
                     || own.worker.resources != report.worker.resources
-                    || own.worker.service != report.worker.service;
+                    || own.worker.service != report.worker.service
+                    || own.worker.cold_for.is_zero() != report.worker.cold_for.is_zero();
+                own.cold_until = now + report.worker.cold_for;
                 own.worker = report.worker.clone();
                 if is_news {
                     log::info!(event = "worker_changed", worker = &*report.worker.life.worker,
@@ -415,6 +419,7 @@
         log::info!(event = "worker_registered", worker = &*worker.life.worker,
             born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
         self.own = Some(Own {
+            cold_until: now + worker.cold_for,
             worker,
             address,
             sequence,
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::evacuation::Standing;
+use chervilledge_cell::worker::Worker;
 use chervilledge_link::connection;
 use ractor::ActorRef;
 use tokio::net::{TcpListener, TcpStream};
@@ -126,7 +127,7 @@
                 self.former = None;
                 own.told = own.ends.last().map_or(own.told, |end| end.number.max(own.told));
                 FromAgent::Inventory {
-                    worker: Some(own.worker.clone()),
+                    worker: Some(Worker { cold_for: own.cold_until.saturating_sub(now), ..own.worker.clone() }),
                     running: own.running.clone(),
                     starting,
                     ends: own.ends.clone(),
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::evacuation::Held;
 use chervilledge_operator::metrics::Reader;
 use chervilledge_policy::clock::Clock;
 use opentelemetry::KeyValue;
@@ -64,7 +65,7 @@
             .build(),
         evacuated_runs: meter
             .u64_gauge("chervilledge_evacuated_runs")
-            .with_description("runs on workers of evacuated failure domains")
+            .with_description("runs on workers of evacuated failure domains, by what keeps them there")
             .build(),
         starts_refused: meter
             .u64_counter("chervilledge_starts_refused_evacuated")
@@ -138,9 +139,17 @@
     }
 
     /// Takes note of the evacuated failure domains and of the runs on their workers.
-    pub fn evacuations(&self, domains: usize, runs: usize) {
+    pub fn evacuations(&self, domains: usize, held: &Held) {
         self.domains_evacuated.record(domains as u64, &[]);
-        self.evacuated_runs.record(runs as u64, &[]);
+        let kinds = [
+            ("no_room", held.no_room),
+            ("unavailable_max", held.unavailable_max),
+            ("short_task", held.short_task),
+            ("moving", held.moving),
+        ];
+        for (kind, runs) in kinds {
+            self.evacuated_runs.record(runs as u64, &[KeyValue::new("held", kind)]);
+        }
     }
 
     /// Counts an order to start in an evacuated failure domain.
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -38,7 +38,7 @@
 
 /// Interval of looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
-/// Interval of looks for runs that stand still.
+/// Interval of looks for runs that stand still, or stand in an evacuated failure domain.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 /// Times the duration of a pass after which the next one may follow, so that passes take a quarter of the processor.
 const PLACE_DUTY: u32 = 4;
@@ -217,6 +217,7 @@
     /// When tasks may be placed again.
     place_due: Duration,
     watch_due: Duration,
+    evacuation_due: Duration,
     effects_due: Duration,
     /// When what is known of pairs of images was last kept.
     effects_kept: Duration,
@@ -282,6 +283,7 @@
             batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
+            evacuation_due: Duration::ZERO,
             effects_due: Duration::ZERO,
             effects_kept: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
@@ -427,6 +429,10 @@
             let took = self.context.clock.now().saturating_sub(now);
             self.place_due = now + took * PLACE_DUTY;
         }
+        if may_place && now >= self.evacuation_due && !self.cell.needs_placing() {
+            self.evacuation_due = now + WATCH_INTERVAL;
+            self.cell.move_evacuated(now);
+        }
         let gap = if self.cell.has_urgent_write() { URGENT_BATCH_GAP } else { BATCH_GAP };
         if now >= self.batch_sent + gap
             && self.is_loaded
--- a/crates/scheduler/src/placer/evacuating.rs
+++ b/crates/scheduler/src/placer/evacuating.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use chervilledge_cell::cell::Evacuation;
+use chervilledge_cell::evacuation::Held;
 use chervilledge_policy::id::Name;
 
 use super::State;
@@ -18,10 +20,17 @@
         }
     }
 
+    /// Sets the gauges of evacuated domains and of the runs on their workers.
     pub(super) fn measure_evacuations(&self) {
         let evacuations = self.cell.evacuations();
-        let runs = evacuations.iter().map(|(.., runs)| runs).sum();
-        self.context.metrics.evacuations(evacuations.len(), runs);
+        let mut all = Held::default();
+        for Evacuation { held, .. } in &evacuations {
+            all.no_room += held.no_room;
+            all.unavailable_max += held.unavailable_max;
+            all.short_task += held.short_task;
+            all.moving += held.moving;
+        }
+        self.context.metrics.evacuations(evacuations.len(), &all);
     }
 
     /// Tells an agent whether its worker's failure domain is evacuated, unless it was told so on this link.
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilledge_cell::cell::Note;
+use chervilledge_cell::cell::{Evacuation, Note};
 use serde_json::{Value, json};
 
 use super::State;
@@ -24,7 +24,11 @@
             Note::Evacuation { is_requested, .. } => {
                 metrics.evacuation_changed(if *is_requested { "requested" } else { "removed" });
             }
-            Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
+            Note::EvacuationDoubtful { reason, .. } => metrics.evacuation_changed(reason),
+            Note::EvacuationProgress { .. }
+            | Note::Placed { .. }
+            | Note::WorkerEjected { .. }
+            | Note::AgentChanged { .. } => {}
         }
     }
 
@@ -39,7 +43,10 @@
             .cell
             .evacuations()
             .into_iter()
-            .map(|(domain, workers, runs)| json!({"domain": domain, "workers": workers, "runs": runs}))
+            .map(|Evacuation { domain, workers, held }| {
+                json!({"domain": domain, "workers": workers,
+                "runs": held.runs(), "held": format!("{held:?}")})
+            })
             .collect();
         json!({
             "evacuations": evacuations,
@@ -78,6 +85,15 @@
             log::info!(event = event, domain = &**domain, revision = revision, workers = workers, runs = runs,
                 term = term; "");
         }
+        Note::EvacuationProgress { domain, held } => {
+            log::info!(event = "evacuation_progress", domain = &**domain, runs = held.runs(), no_room = held.no_room,
+                unavailable_max = held.unavailable_max, short_task = held.short_task, moving = held.moving,
+                term = term; "");
+        }
+        Note::EvacuationDoubtful { domain, reason } => {
+            log::warn!(event = "evacuation_doubtful", domain = domain.as_deref().unwrap_or_default(), reason = reason,
+                term = term; "");
+        }
         Note::AgentChanged { agent, standing, runs } => {
             log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
         }
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -8,6 +8,7 @@
 
 use chervilledge_cell::authority::AUTHORITY;
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
+use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, JobState, Step};
 use chervilledge_cell::worker::Worker;
@@ -208,6 +209,55 @@
     assert!(effects[0].1.per_core() > 0.15, "{}", effects[0].1.per_core());
 }
 
+fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
+    let mut domains = EvacuatedDomains::default();
+    domains.note(&Name::from("a"), Standing { revision, is_requested });
+    Arc::new(domains)
+}
+
+/// A successor must not start anything in a domain that was evacuated before its claim, nor after the request has become
+/// known; the domain takes work again after the removal.
+#[tokio::test]
+async fn a_placer_starts_nothing_in_an_evacuated_domain() {
+    let agent = agent::spawn().await;
+    let (evacuation, evacuations) = watch::channel(evacuated(5, true));
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", agent.address)])));
+    let context = Context { evacuated: evacuations, ..context(&claimed_rows(), clock::system(), roster_view) };
+    let placer = placer::spawn(context).await.expect("placer");
+    agent.worker.wait_for("a look under the new term", |script| script.looks.len() > 2).await;
+    let submit = |id| placer.cast(Message::Submitted(Box::new(job(id)))).expect("running");
+    submit(1);
+    tokio::time::sleep(A_WHILE).await;
+    assert_eq!(agent.worker.change(|script| script.starts.len()), 0);
+    evacuation.send_replace(evacuated(6, false));
+    agent.worker.wait_for("a start after the removal", |script| !script.starts.is_empty()).await;
+    evacuation.send_replace(evacuated(7, true));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    submit(2);
+    tokio::time::sleep(A_WHILE).await;
+    assert_eq!(agent.worker.change(|script| script.starts.len()), 1);
+}
+
+/// An agent that has restarted knows no evacuation; it must learn of it, or of its removal, before the first start.
+#[tokio::test]
+async fn an_agent_is_told_of_its_domain_before_anything_starts() {
+    let (evacuation, evacuations) = watch::channel(evacuated(5, true));
+    let first = TestAgent::listen().await;
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", first.address)])));
+    let context = Context { evacuated: evacuations, ..context(&claimed_rows(), clock::system(), roster_view) };
+    let placer = placer::spawn(context).await.expect("placer");
+    for _ in 0..2 {
+        let mut link = first.accept().await;
+        assert_eq!(link.first_of_evacuation_and_start().await, Some((5, true)));
+    }
+    let mut link = first.accept().await;
+    assert_eq!(link.first_of_evacuation_and_start().await, Some((5, true)));
+    evacuation.send_replace(evacuated(6, false));
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    assert_eq!(link.first_of_evacuation_and_start().await, Some((6, false)));
+    assert_eq!(link.first_of_evacuation_and_start().await, None);
+}
+
 /// An agent that only listens.
 struct TestAgent {
     listener: TcpListener,
@@ -238,6 +288,7 @@
             kind: None,
             rack: None,
             leaves_in: None,
+            cold_for: Duration::ZERO,
         };
         sender.post(FromAgent::Inventory {
             worker: Some(worker),
@@ -252,6 +303,17 @@
 }
 
 impl PlacerLink {
+    /// What the next message of these kinds says of the domain; `None` for a start.
+    async fn first_of_evacuation_and_start(&mut self) -> Option<(u64, bool)> {
+        loop {
+            match self.receiver.receive::<ToAgent>(PATIENCE).await.expect("a message") {
+                ToAgent::Evacuation { revision, is_requested, .. } => return Some((revision, is_requested)),
+                ToAgent::Start { .. } => return None,
+                _ => self.sender.post(FromAgent::Ask { asked: Duration::ZERO }),
+            }
+        }
+    }
+
     async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
         loop {
             self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -165,6 +165,7 @@
                 kind: None,
                 rack: None,
                 leaves_in: None,
+                cold_for: Duration::ZERO,
             },
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             sequence: 1,
