--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -253,9 +253,11 @@
     let mut link = first.accept().await;
     assert_eq!(link.first_of_evacuation_and_start().await, Some((5, true)));
     evacuation.send_replace(evacuated(6, false));
-    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
     assert_eq!(link.first_of_evacuation_and_start().await, Some((6, false)));
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
     assert_eq!(link.first_of_evacuation_and_start().await, None);
+    evacuation.send_replace(evacuated(7, true));
+    assert_eq!(link.first_of_evacuation_and_start().await, Some((7, true)));
 }
 
 /// An agent that only listens.
@@ -305,13 +307,16 @@
 impl PlacerLink {
     /// What the next message of these kinds says of the domain; `None` for a start.
     async fn first_of_evacuation_and_start(&mut self) -> Option<(u64, bool)> {
-        loop {
-            match self.receiver.receive::<ToAgent>(PATIENCE).await.expect("a message") {
-                ToAgent::Evacuation { revision, is_requested, .. } => return Some((revision, is_requested)),
-                ToAgent::Start { .. } => return None,
-                _ => self.sender.post(FromAgent::Ask { asked: Duration::ZERO }),
+        let first = async {
+            loop {
+                match self.receiver.receive::<ToAgent>(PATIENCE).await.expect("a message") {
+                    ToAgent::Evacuation { revision, is_requested, .. } => return Some((revision, is_requested)),
+                    ToAgent::Start { .. } => return None,
+                    _ => self.sender.post(FromAgent::Ask { asked: Duration::ZERO }),
+                }
             }
-        }
+        };
+        tokio::time::timeout(PATIENCE, first).await.expect("word of the domain, or a start")
     }
 
     async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
