Merge moves off evacuated domains and their return to service

Cause: only new starts were stopped; lasting and long runs stayed. Room for moved runs is held by the reservations that preemption brought, in place of bookkeeping of its own.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -137,7 +137,9 @@
             agent.ends_seen = 0;
             agent.health = Health::default();
         }
+        let is_released = self.evacuating.domains.is_released(&worker.failure_domain);
         agent.load.total = worker.resources;
+        agent.report_cold(worker.cold_for, is_released, now);
         let leaves = worker.leaves_in;
         agent.worker = Some(worker);
         if leaves.is_some() && agent.leaving_since.is_none() {
@@ -555,6 +557,9 @@
             paused_until: Duration::ZERO,
             ends_seen: 0,
             leaving_since: None,
+            cold_until: Duration::ZERO,
+            returning_until: Duration::ZERO,
+            start_due: Duration::ZERO,
         }
     }
 }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -9,6 +9,7 @@
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, Task, need};
 use super::{Action, Agent, Cell, Note};
+use crate::evacuation::RETURN_START_GAP;
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
 use crate::packing::{self, Load, Need};
@@ -86,6 +87,7 @@
     state: &'a Task,
     /// Processor time of disturbing runs on a worker from which the task isn't placed there.
     disturbing_millicores_max: u64,
+    now: Duration,
 }
 
 impl Seeker<'_> {
@@ -93,6 +95,7 @@
     pub(super) fn score(&self, name: &Name, agent: &Agent, load: &Load, need: &Need) -> Option<i64> {
         let is_full = need.disturbed > 0 && need.slowed_millicores >= self.disturbing_millicores_max;
         let fits = !is_full
+            && !agent.is_held_back(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
         fits.then(|| packing::score(load, need)).flatten()
@@ -330,7 +333,7 @@
         let terms = self.terms_of(entry);
         let worker = open_worker(agent, now)?;
         if worker.service != terms.service
-            || self.evacuated.is_evacuated(&worker.failure_domain)
+            || self.evacuating.domains.is_evacuated(&worker.failure_domain)
             || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
         {
             return None;
@@ -402,7 +405,7 @@
         let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
         let disturbing_millicores_max =
             if is_patient { DISTURBING_PATIENT_MILLICORES_MAX } else { DISTURBING_MILLICORES_MAX };
-        Some(Seeker { task, step, state, disturbing_millicores_max })
+        Some(Seeker { task, step, state, disturbing_millicores_max, now })
     }
 
     fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
@@ -487,6 +490,7 @@
         let run = self.run_number(number);
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
+        agent.start_due = now + RETURN_START_GAP;
         if let Some(state) = self.task_mut(task) {
             state.checkpoint.run = run;
             state.runs.push(Run { urgency, ..Run::new(run, name, now) });
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -127,7 +127,9 @@
         let is_contended = !self.ready.is_empty();
         for Slowed { since, task, number, .. } in slowed.into_iter().take(self.moves_max()) {
             // Room comes up again and again while others wait; their order decides who gets it.
-            let is_stuck = is_contended && now.saturating_sub(since) >= STUCK_MIN;
+            // In an evacuated domain nothing is stopped without room elsewhere.
+            let is_evacuated = self.run(task, number).is_some_and(|run| self.is_evacuated(run));
+            let is_stuck = is_contended && !is_evacuated && now.saturating_sub(since) >= STUCK_MIN;
             if is_stuck || self.calm_room(task, now).is_some() {
                 self.counters.moves += 1;
                 self.stop_runs(task, "slowed_down", |run| run.number == number);
