Decide admission by the work ahead of a job

Cause: every job is accepted, also under 2.5 times the usual load, and the callers of jobs that can no longer be served learn nothing until it is too late.

Change: crates/cell/src/admission.rs decides on a backlog (work by size of job, rate, spread of run times) whether a job could still end within three times its objective, and spreads retries over slots. The cell samples the backlog. Work is kept by pool (service, filling or not) instead of by queue: queues of a service share workers and one order, filling runs don't count against workers. A rate is at least half of the cores in use, and goes with the capacity of the workers that are there.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,6 +4,7 @@
 //! [`Write`](writes::Write)s that come out.
 
 mod agents;
+mod backlog;
 mod ends;
 mod filling;
 mod jobs;
@@ -20,10 +21,12 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+use self::backlog::PoolKey;
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
 use self::writes::Writes;
+use crate::admission::{Backlog, Meter};
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
@@ -208,6 +211,12 @@
     writes: Writes,
     /// Ratio of the time that runs take to their estimates, by queue.
     estimates: Map<Name, f64>,
+    /// Mean distance of single run times from that ratio, as a part of it, by queue.
+    spreads: Map<Name, f64>,
+    /// Rates at which work is done.
+    meters: Map<PoolKey, Meter>,
+    /// The work that a new job would find, as of the last sample.
+    backlog: Arc<Backlog>,
     counters: Counters,
     needs_placing: bool,
     /// What each agent has learnt of pairs of images.
@@ -242,6 +251,9 @@
             notes: Vec::new(),
             writes: Writes::default(),
             estimates: Map::default(),
+            spreads: Map::default(),
+            meters: Map::default(),
+            backlog: Arc::default(),
             counters: Counters::default(),
             needs_placing: false,
             learnt: Map::default(),
--- /dev/null
+++ b/crates/cell/src/cell/backlog.rs
@@ -0,0 +1,220 @@
+//! The work that a new job would find, for entries that decide about its admission.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::Name;
+
+use super::jobs::JobEntry;
+use super::placing::open_worker;
+use super::{Agent, Cell};
+use crate::admission::{Backlog, Estimates, Pool, SPREAD_UNKNOWN_PERCENT, Sizes, WAITING_MIN, is_plain};
+use crate::job::{JobId, Step, TaskId};
+
+/// Progress of a task that is done, in percent.
+const DONE_PERCENT: u32 = 100;
+/// Weight of a new run in the spread of run times; as in their ratio to estimates.
+const SPREAD_WEIGHT: f64 = 0.05;
+
+/// Service and whether the tasks are filling ones.
+pub(super) type PoolKey = (Name, bool);
+
+impl Cell {
+    /// The work that a new job would find, as of the last sample.
+    #[must_use]
+    pub const fn backlog(&self) -> &Arc<Backlog> {
+        &self.backlog
+    }
+
+    /// Takes a sample of the work that waits and runs, and of the rate at which it is done.
+    pub fn sample_backlog(&mut self, now: Duration) {
+        self.count_progress();
+        // What runs isn't known while agents of the predecessor are unheard.
+        if !self.unresolved.is_empty() {
+            self.backlog = Arc::default();
+            return;
+        }
+        let mut pools = self.pools(now);
+        let capacity = self.open_millicores(now);
+        let in_use = self.millicores_in_use();
+        for (key, pool) in &mut pools {
+            let millicores = capacity.get(&key.0).copied().unwrap_or(0);
+            let meter = self.meters.entry(key.clone()).or_default();
+            meter.sample(millicores, pool.is_waiting, now);
+            pool.rate_millicores = meter.rate_millicores(millicores, in_use.get(key).copied().unwrap_or(0));
+        }
+        let mut pools: Vec<Pool> =
+            pools.into_values().filter(|pool| pool.in_time.total() + pool.late.total() > 0).collect();
+        pools.sort_unstable_by(|one, other| (&one.service, one.is_filling).cmp(&(&other.service, other.is_filling)));
+        let mut queues: Vec<Estimates> =
+            self.estimates.iter().map(|(queue, ratio)| self.estimates_of(queue, *ratio)).collect();
+        queues.sort_unstable_by(|one, other| one.queue.cmp(&other.queue));
+        self.backlog = Arc::new(Backlog { pools, queues });
+    }
+
+    fn estimates_of(&self, queue: &Name, ratio: f64) -> Estimates {
+        let spread_percent = self.spreads.get(queue).copied().map_or(SPREAD_UNKNOWN_PERCENT, percent);
+        Estimates { queue: Arc::clone(queue), ratio_percent: percent(ratio), spread_percent }
+    }
+
+    /// Takes note of how far a run time was from what its queue's ratio says.
+    pub(super) fn note_spread(&mut self, queue: &Name, distance: f64) {
+        let known = self.spreads.entry(Arc::clone(queue)).or_insert(f64::from(SPREAD_UNKNOWN_PERCENT) / 100.0);
+        *known += (distance - *known) * SPREAD_WEIGHT;
+    }
+
+    /// Work of open jobs that can still end before they are entirely late, by pool.
+    fn pools(&self, now: Duration) -> Map<PoolKey, Pool> {
+        let mut pools: Map<PoolKey, Pool> = Map::default();
+        for (service, is_filling) in self.meters.keys() {
+            pool(&mut pools, service, *is_filling);
+        }
+        let progressed = self.work_under_way();
+        for entry in self.jobs.values().filter(|entry| entry.is_open()) {
+            let Some(rank) = first_step_left(entry).map(|step| self.rank(entry, step, now)) else { continue };
+            if rank.is_overdue() || entry.job.is_lasting() {
+                continue;
+            }
+            let ratio = self.ratio(entry);
+            let service = self.service(entry);
+            let size = entry.remaining_work().mul_f64(ratio);
+            for is_filling in [false, true] {
+                let of_pool = |(position, left): (&(u32, u32), &u32)| {
+                    let step = entry.job.steps.get(position.1 as usize)?;
+                    (step.filling == is_filling && is_plain(step)).then(|| step.work().saturating_mul(*left))
+                };
+                let left: Duration = entry.left.iter().filter_map(of_pool).sum();
+                let done = progressed.get(&(entry.job.id, is_filling)).copied().unwrap_or_default();
+                let work = left.saturating_sub(done).mul_f64(ratio);
+                if !work.is_zero() {
+                    let pool = pool(&mut pools, service, is_filling);
+                    let sizes = if rank.is_in_time() { &mut pool.in_time } else { &mut pool.late };
+                    sizes.add(size, work);
+                }
+            }
+        }
+        self.mark_waiting(&mut pools, now);
+        pools
+    }
+
+    /// Marks the pools with a task that has found no capacity for long, of a job that can still be served.
+    fn mark_waiting(&self, pools: &mut Map<PoolKey, Pool>, now: Duration) {
+        // Tasks of a step are alike, and the set has them together.
+        let mut judged = None;
+        for task in &self.ready {
+            let group = (task.job, task.key.occurrence, task.key.step);
+            let Some(entry) = self.jobs.get(&task.job).filter(|_| judged != Some(group)) else { continue };
+            let Some(step) = entry.job.step(task.key).filter(|step| is_plain(step)) else { continue };
+            let Some(state) = entry.tasks.get(&task.key) else { continue };
+            if now.saturating_sub(state.ready_since.max(state.not_before)) < WAITING_MIN {
+                continue;
+            }
+            judged = Some(group);
+            if !self.rank(entry, task.key.step, now).is_overdue() {
+                pool(pools, self.service(entry), step.filling).is_waiting = true;
+            }
+        }
+    }
+
+    /// Work that running tasks have done and might still lose, by job and whether they are filling ones; not corrected.
+    fn work_under_way(&self) -> Map<(JobId, bool), Duration> {
+        let mut done: Map<(JobId, bool), Duration> = Map::default();
+        for (task, step, run_percent) in self.running() {
+            if is_plain(step) {
+                *done.entry((task.job, step.filling)).or_default() += part(step.work(), run_percent);
+            }
+        }
+        done
+    }
+
+    /// Processor time that runs ask for, by pool, in thousandths of a core.
+    fn millicores_in_use(&self) -> Map<PoolKey, u32> {
+        let mut in_use: Map<PoolKey, u32> = Map::default();
+        for (task, step, _) in self.running().filter(|(_, step, _)| !step.lasting) {
+            let Some(entry) = self.jobs.get(&task.job) else { continue };
+            let sum = in_use.entry((Arc::clone(self.service(entry)), step.filling)).or_default();
+            *sum = sum.saturating_add(u32::try_from(step.resources.processor_millicores).unwrap_or(u32::MAX));
+        }
+        in_use
+    }
+
+    /// Tasks with a run, with their step and the progress of the run.
+    fn running(&self) -> impl Iterator<Item = (TaskId, &Step, u32)> {
+        let runs = self.agents.values().flat_map(|agent| &agent.runs);
+        runs.filter_map(|(task, number)| Some((*task, self.step_of(*task)?, self.run(*task, *number)?.percent)))
+    }
+
+    /// Processor time of the workers that take tasks, by service, in thousandths of a core.
+    fn open_millicores(&self, now: Duration) -> Map<Name, u32> {
+        let mut capacity: Map<Name, u32> = Map::default();
+        for worker in self.agents.values().filter_map(|agent: &Agent| open_worker(agent, now)) {
+            let millicores = u32::try_from(worker.resources.processor_millicores).unwrap_or(u32::MAX);
+            let sum = capacity.entry(Arc::clone(&worker.service)).or_default();
+            *sum = sum.saturating_add(millicores);
+        }
+        capacity
+    }
+
+    /// Counts what runs have done since the last time.
+    fn count_progress(&mut self) {
+        let progress: Vec<(TaskId, u32)> = self.running().map(|(task, _, run_percent)| (task, run_percent)).collect();
+        for (task, run_percent) in progress {
+            self.count_work(task, run_percent);
+        }
+    }
+
+    /// Counts the end of a task as done work.
+    pub(super) fn count_done(&mut self, task: TaskId) {
+        self.count_work(task, DONE_PERCENT);
+    }
+
+    /// Counts a task's progress as done work. What a lost run did and its successor does again counts once.
+    fn count_work(&mut self, task: TaskId, run_percent: u32) {
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(step) = entry.job.step(task.key).filter(|step| !step.lasting) else { return };
+        let (work, is_filling) = (step.work().mul_f64(self.ratio(entry)), step.filling);
+        let key = (Arc::clone(self.service(entry)), is_filling);
+        let Some(state) = self.task_mut(task) else { return };
+        let gained = run_percent.min(DONE_PERCENT).saturating_sub(state.counted_percent);
+        state.counted_percent += gained;
+        if gained > 0 {
+            self.meters.entry(key).or_default().done(part(work, gained));
+        }
+    }
+
+    fn ratio(&self, entry: &JobEntry) -> f64 {
+        self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0)
+    }
+
+    fn service<'a>(&'a self, entry: &'a JobEntry) -> &'a Name {
+        self.queues.get(&entry.job.queue).map_or(&entry.job.terms.service, |queue| &queue.terms.service)
+    }
+}
+
+/// Step with tasks left that has the longest chain to the end.
+fn first_step_left(entry: &JobEntry) -> Option<u32> {
+    let chain = |step: &u32| entry.chains.get(*step as usize).copied().unwrap_or_default();
+    entry.left.iter().filter(|(_, left)| **left > 0).map(|((_, step), _)| *step).max_by_key(chain)
+}
+
+fn pool<'a>(pools: &'a mut Map<PoolKey, Pool>, service: &Name, is_filling: bool) -> &'a mut Pool {
+    pools.entry((Arc::clone(service), is_filling)).or_insert_with(|| Pool {
+        service: Arc::clone(service),
+        is_filling,
+        is_waiting: false,
+        rate_millicores: None,
+        in_time: Sizes::default(),
+        late: Sizes::default(),
+    })
+}
+
+fn part(work: Duration, part_percent: u32) -> Duration {
+    work.saturating_mul(part_percent.min(DONE_PERCENT)) / DONE_PERCENT
+}
+
+/// A ratio in percent.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "ratios are positive and bounded")]
+fn percent(ratio: f64) -> u32 {
+    (ratio * 100.0).round() as u32
+}
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -108,8 +108,10 @@
         if let Some(took) = took.filter(|_| !step.estimate.is_zero()) {
             let ratio = (took.as_secs_f64() / step.estimate.as_secs_f64()).clamp(ESTIMATE_RATIO.0, ESTIMATE_RATIO.1);
             let queue = Arc::clone(&entry.job.queue);
-            let known = self.estimates.entry(queue).or_insert(1.0);
+            let known = self.estimates.entry(Arc::clone(&queue)).or_insert(1.0);
+            let distance = (ratio / *known - 1.0).abs();
             *known += (ratio - *known) * ESTIMATE_WEIGHT;
+            self.note_spread(&queue, distance);
         }
         let Some(entry) = self.jobs.get(&task.job) else { return };
         // A lasting task starts again however it ends; members of a gang end together.
@@ -142,6 +144,7 @@
         entry.progress.done.insert(task.key);
         entry.progress.failures.remove(&task.key);
         entry.progress.checkpoints.remove(&task.key);
+        self.count_done(task);
         self.ready.remove(&task);
         self.stop_runs(task, "done_elsewhere", |_| true);
     }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -12,9 +12,6 @@
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 
-/// Thousandths of a core.
-const MILLICORES: u32 = 1_000;
-
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -37,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) is_done: bool,
+    /// Part that was counted as done work, in percent.
+    pub(crate) counted_percent: u32,
     pub(crate) runs: Vec<Run>,
     /// Starts under this term.
     pub(crate) starts: u64,
@@ -116,9 +115,7 @@
     /// Processor time of one core that the tasks take which aren't done, by their estimates.
     pub(crate) fn remaining_work(&self) -> Duration {
         let work = |((_, step), left): (&(u32, u32), &u32)| {
-            let step = self.job.steps.get(*step as usize)?;
-            let millicores = u32::try_from(step.resources.processor_millicores).unwrap_or(u32::MAX);
-            Some(step.estimate.saturating_mul(*left).saturating_mul(millicores) / MILLICORES)
+            Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
         };
         self.left.iter().filter_map(work).sum()
     }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -162,7 +162,7 @@
         waiting
     }
 
-    fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
+    pub(super) fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
         let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
         let left = entry.chains.get(step as usize).copied().unwrap_or_default().mul_f64(ratio);
         let chain = entry.chain().mul_f64(ratio);
@@ -407,7 +407,7 @@
 }
 
 /// The worker of an agent, if something may be placed on it.
-fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
+pub(super) fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
     let is_open = agent.contact == Contact::Linked
         && agent.strays.is_empty()
         && now >= agent.paused_until
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -19,6 +19,9 @@
 /// Most steps of a job.
 pub const STEPS_MAX: usize = 1_000;
 
+/// Thousandths of a core.
+const MILLICORES: u32 = 1_000;
+
 /// Identifier that the caller chose for a job.
 #[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
 pub struct JobId(pub u64);
@@ -263,6 +266,17 @@
     /// Longest chain of estimates from a step to the end, that step included.
     #[must_use]
     pub fn chain_from(&self, step: usize) -> Duration {
+        self.chains().get(step).copied().unwrap_or_default()
+    }
+
+    /// Longest chain of estimates of an occurrence.
+    #[must_use]
+    pub fn chain(&self) -> Duration {
+        self.chains().into_iter().max().unwrap_or_default()
+    }
+
+    /// Longest chain of estimates from each step to the end.
+    fn chains(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
         for position in (0..self.steps.len()).rev() {
             longest[position] += self.steps[position].estimate;
@@ -271,7 +285,22 @@
                 longest[earlier] = longest[earlier].max(longest[position]);
             }
         }
-        longest.get(step).copied().unwrap_or_default()
+        longest
+    }
+
+    /// Processor time of one core that an occurrence takes, by its estimates.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        self.steps.iter().map(|step| step.work().saturating_mul(step.count)).sum()
+    }
+}
+
+impl Step {
+    /// Processor time of one core that a task takes, by its estimate.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
+        self.estimate.saturating_mul(millicores) / MILLICORES
     }
 }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O. Time is a [`std::time::Duration`] since an arbitrary origin, passed in by the caller.
 
+pub mod admission;
 pub mod authority;
 pub mod cell;
 pub mod configuration;
--- a/crates/cell/src/urgency.rs
+++ b/crates/cell/src/urgency.rs
@@ -8,7 +8,7 @@
 use crate::job::Terms;
 
 /// Times the objective after which a result is worth no more than at any later time.
-const LATE_FACTOR: u32 = 3;
+pub const LATE_FACTOR: u32 = 3;
 
 /// Rank of a waiting task; the smallest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -30,6 +30,20 @@
     Overdue,
 }
 
+impl Rank {
+    /// Whether the job can still meet its objective.
+    #[must_use]
+    pub fn is_in_time(&self) -> bool {
+        self.class <= Class::InTime
+    }
+
+    /// Whether the job can no longer end before it is entirely late.
+    #[must_use]
+    pub fn is_overdue(&self) -> bool {
+        self.class == Class::Overdue
+    }
+}
+
 /// Time that a job should take, for its longest chain of work.
 #[must_use]
 pub fn objective(terms: &Terms, chain: Duration) -> Duration {
--- /dev/null
+++ b/crates/cell/tests/admission.rs
@@ -0,0 +1,248 @@
+//! Which jobs are refused for the work ahead of them, and when their callers are asked to come again.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::admission::{Backlog, Decision, Pool, Refusal, Share, Sizes, Slots, decide};
+use chervilledge_cell::cell::{Action, Note};
+use chervilledge_cell::job::{Job, JobId, Schedule, Step, TaskId};
+use chervilledge_cell::urgency::{LATE_FACTOR, objective};
+use chervilledge_cell::worker::{EndKind, RunReport};
+use chervilledge_policy::id::Name;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use support::{World, configuration, job, name, step};
+
+const TICK_MS: u64 = 100;
+/// Time for which jobs are submitted, and until which they may end.
+const SUBMITTED_MS: u64 = 60_000;
+const ENDED_MS: u64 = 90_000;
+const VIEW_MS: u64 = 500;
+/// Workers of 16 cores: 320 core-seconds a second.
+const WORKERS: usize = 20;
+
+const fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Jobs of a small queue (7% of the cell) and of a large one, with the time at which they are submitted.
+fn submissions(seed: u64, large_every_ms: u64) -> Vec<(u64, Job)> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    for at in (0..SUBMITTED_MS).step_by(300) {
+        jobs.push((at, Job { queue: name("small"), ..job(1_000_000 + at, vec![step(6, 1_800)]) }));
+    }
+    let mut at = 0;
+    while at < SUBMITTED_MS {
+        at += rng.random_range(1..2 * large_every_ms);
+        jobs.push((at, large(rng.random(), rng.random_range(10..30))));
+    }
+    jobs.sort_by_key(|(at, _)| *at);
+    jobs
+}
+
+fn large(id: u64, tasks: u32) -> Job {
+    let first = Step { estimate: Duration::from_millis(2_200), ..step(tasks, 4_000) };
+    let second = Step { after: vec![0], ..first.clone() };
+    let mut job = Job { queue: name("large"), ..job(id, vec![first, second]) };
+    job.terms.priority = 2;
+    job.terms.latency_objective = Duration::from_secs(1);
+    job
+}
+
+/// What became of jobs: age at the end, and when and with what the others were refused.
+#[derive(Default)]
+struct Outcomes {
+    ages: BTreeMap<JobId, Duration>,
+    refused: BTreeMap<JobId, (u64, Refusal)>,
+}
+
+/// Has the cell work on submissions; jobs that are refused don't come again.
+fn play(submissions: &[(u64, Job)], is_admitting: bool) -> Outcomes {
+    let mut world = World::with_workers(WORKERS, 16_000);
+    let mut both = configuration();
+    both.version = 2;
+    for (_, job) in submissions {
+        if both.queues.iter().all(|queue| queue.name != job.queue) {
+            let queue = both.queues[0].clone();
+            both.queues.push(chervilledge_cell::configuration::Queue {
+                name: Arc::clone(&job.queue),
+                terms: job.terms.clone(),
+                ..queue
+            });
+        }
+    }
+    world.cell.configure(Arc::new(both));
+    let mut outcomes = Outcomes::default();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut running: BTreeMap<(TaskId, u64), (Name, Duration, Duration)> = BTreeMap::new();
+    let mut arriving = submissions.iter().peekable();
+    let mut view = (Arc::new(Backlog::default()), 0);
+    for at in (0..ENDED_MS).step_by(usize::try_from(TICK_MS).unwrap_or(1)) {
+        world.advance_ms(TICK_MS);
+        let over: Vec<_> =
+            running.iter().filter(|(_, (_, _, until))| *until <= world.now).map(|(run, _)| *run).collect();
+        for (task, run) in over {
+            let (agent, ..) = running.remove(&(task, run)).expect("a run");
+            world.end(&agent, task, run, EndKind::Done);
+        }
+        if at % VIEW_MS == 0 {
+            let reports: Vec<RunReport> = running.iter().map(|(id, times)| report(*id, times, world.now)).collect();
+            world.cell.reported(&reports, world.now);
+            world.cell.sample_backlog(world.now);
+            view = (Arc::clone(world.cell.backlog()), at);
+        }
+        while let Some((_, job)) = arriving.next_if(|(due, _)| *due <= at) {
+            let age = Duration::from_millis(at - view.1);
+            match decide(&view.0, job, age) {
+                Decision::Refuse(refusal) if is_admitting => {
+                    outcomes.refused.insert(job.id, (at, refusal));
+                }
+                Decision::Refuse(_) | Decision::Admit => world.submit(job.clone()),
+            }
+        }
+        world.cell.place(world.now);
+        for action in world.cell.take_actions() {
+            if let Action::Start { agent, order, .. } = &action {
+                let step = &submissions.iter().find(|(_, job)| job.id == order.task.job).expect("a job").1.steps[0];
+                let until = world.now + step.estimate.mul_f64(rng.random_range(0.7..1.4));
+                running.insert((order.task, order.run), (Arc::clone(agent), world.now, until));
+            }
+            world.carry_out(&action);
+        }
+        for note in world.cell.take_notes() {
+            if let Note::JobEnded { job, age, .. } = note {
+                outcomes.ages.insert(job, age);
+            }
+        }
+    }
+    outcomes
+}
+
+fn report((task, run): (TaskId, u64), (_, began, until): &(Name, Duration, Duration), now: Duration) -> RunReport {
+    let done = now.saturating_sub(*began).as_millis() * 100 / until.saturating_sub(*began).as_millis();
+    let percent = u32::try_from(done).unwrap_or(100);
+    RunReport { task, run, checkpoint: name(""), percent, measured: 0, pace_percent: 100 }
+}
+
+fn ended_within(outcomes: &Outcomes, job: &Job, factor: u32) -> bool {
+    let objective = objective(&job.terms, job.chain());
+    outcomes.ages.get(&job.id).is_some_and(|age| *age <= objective * factor)
+}
+
+fn in_time(outcomes: &Outcomes, jobs: &[(u64, Job)], queue: &str) -> usize {
+    jobs.iter().filter(|(_, job)| &*job.queue == queue && ended_within(outcomes, job, 1)).count()
+}
+
+/// Guards against refusing jobs that would have been served, against an overload in which nothing is refused, and against
+/// jobs of priority 0 paying for it.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn refused_jobs_would_have_been_of_no_use(#[case] seed: u64) {
+    let jobs = submissions(seed, 300);
+    let (all, admitted) = (play(&jobs, false), play(&jobs, true));
+    let refused: Vec<&Job> =
+        jobs.iter().map(|(_, job)| job).filter(|job| admitted.refused.contains_key(&job.id)).collect();
+    let useful = refused.iter().filter(|job| ended_within(&all, job, LATE_FACTOR)).count();
+    println!("{} of {} refused, {useful} of them would have been of use", refused.len(), jobs.len());
+    for queue in ["small", "large"] {
+        println!(
+            "{queue} in time: {} without refusals, {} with",
+            in_time(&all, &jobs, queue),
+            in_time(&admitted, &jobs, queue)
+        );
+    }
+    assert!(refused.len() >= 20, "only {} jobs were refused", refused.len());
+    assert!(useful * 20 <= refused.len(), "{useful} of {} refused jobs would have been of use", refused.len());
+    assert!(refused.iter().all(|job| job.terms.priority > 0), "a job of priority 0 was refused");
+    let small = jobs.iter().filter(|(_, job)| &*job.queue == "small").count();
+    assert_eq!(in_time(&admitted, &jobs, "small"), small);
+}
+
+/// Guards against refusals while the cell keeps up with what is submitted.
+#[test]
+fn nothing_is_refused_without_overload() {
+    assert!(play(&submissions(1, 1_500), true).refused.is_empty());
+}
+
+fn overloaded() -> Backlog {
+    let mut in_time = Sizes::default();
+    in_time.add(seconds(100), seconds(30_000));
+    let pool = Pool {
+        service: name(support::SERVICE),
+        is_filling: false,
+        is_waiting: true,
+        rate_millicores: Some(320_000),
+        in_time,
+        late: Sizes::default(),
+    };
+    Backlog { pools: vec![pool], queues: Vec::new() }
+}
+
+/// Guards against refusals on what isn't known, and of jobs whose end isn't decided by this backlog.
+#[rstest]
+#[case::refused(|_: &mut Backlog, _: &mut Job| (), 2_000, false)]
+#[case::old_view(|_: &mut Backlog, _: &mut Job| (), 2_001, true)]
+#[case::no_rate(|backlog: &mut Backlog, _: &mut Job| backlog.pools[0].rate_millicores = None, 0, true)]
+#[case::nothing_waits(|backlog: &mut Backlog, _: &mut Job| backlog.pools[0].is_waiting = false, 0, true)]
+#[case::other_service(|backlog: &mut Backlog, _: &mut Job| backlog.pools[0].service = name("other"), 0, true)]
+#[case::only_filling_waits(|backlog: &mut Backlog, _: &mut Job| backlog.pools[0].is_filling = true, 0, true)]
+#[case::first_priority(|_: &mut Backlog, job: &mut Job| job.terms.priority = 0, 0, true)]
+#[case::lasting(|_: &mut Backlog, job: &mut Job| job.steps[0].lasting = true, 0, true)]
+#[case::label(|_: &mut Backlog, job: &mut Job| job.steps[0].required_label = Some(name("disk")), 0, true)]
+#[case::smaller(|_: &mut Backlog, job: &mut Job| job.steps.truncate(1), 0, false)]
+#[case::smallest(|_: &mut Backlog, job: &mut Job| job.steps = vec![step(1, 100)], 0, true)]
+#[case::schedule(|_: &mut Backlog, job: &mut Job| job.schedule = Some(Schedule { first_unix_ms: 0, interval: seconds(60), occurrences: 2 }), 0, true)]
+#[case::no_objective(|_: &mut Backlog, job: &mut Job| (job.terms.stretch, job.terms.latency_objective) = (0.0, seconds(0)), 0, true)]
+fn what_is_not_known_is_admitted(
+    #[case] change: fn(&mut Backlog, &mut Job),
+    #[case] view_age_ms: u64,
+    #[case] is_admitted: bool,
+) {
+    let (mut backlog, mut job) = (overloaded(), large(1, 60));
+    change(&mut backlog, &mut job);
+    let decision = decide(&backlog, &job, Duration::from_millis(view_age_ms));
+    assert_eq!(decision == Decision::Admit, is_admitted, "{decision:?}");
+}
+
+/// Guards against refused callers that come again together, be it within one entry or over all of them.
+#[rstest]
+#[case(4, 200, 9)]
+#[case(16, 200, 9)]
+#[case(60, 200, 9)]
+#[case(12, 40, 1)]
+fn retries_are_spread(#[case] drain: u64, #[case] refusals: u32, #[case] entries: u32) {
+    let refusal = Refusal {
+        ahead: seconds(drain * 320),
+        rate_millicores: 320_000,
+        drain: seconds(drain),
+        chain: seconds(4),
+        objective: seconds(7),
+        limit: seconds(20),
+        slot: Duration::from_millis(600),
+    };
+    let mut slots = vec![Slots::default(); entries as usize];
+    let now = seconds(50);
+    let retries: Vec<Duration> = (0..refusals)
+        .map(|number| {
+            let position = number % entries;
+            slots[position as usize].take(&refusal, Share { position, entries }, now)
+        })
+        .collect();
+    let (first, last) = (*retries.iter().min().expect("a retry"), *retries.iter().max().expect("a retry"));
+    assert!(first >= Duration::from_millis(500) && last <= seconds(10), "{first:?} to {last:?}");
+    let (over, spread) = (last.saturating_sub(first), seconds(drain) / 2);
+    assert!(over >= spread.min(Duration::from_millis(9_500)) * 9 / 10, "{first:?} to {last:?}");
+    let crowded = (0..10).map(|tenth| {
+        let from = first + over * tenth / 10;
+        retries.iter().filter(|retry| **retry >= from && **retry <= from + over / 10).count()
+    });
+    let most = crowded.max().unwrap_or(0);
+    assert!(most <= retries.len() / 4, "{most} of {} callers come within a tenth of the time", retries.len());
+}
