Refuse jobs at entries that the backlog leaves no time

Cause: an entry writes every job that the store takes, also when the work ahead of it makes it useless, and its caller isn't told.

Change: the placer samples the backlog every 500 ms and tells entries the pools that could lead to a refusal, with the counts of waiting jobs. An entry decides before it writes, asks the placer for the identifier and checks its own attempts without an outcome; otherwise it accepts. A placer that hasn't read the jobs no longer answers questions for a state; it answered that it knew none. Where no queue has a priority above 0 and an objective, no sample is taken.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -10,7 +10,7 @@
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{Job, Step};
+use crate::job::{Job, Step, Terms};
 use crate::urgency::{LATE_FACTOR, objective};
 
 /// Age from which a view of the backlog isn't acted on: it is told every 500 ms, and a large job's place in the order
@@ -120,10 +120,27 @@
 pub struct Backlog {
     /// Pools with work or a measured rate.
     pub pools: Vec<Pool>,
-    /// Queues of which runs have ended.
+    /// Queues whose jobs may be refused and of which runs have ended.
     pub queues: Vec<Estimates>,
 }
 
+impl Backlog {
+    /// The part that can lead to a refusal, which is what entries are told; mostly empty.
+    #[must_use]
+    pub fn refusing(&self) -> Self {
+        let is_refusing = |pool: &&Pool| pool.is_waiting && pool.rate_millicores.is_some();
+        let pools: Vec<Pool> = self.pools.iter().filter(is_refusing).cloned().collect();
+        let queues = if pools.is_empty() { Vec::new() } else { self.queues.clone() };
+        Self { pools, queues }
+    }
+}
+
+/// Whether a queue's jobs may be refused.
+#[must_use]
+pub fn is_bounded(terms: &Terms) -> bool {
+    terms.priority > 0 && (terms.stretch > 0.0 || !terms.latency_objective.is_zero())
+}
+
 /// Why a job can't be served in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -171,8 +188,7 @@
 }
 
 fn is_in_scope(job: &Job) -> bool {
-    let has_objective = job.terms.stretch > 0.0 || !job.terms.latency_objective.is_zero();
-    job.schedule.is_none() && job.terms.priority > 0 && has_objective && job.steps.iter().all(is_plain)
+    job.schedule.is_none() && is_bounded(&job.terms) && job.steps.iter().all(is_plain)
 }
 
 /// Whether tasks of a step wait for nothing but capacity that any worker of their service may have.
--- a/crates/cell/src/cell/backlog.rs
+++ b/crates/cell/src/cell/backlog.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use super::jobs::JobEntry;
 use super::placing::open_worker;
 use super::{Agent, Cell};
-use crate::admission::{Backlog, Estimates, Pool, SPREAD_UNKNOWN_PERCENT, Sizes, WAITING_MIN, is_plain};
+use crate::admission::{Backlog, Estimates, Pool, SPREAD_UNKNOWN_PERCENT, Sizes, WAITING_MIN, is_bounded, is_plain};
 use crate::job::{JobId, Step, TaskId};
 
 /// Progress of a task that is done, in percent.
@@ -28,7 +28,16 @@
     }
 
     /// Takes a sample of the work that waits and runs, and of the rate at which it is done.
+    ///
+    /// The sample is empty in a cell that has no queue whose jobs may be refused.
     pub fn sample_backlog(&mut self, now: Duration) {
+        let queues = self.configuration.iter().flat_map(|configuration| &configuration.queues);
+        let bounded: Set<Name> =
+            queues.filter(|queue| is_bounded(&queue.terms)).map(|queue| Arc::clone(&queue.name)).collect();
+        if bounded.is_empty() {
+            self.backlog = Arc::default();
+            return;
+        }
         self.count_progress();
         // What runs isn't known while agents of the predecessor are unheard.
         if !self.unresolved.is_empty() {
@@ -47,8 +56,12 @@
         let mut pools: Vec<Pool> =
             pools.into_values().filter(|pool| pool.in_time.total() + pool.late.total() > 0).collect();
         pools.sort_unstable_by(|one, other| (&one.service, one.is_filling).cmp(&(&other.service, other.is_filling)));
-        let mut queues: Vec<Estimates> =
-            self.estimates.iter().map(|(queue, ratio)| self.estimates_of(queue, *ratio)).collect();
+        let mut queues: Vec<Estimates> = self
+            .estimates
+            .iter()
+            .filter(|(queue, _)| bounded.contains(*queue))
+            .map(|(queue, ratio)| self.estimates_of(queue, *ratio))
+            .collect();
         queues.sort_unstable_by(|one, other| one.queue.cmp(&other.queue));
         self.backlog = Arc::new(Backlog { pools, queues });
     }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -61,6 +61,8 @@
     NoConfiguration = 1011, "no accepted configuration";
     /// An earlier request with the idempotency key was answered.
     KeyAnswered = 1012, "earlier request with the idempotency key was answered";
+    /// The work ahead of the job leaves it no time to be of use.
+    BacklogTooLong = 1013, "backlog too long";
     // 2000 to 2999: links between entry and agent.
     /// The peer speaks a version that isn't supported.
     LinkVersion = 2001, "unsupported link version";
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: takes callers' jobs, answers what became of them, and places for the cell when it is its turn.
 
+mod admission;
 mod election;
 mod links;
 mod requests;
@@ -9,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_cell::admission::Slots;
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_policy::clock::Clock;
@@ -99,8 +101,10 @@
     /// The placer that this process runs.
     own_placer: Mutex<Option<(u64, ActorRef<placer::Message>)>>,
     way: watch::Sender<Way>,
-    /// Waiting jobs as last told, and when.
+    /// What waits, as last told, and when.
     pending: Mutex<Option<(Pending, Duration)>>,
+    /// Slots in which callers come again whose jobs the backlog left no time.
+    slots: Mutex<Slots>,
     relays: Mutex<Map<Name, Arc<Link>>>,
     /// Jobs whose outcome was unknown, with the time when that was told.
     undecided: Mutex<Map<JobId, Duration>>,
@@ -140,6 +144,7 @@
         own_placer: Mutex::new(None),
         way: watch::channel(Way::None).0,
         pending: Mutex::new(None),
+        slots: Mutex::default(),
         relays: Mutex::default(),
         undecided: Mutex::default(),
         is_stopping: AtomicBool::new(false),
@@ -200,6 +205,7 @@
             "is_ready": self.is_ready(),
             "configuration_version": self.configuration().map(|configuration| configuration.version),
             "way_to_placer": format!("{:?}", *self.inner.way.borrow()),
+            "backlog": self.backlog_dump(),
             "placer": placer,
         })
     }
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_link::connection::{self, Sender};
 use chervilledge_policy::id::Name;
 use tokio::net::{TcpListener, TcpStream};
@@ -144,9 +145,10 @@
             && let Ok(Some(pending)) = ractor::call_t!(placer, placer::Message::Pending, QUESTION_TIMEOUT_MS)
             && !is_known(&pending)
         {
-            let counts = pending.iter().map(|(queue, count)| (Arc::clone(queue), *count)).collect();
+            let counts = pending.counts.iter().map(|(queue, count)| (Arc::clone(queue), *count)).collect();
+            let backlog = Backlog::clone(&pending.backlog);
             told = Some((pending, now));
-            if sender.send(FromEntry::Pending(counts)).await.is_err() {
+            if sender.send(FromEntry::Pending { counts, backlog }).await.is_err() {
                 return;
             }
         }
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -42,6 +42,9 @@
         let queue = Arc::clone(&job.queue);
         let deadline = self.now() + timeout.saturating_sub(ANSWER_MARGIN);
         let began = self.now();
+        if let Some(reply) = self.refuse_for_backlog(&job).await {
+            return self.counted("submit", reply, began);
+        }
         let mut stored = self.inner.submitter.store_job(job.clone(), deadline).await;
         let mut by = "own";
         if stored == Stored::Refused {
@@ -96,7 +99,7 @@
     }
 
     /// Whether an attempt through this entry had no outcome and may still take effect.
-    fn is_undecided(&self, id: JobId) -> bool {
+    pub(super) fn is_undecided(&self, id: JobId) -> bool {
         let now = self.now();
         lock(&self.inner.undecided).get(&id).is_some_and(|at| now.saturating_sub(*at) < UNDECIDED_KEPT)
     }
@@ -138,6 +141,7 @@
             Reply::Accepted | Reply::Cancelled => "done",
             Reply::State(_) | Reply::Pending(_) => "told",
             Reply::NoJob => "no_job",
+            Reply::Refused { code: Code::BacklogTooLong, .. } => "backlog_too_long",
             Reply::Refused { .. } => "refused",
             Reply::Undecided => "undecided",
         };
@@ -151,7 +155,7 @@
         let known = lock(&self.inner.pending).clone();
         match known {
             Some((counts, at)) if self.now().saturating_sub(at) < PENDING_FRESH => {
-                Reply::Pending(counts.get(queue).copied().unwrap_or(0))
+                Reply::Pending(counts.counts.get(queue).copied().unwrap_or(0))
             }
             _ => refused(),
         }
@@ -177,14 +181,20 @@
 
     /// State as the placer knows it.
     async fn placer_state(&self, id: JobId) -> Option<JobState> {
+        self.asked_placer(id).await.flatten()
+    }
+
+    /// Answer of the placer to the question for a job's state: `Some(None)` when it doesn't know the job, `None` when it
+    /// can't tell.
+    pub(super) async fn asked_placer(&self, id: JobId) -> Option<Option<JobState>> {
         let way = self.inner.way.borrow().clone();
         match way {
             Way::Here(placer) => {
                 let timeout_ms = u64::try_from(STATE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
-                ractor::call_t!(placer, placer::Message::State, timeout_ms, id).ok().flatten()
+                ractor::call_t!(placer, placer::Message::State, timeout_ms, id).ok()
             }
             Way::There(link) => match link.ask(STATE_TIMEOUT, |question| ToEntry::State { question, job: id }).await {
-                Some(FromEntry::State { state, is_placer: true, .. }) => state,
+                Some(FromEntry::State { state, is_placer: true, .. }) => Some(state),
                 _ => None,
             },
             Way::None => None,
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
 use chervilledge_cell::worker::{End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
 use chervilledge_policy::id::Name;
@@ -181,8 +182,13 @@
         /// The entry places; without it the answer means nothing.
         is_placer: bool,
     },
-    /// Accepted jobs of each queue of which no task has started.
-    Pending(Vec<(Name, usize)>),
+    /// What waits, told by the placer when it has changed.
+    Pending {
+        /// Accepted jobs of each queue of which no task has started.
+        counts: Vec<(Name, usize)>,
+        /// The work that a new job would find.
+        backlog: Backlog,
+    },
     /// Answer to [`ToEntry::Relay`].
     Relayed {
         /// Number of the question.
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::admission::Pool;
 use chervilledge_operator::metrics::Reader;
 use chervilledge_policy::clock::Clock;
 use opentelemetry::KeyValue;
@@ -33,6 +34,10 @@
     configuration_version: Gauge<u64>,
     configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
+    backlog_core_ms: Gauge<u64>,
+    backlog_rate_millicores: Gauge<u64>,
+    refusals: Counter<u64>,
+    refused_retry_ms: Histogram<f64>,
 }
 
 /// Starts metrics.
@@ -64,6 +69,19 @@
             .with_description("time since the store last told the configuration, or that it hasn't changed")
             .build(),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
+        backlog_core_ms: meter
+            .u64_gauge("chervilledge_backlog_core_ms")
+            .with_description("work of open jobs that can still be of use, in core-milliseconds")
+            .build(),
+        backlog_rate_millicores: meter
+            .u64_gauge("chervilledge_backlog_rate_millicores")
+            .with_description("rate at which work is done while some waits; 0 before it is measured")
+            .build(),
+        refusals: meter
+            .u64_counter("chervilledge_backlog_refusals")
+            .with_description("submissions that the backlog left no time, by what became of them")
+            .build(),
+        refused_retry_ms: latency("chervilledge_backlog_retry_ms", "time after which refused callers may come back"),
         reader,
         _provider: provider,
     })
@@ -123,6 +141,28 @@
         self.look_ms.record(milliseconds(took), &[KeyValue::new("result", result)]);
     }
 
+    /// Takes note of the work of a pool.
+    pub fn backlog(&self, pool: &Pool) {
+        let labels = pool_labels(pool);
+        self.backlog_core_ms.record(pool.in_time.total().saturating_add(pool.late.total()), &labels);
+        self.backlog_rate_millicores.record(u64::from(pool.rate_millicores.unwrap_or(0)), &labels);
+    }
+
+    /// Takes note that a pool has no work any more.
+    pub fn backlog_gone(&self, pool: &Pool) {
+        self.backlog_core_ms.record(0, &pool_labels(pool));
+    }
+
+    /// Counts a submission that the backlog left no time; `decided` is what became of it.
+    pub fn backlog_refusal(&self, decided: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("decided", decided)]);
+    }
+
+    /// Counts the time after which a refused caller may come back.
+    pub fn backlog_retry(&self, retry_after: Duration) {
+        self.refused_retry_ms.record(milliseconds(retry_after), &[]);
+    }
+
     fn store(&self, call: &'static str, result: &'static str, took: Duration) {
         self.store_ms.record(milliseconds(took), &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
@@ -180,6 +220,10 @@
     }
 }
 
+fn pool_labels(pool: &Pool) -> [KeyValue; 2] {
+    [KeyValue::new("service", pool.service.to_string()), KeyValue::new("is_filling", pool.is_filling)]
+}
+
 fn milliseconds(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -20,8 +21,17 @@
 /// Questions without an answer, by their number.
 type Questions = Arc<Mutex<Map<u64, oneshot::Sender<FromEntry>>>>;
 
-/// Waiting jobs by queue, as the placer told last.
-pub type Pending = Arc<Map<Name, usize>>;
+/// What the placer told last of the work that waits.
+#[derive(Debug, Default, PartialEq)]
+pub struct Waiting {
+    /// Accepted jobs of each queue of which no task has started.
+    pub counts: Map<Name, usize>,
+    /// The work that a new job would find.
+    pub backlog: Arc<Backlog>,
+}
+
+/// The same, shared.
+pub type Pending = Arc<Waiting>;
 
 /// Open link to another entry.
 #[derive(Debug)]
@@ -29,7 +39,7 @@
     sender: Sender<ToEntry>,
     questions: Questions,
     next: AtomicU64,
-    /// What the peer said of waiting jobs; `None` before that.
+    /// What the peer said of the work that waits; `None` before that.
     pub pending: watch::Receiver<Option<Pending>>,
     /// Turns true when the link has ended.
     pub ended: watch::Receiver<bool>,
@@ -146,8 +156,9 @@
         };
         match &message {
             FromEntry::Beat { .. } => {}
-            FromEntry::Pending(counts) => {
-                pending.send_replace(Some(Arc::new(counts.iter().cloned().collect())));
+            FromEntry::Pending { counts, backlog } => {
+                let counts = counts.iter().cloned().collect();
+                pending.send_replace(Some(Arc::new(Waiting { counts, backlog: Arc::new(backlog.clone()) })));
             }
             FromEntry::State { question, .. } | FromEntry::Relayed { question, .. } => {
                 let waiting = lock(&questions).remove(question);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -1,5 +1,6 @@
 //! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
 
+mod backlog;
 mod effects;
 mod expiry;
 mod feed;
@@ -11,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_cell::authority::Authority;
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell, Inventory};
@@ -29,7 +31,7 @@
 use crate::clock::{unix_ms, whole_ms};
 use crate::message::{FromAgent, ToAgent};
 use crate::metrics::Metrics;
-use crate::peer::Pending;
+use crate::peer::{Pending, Waiting};
 use crate::roster::Roster;
 use crate::rows::{self, BEAT, PLACER};
 use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
@@ -158,9 +160,9 @@
     },
     /// Rows of these jobs are gone.
     Expired(Vec<JobId>),
-    /// Asks for the state of a job; `None` when it isn't known.
+    /// Asks for the state of a job; `None` when it isn't known. There is no answer until the jobs are read.
     State(JobId, RpcReplyPort<Option<JobState>>),
-    /// Asks for the waiting jobs of each queue; `None` until the jobs are read.
+    /// Asks for what waits; `None` until the jobs are read.
     Pending(RpcReplyPort<Option<Pending>>),
     /// Asks for a dump of the state.
     Dump(RpcReplyPort<Value>),
@@ -210,6 +212,11 @@
     place_due: Duration,
     watch_due: Duration,
     effects_due: Duration,
+    backlog_due: Duration,
+    /// What entries are told of the backlog.
+    backlog_told: Arc<Backlog>,
+    /// When the backlog was last logged, and whether work waited then.
+    backlog_logged: (Duration, bool),
     /// When what is known of pairs of images was last kept.
     effects_kept: Duration,
     expiry_due: Duration,
@@ -274,6 +281,9 @@
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
             effects_due: Duration::ZERO,
+            backlog_due: Duration::ZERO,
+            backlog_told: Arc::default(),
+            backlog_logged: (Duration::ZERO, false),
             effects_kept: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
             is_expiring: false,
@@ -369,11 +379,15 @@
                 }
             }
             Message::State(id, reply) => {
-                let state = if self.is_loaded { self.cell.state(id) } else { None };
-                drop(reply.send(state));
+                // Until the rows are read, a job that isn't known may be there; no answer says so.
+                if self.is_loaded {
+                    drop(reply.send(self.cell.state(id)));
+                }
             }
             Message::Pending(reply) => {
-                drop(reply.send(self.is_loaded.then(|| Arc::new(self.cell.pending().clone()))));
+                let waiting =
+                    || Waiting { counts: self.cell.pending().clone(), backlog: Arc::clone(&self.backlog_told) };
+                drop(reply.send(self.is_loaded.then(|| Arc::new(waiting()))));
             }
             Message::Dump(reply) => {
                 drop(reply.send(self.dump(now)));
@@ -400,6 +414,7 @@
             }
         }
         self.share_effects(now);
+        self.sample_backlog(now);
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
             self.expire(now);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -40,6 +40,7 @@
             "tasks_waiting": self.cell.waiting(),
             "agents_unheard": self.cell.unresolved(),
             "agents": agents,
+            "backlog": &**self.cell.backlog(),
             "counters": format!("{:?}", self.cell.counters()),
         })
     }
