Test admission with filling work and the measured rate

Cause: the load of the deployments is mostly filling work, and a rate that was measured while little could run would refuse jobs in a nearly idle cell.

Change: the generated overload is also played with filling work; the rate and the size of the message to entries have tests.

--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::admission::{Backlog, Decision, Pool, Refusal, Share, Sizes, Slots, decide};
+use chervilledge_cell::admission::{Backlog, Decision, Meter, Pool, Refusal, Share, Sizes, Slots, decide};
 use chervilledge_cell::cell::{Action, Note};
+use chervilledge_cell::configuration::Queue;
 use chervilledge_cell::job::{Job, JobId, Schedule, Step, TaskId};
 use chervilledge_cell::urgency::{LATE_FACTOR, objective};
 use chervilledge_cell::worker::{EndKind, RunReport};
@@ -66,15 +67,8 @@
     let mut world = World::with_workers(WORKERS, 16_000);
     let mut both = configuration();
     both.version = 2;
-    for (_, job) in submissions {
-        if both.queues.iter().all(|queue| queue.name != job.queue) {
-            let queue = both.queues[0].clone();
-            both.queues.push(chervilledge_cell::configuration::Queue {
-                name: Arc::clone(&job.queue),
-                terms: job.terms.clone(),
-                ..queue
-            });
-        }
+    for queue in [large(0, 1), Job { queue: name("small"), ..job(0, Vec::new()) }] {
+        both.queues.push(Queue { name: queue.queue, terms: queue.terms, ..both.queues[0].clone() });
     }
     world.cell.configure(Arc::new(both));
     let mut outcomes = Outcomes::default();
@@ -141,23 +135,24 @@
 /// Guards against refusing jobs that would have been served, against an overload in which nothing is refused, and against
 /// jobs of priority 0 paying for it.
 #[rstest]
-#[case(1)]
-#[case(2)]
-#[case(3)]
-fn refused_jobs_would_have_been_of_no_use(#[case] seed: u64) {
-    let jobs = submissions(seed, 300);
+#[case(1, false)]
+#[case(2, false)]
+#[case(3, true)]
+fn refused_jobs_would_have_been_of_no_use(#[case] seed: u64, #[case] is_filling: bool) {
+    let mut jobs = submissions(seed, 300);
+    for (_, job) in jobs.iter_mut().filter(|(_, job)| &*job.queue == "large") {
+        job.steps.iter_mut().for_each(|step| step.filling = is_filling);
+    }
     let (all, admitted) = (play(&jobs, false), play(&jobs, true));
     let refused: Vec<&Job> =
         jobs.iter().map(|(_, job)| job).filter(|job| admitted.refused.contains_key(&job.id)).collect();
     let useful = refused.iter().filter(|job| ended_within(&all, job, LATE_FACTOR)).count();
     println!("{} of {} refused, {useful} of them would have been of use", refused.len(), jobs.len());
-    for queue in ["small", "large"] {
-        println!(
-            "{queue} in time: {} without refusals, {} with",
-            in_time(&all, &jobs, queue),
-            in_time(&admitted, &jobs, queue)
-        );
-    }
+    println!(
+        "large in time: {} without refusals, {} with",
+        in_time(&all, &jobs, "large"),
+        in_time(&admitted, &jobs, "large")
+    );
     assert!(refused.len() >= 20, "only {} jobs were refused", refused.len());
     assert!(useful * 20 <= refused.len(), "{useful} of {} refused jobs would have been of use", refused.len());
     assert!(refused.iter().all(|job| job.terms.priority > 0), "a job of priority 0 was refused");
@@ -211,6 +206,33 @@
     assert_eq!(decision == Decision::Admit, is_admitted, "{decision:?}");
 }
 
+/// Samples of a second each, with 100 cores that do `done_cores` of work.
+fn measured(samples: u32, done_cores: u64, is_waiting: bool) -> Meter {
+    let mut meter = Meter::default();
+    for number in 0..=samples {
+        meter.done(seconds(done_cores));
+        meter.sample(100_000, is_waiting, seconds(100) + seconds(1) * number);
+    }
+    meter
+}
+
+/// Guards against a rate from too little, from a time without load, or from workers that aren't there any more.
+#[rstest]
+#[case::usual(measured(10, 60, true), 100_000, 80_000, Some(60_000))]
+#[case::measured_for_too_short(measured(2, 60, true), 100_000, 80_000, None)]
+#[case::nothing_waited(measured(10, 60, false), 100_000, 80_000, None)]
+#[case::half_of_the_workers_lost(measured(10, 60, true), 50_000, 40_000, Some(30_000))]
+#[case::all_workers_lost(measured(10, 60, true), 0, 0, None)]
+#[case::little_could_run(measured(10, 1, true), 100_000, 80_000, Some(40_000))]
+fn a_rate_says_what_the_workers_can_do(
+    #[case] meter: Meter,
+    #[case] millicores: u32,
+    #[case] in_use_millicores: u32,
+    #[case] expected: Option<u32>,
+) {
+    assert_eq!(meter.rate_millicores(millicores, in_use_millicores), expected);
+}
+
 /// Guards against refused callers that come again together, be it within one entry or over all of them.
 #[rstest]
 #[case(4, 200, 9)]
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::admission::{Backlog, Pool, Sizes};
+use chervilledge_cell::admission::{Backlog, Estimates, Pool, Sizes};
 use chervilledge_cell::job::{Job, JobState};
 use chervilledge_link::connection;
 use chervilledge_policy::code::Code;
@@ -106,6 +106,21 @@
     }
 }
 
+/// Guards against messages that fill an entry's link: 2 KB to 8 others twice a second are 3% of 10 Mbit/s.
+#[test]
+fn what_entries_are_told_is_small() {
+    let mut sizes = Sizes::default();
+    (0..28).for_each(|class| sizes.add(Duration::from_millis(1 << class), Duration::from_secs(100)));
+    let pool =
+        |is_filling| Pool { is_filling, in_time: sizes.clone(), late: sizes.clone(), ..backlog().pools[0].clone() };
+    let estimates =
+        |number| Estimates { queue: format!("queue-{number}").into(), ratio_percent: 120, spread_percent: 30 };
+    let backlog = Backlog { pools: vec![pool(false), pool(true)], queues: (0..4).map(estimates).collect() };
+    let message = FromEntry::Pending { counts: Vec::new(), backlog };
+    let bytes = connection::encode(&message).expect("a message").len();
+    assert!(bytes < 2_000, "{bytes} bytes");
+}
+
 /// Guards against a refusal that isn't true, or that nothing confirms, and against one that stores the job.
 #[rstest]
 #[case::unknown_to_the_placer(Some((None, true)), true)]
