Bound times computed from callers' estimates

Change: computed times are at most 2^40 s. Intervals of more than 2 s, in which the placer stood still, don't count for the rate.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -23,6 +23,8 @@
 const RATE_WINDOW: Duration = Duration::from_secs(10);
 /// Measured time from which a rate is used; the longest usual runs take about as long.
 const RATE_WINDOW_MIN: Duration = Duration::from_secs(3);
+/// Longest interval that counts: in a longer one the placer stood still, and work may have waited for that.
+const SAMPLE_MAX: Duration = Duration::from_secs(2);
 /// Part of the cores in use that a rate is at least, in percent. A smaller one was measured while little could run, such
 /// as beside a task that fits nowhere; work that is lost with stopped runs is less than that.
 const RATE_IN_USE_PERCENT: u32 = 50;
@@ -209,12 +211,12 @@
     let margin_percent = 100 + spread_percent.max(MARGIN_MIN_PERCENT);
     let in_time = pool.in_time.ahead(size);
     // Until its objective has passed, the job goes before everything that is late.
-    let is_first = drain(in_time, rate_millicores) + chain <= percent(objective, margin_percent);
-    let ahead = in_time + pool.late.ahead(size);
+    let is_first = drain(in_time, rate_millicores).saturating_add(chain) <= percent(objective, margin_percent);
+    let ahead = in_time.saturating_add(pool.late.ahead(size));
     let drain_all = drain(ahead, rate_millicores);
-    let limit = percent(objective * LATE_FACTOR, margin_percent);
+    let limit = percent(objective.saturating_mul(LATE_FACTOR), margin_percent);
     let slot = drain(size, rate_millicores);
-    let is_refused = !is_first && drain_all + chain > limit;
+    let is_refused = !is_first && drain_all.saturating_add(chain) > limit;
     is_refused.then_some(Refusal { ahead, rate_millicores, drain: drain_all, chain, objective, limit, slot })
 }
 
@@ -254,7 +256,7 @@
     /// former ones.
     pub fn take(&mut self, refusal: &Refusal, share: Share, now: Duration) -> Duration {
         let spread = (refusal.drain / 2).clamp(RETRY_SPREAD_MIN, RETRY_MAX.saturating_sub(RETRY_MIN));
-        let in_objective = (refusal.drain + refusal.chain).saturating_sub(refusal.objective);
+        let in_objective = refusal.drain.saturating_add(refusal.chain).saturating_sub(refusal.objective);
         let first = now + in_objective.clamp(RETRY_MIN, RETRY_MAX.saturating_sub(spread));
         let entries = share.entries.max(1);
         let step = refusal.slot.saturating_mul(entries).min(spread.mul_f64(SLOT_STEP_MAX));
@@ -288,7 +290,7 @@
 impl Meter {
     /// Counts work that was done, in core time.
     pub fn done(&mut self, work: Duration) {
-        self.done += work;
+        self.done = self.done.saturating_add(work);
     }
 
     /// Ends an interval; `millicores` is what the workers have.
@@ -297,7 +299,7 @@
         let Some(before) = self.sampled.replace(now) else { return };
         let elapsed = now.saturating_sub(before);
         let capacity = elapsed.saturating_mul(millicores) / 1_000;
-        if !is_waiting || capacity.is_zero() {
+        if !is_waiting || capacity.is_zero() || elapsed > SAMPLE_MAX {
             return;
         }
         self.samples.push_back(Sample { elapsed, done, capacity });
@@ -321,7 +323,7 @@
         if self.measured() < RATE_WINDOW_MIN {
             return None;
         }
-        let done: Duration = self.samples.iter().map(|sample| sample.done).sum();
+        let done = self.samples.iter().fold(Duration::ZERO, |sum, sample| sum.saturating_add(sample.done));
         let capacity: Duration = self.samples.iter().map(|sample| sample.capacity).sum();
         let measured = (done.as_millis() * u128::from(millicores)).checked_div(capacity.as_millis())?;
         let in_use = u64::from(in_use_millicores) * u64::from(RATE_IN_USE_PERCENT) / 100;
--- a/crates/cell/src/cell/backlog.rs
+++ b/crates/cell/src/cell/backlog.rs
@@ -10,7 +10,7 @@
 use super::placing::open_worker;
 use super::{Agent, Cell};
 use crate::admission::{Backlog, Estimates, Pool, SPREAD_UNKNOWN_PERCENT, Sizes, WAITING_MIN, is_bounded, is_plain};
-use crate::job::{JobId, Step, TaskId};
+use crate::job::{JobId, Step, TaskId, WORK_MAX};
 
 /// Progress of a task that is done, in percent.
 const DONE_PERCENT: u32 = 100;
@@ -97,7 +97,8 @@
                     let step = entry.job.steps.get(position.1 as usize)?;
                     (step.filling == is_filling && is_plain(step)).then(|| step.work().saturating_mul(*left))
                 };
-                let left: Duration = entry.left.iter().filter_map(of_pool).sum();
+                let left: Duration =
+                    entry.left.iter().filter_map(of_pool).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX);
                 let done = progressed.get(&(entry.job.id, is_filling)).copied().unwrap_or_default();
                 let work = left.saturating_sub(done).mul_f64(ratio);
                 if !work.is_zero() {
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -8,7 +8,7 @@
 use chervilledge_policy::id::Name;
 
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::job::{Job, JobId, JobState, TaskId, TaskKey, WORK_MAX};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 
@@ -117,7 +117,7 @@
         let work = |((_, step), left): (&(u32, u32), &u32)| {
             Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
         };
-        self.left.iter().filter_map(work).sum()
+        self.left.iter().filter_map(work).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
     }
 
     pub(crate) fn age(&self, now: Duration) -> Duration {
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -22,6 +22,9 @@
 /// Thousandths of a core.
 const MILLICORES: u32 = 1_000;
 
+/// Largest time that is computed from estimates, which callers choose: sums and factors of such times can't overflow.
+pub(crate) const WORK_MAX: Duration = Duration::from_secs(1 << 40);
+
 /// Identifier that the caller chose for a job.
 #[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
 pub struct JobId(pub u64);
@@ -279,7 +282,7 @@
     fn chains(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
         for position in (0..self.steps.len()).rev() {
-            longest[position] += self.steps[position].estimate;
+            longest[position] = longest[position].saturating_add(self.steps[position].estimate).min(WORK_MAX);
             for earlier in &self.steps[position].after {
                 let earlier = *earlier as usize;
                 longest[earlier] = longest[earlier].max(longest[position]);
@@ -291,7 +294,8 @@
     /// Processor time of one core that an occurrence takes, by its estimates.
     #[must_use]
     pub fn work(&self) -> Duration {
-        self.steps.iter().map(|step| step.work().saturating_mul(step.count)).sum()
+        let work = self.steps.iter().map(|step| step.work().saturating_mul(step.count));
+        work.fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
     }
 }
 
@@ -300,7 +304,7 @@
     #[must_use]
     pub fn work(&self) -> Duration {
         let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
-        self.estimate.saturating_mul(millicores) / MILLICORES
+        (self.estimate.saturating_mul(millicores) / MILLICORES).min(WORK_MAX)
     }
 }
 
--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -8,7 +8,7 @@
 
 use chervilledge_cell::admission::{Backlog, Decision, Meter, Pool, Refusal, Share, Sizes, Slots, decide};
 use chervilledge_cell::cell::{Action, Note};
-use chervilledge_cell::configuration::Queue;
+use chervilledge_cell::configuration::{Configuration, Queue};
 use chervilledge_cell::job::{Job, JobId, Schedule, Step, TaskId};
 use chervilledge_cell::urgency::{LATE_FACTOR, objective};
 use chervilledge_cell::worker::{EndKind, RunReport};
@@ -206,6 +206,22 @@
     assert_eq!(decision == Decision::Admit, is_admitted, "{decision:?}");
 }
 
+/// Guards against a panic of placer or entry over estimates that no addition holds.
+#[test]
+fn the_largest_estimates_stop_nothing() {
+    let mut huge = large(1, 1_000);
+    huge.steps.iter_mut().for_each(|step| step.estimate = Duration::from_millis(u64::MAX));
+    assert!(matches!(decide(&overloaded(), &huge, Duration::ZERO), Decision::Admit | Decision::Refuse(_)));
+    let mut world = World::with_workers(1, 16_000);
+    let mut both = Configuration { version: 2, ..configuration() };
+    both.queues.push(Queue { name: name("large"), terms: huge.terms.clone(), ..both.queues[0].clone() });
+    world.cell.configure(Arc::new(both));
+    world.submit(huge);
+    world.place();
+    world.cell.sample_backlog(world.now);
+    assert_eq!(world.cell.backlog().pools.len(), 1);
+}
+
 /// Samples of a second each, with 100 cores that do `done_cores` of work.
 fn measured(samples: u32, done_cores: u64, is_waiting: bool) -> Meter {
     let mut meter = Meter::default();
