--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,6 +4,7 @@
 //! [`Write`](writes::Write)s that come out.
 
 mod agents;
+mod backlog;
 mod checkpoints;
 mod ends;
 mod evacuating;
@@ -25,6 +26,7 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+use self::backlog::PoolKey;
 use self::checkpoints::Checkpoints;
 pub use self::checkpoints::Unsaved;
 use self::evacuating::Evacuating;
@@ -36,6 +38,7 @@
 use self::unread::Unread;
 pub use self::urgencies::Changes;
 use self::writes::Writes;
+use crate::admission::{Backlog, Meter};
 use crate::configuration::{Configuration, Queue};
 use crate::evacuation::Held;
 use crate::health::Health;
@@ -318,6 +321,12 @@
     checkpoints: Checkpoints,
     /// Ratio of the time that runs take to their estimates, by queue.
     estimates: Map<Name, f64>,
+    /// Mean distance of single run times from that ratio, as a part of it, by queue.
+    spreads: Map<Name, f64>,
+    /// Rates at which work is done.
+    meters: Map<PoolKey, Meter>,
+    /// The work that a new job would find, as of the last sample.
+    backlog: Arc<Backlog>,
     counters: Counters,
     needs_placing: bool,
     evacuating: Evacuating,
@@ -357,6 +366,9 @@
             writes: Writes::default(),
             checkpoints: Checkpoints::default(),
             estimates: Map::default(),
+            spreads: Map::default(),
+            meters: Map::default(),
+            backlog: Arc::default(),
             counters: Counters::default(),
             needs_placing: false,
             evacuating: Evacuating::default(),
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -10,7 +10,7 @@
 use super::checkpoints::Checkpoint;
 use super::urgencies::Advance;
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::job::{Job, JobId, JobState, TaskId, TaskKey, WORK_MAX};
 use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) is_done: bool,
+    /// Part that was counted as done work, in percent.
+    pub(crate) counted_percent: u32,
     pub(crate) runs: Vec<Run>,
     /// Starts under this term.
     pub(crate) starts: u64,
@@ -152,7 +154,7 @@
         let work = |((_, step), left): (&(u32, u32), &u32)| {
             Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
         };
-        self.left.iter().filter_map(work).sum()
+        self.left.iter().filter_map(work).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
     }
 
     pub(crate) fn age(&self, now: Duration) -> Duration {
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -511,7 +511,7 @@
 }
 
 /// The worker of an agent, if something may be placed on it.
-fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
+pub(super) fn open_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
     let is_open = agent.contact == Contact::Linked
         && agent.strays.is_empty()
         && now >= agent.paused_until
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -22,6 +22,9 @@
 /// Thousandths of a core.
 const MILLICORES: u32 = 1_000;
 
+/// Largest time that is computed from estimates, which callers choose: sums and factors of such times can't overflow.
+pub(crate) const WORK_MAX: Duration = Duration::from_secs(1 << 40);
+
 /// Identifier that the caller chose for a job.
 #[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay)]
 pub struct JobId(pub u64);
@@ -141,15 +144,6 @@
     pub unavailable_max: Option<u32>,
 }
 
-impl Step {
-    /// Processor time of one core that a task takes, by its estimate.
-    #[must_use]
-    pub fn work(&self) -> Duration {
-        let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
-        self.estimate.saturating_mul(millicores) / MILLICORES
-    }
-}
-
 /// Times at which a job repeats.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -275,15 +269,42 @@
     /// Longest chain of estimates from a step to the end, that step included.
     #[must_use]
     pub fn chain_from(&self, step: usize) -> Duration {
+        self.chains().get(step).copied().unwrap_or_default()
+    }
+
+    /// Longest chain of estimates of an occurrence.
+    #[must_use]
+    pub fn chain(&self) -> Duration {
+        self.chains().into_iter().max().unwrap_or_default()
+    }
+
+    /// Longest chain of estimates from each step to the end.
+    fn chains(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
         for position in (0..self.steps.len()).rev() {
-            longest[position] += self.steps[position].estimate;
+            longest[position] = longest[position].saturating_add(self.steps[position].estimate).min(WORK_MAX);
             for earlier in &self.steps[position].after {
                 let earlier = *earlier as usize;
                 longest[earlier] = longest[earlier].max(longest[position]);
             }
         }
-        longest.get(step).copied().unwrap_or_default()
+        longest
+    }
+
+    /// Processor time of one core that an occurrence takes, by its estimates.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        let work = self.steps.iter().map(|step| step.work().saturating_mul(step.count));
+        work.fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
+    }
+}
+
+impl Step {
+    /// Processor time of one core that a task takes, by its estimate.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
+        (self.estimate.saturating_mul(millicores) / MILLICORES).min(WORK_MAX)
     }
 }
 
--- a/crates/cell/src/urgency.rs
+++ b/crates/cell/src/urgency.rs
@@ -10,7 +10,7 @@
 use crate::job::Terms;
 
 /// Times the objective after which a result is worth no more than at any later time.
-const LATE_FACTOR: u32 = 3;
+pub const LATE_FACTOR: u32 = 3;
 
 /// Rank of a waiting task; the smallest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -51,6 +51,12 @@
     pub const fn is_in_time(&self) -> bool {
         matches!(self.class, Class::Lasting | Class::InTime)
     }
+
+    /// Whether the job can no longer end before it is entirely late.
+    #[must_use]
+    pub fn is_overdue(&self) -> bool {
+        self.class == Class::Overdue
+    }
 }
 
 /// Time that a job should take, for its longest chain of work.
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: takes callers' jobs, answers what became of them, and places for the cell when it is its turn.
 
+mod admission;
 mod announce;
 mod election;
 mod links;
@@ -11,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_cell::admission::Slots;
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::job::{JobId, JobState};
@@ -104,8 +106,10 @@
     /// The placer that this process runs.
     own_placer: Mutex<Option<(u64, ActorRef<placer::Message>)>>,
     way: watch::Sender<Way>,
-    /// Waiting jobs as last told, and when.
+    /// What waits, as last told, and when.
     pending: Mutex<Option<(Pending, Duration)>>,
+    /// Slots in which callers come again whose jobs the backlog left no time.
+    slots: Mutex<Slots>,
     relays: Mutex<Map<Name, Arc<Link>>>,
     /// Jobs whose outcome was unknown, with the time when that was told.
     undecided: Mutex<Map<JobId, Duration>>,
@@ -153,6 +157,7 @@
         own_placer: Mutex::new(None),
         way: watch::channel(Way::None).0,
         pending: Mutex::new(None),
+        slots: Mutex::default(),
         relays: Mutex::default(),
         undecided: Mutex::default(),
         is_stopping: AtomicBool::new(false),
@@ -219,6 +224,7 @@
             "store": self.inner.submitter.view().standing().as_str(),
             "store_response_ms": self.response().map(whole_ms),
             "claim_wait_ms": whole_ms(self.claim_wait()),
+            "backlog": self.backlog_dump(),
             "placer": placer,
         })
     }
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -64,6 +64,7 @@
             "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
             "room_reserved": self.cell.reserved(),
             "agents": agents,
+            "backlog": &**self.cell.backlog(),
             "counters": format!("{:?}", self.cell.counters()),
         })
     }
