--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,13 +4,18 @@
 //! [`Write`](writes::Write)s that come out.
 
 mod agents;
+mod backlog;
+mod checkpoints;
 mod ends;
 mod evacuating;
 mod filling;
 mod jobs;
 mod placing;
+mod preempt;
+mod reservations;
 mod stragglers;
 mod unread;
+mod urgencies;
 pub mod writes;
 
 use std::collections::{BTreeSet, VecDeque};
@@ -21,12 +26,21 @@
 use chervilledge_policy::id::Name;
 
 pub use self::agents::{Contact, Inventory};
+use self::backlog::PoolKey;
+use self::checkpoints::Checkpoints;
+pub use self::checkpoints::Unsaved;
+use self::evacuating::Evacuating;
+pub use self::evacuating::Evacuation;
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
+use self::preempt::Preemptions;
+use self::reservations::Reservation;
 use self::unread::Unread;
+pub use self::urgencies::Changes;
 use self::writes::Writes;
+use crate::admission::{Backlog, Meter};
 use crate::configuration::{Configuration, Queue};
-use crate::evacuation::EvacuatedDomains;
+use crate::evacuation::Held;
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
@@ -117,6 +131,54 @@
         /// Task that decided it, when one did.
         task: Option<TaskId>,
     },
+    /// Checkpoints of jobs that are written next.
+    CheckpointsChosen {
+        /// Jobs that are written, and the work that this saves.
+        chosen: Unsaved,
+        /// Their tasks with a new checkpoint.
+        tasks: usize,
+        /// What is left for later.
+        left: Unsaved,
+    },
+    /// A run that is slowed down is stopped, since its task is expected to end sooner elsewhere.
+    RunMoved {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Agent of the worker where room is held for the task.
+        to: Name,
+        /// Expected time until its end where it is.
+        here: Duration,
+        /// The same with the move.
+        there: Duration,
+    },
+    /// A run that is slowed down is stopped in favor of a more urgent task.
+    RunYielded {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Task that gets its room.
+        to: TaskId,
+    },
+    /// A run is stopped for a task of a more important queue.
+    Preempted {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Task that gets its room.
+        to: TaskId,
+        /// Processor time of one core that the stop may lose.
+        unsaved: Duration,
+    },
     /// A worker is left out for a while.
     WorkerEjected {
         /// Agent of the worker.
@@ -137,6 +199,20 @@
         /// Runs on them.
         runs: usize,
     },
+    /// The evacuation of a failure domain has got on.
+    EvacuationProgress {
+        /// The domain.
+        domain: Name,
+        /// Runs on its workers.
+        held: Held,
+    },
+    /// An evacuation may not be what the operator means.
+    EvacuationDoubtful {
+        /// The domain; `None` when all of them are meant.
+        domain: Option<Name>,
+        /// Why.
+        reason: &'static str,
+    },
     /// An agent has another standing.
     AgentChanged {
         /// The agent.
@@ -169,6 +245,16 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Checkpoints of running tasks that were chosen to become durable.
+    pub checkpoints: u64,
+    /// Changed urgencies of runs that agents were told.
+    pub urgencies: u64,
+    /// Runs stopped because they were slowed down and a more urgent task can use their room.
+    pub yields: u64,
+    /// Runs stopped for tasks of more important queues.
+    pub preemptions: u64,
+    /// Runs stopped because their failure domain is evacuated and there is room elsewhere.
+    pub evacuated: u64,
 }
 
 /// An agent and its worker.
@@ -192,6 +278,12 @@
     pub(crate) ends_seen: u64,
     /// When the leaving of the worker became known.
     pub(crate) leaving_since: Option<Duration>,
+    /// Until when the worker is slow, by its report.
+    pub(crate) cold_until: Duration,
+    /// Until when starts are spread, since the failure domain has come back into use.
+    pub(crate) returning_until: Duration,
+    /// When the next start is due while they are spread.
+    pub(crate) start_due: Duration,
 }
 
 /// State of a cell.
@@ -206,8 +298,13 @@
     /// Jobs with a schedule that haven't ended.
     scheduled: Set<JobId>,
     agents: Map<Name, Agent>,
+    /// Services whose queues differ in priority.
+    prioritized: Set<Name>,
     /// Tasks that wait for room.
     ready: BTreeSet<TaskId>,
+    /// Room that is held for tasks, since runs were stopped for their sake.
+    reserved: Map<TaskId, Reservation>,
+    preemptions: Preemptions,
     /// Runs by task, for those that are active.
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered; no task that may run there is started elsewhere.
@@ -221,12 +318,18 @@
     actions: VecDeque<Action>,
     notes: Vec<Note>,
     writes: Writes,
+    checkpoints: Checkpoints,
     /// Ratio of the time that runs take to their estimates, by queue.
     estimates: Map<Name, f64>,
+    /// Mean distance of single run times from that ratio, as a part of it, by queue.
+    spreads: Map<Name, f64>,
+    /// Rates at which work is done.
+    meters: Map<PoolKey, Meter>,
+    /// The work that a new job would find, as of the last sample.
+    backlog: Arc<Backlog>,
     counters: Counters,
     needs_placing: bool,
-    /// Failure domains in which nothing may start.
-    evacuated: EvacuatedDomains,
+    evacuating: Evacuating,
     /// What each agent has learnt of pairs of images.
     learnt: Map<Name, Map<Pair, Evidence>>,
     /// What former placers knew, where the agents know less.
@@ -249,7 +352,10 @@
             jobs: Map::default(),
             scheduled: Set::default(),
             agents: Map::default(),
+            prioritized: Set::default(),
             ready: BTreeSet::new(),
+            reserved: Map::default(),
+            preemptions: Preemptions::default(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
             unread: Vec::new(),
@@ -258,10 +364,14 @@
             actions: VecDeque::new(),
             notes: Vec::new(),
             writes: Writes::default(),
+            checkpoints: Checkpoints::default(),
             estimates: Map::default(),
+            spreads: Map::default(),
+            meters: Map::default(),
+            backlog: Arc::default(),
             counters: Counters::default(),
             needs_placing: false,
-            evacuated: EvacuatedDomains::default(),
+            evacuating: Evacuating::default(),
             learnt: Map::default(),
             recalled: Map::default(),
             interference: Interference::default(),
@@ -283,6 +393,7 @@
         for queue in &configuration.queues {
             self.queues.insert(Arc::clone(&queue.name), queue.clone());
         }
+        self.prioritized = configuration.prioritized();
         self.configuration = Some(configuration);
         self.needs_placing = true;
     }
@@ -356,6 +467,12 @@
         self.ready.len()
     }
 
+    /// Tasks for which room is held while runs are stopped for their sake.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.reserved.len()
+    }
+
     /// Jobs that are known, and those of them that haven't ended.
     #[must_use]
     pub fn job_counts(&self) -> (usize, usize) {
@@ -371,6 +488,10 @@
         self.queues.get(&entry.job.queue).map_or_else(|| entry.job.terms.clone(), |queue| queue.terms.clone())
     }
 
+    fn terms_of<'a>(&'a self, entry: &'a JobEntry) -> &'a crate::job::Terms {
+        self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms)
+    }
+
     fn run_number(&self, starts: u64) -> u64 {
         (self.term - 1) * RUNS_PER_TERM + starts
     }
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -13,6 +13,7 @@
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
 use crate::packing::{Load, Need};
+use crate::urgency::Urgency;
 use crate::worker::{End, EndKind, Life, Refusal, RunReport, RunTraits, Worker};
 
 /// Time for which nothing is placed on a worker that had no room or couldn't serve.
@@ -136,7 +137,9 @@
             agent.ends_seen = 0;
             agent.health = Health::default();
         }
+        let is_released = self.evacuating.domains.is_released(&worker.failure_domain);
         agent.load.total = worker.resources;
+        agent.report_cold(worker.cold_for, is_released, now);
         let leaves = worker.leaves_in;
         agent.worker = Some(worker);
         if leaves.is_some() && agent.leaving_since.is_none() {
@@ -227,6 +230,7 @@
     fn reconcile(&mut self, name: &Name, running: &[RunReport], starting: &[(TaskId, u64)], now: Duration) {
         for report in running {
             self.adopt(name, report.task, report.run, Some(report.percent), now);
+            self.take_checkpoint(report);
         }
         for (task, run) in starting {
             self.adopt(name, *task, *run, None, now);
@@ -265,6 +269,7 @@
             return;
         }
         let allowed = self.may_adopt(task);
+        let urgency = self.urgency(task, Urgency::UNKNOWN, now);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| allowed) else {
             if let Some(agent) = self.agents.get_mut(name) {
                 agent.strays.insert((task, number));
@@ -275,16 +280,9 @@
         let need = need(&entry.job, task.key);
         let image = entry.job.step(task.key).and_then(|step| step.image.clone());
         if let Some(state) = entry.tasks.get_mut(&task.key) {
-            state.runs.push(Run {
-                number,
-                agent: Arc::clone(name),
-                started: percent.map(|_| now),
-                percent: percent.unwrap_or(0),
-                moved: now,
-                is_stopping: false,
-                pace_percent: FULL_PERCENT,
-                slowed: None,
-            });
+            state.checkpoint.run = state.checkpoint.run.max(number);
+            let (started, percent) = (percent.map(|_| now), percent.unwrap_or(0));
+            state.runs.push(Run { started, percent, urgency, ..Run::new(number, name, now) });
         }
         self.ready.remove(&task);
         if let Some(agent) = self.agents.get_mut(name) {
@@ -354,8 +352,7 @@
                     run.started = Some(now);
                 }
                 run.pace_percent = report.pace_percent.min(FULL_PERCENT);
-                let is_slowed = report.pace_percent < SLOWED_PERCENT;
-                run.slowed = if is_slowed { run.slowed.or(Some(now)) } else { None };
+                run.slow(report.pace_percent < SLOWED_PERCENT, report.percent, now);
                 if run.percent != report.percent {
                     run.percent = report.percent;
                     run.moved = now;
@@ -363,11 +360,7 @@
             } else {
                 continue;
             }
-            if !report.checkpoint.is_empty()
-                && let Some(state) = self.task_mut(report.task)
-            {
-                state.checkpoint.0 = Arc::clone(&report.checkpoint);
-            }
+            self.take_checkpoint(report);
         }
         for agent in paced {
             self.count_held_back(&agent);
@@ -507,8 +500,11 @@
     #[must_use]
     pub fn describe(&self, name: &Name) -> Vec<(TaskId, u64, RunTraits)> {
         let Some(agent) = self.agents.get(name) else { return Vec::new() };
-        let traits = |task: &TaskId| self.jobs.get(&task.job)?.job.step(task.key).map(RunTraits::of);
-        agent.runs.iter().filter_map(|(task, run)| Some((*task, *run, traits(task)?))).collect()
+        let traits = |(task, run): &(TaskId, u64)| {
+            let urgency = self.run(*task, *run).map_or(Urgency::UNKNOWN, |run| run.urgency);
+            Some((*task, *run, RunTraits::of(self.step_of(*task)?, urgency)))
+        };
+        agent.runs.iter().filter_map(traits).collect()
     }
 
     /// Every run that the placer believes to be on an agent's worker.
@@ -561,6 +557,9 @@
             paused_until: Duration::ZERO,
             ends_seen: 0,
             leaving_since: None,
+            cold_until: Duration::ZERO,
+            returning_until: Duration::ZERO,
+            start_due: Duration::ZERO,
         }
     }
 }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -7,13 +7,14 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
+use super::checkpoints::Checkpoint;
+use super::urgencies::Advance;
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::job::{Job, JobId, JobState, TaskId, TaskKey, WORK_MAX};
+use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
-
-/// Thousandths of a core.
-const MILLICORES: u32 = 1_000;
+use crate::urgency::Urgency;
 
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
@@ -31,12 +32,46 @@
     pub(crate) pace_percent: u32,
     /// Since when the run has been slowed down for the sake of others, without a break.
     pub(crate) slowed: Option<Duration>,
+    /// Urgency, as the agent was told it.
+    pub(crate) urgency: Urgency,
+    /// `percent` at that time.
+    pub(crate) slowed_from_percent: u32,
+}
+
+impl Run {
+    /// A run that was ordered, or found on a worker, just now.
+    pub(crate) fn new(number: u64, agent: &Name, now: Duration) -> Self {
+        Self {
+            number,
+            agent: Arc::clone(agent),
+            started: None,
+            percent: 0,
+            moved: now,
+            is_stopping: false,
+            pace_percent: FULL_PERCENT,
+            slowed: None,
+            urgency: Urgency::UNKNOWN,
+            slowed_from_percent: 0,
+        }
+    }
+
+    /// Takes note of whether the run is slowed down, at a progress of `percent`.
+    pub(crate) fn slow(&mut self, is_slowed: bool, percent: u32, now: Duration) {
+        if !is_slowed {
+            self.slowed = None;
+        } else if self.slowed.is_none() {
+            self.slowed = Some(now);
+            self.slowed_from_percent = percent;
+        }
+    }
 }
 
 /// A task of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) is_done: bool,
+    /// Part that was counted as done work, in percent.
+    pub(crate) counted_percent: u32,
     pub(crate) runs: Vec<Run>,
     /// Starts under this term.
     pub(crate) starts: u64,
@@ -49,15 +84,15 @@
     pub(crate) not_before: Duration,
     /// Agents on whose workers the task failed or stood still.
     pub(crate) avoided: Vec<Name>,
+    /// Runs that were stopped in favor of other tasks.
+    pub(crate) displaced: u32,
 }
 
-/// Checkpoint to begin from; empty when there is none.
-#[derive(Clone, Debug)]
-pub(crate) struct Checkpoint(pub(crate) Name);
-
-impl Default for Checkpoint {
-    fn default() -> Self {
-        Self(Arc::from(""))
+impl Task {
+    /// Progress of one of its runs that a stop may lose, in percent.
+    pub(crate) fn unsaved_percent(&self, run: &Run, is_checkpointing: bool) -> u32 {
+        let is_saved = is_checkpointing && self.checkpoint.run == run.number;
+        run.percent.saturating_sub(if is_saved { self.checkpoint.percent } else { 0 })
     }
 }
 
@@ -83,6 +118,7 @@
     pub(crate) opened: u32,
     /// Longest chain of estimates from each step to the end.
     pub(crate) chains: Vec<Duration>,
+    pub(crate) advance: Advance,
     /// When the outcome became durable.
     pub(crate) shown_at: Option<Duration>,
 }
@@ -116,11 +152,9 @@
     /// Processor time of one core that the tasks take which aren't done, by their estimates.
     pub(crate) fn remaining_work(&self) -> Duration {
         let work = |((_, step), left): (&(u32, u32), &u32)| {
-            let step = self.job.steps.get(*step as usize)?;
-            let millicores = u32::try_from(step.resources.processor_millicores).unwrap_or(u32::MAX);
-            Some(step.estimate.saturating_mul(*left).saturating_mul(millicores) / MILLICORES)
+            Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
         };
-        self.left.iter().filter_map(work).sum()
+        self.left.iter().filter_map(work).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
     }
 
     pub(crate) fn age(&self, now: Duration) -> Duration {
@@ -134,12 +168,7 @@
         resources: step.resources,
         is_filling: step.filling,
         is_serving: step.lasting,
-        is_far: false,
-        disturbed: 0,
-        effect_thousandths: 0,
-        unlike_score: 0,
-        slowed_millicores: 0,
-        excess_millicores: 0,
+        ..Need::default()
     })
 }
 
@@ -199,6 +228,7 @@
             submitted: now.saturating_sub(age),
             opened: 0,
             chains,
+            advance: Advance::default(),
             shown_at: outcome.map(|_| now),
         };
         if !has_begun {
@@ -363,14 +393,12 @@
         let mut left = 0;
         for index in 0..step.count {
             let key = TaskKey { occurrence, step: position, index };
-            let mut task = Task {
+            let task = Task {
                 is_done: entry.progress.done.contains(&key),
                 failed_runs: entry.progress.failures.get(&key).cloned().unwrap_or_default(),
+                checkpoint: Checkpoint::stored(&entry.progress, key),
                 ..Task::default()
             };
-            if let Some(checkpoint) = entry.progress.checkpoints.get(&key) {
-                task.checkpoint = Checkpoint(Arc::clone(checkpoint));
-            }
             left += u32::from(!task.is_done);
             entry.tasks.insert(key, task);
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O. Time is a [`std::time::Duration`] since an arbitrary origin, passed in by the caller.
 
+pub mod admission;
 pub mod authority;
 pub mod cell;
 pub mod configuration;
@@ -10,8 +11,11 @@
 pub mod health;
 pub mod interference;
 pub mod job;
+pub mod outage;
 pub mod pace;
 pub mod packing;
+pub mod preemption;
 pub mod progress;
+pub mod response;
 pub mod urgency;
 pub mod worker;
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -139,6 +139,8 @@
     worker: Worker,
     address: SocketAddr,
     sequence: u64,
+    /// Until when the worker is slow, by its newest report.
+    cold_until: Duration,
     reading: Option<Reading>,
     /// Until when the worker's lease may last, by what was sent to it.
     lease_until: Duration,
@@ -212,8 +214,8 @@
     stopping: Map<RunId, Stopping>,
     traits: Map<RunId, RunTraits>,
     paces: Map<RunId, u32>,
-    /// Paces of filling images, by the serving runs beside them.
-    image_paces: Paces,
+    /// Paces of filling runs as they are decided, by the serving runs beside them and their urgencies.
+    run_paces: Paces,
     interference: Interference,
     /// When the last look was taken in that said something of interference.
     observed: Duration,
@@ -273,7 +275,7 @@
             stopping: Map::default(),
             traits: Map::default(),
             paces: Map::default(),
-            image_paces: Paces::new(context.settings.latency_harm_after),
+            run_paces: Paces::new(context.settings.latency_harm_after),
             interference: Interference::default(),
             observed: Duration::ZERO,
             effects_due: Duration::ZERO,
@@ -381,7 +383,9 @@
                 own.address = report.address;
                 let is_news = own.worker.leaves_in.is_some() != report.worker.leaves_in.is_some()
                     || own.worker.resources != report.worker.resources
-                    || own.worker.service != report.worker.service;
+                    || own.worker.service != report.worker.service
+                    || own.worker.cold_for.is_zero() != report.worker.cold_for.is_zero();
+                own.cold_until = now + report.worker.cold_for;
                 own.worker = report.worker.clone();
                 if is_news {
                     log::info!(event = "worker_changed", worker = &*report.worker.life.worker,
@@ -415,6 +419,7 @@
         log::info!(event = "worker_registered", worker = &*worker.life.worker,
             born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
         self.own = Some(Own {
+            cold_until: now + worker.cold_for,
             worker,
             address,
             sequence,
@@ -526,6 +531,10 @@
             "starting": self.starting.len(),
             "stopping": self.stopping.len(),
             "paces_percent": self.paces.iter().map(|((task, run), percent)| (format!("{task}#{run}"), *percent)).collect::<Vec<_>>(),
+            "serving_order": self.run_paces.runs().map(|(task, run)| {
+                let urgency = self.traits.get(&(task, run)).map(|traits| traits.urgency.0);
+                json!({"run": format!("{task}#{run}"), "percent": self.run_paces.percent((task, run)), "urgency": urgency})
+            }).collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -1,18 +1,22 @@
 //! An entry: takes callers' jobs, answers what became of them, and places for the cell when it is its turn.
 
+mod admission;
+mod announce;
 mod election;
 mod links;
 mod operator;
 mod requests;
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_cell::admission::Slots;
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::response::Recent;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -22,18 +26,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::clock::whole_ms;
 use crate::feed;
 use crate::metrics::Metrics;
+use crate::outage;
 use crate::peer::{Link, Pending};
 use crate::placer;
 use crate::roster::{self, Roster};
-use crate::rows::{self, ENTRY_PREFIX, Process};
 use crate::settings;
-use crate::store::{Change, Handle, Outcome, Table, Transaction};
+use crate::store::Handle;
 use crate::submit::{self, Submitter};
 
-/// Pause after an announcement that wasn't written.
-const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 /// Time that a dump of the placer may take.
 const DUMP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -98,11 +101,15 @@
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
     evacuated: watch::Receiver<Arc<EvacuatedDomains>>,
     roster: roster::Reader,
+    /// Times of the last reads that measure the store.
+    responses: Mutex<Recent>,
     /// The placer that this process runs.
     own_placer: Mutex<Option<(u64, ActorRef<placer::Message>)>>,
     way: watch::Sender<Way>,
-    /// Waiting jobs as last told, and when.
+    /// What waits, as last told, and when.
     pending: Mutex<Option<(Pending, Duration)>>,
+    /// Slots in which callers come again whose jobs the backlog left no time.
+    slots: Mutex<Slots>,
     relays: Mutex<Map<Name, Arc<Link>>>,
     /// Jobs whose outcome was unknown, with the time when that was told.
     undecided: Mutex<Map<JobId, Duration>>,
@@ -130,8 +137,13 @@
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configured, configuration) = watch::channel(None);
     let (evacuations_told, evacuated) = watch::channel(Arc::default());
+    let entries = Arc::new(AtomicUsize::new(1));
+    let counted = Arc::clone(&entries);
+    let view = outage::open(&clock, &metrics, Arc::new(move || counted.load(Ordering::Relaxed)));
+    let unwatched = store;
+    let store = view.watched(&unwatched);
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
-    let submitter = submit::spawn(&store, &clock);
+    let submitter = submit::spawn_with(&unwatched, &clock, view);
     let inner = Inner {
         settings,
         clock,
@@ -141,9 +153,11 @@
         configuration,
         evacuated,
         roster,
+        responses: Mutex::default(),
         own_placer: Mutex::new(None),
         way: watch::channel(Way::None).0,
         pending: Mutex::new(None),
+        slots: Mutex::default(),
         relays: Mutex::default(),
         undecided: Mutex::default(),
         is_stopping: AtomicBool::new(false),
@@ -159,7 +173,8 @@
             configured,
             evacuations_told,
         })),
-        tokio::spawn(announce(store, entry.inner.settings.clone())),
+        tokio::spawn(announce::run(entry.clone())),
+        tokio::spawn(count_entries(entry.inner.roster.view.clone(), entries)),
         tokio::spawn(links::accept_all(listener, entry.clone())),
         tokio::spawn(election::run(entry.clone())),
         tokio::spawn(links::follow_placer(entry.clone())),
@@ -206,6 +221,10 @@
             "configuration_version": self.configuration().map(|configuration| configuration.version),
             "domains_evacuated": self.inner.evacuated.borrow().requested().collect::<Vec<_>>(),
             "way_to_placer": format!("{:?}", *self.inner.way.borrow()),
+            "store": self.inner.submitter.view().standing().as_str(),
+            "store_response_ms": self.response().map(whole_ms),
+            "claim_wait_ms": whole_ms(self.claim_wait()),
+            "backlog": self.backlog_dump(),
             "placer": placer,
         })
     }
@@ -230,16 +249,10 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Writes where the entry takes links.
-async fn announce(store: Handle, settings: settings::Entry) {
-    let content = Process { address: settings.links_address };
-    let key: Name = Arc::from(format!("{ENTRY_PREFIX}{}", settings.name));
-    loop {
-        let change = Change { table: Table::Cell, key: Arc::clone(&key), value: Some(rows::encode(&content)) };
-        let outcome = (store.commit)(Transaction { conditions: Vec::new(), changes: vec![change] }).await;
-        if matches!(outcome, Outcome::Done(_)) {
-            return;
-        }
-        tokio::time::sleep(ANNOUNCE_RETRY).await;
+/// Keeps the number of entries of the cell.
+async fn count_entries(mut view: watch::Receiver<Option<Arc<Roster>>>, entries: Arc<AtomicUsize>) {
+    while view.changed().await.is_ok() {
+        let count = view.borrow_and_update().as_ref().map_or(1, |roster| roster.entries.len().max(1));
+        entries.store(count, Ordering::Relaxed);
     }
 }
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
+use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::{End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
@@ -71,6 +73,8 @@
     },
     /// What runs are, for an agent that didn't start them.
     Describe(Vec<(TaskId, u64, RunTraits)>),
+    /// Urgencies that have changed since the runs were started or described: task, number of the run, urgency.
+    Urgencies(Vec<(TaskId, u64, Urgency)>),
     /// What all agents have learnt of pairs of images of which one serves on the worker.
     Effects(Vec<Effect>),
 }
@@ -190,8 +194,13 @@
         /// The entry places; without it the answer means nothing.
         is_placer: bool,
     },
-    /// Accepted jobs of each queue of which no task has started.
-    Pending(Vec<(Name, usize)>),
+    /// What waits, told by the placer when it has changed.
+    Pending {
+        /// Accepted jobs of each queue of which no task has started.
+        counts: Vec<(Name, usize)>,
+        /// The work that a new job would find.
+        backlog: Backlog,
+    },
     /// Answer to [`ToEntry::Relay`].
     Relayed {
         /// Number of the question.
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::admission::Pool;
+use chervilledge_cell::evacuation::Held;
 use chervilledge_operator::metrics::Reader;
 use chervilledge_policy::clock::Clock;
 use opentelemetry::KeyValue;
@@ -27,16 +29,28 @@
     job_ms: Histogram<f64>,
     durable_ms: Histogram<f64>,
     runs: Counter<u64>,
+    displaced: Counter<u64>,
     waiting: Gauge<u64>,
     evacuation_changes: Counter<u64>,
     domains_evacuated: Gauge<u64>,
     evacuated_runs: Gauge<u64>,
     starts_refused: Counter<u64>,
+    checkpoints: Counter<u64>,
+    unsaved_core_ms: Gauge<u64>,
+    store_standings: Counter<u64>,
+    probes: Counter<u64>,
+    store_response_ms: Gauge<u64>,
     grant_age_ms: Gauge<u64>,
     store_ms: Histogram<f64>,
     configuration_version: Gauge<u64>,
     configuration_age_ms: Gauge<u64>,
     look_ms: Histogram<f64>,
+    pace_orders: Counter<u64>,
+    urgencies: Counter<u64>,
+    backlog_core_ms: Gauge<u64>,
+    backlog_rate_millicores: Gauge<u64>,
+    refusals: Counter<u64>,
+    refused_retry_ms: Histogram<f64>,
 }
 
 /// Starts metrics.
@@ -53,6 +67,10 @@
         job_ms: latency("chervilledge_job_ms", "age of a job when its end was decided"),
         durable_ms: latency("chervilledge_durable_ms", "time until a batch of progress was written"),
         runs: meter.u64_counter("chervilledge_runs").with_description("runs by how they ended").build(),
+        displaced: meter
+            .u64_counter("chervilledge_displaced_runs")
+            .with_description("runs stopped to end sooner elsewhere or in favor of other tasks")
+            .build(),
         waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
         evacuation_changes: meter
             .u64_counter("chervilledge_evacuation_changes")
@@ -64,12 +82,32 @@
             .build(),
         evacuated_runs: meter
             .u64_gauge("chervilledge_evacuated_runs")
-            .with_description("runs on workers of evacuated failure domains")
+            .with_description("runs on workers of evacuated failure domains, by what keeps them there")
             .build(),
         starts_refused: meter
             .u64_counter("chervilledge_starts_refused_evacuated")
             .with_description("orders to start that the agent refused since its failure domain is evacuated")
             .build(),
+        checkpoints: meter
+            .u64_counter("chervilledge_checkpoints")
+            .with_description("checkpoints of running tasks that were chosen to become durable")
+            .build(),
+        unsaved_core_ms: meter
+            .u64_gauge("chervilledge_unsaved_core_ms")
+            .with_description("work saved on workers that the last choice of checkpoints left undurable")
+            .build(),
+        store_standings: meter
+            .u64_counter("chervilledge_store_standings")
+            .with_description("changes of what is believed of the store, by the new standing")
+            .build(),
+        probes: meter
+            .u64_counter("chervilledge_probes")
+            .with_description("reads that try a store that breaks connections")
+            .build(),
+        store_response_ms: meter
+            .u64_gauge("chervilledge_store_response_ms")
+            .with_description("least time of this entry's last reads of the store")
+            .build(),
         grant_age_ms: meter
             .u64_gauge("chervilledge_confirmation_age_ms")
             .with_description("age of the placer's last confirmation at the store")
@@ -84,6 +122,27 @@
             .with_description("time since the store last told the configuration, or that it hasn't changed")
             .build(),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
+        pace_orders: meter
+            .u64_counter("chervilledge_pace_orders")
+            .with_description("orders of a pace, by whether the run is halted, slower or faster than before")
+            .build(),
+        urgencies: meter
+            .u64_counter("chervilledge_urgencies_told")
+            .with_description("runs of which an agent was told that their urgency has changed")
+            .build(),
+        backlog_core_ms: meter
+            .u64_gauge("chervilledge_backlog_core_ms")
+            .with_description("work of open jobs that can still be of use, in core-milliseconds")
+            .build(),
+        backlog_rate_millicores: meter
+            .u64_gauge("chervilledge_backlog_rate_millicores")
+            .with_description("rate at which work is done while some waits; 0 before it is measured")
+            .build(),
+        refusals: meter
+            .u64_counter("chervilledge_backlog_refusals")
+            .with_description("submissions that the backlog left no time, by what became of them")
+            .build(),
+        refused_retry_ms: latency("chervilledge_backlog_retry_ms", "time after which refused callers may come back"),
         reader,
         _provider: provider,
     })
@@ -121,11 +180,41 @@
         self.runs.add(1, &[KeyValue::new("how", how)]);
     }
 
+    /// Counts a run that is stopped to end sooner elsewhere or in favor of another task.
+    pub fn displaced(&self, reason: &'static str) {
+        self.displaced.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a batch of progress.
     pub fn durable(&self, took: Duration) {
         self.durable_ms.record(milliseconds(took), &[]);
     }
 
+    /// Counts checkpoints of running tasks that were chosen to become durable.
+    pub fn checkpoints(&self, tasks: u64) {
+        self.checkpoints.add(tasks, &[]);
+    }
+
+    /// Takes note of the work in core-milliseconds whose checkpoints wait for a later choice.
+    pub fn unsaved(&self, core_ms: u64) {
+        self.unsaved_core_ms.record(core_ms, &[]);
+    }
+
+    /// Counts a change of what is believed of the store.
+    pub fn store_standing(&self, standing: &'static str) {
+        self.store_standings.add(1, &[KeyValue::new("standing", standing)]);
+    }
+
+    /// Counts a read that tries a store that breaks connections.
+    pub fn probe(&self, result: &'static str) {
+        self.probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Takes note of the least time of the last reads of the store.
+    pub fn store_response(&self, least: Duration) {
+        self.store_response_ms.record(crate::clock::whole_ms(least), &[]);
+    }
+
     /// Takes note of the placer's queue and of the age of its last confirmation.
     pub fn placer(&self, waiting: usize, confirmation_age: Duration) {
         self.waiting.record(waiting as u64, &[]);
@@ -138,9 +227,17 @@
     }
 
     /// Takes note of the evacuated failure domains and of the runs on their workers.
-    pub fn evacuations(&self, domains: usize, runs: usize) {
+    pub fn evacuations(&self, domains: usize, held: &Held) {
         self.domains_evacuated.record(domains as u64, &[]);
-        self.evacuated_runs.record(runs as u64, &[]);
+        let kinds = [
+            ("no_room", held.no_room),
+            ("unavailable_max", held.unavailable_max),
+            ("short_task", held.short_task),
+            ("moving", held.moving),
+        ];
+        for (kind, runs) in kinds {
+            self.evacuated_runs.record(runs as u64, &[KeyValue::new("held", kind)]);
+        }
     }
 
     /// Counts an order to start in an evacuated failure domain.
@@ -159,6 +256,43 @@
         self.look_ms.record(milliseconds(took), &[KeyValue::new("result", result)]);
     }
 
+    /// Counts an order of a pace, in percent.
+    pub fn pace_ordered(&self, percent: u32, former: u32) {
+        let change = match percent {
+            0 => "halted",
+            _ if percent < former => "slower",
+            _ => "faster",
+        };
+        self.pace_orders.add(1, &[KeyValue::new("change", change)]);
+    }
+
+    /// Counts runs of which an agent was told a changed urgency.
+    pub fn urgencies_told(&self, runs: usize) {
+        self.urgencies.add(runs as u64, &[]);
+    }
+
+    /// Takes note of the work of a pool.
+    pub fn backlog(&self, pool: &Pool) {
+        let labels = pool_labels(pool);
+        self.backlog_core_ms.record(pool.in_time.total().saturating_add(pool.late.total()), &labels);
+        self.backlog_rate_millicores.record(u64::from(pool.rate_millicores.unwrap_or(0)), &labels);
+    }
+
+    /// Takes note that a pool has no work any more.
+    pub fn backlog_gone(&self, pool: &Pool) {
+        self.backlog_core_ms.record(0, &pool_labels(pool));
+    }
+
+    /// Counts a submission that the backlog left no time; `decided` is what became of it.
+    pub fn backlog_refusal(&self, decided: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("decided", decided)]);
+    }
+
+    /// Counts the time after which a refused caller may come back.
+    pub fn backlog_retry(&self, retry_after: Duration) {
+        self.refused_retry_ms.record(milliseconds(retry_after), &[]);
+    }
+
     fn store(&self, call: &'static str, result: &'static str, took: Duration) {
         self.store_ms.record(milliseconds(took), &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
@@ -201,7 +335,9 @@
         Outcome::Done(_) => "done",
         Outcome::Conflict(_) => "conflict",
         Outcome::Refused => "refused",
+        Outcome::NotThere => "not_there",
         Outcome::Unknown => "unknown",
+        Outcome::Broken => "broken",
     }
 }
 
@@ -210,12 +346,17 @@
         Ok(_) => "done",
         Err(ReadError::Silent) => "silent",
         Err(ReadError::Unreachable) => "unreachable",
+        Err(ReadError::Broken) => "broken",
         Err(ReadError::Refused) => "refused",
         Err(ReadError::HistoryLost) => "history_lost",
         Err(ReadError::Malformed) => "malformed",
     }
 }
 
+fn pool_labels(pool: &Pool) -> [KeyValue; 2] {
+    [KeyValue::new("service", pool.service.to_string()), KeyValue::new("is_filling", pool.is_filling)]
+}
+
 fn milliseconds(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -1,17 +1,20 @@
 //! Drives a cell: links to agents, rows of jobs and progress, and the placer's authority.
 
+mod backlog;
 mod effects;
 mod evacuating;
 mod expiry;
 mod feed;
 mod links;
 mod notes;
+mod urgencies;
 mod writing;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::admission::Backlog;
 use chervilledge_cell::authority::Authority;
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell, Inventory};
@@ -31,14 +34,14 @@
 use crate::clock::{unix_ms, whole_ms};
 use crate::message::{FromAgent, ToAgent};
 use crate::metrics::Metrics;
-use crate::peer::Pending;
+use crate::peer::{Pending, Waiting};
 use crate::roster::Roster;
 use crate::rows::{self, BEAT, PLACER};
 use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
 
 /// Interval of looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
-/// Interval of looks for runs that stand still.
+/// Interval of looks for runs that stand still, or stand in an evacuated failure domain.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 /// Times the duration of a pass after which the next one may follow, so that passes take a quarter of the processor.
 const PLACE_DUTY: u32 = 4;
@@ -164,9 +167,9 @@
     },
     /// Rows of these jobs are gone.
     Expired(Vec<JobId>),
-    /// Asks for the state of a job; `None` when it isn't known.
+    /// Asks for the state of a job; `None` when it isn't known. There is no answer until the jobs are read.
     State(JobId, RpcReplyPort<Option<JobState>>),
-    /// Asks for the waiting jobs of each queue; `None` until the jobs are read.
+    /// Asks for what waits; `None` until the jobs are read.
     Pending(RpcReplyPort<Option<Pending>>),
     /// Asks for a dump of the state.
     Dump(RpcReplyPort<Value>),
@@ -217,9 +220,16 @@
     /// When tasks may be placed again.
     place_due: Duration,
     watch_due: Duration,
+    evacuation_due: Duration,
     effects_due: Duration,
+    backlog_due: Duration,
+    /// What entries are told of the backlog.
+    backlog_told: Arc<Backlog>,
+    /// When the backlog was last logged, and whether work waited then.
+    backlog_logged: (Duration, bool),
     /// When what is known of pairs of images was last kept.
     effects_kept: Duration,
+    urgencies_due: Duration,
     expiry_due: Duration,
     is_expiring: bool,
     tasks: Vec<JoinHandle<()>>,
@@ -282,8 +292,13 @@
             batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
+            evacuation_due: Duration::ZERO,
             effects_due: Duration::ZERO,
+            backlog_due: Duration::ZERO,
+            backlog_told: Arc::default(),
+            backlog_logged: (Duration::ZERO, false),
             effects_kept: Duration::ZERO,
+            urgencies_due: Duration::ZERO,
             expiry_due: context.clock.now() + EXPIRY_INTERVAL,
             is_expiring: false,
             tasks,
@@ -379,11 +394,15 @@
                 }
             }
             Message::State(id, reply) => {
-                let state = if self.is_loaded { self.cell.state(id) } else { None };
-                drop(reply.send(state));
+                // Until the rows are read, a job that isn't known may be there; no answer says so.
+                if self.is_loaded {
+                    drop(reply.send(self.cell.state(id)));
+                }
             }
             Message::Pending(reply) => {
-                drop(reply.send(self.is_loaded.then(|| Arc::new(self.cell.pending().clone()))));
+                let waiting =
+                    || Waiting { counts: self.cell.pending().clone(), backlog: Arc::clone(&self.backlog_told) };
+                drop(reply.send(self.is_loaded.then(|| Arc::new(waiting()))));
             }
             Message::Dump(reply) => {
                 drop(reply.send(self.dump(now)));
@@ -410,7 +429,13 @@
                 self.cell.watch_runs(now);
             }
         }
+        if holds && self.is_loaded {
+            self.cell.save_checkpoints(now);
+            self.context.metrics.unsaved(self.cell.unsaved().core_ms);
+        }
         self.share_effects(now);
+        self.tell_urgencies(now);
+        self.sample_backlog(now);
         if now >= self.expiry_due && !self.is_expiring {
             self.expiry_due = now + EXPIRY_INTERVAL;
             self.expire(now);
@@ -427,6 +452,10 @@
             let took = self.context.clock.now().saturating_sub(now);
             self.place_due = now + took * PLACE_DUTY;
         }
+        if may_place && now >= self.evacuation_due && !self.cell.needs_placing() {
+            self.evacuation_due = now + WATCH_INTERVAL;
+            self.cell.move_evacuated(now);
+        }
         let gap = if self.cell.has_urgent_write() { URGENT_BATCH_GAP } else { BATCH_GAP };
         if now >= self.batch_sent + gap
             && self.is_loaded
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervilledge_cell::cell::Note;
+use chervilledge_cell::cell::{Evacuation, Note};
 use serde_json::{Value, json};
 
 use super::State;
@@ -24,12 +24,21 @@
             Note::Evacuation { is_requested, .. } => {
                 metrics.evacuation_changed(if *is_requested { "requested" } else { "removed" });
             }
-            Note::Placed { .. } | Note::WorkerEjected { .. } | Note::AgentChanged { .. } => {}
+            Note::CheckpointsChosen { tasks, .. } => metrics.checkpoints(*tasks as u64),
+            Note::RunMoved { .. } => metrics.displaced("moved"),
+            Note::RunYielded { .. } => metrics.displaced("yielded"),
+            Note::Preempted { .. } => metrics.displaced("preempted"),
+            Note::EvacuationDoubtful { reason, .. } => metrics.evacuation_changed(reason),
+            Note::EvacuationProgress { .. }
+            | Note::Placed { .. }
+            | Note::WorkerEjected { .. }
+            | Note::AgentChanged { .. } => {}
         }
     }
 
     pub(super) fn dump(&self, now: Duration) -> Value {
         let (jobs, open) = self.cell.job_counts();
+        let unsaved = self.cell.unsaved();
         let agents: Vec<Value> = self
             .cell
             .agents()
@@ -39,7 +48,10 @@
             .cell
             .evacuations()
             .into_iter()
-            .map(|(domain, workers, runs)| json!({"domain": domain, "workers": workers, "runs": runs}))
+            .map(|Evacuation { domain, workers, held }| {
+                json!({"domain": domain, "workers": workers,
+                "runs": held.runs(), "held": format!("{held:?}")})
+            })
             .collect();
         json!({
             "evacuations": evacuations,
@@ -49,7 +61,10 @@
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
             "agents_unheard": self.cell.unresolved(),
+            "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
+            "room_reserved": self.cell.reserved(),
             "agents": agents,
+            "backlog": &**self.cell.backlog(),
             "counters": format!("{:?}", self.cell.counters()),
         })
     }
@@ -70,6 +85,21 @@
             log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
                 task = task; "");
         }
+        Note::CheckpointsChosen { chosen, tasks, left } => {
+            log::info!(event = "checkpoints_chosen", jobs = chosen.jobs, tasks = tasks, core_ms = chosen.core_ms,
+                jobs_left = left.jobs, core_ms_left = left.core_ms; "");
+        }
+        Note::RunMoved { task, run, agent, to, here, there } => {
+            log::info!(event = "run_moved", task:% = task, run = run, agent = &**agent, to = &**to,
+                here_ms = whole_ms(*here), there_ms = whole_ms(*there); "");
+        }
+        Note::RunYielded { task, run, agent, to } => {
+            log::info!(event = "run_yielded", task:% = task, run = run, agent = &**agent, to:% = to; "");
+        }
+        Note::Preempted { task, run, agent, to, unsaved } => {
+            log::info!(event = "preempted", task:% = task, run = run, agent = &**agent, to:% = to,
+                unsaved_core_ms = whole_ms(*unsaved); "");
+        }
         Note::WorkerEjected { agent, reason } => {
             log::warn!(event = "worker_ejected", agent = &**agent, reason = reason; "");
         }
@@ -78,6 +108,15 @@
             log::info!(event = event, domain = &**domain, revision = revision, workers = workers, runs = runs,
                 term = term; "");
         }
+        Note::EvacuationProgress { domain, held } => {
+            log::info!(event = "evacuation_progress", domain = &**domain, runs = held.runs(), no_room = held.no_room,
+                unavailable_max = held.unavailable_max, short_task = held.short_task, moving = held.moving,
+                term = term; "");
+        }
+        Note::EvacuationDoubtful { domain, reason } => {
+            log::warn!(event = "evacuation_doubtful", domain = domain.as_deref().unwrap_or_default(), reason = reason,
+                term = term; "");
+        }
         Note::AgentChanged { agent, standing, runs } => {
             log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
         }
