--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -10,6 +10,7 @@
 mod placing;
 mod stragglers;
 mod unread;
+mod urgencies;
 pub mod writes;
 
 use std::collections::{BTreeSet, VecDeque};
@@ -23,6 +24,7 @@
 pub use self::filling::Filling;
 use self::jobs::JobEntry;
 use self::unread::Unread;
+pub use self::urgencies::Changes;
 use self::writes::Writes;
 use crate::configuration::{Configuration, Queue};
 use crate::health::Health;
@@ -154,6 +156,8 @@
     pub restarts: u64,
     /// Runs stopped because they were slowed down for the sake of others and have room elsewhere.
     pub moves: u64,
+    /// Changed urgencies of runs that agents were told.
+    pub urgencies: u64,
 }
 
 /// An agent and its worker.
