Let tests of the merged parts build again

Three tests of the scheduler lacked the fields for evacuations that another part had added, so that no test of the package could be run. They pass no evacuation.

--- a/crates/scheduler/tests/outage.rs
+++ b/crates/scheduler/tests/outage.rs
@@ -26,6 +26,7 @@
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
         configuration_apply: Duration::from_secs(2),
+        evacuation_apply: None,
         cancellation_apply: Duration::from_secs(3),
         ended_jobs_kept: Duration::from_mins(2),
         stop_timeout: Duration::from_secs(6),
--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -130,6 +130,7 @@
         store: rows.store(),
         roster: watch::channel(Some(roster)).1,
         configuration: watch::channel(Some(Arc::new(configuration))).1,
+        evacuated: watch::channel(Arc::default()).1,
         term: 1,
         revision: 1,
         former: None,
