Bound the figures of jobs, queues and clocks that the placer and agents take in

Cause: a job with estimates of u64::MAX ms, a huge stretch or objective, a worker's report with such a capacity, or a worker's clock near its end overflowed a Duration or a sum. The panic ended the placer and, since the job is a row, each of its successors. A schedule of 4 thousand million occurrences that were due at once made all their tasks.

Change: the cell takes estimates, objectives, stretch and processor time that can't be meant for the largest ones that are believed; a schedule opens an occurrence only while less than 10,000 tasks aren't done; a clock without room for a lease gives none.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -301,7 +301,9 @@
             return;
         }
         for queue in &configuration.queues {
-            self.queues.insert(Arc::clone(&queue.name), queue.clone());
+            let mut queue = queue.clone();
+            queue.terms.bound();
+            self.queues.insert(Arc::clone(&queue.name), queue);
         }
         self.configuration = Some(configuration);
         self.needs_placing = true;
--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -171,7 +171,9 @@
             return;
         }
         self.checkpoints.due = now + INTERVAL;
-        let work = |entry: &JobEntry| entry.unsaved_tasks().iter().map(|(core_ms, _)| core_ms).sum::<u64>();
+        let work = |entry: &JobEntry| {
+            entry.unsaved_tasks().iter().fold(0, |sum: u64, (core_ms, _)| sum.saturating_add(*core_ms))
+        };
         let mut unsaved: Vec<(u64, JobId)> = self
             .jobs
             .iter()
@@ -189,13 +191,13 @@
             }
             tasks += put;
             chosen.jobs += 1;
-            chosen.core_ms += core_ms;
+            chosen.core_ms = chosen.core_ms.saturating_add(*core_ms);
             self.writes.save(*id, now);
             if bytes >= CHOICE_BYTES_MAX {
                 break;
             }
         }
-        let all = unsaved.iter().map(|(core_ms, _)| core_ms).sum::<u64>();
+        let all = unsaved.iter().fold(0, |sum: u64, (core_ms, _)| sum.saturating_add(*core_ms));
         self.checkpoints.left =
             Unsaved { jobs: unsaved.len() - chosen.jobs, core_ms: all.saturating_sub(chosen.core_ms) };
         if chosen.jobs > 0 {
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -10,7 +10,7 @@
 use super::checkpoints::Checkpoint;
 use super::urgencies::Advance;
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
+use crate::job::{Job, JobId, JobState, TASKS_MAX, TaskId, TaskKey};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 use crate::urgency::Urgency;
@@ -168,11 +168,20 @@
         self.fresh_from.is_some_and(|from| from == 0 || revision.is_some_and(|revision| revision > from))
     }
 
-    fn insert(&mut self, job: Job, progress: Progress, revision: u64, age: Duration, is_fresh: bool, now: Duration) {
+    fn insert(
+        &mut self,
+        mut job: Job,
+        progress: Progress,
+        revision: u64,
+        age: Duration,
+        is_fresh: bool,
+        now: Duration,
+    ) {
         if self.jobs.contains_key(&job.id) {
             return;
         }
         self.counters.jobs += 1;
+        job.bound();
         let id = job.id;
         let outcome = progress.outcome;
         let has_begun = revision > 0;
@@ -206,7 +215,8 @@
         self.take_unread(id, now);
     }
 
-    /// Opens occurrences that are due; `unix_ms` is the wall clock, needed for jobs with a schedule only.
+    /// Opens occurrences that are due, as long as less than [`TASKS_MAX`] tasks of the job aren't done: a schedule may name
+    /// four thousand million occurrences that are all due now. `unix_ms` is the wall clock, needed for jobs with a schedule only.
     pub fn open_due(&mut self, unix_ms: u64, now: Duration) {
         let scheduled: Vec<JobId> = self.scheduled.iter().copied().collect();
         for id in scheduled {
@@ -215,19 +225,20 @@
     }
 
     fn open_occurrences(&mut self, id: JobId, unix_ms: Option<u64>, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        let mut left: u64 = entry.left.values().map(|left| u64::from(*left)).sum();
         loop {
-            let Some(entry) = self.jobs.get_mut(&id) else { return };
             let occurrence = entry.opened;
             let is_due = match (entry.job.due_unix_ms(occurrence), unix_ms) {
                 (None, _) => true,
                 (Some(due), Some(unix_ms)) => unix_ms >= due,
                 (Some(_), None) => false,
             };
-            if occurrence >= entry.job.occurrences() || !is_due {
+            if occurrence >= entry.job.occurrences() || !is_due || left >= TASKS_MAX {
                 break;
             }
             entry.opened += 1;
-            open_occurrence(entry, occurrence);
+            left += open_occurrence(entry, occurrence);
         }
         self.queue_due_tasks(id, now);
         self.finish_if_done(id, now);
@@ -349,7 +360,9 @@
     }
 }
 
-fn open_occurrence(entry: &mut JobEntry, occurrence: u32) {
+/// Makes the tasks of an occurrence; gives the number of those that aren't done.
+fn open_occurrence(entry: &mut JobEntry, occurrence: u32) -> u64 {
+    let mut left_of_all = 0;
     for (position, step) in entry.job.steps.iter().enumerate() {
         let position = u32::try_from(position).unwrap_or(u32::MAX);
         let mut left = 0;
@@ -365,5 +378,7 @@
             entry.tasks.insert(key, task);
         }
         entry.left.insert((occurrence, position), left);
+        left_of_all += u64::from(left);
     }
+    left_of_all
 }
--- a/crates/cell/src/grant.rs
+++ b/crates/cell/src/grant.rs
@@ -36,11 +36,11 @@
 
 /// End of the worker's lease on the worker's clock, so that it has ended at `until` for certain.
 ///
-/// `None` when that is past.
+/// `None` when that is past, or has no reading: a lease by a clock that can't be right might never end.
 #[must_use]
 pub fn lease_end_ms(reading: Reading, until: Duration) -> Option<u64> {
     let left = until.checked_sub(reading.received)?.mul_f64(CLOCK_MARGIN);
-    Some(reading.worker_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX / 2))
+    reading.worker_ms.checked_add(u64::try_from(left.as_millis()).ok()?)
 }
 
 /// Whether the worker's clock may show `worker_ms` in answer to a call that was sent at `sent`, after a reading.
@@ -50,5 +50,5 @@
 pub fn is_later(reading: Reading, worker_ms: u64, sent: Duration) -> bool {
     let passed = sent.saturating_sub(reading.received).mul_f64(CLOCK_MARGIN);
     let least = Duration::from_millis(reading.worker_ms) + passed;
-    Duration::from_millis(worker_ms + 1) >= least
+    Duration::from_millis(worker_ms.saturating_add(1)) >= least
 }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -19,6 +19,13 @@
 /// Most steps of a job.
 pub const STEPS_MAX: usize = 1_000;
 
+/// Longest estimate of a task that is believed, and longest latency objective. Work of [`TASKS_MAX`] such tasks still has a
+/// [`Duration`].
+const ESTIMATE_MAX: Duration = Duration::from_hours(365 * 24);
+
+/// Largest stretch that is believed.
+const STRETCH_MAX: f64 = 1_000.0;
+
 /// Thousandths of a core.
 const MILLICORES: u32 = 1_000;
 
@@ -182,6 +189,14 @@
     pub latency_objective: Duration,
 }
 
+impl Terms {
+    /// Takes figures that can't be meant for the largest ones that are believed.
+    pub(crate) fn bound(&mut self) {
+        self.latency_objective = self.latency_objective.min(ESTIMATE_MAX);
+        self.stretch = self.stretch.clamp(0.0, STRETCH_MAX);
+    }
+}
+
 /// A job as it is stored.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Job {
@@ -246,6 +261,17 @@
         Ok(())
     }
 
+    /// Takes larger figures than are believed for the largest ones that are: sums and multiples of what a caller or an
+    /// operator may write would have no [`Duration`], or no 64 bits.
+    pub(crate) fn bound(&mut self) {
+        for step in &mut self.steps {
+            step.estimate = step.estimate.min(ESTIMATE_MAX);
+            let processor = &mut step.resources.processor_millicores;
+            *processor = (*processor).min(u64::from(u32::MAX));
+        }
+        self.terms.bound();
+    }
+
     /// Step of a task, if the job has it.
     #[must_use]
     pub fn step(&self, key: TaskKey) -> Option<&Step> {
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -123,7 +123,8 @@
     let processor = signed(need.resources.processor_millicores);
     if need.is_filling {
         let left = load.filling_left_millicores();
-        let spare = signed(load.total.processor_millicores * OVERCOMMIT_PERCENT / 100 + need.excess_millicores);
+        let spare =
+            signed((load.total.processor_millicores / 100 * OVERCOMMIT_PERCENT).saturating_add(need.excess_millicores));
         if left + spare < processor {
             return None;
         }
