Keep placers running over malformed rows, and silent without authority

Cause: the row or message of a job that names a step it lacks ended every placer that read it (index out of bounds). A job whose progress couldn't be read was loaded as new, so that work that had run was run again, and shown as queued. Evidence on images that was no number stayed for good. A placer that had been paused past its authority told callers states and counts that its successor may know better.

Change: placers and relaying entries check every job that they take in; a job with unreadable progress stays out, and its state isn't told; evidence that is no number counts for nothing, and a latency target of 0 is none; without authority the placer tells nothing, so that entries read the rows.

--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -70,7 +70,7 @@
             let run = (report.task, report.run);
             let Some(traits) = self.traits.get(&run) else { continue };
             let image = traits.image.clone().unwrap_or_default();
-            if let Some(target) = traits.latency_target {
+            if let Some(target) = traits.latency_target.filter(|target| !target.is_zero()) {
                 let measured = Duration::from_millis(report.measured);
                 seen.tails.push(Tail { task: report.task, image: Arc::clone(&image), measured, target });
                 if !measured.is_zero() {
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -11,6 +11,7 @@
 use crate::message::{FromEntry, SILENCE, Stored, ToEntry};
 use crate::peer::{self, Link, Pending};
 use crate::placer;
+use crate::rows;
 
 /// Pause after a failed accept, which is mostly a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -188,6 +189,7 @@
                 let deadline = self.now() + RELAY_TIMEOUT;
                 tokio::spawn(async move {
                     let stored = match (job, cancel) {
+                        (Some(job), _) if !rows::is_valid(&job) => Stored::Refused,
                         (Some(job), _) => entry.store_for_peer(*job, deadline).await,
                         (None, Some(id)) => entry.inner.submitter.store_cancel(id, deadline).await,
                         (None, None) => Stored::Refused,
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -199,8 +199,9 @@
     async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
         let key = rows::job_key(id);
         let progress = self.read_row(Table::Progress, &key).await?;
-        let content = progress.and_then(|row| row.value).and_then(|value| rows::decode::<Progress>(&key, &value));
-        if let Some(progress) = content {
+        if let Some(value) = progress.and_then(|row| row.value) {
+            // A job whose progress can't be read has run, and it isn't known how far.
+            let progress = rows::decode::<Progress>(&key, &value).ok_or(())?;
             return Ok(Some(match progress.outcome {
                 Some(Outcome::Completed) => JobState::Completed,
                 Some(Outcome::Failed) => JobState::Failed,
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -213,6 +213,8 @@
     next_link: u64,
     /// Cancellations of jobs whose row hasn't come yet.
     early_cancels: Set<JobId>,
+    /// Jobs whose progress can't be read: what is done of them isn't known, so that nothing of them may start.
+    unreadable: Set<JobId>,
     /// When the last batch was sent.
     batch_sent: Duration,
     /// When tasks may be placed again.
@@ -281,6 +283,7 @@
             dialers: Map::default(),
             next_link: 1,
             early_cancels: Set::default(),
+            unreadable: Set::default(),
             batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
@@ -382,11 +385,11 @@
                 }
             }
             Message::State(id, reply) => {
-                let state = if self.is_loaded { self.cell.state(id) } else { None };
+                let state = if self.may_tell(now) { self.cell.state(id) } else { None };
                 drop(reply.send(state));
             }
             Message::Pending(reply) => {
-                drop(reply.send(self.is_loaded.then(|| Arc::new(self.cell.pending().clone()))));
+                drop(reply.send(self.may_tell(now).then(|| Arc::new(self.cell.pending().clone()))));
             }
             Message::Dump(reply) => {
                 drop(reply.send(self.dump(now)));
@@ -475,12 +478,14 @@
             let (Ok(id), Some(value)) = (row.key.parse::<JobId>(), row.value.as_deref()) else { continue };
             if let Some(content) = rows::decode::<Progress>(&row.key, value) {
                 known.insert(id, (content, row.revision));
+            } else {
+                self.unreadable.insert(id);
             }
         }
         self.recall_effects(progress);
         let wall_ms = unix_ms();
         for row in jobs {
-            let Some(job) = decode_job(row) else { continue };
+            let Some(job) = decode_job(row).filter(|job| !self.unreadable.contains(&job.id)) else { continue };
             let (progress, revision) = known.remove(&job.id).unwrap_or_default();
             // Wall clocks of two processes may differ; the age only ranks.
             let age = Duration::from_millis(wall_ms.saturating_sub(job.accepted_unix_ms)).min(Duration::from_mins(5));
@@ -523,7 +528,7 @@
     fn submitted(&mut self, job: Job, revision: Option<u64>, now: Duration) {
         let id = job.id;
         // Until the rows are read, what is durable of the job isn't known.
-        if !self.is_loaded || self.cell.knows(id) {
+        if !self.is_loaded || self.cell.knows(id) || self.unreadable.contains(&id) || !rows::is_valid(&job) {
             return;
         }
         self.cell.submit(job, revision, now);
@@ -540,6 +545,12 @@
         }
     }
 
+    /// Whether callers may be told what the placer knows. Without authority there may be a successor that knows more, and the
+    /// rows tell what it has made durable.
+    fn may_tell(&self, now: Duration) -> bool {
+        self.is_loaded && self.authority.holds(now)
+    }
+
     fn take_configuration(&mut self) {
         let configuration = self.context.configuration.borrow().clone();
         // Told before the configuration, so that it is there with the first one.
@@ -574,7 +585,7 @@
     if !matches!(rows::parse_job_key(&row.key), Some(rows::JobKey::Job(_))) {
         return None;
     }
-    rows::decode(&row.key, row.value.as_deref()?)
+    rows::decode_job(&row.key, row.value.as_deref()?)
 }
 
 /// Write of the placer's sign of life.
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::interference::{Evidence, Pair};
-use chervilledge_cell::job::JobId;
+use chervilledge_cell::job::{Job, JobId};
 use chervilledge_policy::id::Name;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -85,11 +85,13 @@
         Self(Arc::clone(&pair.filling), Arc::clone(&pair.serving), information, weighted_effect)
     }
 
-    /// The pair and the evidence on it.
+    /// The pair and the evidence on it; none where a figure isn't one, which would count for nothing or for everything.
     #[must_use]
     pub fn into_evidence(self) -> (Pair, Evidence) {
         let Self(filling, serving, information, weighted_effect) = self;
+        let is_figure = information.is_finite() && information >= 0.0 && weighted_effect.is_finite();
         let evidence = Evidence { information: f64::from(information), weighted_effect: f64::from(weighted_effect) };
+        let evidence = if is_figure { evidence } else { Evidence::default() };
         (Pair { filling, serving }, evidence)
     }
 }
@@ -147,3 +149,20 @@
         }
     }
 }
+
+/// Reads the row of a job; logs and gives `None` when it can't be understood, or isn't a job that may be accepted.
+#[must_use]
+pub fn decode_job(key: &str, value: &[u8]) -> Option<Job> {
+    let job: Job = decode(key, value)?;
+    if key.parse() != Ok(job.id) {
+        log::warn!(event = "row_malformed", key = key, job:% = job.id, error = "job of another key"; "");
+        return None;
+    }
+    is_valid(&job).then_some(job)
+}
+
+/// Whether a job may be accepted; logs what is wrong with it. Placers rely on it for every job that they take in.
+#[must_use]
+pub fn is_valid(job: &Job) -> bool {
+    job.check().inspect_err(|fault| log::warn!(event = "job_invalid", job:% = job.id, error:% = fault; "")).is_ok()
+}
--- /dev/null
+++ b/crates/scheduler/tests/malformed.rs
@@ -0,0 +1,207 @@
+//! Malformed rows and messages: each costs its own row or link, never a process.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use chervilledge_cell::authority::AUTHORITY;
+use chervilledge_cell::job::{Job, JobId, JobState, Step};
+use chervilledge_cell::worker::Refusal;
+use chervilledge_link::connection;
+use chervilledge_policy::clock::Clock;
+use chervilledge_policy::id::Name;
+use chervilledge_scheduler::message::{FromAgent, NO_SECRET, ToAgent};
+use chervilledge_scheduler::placer::{self, Context, Message};
+use chervilledge_scheduler::roster::Roster;
+use chervilledge_scheduler::rows::{self, Effect};
+use chervilledge_scheduler::store::Table;
+use chervilledge_scheduler::{clock, metrics};
+use ractor::ActorRef;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::agent::{self, link, task};
+use support::{Fault, Rows, job};
+use tokio::sync::watch;
+
+/// Time in which a placer or an agent that does what it must not would have done it.
+const A_WHILE: Duration = Duration::from_millis(800);
+/// Malformed messages of one seed, each on a link of its own.
+const MESSAGES: u32 = 40;
+
+/// Clock that a test can move ahead, as a process sees it that was paused.
+fn clock_with_pauses() -> (Clock, Arc<AtomicU64>) {
+    let (system, skipped_s) = (clock::system(), Arc::new(AtomicU64::new(0)));
+    let skipped = Arc::clone(&skipped_s);
+    (Clock::new(move || system.now() + Duration::from_secs(skipped.load(Ordering::Relaxed))), skipped_s)
+}
+
+/// A placer of the first term with one agent, and the sender of its view of the cell.
+async fn spawn_placer(
+    rows: &Rows,
+    clock: Clock,
+    agent: &agent::Running,
+) -> (ActorRef<Message>, watch::Sender<Option<Arc<Roster>>>) {
+    let row = rows::Placer {
+        term: 1,
+        holder: Some(Arc::from("entry-1")),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+    };
+    rows.write(Table::Cell, rows::PLACER, Some(rows::encode(&row)));
+    let revision = rows.revision(Table::Cell, rows::PLACER);
+    let agents = std::iter::once((Name::from("agent-1"), agent.address)).collect();
+    let roster = Roster { placer: Some((row, revision)), agents, ..Roster::default() };
+    let (view, roster) = watch::channel(Some(Arc::new(roster)));
+    let context = Context {
+        name: Arc::from("entry-1"),
+        claimed: clock.now(),
+        clock,
+        store: rows.store(),
+        roster,
+        configuration: watch::channel(Some(support::configuration_of(&job(1)))).1,
+        evacuated: watch::channel(Arc::default()).1,
+        term: 1,
+        revision,
+        former: None,
+        is_former_alone: true,
+        lease: Duration::from_secs(5),
+        cancellation_apply: Duration::from_secs(3),
+        metrics: metrics::open(),
+        ended_jobs_kept: Duration::from_mins(2),
+    };
+    (placer::spawn(context).await.expect("placer"), view)
+}
+
+async fn started(agent: &agent::Running) -> Vec<JobId> {
+    agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
+    tokio::time::sleep(A_WHILE).await;
+    agent.worker.change(|script| script.starts.iter().map(|start| start.0.job).collect())
+}
+
+/// A row that every successor reads must not end the placer, and a job of which nobody knows what has run must not run.
+#[tokio::test]
+async fn malformed_rows_stop_nothing_but_their_own_job() {
+    let rows = Rows::with(Fault::None);
+    let put = |table, id, value| rows.write(table, &rows::job_key(JobId(id)), Some(value));
+    put(Table::Jobs, 1, rows::encode(&job(1)));
+    put(Table::Jobs, 2, b"\xff\x00".to_vec());
+    let step = Step { count: 1, after: vec![99], ..Step::default() };
+    put(Table::Jobs, 3, rows::encode(&Job { steps: vec![step], ..job(3) }));
+    put(Table::Jobs, 4, rows::encode(&job(40)));
+    put(Table::Jobs, 5, rows::encode(&job(5)));
+    put(Table::Progress, 5, b"\xff\x00".to_vec());
+    let odd = [Effect(Arc::from("a"), Arc::from("b"), f32::NAN, f32::INFINITY)];
+    rows.write(Table::Progress, rows::EFFECTS, Some(rows::encode(&odd)));
+    rows.write(Table::Jobs, "odd", Some(Vec::new()));
+    let agent = agent::spawn().await;
+    let (placer, _view) = spawn_placer(&rows, clock::system(), &agent).await;
+    assert_eq!(started(&agent).await, [JobId(1)]);
+    let step = Step { count: 1, after: vec![7], ..Step::default() };
+    placer.cast(Message::Submitted(Box::new(Job { steps: vec![step], ..job(6) }))).expect("running");
+    placer.cast(Message::Submitted(Box::new(job(5)))).expect("running");
+    placer.cast(Message::Submitted(Box::new(job(7)))).expect("running");
+    tokio::time::sleep(A_WHILE).await;
+    assert_eq!(started(&agent).await, [JobId(1), JobId(7)]);
+}
+
+/// Replaces one part of a message by something else.
+fn spoil(value: &mut Value, rng: &mut SmallRng) {
+    let odd = [json!(null), json!(-1), json!(u64::MAX), json!(1e300), json!("odd"), json!([]), json!({"odd": [1]})];
+    match value {
+        Value::Object(fields) if !fields.is_empty() && rng.random_bool(0.9) => {
+            let field = rng.random_range(0..fields.len());
+            if let Some(part) = fields.values_mut().nth(field) {
+                spoil(part, rng);
+            }
+        }
+        Value::Array(items) if !items.is_empty() && rng.random_bool(0.9) => {
+            let item = rng.random_range(0..items.len());
+            spoil(&mut items[item], rng);
+        }
+        other => *other = odd[rng.random_range(0..odd.len())].clone(),
+    }
+}
+
+fn messages() -> Vec<Value> {
+    let of_run = json!({"life": agent::life(), "task": task(1), "run": 1});
+    let traits =
+        json!({"is_filling": true, "latency_target_ms": 0, "image": "a", "processor_millicores": 5, "urgency": 1});
+    vec![
+        json!({"Hello": {"term": 1}}),
+        json!({"Grant": {"asked": 1, "lease": 5_000}}),
+        json!({"Evacuation": {"domain": "elsewhere", "revision": 1, "is_requested": true}}),
+        json!({"Stop": of_run}),
+        json!({"Settle": {"life": agent::life(), "cursor": 0}}),
+        json!({"Describe": [[task(1), 1, traits]]}),
+        json!({"Urgencies": [[task(1), 1, 5]]}),
+        json!({"Effects": [["a", "b", 1.0, 1.0]]}),
+    ]
+}
+
+/// A message that another version or a faulty placer sends must end no more than its link.
+#[rstest]
+#[tokio::test]
+async fn malformed_messages_do_not_end_the_agent(#[values(1, 2, 3)] seed: u64) {
+    let rng = &mut SmallRng::seed_from_u64(seed);
+    let agent = agent::spawn().await;
+    let all = messages();
+    for _ in 0..MESSAGES {
+        let mut message = all[rng.random_range(0..all.len())].clone();
+        spoil(&mut message, rng);
+        // A term at the end of its range is obeyed, and every later placer refused: nothing tells it from a true one.
+        if message.pointer("/Hello/term").is_some() {
+            continue;
+        }
+        let opened = connection::connect::<Value>(agent.address, NO_SECRET).await;
+        let (sender, _receiver) = opened.expect("the agent takes links");
+        sender.post(json!({"Hello": {"term": 1}}));
+        sender.post(message);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut link = link(&agent, 2).await;
+    link.inventory().await;
+    link.start(task(9), 10_001);
+    agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
+}
+
+/// A placer that was paused for longer than its authority must neither start anything nor tell callers what its successor
+/// may know better.
+#[tokio::test]
+async fn a_placer_that_was_paused_past_its_authority_neither_starts_nor_tells() {
+    let rows = Rows::with(Fault::None);
+    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&job(1))));
+    let agent = agent::spawn().await;
+    let (clock, skipped_s) = clock_with_pauses();
+    let (placer, _view) = spawn_placer(&rows, clock, &agent).await;
+    assert_eq!(started(&agent).await, [JobId(1)]);
+    let state = || async { ractor::call_t!(placer, Message::State, 500, JobId(1)).expect("running") };
+    assert_eq!(state().await, Some(JobState::Running));
+    rows.set(Fault::Silent);
+    skipped_s.store(AUTHORITY.as_secs() + 1, Ordering::Relaxed);
+    placer.cast(Message::Submitted(Box::new(job(2)))).expect("running");
+    assert_eq!(state().await, None);
+    assert!(ractor::call_t!(placer, Message::Pending, 500).expect("running").is_none());
+    assert_eq!(started(&agent).await, [JobId(1)]);
+}
+
+/// An order that reaches the worker's agent after a pause, when its grant has run out, must not be carried out.
+#[tokio::test]
+async fn a_start_that_waited_past_its_grant_is_refused() {
+    let agent = agent::spawn().await;
+    let mut link = link(&agent, 1).await;
+    let lease = Duration::from_millis(300);
+    link.sender.post(ToAgent::Grant { asked: clock::system().now(), lease });
+    tokio::time::sleep(lease * 2).await;
+    link.start(task(1), 1);
+    let choose = |message| match message {
+        FromAgent::Refused { refusal, .. } => Some(refusal),
+        FromAgent::Started { .. } => panic!("a start past its grant"),
+        _ => None,
+    };
+    assert_eq!(link.wait_for("a refusal", choose).await, Refusal::Late);
+    assert_eq!(agent.worker.change(|script| script.starts.len()), 0);
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use chervilledge_cell::configuration::{Configuration, Limits};
+use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::job::{Job, JobId, Step, Terms};
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
@@ -95,6 +95,11 @@
         self.lock().rows.get(&(table.name(), Arc::from(key))).map(|(value, _)| value.clone())
     }
 
+    /// Revision of a row; 0 without it.
+    pub fn revision(&self, table: Table, key: &str) -> u64 {
+        self.lock().rows.get(&(table.name(), Arc::from(key))).map_or(0, |(_, revision)| *revision)
+    }
+
     pub fn writes(&self, table: Table, key: &str) -> u32 {
         self.lock().writes.get(&(table.name(), Arc::from(key))).copied().unwrap_or(0)
     }
@@ -329,6 +334,19 @@
     Configuration { version, queues: Vec::new(), services: Map::default(), limits }
 }
 
+/// Configuration of the queue and service of a job.
+pub fn configuration_of(job: &Job) -> Arc<Configuration> {
+    let queue = Queue {
+        name: Arc::clone(&job.queue),
+        host: Arc::from("host"),
+        path_prefix: Arc::from("/"),
+        terms: job.terms.clone(),
+    };
+    let mut services = Map::default();
+    services.insert(Arc::clone(&job.terms.service), Service::default());
+    Arc::new(Configuration { queues: vec![queue], services, ..configuration(1) })
+}
+
 pub fn job(id: u64) -> Job {
     Job {
         id: JobId(id),
