Test malformed requests of callers and messages between entries

Spoiled requests to an entry's listener and spoiled messages on the link between entries end nothing; a job that can't be accepted isn't stored for a peer.

--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -13,12 +13,12 @@
 use chervilledge_link::connection;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::id::Name;
-use chervilledge_scheduler::message::{FromAgent, NO_SECRET, ToAgent};
+use chervilledge_scheduler::message::{FromAgent, FromEntry, NO_SECRET, Stored, ToAgent, ToEntry};
 use chervilledge_scheduler::placer::{self, Context, Message};
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows::{self, Effect};
 use chervilledge_scheduler::store::Table;
-use chervilledge_scheduler::{clock, metrics};
+use chervilledge_scheduler::{clock, entry, metrics, peer};
 use ractor::ActorRef;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -205,3 +205,37 @@
     assert_eq!(link.wait_for("a refusal", choose).await, Refusal::Late);
     assert_eq!(agent.worker.change(|script| script.starts.len()), 0);
 }
+
+/// A peer that relays what it shouldn't, or sends no message at all, must neither end the entry nor have a row written that
+/// placers can't take in.
+#[tokio::test]
+async fn malformed_messages_of_entries_store_nothing_and_do_not_end_the_entry() {
+    let free = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
+    let address = free.local_addr().expect("address");
+    drop(free);
+    let settings = json!({"name": "entry-1", "links_address": address, "processor_share": 1.0,
+        "worker_lease_max_ms": 5_000, "configuration_apply_ms": 2_000, "cancellation_apply_ms": 3_000,
+        "ended_jobs_kept_s": 120.0, "stop_timeout_s": 6.0});
+    let rows = Rows::with(Fault::None);
+    let settings = serde_json::from_value(settings).expect("settings");
+    let _entry = entry::spawn(settings, clock::system(), rows.store(), metrics::open()).await.expect("an entry");
+    let step = Step { count: 1, after: vec![0], ..Step::default() };
+    let invalid = Job { steps: vec![step], ..job(1) };
+    let rng = &mut SmallRng::seed_from_u64(1);
+    for _ in 0..MESSAGES {
+        let mut message = json!({"Relay": {"question": 1, "job": job(3), "cancel": null}});
+        spoil(&mut message, rng);
+        let opened = connection::connect::<Value>(address, NO_SECRET).await;
+        let (sender, _receiver) = opened.expect("the entry takes links");
+        sender.post(message);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let link = peer::open(address).await.expect("the entry takes links");
+    for (job, expected) in [(invalid, Stored::Refused), (job(2), Stored::Done)] {
+        let id = job.id;
+        let relay = |question| ToEntry::Relay { question, job: Some(Box::new(job)), cancel: None };
+        let answer = link.ask(Duration::from_secs(5), relay).await.expect("an answer");
+        assert!(matches!(answer, FromEntry::Relayed { stored, .. } if stored == expected), "{answer:?}");
+        assert_eq!(rows.has(Table::Jobs, &rows::job_key(id)), expected == Stored::Done);
+    }
+}
