Let a placer without authority still say that a job is stored

Cause: since a placer without authority tells no states, an entry that was about to refuse a job whose earlier attempt was stored would no longer learn of it in an outage of more than 10 s, and would tell the caller that it wasn't stored.

Change: that a job is stored is asked for apart from its state, of the own placer and over links; it stays true whoever places.

The way over the link has no test of its own.

--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -170,7 +170,15 @@
                         None => None,
                     };
                     let is_placer = state.is_some();
-                    sender.post(FromEntry::State { question, state: state.flatten(), is_placer });
+                    let state = state.flatten();
+                    let is_stored = match &own {
+                        Some((_, placer)) if state.is_none() => {
+                            ractor::call_t!(placer, placer::Message::IsStored, QUESTION_TIMEOUT_MS, job)
+                                .unwrap_or(false)
+                        }
+                        _ => state.is_some(),
+                    };
+                    sender.post(FromEntry::State { question, state, is_placer, is_stored });
                 });
             }
             ToEntry::Submitted(job) => {
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -77,7 +77,7 @@
                 undecided.insert(id, now);
             }
             Stored::Refused => {
-                if self.placer_state(id).await.is_some() {
+                if self.is_stored(id).await {
                     log::info!(event = "refusal_corrected", job:% = id, by = "placer"; "");
                     return Stored::Done;
                 }
@@ -195,6 +195,22 @@
         }
     }
 
+    /// Whether the placer knows that a job is stored. That stays true of a placer without authority, whose states may not.
+    async fn is_stored(&self, id: JobId) -> bool {
+        let way = self.inner.way.borrow().clone();
+        match way {
+            Way::Here(placer) => {
+                let timeout_ms = u64::try_from(STATE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+                ractor::call_t!(placer, placer::Message::IsStored, timeout_ms, id).unwrap_or(false)
+            }
+            Way::There(link) => {
+                let answer = link.ask(STATE_TIMEOUT, |question| ToEntry::State { question, job: id }).await;
+                matches!(answer, Some(FromEntry::State { is_stored: true, is_placer: true, .. }))
+            }
+            Way::None => false,
+        }
+    }
+
     /// State by the rows.
     async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
         let key = rows::job_key(id);
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -192,6 +192,8 @@
         state: Option<JobState>,
         /// The entry places; without it the answer means nothing.
         is_placer: bool,
+        /// The job is stored, also where the placer may not tell its state.
+        is_stored: bool,
     },
     /// Accepted jobs of each queue of which no task has started.
     Pending(Vec<(Name, usize)>),
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -5,6 +5,7 @@
 mod expiry;
 mod feed;
 mod links;
+mod loading;
 mod notes;
 mod urgencies;
 mod writing;
@@ -19,7 +20,6 @@
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::job::{Job, JobId, JobState};
-use chervilledge_cell::progress::Progress;
 use chervilledge_link::connection::Sender;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::{Map, Set};
@@ -165,8 +165,10 @@
     },
     /// Rows of these jobs are gone.
     Expired(Vec<JobId>),
-    /// Asks for the state of a job; `None` when it isn't known.
+    /// Asks for the state of a job; `None` when it isn't known, or the placer has no authority to tell it.
     State(JobId, RpcReplyPort<Option<JobState>>),
+    /// Asks whether a job is known to be stored.
+    IsStored(JobId, RpcReplyPort<bool>),
     /// Asks for the waiting jobs of each queue; `None` until the jobs are read.
     Pending(RpcReplyPort<Option<Pending>>),
     /// Asks for a dump of the state.
@@ -388,6 +390,7 @@
                 let state = if self.may_tell(now) { self.cell.state(id) } else { None };
                 drop(reply.send(state));
             }
+            Message::IsStored(id, reply) => drop(reply.send(self.is_loaded && self.cell.knows(id))),
             Message::Pending(reply) => {
                 drop(reply.send(self.may_tell(now).then(|| Arc::new(self.cell.pending().clone()))));
             }
@@ -472,50 +475,6 @@
         }
     }
 
-    fn load(&mut self, jobs: &[Row], progress: &[Row], now: Duration) {
-        let mut known: Map<JobId, (Progress, u64)> = Map::default();
-        for row in progress {
-            let (Ok(id), Some(value)) = (row.key.parse::<JobId>(), row.value.as_deref()) else { continue };
-            if let Some(content) = rows::decode::<Progress>(&row.key, value) {
-                known.insert(id, (content, row.revision));
-            } else {
-                self.unreadable.insert(id);
-            }
-        }
-        self.recall_effects(progress);
-        let wall_ms = unix_ms();
-        for row in jobs {
-            let Some(job) = decode_job(row).filter(|job| !self.unreadable.contains(&job.id)) else { continue };
-            let (progress, revision) = known.remove(&job.id).unwrap_or_default();
-            // Wall clocks of two processes may differ; the age only ranks.
-            let age = Duration::from_millis(wall_ms.saturating_sub(job.accepted_unix_ms)).min(Duration::from_mins(5));
-            self.cell.load(job, progress, revision, age, now);
-        }
-        self.take_jobs(jobs, now);
-        let (all, open) = self.cell.job_counts();
-        log::info!(event = "jobs_loaded", term = self.context.term, jobs = all, open = open,
-            agents_unheard = self.cell.unresolved(); "");
-        self.is_loaded = true;
-        self.take_roster();
-        self.cell.ask_placing();
-    }
-
-    fn take_jobs(&mut self, rows: &[Row], now: Duration) {
-        for row in rows {
-            match rows::parse_job_key(&row.key) {
-                Some(rows::JobKey::Job(id)) if self.cell.knows(id) => self.cell.row_seen(id, row.revision),
-                Some(rows::JobKey::Job(_)) => {
-                    if let Some(job) = decode_job(row) {
-                        self.submitted(job, Some(row.revision), now);
-                    }
-                }
-                Some(rows::JobKey::Cancel(id)) if row.value.is_some() => self.cancel(id, now),
-                Some(rows::JobKey::Cancel(_)) => {}
-                None => log::warn!(event = "row_unknown", key = &*row.key; ""),
-            }
-        }
-    }
-
     fn confirmed(&mut self, asked: Duration, revision: u64) {
         self.authority.confirmed(asked);
         self.cell.stored_by(asked, revision);
@@ -581,13 +540,6 @@
     }
 }
 
-fn decode_job(row: &Row) -> Option<Job> {
-    if !matches!(rows::parse_job_key(&row.key), Some(rows::JobKey::Job(_))) {
-        return None;
-    }
-    rows::decode_job(&row.key, row.value.as_deref()?)
-}
-
 /// Write of the placer's sign of life.
 fn beat_change(term: u64, is_alone: bool) -> Change {
     let beat = rows::Beat { term, is_alone };
