--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -391,7 +391,9 @@
             return;
         }
         for queue in &configuration.queues {
-            self.queues.insert(Arc::clone(&queue.name), queue.clone());
+            let mut queue = queue.clone();
+            queue.terms.bound();
+            self.queues.insert(Arc::clone(&queue.name), queue);
         }
         self.prioritized = configuration.prioritized();
         self.configuration = Some(configuration);
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -12,6 +12,7 @@
 use crate::message::{FromEntry, SILENCE, Stored, ToEntry};
 use crate::peer::{self, Link, Pending};
 use crate::placer;
+use crate::rows;
 
 /// Pause after a failed accept, which is mostly a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -171,7 +172,15 @@
                         None => None,
                     };
                     let is_placer = state.is_some();
-                    sender.post(FromEntry::State { question, state: state.flatten(), is_placer });
+                    let state = state.flatten();
+                    let is_stored = match &own {
+                        Some((_, placer)) if state.is_none() => {
+                            ractor::call_t!(placer, placer::Message::IsStored, QUESTION_TIMEOUT_MS, job)
+                                .unwrap_or(false)
+                        }
+                        _ => state.is_some(),
+                    };
+                    sender.post(FromEntry::State { question, state, is_placer, is_stored });
                 });
             }
             ToEntry::Submitted(job) => {
@@ -190,6 +199,7 @@
                 let deadline = self.now() + RELAY_TIMEOUT;
                 tokio::spawn(async move {
                     let stored = match (job, cancel) {
+                        (Some(job), _) if !rows::is_valid(&job) => Stored::Refused,
                         (Some(job), _) => entry.store_for_peer(*job, deadline).await,
                         (None, Some(id)) => entry.inner.submitter.store_cancel(id, deadline).await,
                         (None, None) => Stored::Refused,
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -80,7 +80,7 @@
                 undecided.insert(id, now);
             }
             Stored::Refused => {
-                if self.placer_state(id).await.is_some() {
+                if self.is_stored(id).await {
                     log::info!(event = "refusal_corrected", job:% = id, by = "placer"; "");
                     return Stored::Done;
                 }
@@ -205,12 +205,29 @@
         }
     }
 
+    /// Whether the placer knows that a job is stored. That stays true of a placer without authority, whose states may not.
+    async fn is_stored(&self, id: JobId) -> bool {
+        let way = self.inner.way.borrow().clone();
+        match way {
+            Way::Here(placer) => {
+                let timeout_ms = u64::try_from(STATE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+                ractor::call_t!(placer, placer::Message::IsStored, timeout_ms, id).unwrap_or(false)
+            }
+            Way::There(link) => {
+                let answer = link.ask(STATE_TIMEOUT, |question| ToEntry::State { question, job: id }).await;
+                matches!(answer, Some(FromEntry::State { is_stored: true, .. }))
+            }
+            Way::None => false,
+        }
+    }
+
     /// State by the rows.
     async fn stored_state(&self, id: JobId) -> Result<Option<JobState>, ()> {
         let key = rows::job_key(id);
         let progress = self.read_row(Table::Progress, &key).await?;
-        let content = progress.and_then(|row| row.value).and_then(|value| rows::decode::<Progress>(&key, &value));
-        if let Some(progress) = content {
+        if let Some(value) = progress.and_then(|row| row.value) {
+            // A job whose progress can't be read has run, and it isn't known how far.
+            let progress = rows::decode::<Progress>(&key, &value).ok_or(())?;
             return Ok(Some(match progress.outcome {
                 Some(Outcome::Completed) => JobState::Completed,
                 Some(Outcome::Failed) => JobState::Failed,
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -193,6 +193,8 @@
         state: Option<JobState>,
         /// The entry places; without it the answer means nothing.
         is_placer: bool,
+        /// The job is stored, also where the placer may not tell its state.
+        is_stored: bool,
     },
     /// What waits, told by the placer when it has changed.
     Pending {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -6,6 +6,7 @@
 mod expiry;
 mod feed;
 mod links;
+mod loading;
 mod notes;
 mod urgencies;
 mod writing;
@@ -21,7 +22,6 @@
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::job::{Job, JobId, JobState};
-use chervilledge_cell::progress::Progress;
 use chervilledge_link::connection::Sender;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::{Map, Set};
@@ -167,8 +167,11 @@
     },
     /// Rows of these jobs are gone.
     Expired(Vec<JobId>),
-    /// Asks for the state of a job; `None` when it isn't known. There is no answer until the jobs are read.
+    /// Asks for the state of a job; `None` when it isn't known. There is no answer until the jobs are read, and none without the
+    /// authority to tell it.
     State(JobId, RpcReplyPort<Option<JobState>>),
+    /// Asks whether a job is known to be stored. There is no answer until the jobs are read.
+    IsStored(JobId, RpcReplyPort<bool>),
     /// Asks for what waits; `None` until the jobs are read.
     Pending(RpcReplyPort<Option<Pending>>),
     /// Asks for a dump of the state.
@@ -215,6 +218,8 @@
     next_link: u64,
     /// Cancellations of jobs whose row hasn't come yet.
     early_cancels: Set<JobId>,
+    /// Jobs whose progress can't be read: what is done of them isn't known, so that nothing of them may start.
+    unreadable: Set<JobId>,
     /// When the last batch was sent.
     batch_sent: Duration,
     /// When tasks may be placed again.
@@ -289,6 +294,7 @@
             dialers: Map::default(),
             next_link: 1,
             early_cancels: Set::default(),
+            unreadable: Set::default(),
             batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
@@ -395,14 +401,19 @@
             }
             Message::State(id, reply) => {
                 // Until the rows are read, a job that isn't known may be there; no answer says so.
-                if self.is_loaded {
+                if self.may_tell(now) {
                     drop(reply.send(self.cell.state(id)));
                 }
             }
+            Message::IsStored(id, reply) => {
+                if self.is_loaded {
+                    drop(reply.send(self.cell.knows(id)));
+                }
+            }
             Message::Pending(reply) => {
                 let waiting =
                     || Waiting { counts: self.cell.pending().clone(), backlog: Arc::clone(&self.backlog_told) };
-                drop(reply.send(self.is_loaded.then(|| Arc::new(waiting()))));
+                drop(reply.send(self.may_tell(now).then(|| Arc::new(waiting()))));
             }
             Message::Dump(reply) => {
                 drop(reply.send(self.dump(now)));
@@ -490,48 +501,6 @@
         }
     }
 
-    fn load(&mut self, jobs: &[Row], progress: &[Row], now: Duration) {
-        let mut known: Map<JobId, (Progress, u64)> = Map::default();
-        for row in progress {
-            let (Ok(id), Some(value)) = (row.key.parse::<JobId>(), row.value.as_deref()) else { continue };
-            if let Some(content) = rows::decode::<Progress>(&row.key, value) {
-                known.insert(id, (content, row.revision));
-            }
-        }
-        self.recall_effects(progress);
-        let wall_ms = unix_ms();
-        for row in jobs {
-            let Some(job) = decode_job(row) else { continue };
-            let (progress, revision) = known.remove(&job.id).unwrap_or_default();
-            // Wall clocks of two processes may differ; the age only ranks.
-            let age = Duration::from_millis(wall_ms.saturating_sub(job.accepted_unix_ms)).min(Duration::from_mins(5));
-            self.cell.load(job, progress, revision, age, now);
-        }
-        self.take_jobs(jobs, now);
-        let (all, open) = self.cell.job_counts();
-        log::info!(event = "jobs_loaded", term = self.context.term, jobs = all, open = open,
-            agents_unheard = self.cell.unresolved(); "");
-        self.is_loaded = true;
-        self.take_roster();
-        self.cell.ask_placing();
-    }
-
-    fn take_jobs(&mut self, rows: &[Row], now: Duration) {
-        for row in rows {
-            match rows::parse_job_key(&row.key) {
-                Some(rows::JobKey::Job(id)) if self.cell.knows(id) => self.cell.row_seen(id, row.revision),
-                Some(rows::JobKey::Job(_)) => {
-                    if let Some(job) = decode_job(row) {
-                        self.submitted(job, Some(row.revision), now);
-                    }
-                }
-                Some(rows::JobKey::Cancel(id)) if row.value.is_some() => self.cancel(id, now),
-                Some(rows::JobKey::Cancel(_)) => {}
-                None => log::warn!(event = "row_unknown", key = &*row.key; ""),
-            }
-        }
-    }
-
     fn confirmed(&mut self, asked: Duration, revision: u64) {
         self.authority.confirmed(asked);
         self.cell.stored_by(asked, revision);
@@ -544,7 +513,7 @@
     fn submitted(&mut self, job: Job, revision: Option<u64>, now: Duration) {
         let id = job.id;
         // Until the rows are read, what is durable of the job isn't known.
-        if !self.is_loaded || self.cell.knows(id) {
+        if !self.is_loaded || self.cell.knows(id) || self.unreadable.contains(&id) || !rows::is_valid(&job) {
             return;
         }
         self.cell.submit(job, revision, now);
@@ -561,6 +530,12 @@
         }
     }
 
+    /// Whether callers may be told what the placer knows. Without authority there may be a successor that knows more, and the
+    /// rows tell what it has made durable.
+    fn may_tell(&self, now: Duration) -> bool {
+        self.is_loaded && self.authority.holds(now)
+    }
+
     fn take_configuration(&mut self) {
         let configuration = self.context.configuration.borrow().clone();
         // Told before the configuration, so that it is there with the first one.
@@ -591,13 +566,6 @@
     }
 }
 
-fn decode_job(row: &Row) -> Option<Job> {
-    if !matches!(rows::parse_job_key(&row.key), Some(rows::JobKey::Job(_))) {
-        return None;
-    }
-    rows::decode(&row.key, row.value.as_deref()?)
-}
-
 /// Write of the placer's sign of life.
 fn beat_change(term: u64, is_alone: bool) -> Change {
     let beat = rows::Beat { term, is_alone };
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -47,7 +47,7 @@
         while let Ok(message) = receiver.receive::<ToEntry>(SILENCE).await {
             let Told { has_backlog, answer } = *told.borrow();
             if let (ToEntry::State { question, .. }, Some((state, is_placer))) = (&message, answer) {
-                sender.post(FromEntry::State { question: *question, state, is_placer });
+                sender.post(FromEntry::State { question: *question, state, is_placer, is_stored: state.is_some() });
             }
             if matches!(message, ToEntry::Beat) {
                 rows.write(Table::Cell, BEAT, Some(rows::encode(&rows::Beat { term: TERM, is_alone: true })));
