Tell queue and objective with the end of a job

Cause: log lines didn't tell which jobs missed their objective. Change: job_ended has queue and objective_ms. The latter is 0 for jobs whose queue has no objective, and for jobs that repeat or last, whose age says nothing.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -119,6 +119,10 @@
         state: JobState,
         /// Its age.
         age: Duration,
+        /// Time within which it should have ended, when it has an objective.
+        objective: Option<Duration>,
+        /// Its queue.
+        queue: Name,
         /// Task that decided it, when one did.
         task: Option<TaskId>,
     },
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -13,7 +13,7 @@
 use crate::job::{Job, JobId, JobState, TaskId, TaskKey};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
-use crate::urgency::Urgency;
+use crate::urgency::{self, Urgency};
 
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
@@ -101,6 +101,15 @@
         step.after.iter().all(|earlier| self.left.get(&(key.occurrence, *earlier)).copied().unwrap_or(0) == 0)
     }
 
+    /// Time within which the job should end. A queue may have no objective, and the age of a job that repeats or lasts
+    /// says nothing.
+    fn objective(&self) -> Option<Duration> {
+        let terms = &self.job.terms;
+        let has_objective = terms.stretch > 0.0 || !terms.latency_objective.is_zero();
+        let ends_once = self.job.schedule.is_none() && !self.job.is_lasting();
+        (has_objective && ends_once).then(|| urgency::objective(terms, self.chain()))
+    }
+
     /// Longest chain of estimates of the whole job.
     pub(crate) fn chain(&self) -> Duration {
         self.chains.iter().copied().max().unwrap_or_default()
@@ -274,6 +283,7 @@
         // Nothing else is needed of a job that has ended, and successors read every row.
         entry.progress = Progress { outcome: Some(outcome), ..Progress::default() };
         let age = entry.age(now);
+        let (objective, queue) = (entry.objective(), Arc::clone(&entry.job.queue));
         let state = match outcome {
             Outcome::Completed => JobState::Completed,
             Outcome::Failed => JobState::Failed,
@@ -282,10 +292,9 @@
         let keys: Vec<TaskKey> = entry.tasks.keys().copied().collect();
         if !entry.has_begun {
             entry.has_begun = true;
-            let queue = Arc::clone(&entry.job.queue);
             self.one_pending_less(&queue);
         }
-        self.notes.push(Note::JobEnded { job: id, state, age, task });
+        self.notes.push(Note::JobEnded { job: id, state, age, objective, queue, task });
         self.mark_ended(id);
         for key in keys {
             self.ready.remove(&task_id(id, key));
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -68,10 +68,11 @@
             log::info!(event = "run_ended", task:% = task, run = run, agent = &**agent, how = how,
                 failures = failures; "");
         }
-        Note::JobEnded { job, state, age, task } => {
+        Note::JobEnded { job, state, age, objective, queue, task } => {
             let task = task.map_or_else(String::new, |task| task.to_string());
+            // 0 stands for a job without an objective.
             log::info!(event = "job_ended", job:% = job, state:? = state, age_ms = whole_ms(*age),
-                task = task; "");
+                objective_ms = whole_ms(objective.unwrap_or_default()), queue = &**queue, task = task; "");
         }
         Note::CheckpointsChosen { chosen, tasks, left } => {
             log::info!(event = "checkpoints_chosen", jobs = chosen.jobs, tasks = tasks, core_ms = chosen.core_ms,
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chervilledge_cell::authority::AUTHORITY;
@@ -23,6 +23,8 @@
 use chervilledge_scheduler::rows::{self, Effect};
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{clock, metrics};
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Log, Metadata, Record};
 use rstest::rstest;
 use support::{Fault, Rows, agent, job, tokio_clock};
 use tokio::net::TcpListener;
@@ -208,6 +210,63 @@
     assert!(effects[0].1.per_core() > 0.15, "{}", effects[0].1.per_core());
 }
 
+/// Keeps the fields of all log lines of the process.
+struct Lines(Mutex<Vec<Map<String, String>>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+struct Fields(Map<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+impl Log for Lines {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let mut fields = Fields(Map::default());
+        record.key_values().visit(&mut fields).expect("fields");
+        self.0.lock().expect("no line is malformed").push(fields.0);
+    }
+
+    fn flush(&self) {}
+}
+
+/// `chervilledge trace --late` would find no late job if a field of this line had another name or form.
+#[rstest]
+#[case::measured(0x71, false, "1150")]
+#[case::lasting(0x72, true, "0")]
+#[tokio::test(start_paused = true)]
+async fn the_line_of_an_ended_job_has_its_objective(
+    #[case] id: u64,
+    #[case] lasting: bool,
+    #[case] objective_ms: &str,
+) {
+    // Whichever case comes first sets it.
+    let _is_first = log::set_logger(&LINES);
+    log::set_max_level(LevelFilter::Info);
+    let rows = claimed_rows();
+    // 1.5 times the chain of 600 ms, and 250 ms; the age of a job that lasts until it is cancelled says nothing.
+    let step = Step { count: 1, estimate: Duration::from_millis(600), lasting, ..Step::default() };
+    rows.write(Table::Jobs, &rows::job_key(JobId(id)), Some(rows::encode(&Job { steps: vec![step], ..job(id) })));
+    rows.write(Table::Jobs, &rows::cancel_key(JobId(id)), Some(Vec::new()));
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let _placer = placer::spawn(context(&rows, tokio_clock(), roster_view)).await.expect("placer");
+    tokio::time::sleep(CANCELLATION_APPLY).await;
+    // A lock held by a test that fails would let the others fail with it.
+    let lines = LINES.0.lock().expect("no line is malformed").clone();
+    let is_of_job = |line: &&Map<String, String>| line.get("job") == Some(&JobId(id).to_string());
+    let ended = lines.iter().find(|line| line["event"] == "job_ended" && is_of_job(line)).expect("a line");
+    assert_eq!(["state", "queue", "objective_ms"].map(|name| &*ended[name]), ["Canceled", "quotes", objective_ms]);
+    assert!(ended["age_ms"].parse::<u64>().is_ok(), "{ended:?}");
+}
+
 /// An agent that only listens.
 struct TestAgent {
     listener: TcpListener,
