--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod history;
 mod jobs;
+pub mod late;
 mod plan;
 mod status;
 mod submit;
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -8,19 +8,26 @@
 
 use super::args;
 use super::error::Error;
+use super::late::Late;
 
 const USAGE: &str = "\
 Usage: chervilledge trace ID [FILE ...] [OPTIONS]
+       chervilledge trace --late [FILE ...] [OPTIONS]
 
 Follows a job, a task or a worker through the logs of many processes: every line that names ID, in the order of time.
 Reads the files, or standard input without any. What stands before a line's first brace is passed over.
 
+With --late, tells for each queue what the time of completed jobs was spent on that missed their objective: in each step,
+that of the task that ended last. Reads the same files.
+
 Options:
-    --json        Write the lines as they are
+    --late        Tell why jobs were late
+    --json        Write the lines as they are; with --late, the sums
     -h, --help    Show this text
 
-Example:
+Examples:
     cat logs/*.log | chervilledge trace 5c0e7a21d94b36f8
+    chervilledge trace --late logs/*.log
 ";
 
 /// Fields that have a column of their own, or say nothing that the others don't.
@@ -34,7 +41,12 @@
 
 /// Runs the subcommand.
 pub(crate) fn run(argv: &[String], out: &mut dyn Write) -> Result<(), Error> {
-    let Some(matches) = args::parse(argv, &args::options(), USAGE, out)? else { return Ok(()) };
+    let mut options = args::options();
+    options.optflag("", "late", "");
+    let Some(matches) = args::parse(argv, &options, USAGE, out)? else { return Ok(()) };
+    if matches.opt_present("late") {
+        return run_late(&matches.free, matches.opt_present("json"), out);
+    }
     let Some((id, files)) = matches.free.split_first() else {
         return Err(Error::Usage(format!("an identifier is required\n\n{USAGE}")));
     };
@@ -57,6 +69,18 @@
     Ok(())
 }
 
+fn run_late(files: &[String], is_json: bool, out: &mut dyn Write) -> Result<(), Error> {
+    let mut late = Late::default();
+    if files.is_empty() {
+        late.read(&mut io::stdin().lock()).map_err(|error| fault(Path::new("-"), &error))?;
+    }
+    for path in files.iter().map(PathBuf::from) {
+        File::open(&path).and_then(|mut file| late.read(&mut file)).map_err(|error| fault(&path, &error))?;
+    }
+    let report = late.finish();
+    if is_json { Ok(writeln!(out, "{}", report.json())?) } else { Ok(report.write(out)?) }
+}
+
 fn collect(lines: &mut Vec<Line>, id: &str, path: &Path, reader: impl BufRead) -> Result<(), Error> {
     for text in reader.lines() {
         let text = text.map_err(|error| fault(path, &error))?;
--- a/tests/cmd_trace.rs
+++ b/tests/cmd_trace.rs
@@ -51,3 +51,49 @@
     assert_ne!(run.status, 0);
     assert!(run.err.contains("nothing.log"), "{}", run.err);
 }
+
+const LATE: &str = r#"
+{"age_ms":9000,"at":"12:00:09.000","event":"job_ended","job":"5c0e7a21d94b36f8","node":"entry-2","objective_ms":3000,"queue":"large","state":"Completed","task":""}
+{"agent":"agent-3","at":"12:00:04.500","event":"placed","node":"entry-2","run":1,"task":"5c0e7a21d94b36f8.0.0.1"}
+"#;
+const LATE_END: &str = r#"
+{"agent":"agent-3","at":"12:00:09.000","event":"run_ended","how":"done","node":"entry-1","run":1,"task":"5c0e7a21d94b36f8.0.0.1"}
+"#;
+
+/// The sums of several files, as people read them.
+#[test]
+fn causes_of_lateness_are_summed_by_queue() {
+    let dir = WorkDir::with_fitters("trace_late");
+    dir.write("placer.log", LATE);
+    dir.write("former.log", LATE_END);
+    let run = dir.run("trace --late placer.log former.log");
+    assert_eq!((run.status, run.err.as_str()), (0, ""));
+    assert_eq!(
+        run.out,
+        "\
+Queue large: 1 of 1 completed jobs late
+                                                 SECONDS    EACH JOB    PART
+    waiting for a first run                        4.500       4.500   50.0%
+    waiting after a stopped or failed run          0.000       0.000    0.0%
+    in failed runs                                 0.000       0.000    0.0%
+    in the last run, beyond the median             0.000       0.000    0.0%
+    in the last run, up to the median              4.500       4.500   50.0%
+    not explained by the lines                     0.000       0.000    0.0%
+    age                                            9.000       9.000  100.0%
+    objective                                      3.000       3.000   33.3%
+"
+    );
+    let json = dir.run("trace --late placer.log former.log --json").json();
+    assert_eq!(json["queues"][0]["causes"]["waiting_first_ms"], 4_500);
+}
+
+/// A file that can't be read must not look like a day without late jobs.
+#[test]
+fn a_missing_file_is_told_from_one_without_late_jobs() {
+    let dir = WorkDir::with_fitters("trace_late_missing");
+    let run = dir.run("trace --late nothing.log");
+    assert!(run.status != 0 && run.err.contains("nothing.log"), "{}", run.err);
+    dir.write("placer.log", PLACER);
+    let run = dir.run("trace --late placer.log");
+    assert_eq!(run.out, "No completed job with an objective.\nNot counted: 1 lines that can't be read.\n");
+}
