--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -184,7 +184,7 @@
     skipped_s.store(AUTHORITY.as_secs() + 1, Ordering::Relaxed);
     placer.cast(Message::Submitted(Box::new(job(2)))).expect("running");
     // An answer that the job isn't known would be a statement as well.
-    assert!(state().await.is_err());
+    state().await.expect_err("no answer");
     // Otherwise a caller whose earlier attempt was stored would be told now that it wasn't.
     assert!(ractor::call_t!(placer, Message::IsStored, 500, JobId(1)).expect("running"));
     assert!(ractor::call_t!(placer, Message::Pending, 500).expect("running").is_none());
