--- a/crates/cell/src/cell/evacuating.rs
+++ b/crates/cell/src/cell/evacuating.rs
@@ -13,6 +13,7 @@
 
 use super::agents::tasks_of_step;
 use super::jobs::{JobEntry, Run};
+use super::reservations::HeldRoom;
 use super::{Agent, Cell, Note};
 use crate::evacuation::{self, EvacuatedDomains, Held, Holding, Standing};
 use crate::job::TaskId;
@@ -214,13 +215,7 @@
     }
 
     /// Stops a run if a worker elsewhere has room for its task now, and keeps that room.
-    fn try_move(
-        &mut self,
-        task: TaskId,
-        number: u64,
-        rooms: &mut Vec<super::reservations::Held>,
-        now: Duration,
-    ) -> Holding {
+    fn try_move(&mut self, task: TaskId, number: u64, rooms: &mut Vec<HeldRoom>, now: Duration) -> Holding {
         // While runs of a predecessor may go on unseen, the task wouldn't be started.
         if !self.unresolved.is_empty() {
             return Holding::NoRoom;
--- a/crates/cell/src/cell/reservations.rs
+++ b/crates/cell/src/cell/reservations.rs
@@ -31,7 +31,7 @@
 }
 
 /// A task and the agent to whose load it is added for now.
-pub(super) type Held = (TaskId, Name);
+pub(super) type HeldRoom = (TaskId, Name);
 
 impl Cell {
     /// Whether queues of the job's service differ in priority.
@@ -40,14 +40,14 @@
     }
 
     /// Adds every task with reserved room to the load of its agent; [`Self::release_held`] must follow.
-    pub(super) fn hold_reserved(&mut self, now: Duration) -> Vec<Held> {
+    pub(super) fn hold_reserved(&mut self, now: Duration) -> Vec<HeldRoom> {
         let is_wanted = |task: &TaskId| {
             let entry = self.jobs.get(&task.job).filter(|entry| entry.is_open());
             let state = entry.and_then(|entry| entry.tasks.get(&task.key)).filter(|state| !state.is_done);
             state.is_some_and(|state| state.runs.iter().all(|run| run.is_stopping))
         };
         self.reserved.retain(|task, reservation| now < reservation.until && is_wanted(task));
-        let mut held: Vec<Held> =
+        let mut held: Vec<HeldRoom> =
             self.reserved.iter().map(|(task, reservation)| (*task, Arc::clone(&reservation.agent))).collect();
         held.sort_unstable();
         for (task, agent) in &held {
@@ -57,14 +57,14 @@
     }
 
     /// Takes the tasks off the loads again.
-    pub(super) fn release_held(&mut self, held: Vec<Held>) {
+    pub(super) fn release_held(&mut self, held: Vec<HeldRoom>) {
         for (task, agent) in held {
             self.unreserve(task, &agent);
         }
     }
 
     /// Reserves room for a task from now on.
-    pub(super) fn hold(&mut self, task: TaskId, agent: &Name, held: &mut Vec<Held>, now: Duration) {
+    pub(super) fn hold(&mut self, task: TaskId, agent: &Name, held: &mut Vec<HeldRoom>, now: Duration) {
         self.reserved.insert(task, Reservation { agent: Arc::clone(agent), until: now + RESERVATION_MAX });
         self.reserve(task, agent);
         held.push((task, Arc::clone(agent)));
@@ -72,10 +72,10 @@
 
     /// Places tasks with reserved room as soon as they have it, or room elsewhere that isn't held for another task; the oldest
     /// reservation comes first.
-    pub(super) fn place_reserved(&mut self, waiting: &[Waiting], held: &mut Vec<Held>, now: Duration) {
+    pub(super) fn place_reserved(&mut self, waiting: &[Waiting], held: &mut Vec<HeldRoom>, now: Duration) {
         let is_reserved = |task: &TaskId| self.reserved.contains_key(task);
         let open: Set<TaskId> = waiting.iter().map(|waiting| waiting.task).filter(is_reserved).collect();
-        let mut due: Vec<Held> = held.extract_if(.., |(task, _)| open.contains(task)).collect();
+        let mut due: Vec<HeldRoom> = held.extract_if(.., |(task, _)| open.contains(task)).collect();
         due.sort_unstable_by_key(|(task, _)| (self.reserved.get(task).map(|reservation| reservation.until), *task));
         for (task, agent) in &due {
             self.unreserve(*task, agent);
@@ -159,7 +159,7 @@
         &mut self,
         task: TaskId,
         under_way: &BTreeSet<Name>,
-        held: &mut Vec<Held>,
+        held: &mut Vec<HeldRoom>,
         now: Duration,
     ) -> bool {
         let Some(agent) = under_way.iter().find(|name| self.fits_after(task, name, &[], now)) else { return false };
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -15,7 +15,7 @@
 
 use super::jobs::{JobEntry, Run};
 use super::placing::{Group, group};
-use super::reservations::Held;
+use super::reservations::HeldRoom;
 use super::{Cell, Note};
 use crate::job::{TaskId, TaskKey};
 use crate::pace::FULL_PERCENT;
@@ -201,7 +201,7 @@
     }
 
     /// Stops runs that are stuck where the room goes to a more urgent task that waits, the least urgent runs first.
-    fn yield_room(&mut self, stuck: Vec<Slowed>, mut left: usize, held: &mut Vec<Held>, now: Duration) {
+    fn yield_room(&mut self, stuck: Vec<Slowed>, mut left: usize, held: &mut Vec<HeldRoom>, now: Duration) {
         let rank = |run: &Slowed| Some(self.rank(self.jobs.get(&run.task.job)?, run.task.key.step, now));
         let is_free = |run: &Slowed| {
             let state = self.jobs.get(&run.task.job).and_then(|entry| entry.tasks.get(&run.task.key));
