Hand the cell over from small entries to larger ones

Larger entries waited for 1.9 s meanwhile, since the row named an entry that answered its link.

Change: a small entry that places gives the cell up once a larger one answers; one that finds its own earlier start in the row gives that up, so that all may claim, larger ones first. Entries tell their part of a core in their rows. A cell that comes back is handed over less and less often.

Ruled out: a longer wait of small entries before claims. They are not in competition with the larger ones then, as those take the placer for alive.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod preemption;
 pub mod progress;
 pub mod response;
+pub mod succession;
 pub mod urgency;
 pub mod worker;
--- /dev/null
+++ b/crates/cell/tests/succession.rs
@@ -0,0 +1,58 @@
+//! Which entry places in a cell whose entries differ in size.
+
+use std::time::Duration;
+
+use chervilledge_cell::succession::{Tenure, handicap, is_larger};
+use rstest::rstest;
+
+/// The random pause before a claim mustn't let a small entry take the cell before a large one.
+#[rstest]
+#[case::small(0.12, 304)]
+#[case::half_of_enough(0.25, 200)]
+#[case::enough(0.5, 0)]
+#[case::more(2.0, 0)]
+fn the_wait_before_a_claim_shrinks_with_the_processor(#[case] share: f64, #[case] wait_ms: u128) {
+    assert_eq!(handicap(share).as_millis(), wait_ms);
+}
+
+/// A handover interrupts placing, so entries that are about as large keep what they have.
+#[rstest]
+#[case::four_times(0.5, 0.12, true)]
+#[case::a_fifth_more(0.3, 0.25, false)]
+#[case::alike(0.25, 0.25, false)]
+#[case::smaller(0.12, 0.25, false)]
+#[case::own_is_enough(2.0, 0.5, false)]
+#[case::unknown(0.0, 0.12, false)]
+fn only_a_clearly_larger_entry_gets_the_cell(#[case] other: f64, #[case] own: f64, #[case] expected: bool) {
+    assert_eq!(is_larger(other, own), expected);
+}
+
+/// Larger entries that are up but never keep the cell, such as without a path to the store, must not make it change hands
+/// for ever.
+#[test]
+fn a_cell_that_comes_back_is_handed_over_less_and_less() {
+    let mut tenure = Tenure::default();
+    let mut handovers = Vec::new();
+    let mut term = 1;
+    for second in 0..600 {
+        let now = Duration::from_secs(second);
+        if tenure.is_over(term, now) {
+            handovers.push(second);
+            tenure.hand_over();
+            term += 2;
+        }
+    }
+    assert_eq!(handovers.first(), Some(&2));
+    assert!(handovers.len() <= 10, "{handovers:?}");
+    assert!(handovers.windows(3).all(|three| three[2] - three[1] >= three[1] - three[0]), "{handovers:?}");
+}
+
+/// The time under an earlier term doesn't count.
+#[test]
+fn each_term_begins_anew() {
+    let mut tenure = Tenure::default();
+    assert!(!tenure.is_over(1, Duration::from_secs(10)));
+    assert!(!tenure.is_over(3, Duration::from_secs(13)));
+    assert!(!tenure.is_over(3, Duration::from_secs(14)));
+    assert!(tenure.is_over(3, Duration::from_secs(15)));
+}
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -65,6 +65,18 @@
     }
 }
 
+/// Gives up a cell that an earlier start of this process held, so that every entry may claim it now.
+pub async fn give_up(store: &Handle, roster: &Roster) {
+    let Some((placer, revision)) = &roster.placer else { return };
+    let row = rows::Placer { holder: None, ..placer.clone() };
+    let transaction = Transaction {
+        conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER), revision: *revision }],
+        changes: vec![Change { table: Table::Cell, key: Arc::from(PLACER), value: Some(rows::encode(&row)) }],
+    };
+    let outcome = (store.commit)(transaction).await;
+    log::info!(event = "cell_given_up", term = placer.term, outcome:? = outcome; "");
+}
+
 /// Reads the sign of life past the feed, which may lag.
 async fn is_still_silent(store: &Handle, roster: &Roster) -> bool {
     match repeat::read(LOOK_GIVE_UP, |_| (store.read_one)((Table::Cell, Arc::from(BEAT)))).await {
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -39,6 +39,8 @@
 
 /// Time that a dump of the placer may take.
 const DUMP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the placer to give the cell up in the store.
+const RETIRE_TIMEOUT_MS: u64 = 2_000;
 
 /// Answer to a caller.
 #[derive(Clone, Debug, PartialEq)]
@@ -202,7 +204,7 @@
         self.inner.is_stopping.store(true, Ordering::Relaxed);
         if let Some((_, placer)) = self.own_placer() {
             // A placer that has ended meanwhile needs no answer.
-            drop(ractor::call_t!(placer, placer::Message::Retire, 2_000));
+            drop(ractor::call_t!(placer, placer::Message::Retire, RETIRE_TIMEOUT_MS));
         }
     }
 
--- a/crates/scheduler/src/entry/announce.rs
+++ b/crates/scheduler/src/entry/announce.rs
@@ -9,6 +9,7 @@
 
 use super::{Entry, lock};
 use crate::clock::whole_ms;
+use crate::roster::Roster;
 use crate::rows::{self, ENTRY_PREFIX, PLACER};
 use crate::store::{Change, Outcome, Table, Transaction};
 
@@ -35,7 +36,11 @@
     let mut view = entry.inner.roster.view.clone();
     drop(tokio::time::timeout(VIEW_TIMEOUT, view.wait_for(Option::is_some)).await);
     let (name, address) = (&entry.inner.settings.name, entry.inner.settings.links_address);
-    let roster = entry.roster().filter(|roster| roster.entries.get(name) == Some(&address));
+    let is_there = |roster: &Arc<Roster>| {
+        roster.entries.get(name) == Some(&address)
+            && roster.shares.get(name) == Some(&entry.inner.settings.processor_share)
+    };
+    let roster = entry.roster().filter(is_there);
     // The figure of an earlier start of the process, which stays in force until it is found to be wrong.
     let mut told = roster.as_ref().and_then(|roster| roster.responses.get(name).copied());
     if roster.is_none() {
@@ -78,7 +83,8 @@
 
 async fn write(entry: &Entry, response: Option<Duration>) -> bool {
     let settings = &entry.inner.settings;
-    let content = rows::EntryProcess { address: settings.links_address, response };
+    let content =
+        rows::EntryProcess { address: settings.links_address, processor_share: settings.processor_share, response };
     let key: Name = Arc::from(format!("{ENTRY_PREFIX}{}", settings.name));
     let change = Change { table: Table::Cell, key, value: Some(rows::encode(&content)) };
     let outcome = (entry.inner.store.commit)(Transaction { conditions: Vec::new(), changes: vec![change] }).await;
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::succession;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -37,6 +38,8 @@
     pub agents: Map<Name, SocketAddr>,
     /// Entries and where they take links.
     pub entries: Map<Name, SocketAddr>,
+    /// Part of a core that each entry has.
+    pub shares: Map<Name, f64>,
     /// Response times of the store, as entries tell them.
     pub responses: Map<Name, Duration>,
 }
@@ -137,19 +140,27 @@
         self.beat.is_some_and(|beat| beat.term == placer.term && beat.is_alone)
     }
 
+    /// Entries that should rather place than one that has `own_share` of a core, with where they take links.
+    pub fn larger_entries(&self, own_share: f64) -> impl Iterator<Item = (&Name, SocketAddr)> {
+        let share = |name: &Name| self.shares.get(name).copied().unwrap_or_default();
+        self.entries
+            .iter()
+            .filter(move |(name, _)| succession::is_larger(share(name), own_share))
+            .map(|(name, address)| (name, *address))
+    }
+
     fn take_entry(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
         self.responses.remove(name);
-        match content {
-            Some(EntryProcess { address, response }) => {
-                self.entries.insert(Arc::from(name), address);
-                if let Some(response) = response {
-                    self.responses.insert(Arc::from(name), response);
-                }
-            }
-            None => {
-                self.entries.remove(name);
-            }
+        let Some(EntryProcess { address, processor_share, response }) = content else {
+            self.entries.remove(name);
+            self.shares.remove(name);
+            return;
+        };
+        self.entries.insert(Arc::from(name), address);
+        self.shares.insert(Arc::from(name), processor_share);
+        if let Some(response) = response {
+            self.responses.insert(Arc::from(name), response);
         }
     }
 
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -53,10 +53,13 @@
 
 /// Content of the row of an entry.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EntryProcess {
     /// Where the entry takes links.
     pub address: SocketAddr,
+    /// Part of a core that the entry has; 0 when it isn't known.
+    #[serde(default)]
+    pub processor_share: f64,
     /// Least time that the store took for one of the entry's last reads, once it is known.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default, rename = "response_ms")]
--- /dev/null
+++ b/crates/scheduler/tests/succession.rs
@@ -0,0 +1,100 @@
+//! How the cell gets from a small entry to a larger one.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_policy::clock::Clock;
+use chervilledge_scheduler::entry::{self, Entry};
+use chervilledge_scheduler::rows::{self, BEAT, PLACER};
+use chervilledge_scheduler::store::Table;
+use chervilledge_scheduler::{clock, metrics, settings};
+use rstest::rstest;
+use support::{Fault, Rows, tokio_clock};
+
+/// Term under which the small entry placed before all machines lost power.
+const TERM: u64 = 3;
+/// Time within which a cell whose placer starts again is placed by a larger entry: a look, a pause before the claim, and
+/// the claim.
+const RECOVERED: Duration = Duration::from_millis(800);
+/// Time within which a small entry hands the cell over, with the claim of the larger one.
+const HANDED_OVER: Duration = Duration::from_secs(5);
+
+async fn spawn(name: &str, processor_share: f64, address: SocketAddr, rows: &Rows, clock: Clock) -> Entry {
+    let settings = settings::Entry {
+        name: name.into(),
+        links_address: address,
+        processor_share,
+        worker_lease_max: Duration::from_secs(5),
+        configuration_apply: Duration::from_secs(2),
+        evacuation_apply: None,
+        cancellation_apply: Duration::from_secs(3),
+        ended_jobs_kept: Duration::from_mins(2),
+        stop_timeout: Duration::from_secs(6),
+    };
+    entry::spawn(settings, clock, rows.store(), metrics::open()).await.expect("an entry")
+}
+
+/// An address at which nothing listens yet.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+fn write_entry(rows: &Rows, name: &str, processor_share: f64, address: SocketAddr) {
+    let row = rows::EntryProcess { address, processor_share, response: None };
+    rows.write(Table::Cell, &format!("entry/{name}"), Some(rows::encode(&row)));
+}
+
+fn holder(rows: &Rows) -> Option<(u64, String)> {
+    let placer: rows::Placer = rows::decode(PLACER, &rows.value(Table::Cell, PLACER)?)?;
+    Some((placer.term, placer.holder?.to_string()))
+}
+
+/// The former placer comes back first after a loss of all power, and its link tells the others that it is up. A small one
+/// must not place again: what everybody waits for then would take seconds longer.
+#[rstest]
+#[case::larger_ones(0.5, "large")]
+#[case::alike(0.12, "small")]
+#[tokio::test(start_paused = true)]
+async fn a_small_former_placer_leaves_the_recovery_to_a_larger_entry(#[case] share: f64, #[case] expected: &str) {
+    let rows = Rows::with(Fault::None);
+    rows.configure(1);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let former = rows::Placer { term: TERM, holder: Some(Arc::from("small")), address };
+    rows.write(Table::Cell, PLACER, Some(rows::encode(&former)));
+    rows.write(Table::Cell, BEAT, Some(rows::encode(&rows::Beat { term: TERM, is_alone: true })));
+    write_entry(&rows, "small", 0.12, address);
+    write_entry(&rows, "large", share, address);
+    let _small = spawn("small", 0.12, address, &rows, tokio_clock()).await;
+    let _large = spawn("large", share, address, &rows, tokio_clock()).await;
+    tokio::time::sleep(RECOVERED).await;
+    assert_eq!(holder(&rows), Some((TERM + 1, expected.to_string())));
+}
+
+/// A small entry that was the only one up when the cell had no placer must not place for as long as it lives.
+#[tokio::test]
+async fn a_small_placer_hands_the_cell_over_once_a_larger_entry_is_up() {
+    let rows = Rows::with(Fault::None);
+    rows.configure(1);
+    let (small_address, large_address) = (free_address(), free_address());
+    let _small = spawn("small", 0.12, small_address, &rows, clock::system()).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(holder(&rows), Some((1, "small".to_string())));
+    let _large = spawn("large", 0.5, large_address, &rows, clock::system()).await;
+    tokio::time::sleep(HANDED_OVER).await;
+    assert_eq!(holder(&rows), Some((2, "large".to_string())));
+}
+
+/// The row of a larger entry outlives it. A handover to one that is down would leave the cell without a placer for nothing.
+#[tokio::test]
+async fn the_cell_is_not_handed_over_to_an_entry_that_is_down() {
+    let rows = Rows::with(Fault::None);
+    rows.configure(1);
+    write_entry(&rows, "large", 0.5, free_address());
+    let _small = spawn("small", 0.12, free_address(), &rows, clock::system()).await;
+    tokio::time::sleep(HANDED_OVER).await;
+    assert_eq!(holder(&rows), Some((1, "small".to_string())));
+}
