Start filling tasks only where the tails leave room

Half of the time that serving runs were over target began with a run in its first 0.8 s.

Change: agents tell what the tails of each serving image leave. From that and from what all disturbing runs there add at full pace follows the pace at which a task would run. It waits until it has waited as long as the slow place would cost, which bounds the loss to twice that of the better choice, whenever calm room comes up. Bounds in cores and in milliseconds are gone. A run that was halted and goes on isn't taken for one that stands still.

Tests: three in cell/tests were given what agents tell now before they expect a start beside a serving run; their checks are unchanged.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -271,6 +271,8 @@
     pub(crate) load: Load,
     /// Images of serving runs on the worker, with their number.
     pub(crate) serving: Map<Name, u32>,
+    /// What the tail of each of these images leaves for filling runs, as last told: the logarithm of a factor.
+    pub(crate) rooms: Map<Name, f64>,
     /// Runs that count against `load`, by task and number.
     pub(crate) runs: Set<(TaskId, u64)>,
     /// Runs on the worker that aren't, or not yet, runs of a task; nothing is placed beside them.
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -58,7 +58,10 @@
     /// Takes note of whether the run is slowed down, at a progress of `percent`.
     pub(crate) fn slow(&mut self, is_slowed: bool, percent: u32, now: Duration) {
         if !is_slowed {
-            self.slowed = None;
+            // What it stood still before says nothing of its worker.
+            if self.slowed.take().is_some() {
+                self.moved = now;
+            }
         } else if self.slowed.is_none() {
             self.slowed = Some(now);
             self.slowed_from_percent = percent;
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -9,6 +9,7 @@
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, Task, need};
 use super::{Action, Agent, Cell, Note};
+use crate::colocation::{self, CROWDED_PERCENT, Disturbance, ROOM_UNTOLD};
 use crate::evacuation::RETURN_START_GAP;
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
@@ -19,17 +20,6 @@
 /// Tasks that one pass places, and steps for whose tasks it looks for room.
 const PASS_MAX: Pass = Pass { placed: 512, steps: 128 };
 
-/// Processor time of disturbing runs on one worker from which no further one is placed there: a few cores are as much
-/// as the pace of such runs leaves them.
-const DISTURBING_MILLICORES_MAX: u64 = 4_000;
-/// The same for a task that has waited for long.
-const DISTURBING_PATIENT_MILLICORES_MAX: u64 = 8_000;
-/// Mean pace of disturbing runs, by the processor time that they ask for, below which no further one is placed beside them,
-/// in percent. The mean says how much of the room is taken, whichever of them has it.
-const CROWDED_PERCENT: u32 = 50;
-/// Time after which a task is placed where it disturbs.
-const DISTURBING_AFTER: Duration = Duration::from_millis(1_500);
-
 /// Workers for each serving image from which images are kept apart.
 const WORKERS_PER_IMAGE: usize = 4;
 /// Score of each image that serves on a worker, for a serving task of another one, where images are kept apart, in thousandths
@@ -45,6 +35,9 @@
 /// Processor time that such a run may ask for beyond what is left: more than filling runs ask for on any worker.
 const EXCESS_MILLICORES: u64 = 1_000_000_000;
 
+/// Thousandths of a core.
+const MILLICORES: f64 = 1_000.0;
+
 /// What a pass does at most, so that messages don't wait for long.
 #[derive(Clone, Copy, Debug)]
 struct Pass {
@@ -85,16 +78,15 @@
     task: TaskId,
     step: &'a Step,
     state: &'a Task,
-    /// Processor time of disturbing runs on a worker from which the task isn't placed there.
-    disturbing_millicores_max: u64,
     now: Duration,
 }
 
 impl Seeker<'_> {
     /// Rates an agent's worker under `load`; `None` when the task has no room.
     pub(super) fn score(&self, name: &Name, agent: &Agent, load: &Load, need: &Need) -> Option<i64> {
-        let is_full = need.disturbed > 0 && need.slowed_millicores >= self.disturbing_millicores_max;
-        let fits = !is_full
+        let waited = self.now.saturating_sub(self.state.ready_since);
+        let fits = (need.disturbed == 0
+            || colocation::is_worth_starting(self.step.estimate, need.pace_percent, waited))
             && !agent.is_held_back(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
@@ -173,7 +165,7 @@
         let calm: Vec<Need> = candidates.iter().map(|candidate| candidate.need).collect();
         for candidate in candidates.iter_mut() {
             candidate.need.excess_millicores = EXCESS_MILLICORES;
-            candidate.need.slowed_millicores = 0;
+            candidate.need.pace_percent = FULL_PERCENT;
         }
         let is_placed = self.place_task(task, candidates, now);
         for (candidate, need) in candidates.iter_mut().zip(calm) {
@@ -231,9 +223,9 @@
         self.start(task, &agent, None, now);
         if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.agent == agent)
             && candidate.need.disturbed > 0
+            && let (Some(known), Some(step)) = (self.agents.get(&agent), self.step_of(task))
         {
-            let added = candidate.need.resources.processor_millicores;
-            candidate.need.slowed_millicores = candidate.need.slowed_millicores.saturating_add(added);
+            candidate.need.pace_percent = self.expected_pace_percent(known, step, &[]);
         }
         true
     }
@@ -344,7 +336,7 @@
             disturbed,
             effect_thousandths: if disturbed > 0 { self.largest_effect_thousandths(agent, step) } else { 0 },
             unlike_score: if step.lasting { unlike_score(agent, step, siting.is_roomy) } else { 0 },
-            slowed_millicores: if disturbed > 0 { self.disturbing_millicores(agent, without) } else { 0 },
+            pace_percent: if disturbed > 0 { self.expected_pace_percent(agent, step, without) } else { FULL_PERCENT },
             largest_millicores: siting.largest_millicores,
             ending_millicores: if siting.largest_millicores > 0 { self.ending_millicores(agent, step) } else { 0 },
             ..need(&entry.job, task.key)
@@ -401,11 +393,7 @@
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let state = entry.tasks.get(&task.key)?;
-        // A task that has waited for long runs slowly rather than not at all.
-        let is_patient = now.saturating_sub(state.ready_since) >= DISTURBING_AFTER;
-        let disturbing_millicores_max =
-            if is_patient { DISTURBING_PATIENT_MILLICORES_MAX } else { DISTURBING_MILLICORES_MAX };
-        Some(Seeker { task, step, state, disturbing_millicores_max, now })
+        Some(Seeker { task, step, state, now })
     }
 
     fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
@@ -456,20 +444,44 @@
         (agent.serving.keys().map(effect).fold(0.0, f64::max) * 1_000.0) as u32
     }
 
-    /// Processor time that runs on a worker ask for which disturb serving runs there; more than any worker has when they
-    /// are held back already; runs in `without` don't count.
-    fn disturbing_millicores(&self, agent: &Agent, without: &[(TaskId, u64)]) -> u64 {
-        let (mut asked, mut paced): (u64, u64) = (0, 0);
-        for (task, number) in agent.runs.iter().filter(|run| !without.contains(run)) {
-            let Some(step) = self.step_of(*task).filter(|step| step.filling) else { continue };
-            if self.disturbed(agent, step) == 0 {
-                continue;
-            }
-            let pace_percent = self.run(*task, *number).map_or(FULL_PERCENT, |run| run.pace_percent);
-            asked += step.resources.processor_millicores;
-            paced += step.resources.processor_millicores * u64::from(pace_percent) / 100;
+    /// Pace at which a filling run of the step is expected to run on a worker once the runs in `without` are over, in percent.
+    fn expected_pace_percent(&self, agent: &Agent, step: &Step, without: &[(TaskId, u64)]) -> u32 {
+        let beside: Vec<(&Step, u32)> = agent
+            .runs
+            .iter()
+            .filter(|run| !without.contains(run))
+            .filter_map(|(task, number)| {
+                let other = self.step_of(*task).filter(|other| other.filling && self.disturbed(agent, other) > 0)?;
+                Some((other, self.run(*task, *number).map_or(FULL_PERCENT, |run| run.pace_percent)))
+            })
+            .collect();
+        let asked: u64 = beside.iter().map(|(other, _)| other.resources.processor_millicores).sum();
+        let paced = |(other, pace_percent): &(&Step, u32)| {
+            other.resources.processor_millicores * u64::from(*pace_percent) / u64::from(FULL_PERCENT)
+        };
+        if beside.iter().map(paced).sum::<u64>() * 100 < asked * u64::from(CROWDED_PERCENT) {
+            return 0;
+        }
+        let disturbance = |serving: &Name| Disturbance {
+            left: agent.rooms.get(serving).copied().unwrap_or(ROOM_UNTOLD)
+                - beside.iter().map(|(other, _)| self.added(other, serving)).sum::<f64>(),
+            added: self.added(step, serving),
+        };
+        let disturbances = agent.serving.keys().map(disturbance).filter(|disturbance| disturbance.added > 0.0);
+        colocation::expected_pace_percent(disturbances)
+    }
+
+    /// What a filling run of the step adds to the tail of a serving image at full pace, as the logarithm of a factor; 0 where
+    /// it doesn't disturb.
+    #[expect(clippy::cast_precision_loss, reason = "processor time is bounded")]
+    fn added(&self, step: &Step, serving: &Name) -> f64 {
+        let unnamed = Name::default();
+        let image = step.image.as_ref().unwrap_or(&unnamed);
+        if self.effects.is_disturbing(image, serving) {
+            self.effects.per_core(image, serving) * step.resources.processor_millicores as f64 / MILLICORES
+        } else {
+            0.0
         }
-        if paced * 100 < asked * u64::from(CROWDED_PERCENT) { u64::MAX } else { asked }
     }
 
     /// Orders a run; `starts` is given for members of a gang, which share their number.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod authority;
 pub mod cell;
+pub mod colocation;
 pub mod configuration;
 pub mod evacuation;
 pub mod grant;
--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -29,7 +29,7 @@
 /// Part of the way to a higher pace that is taken at once, since the figures are rough.
 const RISE_PART: f64 = 0.6;
 /// Pace below which filling runs are halted, in percent.
-const HALT_PERCENT: f64 = 4.0;
+pub(crate) const HALT_PERCENT: f64 = 4.0;
 /// Change of a pace that is worth an order, in percent.
 const CHANGE_MIN_PERCENT: f64 = 4.0;
 /// Pace of a run that isn't slowed down, in percent.
@@ -233,6 +233,18 @@
         self.over_since = over;
     }
 
+    /// What the tails of each serving image leave for filling runs, as of the last look: the logarithm of the factor by which
+    /// those may raise the tail above its own part, the least of the image's runs.
+    #[must_use]
+    pub fn rooms(&self) -> Map<Name, f64> {
+        let mut rooms: Map<Name, f64> = Map::default();
+        for Room { image, room } in &self.rooms {
+            let least = rooms.entry(Arc::clone(image)).or_insert(f64::INFINITY);
+            *least = room.min(*least);
+        }
+        rooms
+    }
+
     /// The runs in the order in which they are served.
     pub fn runs(&self) -> impl Iterator<Item = (TaskId, u64)> {
         self.runs.iter().map(|paced| paced.run.run)
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -38,8 +38,8 @@
     pub disturbed: u32,
     /// Largest effect of the task on one of them for each core, in thousandths of the logarithm of the factor.
     pub effect_thousandths: u32,
-    /// Processor time that disturbing runs on the worker ask for, in thousandths of a core.
-    pub slowed_millicores: u64,
+    /// Pace at which the task, a filling one, is expected to run there, in percent.
+    pub pace_percent: u32,
     /// What speaks against serving beside other images there, for a serving task, in thousandths of a core.
     pub unlike_score: i64,
     /// Processor time beyond what is left that the task, a filling one, may ask for, in thousandths of a core.
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -47,7 +47,10 @@
     world.submit(job(1, vec![serving]));
     let starts = placed(world);
     assert_eq!(starts.len(), 1);
-    starts[0].0.clone()
+    let agent = starts[0].0.clone();
+    // As a tail at 0.3 of its target leaves.
+    world.cell.take_rooms(&name(&agent), vec![(name("serving"), 1.0)]);
+    agent
 }
 
 /// Makes it known by how much each core of filling images raises the tail of the serving run.
@@ -426,6 +429,9 @@
     }
     learn_of(&mut world, "heavy", &[("sensitive".to_owned(), 0.4), ("sturdy".to_owned(), 0.06)]);
     let serving = serving_by_worker(&world);
+    for (agent, images) in &serving {
+        world.cell.take_rooms(&name(agent), images.iter().map(|image| (name(image), 1.0)).collect());
+    }
     world.submit(job(1, vec![Step { filling: true, image: Some(name("heavy")), ..step(1, 2_000) }]));
     let starts = placed(&mut world);
     assert_eq!(starts.iter().map(|(agent, _, _)| serving[agent].clone()).collect::<Vec<_>>(), [["sturdy"]]);
--- a/crates/cell/tests/stops.rs
+++ b/crates/cell/tests/stops.rs
@@ -38,6 +38,8 @@
     let evidence = Evidence { information: 1_000.0, weighted_effect: 200.0 };
     world.cell.learn(&name("agent-0"), vec![(pair, evidence)]);
     world.cell.merge_learnt();
+    // The tail leaves room for the runs to start; what slows them down comes later.
+    world.cell.take_rooms(&name("agent-0"), vec![(name("serving"), 2.0)]);
     world
 }
 
--- a/crates/cell/tests/urgencies.rs
+++ b/crates/cell/tests/urgencies.rs
@@ -129,10 +129,12 @@
     let latency_target = Some(Duration::from_millis(45));
     let serving = Step { lasting: true, latency_target, image: Some(name("serving")), ..step(1, 4_000) };
     world.submit(job(9, vec![serving]));
+    assert_eq!(placed(&mut world).len(), 1);
+    world.cell.take_rooms(&name("agent-0"), vec![(name("serving"), 2.0)]);
     world.submit(filling(1, 2));
     let started = placed(&mut world);
-    let runs = started.iter().filter(|(task, ..)| task.job == JobId(1));
-    let reports: Vec<RunReport> = runs.zip(paces).map(|((task, run, _), pace)| report(*task, *run, 10, pace)).collect();
+    let reports: Vec<RunReport> =
+        started.iter().zip(paces).map(|((task, run, _), pace)| report(*task, *run, 10, pace)).collect();
     assert_eq!(reports.len(), 2);
     world.cell.reported(&reports, world.now);
     world.submit(filling(2, 1));
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -216,6 +216,8 @@
     paces: Map<RunId, u32>,
     /// Paces of filling runs as they are decided, by the serving runs beside them and their urgencies.
     run_paces: Paces,
+    /// What the placer was told that the tails of serving images leave.
+    rooms_told: Map<Name, f64>,
     interference: Interference,
     /// When the last look was taken in that said something of interference.
     observed: Duration,
@@ -276,6 +278,7 @@
             traits: Map::default(),
             paces: Map::default(),
             run_paces: Paces::new(context.settings.latency_harm_after),
+            rooms_told: Map::default(),
             interference: Interference::default(),
             observed: Duration::ZERO,
             effects_due: Duration::ZERO,
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -126,6 +126,7 @@
         let message = match &mut self.own {
             Some(own) => {
                 self.former = None;
+                self.rooms_told.clear();
                 own.told = own.ends.last().map_or(own.told, |end| end.number.max(own.told));
                 FromAgent::Inventory {
                     worker: Some(Worker { cold_for: own.cold_until.saturating_sub(now), ..own.worker.clone() }),
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -150,5 +150,6 @@
         if !changed.is_empty() {
             self.tell(FromAgent::Running(changed));
         }
+        self.tell_rooms();
     }
 }
--- a/crates/scheduler/src/agent/paces.rs
+++ b/crates/scheduler/src/agent/paces.rs
@@ -20,6 +20,8 @@
 const FIGURE_WINDOW: Duration = Duration::from_millis(440);
 /// Interval at which the placer is told of learnt effects.
 const EFFECTS_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Change of what a tail leaves that the placer is told, as the logarithm of a factor.
+const ROOM_STEP: f64 = 0.1;
 /// Thousandths of a core.
 const MILLICORES: f64 = 1_000.0;
 
@@ -104,6 +106,20 @@
         log::info!(event = "urgencies", runs = told, runs_unknown = unknown; "");
     }
 
+    /// Tells the placer what the tails leave for filling runs, if that has changed.
+    pub(super) fn tell_rooms(&mut self) {
+        let rooms = self.run_paces.rooms();
+        let is_told = |(image, room): (&Name, &f64)| {
+            self.rooms_told.get(image).is_some_and(|told| (told - room).abs() < ROOM_STEP)
+        };
+        if rooms.len() == self.rooms_told.len() && rooms.iter().all(is_told) {
+            return;
+        }
+        let message = rooms.iter().map(|(image, room)| (Arc::clone(image), *room)).collect();
+        self.rooms_told = rooms;
+        self.tell(FromAgent::Rooms(message));
+    }
+
     /// Tells the placer what was learnt of pairs of images.
     pub(super) fn tell_effects(&mut self, now: Duration) {
         if now < self.effects_due || self.link.is_none() {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -148,6 +148,9 @@
     Running(Vec<RunReport>),
     /// What this agent has learnt of pairs of images.
     Effects(Vec<Effect>),
+    /// What the tails of each image that serves on the worker leave for filling runs: the logarithm of a factor. Images
+    /// without a figure are missing.
+    Rooms(Vec<(Name, f64)>),
 }
 
 /// Message from one entry to another.
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -116,6 +116,7 @@
                 }
             }
             FromAgent::Running(running) => self.cell.reported(&running, now),
+            FromAgent::Rooms(rooms) => self.cell.take_rooms(agent, rooms),
             FromAgent::Effects(effects) => {
                 self.cell.learn(agent, effects.into_iter().map(Effect::into_evidence).collect());
             }
