Keep what agents tell of serving tails in a file of its own

Change: the cell's functions about disturbed tails move to cell/rooms.rs unchanged; the dump has rooms. Ruled out: nothing. Measured: no decision changes; cell tests pass.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -13,6 +13,7 @@
 mod placing;
 mod preempt;
 mod reservations;
+mod rooms;
 mod stragglers;
 mod unread;
 mod urgencies;
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -9,7 +9,7 @@
 use super::agents::{Contact, tasks_of_step};
 use super::jobs::{JobEntry, Run, Task, need};
 use super::{Action, Agent, Cell, Note};
-use crate::colocation::{self, CROWDED_PERCENT, Disturbance, ROOM_UNTOLD};
+use crate::colocation;
 use crate::evacuation::RETURN_START_GAP;
 use crate::job::{JobId, Step, TaskId};
 use crate::pace::FULL_PERCENT;
@@ -35,9 +35,6 @@
 /// Processor time that such a run may ask for beyond what is left: more than filling runs ask for on any worker.
 const EXCESS_MILLICORES: u64 = 1_000_000_000;
 
-/// Thousandths of a core.
-const MILLICORES: f64 = 1_000.0;
-
 /// What a pass does at most, so that messages don't wait for long.
 #[derive(Clone, Copy, Debug)]
 struct Pass {
@@ -85,8 +82,8 @@
     /// Rates an agent's worker under `load`; `None` when the task has no room.
     pub(super) fn score(&self, name: &Name, agent: &Agent, load: &Load, need: &Need) -> Option<i64> {
         let waited = self.now.saturating_sub(self.state.ready_since);
-        let fits = (need.disturbed == 0
-            || colocation::is_worth_starting(self.step.estimate, need.pace_percent, waited))
+        let is_calm = need.disturbed == 0;
+        let fits = (is_calm || colocation::is_worth_starting(self.step.estimate, need.pace_percent, waited))
             && !agent.is_held_back(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
@@ -423,67 +420,6 @@
         self.step_of(task).is_some_and(|step| self.disturbed(agent, step) == 0).then_some(name)
     }
 
-    /// Serving runs on a worker that a filling run of the step would disturb, as far as is known.
-    pub(super) fn disturbed(&self, agent: &Agent, step: &Step) -> u32 {
-        let unnamed = Name::default();
-        let image = step.image.as_ref().unwrap_or(&unnamed);
-        agent
-            .serving
-            .iter()
-            .filter(|(serving, _)| self.effects.is_disturbing(image, serving))
-            .map(|(_, count)| *count)
-            .sum()
-    }
-
-    /// Largest effect that a filling run of the step has on a serving image of a worker, as far as is known.
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "effects are small and not negative")]
-    fn largest_effect_thousandths(&self, agent: &Agent, step: &Step) -> u32 {
-        let unnamed = Name::default();
-        let image = step.image.as_ref().unwrap_or(&unnamed);
-        let effect = |serving: &Name| self.effects.per_core(image, serving);
-        (agent.serving.keys().map(effect).fold(0.0, f64::max) * 1_000.0) as u32
-    }
-
-    /// Pace at which a filling run of the step is expected to run on a worker once the runs in `without` are over, in percent.
-    fn expected_pace_percent(&self, agent: &Agent, step: &Step, without: &[(TaskId, u64)]) -> u32 {
-        let beside: Vec<(&Step, u32)> = agent
-            .runs
-            .iter()
-            .filter(|run| !without.contains(run))
-            .filter_map(|(task, number)| {
-                let other = self.step_of(*task).filter(|other| other.filling && self.disturbed(agent, other) > 0)?;
-                Some((other, self.run(*task, *number).map_or(FULL_PERCENT, |run| run.pace_percent)))
-            })
-            .collect();
-        let asked: u64 = beside.iter().map(|(other, _)| other.resources.processor_millicores).sum();
-        let paced = |(other, pace_percent): &(&Step, u32)| {
-            other.resources.processor_millicores * u64::from(*pace_percent) / u64::from(FULL_PERCENT)
-        };
-        if beside.iter().map(paced).sum::<u64>() * 100 < asked * u64::from(CROWDED_PERCENT) {
-            return 0;
-        }
-        let disturbance = |serving: &Name| Disturbance {
-            left: agent.rooms.get(serving).copied().unwrap_or(ROOM_UNTOLD)
-                - beside.iter().map(|(other, _)| self.added(other, serving)).sum::<f64>(),
-            added: self.added(step, serving),
-        };
-        let disturbances = agent.serving.keys().map(disturbance).filter(|disturbance| disturbance.added > 0.0);
-        colocation::expected_pace_percent(disturbances)
-    }
-
-    /// What a filling run of the step adds to the tail of a serving image at full pace, as the logarithm of a factor; 0 where
-    /// it doesn't disturb.
-    #[expect(clippy::cast_precision_loss, reason = "processor time is bounded")]
-    fn added(&self, step: &Step, serving: &Name) -> f64 {
-        let unnamed = Name::default();
-        let image = step.image.as_ref().unwrap_or(&unnamed);
-        if self.effects.is_disturbing(image, serving) {
-            self.effects.per_core(image, serving) * step.resources.processor_millicores as f64 / MILLICORES
-        } else {
-            0.0
-        }
-    }
-
     /// Orders a run; `starts` is given for members of a gang, which share their number.
     pub(crate) fn start(&mut self, task: TaskId, name: &Name, starts: Option<u64>, now: Duration) {
         let urgency = self.urgency(task, Urgency::UNKNOWN, now);
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -534,6 +534,7 @@
             "starting": self.starting.len(),
             "stopping": self.stopping.len(),
             "paces_percent": self.paces.iter().map(|((task, run), percent)| (format!("{task}#{run}"), *percent)).collect::<Vec<_>>(),
+            "rooms": self.run_paces.rooms(),
             "serving_order": self.run_paces.runs().map(|(task, run)| {
                 let urgency = self.traits.get(&(task, run)).map(|traits| traits.urgency.0);
                 json!({"run": format!("{task}#{run}"), "percent": self.run_paces.percent((task, run)), "urgency": urgency})
