--- a/crates/cell/src/colocation.rs
+++ b/crates/cell/src/colocation.rs
@@ -5,8 +5,8 @@
 //! it, and stands still then, while room where it disturbs nobody comes up a moment later.
 //!
 //! Agents tell what the tails of each serving image leave. From that follows the pace at which a task would run, and so what a
-//! start there costs against full pace. The task waits until it has waited for as long, as a skier rents until the rent has
-//! reached the price: whenever calm room comes up, it has lost at most twice what the best choice would have cost.
+//! start there costs against full pace. The task waits until it has waited for as long, which is the break-even rule of the
+//! ski-rental problem: whenever calm room comes up, it has lost at most twice what the best choice would have cost.
 
 use std::time::Duration;
 
