Pause starts while the operator's rows are out of date

The agent learns of evacuations only from the placer, so that a machine in touch starts a task in an evacuated domain.

Change: the placer knows when the operator's rows were last read. Once the store has confirmed the term more than three quarters of evacuation_apply_ms after that, nothing starts (placing, moves, copies) until they are read; `starts_paused` says so. While the store is silent to it, it places as before: then the bound doesn't apply, or a successor takes over.

The same wait of the jobs' feed isn't bounded so: cancellations also come from entries over their links.

--- a/crates/cell/src/authority.rs
+++ b/crates/cell/src/authority.rs
@@ -50,6 +50,15 @@
         self.confirmed.is_some_and(|confirmed| now < confirmed + AUTHORITY_PERIOD)
     }
 
+    /// Whether starts may be decided by rows that were last read at `read` and that must be known within `limit`.
+    ///
+    /// They may while the store is silent: no successor could act either. Once it has confirmed the term again, rows
+    /// that were written meanwhile may have been in force for long.
+    #[must_use]
+    pub fn covers_rows(&self, read: Duration, limit: Duration) -> bool {
+        self.confirmed.is_none_or(|confirmed| confirmed <= read.saturating_add(limit))
+    }
+
     /// When the last confirmation was requested.
     #[must_use]
     pub const fn last_confirmed(&self) -> Option<Duration> {
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -102,6 +102,7 @@
     submitter: Submitter,
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
     evacuated: watch::Receiver<Arc<EvacuatedDomains>>,
+    operator_rows_read: watch::Receiver<Duration>,
     roster: roster::Reader,
     /// Durations of the last reads that measure the store.
     read_times: Mutex<RecentReadTimes>,
@@ -139,6 +140,7 @@
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configuration_sender, configuration) = watch::channel(None);
     let (evacuated_sender, evacuated) = watch::channel(Arc::default());
+    let (read_sender, operator_rows_read) = watch::channel(Duration::ZERO);
     let entries = Arc::new(AtomicUsize::new(1));
     let entry_count = Arc::clone(&entries);
     let health = outage::open(&clock, &metrics, Arc::new(move || entry_count.load(Ordering::Relaxed)));
@@ -154,6 +156,7 @@
         submitter,
         configuration,
         evacuated,
+        operator_rows_read,
         roster,
         read_times: Mutex::default(),
         local_placer: Mutex::new(None),
@@ -174,6 +177,7 @@
             timing: feed::Timing::within(entry.inner.settings.operator_rows_known()),
             configuration_sender,
             evacuated_sender,
+            read_sender,
         })),
         tokio::spawn(announce::run(entry.clone())),
         tokio::spawn(count_entries(entry.inner.roster.view.clone(), entries)),
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -104,6 +104,8 @@
         roster: inner.roster.view.clone(),
         configuration: inner.configuration.clone(),
         evacuated: inner.evacuated.clone(),
+        operator_rows_read: inner.operator_rows_read.clone(),
+        evacuation_apply: inner.settings.evacuation_apply,
         term,
         revision,
         claimed,
--- a/crates/scheduler/src/entry/operator.rs
+++ b/crates/scheduler/src/entry/operator.rs
@@ -1,6 +1,7 @@
 //! Follows the operator's rows: configuration and evacuations.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
@@ -22,14 +23,17 @@
     pub(super) timing: feed::Timing,
     pub(super) configuration_sender: watch::Sender<Option<Arc<Configuration>>>,
     pub(super) evacuated_sender: watch::Sender<Arc<EvacuatedDomains>>,
+    /// Receives the time of each successful read.
+    pub(super) read_sender: watch::Sender<Duration>,
 }
 
 /// Follows the operator's rows; an older version of the configuration never replaces a newer one.
 ///
 /// Evacuations are published before the configuration, without which nothing is placed.
 pub(super) async fn follow(operator_feed: OperatorFeed) {
-    let OperatorFeed { store, clock, metrics, timing, configuration_sender, evacuated_sender } = operator_feed;
-    let mut feed = feed::open("configuration", timing, clock);
+    let OperatorFeed { store, clock, metrics, timing, configuration_sender, evacuated_sender, read_sender } =
+        operator_feed;
+    let mut feed = feed::open("configuration", timing, clock.clone());
     let mut after = 0;
     loop {
         let age = feed.age();
@@ -39,6 +43,7 @@
             Ok(ConfigurationUpdate { configuration, evacuations, revision }) => {
                 after = revision;
                 apply_evacuations(&evacuations, revision, &evacuated_sender);
+                read_sender.send_replace(clock.now());
                 let Some(configuration) = configuration else { continue };
                 let is_newer = configuration.version > known;
                 log::info!(event = "configuration", version = configuration.version, former = known,
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -51,6 +51,9 @@
 /// The same for batches in which only tasks have ended, which nobody waits for: at most seven calls to the store a
 /// second.
 const BATCH_GAP: Duration = Duration::from_millis(150);
+/// Fraction of the time for an evacuation for which the operator's rows may be unread while the store answers. The rest
+/// is for starts that were ordered before to reach their worker.
+const EVACUATION_KNOWN_FRACTION: f64 = 0.75;
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval of the checks for jobs and agents whose rows may be deleted.
@@ -71,6 +74,11 @@
     pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
     /// Failure domains in which nothing may start; known before the configuration.
     pub evacuated: watch::Receiver<Arc<EvacuatedDomains>>,
+    /// When the operator's rows were last read.
+    pub operator_rows_read: watch::Receiver<Duration>,
+    /// Time after the request within which starts in an evacuated failure domain must cease; `None` where no domain is
+    /// ever evacuated.
+    pub evacuation_apply: Option<Duration>,
     /// Term of this placer.
     pub term: u64,
     /// Revision of the placer's row.
@@ -207,6 +215,8 @@
     cell: Cell,
     authority: Authority,
     had_authority: bool,
+    /// Starts were paused at the last check because the operator's rows were out of date.
+    are_starts_paused: bool,
     /// When it became known that no previous placer can act any more.
     predecessor_ended_at: Option<Duration>,
     /// Whether that is known, as published with the heartbeat.
@@ -288,6 +298,7 @@
             cell,
             authority,
             had_authority: true,
+            are_starts_paused: false,
             predecessor_ended_at: None,
             is_alone,
             is_loaded: false,
@@ -441,6 +452,8 @@
             self.watch_due = now + WATCH_INTERVAL;
             if holds {
                 self.cell.lapse_agents(self.authority.last_confirmed(), now);
+            }
+            if holds && self.knows_evacuations() {
                 self.cell.watch_runs(now);
             }
         }
@@ -461,7 +474,7 @@
     fn advance(&mut self) {
         let now = self.context.clock.now();
         let knows_roster = self.roster_revision >= self.context.revision;
-        let may_place = self.is_loaded && knows_roster && self.authority.holds(now);
+        let may_place = self.is_loaded && knows_roster && self.authority.holds(now) && self.knows_evacuations();
         if may_place && now >= self.place_due && self.cell.needs_placing() {
             self.cell.place(now);
             let took = self.context.clock.now().saturating_sub(now);
@@ -487,6 +500,21 @@
         }
     }
 
+    /// Whether the operator's rows were read recently enough for starts; logs when that changes.
+    fn knows_evacuations(&mut self) -> bool {
+        let read = *self.context.operator_rows_read.borrow();
+        let knows = self
+            .context
+            .evacuation_apply
+            .is_none_or(|apply| self.authority.covers_rows(read, apply.mul_f64(EVACUATION_KNOWN_FRACTION)));
+        if self.are_starts_paused == knows {
+            self.are_starts_paused = !knows;
+            let age_ms = whole_ms(self.context.clock.now().saturating_sub(read));
+            log::warn!(event = "starts_paused", term = self.context.term, is_paused = !knows, rows_read_ms_ago = age_ms; "");
+        }
+        knows
+    }
+
     fn execute(&mut self, action: Action) {
         let (agent, message) = match action {
             Action::Start { agent, life, order } => {
--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -64,6 +64,8 @@
         roster,
         configuration: watch::channel(Some(support::configuration_of(&job(1)))).1,
         evacuated: watch::channel(Arc::default()).1,
+        operator_rows_read: watch::channel(Duration::ZERO).1,
+        evacuation_apply: None,
         term: 1,
         revision,
         predecessor: None,
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -79,6 +79,8 @@
         roster,
         configuration: watch::channel(Some(configuration())).1,
         evacuated: watch::channel(Arc::default()).1,
+        operator_rows_read: watch::channel(Duration::ZERO).1,
+        evacuation_apply: None,
         term: TERM,
         revision: REVISION,
         predecessor: Some(placer_row(TERM - 1, None)),
@@ -105,6 +107,27 @@
     agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
 }
 
+/// A placer whose term the store confirms must not start runs by operator's rows that it hasn't read for longer than an
+/// evacuation may take: the failure domain of the worker may have been evacuated meanwhile.
+#[tokio::test]
+async fn nothing_starts_while_the_operators_rows_are_out_of_date() {
+    let agent = agent::spawn().await;
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", agent.address)])));
+    let clock = clock::system();
+    let (read, operator_rows_read) = watch::channel(clock.now());
+    let evacuation_apply = Some(OBSERVATION_TIME);
+    let context =
+        Context { operator_rows_read, evacuation_apply, ..context(&claimed_rows(), clock.clone(), roster_view) };
+    let placer = placer::spawn(context).await.expect("placer");
+    agent.worker.wait_for("a poll under the term", |script| script.polls.len() > 2).await;
+    tokio::time::sleep(OBSERVATION_TIME + HEARTBEAT_INTERVAL * 2).await;
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    tokio::time::sleep(OBSERVATION_TIME).await;
+    assert_eq!(agent.worker.change(|script| script.starts.len()), 0, "the rows are older than an evacuation may take");
+    read.send_replace(clock.now());
+    agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
+}
+
 /// A read lost by a silent store must not hide a cancellation for longer than the job's tasks may continue.
 #[rstest]
 #[tokio::test(start_paused = true)]
--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -132,6 +132,8 @@
         roster: watch::channel(Some(roster)).1,
         configuration: watch::channel(Some(Arc::new(configuration))).1,
         evacuated: watch::channel(Arc::default()).1,
+        operator_rows_read: watch::channel(Duration::ZERO).1,
+        evacuation_apply: None,
         term: 1,
         revision: 1,
         predecessor: None,
