--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -5,13 +5,14 @@
 use chervilledge_cell::evacuation::Standing;
 use chervilledge_cell::worker::Worker;
 use chervilledge_link::connection;
+use chervilledge_policy::id::Name;
 use ractor::ActorRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::paces::UNKNOWN_PERCENT;
 use super::{Message, State};
 use crate::message::{FromAgent, LINK_TIMEOUT, ToAgent};
-use crate::rows::Effect;
+use crate::rows::{Effect, VERSION};
 
 /// Pause after a failed accept, which is mostly caused by a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -123,6 +124,7 @@
     pub(super) fn send_inventory(&mut self) {
         let now = self.context.clock.now();
         let starting = self.unconfirmed_runs();
+        let version = Some(Name::from(VERSION));
         let message = match &mut self.tracked {
             Some(tracked) => {
                 self.previous_life = None;
@@ -136,6 +138,7 @@
                     ends: tracked.ends.clone(),
                     is_empty: false,
                     asked: now,
+                    version,
                 }
             }
             None => FromAgent::Inventory {
@@ -145,6 +148,7 @@
                 ends: Vec::new(),
                 is_empty: now >= self.empty_at,
                 asked: now,
+                version,
             },
         };
         let is_final = self.tracked.is_some() || now >= self.empty_at;
--- a/crates/scheduler/src/entry/announce.rs
+++ b/crates/scheduler/src/entry/announce.rs
@@ -10,7 +10,7 @@
 use super::{Entry, lock};
 use crate::clock::whole_ms;
 use crate::roster::Roster;
-use crate::rows::{self, ENTRY_PREFIX, PLACER_KEY};
+use crate::rows::{self, ENTRY_PREFIX, PLACER_KEY, VERSION};
 use crate::store::{Change, Outcome, Table, Transaction};
 
 /// Pause after a failed write of the row.
@@ -41,6 +41,7 @@
     let is_current = |roster: &Arc<Roster>| {
         roster.entries.get(name) == Some(&address)
             && roster.processor_shares.get(name) == Some(&entry.inner.settings.processor_share)
+            && roster.versions.get(name).is_some_and(|version| &**version == VERSION)
     };
     let roster = entry.roster().filter(is_current);
     // Response time published by an earlier start of the process; it stays in force until it proves wrong.
@@ -92,8 +93,12 @@
 
 async fn write_row(entry: &Entry, response: Option<Duration>) -> bool {
     let settings = &entry.inner.settings;
-    let content =
-        rows::EntryProcess { address: settings.links_address, processor_share: settings.processor_share, response };
+    let content = rows::EntryProcess {
+        address: settings.links_address,
+        processor_share: settings.processor_share,
+        response,
+        version: Some(Name::from(VERSION)),
+    };
     let key: Name = Arc::from(format!("{ENTRY_PREFIX}{}", settings.name));
     let change = Change { table: Table::Cell, key, value: Some(rows::encode(&content)) };
     let outcome = (entry.inner.store.commit)(Transaction { conditions: Vec::new(), changes: vec![change] }).await;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -99,6 +99,9 @@
         /// Reading of the agent's clock, for the grant that the first starts need.
         #[serde_as(as = "DurationNanoSeconds<u64>")]
         asked: Duration,
+        /// Version of the agent; versions before 0.2.0 don't tell it.
+        #[serde(default)]
+        version: Option<Name>,
     },
     /// The agent obeys a newer term.
     Superseded {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -9,6 +9,7 @@
 mod loading;
 mod notes;
 mod urgencies;
+mod versions;
 mod writing;
 
 use std::net::SocketAddr;
@@ -38,6 +39,7 @@
 use crate::roster::Roster;
 use crate::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
+use versions::Versions;
 
 /// Interval of the checks that depend only on time.
 const TICK: Duration = Duration::from_millis(100);
@@ -226,6 +228,10 @@
     /// contains every agent of the previous placer.
     roster_revision: u64,
     links: Map<Name, AgentLink>,
+    /// Versions of the agents that have linked; `None` for one that doesn't tell it.
+    agent_versions: Map<Name, Option<Name>>,
+    /// Versions as last logged.
+    logged_versions: Versions,
     dialers: Map<Name, Dialer>,
     next_link: u64,
     /// Cancellations of jobs whose row hasn't been read yet.
@@ -304,6 +310,8 @@
             is_loaded: false,
             roster_revision: 0,
             links: Map::default(),
+            agent_versions: Map::default(),
+            logged_versions: Versions::default(),
             dialers: Map::default(),
             next_link: 1,
             early_cancels: Set::default(),
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -67,8 +67,10 @@
                 dialer.task.abort();
             }
             self.links.remove(&name);
+            self.agent_versions.remove(&name);
             self.cell.forget_agent(&name);
         }
+        self.log_versions();
     }
 
     pub(super) fn handle_link_opened(&mut self, agent: Name, link: u64, sender: Sender<ToAgent>) {
@@ -87,7 +89,9 @@
 
     pub(super) fn handle_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
-            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked } => {
+            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version } => {
+                self.agent_versions.insert(Arc::clone(agent), version);
+                self.log_versions();
                 self.handle_inventory(agent, Inventory { worker, running, starting, ends, is_empty }, now);
                 self.send_grant(agent, asked, now);
             }
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -56,6 +56,7 @@
         json!({
             "evacuations": evacuations,
             "term": self.context.term,
+            "versions": self.versions(),
             "has_authority": self.authority.holds(now),
             "jobs": jobs,
             "jobs_open": open,
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -40,6 +40,8 @@
     pub entries: Map<Name, SocketAddr>,
     /// Share of a core that each entry has.
     pub processor_shares: Map<Name, f64>,
+    /// Versions of the entries that tell theirs.
+    pub versions: Map<Name, Name>,
     /// Response times of the store as published by the entries.
     pub response_times: Map<Name, Duration>,
 }
@@ -154,13 +156,17 @@
     fn apply_entry(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
         self.response_times.remove(name);
-        let Some(EntryProcess { address, processor_share, response }) = content else {
+        self.versions.remove(name);
+        let Some(EntryProcess { address, processor_share, response, version }) = content else {
             self.entries.remove(name);
             self.processor_shares.remove(name);
             return;
         };
         self.entries.insert(Arc::from(name), address);
         self.processor_shares.insert(Arc::from(name), processor_share);
+        if let Some(version) = version {
+            self.versions.insert(Arc::from(name), version);
+        }
         if let Some(response) = response {
             self.response_times.insert(Arc::from(name), response);
         }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -24,6 +24,9 @@
 /// Suffix of the keys of cancellations, in table `jobs`.
 const CANCEL_SUFFIX: &str = "/cancel";
 
+/// Version of this build, as told to other processes.
+pub const VERSION: &str = env!("CARGO_PKG_VERSION");
+
 /// Content of the placer's row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Placer {
@@ -64,6 +67,9 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(default, rename = "response_ms")]
     pub response: Option<Duration>,
+    /// Version of the process; versions before 0.2.0 don't tell it.
+    #[serde(default)]
+    pub version: Option<Name>,
 }
 
 /// Measured effect of a filling image on a serving one. Encoded without field names, since there are many of them.
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -384,6 +384,7 @@
             ends: Vec::new(),
             is_empty: false,
             asked: Duration::ZERO,
+            version: None,
         });
         PlacerLink { sender, receiver }
     }
--- a/crates/scheduler/tests/succession.rs
+++ b/crates/scheduler/tests/succession.rs
@@ -44,7 +44,7 @@
 }
 
 fn write_entry(rows: &MemoryStore, name: &str, processor_share: f64, address: SocketAddr) {
-    let row = rows::EntryProcess { address, processor_share, response: None };
+    let row = rows::EntryProcess { address, processor_share, response: None, version: None };
     rows.write(Table::Cell, &format!("entry/{name}"), Some(rows::encode(&row)));
 }
 
