Estimate run times from runs, in one place for every decision

Cause: the estimates of large jobs are off by a factor of two and more. Rank, urgency, moves and the logged objective took them as stated, times a ratio for the whole queue that also counted the time for which runs were slowed.

Change: cell/run_time.rs. The run time of a step's tasks at full pace comes from the stated estimate, corrected by the queue's usual ratio, and from the progress of the step's own runs, each weighted by how far it is usually off; both deviations are learnt. A job's chain takes the longest task to expect of each step, with its failed runs. Rank, urgency, copies, moves, evacuation, preemption's room and the backlog use it.

Progress counts since then by the time of the last change of percent; not measured by itself.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -46,6 +46,7 @@
 use crate::interference::{Effects, Evidence, Interference, Pair};
 use crate::job::{JobId, JobState, TaskId, TaskKey};
 use crate::packing::Load;
+use crate::run_time::EstimateAccuracy;
 use crate::worker::{Life, StartOrder, Worker};
 
 /// Weight of a former placer's evidence on image pairs: a few new observations outweigh it.
@@ -327,9 +328,11 @@
     notes: Vec<Note>,
     writes: Writes,
     checkpoints: CheckpointSelection,
-    /// Ratio of run times to their estimates, by queue.
-    estimates: Map<Name, f64>,
-    /// Mean relative deviation of single run times from that ratio, by queue.
+    /// Accuracy of the stated estimates, by queue.
+    accuracies: Map<Name, EstimateAccuracy>,
+    /// When the run times of the open jobs were last estimated.
+    run_times_estimated_at: Duration,
+    /// Mean relative deviation of single run times from the usual ratio to their estimates, by queue.
     spreads: Map<Name, f64>,
     /// Measured rates of work.
     meters: Map<PoolKey, RateMeter>,
@@ -373,7 +376,8 @@
             notes: Vec::new(),
             writes: Writes::default(),
             checkpoints: CheckpointSelection::default(),
-            estimates: Map::default(),
+            accuracies: Map::default(),
+            run_times_estimated_at: Duration::ZERO,
             spreads: Map::default(),
             meters: Map::default(),
             backlog: Arc::default(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -283,7 +283,14 @@
         if let Some(state) = entry.tasks.get_mut(&task.key) {
             state.checkpoint.run = state.checkpoint.run.max(number);
             let (started, percent) = (percent.map(|_| now), percent.unwrap_or(0));
-            state.runs.push(Run { started, percent, urgency, ..Run::new(number, name, now) });
+            // What the run did before isn't measured.
+            state.runs.push(Run {
+                started,
+                percent,
+                restored_percent: percent,
+                urgency,
+                ..Run::new(number, name, now)
+            });
         }
         self.ready.remove(&task);
         if let Some(agent) = self.agents.get_mut(name) {
@@ -307,6 +314,7 @@
             && run.started.is_none()
         {
             run.started = Some(now);
+            run.timed_at = now;
             run.progressed_at = now;
         }
     }
@@ -351,11 +359,14 @@
                 }
                 if run.started.is_none() {
                     run.started = Some(now);
+                    run.timed_at = now;
                 }
+                run.count_time(now);
                 run.pace_percent = report.pace_percent.min(FULL_PERCENT);
                 run.update_slowed(report.pace_percent < SLOWED_PERCENT, report.percent, now);
                 if run.percent != report.percent {
                     run.percent = report.percent;
+                    run.progress_time = run.full_pace_time;
                     run.progressed_at = now;
                 }
             } else {
--- a/crates/cell/src/cell/backlog.rs
+++ b/crates/cell/src/cell/backlog.rs
@@ -59,10 +59,10 @@
             pools.into_values().filter(|pool| pool.in_time.total() + pool.late.total() > 0).collect();
         pools.sort_unstable_by(|one, other| (&one.service, one.is_filling).cmp(&(&other.service, other.is_filling)));
         let mut queues: Vec<Estimates> = self
-            .estimates
+            .accuracies
             .iter()
             .filter(|(queue, _)| bounded.contains(*queue))
-            .map(|(queue, ratio)| self.estimates_of(queue, *ratio))
+            .map(|(queue, accuracy)| self.estimates_of(queue, accuracy.ratio()))
             .collect();
         queues.sort_unstable_by(|one, other| one.queue.cmp(&other.queue));
         self.backlog = Arc::new(Backlog { pools, queues });
@@ -91,18 +91,18 @@
             if rank.is_overdue() || entry.job.is_lasting() {
                 continue;
             }
-            let ratio = self.ratio(entry);
             let service = self.service(entry);
-            let size = entry.remaining_work().mul_f64(ratio);
+            let size = entry.remaining_work();
             for is_filling in [false, true] {
                 let of_pool = |(position, left): (&(u32, u32), &u32)| {
                     let step = entry.job.steps.get(position.1 as usize)?;
-                    (step.filling == is_filling && is_plain(step)).then(|| step.work().saturating_mul(*left))
+                    (step.filling == is_filling && is_plain(step))
+                        .then(|| entry.task_work(position.1).saturating_mul(*left))
                 };
                 let left: Duration =
                     entry.left.iter().filter_map(of_pool).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX);
                 let done = progressed.get(&(entry.job.id, is_filling)).copied().unwrap_or_default();
-                let work = left.saturating_sub(done).mul_f64(ratio);
+                let work = left.saturating_sub(done);
                 if !work.is_zero() {
                     let pool = pool(&mut pools, service, is_filling);
                     let sizes = if rank.is_in_time() { &mut pool.in_time } else { &mut pool.late };
@@ -133,12 +133,13 @@
         }
     }
 
-    /// Work that running tasks have done and might still lose, by job and filling, not scaled by the queue's ratio.
+    /// Work that running tasks have done and might still lose, by job and filling.
     fn work_under_way(&self) -> Map<(JobId, bool), Duration> {
         let mut done: Map<(JobId, bool), Duration> = Map::default();
         for (task, step, run_percent) in self.running() {
             if is_plain(step) {
-                *done.entry((task.job, step.filling)).or_default() += completed_part(step.work(), run_percent);
+                let work = self.jobs.get(&task.job).map_or(Duration::ZERO, |entry| entry.task_work(task.key.step));
+                *done.entry((task.job, step.filling)).or_default() += completed_part(work, run_percent);
             }
         }
         done
@@ -190,7 +191,7 @@
     fn count_task_progress(&mut self, task: TaskId, run_percent: u32) {
         let Some(entry) = self.jobs.get(&task.job) else { return };
         let Some(step) = entry.job.step(task.key).filter(|step| !step.lasting) else { return };
-        let (work, is_filling) = (step.work().mul_f64(self.ratio(entry)), step.filling);
+        let (work, is_filling) = (entry.task_work(task.key.step), step.filling);
         let key = (Arc::clone(self.service(entry)), is_filling);
         let Some(state) = self.task_mut(task) else { return };
         let gained = run_percent.min(DONE_PERCENT).saturating_sub(state.counted_percent);
@@ -200,10 +201,6 @@
         }
     }
 
-    fn ratio(&self, entry: &JobEntry) -> f64 {
-        self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0)
-    }
-
     fn service<'a>(&'a self, entry: &'a JobEntry) -> &'a Name {
         self.queues.get(&entry.job.queue).map_or(&entry.job.terms.service, |queue| &queue.terms.service)
     }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -9,6 +9,7 @@
 use super::agents::{counts_as_success, tasks_of_step};
 use super::{Cell, Note};
 use crate::job::TaskId;
+use crate::pace::FULL_PERCENT;
 use crate::progress::Outcome;
 use crate::worker::{End, EndKind};
 
@@ -16,10 +17,6 @@
 const RETRY_FIRST: Duration = Duration::from_millis(20);
 /// Longest such delay.
 const RETRY_MAX: Duration = Duration::from_millis(500);
-/// Weight of a new run in the ratio of run times to estimates.
-const RATIO_SMOOTHING: f64 = 0.05;
-/// Bounds of that ratio.
-const RATIO_BOUNDS: (f64, f64) = (0.2, 8.0);
 
 impl Cell {
     /// Processes ends that a worker reports.
@@ -46,8 +43,10 @@
     pub(crate) fn record_end(&mut self, name: &Name, end: &End, now: Duration) {
         self.remove_unmatched(name, (end.task, end.run));
         let was_known = self.release(name, end.task, end.run);
-        let started = self.run_mut(end.task, end.run).and_then(|run| run.started);
-        let took = started.map(|started| now.saturating_sub(started));
+        let done_work = self.run_mut(end.task, end.run).and_then(|run| {
+            run.count_time(now);
+            run.started.map(|_| (run.full_pace_time, FULL_PERCENT.saturating_sub(run.restored_percent)))
+        });
         if matches!(end.kind, EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone) {
             self.keep_final_checkpoint(end);
         }
@@ -59,8 +58,11 @@
             self.judge_worker(name, end.kind, now);
         }
         match end.kind {
-            EndKind::Done => self.task_done(end.task, took, now),
-            EndKind::Failed => self.task_failed(name, end.task, end.run, was_known, now),
+            EndKind::Done => self.task_done(end.task, done_work, now),
+            EndKind::Failed => {
+                self.note_failed_time(end.task, done_work.map_or(Duration::ZERO, |(time, _)| time));
+                self.task_failed(name, end.task, end.run, was_known, now);
+            }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
         if was_known {
@@ -101,17 +103,11 @@
         self.mark_dirty(end.task.job);
     }
 
-    fn task_done(&mut self, task: TaskId, took: Option<Duration>, now: Duration) {
+    /// Records a task that is done; `work` is the time at full pace and the progress of the run that did it.
+    fn task_done(&mut self, task: TaskId, work: Option<(Duration, u32)>, now: Duration) {
         self.counters.done += 1;
-        let Some(entry) = self.jobs.get(&task.job) else { return };
-        let Some(step) = entry.job.step(task.key) else { return };
-        if let Some(took) = took.filter(|_| !step.estimate.is_zero()) {
-            let ratio = (took.as_secs_f64() / step.estimate.as_secs_f64()).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
-            let queue = Arc::clone(&entry.job.queue);
-            let known = self.estimates.entry(Arc::clone(&queue)).or_insert(1.0);
-            let distance = (ratio / *known - 1.0).abs();
-            *known += (ratio - *known) * RATIO_SMOOTHING;
-            self.note_spread(&queue, distance);
+        if let Some((time, percent)) = work.filter(|(_, percent)| *percent > 0) {
+            self.note_run_time(task, time, percent);
         }
         let Some(entry) = self.jobs.get(&task.job) else { return };
         // A lasting task starts again however it ends; the members of a gang end together.
@@ -131,6 +127,38 @@
         }
     }
 
+    /// Takes account of a failed run, which the users' objective includes.
+    fn note_failed_time(&mut self, task: TaskId, time: Duration) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let (Some(state), Some(longest)) =
+            (entry.tasks.get_mut(&task.key), entry.failed_time.get_mut(task.key.step as usize))
+        else {
+            return;
+        };
+        state.failed_time += time;
+        *longest = state.failed_time.max(*longest);
+    }
+
+    /// Takes account of a run that did `percent` of a task.
+    fn note_run_time(&mut self, task: TaskId, time: Duration, percent: u32) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(stated) = entry.job.step(task.key).filter(|step| !step.lasting).map(|step| step.estimate) else {
+            return;
+        };
+        let Some(measured) = entry.measured.get_mut(task.key.step as usize) else { return };
+        let others = *measured;
+        measured.add(time, percent);
+        if stated.is_zero() {
+            return;
+        }
+        let queue = Arc::clone(&entry.job.queue);
+        let whole_time = time * FULL_PERCENT / percent;
+        let accuracy = self.accuracies.entry(Arc::clone(&queue)).or_default();
+        let distance = (whole_time.as_secs_f64() / (stated.as_secs_f64() * accuracy.ratio()) - 1.0).abs();
+        accuracy.note(stated, whole_time, &others);
+        self.note_spread(&queue, distance);
+    }
+
     fn mark_done(&mut self, task: TaskId) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
--- a/crates/cell/src/cell/evacuating.rs
+++ b/crates/cell/src/cell/evacuating.rs
@@ -182,7 +182,8 @@
         let run = self.run(task, number)?;
         let state = self.jobs.get(&task.job)?.tasks.get(&task.key)?;
         let percent = u64::from(state.unsaved_percent(run, step.checkpointing));
-        let estimate_ms = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+        let run_time = self.jobs.get(&task.job)?.run_time(task.key.step);
+        let estimate_ms = u64::try_from(run_time.as_millis()).unwrap_or(u64::MAX);
         Some(estimate_ms.saturating_mul(step.resources.processor_millicores).saturating_mul(percent) / 100_000)
     }
 
@@ -198,9 +199,12 @@
             let is_allowed = unavailable(entry, task) < step.unavailable_max.unwrap_or(1);
             return (!is_allowed || self.is_group_moving(task)).then_some(HoldReason::UnavailableMax);
         }
-        let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
         let is_worth_it = step.checkpointing
-            && evacuation::is_worth_moving(step.estimate, ratio, run.percent, run.pace_percent.min(FULL_PERCENT));
+            && evacuation::is_worth_moving(
+                entry.run_time(task.key.step),
+                run.percent,
+                run.pace_percent.min(FULL_PERCENT),
+            );
         (!is_worth_it).then_some(HoldReason::ShortTask)
     }
 
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -14,8 +14,12 @@
 use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
+use crate::run_time::{EstimateAccuracy, MeasuredWork};
 use crate::urgency::{self, Urgency};
 
+/// Interval at which run times are estimated again; the progress of runs is reported as often.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// A run that was ordered and hasn't ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -36,6 +40,13 @@
     pub(crate) urgency: Urgency,
     /// Progress at the start of the slowdown, in percent.
     pub(crate) slowed_from_percent: u32,
+    /// Time that the run has taken up to `timed_at`, scaled to full pace.
+    pub(crate) full_pace_time: Duration,
+    pub(crate) timed_at: Duration,
+    /// That time when `percent` last changed.
+    pub(crate) progress_time: Duration,
+    /// Progress of the checkpoint that the run started from, in percent.
+    pub(crate) restored_percent: u32,
 }
 
 impl Run {
@@ -52,6 +63,18 @@
             slowed_since: None,
             urgency: Urgency::UNKNOWN,
             slowed_from_percent: 0,
+            full_pace_time: Duration::ZERO,
+            timed_at: now,
+            progress_time: Duration::ZERO,
+            restored_percent: 0,
+        }
+    }
+
+    /// Adds the time since the last call, at the pace of that time.
+    pub(crate) fn count_time(&mut self, now: Duration) {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.timed_at, now));
+        if self.started.is_some() {
+            self.full_pace_time += passed * self.pace_percent / FULL_PERCENT;
         }
     }
 
@@ -80,6 +103,8 @@
     pub(crate) starts: u64,
     /// Numbers of its failed runs.
     pub(crate) failed_runs: BTreeSet<u64>,
+    /// Time that they took at full pace.
+    pub(crate) failed_time: Duration,
     pub(crate) checkpoint: Checkpoint,
     /// When the task last began to wait for capacity.
     pub(crate) ready_since: Duration,
@@ -119,7 +144,14 @@
     pub(crate) submitted_at: Duration,
     /// Occurrences whose tasks exist.
     pub(crate) opened_occurrences: u32,
-    /// Longest chain of estimates from each step to the end, that step included.
+    /// Work of the runs of each step that are done.
+    pub(crate) measured: Vec<MeasuredWork>,
+    /// Most time that failed runs of one task of each step took, at full pace.
+    pub(crate) failed_time: Vec<Duration>,
+    /// Expected run time of each step's tasks at full pace.
+    pub(crate) run_times: Vec<Duration>,
+    /// Longest chain from each step to the end, that step included: of each step the task that takes longest, with its
+    /// failed runs.
     pub(crate) chains: Vec<Duration>,
     pub(crate) unfinished: UnfinishedProgress,
     /// When the outcome became durable.
@@ -156,17 +188,43 @@
         (has_objective && ends_once).then(|| urgency::objective(terms, self.chain()))
     }
 
-    /// Longest chain of estimates of the whole job.
+    /// Estimates the run times again, by the queue's accuracy and by all runs so far.
+    pub(crate) fn estimate_run_times(&mut self, accuracy: &EstimateAccuracy) {
+        let mut measured = self.measured.clone();
+        for (key, task) in self.tasks.iter().filter(|(_, task)| !task.is_done) {
+            let Some(measured) = measured.get_mut(key.step as usize) else { continue };
+            for run in &task.runs {
+                measured.add(run.progress_time, run.percent.saturating_sub(run.restored_percent));
+            }
+        }
+        let steps = self.job.steps.iter().zip(&measured);
+        self.run_times = steps.map(|(step, measured)| accuracy.run_time(step.estimate, measured)).collect();
+        let longest = self.job.steps.iter().zip(&self.run_times).zip(&self.failed_time);
+        let longest: Vec<Duration> = longest
+            .map(|((step, run_time), failed)| run_time.mul_f64(accuracy.longest_ratio(step.count)) + *failed)
+            .collect();
+        self.chains = self.job.chains(&longest);
+    }
+
+    /// Expected run time of a step's tasks at full pace.
+    pub(crate) fn run_time(&self, step: u32) -> Duration {
+        self.run_times.get(step as usize).copied().unwrap_or_default()
+    }
+
+    /// Expected core time of a task of a step.
+    pub(crate) fn task_work(&self, step: u32) -> Duration {
+        self.job.steps.get(step as usize).map_or(Duration::ZERO, |known| known.work_in(self.run_time(step)))
+    }
+
+    /// Longest chain of run times of the whole job.
     pub(crate) fn chain(&self) -> Duration {
         self.chains.iter().copied().max().unwrap_or_default()
     }
 
-    /// Estimated core time of the tasks that aren't done.
+    /// Expected core time of the tasks that aren't done.
     pub(crate) fn remaining_work(&self) -> Duration {
-        let work = |((_, step), left): (&(u32, u32), &u32)| {
-            Some(self.job.steps.get(*step as usize)?.work().saturating_mul(*left))
-        };
-        self.left.iter().filter_map(work).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
+        let work = |((_, step), left): (&(u32, u32), &u32)| self.task_work(*step).saturating_mul(*left);
+        self.left.iter().map(work).fold(Duration::ZERO, Duration::saturating_add).min(WORK_MAX)
     }
 
     pub(crate) fn age(&self, now: Duration) -> Duration {
@@ -235,8 +293,7 @@
         let id = job.id;
         let outcome = progress.outcome;
         let has_started = revision > 0;
-        let chains = (0..job.steps.len()).map(|step| job.chain_from(step)).collect();
-        let entry = JobEntry {
+        let mut entry = JobEntry {
             job: Arc::new(job),
             tasks: Map::default(),
             left: Map::default(),
@@ -248,10 +305,16 @@
             has_started,
             submitted_at: now.saturating_sub(age),
             opened_occurrences: 0,
-            chains,
+            measured: Vec::new(),
+            failed_time: Vec::new(),
+            run_times: Vec::new(),
+            chains: Vec::new(),
             unfinished: UnfinishedProgress::default(),
             durable_at: outcome.map(|_| now),
         };
+        entry.measured = vec![MeasuredWork::default(); entry.job.steps.len()];
+        entry.failed_time = vec![Duration::ZERO; entry.job.steps.len()];
+        entry.estimate_run_times(&self.accuracy(&entry.job.queue));
         if !has_started {
             *self.pending_by_queue.entry(Arc::clone(&entry.job.queue)).or_default() += 1;
         }
@@ -332,6 +395,7 @@
             return;
         }
         self.scheduled.remove(&id);
+        entry.estimate_run_times(&self.accuracies.get(&entry.job.queue).copied().unwrap_or_default());
         entry.outcome = Some(outcome);
         // A job that has ended needs nothing else, and successors read every row.
         entry.progress = Progress { outcome: Some(outcome), ..Progress::default() };
@@ -404,6 +468,22 @@
         self.ready.retain(|task| task.job != id);
     }
 
+    /// Accuracy of a queue's estimates, as far as it is known.
+    pub(super) fn accuracy(&self, queue: &Name) -> EstimateAccuracy {
+        self.accuracies.get(queue).copied().unwrap_or_default()
+    }
+
+    /// Estimates the run times of all open jobs again, unless that was done recently.
+    pub(super) fn estimate_run_times(&mut self, now: Duration) {
+        if now.saturating_sub(self.run_times_estimated_at) < ESTIMATE_INTERVAL {
+            return;
+        }
+        self.run_times_estimated_at = now;
+        for entry in self.jobs.values_mut().filter(|entry| entry.outcome.is_none()) {
+            entry.estimate_run_times(&self.accuracies.get(&entry.job.queue).copied().unwrap_or_default());
+        }
+    }
+
     /// Jobs that haven't ended.
     #[must_use]
     pub fn open_jobs(&self) -> Set<JobId> {
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -75,6 +75,8 @@
 pub(super) struct TaskToPlace<'a> {
     task: TaskId,
     step: &'a Step,
+    /// Expected run time at full pace.
+    run_time: Duration,
     state: &'a Task,
     now: Duration,
 }
@@ -84,7 +86,7 @@
     pub(super) fn cost(&self, name: &Name, agent: &Agent, load: &Load, need: &Need) -> Option<i64> {
         let waited = self.now.saturating_sub(self.state.ready_since);
         let disturbs_none = need.disturbed == 0;
-        let fits = (disturbs_none || colocation::is_worth_starting(self.step.estimate, need.pace_percent, waited))
+        let fits = (disturbs_none || colocation::is_worth_starting(self.run_time, need.pace_percent, waited))
             && !agent.is_start_deferred(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
@@ -105,6 +107,7 @@
             return;
         }
         self.needs_placing = false;
+        self.estimate_run_times(now);
         let waiting = self.rank_waiting(now);
         let mut applied = self.apply_reservations(now);
         self.place_reserved(&waiting, &mut applied, now);
@@ -203,13 +206,12 @@
     }
 
     pub(super) fn rank(&self, entry: &JobEntry, step: u32, now: Duration) -> Rank {
-        let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
-        let left = entry.chains.get(step as usize).copied().unwrap_or_default().mul_f64(ratio);
-        let chain = entry.chain().mul_f64(ratio);
+        let left = entry.chains.get(step as usize).copied().unwrap_or_default();
         let is_lasting = entry.job.steps.get(step as usize).is_some_and(|step| step.lasting);
         let age = if entry.job.schedule.is_some() { Duration::ZERO } else { entry.age(now) };
         let terms = self.terms_of(entry);
-        urgency::rank(terms, is_lasting, age, &Remaining { chain, left, work: entry.remaining_work().mul_f64(ratio) })
+        let remaining = Remaining { chain: entry.chain(), left, work: entry.remaining_work() };
+        urgency::rank(terms, is_lasting, age, &remaining)
     }
 
     pub(super) fn step_of(&self, task: TaskId) -> Option<&Step> {
@@ -340,7 +342,11 @@
             },
             pace_percent: if disturbed > 0 { self.expected_pace_percent(agent, step, without) } else { FULL_PERCENT },
             largest_millicores: context.largest_millicores,
-            ending_millicores: if context.largest_millicores > 0 { self.ending_millicores(agent, step) } else { 0 },
+            ending_millicores: if context.largest_millicores > 0 {
+                self.ending_millicores(agent, entry.run_time(task.key.step))
+            } else {
+                0
+            },
             ..need(&entry.job, task.key)
         })
     }
@@ -364,10 +370,10 @@
         if smallest == largest { 0 } else { largest }
     }
 
-    /// Processor time that runs on a worker are expected to free during a task of the step, averaged over its
-    /// estimate, in thousandths of a core.
-    fn ending_millicores(&self, agent: &Agent, step: &Step) -> u64 {
-        let window_ms = step.estimate.as_millis();
+    /// Processor time that runs on a worker are expected to free within `window`, averaged over it, in thousandths of
+    /// a core.
+    fn ending_millicores(&self, agent: &Agent, window: Duration) -> u64 {
+        let window_ms = window.as_millis();
         if window_ms == 0 {
             return 0;
         }
@@ -375,9 +381,10 @@
         for (task, number) in &agent.runs {
             let Some(other) = self.step_of(*task).filter(|other| !other.lasting) else { continue };
             let Some(run) = self.run(*task, *number) else { continue };
+            let run_time = self.jobs.get(&task.job).map_or(Duration::ZERO, |entry| entry.run_time(task.key.step));
             let pace_percent = if other.filling { run.pace_percent } else { FULL_PERCENT };
             let left_percent = if run.is_stopping { 0 } else { FULL_PERCENT.saturating_sub(run.percent) };
-            let left_ms = (other.estimate * left_percent / pace_percent.max(1)).as_millis();
+            let left_ms = (run_time * left_percent / pace_percent.max(1)).as_millis();
             let used = u128::from(other.resources.processor_millicores) * u128::from(pace_percent) / 100;
             sum += used * window_ms.saturating_sub(left_ms) / window_ms;
         }
@@ -395,7 +402,7 @@
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let state = entry.tasks.get(&task.key)?;
-        Some(TaskToPlace { task, step, state, now })
+        Some(TaskToPlace { task, step, run_time: entry.run_time(task.key.step), state, now })
     }
 
     fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
@@ -446,7 +453,8 @@
         agent.next_start = now + RETURN_START_GAP;
         if let Some(state) = self.task_mut(task) {
             state.checkpoint.run = run;
-            state.runs.push(Run { urgency, ..Run::new(run, name, now) });
+            let restored_percent = if state.checkpoint.text.is_empty() { 0 } else { state.checkpoint.percent };
+            state.runs.push(Run { urgency, restored_percent, ..Run::new(run, name, now) });
         }
         self.ready.remove(&task);
         self.counters.starts += 1;
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -71,11 +71,10 @@
         let mut copies = Vec::new();
         let mut stalled = Vec::new();
         for entry in self.jobs.values().filter(|entry| entry.is_open()) {
-            let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
             for (key, state) in entry.tasks.iter().filter(|(_, state)| !state.is_done && state.runs.len() == 1) {
                 let run = &state.runs[0];
                 let Some(started) = run.started.filter(|_| !run.is_stopping) else { continue };
-                let Some(expected) = expected(entry, *key, ratio) else { continue };
+                let Some(expected) = expected(entry, *key) else { continue };
                 let task = TaskId { job: entry.job.id, key: *key };
                 let is_speculative = entry.job.step(*key).is_some_and(|step| step.speculative);
                 if is_speculative && now.saturating_sub(started) >= expected.mul_f64(COPY_FACTOR).max(COPY_MIN) {
@@ -180,9 +179,7 @@
         if step.lasting || step.gang || step.estimate.is_zero() {
             return None;
         }
-        // The learnt ratio includes slowed runs, so it is used only where runs take less time than estimated.
-        let full_estimate =
-            step.estimate.mul_f64(self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0).min(1.0));
+        let full_estimate = entry.run_time(slowed.task.key.step);
         let left_percent = FULL_PERCENT.saturating_sub(run.percent);
         let by_pace = full_estimate * left_percent / run.pace_percent.max(1);
         let done_percent = run.percent.saturating_sub(run.slowed_from_percent).max(1);
@@ -287,9 +284,9 @@
 }
 
 /// Expected duration of a run; `None` for lasting runs.
-fn expected(entry: &JobEntry, key: TaskKey, ratio: f64) -> Option<Duration> {
+fn expected(entry: &JobEntry, key: TaskKey) -> Option<Duration> {
     let step = entry.job.step(key)?;
-    (!step.lasting && !step.gang && !step.estimate.is_zero()).then(|| step.estimate.mul_f64(ratio))
+    (!step.lasting && !step.gang && !step.estimate.is_zero()).then(|| entry.run_time(key.step))
 }
 
 /// Whether the unfinished tasks of a task's step are its last ones.
--- a/crates/cell/src/cell/urgencies.rs
+++ b/crates/cell/src/cell/urgencies.rs
@@ -27,7 +27,7 @@
 pub(crate) struct UnfinishedProgress {
     /// When it was computed; `None` before the first time.
     counted_at: Option<Duration>,
-    /// Core time of the work done, by the tasks' estimates.
+    /// Core time of the work done.
     work: Duration,
     /// Least progress among the tasks of each occurrence and step, in percent.
     least_percent: Map<(u32, u32), u32>,
@@ -41,9 +41,8 @@
         }
         let mut advance = UnfinishedProgress { counted_at: Some(now), ..UnfinishedProgress::default() };
         for (key, state) in self.tasks.iter().filter(|(_, state)| !state.is_done) {
-            let Some(step) = self.job.step(*key) else { continue };
             let percent = state.runs.iter().map(|run| run.percent.min(FULL_PERCENT)).max().unwrap_or(0);
-            advance.work += step.work().saturating_mul(percent) / FULL_PERCENT;
+            advance.work += self.task_work(key.step).saturating_mul(percent) / FULL_PERCENT;
             let least = advance.least_percent.entry((key.occurrence, key.step)).or_insert(FULL_PERCENT);
             *least = percent.min(*least);
         }
@@ -55,21 +54,18 @@
     /// Urgency of a filling run of a task; `previous` is its last one.
     pub(super) fn urgency(&mut self, task: TaskId, previous: Urgency, now: Duration) -> Urgency {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return Urgency::UNKNOWN };
-        let Some(step) = entry.job.step(task.key).filter(|step| step.filling && !step.lasting) else {
+        if !entry.job.step(task.key).is_some_and(|step| step.filling && !step.lasting) {
             return Urgency::UNKNOWN;
-        };
-        let estimate = step.estimate;
+        }
         entry.count_unfinished_progress(now);
-        let ratio = self.estimates.get(&entry.job.queue).copied().unwrap_or(1.0);
         let least_percent = entry.unfinished.least_percent.get(&(task.key.occurrence, task.key.step)).copied();
-        let done = estimate * least_percent.unwrap_or(0) / FULL_PERCENT;
+        let done = entry.run_time(task.key.step) * least_percent.unwrap_or(0) / FULL_PERCENT;
         let left = entry.chains.get(task.key.step as usize).copied().unwrap_or_default().saturating_sub(done);
         let work = entry.remaining_work().saturating_sub(entry.unfinished.work);
         let terms = self.queues.get(&entry.job.queue).map_or(&entry.job.terms, |queue| &queue.terms);
         // Occurrences of a schedule have no objective of their own.
         let age = if entry.job.schedule.is_some() { Duration::ZERO } else { entry.age(now) };
-        let remaining =
-            Remaining { chain: entry.chain().mul_f64(ratio), left: left.mul_f64(ratio), work: work.mul_f64(ratio) };
+        let remaining = Remaining { chain: entry.chain(), left, work };
         urgency::urgency(terms, age, &remaining, previous)
     }
 
@@ -77,6 +73,7 @@
     /// changes count as sent from then on: an agent whose link is lost gets all urgencies again from
     /// [`Cell::run_traits`].
     pub fn changed_urgencies(&mut self, now: Duration) -> Vec<(Name, UrgencyChanges)> {
+        self.estimate_run_times(now);
         let mut by_agent = Vec::new();
         for (name, runs) in self.slowed_workers() {
             let mut changes = UrgencyChanges::new();
--- a/crates/cell/src/evacuation.rs
+++ b/crates/cell/src/evacuation.rs
@@ -112,13 +112,11 @@
     cold_until.min(now + SLOW_MAX)
 }
 
-/// Whether a run that saves checkpoints has enough work left to be moved; `ratio` is that of run times to estimates.
+/// Whether a run that saves checkpoints has enough work left to be moved; `run_time` is that of its task at full pace.
 #[must_use]
-pub fn is_worth_moving(estimate: Duration, ratio: f64, percent: u32, pace_percent: u32) -> bool {
-    let left = estimate.mul_f64(f64::from(100_u32.saturating_sub(percent)) / 100.0);
-    // The ratio was learnt from runs at their usual pace.
-    let at_pace = left.mul_f64(100.0 / f64::from(pace_percent.max(1)));
-    left.mul_f64(ratio).max(at_pace) > MOVE_REMAINING_MIN
+pub fn is_worth_moving(run_time: Duration, percent: u32, pace_percent: u32) -> bool {
+    let left = run_time.mul_f64(f64::from(100_u32.saturating_sub(percent)) / 100.0);
+    left.mul_f64(100.0 / f64::from(pace_percent.max(1))) > MOVE_REMAINING_MIN
 }
 
 /// Reason why a run is still on a worker of an evacuated domain.
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -293,23 +293,20 @@
         self.steps.iter().any(|step| step.lasting)
     }
 
-    /// Longest chain of estimates from a step to the end, that step included.
-    #[must_use]
-    pub fn chain_from(&self, step: usize) -> Duration {
-        self.chains().get(step).copied().unwrap_or_default()
-    }
-
     /// Longest chain of estimates of an occurrence.
     #[must_use]
     pub fn chain(&self) -> Duration {
-        self.chains().into_iter().max().unwrap_or_default()
+        let estimates: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
+        self.chains(&estimates).into_iter().max().unwrap_or_default()
     }
 
-    /// Longest chain of estimates from each step to the end.
-    fn chains(&self) -> Vec<Duration> {
+    /// Longest chain from each step to the end, that step included, given the run time of each step's tasks.
+    #[must_use]
+    pub fn chains(&self, run_times: &[Duration]) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
         for position in (0..self.steps.len()).rev() {
-            longest[position] = longest[position].saturating_add(self.steps[position].estimate).min(WORK_MAX);
+            let run_time = run_times.get(position).copied().unwrap_or_default();
+            longest[position] = longest[position].saturating_add(run_time).min(WORK_MAX);
             for earlier in &self.steps[position].after {
                 let earlier = *earlier as usize;
                 longest[earlier] = longest[earlier].max(longest[position]);
@@ -330,8 +327,14 @@
     /// Core time of a task, by its estimate.
     #[must_use]
     pub fn work(&self) -> Duration {
+        self.work_in(self.estimate)
+    }
+
+    /// Core time of a task that takes `run_time`.
+    #[must_use]
+    pub fn work_in(&self, run_time: Duration) -> Duration {
         let millicores = u32::try_from(self.resources.processor_millicores).unwrap_or(u32::MAX);
-        (self.estimate.saturating_mul(millicores) / MILLICORES).min(WORK_MAX)
+        (run_time.saturating_mul(millicores) / MILLICORES).min(WORK_MAX)
     }
 }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod preemption;
 pub mod progress;
 pub mod response;
+pub mod run_time;
 pub mod succession;
 pub mod urgency;
 pub mod worker;
