Satisfy the linter in the scheduler

Cause: four flags in the placer's state, and two formats in a test that the linter rejects. Change: the pause of starts is kept as the time since when, which the log line tells as paused_ms; samples are written with write!. Measured: clippy passes; the tests of samples pass, and the names in a newly written file are the same 49.

--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -217,8 +217,8 @@
     cell: Cell,
     authority: Authority,
     had_authority: bool,
-    /// Starts were paused at the last check because the operator's rows were out of date.
-    are_starts_paused: bool,
+    /// Since when starts are paused because the operator's rows are out of date.
+    starts_paused_since: Option<Duration>,
     /// When it became known that no previous placer can act any more.
     predecessor_ended_at: Option<Duration>,
     /// Whether that is known, as published with the heartbeat.
@@ -304,7 +304,7 @@
             cell,
             authority,
             had_authority: true,
-            are_starts_paused: false,
+            starts_paused_since: None,
             predecessor_ended_at: None,
             is_alone,
             is_loaded: false,
@@ -515,10 +515,13 @@
             .context
             .evacuation_apply
             .is_none_or(|apply| self.authority.covers_rows(read, apply.mul_f64(EVACUATION_KNOWN_FRACTION)));
-        if self.are_starts_paused == knows {
-            self.are_starts_paused = !knows;
-            let age_ms = whole_ms(self.context.clock.now().saturating_sub(read));
-            log::warn!(event = "starts_paused", term = self.context.term, is_paused = !knows, rows_read_ms_ago = age_ms; "");
+        if self.starts_paused_since.is_some() == knows {
+            let now = self.context.clock.now();
+            let paused_since = self.starts_paused_since.take();
+            self.starts_paused_since = (!knows).then_some(now);
+            let paused_for = paused_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+            log::warn!(event = "starts_paused", term = self.context.term, is_paused = !knows,
+                paused_ms = whole_ms(paused_for), rows_read_ms_ago = whole_ms(now.saturating_sub(read)); "");
         }
         knows
     }
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -6,6 +6,8 @@
 //! version; a file that exists is never written again.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -259,10 +261,6 @@
     pairs.map(|pair| u8::from_str_radix(pair, 16).expect("hexadecimal digits")).collect()
 }
 
-fn to_hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn production() -> BTreeMap<String, Vec<u8>> {
     let line = |line: &str| {
         let (name, digits) = line.split_once(' ').expect("a name and digits");
@@ -340,8 +338,14 @@
 #[test]
 fn samples_are_written_on_request() {
     let Ok(path) = std::env::var(SAMPLES_ENV) else { return };
-    let lines: String =
-        Samples::present().0.iter().map(|(name, bytes)| format!("{name} {}\n", to_hex(bytes))).collect();
+    let mut lines = String::new();
+    for (name, bytes) in Samples::present().0 {
+        write!(lines, "{name} ").expect("a string takes any text");
+        for byte in bytes {
+            write!(lines, "{byte:02x}").expect("a string takes any text");
+        }
+        lines.push('\n');
+    }
     let mut file = std::fs::File::create_new(path).expect("the file doesn't exist yet");
-    std::io::Write::write_all(&mut file, lines.as_bytes()).expect("the file is written");
+    file.write_all(lines.as_bytes()).expect("the file is written");
 }
