Move a slowed run the sooner the more the move gains

Change: a move that gains nothing would be due after 1.2 s, as before; otherwise the time is shortened by what the task takes with the move over what it takes where it is. Applies where queues differ in priority.

Tests: three of the new cases and the played step fail with the former rule (the step took 5.3 s, the bound is 4 s of work and 1.2 s).

--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -20,6 +20,7 @@
 use crate::job::{TaskId, TaskKey};
 use crate::pace::FULL_PERCENT;
 use crate::preemption::DISPLACED_MAX;
+use crate::stragglers::{self, SLOWED_MIN};
 use crate::urgency::Rank;
 
 /// Multiple of its expected duration after which a run that may have a copy gets one.
@@ -30,8 +31,6 @@
 const STALL_MIN: Duration = Duration::from_millis(1_800);
 /// Fraction of the expected duration without progress after which a run counts as stalled.
 const STALL_FACTOR: f64 = 0.6;
-/// Time for which a run is slowed before it is moved.
-const SLOWED_MIN: Duration = Duration::from_millis(1_200);
 /// Time for which a run is slowed before it is stopped to wait for other capacity, if others wait too.
 const STUCK_MIN: Duration = Duration::from_millis(1_500);
 /// Progress from which a run is left to end where it is, in percent.
@@ -94,9 +93,9 @@
         }
     }
 
-    /// Runs that have been slowed for long and may be stopped, either of services whose queues differ in priority or
-    /// of all others.
-    fn slowed_runs(&self, is_prioritized: bool, now: Duration) -> Vec<SlowedRun> {
+    /// Runs that have been slowed for at least `slowed_min` and may be stopped, either of services whose queues differ
+    /// in priority or of all others.
+    fn slowed_runs(&self, is_prioritized: bool, slowed_min: Duration, now: Duration) -> Vec<SlowedRun> {
         let mut slowed = Vec::new();
         let predicate = |entry: &&JobEntry| entry.is_open() && self.is_prioritized(entry) == is_prioritized;
         for entry in self.jobs.values().filter(predicate) {
@@ -105,7 +104,7 @@
                 let is_saved = entry.job.step(*key).is_some_and(|step| step.checkpointing);
                 let percent_max = if is_saved { MOVE_PERCENT_MAX } else { UNSAVED_PERCENT_MAX };
                 if let Some(since) = run.slowed_since.filter(|_| !run.is_stopping && run.percent < percent_max)
-                    && now.saturating_sub(since) >= SLOWED_MIN
+                    && now.saturating_sub(since) >= slowed_min
                 {
                     let task = TaskId { job: entry.job.id, key: *key };
                     slowed.push(SlowedRun { is_early: !is_last(entry, *key), since, task, number: run.number });
@@ -121,7 +120,7 @@
 
     /// Moves runs that were slowed for long to workers where they disturb nobody, unless much progress would be lost.
     fn move_slowed(&mut self, now: Duration) {
-        let mut slowed = self.slowed_runs(false, now);
+        let mut slowed = self.slowed_runs(false, SLOWED_MIN, now);
         slowed.sort_unstable_by_key(|slowed| (slowed.since, slowed.task, slowed.number));
         let is_contended = !self.ready.is_empty();
         for SlowedRun { since, task, number, .. } in slowed.into_iter().take(self.moves_max()) {
@@ -139,7 +138,7 @@
     /// Moves slowed runs that end sooner elsewhere, the last ones of their steps first, and stops others whose
     /// capacity a more urgent task takes. Applies to services whose queues differ in priority.
     fn move_or_yield(&mut self, now: Duration) {
-        let mut slowed = self.slowed_runs(true, now);
+        let mut slowed = self.slowed_runs(true, Duration::ZERO, now);
         if slowed.is_empty() {
             return;
         }
@@ -153,6 +152,7 @@
             if left > 0
                 && !without_capacity.contains(&group(run.task))
                 && let Some((here, there)) = self.ends_sooner(&run, now)
+                && now.saturating_sub(run.since) >= stragglers::slowed_before_move(here, there)
             {
                 if let Some(to) = self.undisturbing_worker(run.task, now) {
                     left -= 1;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod progress;
 pub mod response;
 pub mod run_time;
+pub mod stragglers;
 pub mod succession;
 pub mod urgency;
 pub mod worker;
--- a/crates/cell/tests/stops.rs
+++ b/crates/cell/tests/stops.rs
@@ -6,7 +6,8 @@
 
 use chervilledge_cell::cell::{Action, Inventory, Note};
 use chervilledge_cell::interference::{Evidence, Pair};
-use chervilledge_cell::job::{Job, JobId, Step, TaskId};
+use chervilledge_cell::job::{Job, JobId, JobState, Step, TaskId};
+use chervilledge_cell::stragglers::SLOWED_MIN;
 use chervilledge_cell::worker::{EndKind, RunReport};
 use rstest::rstest;
 use support::{World, job, name, step, worker};
@@ -174,3 +175,77 @@
     let starts: Vec<TaskId> = world.cell.take_actions().iter().filter_map(start).collect();
     assert_eq!(starts.first(), Some(&yielding), "{starts:?}");
 }
+
+/// A halted run keeps its whole job waiting: it must move as soon as a worker is free that it doesn't disturb. One that
+/// would gain little waits, since its pace may rise again with the next look at the tails.
+#[rstest]
+#[case::halted(0, 20, 400, 1)]
+#[case::would_gain_a_third(30, 20, 600, 0)]
+#[case::would_gain_a_third_for_longer(30, 20, 900, 1)]
+#[case::gains_nothing(70, 60, 3_000, 0)]
+fn a_run_moves_the_sooner_the_more_that_gains(
+    #[case] pace_percent: u32,
+    #[case] percent: u32,
+    #[case] slowed_ms: u64,
+    #[case] moves: usize,
+) {
+    let mut world = world();
+    world.submit(job(1, vec![filling(1, 1_000)]));
+    world.place();
+    report(&mut world, 0, 100);
+    world.advance_ms(u64::from(percent) * 40);
+    report(&mut world, percent, pace_percent);
+    add_idle_worker(&mut world, MILLICORES);
+    world.advance_ms(slowed_ms);
+    // Progress at the pace that is reported.
+    let progress = u32::try_from(slowed_ms).expect("short") * pace_percent / 4_000;
+    report(&mut world, percent + progress, pace_percent);
+    assert_eq!(stops(&mut world).len(), moves);
+}
+
+/// Plays a step on a worker that halts its runs, beside a worker on which they disturb nobody. The caller waits for the
+/// last of them: 4 s of work, and less than the 1.2 s for which a run that gains nothing would have to be slowed.
+#[test]
+fn a_step_on_a_slow_worker_ends_soon_once_there_is_room_elsewhere() {
+    let mut world = world();
+    world.submit(job(1, vec![filling(4, 500)]));
+    world.place();
+    assert_eq!(world.all_running().len(), 5, "the serving run and four filling ones");
+    add_idle_worker(&mut world, MILLICORES);
+    let began = world.now;
+    // Work done by each task, in milliseconds at full pace.
+    let mut done = std::collections::BTreeMap::<TaskId, u64>::new();
+    while world.cell.state(JobId(1)) != Some(JobState::Completed) {
+        assert!(world.now < began + Duration::from_secs(30), "the job doesn't end");
+        world.advance_ms(100);
+        let running: Vec<_> = world.all_running().into_iter().filter(|(_, task, _)| task.job == JobId(1)).collect();
+        let mut reports = Vec::new();
+        for (agent, task, run) in running {
+            let pace_percent = if agent == name("agent-calm") { 100 } else { 0 };
+            let done = done.entry(task).or_default();
+            *done += u64::from(pace_percent);
+            if *done >= 4_000 {
+                world.end(&agent, task, run, EndKind::Done);
+                continue;
+            }
+            let percent = u32::try_from(*done / 40).expect("below 100");
+            reports.push(RunReport { task, run, checkpoint: name("c"), percent, measured: 400, pace_percent });
+        }
+        world.cell.runs_reported(&reports, world.now);
+        for (task, _) in stops(&mut world) {
+            for (agent, running, run) in world.all_running() {
+                if running == task {
+                    world.end(&agent, task, run, EndKind::Stopped);
+                }
+            }
+        }
+        world.place();
+        let committed = world.cell.next_batch();
+        if let Some(batch) = committed {
+            let revision = world.next_revision();
+            world.cell.committed(&batch, revision, world.now);
+        }
+    }
+    let took = world.now.saturating_sub(began);
+    assert!(took < Duration::from_secs(4) + SLOWED_MIN, "{took:?}");
+}
