Part the cell's agents and jobs by what they hold

Change: task.rs has tasks, runs and checkpoints, runs.rs what happens to runs between order and end, run_times.rs the estimates; jobs.rs no longer imports checkpoints.rs or urgencies.rs. Code is moved, not changed.

--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -11,7 +11,8 @@
 
 use chervilledge_policy::id::Name;
 
-use super::jobs::{JobEntry, Task};
+use super::jobs::JobEntry;
+use super::task::{Checkpoint, Task};
 use super::{Cell, Note};
 use crate::job::{JobId, TaskKey};
 use crate::progress::{Checkpointed, Progress};
@@ -33,32 +34,6 @@
 /// Size of a checkpoint in a row without its text, in bytes: the key twice, run and percent.
 const CHECKPOINT_BYTES: usize = 2 * KEY_BYTES + 24;
 
-/// Checkpoint that the next run of a task starts from.
-#[derive(Clone, Debug)]
-pub(crate) struct Checkpoint {
-    /// Opaque text for the worker; empty when there is none.
-    pub(crate) text: Name,
-    /// Newest run that saved it or started from it.
-    pub(crate) run: u64,
-    /// Progress of the task in the report that first named it.
-    pub(crate) percent: u32,
-}
-
-impl Default for Checkpoint {
-    fn default() -> Self {
-        Self { text: Arc::from(""), run: 0, percent: 0 }
-    }
-}
-
-impl Checkpoint {
-    /// Checkpoint of a task as stored in a row.
-    pub(crate) fn stored(progress: &Progress, key: TaskKey) -> Self {
-        let Some(text) = progress.checkpoints.get(&key) else { return Self::default() };
-        let by = progress.checkpointed.get(&key).copied().unwrap_or_default();
-        Self { text: Arc::clone(text), run: by.run, percent: by.percent }
-    }
-}
-
 /// Work of open jobs that is saved on workers but not durable.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct UnsavedWork {
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -127,38 +127,6 @@
         }
     }
 
-    /// Takes account of a failed run, which the users' objective includes.
-    fn note_failed_time(&mut self, task: TaskId, time: Duration) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        let (Some(state), Some(longest)) =
-            (entry.tasks.get_mut(&task.key), entry.failed_time.get_mut(task.key.step as usize))
-        else {
-            return;
-        };
-        state.failed_time += time;
-        *longest = state.failed_time.max(*longest);
-    }
-
-    /// Takes account of a run that did `percent` of a task.
-    fn note_run_time(&mut self, task: TaskId, time: Duration, percent: u32) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        let Some(stated) = entry.job.step(task.key).filter(|step| !step.lasting).map(|step| step.estimate) else {
-            return;
-        };
-        let Some(measured) = entry.measured.get_mut(task.key.step as usize) else { return };
-        let others = *measured;
-        measured.add(time, percent);
-        if stated.is_zero() {
-            return;
-        }
-        let queue = Arc::clone(&entry.job.queue);
-        let whole_time = time * FULL_PERCENT / percent;
-        let accuracy = self.accuracies.entry(Arc::clone(&queue)).or_default();
-        let distance = (whole_time.as_secs_f64() / (stated.as_secs_f64() * accuracy.ratio()) - 1.0).abs();
-        accuracy.note(stated, whole_time, &others);
-        self.note_spread(&queue, distance);
-    }
-
     fn mark_done(&mut self, task: TaskId) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
--- a/crates/cell/src/cell/evacuating.rs
+++ b/crates/cell/src/cell/evacuating.rs
@@ -13,8 +13,9 @@
 use chervilledge_policy::id::Name;
 
 use super::agents::tasks_of_step;
-use super::jobs::{JobEntry, Run};
+use super::jobs::JobEntry;
 use super::reservations::AppliedReservation;
+use super::task::Run;
 use super::{Agent, Cell, Note};
 use crate::evacuation::{self, EvacuatedDomains, Held, HoldReason, Standing};
 use crate::job::TaskId;
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -1,127 +1,28 @@
 //! Jobs and the state of their tasks.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
-use super::checkpoints::Checkpoint;
-use super::urgencies::UnfinishedProgress;
+use super::task::{Checkpoint, Task};
 use super::{Cell, Note, task_id};
 use crate::job::{Job, JobId, JobState, TASKS_MAX, TaskId, TaskKey, WORK_MAX};
-use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
-use crate::run_time::{EstimateAccuracy, MeasuredWork};
-use crate::urgency::{self, Urgency};
-
-/// Interval at which run times are estimated again; the progress of runs is reported as often.
-const ESTIMATE_INTERVAL: Duration = Duration::from_millis(300);
-
-/// A run that was ordered and hasn't ended.
-#[derive(Clone, Debug)]
-pub(crate) struct Run {
-    pub(crate) number: u64,
-    pub(crate) agent: Name,
-    /// When the worker accepted it, or was first seen to run it.
-    pub(crate) started: Option<Duration>,
-    pub(crate) percent: u32,
-    /// When `percent` last changed.
-    pub(crate) progressed_at: Duration,
-    /// The run was ordered to stop.
-    pub(crate) is_stopping: bool,
-    /// Pace in percent, as last reported.
-    pub(crate) pace_percent: u32,
-    /// Since when the run has been continuously slowed for the sake of serving runs.
-    pub(crate) slowed_since: Option<Duration>,
-    /// Urgency, as last sent to the agent.
-    pub(crate) urgency: Urgency,
-    /// Progress at the start of the slowdown, in percent.
-    pub(crate) slowed_from_percent: u32,
-    /// Time that the run has taken up to `timed_at`, scaled to full pace.
-    pub(crate) full_pace_time: Duration,
-    pub(crate) timed_at: Duration,
-    /// That time when `percent` last changed.
-    pub(crate) progress_time: Duration,
-    /// Progress of the checkpoint that the run started from, in percent.
-    pub(crate) restored_percent: u32,
-}
-
-impl Run {
-    /// Creates a run that was just ordered, or just found on a worker.
-    pub(crate) fn new(number: u64, agent: &Name, now: Duration) -> Self {
-        Self {
-            number,
-            agent: Arc::clone(agent),
-            started: None,
-            percent: 0,
-            progressed_at: now,
-            is_stopping: false,
-            pace_percent: FULL_PERCENT,
-            slowed_since: None,
-            urgency: Urgency::UNKNOWN,
-            slowed_from_percent: 0,
-            full_pace_time: Duration::ZERO,
-            timed_at: now,
-            progress_time: Duration::ZERO,
-            restored_percent: 0,
-        }
-    }
-
-    /// Adds the time since the last call, at the pace of that time.
-    pub(crate) fn count_time(&mut self, now: Duration) {
-        let passed = now.saturating_sub(std::mem::replace(&mut self.timed_at, now));
-        if self.started.is_some() {
-            self.full_pace_time += passed * self.pace_percent / FULL_PERCENT;
-        }
-    }
-
-    /// Updates whether the run is slowed, at a progress of `percent`.
-    pub(crate) fn update_slowed(&mut self, is_slowed: bool, percent: u32, now: Duration) {
-        if !is_slowed {
-            // A lack of progress before this says nothing about the worker.
-            if self.slowed_since.take().is_some() {
-                self.progressed_at = now;
-            }
-        } else if self.slowed_since.is_none() {
-            self.slowed_since = Some(now);
-            self.slowed_from_percent = percent;
-        }
-    }
-}
+use crate::run_time::MeasuredWork;
+use crate::urgency;
 
-/// A task of a job.
+/// Progress of the unfinished tasks of a job.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Task {
-    pub(crate) is_done: bool,
-    /// Progress that was counted as completed work, in percent.
-    pub(crate) counted_percent: u32,
-    pub(crate) runs: Vec<Run>,
-    /// Starts under this term.
-    pub(crate) starts: u64,
-    /// Numbers of its failed runs.
-    pub(crate) failed_runs: BTreeSet<u64>,
-    /// Time that they took at full pace.
-    pub(crate) failed_time: Duration,
-    pub(crate) checkpoint: Checkpoint,
-    /// When the task last began to wait for capacity.
-    pub(crate) ready_since: Duration,
-    /// Earliest time of the next start.
-    pub(crate) not_before: Duration,
-    /// Agents on whose workers the task failed or stalled.
-    pub(crate) avoided: Vec<Name>,
-    /// Number of runs that were stopped in favor of other tasks.
-    pub(crate) displacements: u32,
-}
-
-impl Task {
-    /// Progress of a run that a stop may lose, in percent.
-    pub(crate) fn unsaved_percent(&self, run: &Run, is_checkpointing: bool) -> u32 {
-        let is_saved = is_checkpointing && self.checkpoint.run == run.number;
-        run.percent.saturating_sub(if is_saved { self.checkpoint.percent } else { 0 })
-    }
+pub(crate) struct UnfinishedProgress {
+    /// When it was computed; `None` before the first time.
+    pub(super) counted_at: Option<Duration>,
+    /// Core time of the work done.
+    pub(super) work: Duration,
+    /// Least progress among the tasks of each occurrence and step, in percent.
+    pub(super) least_percent: Map<(u32, u32), u32>,
 }
 
 /// A job that the placer knows.
@@ -188,34 +89,6 @@
         (has_objective && ends_once).then(|| urgency::objective(terms, self.chain()))
     }
 
-    /// Estimates the run times again, by the queue's accuracy and by all runs so far.
-    pub(crate) fn estimate_run_times(&mut self, accuracy: &EstimateAccuracy) {
-        let mut measured = self.measured.clone();
-        for (key, task) in self.tasks.iter().filter(|(_, task)| !task.is_done) {
-            let Some(measured) = measured.get_mut(key.step as usize) else { continue };
-            for run in &task.runs {
-                measured.add(run.progress_time, run.percent.saturating_sub(run.restored_percent));
-            }
-        }
-        let steps = self.job.steps.iter().zip(&measured);
-        self.run_times = steps.map(|(step, measured)| accuracy.run_time(step.estimate, measured)).collect();
-        let longest = self.job.steps.iter().zip(&self.run_times).zip(&self.failed_time);
-        let longest: Vec<Duration> = longest
-            .map(|((step, run_time), failed)| run_time.mul_f64(accuracy.longest_ratio(step.count)) + *failed)
-            .collect();
-        self.chains = self.job.chains(&longest);
-    }
-
-    /// Expected run time of a step's tasks at full pace.
-    pub(crate) fn run_time(&self, step: u32) -> Duration {
-        self.run_times.get(step as usize).copied().unwrap_or_default()
-    }
-
-    /// Expected core time of a task of a step.
-    pub(crate) fn task_work(&self, step: u32) -> Duration {
-        self.job.steps.get(step as usize).map_or(Duration::ZERO, |known| known.work_in(self.run_time(step)))
-    }
-
     /// Longest chain of run times of the whole job.
     pub(crate) fn chain(&self) -> Duration {
         self.chains.iter().copied().max().unwrap_or_default()
@@ -468,22 +341,6 @@
         self.ready.retain(|task| task.job != id);
     }
 
-    /// Accuracy of a queue's estimates, as far as it is known.
-    pub(super) fn accuracy(&self, queue: &Name) -> EstimateAccuracy {
-        self.accuracies.get(queue).copied().unwrap_or_default()
-    }
-
-    /// Estimates the run times of all open jobs again, unless that was done recently.
-    pub(super) fn estimate_run_times(&mut self, now: Duration) {
-        if now.saturating_sub(self.run_times_estimated_at) < ESTIMATE_INTERVAL {
-            return;
-        }
-        self.run_times_estimated_at = now;
-        for entry in self.jobs.values_mut().filter(|entry| entry.outcome.is_none()) {
-            entry.estimate_run_times(&self.accuracies.get(&entry.job.queue).copied().unwrap_or_default());
-        }
-    }
-
     /// Jobs that haven't ended.
     #[must_use]
     pub fn open_jobs(&self) -> Set<JobId> {
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -7,7 +7,8 @@
 use chervilledge_policy::id::Name;
 
 use super::agents::{Contact, tasks_of_step};
-use super::jobs::{JobEntry, Run, Task, need};
+use super::jobs::{JobEntry, need};
+use super::task::{Run, Task};
 use super::{Action, Agent, Cell, Note};
 use crate::colocation;
 use crate::evacuation::RETURN_START_GAP;
--- a/crates/cell/src/cell/preempt.rs
+++ b/crates/cell/src/cell/preempt.rs
@@ -9,8 +9,9 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
-use super::jobs::{JobEntry, Run, Task};
+use super::jobs::JobEntry;
 use super::placing::{TaskGroup, group};
+use super::task::{Run, Task};
 use super::{Cell, Note};
 use crate::job::{Step, TaskId};
 use crate::preemption::{self, Budget, Candidate, Choice};
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -13,9 +13,10 @@
 use chervilledge_policy::collections::Set;
 use chervilledge_policy::id::Name;
 
-use super::jobs::{JobEntry, Run};
+use super::jobs::JobEntry;
 use super::placing::{TaskGroup, group};
 use super::reservations::AppliedReservation;
+use super::task::Run;
 use super::{Cell, Note};
 use crate::job::{TaskId, TaskKey};
 use crate::pace::FULL_PERCENT;
--- a/crates/cell/src/cell/urgencies.rs
+++ b/crates/cell/src/cell/urgencies.rs
@@ -6,11 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 
 use super::Cell;
-use super::jobs::JobEntry;
+use super::jobs::{JobEntry, UnfinishedProgress};
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
 use crate::urgency::{self, Remaining, Urgency};
@@ -22,17 +21,6 @@
 /// Changed urgencies of an agent's runs: task, run, urgency.
 pub type UrgencyChanges = Vec<(TaskId, u64, Urgency)>;
 
-/// Progress of the unfinished tasks of a job.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct UnfinishedProgress {
-    /// When it was computed; `None` before the first time.
-    counted_at: Option<Duration>,
-    /// Core time of the work done.
-    work: Duration,
-    /// Least progress among the tasks of each occurrence and step, in percent.
-    least_percent: Map<(u32, u32), u32>,
-}
-
 impl JobEntry {
     /// Computes the progress of the unfinished tasks, unless that was done recently.
     fn count_unfinished_progress(&mut self, now: Duration) {
