Move the check of the operator's rows to the placer's evacuations

Cause: the newcomer's reading found it in placer.rs, which is long, while evacuating.rs holds what it concerns.

--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -53,9 +53,6 @@
 /// The same for batches in which only tasks have ended, which nobody waits for: at most seven calls to the store a
 /// second.
 const BATCH_GAP: Duration = Duration::from_millis(150);
-/// Fraction of the time for an evacuation for which the operator's rows may be unread while the store answers. The rest
-/// is for starts that were ordered before to reach their worker.
-const EVACUATION_KNOWN_FRACTION: f64 = 0.75;
 /// Pause after a write that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval of the checks for jobs and agents whose rows may be deleted.
@@ -508,24 +505,6 @@
         }
     }
 
-    /// Whether the operator's rows were read recently enough for starts; logs when that changes.
-    fn knows_evacuations(&mut self) -> bool {
-        let read = *self.context.operator_rows_read.borrow();
-        let knows = self
-            .context
-            .evacuation_apply
-            .is_none_or(|apply| self.authority.covers_rows(read, apply.mul_f64(EVACUATION_KNOWN_FRACTION)));
-        if self.starts_paused_since.is_some() == knows {
-            let now = self.context.clock.now();
-            let paused_since = self.starts_paused_since.take();
-            self.starts_paused_since = (!knows).then_some(now);
-            let paused_for = paused_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
-            log::warn!(event = "starts_paused", term = self.context.term, is_paused = !knows,
-                paused_ms = whole_ms(paused_for), rows_read_ms_ago = whole_ms(now.saturating_sub(read)); "");
-        }
-        knows
-    }
-
     fn execute(&mut self, action: Action) {
         let (agent, message) = match action {
             Action::Start { agent, life, order } => {
