--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -13,6 +13,7 @@
 use chervilledge_scheduler::agent::{self, Context, Message};
 use chervilledge_scheduler::message::{FromAgent, LINK_TIMEOUT, NO_SECRET, ToAgent};
 use chervilledge_scheduler::settings;
+use chervilledge_scheduler::store::Handle;
 use chervilledge_scheduler::worker::{Calls, OrderOutcome, PollError, PollRequest, PollResponse, Report, StartOutcome};
 use chervilledge_scheduler::{clock, metrics};
 use ractor::ActorRef;
@@ -129,6 +130,11 @@
 
 /// Starts an agent whose worker hasn't reported yet.
 pub async fn spawn_without_report() -> RunningAgent {
+    spawn_named("agent-1", MemoryStore::with_fault(Fault::None).store()).await
+}
+
+/// Starts an agent that announces itself in a store; its worker hasn't reported yet.
+pub async fn spawn_named(name: &str, store: Handle) -> RunningAgent {
     let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
     let address = free.local_addr().expect("address");
     drop(free);
@@ -146,13 +152,13 @@
     let worker = ScriptedWorker(Arc::new(Mutex::new(script)));
     let context = Context {
         settings: settings::Agent {
-            name: Arc::from("agent-1"),
+            name: Arc::from(name),
             links_address: address,
             latency_harm_after: Duration::from_secs(4),
         },
         clock: clock::system(),
         calls: Arc::new(worker.calls()),
-        store: MemoryStore::with_fault(Fault::None).store(),
+        store,
         metrics: metrics::open(),
     };
     let actor = agent::spawn(context).await.expect("agent");
