Bound the leases of a placer by its last renewal, with witnesses

Cause: a new placer starts nothing that its predecessor may have started before each agent has answered or its leases have ended. It counted from its claim, as if the predecessor might act for 10 s more and then grant a whole lease. That time is meant for outages of the store, which a placer can't tell from being cut off, and was waited for at each loss of an agent beside a takeover. Class: a wait for somebody who is gone that is as long as the longest other case which looks alike.

Ruled out: a lasting task that waits behind others (no `placed` line of any job from 11.0 to 22.3 s), and runs that nobody has (the five agents are `silent`, then `lapsed`, with all of their runs).

Change: leases end within the longest one and a second from the last renewal of the term, by the heartbeat in the store or, while the store doesn't answer, by all of two witnesses that a row names. A successor counts from the heartbeat that its claim depends on, or from what one witness tells, which renews no older term from then on. Silent agents lapse by a confirmation that is asked for at once.

The random walk knows renewals and the witness; it fails if the witness forgets its promise, doesn't count its restart, renews before it has read the store, or leases aren't bounded.

--- a/crates/cell/src/authority.rs
+++ b/crates/cell/src/authority.rs
@@ -1,4 +1,9 @@
 //! Time for which a placer may act, and for which its successor waits.
+//!
+//! A successor can't tell a placer that is lost from one that it can't reach, and neither can it tell so of an agent. So
+//! every lease that a placer grants ends within a bound from the last time at which its term was renewed: by a heartbeat
+//! in the store, which the successor has seen, or by the witnesses that the store names ([`crate::witness`]), which the
+//! successor asks.
 
 use std::time::Duration;
 
@@ -8,6 +13,9 @@
 /// agent has to wait for it.
 pub const AUTHORITY_PERIOD: Duration = Duration::from_secs(10);
 
+/// Interval at which a placer renews its term in the store.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Fraction by which a worker's clock may be slow.
 const CLOCK_ERROR: f64 = 0.02;
 
@@ -26,22 +34,55 @@
     AUTHORITY_PERIOD + lapse_after(lease)
 }
 
+/// Time after the renewal of a term within which leases of up to `lease` end that are granted under it.
+///
+/// The interval between two renewals comes on top, so that a lease has its full length while the store answers.
+#[must_use]
+pub fn lease_bound(lease: Duration) -> Duration {
+    lease + RENEWAL_INTERVAL
+}
+
+/// When every lease has certainly ended that was granted under terms that were last renewed at `renewed`.
+#[must_use]
+pub fn leases_end(renewed: Duration, lease: Duration) -> Duration {
+    renewed + lapse_after(lease_bound(lease))
+}
+
 /// Authority of a placer to act, by its last confirmation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Authority {
     /// When the last confirmation was requested, not when it was answered.
     confirmed: Option<Duration>,
+    /// When the last renewal was requested; a successor knows of each.
+    renewed: Option<Duration>,
 }
 
 impl Authority {
     /// Records that the store confirmed the term, in answer to a call that was sent at `asked`.
     pub fn confirmed(&mut self, asked: Duration) {
-        self.confirmed = Some(self.confirmed.map_or(asked, |earlier| earlier.max(asked)));
+        self.confirmed = self.confirmed.max(Some(asked));
+    }
+
+    /// Records that the term was renewed by a heartbeat in the store or by the witnesses, on a request sent at `asked`.
+    pub fn renewed(&mut self, asked: Duration) {
+        self.renewed = self.renewed.max(Some(asked));
     }
 
     /// Ends the authority immediately.
     pub fn revoke(&mut self) {
-        self.confirmed = None;
+        *self = Self::default();
+    }
+
+    /// Time at which every lease of up to `lease` that is granted now has to end.
+    #[must_use]
+    pub fn leases_until(&self, lease: Duration) -> Option<Duration> {
+        self.renewed.map(|renewed| renewed + lease_bound(lease))
+    }
+
+    /// Age of the last renewal.
+    #[must_use]
+    pub fn renewal_age(&self, now: Duration) -> Option<Duration> {
+        self.renewed.map(|renewed| now.saturating_sub(renewed))
     }
 
     /// Whether the placer may act now.
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -325,6 +325,8 @@
     unread_reports: Vec<UnreadReport>,
     /// The former placer no longer acts.
     is_predecessor_over: bool,
+    /// When all leases granted by former placers will have ended, once known.
+    former_leases_end: Option<Duration>,
     /// Jobs stored after this revision can't have been started by a former placer.
     fresh_from: Option<u64>,
     actions: VecDeque<Action>,
@@ -374,6 +376,7 @@
             unresolved: Set::default(),
             unread_reports: Vec::new(),
             is_predecessor_over: term == 1,
+            former_leases_end: None,
             fresh_from: (term == 1).then_some(0),
             actions: VecDeque::new(),
             notes: Vec::new(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -47,11 +47,13 @@
         if self.agents.contains_key(name) {
             return;
         }
+        let is_of_predecessor = is_of_predecessor && self.former_leases_end.is_none_or(|end| now < end);
         let lease_until = match (is_of_predecessor, self.is_predecessor_over) {
             (false, _) => now,
             (true, true) => now + authority::lapse_after(self.lease),
             (true, false) => now + authority::takeover_wait(self.lease),
         };
+        let lease_until = self.former_leases_end.map_or(lease_until, |end| lease_until.min(end));
         if is_of_predecessor {
             self.unresolved.insert(Arc::clone(name));
         }
@@ -61,20 +63,31 @@
     /// Records that the former placer grants no more leases.
     pub fn predecessor_over(&mut self, now: Duration) {
         self.is_predecessor_over = true;
-        let lapsed = now + authority::lapse_after(self.lease);
+        self.limit_former_leases(now + authority::lapse_after(self.lease));
+    }
+
+    /// Records when all leases will have ended that former placers have granted and may still grant.
+    pub fn former_leases_end(&mut self, end: Duration) {
+        let end = self.former_leases_end.map_or(end, |known| known.min(end));
+        self.former_leases_end = Some(end);
+        self.limit_former_leases(end);
+    }
+
+    fn limit_former_leases(&mut self, end: Duration) {
         for name in &self.unresolved {
             if let Some(agent) = self.agents.get_mut(name) {
-                agent.lease_until = agent.lease_until.min(lapsed);
+                agent.lease_until = agent.lease_until.min(end);
             }
         }
         self.needs_placing = true;
     }
 
-    /// Grants the agent a lease; returns its length, which is 0 while the runs on its worker aren't known.
+    /// Grants the agent a lease that ends by `until`; returns its length, which is 0 while the runs on its worker aren't
+    /// known.
     ///
     /// Must be called when the grant is sent.
-    pub fn grant(&mut self, name: &Name, now: Duration) -> Option<Duration> {
-        let lease = self.lease;
+    pub fn grant(&mut self, name: &Name, until: Duration, now: Duration) -> Option<Duration> {
+        let lease = self.lease.min(until.saturating_sub(now));
         let agent = self.agents.get_mut(name)?;
         if agent.contact != Contact::Linked {
             return Some(Duration::ZERO);
@@ -179,24 +192,33 @@
     /// under which its runs go on.
     pub fn lapse_agents(&mut self, confirmed: Option<Duration>, now: Duration) {
         let Some(confirmed) = confirmed else { return };
-        let lapsed: Vec<Name> = self
-            .agents
+        for name in self.agents_without_lease(confirmed) {
+            self.worker_gone(&name, now);
+            if let Some(agent) = self.agents.get_mut(&name) {
+                agent.contact = Contact::Lapsed;
+            }
+            self.log_agent(&name, "lapsed");
+        }
+    }
+
+    /// Whether a confirmation from after `confirmed` would let a silent agent lapse.
+    #[must_use]
+    pub fn awaits_confirmation(&self, confirmed: Option<Duration>, now: Duration) -> bool {
+        confirmed.is_some_and(|confirmed| confirmed < now) && !self.agents_without_lease(now).is_empty()
+    }
+
+    /// Silent agents whose lease had ended at a time.
+    fn agents_without_lease(&self, at: Duration) -> Vec<Name> {
+        self.agents
             .iter()
-            .filter(|(_, agent)| agent.lease_until <= confirmed)
+            .filter(|(_, agent)| agent.lease_until <= at)
             .filter(|(name, agent)| match agent.contact {
                 Contact::Silent => true,
                 Contact::Unheard => self.unresolved.contains(*name),
                 Contact::Linked | Contact::Lapsed => false,
             })
             .map(|(name, _)| Arc::clone(name))
-            .collect();
-        for name in lapsed {
-            self.worker_gone(&name, now);
-            if let Some(agent) = self.agents.get_mut(&name) {
-                agent.contact = Contact::Lapsed;
-            }
-            self.log_agent(&name, "lapsed");
-        }
+            .collect()
     }
 
     /// Number of agents that may hold runs of a predecessor and haven't answered.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod stragglers;
 pub mod succession;
 pub mod urgency;
+pub mod witness;
 pub mod worker;
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -3,7 +3,8 @@
 //!
 //! Placers, agents, workers and the store are modelled; every decision is made by the cell's own code. The test fails
 //! without any one of these safeguards: the wait for agents that haven't answered, the wait for a silent agent's
-//! lease, the end of the authority, the order of writing and settling.
+//! lease, the bound on leases from the last renewal, the witness's promise and its first answer after a restart, the end
+//! of the authority, the order of writing and settling.
 
 mod support;
 
@@ -11,12 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::authority::Authority;
+use chervilledge_cell::authority::{Authority, RENEWAL_INTERVAL, leases_end};
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::grant::Grant;
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
 use chervilledge_cell::progress::Progress;
+use chervilledge_cell::witness::Witness;
 use chervilledge_cell::worker::{End, EndKind, RunReport};
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
@@ -76,6 +78,8 @@
     /// Until when the placer can't reach the store.
     cut: Duration,
     confirm_due: Duration,
+    /// Until when the placer can't reach the witness.
+    witness_cut: Duration,
     batch: Option<(Batch, Duration)>,
     /// Revision up to which the jobs have been read.
     read: u64,
@@ -131,6 +135,12 @@
 }
 
 struct Walk {
+    /// Witness of every placer.
+    witness: Witness,
+    /// Term that the witness has read from the store since it started.
+    read_by_witness: Option<u64>,
+    /// When a term was last renewed in the store.
+    heartbeat: Duration,
     seed: u64,
     rng: SmallRng,
     now: Duration,
@@ -145,8 +155,18 @@
         let agents = (0..AGENTS).map(|number| (name(&format!("agent-{number}")), Agent::default())).collect();
         let rng = SmallRng::seed_from_u64(seed);
         let now = Duration::from_secs(1_000);
-        let mut walk =
-            Self { seed, rng, now, store: Store::default(), placers: Vec::new(), agents, is_recovering: false };
+        let mut walk = Self {
+            witness: Witness::new(now),
+            read_by_witness: None,
+            heartbeat: now,
+            seed,
+            rng,
+            now,
+            store: Store::default(),
+            placers: Vec::new(),
+            agents,
+            is_recovering: false,
+        };
         walk.take_over();
         walk
     }
@@ -160,12 +180,18 @@
         for agent in self.agents.keys() {
             cell.agent_known(agent, self.store.term > 1, self.now);
         }
+        if self.rng.random_bool(0.7) {
+            let renewed_ago = self.witness.end_terms_before(self.store.term, self.now);
+            cell.former_leases_end(leases_end(self.heartbeat.max(self.now.saturating_sub(renewed_ago)), LEASE));
+        }
+        self.heartbeat = self.now;
         for id in self.store.jobs.keys() {
             let (progress, revision) = self.store.progress.get(id).cloned().unwrap_or_default();
             cell.load(content(*id), progress, revision, Duration::ZERO, self.now);
         }
         let mut authority = Authority::default();
         authority.confirmed(self.now);
+        authority.renewed(self.now);
         self.placers.push(Placer {
             term: self.store.term,
             cell,
@@ -173,6 +199,7 @@
             links: BTreeSet::new(),
             cut: self.now,
             confirm_due: self.now,
+            witness_cut: self.now,
             batch: None,
             read: self.store.revision,
         });
@@ -219,6 +246,13 @@
             && let Some(placer) = self.placers.last_mut()
         {
             placer.cut = until;
+            placer.witness_cut = if self.rng.random_bool(0.5) { until } else { self.now };
+        }
+        if self.rng.random_bool(0.01) {
+            self.witness = Witness::new(self.now);
+            self.read_by_witness = None;
+        } else if self.rng.random_bool(0.05) {
+            self.read_by_witness = Some(self.store.term);
         }
         let names: Vec<Name> = self.agents.keys().cloned().collect();
         let agent = &names[self.rng.random_range(0..names.len())];
@@ -307,7 +341,8 @@
                 placer.cell.runs_ended(agent_name, agent.ends.clone(), now);
             }
             if placer.authority.holds(now)
-                && let Some(lease) = placer.cell.grant(agent_name, now)
+                && let Some(until) = placer.authority.leases_until(LEASE)
+                && let Some(lease) = placer.cell.grant(agent_name, until, now)
                 && !lease.is_zero()
             {
                 agent.grant.extend(now, lease);
@@ -322,10 +357,18 @@
             placer.confirm_due = now + Duration::from_secs(1);
             if self.store.term == placer.term {
                 placer.authority.confirmed(now);
+                placer.authority.renewed(now);
+                self.heartbeat = now;
                 self.store.revision += 1;
                 placer.cell.store_revision_seen(now, self.store.revision);
             }
         }
+        if placer.authority.renewal_age(now).is_some_and(|age| age > RENEWAL_INTERVAL)
+            && now >= placer.witness_cut
+            && self.witness.renew(placer.term, self.read_by_witness, now)
+        {
+            placer.authority.renewed(now);
+        }
         if placer.authority.holds(now) {
             placer.cell.lapse_agents(placer.authority.last_confirmed(), now);
             placer.cell.place(now);
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -6,15 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::RENEWAL_INTERVAL;
 use chervilledge_policy::id::Name;
 
 use crate::repeat;
 use crate::roster::Roster;
-use crate::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
+use crate::rows::{self, HEARTBEAT_KEY, PLACER_KEY, WITNESSES_KEY};
 use crate::store::{Change, Condition, Handle, Outcome, Table, Transaction};
 
 /// Interval of the placer's heartbeats in the store.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+pub const HEARTBEAT_INTERVAL: Duration = RENEWAL_INTERVAL;
 /// Age of the last heartbeat from which the cell is taken over: two intervals less the duration of a takeover.
 pub const HEARTBEAT_STALE_AFTER: Duration = Duration::from_millis(1_900);
 /// The same, if the link to the placer is lost as well.
@@ -42,6 +43,9 @@
 }
 
 /// Claims the cell; returns the term and the revision of the placer's row if the claim has certainly taken effect.
+///
+/// The claim fails if there is a heartbeat that the roster doesn't show: it would have renewed the previous term later
+/// than the new placer knows.
 pub async fn claim(store: &Handle, roster: &Roster, own_name: &Name, address: SocketAddr) -> Option<(u64, u64)> {
     let (previous_term, revision) =
         roster.placer.as_ref().map_or((0, 0), |(placer, revision)| (placer.term, *revision));
@@ -50,12 +54,19 @@
     }
     let term = previous_term + 1;
     let heartbeat = rows::Heartbeat { term, is_alone: false };
+    let witnesses = rows::Witnesses { term, members: Vec::new(), earlier: roster.acting_witnesses() };
+    let [heartbeat_revision, witnesses_revision] = roster.claim_revisions;
     let row = rows::Placer { term, holder: Some(Arc::clone(own_name)), address };
     let transaction = Transaction {
-        conditions: vec![Condition { table: Table::Cell, key: Arc::from(PLACER_KEY), revision }],
+        conditions: vec![
+            Condition { table: Table::Cell, key: Arc::from(PLACER_KEY), revision },
+            Condition { table: Table::Cell, key: Arc::from(HEARTBEAT_KEY), revision: heartbeat_revision },
+            Condition { table: Table::Cell, key: Arc::from(WITNESSES_KEY), revision: witnesses_revision },
+        ],
         changes: vec![
             Change { table: Table::Cell, key: Arc::from(PLACER_KEY), value: Some(rows::encode(&row)) },
             Change { table: Table::Cell, key: Arc::from(HEARTBEAT_KEY), value: Some(rows::encode(&heartbeat)) },
+            Change { table: Table::Cell, key: Arc::from(WITNESSES_KEY), value: Some(rows::encode(&witnesses)) },
         ],
     };
     let outcome = (store.commit)(transaction).await;
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -17,6 +17,7 @@
 use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_cell::response::RecentReadTimes;
+use chervilledge_cell::witness::Witness;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -116,6 +117,8 @@
     relays: Mutex<Map<Name, Arc<Link>>>,
     /// Jobs whose caller was told that the outcome is unknown, and when.
     undecided: Mutex<Map<JobId, Duration>>,
+    /// Terms that this entry renews as a witness.
+    witness: Mutex<Witness>,
     is_stopping: AtomicBool,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -148,6 +151,7 @@
     let store = health.observe(&unobserved_store);
     let roster = roster::spawn(Arc::clone(&store), clock.clone());
     let submitter = submit::spawn_with(&unobserved_store, &clock, health);
+    let witness = Witness::new(clock.now());
     let inner = Inner {
         settings,
         clock,
@@ -165,6 +169,7 @@
         retry_slots: Mutex::default(),
         relays: Mutex::default(),
         undecided: Mutex::default(),
+        witness: Mutex::new(witness),
         is_stopping: AtomicBool::new(false),
         tasks: Mutex::default(),
     };
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -111,6 +111,8 @@
         claimed,
         predecessor: roster.placer.as_ref().map(|(placer, _)| placer.clone()),
         is_predecessor_alone: roster.is_placer_alone(),
+        former_witnesses: roster.acting_witnesses(),
+        former_renewed: roster.heartbeat_seen_at,
         lease: inner.settings.lease(),
         cancellation_apply: inner.settings.cancellation_apply,
         metrics: Arc::clone(&inner.metrics),
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Entry, PlacerRoute, lock};
+use crate::clock::whole_ms;
 use crate::message::{FromEntry, LINK_TIMEOUT, StoreOutcome, ToEntry};
 use crate::peer::{self, Link, SharedWaitingWork};
 use crate::placer;
@@ -208,6 +209,16 @@
                     sender.post(FromEntry::Relayed { question, stored });
                 });
             }
+            ToEntry::RenewTerm { question, term } => {
+                let stored = self.roster().map(|roster| roster.placer.as_ref().map_or(0, |(placer, _)| placer.term));
+                let is_renewed = lock(&self.inner.witness).renew(term, stored, self.now());
+                sender.post(FromEntry::TermRenewed { question, is_renewed });
+            }
+            ToEntry::EndTerms { question, term } => {
+                let renewed_ago = lock(&self.inner.witness).end_terms_before(term, self.now());
+                log::info!(event = "terms_ended", term = term, renewed_ms_ago = whole_ms(renewed_ago); "");
+                sender.post(FromEntry::TermsEnded { question, renewed_ago });
+            }
         }
     }
 
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -182,9 +182,24 @@
         /// Job to cancel.
         cancel: Option<JobId>,
     },
+    /// Asks a witness to renew the placer's term, since the store doesn't answer. Only for versions from 0.3.0 on.
+    RenewTerm {
+        /// Request number on this link.
+        question: u64,
+        /// Term of the placer.
+        term: u64,
+    },
+    /// Asks a witness when it last renewed an earlier term; it renews none from then on. Only for versions from 0.3.0 on.
+    EndTerms {
+        /// Request number on this link.
+        question: u64,
+        /// Term of the new placer.
+        term: u64,
+    },
 }
 
 /// Message from an entry to the one that opened the link.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum FromEntry {
     /// Heartbeat, with the term under which the entry places, if it does.
@@ -217,6 +232,22 @@
         /// Outcome.
         stored: StoreOutcome,
     },
+    /// Reply to [`ToEntry::RenewTerm`].
+    TermRenewed {
+        /// Request number.
+        question: u64,
+        /// Whether the term is renewed; not if a newer one is known.
+        is_renewed: bool,
+    },
+    /// Reply to [`ToEntry::EndTerms`].
+    TermsEnded {
+        /// Request number.
+        question: u64,
+        /// Time since a term may last have been renewed.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde(rename = "renewed_ms_ago")]
+        renewed_ago: Duration,
+    },
 }
 
 /// Outcome of storing a row for a caller.
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -108,6 +108,16 @@
     }
 }
 
+/// Asks a witness how long ago it may last have renewed a term before `term`, and not to do so any more; `None` without
+/// an answer.
+pub async fn end_terms(address: SocketAddr, term: u64) -> Option<Duration> {
+    let link = open(address).await?;
+    match link.query(OPEN_TIMEOUT, |question| ToEntry::EndTerms { question, term }).await? {
+        FromEntry::TermsEnded { renewed_ago, .. } => Some(renewed_ago),
+        _ => None,
+    }
+}
+
 impl Link {
     /// Sends a request and waits for the reply for at most `timeout`.
     pub async fn query(&self, timeout: Duration, question: impl FnOnce(u64) -> ToEntry) -> Option<FromEntry> {
@@ -167,7 +177,10 @@
                 let counts = counts.iter().cloned().collect();
                 pending.send_replace(Some(Arc::new(WaitingWork { counts, backlog: Arc::new(backlog.clone()) })));
             }
-            FromEntry::State { question, .. } | FromEntry::Relayed { question, .. } => {
+            FromEntry::State { question, .. }
+            | FromEntry::Relayed { question, .. }
+            | FromEntry::TermRenewed { question, .. }
+            | FromEntry::TermsEnded { question, .. } => {
                 let waiting = lock(&requests).remove(question);
                 if let Some(waiting) = waiting {
                     // The caller may have gone away.
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -10,6 +10,7 @@
 mod notes;
 mod urgencies;
 mod versions;
+mod witnesses;
 mod writing;
 
 use std::net::SocketAddr;
@@ -29,7 +30,7 @@
 use chervilledge_policy::id::Name;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use serde_json::Value;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use crate::clock::{unix_ms, whole_ms};
@@ -88,6 +89,10 @@
     pub predecessor: Option<rows::Placer>,
     /// Whether the previous placer knew that no earlier placer was still active.
     pub is_predecessor_alone: bool,
+    /// Witnesses of each former placer that may still act; `None` if not all of them are known.
+    pub former_witnesses: Option<Vec<Vec<SocketAddr>>>,
+    /// When the last heartbeat of a former placer was seen; the claim depended on there being no later one.
+    pub former_renewed: Duration,
     /// Longest lease to grant.
     pub lease: Duration,
     /// Time after its acceptance within which a cancellation must stop the tasks of a job.
@@ -140,6 +145,10 @@
     Configured,
     /// No previous placer can act any more; the value names the evidence.
     PredecessorEnded(&'static str),
+    /// All leases granted by former placers will have ended at this time.
+    FormerLeasesEnd(Duration),
+    /// All witnesses renewed the term, on requests sent at this time.
+    Renewed(Duration),
     /// A link to an agent is open.
     Linked {
         /// Agent.
@@ -220,6 +229,10 @@
     predecessor_ended_at: Option<Duration>,
     /// Whether that is known, as published with the heartbeat.
     is_alone: watch::Sender<bool>,
+    /// Whether the store has left the term without a renewal for so long that the witnesses are asked.
+    is_renewal_overdue: watch::Sender<bool>,
+    /// Requests a heartbeat at once.
+    confirm_now: Arc<Notify>,
     is_loaded: bool,
     /// Revision of the placer's row in the latest roster. Once it reaches the revision of the claim, the roster
     /// contains every agent of the previous placer.
@@ -286,10 +299,24 @@
         log::info!(event = "placer_started", term = context.term, revision = context.revision; "");
         let mut authority = Authority::default();
         authority.confirmed(context.claimed);
-        let is_alone = watch::Sender::new(false);
+        authority.renewed(context.claimed);
+        let (is_alone, is_renewal_overdue) = (watch::Sender::new(false), watch::Sender::new(false));
+        let confirm_now = Arc::new(Notify::new());
         let tasks = vec![
             tokio::spawn(tick(myself.clone())),
-            tokio::spawn(feed::confirm(context.clone(), is_alone.subscribe(), myself.clone())),
+            tokio::spawn(feed::confirm(
+                context.clone(),
+                is_alone.subscribe(),
+                Arc::clone(&confirm_now),
+                myself.clone(),
+            )),
+            tokio::spawn(feed::await_former_leases_end(context.clone(), myself.clone())),
+            tokio::spawn(witnesses::run(
+                context.clone(),
+                is_alone.subscribe(),
+                is_renewal_overdue.subscribe(),
+                myself.clone(),
+            )),
             tokio::spawn(feed::follow_jobs(context.clone(), myself.clone())),
             tokio::spawn(feed::await_predecessor_end(context.clone(), myself.clone())),
             tokio::spawn(follow(context.roster.clone(), myself.clone(), || Message::Roster)),
@@ -304,6 +331,8 @@
             starts_paused_since: None,
             predecessor_ended_at: None,
             is_alone,
+            is_renewal_overdue,
+            confirm_now,
             is_loaded: false,
             roster_revision: 0,
             links: Map::default(),
@@ -397,12 +426,20 @@
             Message::Roster => self.apply_roster(),
             Message::Evacuations => self.apply_evacuations(),
             Message::Configured => self.apply_configuration(),
+            // The evidence that comes first counts.
+            Message::PredecessorEnded(_) if self.predecessor_ended_at.is_some() => {}
             Message::PredecessorEnded(by) => {
                 log::info!(event = "predecessor_over", by = by, agents_unheard = self.cell.unresolved(); "");
                 self.predecessor_ended_at = Some(now);
                 self.is_alone.send_replace(true);
                 self.cell.predecessor_over(now);
             }
+            Message::FormerLeasesEnd(end) => {
+                log::info!(event = "former_leases_end", in_ms = whole_ms(end.saturating_sub(now)),
+                    agents_unheard = self.cell.unresolved(); "");
+                self.cell.former_leases_end(end);
+            }
+            Message::Renewed(asked) => self.authority.renewed(asked),
             Message::Linked { agent, link, sender } => self.handle_link_opened(agent, link, sender),
             Message::Unlinked { agent, link } => self.handle_link_closed(&agent, link),
             Message::FromAgent { agent, link, message } => {
@@ -443,7 +480,7 @@
     }
 
     fn tick(&mut self, now: Duration) {
-        let holds = self.authority.holds(now);
+        let holds = self.may_act(now);
         if holds != self.had_authority {
             let age_ms = self.authority.age(now).map_or(0, whole_ms);
             log::warn!(event = "authority", term = self.context.term, holds = holds, confirmed_ms_ago = age_ms; "");
@@ -453,11 +490,17 @@
         self.record_evacuations();
         self.cell.open_due(unix_ms(), now);
         self.cell.ask_placing();
+        let is_overdue = self.authority.renewal_age(now).is_some_and(|age| age >= witnesses::RENEWAL_OVERDUE_AFTER);
+        self.is_renewal_overdue.send_if_modified(|known| std::mem::replace(known, is_overdue) != is_overdue);
+        let confirmed = self.authority.last_confirmed();
+        if self.cell.awaits_confirmation(confirmed, now) {
+            self.confirm_now.notify_one();
+        }
+        if holds {
+            self.cell.lapse_agents(confirmed, now);
+        }
         if now >= self.watch_due {
             self.watch_due = now + WATCH_INTERVAL;
-            if holds {
-                self.cell.lapse_agents(self.authority.last_confirmed(), now);
-            }
             if holds && self.knows_evacuations() {
                 self.cell.watch_runs(now);
             }
@@ -479,7 +522,7 @@
     fn advance(&mut self) {
         let now = self.context.clock.now();
         let knows_roster = self.roster_revision >= self.context.revision;
-        let may_place = self.is_loaded && knows_roster && self.authority.holds(now) && self.knows_evacuations();
+        let may_place = self.is_loaded && knows_roster && self.may_act(now) && self.knows_evacuations();
         if may_place && now >= self.place_due && self.cell.needs_placing() {
             self.cell.place(now);
             let took = self.context.clock.now().saturating_sub(now);
@@ -525,6 +568,7 @@
 
     fn handle_confirmation(&mut self, sent_at: Duration, revision: u64) {
         self.authority.confirmed(sent_at);
+        self.authority.renewed(sent_at);
         self.cell.store_revision_seen(sent_at, revision);
         // Rows stored after this revision were stored after the previous placer had ended.
         if self.predecessor_ended_at.is_some_and(|over| sent_at >= over) {
@@ -555,7 +599,13 @@
     /// Whether callers may be told what the placer knows. Without authority there may be a successor with newer
     /// knowledge; the rows then contain what it has made durable.
     fn may_answer(&self, now: Duration) -> bool {
-        self.is_loaded && self.authority.holds(now)
+        self.is_loaded && self.may_act(now)
+    }
+
+    /// Whether the placer may start runs and grant leases.
+    fn may_act(&self, now: Duration) -> bool {
+        let leases_until = self.authority.leases_until(self.context.lease);
+        self.authority.holds(now) && leases_until.is_some_and(|until| now < until)
     }
 
     fn apply_configuration(&mut self) {
--- a/crates/scheduler/src/placer/effects.rs
+++ b/crates/scheduler/src/placer/effects.rs
@@ -41,7 +41,7 @@
                 link.sender.post(ToAgent::Effects(relevant));
             }
         }
-        if now >= self.effects_saved_at + SAVE_INTERVAL && self.is_loaded && self.authority.holds(now) {
+        if now >= self.effects_saved_at + SAVE_INTERVAL && self.is_loaded && self.may_act(now) {
             self.effects_saved_at = now;
             self.save_effects(effects);
             self.log_filling();
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -1,12 +1,16 @@
 //! Background tasks of the placer that talk to the store: confirming the term, and following the jobs.
 
+use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::authority::AUTHORITY_PERIOD;
+use chervilledge_cell::authority::{AUTHORITY_PERIOD, leases_end};
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use ractor::ActorRef;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{Context, Message, heartbeat_change};
 use crate::candidate::HEARTBEAT_INTERVAL;
@@ -24,13 +28,21 @@
 /// Pause after changes were read. Entries notify the placer of their jobs directly; the feed serves those that can't.
 const FEED_PAUSE: Duration = Duration::from_millis(250);
 
-/// Writes the placer's heartbeat at intervals, on condition that it is still the placer.
-pub(super) async fn confirm(context: Context, mut is_alone: watch::Receiver<bool>, placer: ActorRef<Message>) {
+/// Writes the placer's heartbeat at intervals and on request, on condition that it is still the placer.
+pub(super) async fn confirm(
+    context: Context,
+    mut is_alone: watch::Receiver<bool>,
+    confirm_now: Arc<Notify>,
+    placer: ActorRef<Message>,
+) {
     let mut is_lost = false;
     loop {
         let pause = if is_lost { CONFIRM_RETRY } else { HEARTBEAT_INTERVAL };
         // Published at once, since a successor that doesn't know it would have to wait for the full authority time.
-        drop(tokio::time::timeout(pause, is_alone.changed()).await);
+        let wake = async {
+            tokio::select! { _ = is_alone.changed() => {}, () = confirm_now.notified() => {} }
+        };
+        drop(tokio::time::timeout(pause, wake).await);
         let is_alone = *is_alone.borrow_and_update();
         let sent_at = context.clock.now();
         let transaction = Transaction {
@@ -88,6 +100,36 @@
     drop(placer.cast(Message::PredecessorEnded(by)));
 }
 
+/// Determines when all leases have ended that former placers have granted, or still grant with their witnesses. Each
+/// former placer renews its term with all of its witnesses, so one of them that answers is enough.
+pub(super) async fn await_former_leases_end(context: Context, placer: ActorRef<Message>) {
+    let Some(former) = &context.former_witnesses else { return };
+    let renewals = former.iter().map(|witnesses| last_renewal(&context, witnesses));
+    let renewed = join_all(renewals).await.into_iter().fold(context.former_renewed, Duration::max);
+    let end = leases_end(renewed, context.lease);
+    if placer.cast(Message::FormerLeasesEnd(end)).is_err() {
+        return;
+    }
+    tokio::time::sleep(end.saturating_sub(context.clock.now())).await;
+    // The placer may have ended in the meantime.
+    drop(placer.cast(Message::PredecessorEnded("leases_ended")));
+}
+
+/// Latest time at which a former placer may have renewed its term with these witnesses; waits until one answers.
+async fn last_renewal(context: &Context, witnesses: &[SocketAddr]) -> Duration {
+    let ask = async |address: SocketAddr| loop {
+        if let Some(renewed_ago) = peer::end_terms(address, context.term).await {
+            return context.clock.now().saturating_sub(renewed_ago);
+        }
+        tokio::time::sleep(PREDECESSOR_RETRY).await;
+    };
+    let mut answers: FuturesUnordered<_> = witnesses.iter().map(|address| ask(*address)).collect();
+    match answers.next().await {
+        Some(renewed) => renewed,
+        None => std::future::pending().await,
+    }
+}
+
 /// Reads all jobs and their progress, then follows changes to the jobs.
 pub(super) async fn follow_jobs(context: Context, placer: ActorRef<Message>) {
     let mut feed = feed::open("jobs", Timing::within(context.cancellation_apply), context.clock.clone());
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -134,10 +134,8 @@
     }
 
     fn send_grant(&mut self, agent: &Name, asked: Duration, now: Duration) {
-        if !self.authority.holds(now) {
-            return;
-        }
-        if let (Some(lease), Some(link)) = (self.cell.grant(agent, now), self.links.get(agent)) {
+        let Some(until) = self.authority.leases_until(self.context.lease).filter(|_| self.may_act(now)) else { return };
+        if let (Some(lease), Some(link)) = (self.cell.grant(agent, until, now), self.links.get(agent)) {
             link.sender.post(ToAgent::Grant { asked, lease });
         }
     }
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -57,7 +57,7 @@
             "evacuations": evacuations,
             "term": self.context.term,
             "versions": self.versions(),
-            "has_authority": self.authority.holds(now),
+            "has_authority": self.may_act(now),
             "jobs": jobs,
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use crate::feed::{self, Feed, Timing};
-use crate::rows::{self, AGENT_PREFIX, ENTRY_PREFIX, EntryProcess, HEARTBEAT_KEY, PLACER_KEY, Process};
+use crate::rows::{self, AGENT_PREFIX, ENTRY_PREFIX, EntryProcess, HEARTBEAT_KEY, PLACER_KEY, Process, WITNESSES_KEY};
 use crate::scan;
 use crate::store::{Handle, ReadError, Row, Rows, Table};
 
@@ -21,6 +21,9 @@
 /// The end of a placer must be noticed within this time, so that leases outlast a takeover.
 const FEED_TIMING: Timing = Timing { wait: Duration::from_millis(1_200), retry_after: Duration::from_millis(1_500) };
 
+/// Placers in a row whose witnesses are kept, so that their row stays small.
+const WITNESS_SETS_MAX: usize = 8;
+
 /// Processes of the cell as last read.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -32,6 +35,10 @@
     pub heartbeat: Option<rows::Heartbeat>,
     /// When this heartbeat revision, or the current placer, was first seen.
     pub heartbeat_seen_at: Duration,
+    /// Content of the row of witnesses.
+    pub witnesses: Option<rows::Witnesses>,
+    /// Revisions of the rows of the heartbeat and of the witnesses; 0 for a row that doesn't exist.
+    pub claim_revisions: [u64; 2],
     /// When the rows were last read.
     pub read_at: Duration,
     /// Agents and their link addresses.
@@ -123,8 +130,13 @@
                     self.heartbeat_revision = row.revision;
                     self.heartbeat_seen_at = now;
                 }
+                self.claim_revisions[0] = row.value.as_ref().map_or(0, |_| row.revision);
                 self.heartbeat = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
             }
+            WITNESSES_KEY => {
+                self.claim_revisions[1] = row.value.as_ref().map_or(0, |_| row.revision);
+                self.witnesses = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
+            }
             key => {
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
                     apply_process(&mut self.agents, name, row);
@@ -143,6 +155,18 @@
         self.heartbeat.is_some_and(|heartbeat| heartbeat.term == placer.term && heartbeat.is_alone)
     }
 
+    /// Witnesses of each placer that may still act; `None` if not all of them are known.
+    #[must_use]
+    pub fn acting_witnesses(&self) -> Option<Vec<Vec<SocketAddr>>> {
+        let Some((placer, _)) = &self.placer else { return Some(Vec::new()) };
+        let witnesses = self.witnesses.as_ref().filter(|witnesses| witnesses.term == placer.term)?;
+        let mut all = if self.is_placer_alone() { Vec::new() } else { witnesses.earlier.clone()? };
+        if !witnesses.members.is_empty() {
+            all.push(witnesses.members.clone());
+        }
+        (all.len() <= WITNESS_SETS_MAX).then_some(all)
+    }
+
     /// Entries with a larger processor share, which should place in preference to one with `own_share` of a core; with
     /// their link addresses.
     pub fn larger_entries(&self, own_share: f64) -> impl Iterator<Item = (&Name, SocketAddr)> {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -15,6 +15,8 @@
 pub const PLACER_KEY: &str = "placer";
 /// Key of the placer's heartbeat, in table `cell`.
 pub const HEARTBEAT_KEY: &str = "beat";
+/// Key of the witnesses of the placer's term, in table `cell`.
+pub const WITNESSES_KEY: &str = "witnesses";
 /// Key of the measured effects of pairs of images, in table `progress`, which only placers read.
 pub const EFFECTS_KEY: &str = "effects";
 /// Prefix of the keys of agents, in table `cell`.
@@ -27,6 +29,16 @@
 /// Version of this build, as told to other processes.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
 
+/// First version that answers as a witness, as major and minor number.
+const FIRST_WITNESS_VERSION: (u64, u64) = (0, 3);
+
+/// Whether an entry of a version answers as a witness.
+#[must_use]
+pub fn can_witness(version: &str) -> bool {
+    let mut numbers = version.split('.').map(str::parse::<u64>);
+    matches!((numbers.next(), numbers.next()), (Some(Ok(major)), Some(Ok(minor))) if (major, minor) >= FIRST_WITNESS_VERSION)
+}
+
 /// Content of the placer's row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Placer {
@@ -47,6 +59,18 @@
     pub is_alone: bool,
 }
 
+/// Witnesses of the terms under which leases may still be granted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Witnesses {
+    /// Term of the placer that wrote the row.
+    pub term: u64,
+    /// Link addresses of its witnesses. It renews its term only with all of them.
+    pub members: Vec<SocketAddr>,
+    /// Witnesses of each earlier placer that may still act; `None` if not all of them are known.
+    #[serde(default)]
+    pub earlier: Option<Vec<Vec<SocketAddr>>>,
+}
+
 /// Content of the row of an agent or entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Process {
--- a/crates/scheduler/tests/lost_machines.rs
+++ b/crates/scheduler/tests/lost_machines.rs
@@ -53,18 +53,18 @@
 
 impl LostMachines {
     fn spawn(rows: &MemoryStore) -> Self {
-        let (rows, (lose, lost)) = (rows.clone(), mpsc::channel::<()>());
+        let (rows, (lose, never_sent)) = (rows.clone(), mpsc::channel::<()>());
         let (started, agent) = mpsc::channel();
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
             runtime.block_on(async move {
                 let _entry = spawn_entry("entry-1", &rows).await;
                 started.send(spawn_agent(1, &rows).await).expect("the test");
-                while lost.try_recv().is_err() {
+                while never_sent.try_recv().is_err() {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
                 // Blocks the runtime, and with it the entry and the agent.
-                assert!(lost.recv().is_err(), "nothing is sent twice");
+                never_sent.recv().expect_err("the test has ended");
             });
         });
         Self { agent: agent.recv().expect("an agent"), lose }
--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -70,6 +70,8 @@
         revision,
         predecessor: None,
         is_predecessor_alone: true,
+        former_witnesses: None,
+        former_renewed: Duration::ZERO,
         lease: Duration::from_secs(5),
         cancellation_apply: Duration::from_secs(3),
         metrics: metrics::open(),
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -85,6 +85,8 @@
         revision: REVISION,
         predecessor: Some(placer_row(TERM - 1, None)),
         is_predecessor_alone: true,
+        former_witnesses: None,
+        former_renewed: Duration::ZERO,
         lease: Duration::from_secs(5),
         cancellation_apply: CANCELLATION_APPLY,
         metrics: metrics::open(),
--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -138,6 +138,8 @@
         revision: 1,
         predecessor: None,
         is_predecessor_alone: true,
+        former_witnesses: None,
+        former_renewed: Duration::ZERO,
         lease: Duration::from_secs(5),
         cancellation_apply: Duration::from_secs(3),
         metrics: metrics::open(),
