Claim a cell whose placer row can't be read

What callers would see: once another writer has replaced the placer's row by something that doesn't decode (no CBOR, an empty value, nesting of 100,000 levels, a port out of range, a field of another type), the cell never gets a placer again. Jobs are accepted and none of them runs.

Cause: the roster dropped the content and the revision together, so every claim had revision 0 as its condition and conflicted with the row that exists. The live placer ended as well, since its confirmations are conditional on the former revision.

Evidence: the new test failed in 12 of 12 cases before ("a placer of a later term" within 10 s), with the process that placed before and with a new one.

Fix: the roster keeps the revision of the unreadable row as the condition of the next claim. Each claim is a transaction and raises the term by 1, so the revision of the row bounds the term in it, and the next term is above it. Terms and run numbers must not start again at 1: agents refuse lower terms, and a placer of term 1 assumes that it has no predecessor. The former placer is unknown but may still act, so the new one waits for the end of its authority; without that wait, the second part of the test fails in 12 of 12 cases.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -43,8 +43,7 @@
 
 /// Claims the cell; returns the term and the revision of the placer's row if the claim has certainly taken effect.
 pub async fn claim(store: &Handle, roster: &Roster, own_name: &Name, address: SocketAddr) -> Option<(u64, u64)> {
-    let (previous_term, revision) =
-        roster.placer.as_ref().map_or((0, 0), |(placer, revision)| (placer.term, *revision));
+    let (previous_term, revision) = roster.last_claim();
     if revision > 0 && !is_heartbeat_unchanged(store, roster).await {
         return None;
     }
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -26,6 +26,8 @@
 pub struct Roster {
     /// The placer's row and its revision.
     pub placer: Option<(rows::Placer, u64)>,
+    /// Revision of the placer's row while it can't be decoded; `placer` is `None` then.
+    pub unreadable_placer: Option<u64>,
     /// Revision of the placer's heartbeat.
     pub heartbeat_revision: u64,
     /// Content of the heartbeat.
@@ -139,10 +141,22 @@
     /// active.
     #[must_use]
     pub fn is_placer_alone(&self) -> bool {
-        let Some((placer, _)) = &self.placer else { return true };
+        let Some((placer, _)) = &self.placer else { return self.unreadable_placer.is_none() };
         self.heartbeat.is_some_and(|heartbeat| heartbeat.term == placer.term && heartbeat.is_alone)
     }
 
+    /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 if it doesn't exist.
+    ///
+    /// Each claim increases both the term and the revision, so the revision bounds the term of an unreadable row.
+    #[must_use]
+    pub fn last_claim(&self) -> (u64, u64) {
+        match (&self.placer, self.unreadable_placer) {
+            (Some((placer, revision)), _) => (placer.term, *revision),
+            (None, Some(revision)) => (revision, revision),
+            (None, None) => (0, 0),
+        }
+    }
+
     /// Entries with a larger processor share, which should place in preference to one with `own_share` of a core; with
     /// their link addresses.
     pub fn larger_entries(&self, own_share: f64) -> impl Iterator<Item = (&Name, SocketAddr)> {
@@ -173,7 +187,7 @@
     }
 
     fn apply_placer(&mut self, row: &Row, now: Duration) {
-        if self.placer.as_ref().is_some_and(|(_, revision)| *revision >= row.revision) {
+        if self.last_claim().1 >= row.revision {
             return;
         }
         let content = row.value.as_deref().and_then(|value| rows::decode::<rows::Placer>(&row.key, value));
@@ -181,6 +195,7 @@
             log::info!(event = "placer_row", term = placer.term, holder = placer.holder.as_deref().unwrap_or("none"),
                 revision = row.revision; "");
         }
+        self.unreadable_placer = (row.value.is_some() && content.is_none()).then_some(row.revision);
         self.placer = content.map(|content| (content, row.revision));
         self.heartbeat_seen_at = now;
     }
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::AUTHORITY_PERIOD;
 use chervilledge_scheduler::entry::{self, Entry};
-use chervilledge_scheduler::rows::{self, PLACER_KEY};
+use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
@@ -117,3 +118,57 @@
     assert_eq!(rows.writes(Table::Cell, "entry/near-0"), writes);
     assert_eq!(rows.value(Table::Cell, "entry/near-0"), Some(row));
 }
+
+/// Returns the placer with a term above `term` once there is one.
+async fn next_placer(rows: &MemoryStore, term: u64) -> Option<rows::Placer> {
+    for _ in 0..200 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if let Some(placer) = placer(rows).filter(|placer| placer.term > term && placer.term < u64::MAX) {
+            return Some(placer);
+        }
+    }
+    None
+}
+
+fn placer_with(field: &str, value: ciborium::Value) -> Vec<u8> {
+    let row = rows::Placer { term: 1, holder: None, address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)) };
+    let mut row = ciborium::Value::serialized(&row).expect("a CBOR form");
+    let fields = row.as_map_mut().expect("fields");
+    fields.iter_mut().find(|(name, _)| name.as_text() == Some(field)).expect("the field").1 = value;
+    rows::encode(&row)
+}
+
+fn address_with_port(port: i64) -> ciborium::Value {
+    let octets = [127, 0, 0, 1].map(ciborium::Value::from).to_vec();
+    let address = ciborium::Value::Array(vec![ciborium::Value::Array(octets), port.into()]);
+    ciborium::Value::Map(vec![("V4".into(), address)])
+}
+
+/// The row's revision is the condition of the next claim, even if nobody can read its content. The former placer may
+/// still act.
+#[rstest]
+#[case::no_cbor(b"\xff\x00".to_vec())]
+#[case::empty(Vec::new())]
+#[case::nested(vec![0x81; 100_000])]
+#[case::port_above_range(placer_with("address", address_with_port(65_536)))]
+#[case::port_below_range(placer_with("address", address_with_port(-1)))]
+#[case::term_is_text(placer_with("term", "1".into()))]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_placer_row_leaves_no_cell_without_a_placer(
+    #[case] odd: Vec<u8>,
+    #[values(false, true)] is_restarted: bool,
+) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let entry = spawn("entry-1", rows.store()).await;
+    let term = next_placer(&rows, 0).await.expect("a placer").term;
+    if is_restarted {
+        entry.retire().await;
+    }
+    rows.write(Table::Cell, PLACER_KEY, Some(odd));
+    let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
+    let next = next_placer(&rows, term).await.expect("a placer of a later term");
+    tokio::time::sleep(AUTHORITY_PERIOD - Duration::from_secs(1)).await;
+    let heartbeat = rows.value(Table::Cell, HEARTBEAT_KEY).and_then(|value| rows::decode(HEARTBEAT_KEY, &value));
+    assert_eq!(heartbeat, Some(rows::Heartbeat { term: next.term, is_alone: false }));
+}
