Ignore terms that no placer can have reached

What callers would see: after another writer has put a term near the end of its range into the placer's row, no job runs any more. With the largest term, the task that claims the cell panics (debug) or claims term 0 (release), and the entry never claims again; with smaller ones, the claim succeeds, and the numbers of runs (10,000 per term) overflow in the placer.

Cause: the term of a row was the base of the next one without a check.

Fix: the store's revision counts transactions and every term begins with one, so a term above the revision of its row can't have been reached. Such a row counts as unreadable, for which the cell is claimed by its revision. A bound that follows from the protocol needs no constant and also keeps a live placer from being deposed by such a row under its own term.

--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -147,7 +147,7 @@
 
     /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 if it doesn't exist.
     ///
-    /// Each claim increases both the term and the revision, so the revision bounds the term of an unreadable row.
+    /// The revision bounds the term of an unreadable row; see [`rows::decode_placer`].
     #[must_use]
     pub fn last_claim(&self) -> (u64, u64) {
         match (&self.placer, self.unreadable_placer) {
@@ -190,7 +190,7 @@
         if self.last_claim().1 >= row.revision {
             return;
         }
-        let content = row.value.as_deref().and_then(|value| rows::decode::<rows::Placer>(&row.key, value));
+        let content = row.value.as_deref().and_then(|value| rows::decode_placer(&row.key, value, row.revision));
         if let Some(placer) = &content {
             log::info!(event = "placer_row", term = placer.term, holder = placer.holder.as_deref().unwrap_or("none"),
                 revision = row.revision; "");
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -160,6 +160,19 @@
     }
 }
 
+/// Decodes the placer's row; logs an error and returns `None` if it is malformed or its term isn't possible.
+///
+/// The store counts transactions, and each term begins with one, so no term exceeds the revision of its row.
+#[must_use]
+pub fn decode_placer(key: &str, value: &[u8], revision: u64) -> Option<Placer> {
+    let placer: Placer = decode(key, value)?;
+    if placer.term > revision {
+        log::warn!(event = "row_malformed", key = key, term = placer.term, error = "term above the revision"; "");
+        return None;
+    }
+    Some(placer)
+}
+
 /// Decodes the row of a job; logs an error and returns `None` if it is malformed or the job isn't valid.
 #[must_use]
 pub fn decode_job(key: &str, value: &[u8]) -> Option<Job> {
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -119,15 +119,16 @@
     assert_eq!(rows.value(Table::Cell, "entry/near-0"), Some(row));
 }
 
-/// Returns the placer with a term above `term` once there is one.
-async fn next_placer(rows: &MemoryStore, term: u64) -> Option<rows::Placer> {
+/// Returns the placer whose row replaces the present one.
+async fn next_placer(rows: &MemoryStore) -> rows::Placer {
+    let present = rows.revision(Table::Cell, PLACER_KEY);
     for _ in 0..200 {
         tokio::time::sleep(Duration::from_millis(50)).await;
-        if let Some(placer) = placer(rows).filter(|placer| placer.term > term && placer.term < u64::MAX) {
-            return Some(placer);
+        if rows.revision(Table::Cell, PLACER_KEY) != present {
+            return placer(rows).expect("a claim is well-formed");
         }
     }
-    None
+    panic!("no placer")
 }
 
 fn placer_with(field: &str, value: ciborium::Value) -> Vec<u8> {
@@ -161,14 +162,31 @@
     let rows = MemoryStore::with_fault(Fault::None);
     rows.configure(1);
     let entry = spawn("entry-1", rows.store()).await;
-    let term = next_placer(&rows, 0).await.expect("a placer").term;
+    let term = next_placer(&rows).await.term;
     if is_restarted {
         entry.retire().await;
     }
     rows.write(Table::Cell, PLACER_KEY, Some(odd));
     let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
-    let next = next_placer(&rows, term).await.expect("a placer of a later term");
+    let next = next_placer(&rows).await;
+    assert!(next.term > term, "{next:?} after {term}");
     tokio::time::sleep(AUTHORITY_PERIOD - Duration::from_secs(1)).await;
     let heartbeat = rows.value(Table::Cell, HEARTBEAT_KEY).and_then(|value| rows::decode(HEARTBEAT_KEY, &value));
     assert_eq!(heartbeat, Some(rows::Heartbeat { term: next.term, is_alone: false }));
 }
+
+/// Terms and the numbers of runs, which are multiples of them, would overflow.
+#[rstest]
+#[case(u64::MAX)]
+#[case(u64::MAX - 1)]
+#[case(u64::MAX / 10_000 + 2)]
+#[tokio::test(start_paused = true)]
+async fn a_term_at_the_end_of_its_range_is_no_base_for_claims(#[case] odd: u64) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let _entry = spawn("entry-1", rows.store()).await;
+    let first = next_placer(&rows).await;
+    rows.write(Table::Cell, PLACER_KEY, Some(placer_with("term", odd.into())));
+    let next = next_placer(&rows).await;
+    assert!((first.term + 1..1_000).contains(&next.term), "{next:?} after {first:?}");
+}
