Accept terms above the revision in a store that counts anew

A term may now lead the revision by up to 2^20. The bound still can't be crossed by claims: each raises the term by 1 and the revision by at least 1. After an unreadable row the cell goes on from that bound, so its terms grow past 2^20 and its run numbers past 2^20 x 10,000, far below the 53 bits that any JSON reader keeps.

--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -147,12 +147,12 @@
 
     /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 if it doesn't exist.
     ///
-    /// The revision bounds the term of an unreadable row; see [`rows::decode_placer`].
+    /// The revision bounds the term of an unreadable row.
     #[must_use]
     pub fn last_claim(&self) -> (u64, u64) {
         match (&self.placer, self.unreadable_placer) {
             (Some((placer, revision)), _) => (placer.term, *revision),
-            (None, Some(revision)) => (revision, revision),
+            (None, Some(revision)) => (rows::term_max(revision), revision),
             (None, None) => (0, 0),
         }
     }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -21,6 +21,9 @@
 pub const AGENT_PREFIX: &str = "agent/";
 /// Prefix of the keys of entries, in table `cell`.
 pub const ENTRY_PREFIX: &str = "entry/";
+/// Largest lead of a term over the revision of the placer's row. It keeps terms valid in a store that was restored and
+/// counts its transactions anew.
+const TERM_LEAD_MAX: u64 = 1 << 20;
 /// Suffix of the keys of cancellations, in table `jobs`.
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -160,14 +163,20 @@
     }
 }
 
-/// Decodes the placer's row; logs an error and returns `None` if it is malformed or its term isn't possible.
+/// Upper bound of the term in a placer's row of the given revision.
 ///
-/// The store counts transactions, and each term begins with one, so no term exceeds the revision of its row.
+/// It holds for ever once it holds: the store counts transactions, and each term begins with one.
+#[must_use]
+pub const fn term_max(revision: u64) -> u64 {
+    revision.saturating_add(TERM_LEAD_MAX)
+}
+
+/// Decodes the placer's row; logs an error and returns `None` if it is malformed or its term isn't possible.
 #[must_use]
 pub fn decode_placer(key: &str, value: &[u8], revision: u64) -> Option<Placer> {
     let placer: Placer = decode(key, value)?;
-    if placer.term > revision {
-        log::warn!(event = "row_malformed", key = key, term = placer.term, error = "term above the revision"; "");
+    if placer.term > term_max(revision) {
+        log::warn!(event = "row_malformed", key = key, term = placer.term, error = "no possible term"; "");
         return None;
     }
     Some(placer)
