Never start the terms of a cell again

What callers would see: after another writer has deleted the placer's row, or put a lower term into it, the next placer has term 1. It assumes that nothing runs yet and doesn't wait for a former placer, so tasks may run twice; agents that obey a higher term refuse it, so nothing else runs.

Cause: the term of the placer's row, or 0 without a row, was the only base of the next term.

Fix: the heartbeat carries the term of the last claim as well, which is written in the same transaction, so the next term is above both. Without a placer's row, a cell counts as new only if it has no heartbeat either; otherwise its placer waits for the end of the former one's authority.

--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -141,20 +141,26 @@
     /// active.
     #[must_use]
     pub fn is_placer_alone(&self) -> bool {
-        let Some((placer, _)) = &self.placer else { return self.unreadable_placer.is_none() };
+        let Some((placer, _)) = &self.placer else { return self.last_claim() == (0, 0) };
         self.heartbeat.is_some_and(|heartbeat| heartbeat.term == placer.term && heartbeat.is_alone)
     }
 
-    /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 if it doesn't exist.
+    /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 in a new cell.
     ///
-    /// The revision bounds the term of an unreadable row.
+    /// The heartbeat has the term of the last claim, also when another process has replaced or deleted the placer's row.
     #[must_use]
     pub fn last_claim(&self) -> (u64, u64) {
-        match (&self.placer, self.unreadable_placer) {
+        let (term, revision) = match (&self.placer, self.unreadable_placer) {
             (Some((placer, revision)), _) => (placer.term, *revision),
             (None, Some(revision)) => (rows::term_max(revision), revision),
             (None, None) => (0, 0),
-        }
+        };
+        let heartbeat_term = match self.heartbeat {
+            Some(heartbeat) => heartbeat.term.min(rows::term_max(self.heartbeat_revision)),
+            None if self.heartbeat_revision > 0 => rows::term_max(self.heartbeat_revision),
+            None => 0,
+        };
+        (term.max(heartbeat_term), revision)
     }
 
     /// Entries with a larger processor share, which should place in preference to one with `own_share` of a core; with
