Count an agent whose row can't be read as one that may hold runs

What callers would see: another writer replaces the row of a live agent by something that doesn't decode. The placer closes its link to the agent, whose runs it no longer follows or renews until the agent has published its row again. A placer that takes the cell over doesn't know of the agent at all and starts the tasks that run on its worker once more elsewhere.

Cause: the roster treated an unreadable row like a deleted one.

What held before: the rows of others, the feed, and entries (`entry/NAME`), which may be dropped since they hold nothing. An agent at an address of nothing held as well (port 0): it counts as silent, delays one takeover until its lease has ended, and its row is then deleted; such a row doesn't delay every takeover.

Fix: the roster keeps the former address while the row can't be read, and names agents without a known address apart. The placer treats the latter as silent agents: it doesn't dial them, but waits for their leases, and deletes their rows afterwards. A live agent publishes its row again within 3 s without a link, so the wait normally ends with its answer.

--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -38,13 +38,15 @@
     }
 
     fn unreachable_agents(&self, now: Duration) -> Vec<Name> {
-        self.dialers
-            .iter()
-            .filter(|(name, dialer)| {
-                self.cell.is_lapsed(name) && now.saturating_sub(dialer.unlinked_since) >= AGENT_ROW_RETENTION
-            })
-            .map(|(name, _)| Arc::clone(name))
-            .collect()
+        let is_unlinked = |name: &&Name| {
+            let unlinked = self.dialers.get(*name).map(|dialer| now.saturating_sub(dialer.unlinked_since));
+            unlinked.is_none_or(|unlinked| unlinked >= AGENT_ROW_RETENTION)
+        };
+        let roster = self.context.roster.borrow();
+        let unreadable = roster.iter().flat_map(|roster| &roster.unreadable_agents);
+        let undialed = unreadable.filter(|name| !self.dialers.contains_key(*name));
+        let known = self.dialers.keys().chain(undialed);
+        known.filter(is_unlinked).filter(|name| self.cell.is_lapsed(name)).cloned().collect()
     }
 }
 
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -34,7 +34,7 @@
         let now = self.context.clock.now();
         // An agent that is new to this placer may obey the previous one for as long as that may act.
         let is_of_predecessor = self.context.term > 1 && now < self.context.claimed + AUTHORITY_PERIOD;
-        for name in roster.agents.keys() {
+        for name in roster.agents.keys().chain(&roster.unreadable_agents) {
             self.cell.agent_known(name, is_of_predecessor, now);
         }
         // Until the jobs are known, the runs of a job can't be told from orphaned runs.
@@ -61,7 +61,7 @@
                 self.cell.agent_silent(name);
             }
         }
-        let gone: Vec<Name> = self.dialers.keys().filter(|name| !roster.agents.contains_key(*name)).cloned().collect();
+        let gone: Vec<Name> = self.dialers.keys().filter(|name| !roster.has_agent(name)).cloned().collect();
         for name in gone {
             if let Some(dialer) = self.dialers.remove(&name) {
                 dialer.task.abort();
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -6,7 +6,7 @@
 
 use chervilledge_cell::succession;
 use chervilledge_policy::clock::Clock;
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -36,8 +36,10 @@
     pub heartbeat_seen_at: Duration,
     /// When the rows were last read.
     pub read_at: Duration,
-    /// Agents and their link addresses.
+    /// Agents and their link addresses; an agent whose row can no longer be decoded keeps its address.
     pub agents: Map<Name, SocketAddr>,
+    /// Agents without a known address, since their row can't be decoded. Their workers may have runs.
+    pub unreadable_agents: Set<Name>,
     /// Entries and their link addresses.
     pub entries: Map<Name, SocketAddr>,
     /// Share of a core that each entry has.
@@ -129,7 +131,7 @@
             }
             key => {
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
-                    apply_process(&mut self.agents, name, row);
+                    self.apply_agent(name, row);
                 } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
                     self.apply_entry(name, row);
                 }
@@ -173,6 +175,29 @@
             .map(|(name, address)| (name, *address))
     }
 
+    /// Whether the agent has a row, readable or not.
+    #[must_use]
+    pub fn has_agent(&self, name: &Name) -> bool {
+        self.agents.contains_key(name) || self.unreadable_agents.contains(name)
+    }
+
+    fn apply_agent(&mut self, name: &str, row: &Row) {
+        let content = row.value.as_deref().map(|value| rows::decode::<Process>(&row.key, value));
+        self.unreadable_agents.remove(name);
+        match content {
+            Some(Some(process)) => {
+                self.agents.insert(Arc::from(name), process.address);
+            }
+            Some(None) if self.agents.contains_key(name) => {}
+            Some(None) => {
+                self.unreadable_agents.insert(Arc::from(name));
+            }
+            None => {
+                self.agents.remove(name);
+            }
+        }
+    }
+
     fn apply_entry(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
         self.response_times.remove(name);
@@ -206,15 +231,3 @@
         self.heartbeat_seen_at = now;
     }
 }
-
-fn apply_process(processes: &mut Map<Name, SocketAddr>, name: &str, row: &Row) {
-    let content = row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value));
-    match content {
-        Some(process) => {
-            processes.insert(Arc::from(name), process.address);
-        }
-        None => {
-            processes.remove(name);
-        }
-    }
-}
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -4,7 +4,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chervilledge_cell::authority::AUTHORITY_PERIOD;
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
@@ -23,7 +23,7 @@
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows::{self, Effect};
 use chervilledge_scheduler::store::Table;
-use chervilledge_scheduler::{clock, metrics};
+use chervilledge_scheduler::{clock, metrics, roster};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use rstest::rstest;
@@ -38,6 +38,8 @@
 const CANCELLATION_APPLY: Duration = Duration::from_secs(3);
 /// Timeout for conditions that should be met soon.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Time after the end of its lease within which the row of an agent that can't be reached is deleted.
+const AGENT_ROW_DELETED: Duration = Duration::from_secs(9);
 /// Time within which a placer that doesn't wait would have placed.
 const OBSERVATION_TIME: Duration = Duration::from_millis(800);
 
@@ -414,3 +416,30 @@
         }
     }
 }
+
+/// The agent may hold runs of the former placer, and a live one publishes its row again.
+#[rstest]
+#[case::no_cbor(b"\xff\x00".to_vec())]
+#[case::nested(vec![0x81; 100_000])]
+#[case::address_missing(rows::encode(&[("port", 80)]))]
+#[case::address_of_nothing(rows::encode(&rows::Process { address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)) }))]
+#[tokio::test]
+async fn an_agent_whose_row_names_no_address_may_hold_runs_until_its_lease_has_ended(#[case] odd: Vec<u8>) {
+    let agent = agent::spawn().await;
+    let rows = claimed_rows();
+    let process = rows::Process { address: agent.address };
+    rows.write(Table::Cell, "agent/agent-1", Some(rows::encode(&process)));
+    rows.write(Table::Cell, "agent/odd", Some(odd));
+    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&job(1))));
+    let mut reader = roster::spawn(rows.store(), clock::system());
+    reader.view.wait_for(Option::is_some).await.expect("running");
+    let began = Instant::now();
+    let context = context(&rows, clock::system(), reader.view.clone());
+    let lease = context.lease;
+    let _placer = placer::spawn(context).await.expect("placer");
+    agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
+    assert!(began.elapsed() >= lease, "a start after {:?}", began.elapsed());
+    tokio::time::sleep(AGENT_ROW_DELETED).await;
+    assert!(!rows.has(Table::Cell, "agent/odd"));
+    assert!(rows.has(Table::Cell, "agent/agent-1"));
+}
--- a/crates/scheduler/tests/roster.rs
+++ b/crates/scheduler/tests/roster.rs
@@ -44,3 +44,39 @@
     tokio::time::sleep(TAKEOVER).await;
     assert!(!has_holder(), "not seen {TAKEOVER:?} after the store is back");
 }
+
+/// Orders for the runs of a live agent would no longer reach it.
+#[rstest]
+#[case::no_cbor(b"\xff\x00".to_vec())]
+#[case::empty(Vec::new())]
+#[case::nested(vec![0x81; 100_000])]
+#[case::nested_tags(vec![0xc1; 100_000])]
+#[case::nested_of_indefinite_length(vec![0x9f; 100_000])]
+#[case::text_of_a_megabyte(rows::encode(&"x".repeat(1 << 20)))]
+#[case::length_without_content(vec![0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
+#[case::number_too_large(rows::encode(&f64::MAX))]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_row_costs_neither_its_agent_nor_others(#[case] odd: Vec<u8>) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let process = rows::encode(&rows::Process { address });
+    let write = |key: &str, value: &Vec<u8>| rows.write(Table::Cell, key, Some(value.clone()));
+    write("agent/odd", &process);
+    write("entry/odd", &process);
+    let reader = roster::spawn(rows.store(), tokio_clock());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for key in ["agent/odd", "agent/unknown", "entry/odd", "beat", "odd", ""] {
+        write(key, &odd);
+    }
+    write("agent/other", &process);
+    write("entry/other", &process);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let roster = reader.view.borrow().clone().expect("the rows were read");
+    let [mut agents, mut entries] = [&roster.agents, &roster.entries].map(|known| known.keys().collect::<Vec<_>>());
+    agents.sort_unstable();
+    entries.sort_unstable();
+    assert_eq!((agents, entries), (vec![&"odd".into(), &"other".into()], vec![&"other".into()]));
+    rows.write(Table::Cell, "agent/odd", None);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!reader.view.borrow().as_ref().is_some_and(|roster| roster.agents.contains_key("odd")));
+}
