--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -6,7 +6,7 @@
 
 use chervilledge_cell::succession;
 use chervilledge_policy::clock::Clock;
-use chervilledge_policy::collections::Map;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -29,6 +29,8 @@
 pub struct Roster {
     /// The placer's row and its revision.
     pub placer: Option<(rows::Placer, u64)>,
+    /// Revision of the placer's row while it can't be decoded; `placer` is `None` then.
+    pub unreadable_placer: Option<u64>,
     /// Revision of the placer's heartbeat.
     pub heartbeat_revision: u64,
     /// Content of the heartbeat.
@@ -41,8 +43,10 @@
     pub claim_revisions: [u64; 2],
     /// When the rows were last read.
     pub read_at: Duration,
-    /// Agents and their link addresses.
+    /// Agents and their link addresses; an agent whose row can no longer be decoded keeps its address.
     pub agents: Map<Name, SocketAddr>,
+    /// Agents without a known address, since their row can't be decoded. Their workers may have runs.
+    pub unreadable_agents: Set<Name>,
     /// Entries and their link addresses.
     pub entries: Map<Name, SocketAddr>,
     /// Share of a core that each entry has.
@@ -139,7 +143,7 @@
             }
             key => {
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
-                    apply_process(&mut self.agents, name, row);
+                    self.apply_agent(name, row);
                 } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
                     self.apply_entry(name, row);
                 }
@@ -151,14 +155,14 @@
     /// active.
     #[must_use]
     pub fn is_placer_alone(&self) -> bool {
-        let Some((placer, _)) = &self.placer else { return true };
+        let Some((placer, _)) = &self.placer else { return self.last_claim() == (0, 0) };
         self.heartbeat.is_some_and(|heartbeat| heartbeat.term == placer.term && heartbeat.is_alone)
     }
 
     /// Witnesses of each placer that may still act; `None` if not all of them are known.
     #[must_use]
     pub fn acting_witnesses(&self) -> Option<Vec<Vec<SocketAddr>>> {
-        let Some((placer, _)) = &self.placer else { return Some(Vec::new()) };
+        let Some((placer, _)) = &self.placer else { return (self.last_claim() == (0, 0)).then(Vec::new) };
         let witnesses = self.witnesses.as_ref().filter(|witnesses| witnesses.term == placer.term)?;
         let mut all = if self.is_placer_alone() { Vec::new() } else { witnesses.earlier.clone()? };
         if !witnesses.members.is_empty() {
@@ -167,6 +171,24 @@
         (all.len() <= WITNESS_SETS_MAX).then_some(all)
     }
 
+    /// Upper bound of the terms of earlier placers, and the revision of the placer's row; both are 0 in a new cell.
+    ///
+    /// The heartbeat has the term of the last claim, also when another process has replaced or deleted the placer's row.
+    #[must_use]
+    pub fn last_claim(&self) -> (u64, u64) {
+        let (term, revision) = match (&self.placer, self.unreadable_placer) {
+            (Some((placer, revision)), _) => (placer.term, *revision),
+            (None, Some(revision)) => (rows::term_max(revision), revision),
+            (None, None) => (0, 0),
+        };
+        let heartbeat_term = match self.heartbeat {
+            Some(heartbeat) => heartbeat.term.min(rows::term_max(self.heartbeat_revision)),
+            None if self.heartbeat_revision > 0 => rows::term_max(self.heartbeat_revision),
+            None => 0,
+        };
+        (term.max(heartbeat_term), revision)
+    }
+
     /// Entries with a larger processor share, which should place in preference to one with `own_share` of a core; with
     /// their link addresses.
     pub fn larger_entries(&self, own_share: f64) -> impl Iterator<Item = (&Name, SocketAddr)> {
@@ -177,6 +199,29 @@
             .map(|(name, address)| (name, *address))
     }
 
+    /// Whether the agent has a row, readable or not.
+    #[must_use]
+    pub fn has_agent(&self, name: &Name) -> bool {
+        self.agents.contains_key(name) || self.unreadable_agents.contains(name)
+    }
+
+    fn apply_agent(&mut self, name: &str, row: &Row) {
+        let content = row.value.as_deref().map(|value| rows::decode::<Process>(&row.key, value));
+        self.unreadable_agents.remove(name);
+        match content {
+            Some(Some(process)) => {
+                self.agents.insert(Arc::from(name), process.address);
+            }
+            Some(None) if self.agents.contains_key(name) => {}
+            Some(None) => {
+                self.unreadable_agents.insert(Arc::from(name));
+            }
+            None => {
+                self.agents.remove(name);
+            }
+        }
+    }
+
     fn apply_entry(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
         self.response_times.remove(name);
@@ -197,27 +242,16 @@
     }
 
     fn apply_placer(&mut self, row: &Row, now: Duration) {
-        if self.placer.as_ref().is_some_and(|(_, revision)| *revision >= row.revision) {
+        if self.last_claim().1 >= row.revision {
             return;
         }
-        let content = row.value.as_deref().and_then(|value| rows::decode::<rows::Placer>(&row.key, value));
+        let content = row.value.as_deref().and_then(|value| rows::decode_placer(&row.key, value, row.revision));
         if let Some(placer) = &content {
             log::info!(event = "placer_row", term = placer.term, holder = placer.holder.as_deref().unwrap_or("none"),
                 revision = row.revision; "");
         }
+        self.unreadable_placer = (row.value.is_some() && content.is_none()).then_some(row.revision);
         self.placer = content.map(|content| (content, row.revision));
         self.heartbeat_seen_at = now;
     }
 }
-
-fn apply_process(processes: &mut Map<Name, SocketAddr>, name: &str, row: &Row) {
-    let content = row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value));
-    match content {
-        Some(process) => {
-            processes.insert(Arc::from(name), process.address);
-        }
-        None => {
-            processes.remove(name);
-        }
-    }
-}
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::AUTHORITY_PERIOD;
 use chervilledge_scheduler::entry::{self, Entry};
-use chervilledge_scheduler::rows::{self, PLACER_KEY};
+use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
@@ -117,3 +118,100 @@
     assert_eq!(rows.writes(Table::Cell, "entry/near-0"), writes);
     assert_eq!(rows.value(Table::Cell, "entry/near-0"), Some(row));
 }
+
+/// Returns the placer whose row replaces the present one.
+async fn next_placer(rows: &MemoryStore) -> rows::Placer {
+    let present = rows.revision(Table::Cell, PLACER_KEY);
+    for _ in 0..200 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if rows.revision(Table::Cell, PLACER_KEY) != present {
+            return placer(rows).expect("a claim is well-formed");
+        }
+    }
+    panic!("no placer")
+}
+
+/// Whether the placer knows, after a time, that no earlier one is active.
+async fn is_alone_after(rows: &MemoryStore, time: Duration) -> bool {
+    tokio::time::sleep(time).await;
+    let value = rows.value(Table::Cell, HEARTBEAT_KEY).expect("a heartbeat");
+    rows::decode::<rows::Heartbeat>(HEARTBEAT_KEY, &value).expect("well-formed").is_alone
+}
+
+fn placer_with(field: &str, value: ciborium::Value) -> Vec<u8> {
+    let row = rows::Placer { term: 1, holder: None, address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)) };
+    let mut row = ciborium::Value::serialized(&row).expect("a CBOR form");
+    let fields = row.as_map_mut().expect("fields");
+    fields.iter_mut().find(|(name, _)| name.as_text() == Some(field)).expect("the field").1 = value;
+    rows::encode(&row)
+}
+
+fn address_with_port(port: i64) -> ciborium::Value {
+    let octets = [127, 0, 0, 1].map(ciborium::Value::from).to_vec();
+    let address = ciborium::Value::Array(vec![ciborium::Value::Array(octets), port.into()]);
+    ciborium::Value::Map(vec![("V4".into(), address)])
+}
+
+/// The row's revision is the condition of the next claim, even if nobody can read its content. The former placer may
+/// still act.
+#[rstest]
+#[case::no_cbor(b"\xff\x00".to_vec())]
+#[case::empty(Vec::new())]
+#[case::nested(vec![0x81; 100_000])]
+#[case::port_above_range(placer_with("address", address_with_port(65_536)))]
+#[case::port_below_range(placer_with("address", address_with_port(-1)))]
+#[case::term_is_text(placer_with("term", "1".into()))]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_placer_row_leaves_no_cell_without_a_placer(
+    #[case] odd: Vec<u8>,
+    #[values(false, true)] is_restarted: bool,
+) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let entry = spawn("entry-1", rows.store()).await;
+    let term = next_placer(&rows).await.term;
+    if is_restarted {
+        entry.retire().await;
+    }
+    rows.write(Table::Cell, PLACER_KEY, Some(odd));
+    let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
+    let next = next_placer(&rows).await;
+    assert!(next.term > term, "{next:?} after {term}");
+    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD - Duration::from_secs(1)).await);
+}
+
+/// Terms and the numbers of runs, which are multiples of them, would overflow.
+#[rstest]
+#[case(u64::MAX)]
+#[case(u64::MAX - 1)]
+#[case(u64::MAX / 10_000 + 2)]
+#[tokio::test(start_paused = true)]
+async fn a_term_at_the_end_of_its_range_is_no_base_for_claims(#[case] odd: u64) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let _entry = spawn("entry-1", rows.store()).await;
+    let first = next_placer(&rows).await;
+    rows.write(Table::Cell, PLACER_KEY, Some(placer_with("term", odd.into())));
+    let next = next_placer(&rows).await;
+    assert!((first.term + 1..1 << 40).contains(&next.term), "{next:?} after {first:?}");
+}
+
+/// Agents refuse the orders of lower terms, and a placer of term 1 assumes that nothing runs yet.
+#[rstest]
+#[case::row_deleted(None)]
+#[case::lower_term(Some(placer_with("term", 0.into())))]
+#[tokio::test(start_paused = true)]
+async fn terms_never_start_again(#[case] odd: Option<Vec<u8>>, #[values(false, true)] is_restarted: bool) {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let entry = spawn("entry-1", rows.store()).await;
+    let first = next_placer(&rows).await;
+    if is_restarted {
+        entry.retire().await;
+    }
+    rows.write(Table::Cell, PLACER_KEY, odd);
+    let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
+    let next = next_placer(&rows).await;
+    assert!(next.term > first.term, "{next:?} after {first:?}");
+    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD - Duration::from_secs(1)).await);
+}
