Count a missing link only against the placer of its term

Seen: after the placer edge-burnie-2 was replaced for good, edge-launceston-2 began term 2 at 11.62 s and had its jobs at 11.70 s; at 12.37 s edge-burnie-5, started at 11.50 s, claimed term 3.

Cause: an entry takes over when the heartbeat is 0.5 s old and it has had no link to the placer for 0.5 s. The time without a link ran on when the row of another placer was seen, so edge-burnie-5's attempt to reach the machine that was gone counted against the new one: after 0.5 s, before the new placer's first heartbeat, which comes 1 s after its claim.

Evidence: edge-burnie-5 logs the row of term 1 at 11.530 s and that of term 2 at 11.623 s, no `placer_linked`, and a claim with the heartbeat revision of term 2's claim. The ten other entries are linked to term 2 within 8 ms of its row. Counting from the row of term 2 alone wouldn't do: the entry is in its attempt to reach term 1 until 12.23 s, so the link would be missing for 0.5 s after the row as well.

Fix: the route to the placer tells which term the entry has been trying to link to, and since when; only that term's time counts. The second check before the claim looks at the route again instead of using the time of the first. A link opened to a former placer no longer replaces the route to a placer of this process that has started meanwhile.

The test failed before, in eleven of eleven runs: a_new_placer_is_not_deposed_for_the_lost_link_to_its_predecessor assertion `left == right` failed left: Some(3) right: Some(2) and passes in nine of nine now.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -24,9 +24,20 @@
 /// Age from which the last read no longer describes the current state.
 const READ_MAX_AGE: Duration = Duration::from_millis(2_600);
 
+/// Lack of a link to the placer of a term.
+#[derive(Clone, Copy, Debug)]
+pub struct Unlinked {
+    /// Term of the placer.
+    pub term: u64,
+    /// When the link was lost, or the first attempt to open it began.
+    pub since: Duration,
+}
+
 /// Whether the cell should be taken over now.
+///
+/// Lacking a link counts only against the placer of that term: it says nothing about the next one.
 #[must_use]
-pub fn is_takeover_due(roster: &Roster, own_name: &str, link_lost: Option<Duration>, now: Duration) -> bool {
+pub fn is_takeover_due(roster: &Roster, own_name: &str, unlinked: Option<Unlinked>, now: Duration) -> bool {
     let Some((placer, _)) = &roster.placer else { return true };
     match &placer.holder {
         None => return true,
@@ -36,7 +47,9 @@
     }
     let heartbeat_age = now.saturating_sub(roster.heartbeat_seen_at);
     let is_read = now.saturating_sub(roster.read_at) < READ_MAX_AGE;
-    let is_unlinked = link_lost.is_some_and(|lost| now.saturating_sub(lost) >= HEARTBEAT_STALE_AFTER_LINK_LOST);
+    let is_unlinked = unlinked.is_some_and(|unlinked| {
+        unlinked.term == placer.term && now.saturating_sub(unlinked.since) >= HEARTBEAT_STALE_AFTER_LINK_LOST
+    });
     is_read
         && (heartbeat_age >= HEARTBEAT_STALE_AFTER || (is_unlinked && heartbeat_age >= HEARTBEAT_STALE_AFTER_LINK_LOST))
 }
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -26,6 +26,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::candidate::Unlinked;
 use crate::clock::whole_ms;
 use crate::feed;
 use crate::metrics::Metrics;
@@ -73,7 +74,9 @@
     Local(ActorRef<placer::Message>),
     /// The placer runs in another entry.
     Remote(Arc<Link>),
-    /// The placer can't be reached.
+    /// The placer runs in another entry to which no link is open yet.
+    Opening(Unlinked),
+    /// No placer is known.
     None,
 }
 
@@ -82,7 +85,7 @@
         f.write_str(match self {
             Self::Local(_) => "here",
             Self::Remote(_) => "there",
-            Self::None => "none",
+            Self::Opening(_) | Self::None => "none",
         })
     }
 }
@@ -199,7 +202,8 @@
     /// Whether the entry can serve callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let has_route = self.roster().is_some() || !matches!(*self.inner.placer_route.borrow(), PlacerRoute::None);
+        let is_routed = matches!(*self.inner.placer_route.borrow(), PlacerRoute::Local(_) | PlacerRoute::Remote(_));
+        let has_route = self.roster().is_some() || is_routed;
         !self.inner.is_stopping.load(Ordering::Relaxed) && self.configuration().is_some() && has_route
     }
 
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -25,7 +25,6 @@
 /// Checks periodically whether the cell needs a placer and claims the cell if so; hands it over to a larger entry when
 /// the tenure is over. Never returns.
 pub(super) async fn run(entry: Entry) {
-    let mut link_lost: Option<Duration> = None;
     let mut tenure = Tenure::default();
     let mut has_claimed = false;
     loop {
@@ -39,13 +38,8 @@
             }
             continue;
         }
-        let now = entry.now();
-        link_lost = match *entry.inner.placer_route.borrow() {
-            PlacerRoute::None => link_lost.or(Some(now)),
-            PlacerRoute::Local(_) | PlacerRoute::Remote(_) => None,
-        };
         let Some(roster) = entry.roster() else { continue };
-        if !candidate::is_takeover_due(&roster, &entry.inner.settings.name, link_lost, now) {
+        if !is_takeover_due(&entry, &roster) {
             continue;
         }
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
@@ -60,13 +54,21 @@
         }
         tokio::time::sleep(jitter + succession::claim_delay(entry.inner.settings.processor_share) + store_delay).await;
         let Some(roster) = entry.roster() else { continue };
-        if candidate::is_takeover_due(&roster, &entry.inner.settings.name, link_lost, entry.now()) {
+        if is_takeover_due(&entry, &roster) {
             has_claimed = true;
             claim(&entry, &roster).await;
         }
     }
 }
 
+fn is_takeover_due(entry: &Entry, roster: &Roster) -> bool {
+    let unlinked = match *entry.inner.placer_route.borrow() {
+        PlacerRoute::Opening(unlinked) => Some(unlinked),
+        PlacerRoute::Local(_) | PlacerRoute::Remote(_) | PlacerRoute::None => None,
+    };
+    candidate::is_takeover_due(roster, &entry.inner.settings.name, unlinked, entry.now())
+}
+
 /// Whether the placer's row was written by an earlier start of this process while larger entries could place.
 fn holds_stale_claim(entry: &Entry, roster: &Roster) -> bool {
     let settings = &entry.inner.settings;
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Entry, PlacerRoute, lock};
+use crate::candidate::Unlinked;
 use crate::message::{FromEntry, LINK_TIMEOUT, StoreOutcome, ToEntry};
 use crate::peer::{self, Link, SharedWaitingWork};
 use crate::placer;
@@ -41,31 +42,39 @@
             let is_other = placer.holder.as_ref().is_some_and(|holder| *holder != entry.inner.settings.name);
             is_other.then_some((placer.term, placer.address))
         });
-        let link = match holder {
-            Some((term, address)) => peer::open(address).await.map(|link| (term, link)),
-            None => None,
+        let Some((term, address)) = holder else {
+            set_route(&entry, PlacerRoute::None);
+            tokio::time::sleep(REDIAL_PAUSE).await;
+            continue;
         };
-        if let Some((term, link)) = link {
+        begin_opening(&entry, term);
+        if let Some(link) = peer::open(address).await {
             log::info!(event = "placer_linked", term = term; "");
-            entry.inner.placer_route.send_replace(PlacerRoute::Remote(Arc::clone(&link)));
+            set_route(&entry, PlacerRoute::Remote(Arc::clone(&link)));
             follow_link(&entry, &link, term).await;
             log::info!(event = "placer_unlinked", term = term; "");
-            clear_route(&entry);
         } else {
-            clear_route(&entry);
             tokio::time::sleep(REDIAL_PAUSE).await;
         }
     }
 }
 
-fn clear_route(entry: &Entry) {
+/// Marks the link to the placer of a term as being opened, since its first attempt.
+fn begin_opening(entry: &Entry, term: u64) {
+    let is_marked = matches!(*entry.inner.placer_route.borrow(), PlacerRoute::Opening(known) if known.term == term);
+    if !is_marked {
+        set_route(entry, PlacerRoute::Opening(Unlinked { term, since: entry.now() }));
+    }
+}
+
+/// Sets the route unless the placer runs in this process.
+fn set_route(entry: &Entry, new: PlacerRoute) {
     entry.inner.placer_route.send_if_modified(|placer_route| {
         let is_other = !matches!(placer_route, PlacerRoute::Local(_)) || entry.local_placer().is_none();
-        let was_set = !matches!(placer_route, PlacerRoute::None);
         if is_other {
-            *placer_route = PlacerRoute::None;
+            *placer_route = new;
         }
-        is_other && was_set
+        is_other
     });
 }
 
@@ -77,7 +86,7 @@
         }
         tokio::time::sleep(PENDING_INTERVAL).await;
     }
-    clear_route(entry);
+    set_route(entry, PlacerRoute::None);
 }
 
 /// Collects the waiting work from the linked placer until the link ends or the roster names another placer.
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -172,7 +172,7 @@
             (PlacerRoute::Local(placer), ToEntry::Submitted(job)) => drop(placer.cast(placer::Message::Submitted(job))),
             (PlacerRoute::Local(placer), ToEntry::Canceled(id)) => drop(placer.cast(placer::Message::Canceled(id))),
             (PlacerRoute::Remote(link), message) => link.notify(message),
-            (PlacerRoute::Local(_) | PlacerRoute::None, _) => {}
+            (PlacerRoute::Local(_) | PlacerRoute::Opening(_) | PlacerRoute::None, _) => {}
         }
     }
 
@@ -203,7 +203,7 @@
                     _ => None,
                 }
             }
-            PlacerRoute::None => None,
+            PlacerRoute::Opening(_) | PlacerRoute::None => None,
         }
     }
 
@@ -220,7 +220,7 @@
                 let answer = link.query(STATE_TIMEOUT, |question| ToEntry::State { question, job: id }).await;
                 matches!(answer, Some(FromEntry::State { is_stored: true, .. }))
             }
-            PlacerRoute::None => false,
+            PlacerRoute::Opening(_) | PlacerRoute::None => false,
         }
     }
 
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_scheduler::candidate::HEARTBEAT_INTERVAL;
 use chervilledge_scheduler::entry::{self, Entry};
 use chervilledge_scheduler::rows::{self, PLACER_KEY};
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
@@ -45,9 +46,13 @@
 }
 
 async fn spawn(name: &str, store: Handle) -> Entry {
+    spawn_at(name, SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), store).await
+}
+
+async fn spawn_at(name: &str, links_address: SocketAddr, store: Handle) -> Entry {
     let settings = settings::Entry {
         name: name.into(),
-        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        links_address,
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
         configuration_apply: Duration::from_secs(2),
@@ -117,3 +122,25 @@
     assert_eq!(rows.writes(Table::Cell, "entry/near-0"), writes);
     assert_eq!(rows.value(Table::Cell, "entry/near-0"), Some(row));
 }
+
+fn write_placer(rows: &MemoryStore, term: u64, holder: &str, address: SocketAddr) {
+    let placer = rows::Placer { term, holder: Some(Arc::from(holder)), address };
+    rows.write(Table::Cell, PLACER_KEY, Some(rows::encode(&placer)));
+}
+
+/// The time for which an entry had no link to a lost placer must not count against the next one.
+#[tokio::test]
+async fn a_new_placer_is_not_deposed_for_the_lost_link_to_its_predecessor() {
+    // A listener that never accepts, as seen by those who connect to a machine that was lost.
+    let lost = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    write_placer(&rows, 1, "lost", lost.local_addr().expect("its address"));
+    let _entry = spawn("entry", rows.store()).await;
+    let _next = spawn_at("next", free, MemoryStore::with_fault(Fault::None).store()).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    write_placer(&rows, 2, "next", free);
+    tokio::time::sleep(HEARTBEAT_INTERVAL * 3 / 2).await;
+    assert_eq!(placer(&rows).map(|placer| placer.term), Some(2));
+}
