Stop connecting to a former placer once the roster names another

Cause: an attempt to open the link to the placer ended only with its timeout, while an open link has always been dropped when the roster names another term.

Fix: the attempt ends in the same case.

The test failed before: a_new_placer_is_linked_while_its_predecessor_does_not_answer left: String("none") right: "there" The test file's other test of a lost placer shares its setup now; what it checks is unchanged.

--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -1,5 +1,6 @@
 //! Links between entries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::message::{FromEntry, LINK_TIMEOUT, StoreOutcome, ToEntry};
 use crate::peer::{self, Link, SharedWaitingWork};
 use crate::placer;
+use crate::roster::Roster;
 use crate::rows;
 
 /// Pause after a failed accept, which is mostly caused by a shortage of file descriptors.
@@ -48,7 +50,7 @@
             continue;
         };
         begin_opening(&entry, term);
-        if let Some(link) = peer::open(address).await {
+        if let Some(link) = open_link(&entry, term, address).await {
             log::info!(event = "placer_linked", term = term; "");
             set_route(&entry, PlacerRoute::Remote(Arc::clone(&link)));
             follow_link(&entry, &link, term).await;
@@ -59,6 +61,20 @@
     }
 }
 
+/// Opens the link to the placer of a term; gives up when the roster names another placer.
+async fn open_link(entry: &Entry, term: u64, address: SocketAddr) -> Option<Arc<Link>> {
+    let mut roster = entry.inner.roster.view.clone();
+    tokio::select! {
+        link = peer::open(address) => link,
+        Ok(_) = roster.wait_for(|roster| names_other(roster.as_ref(), term)) => None,
+    }
+}
+
+/// Whether the roster names a placer of another term.
+fn names_other(roster: Option<&Arc<Roster>>, term: u64) -> bool {
+    roster.and_then(|roster| roster.placer.as_ref()).is_some_and(|(placer, _)| placer.term != term)
+}
+
 /// Marks the link to the placer of a term as being opened, since its first attempt.
 fn begin_opening(entry: &Entry, term: u64) {
     let is_marked = matches!(*entry.inner.placer_route.borrow(), PlacerRoute::Opening(known) if known.term == term);
@@ -106,8 +122,7 @@
                 }
             }
             changed = roster.changed() => {
-                let named = roster.borrow_and_update().as_ref().and_then(|roster| roster.placer.as_ref().map(|placer| placer.0.term));
-                if changed.is_err() || named.is_some_and(|named| named != term) {
+                if changed.is_err() || names_other(roster.borrow_and_update().as_ref(), term) {
                     return;
                 }
             }
@@ -221,7 +236,7 @@
     }
 
     /// Link to another entry; opened if there is none.
-    pub(super) async fn relay_link(&self, name: &Name, address: std::net::SocketAddr) -> Option<Arc<Link>> {
+    pub(super) async fn relay_link(&self, name: &Name, address: SocketAddr) -> Option<Arc<Link>> {
         let known = lock(&self.inner.relays).get(name).cloned();
         if let Some(link) = known.filter(|link| !link.has_ended()) {
             return Some(link);
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -128,19 +128,34 @@
     rows.write(Table::Cell, PLACER_KEY, Some(rows::encode(&placer)));
 }
 
-/// The time for which an entry had no link to a lost placer must not count against the next one.
-#[tokio::test]
-async fn a_new_placer_is_not_deposed_for_the_lost_link_to_its_predecessor() {
+/// An entry that connects to a lost placer when the row of the next one, `term` 2, is written; and what keeps both up.
+async fn entry_with_lost_placer(rows: &MemoryStore) -> (Entry, (TcpListener, Entry)) {
     // A listener that never accepts, as seen by those who connect to a machine that was lost.
     let lost = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
     let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
-    let rows = MemoryStore::with_fault(Fault::None);
     rows.configure(1);
-    write_placer(&rows, 1, "lost", lost.local_addr().expect("its address"));
-    let _entry = spawn("entry", rows.store()).await;
-    let _next = spawn_at("next", free, MemoryStore::with_fault(Fault::None).store()).await;
+    write_placer(rows, 1, "lost", lost.local_addr().expect("its address"));
+    let entry = spawn("entry", rows.store()).await;
+    let next = spawn_at("next", free, MemoryStore::with_fault(Fault::None).store()).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
-    write_placer(&rows, 2, "next", free);
+    write_placer(rows, 2, "next", free);
+    (entry, (lost, next))
+}
+
+/// The time for which an entry had no link to a lost placer must not count against the next one.
+#[tokio::test]
+async fn a_new_placer_is_not_deposed_for_the_lost_link_to_its_predecessor() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let (_entry, _others) = entry_with_lost_placer(&rows).await;
     tokio::time::sleep(HEARTBEAT_INTERVAL * 3 / 2).await;
     assert_eq!(placer(&rows).map(|placer| placer.term), Some(2));
 }
+
+/// An entry that is connecting to a lost placer must not wait for the timeout before it links to the next one.
+#[tokio::test]
+async fn a_new_placer_is_linked_while_its_predecessor_does_not_answer() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let (entry, _others) = entry_with_lost_placer(&rows).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(entry.dump().await["way_to_placer"], "there");
+}
