Tell the cell when the link to an agent is dropped with its row

Tasks placed there meanwhile aren't started.

Cause: the placer ended the dialer and removed the link, but left the agent linked in the cell. The cell places on linked agents, and the order was dropped for lack of a link; runs of silent agents are given up once their leases have ended, those of linked ones never.

Evidence: the test's two cases, a task that runs when the row disappears, and one that is submitted after.

Fix: whatever drops a link tells the cell. The agent is then silent, its lease decides about its runs, and nothing is placed there. The runs aren't given up at once, since the row may be gone while they continue.

--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -57,8 +57,7 @@
             let dialer = Dialer { address: *address, task, unlinked_since: now };
             if let Some(replaced) = self.dialers.insert(Arc::clone(name), dialer) {
                 replaced.task.abort();
-                self.links.remove(name);
-                self.cell.agent_silent(name);
+                self.drop_link(name);
             }
         }
         let gone: Vec<Name> = self.dialers.keys().filter(|name| !roster.agents.contains_key(*name)).cloned().collect();
@@ -66,21 +65,27 @@
             if let Some(dialer) = self.dialers.remove(&name) {
                 dialer.task.abort();
             }
-            self.links.remove(&name);
+            // The row may be deleted while runs continue on the worker, so their leases decide.
+            self.drop_link(&name);
             self.agent_versions.remove(&name);
             self.cell.forget_agent(&name);
         }
         self.log_versions();
     }
 
+    /// Drops the link to an agent, if there is one. The cell must not count on an agent without a link.
+    fn drop_link(&mut self, agent: &Name) {
+        self.links.remove(agent);
+        self.cell.agent_silent(agent);
+    }
+
     pub(super) fn handle_link_opened(&mut self, agent: Name, link: u64, sender: Sender<ToAgent>) {
         self.links.insert(agent, AgentLink { number: link, sender, sent_evacuation: None });
     }
 
     pub(super) fn handle_link_closed(&mut self, agent: &Name, link: u64) {
         if self.links.get(agent).is_some_and(|known| known.number == link) {
-            self.links.remove(agent);
-            self.cell.agent_silent(agent);
+            self.drop_link(agent);
             if let Some(dialer) = self.dialers.get_mut(agent) {
                 dialer.unlinked_since = self.context.clock.now();
             }
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -237,6 +237,33 @@
     assert!(effects[0].1.per_core() > 0.15, "{}", effects[0].1.per_core());
 }
 
+/// The row of an agent may be deleted while runs continue on its worker, which may then be lost unseen.
+#[rstest]
+#[tokio::test]
+async fn a_task_is_not_left_to_an_agent_whose_row_is_gone(#[values(true, false)] is_started_before: bool) {
+    let (first, second) = (TestAgent::listen().await, TestAgent::listen().await);
+    let (view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", first.address)])));
+    let context = Context { lease: Duration::from_secs(1), ..context(&claimed_rows(), clock::system(), roster_view) };
+    let placer = placer::spawn(context).await.expect("placer");
+    let submit = || placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    let mut link = first.accept().await;
+    // Sent in answer to the inventory.
+    assert_eq!(link.first_of_evacuation_and_start().await, Some((0, false)));
+    if is_started_before {
+        submit();
+        link.wait_for_start().await;
+    }
+    view.send_replace(Some(roster(TERM, REVISION, &[])));
+    while link.receiver.receive::<ToAgent>(WAIT_LIMIT).await.is_ok() {}
+    drop((link, first));
+    if !is_started_before {
+        submit();
+        tokio::time::sleep(OBSERVATION_TIME).await;
+    }
+    view.send_replace(Some(roster(TERM, REVISION, &[("agent-2", second.address)])));
+    second.accept().await.wait_for_start().await;
+}
+
 fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
     let mut domains = EvacuatedDomains::default();
     domains.note(&Name::from("a"), Standing { revision, is_requested });
@@ -405,6 +432,10 @@
         tokio::time::timeout(WAIT_LIMIT, first).await.expect("an evacuation or a start")
     }
 
+    async fn wait_for_start(&mut self) {
+        while self.first_of_evacuation_and_start().await.is_some() {}
+    }
+
     async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
         loop {
             self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
