Ignore links opened by a dialer that was aborted since

Cause: messages of a link are accepted if their number is that of the current link, and a link became the current one without a check of its dialer.

Evidence: the test sends what an aborted dialer has sent. It failed before: the task wasn't started on the other agent within 20 s ("an evacuation or a start: Elapsed").

Fix: a dialer keeps the smallest number of its links; a link without a dialer, or of an earlier one, is ignored, and so are its messages.

--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -203,6 +203,8 @@
 struct Dialer {
     address: SocketAddr,
     task: JoinHandle<()>,
+    /// Smallest identifier of its links; those of earlier dialers are smaller.
+    first_link: u64,
     unlinked_since: Duration,
 }
 
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -54,7 +54,7 @@
                 number,
                 self.myself.clone(),
             ));
-            let dialer = Dialer { address: *address, task, unlinked_since: now };
+            let dialer = Dialer { address: *address, task, first_link: number, unlinked_since: now };
             if let Some(replaced) = self.dialers.insert(Arc::clone(name), dialer) {
                 replaced.task.abort();
                 self.drop_link(name);
@@ -80,6 +80,10 @@
     }
 
     pub(super) fn handle_link_opened(&mut self, agent: Name, link: u64, sender: Sender<ToAgent>) {
+        // Nobody would notice the end of a link that was opened by a task aborted since.
+        if self.dialers.get(&agent).is_none_or(|dialer| link < dialer.first_link) {
+            return;
+        }
         self.links.insert(agent, AgentLink { number: link, sender, sent_evacuation: None });
     }
 
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -18,7 +18,7 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::candidate::{HEARTBEAT_INTERVAL, HEARTBEAT_STALE_AFTER};
-use chervilledge_scheduler::message::{FromAgent, ToAgent};
+use chervilledge_scheduler::message::{FromAgent, NO_SECRET, ToAgent};
 use chervilledge_scheduler::placer::{self, Context, Message};
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows::{self, Effect};
@@ -264,6 +264,25 @@
     second.accept().await.wait_for_start().await;
 }
 
+/// A link that opened just before the row was deleted has nobody who would notice its end.
+#[tokio::test]
+async fn a_link_opened_to_an_agent_whose_row_is_gone_is_not_used() {
+    let (first, second) = (TestAgent::listen().await, TestAgent::listen().await);
+    let (view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let placer = placer::spawn(context(&claimed_rows(), clock::system(), roster_view)).await.expect("placer");
+    let (opened, _agent) = tokio::join!(connection::connect::<ToAgent>(first.address, NO_SECRET), first.accept());
+    let (sender, mut receiver) = opened.expect("a link");
+    let message = Box::new(receiver.receive::<FromAgent>(WAIT_LIMIT).await.expect("an inventory"));
+    let agent = Name::from("agent-1");
+    placer.cast(Message::Linked { agent: Arc::clone(&agent), link: 1, sender }).expect("running");
+    placer.cast(Message::FromAgent { agent, link: 1, message }).expect("running");
+    tokio::time::sleep(OBSERVATION_TIME).await;
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    tokio::time::sleep(OBSERVATION_TIME).await;
+    view.send_replace(Some(roster(TERM, REVISION, &[("agent-2", second.address)])));
+    second.accept().await.wait_for_start().await;
+}
+
 fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
     let mut domains = EvacuatedDomains::default();
     domains.note(&Name::from("a"), Standing { revision, is_requested });
