Keep an agent's late deletion from hiding its next worker

With a link, the agent doesn't write the row again before the placer has dropped it and 3 s have passed.

Cause: neither did the later write end the attempts of the earlier one, nor did the deletion depend on what it deletes; a worker that registers after a deletion didn't bring the row back.

Evidence: the test lets the store refuse the first attempt at the deletion.

Fix: a write of the row ends the attempts at a deletion, and the other way round. A deletion is conditioned on the revision of the row that it has read, so an attempt without an answer that takes effect late deletes nothing newer. A worker that registers after a deletion has the row written at once.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -34,7 +34,7 @@
 use crate::rows::{self, AGENT_PREFIX, Process};
 use crate::settings;
 use crate::settings::LEASE_MAX;
-use crate::store::{Change, Handle, Outcome, Table, Transaction};
+use crate::store::{Change, Condition, Handle, Outcome, ReadError, Table, Transaction};
 use crate::worker::{Calls, OrderOutcome, PollError, PollResponse, Report, StartOutcome, Target};
 
 /// Interval of the checks that depend only on time.
@@ -226,6 +226,8 @@
     report_due: Duration,
     unlinked_since: Duration,
     announce_due: Duration,
+    /// Latest write of the agent's row, and whether it leaves one.
+    row_write: Option<(bool, JoinHandle<()>)>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -286,6 +288,7 @@
             report_due: Duration::ZERO,
             unlinked_since: now,
             announce_due: now,
+            row_write: None,
             tasks,
             context,
         })
@@ -329,6 +332,34 @@
     }
 }
 
+/// Writes or deletes the agent's row, in a limited number of attempts.
+async fn write_row(store: Handle, change: Change) {
+    for _ in 0..ANNOUNCE_ATTEMPTS {
+        if let Ok(conditions) = row_conditions(&store, &change).await {
+            let transaction = Transaction { conditions, changes: vec![change.clone()] };
+            let outcome = (store.commit)(transaction).await;
+            log::info!(event = "agent_row", is_present = change.value.is_some(), outcome:? = outcome; "");
+            if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
+                return;
+            }
+        }
+        tokio::time::sleep(ANNOUNCE_RETRY).await;
+    }
+}
+
+/// Conditions of a write of the agent's row.
+///
+/// A deletion names the row that is there. An attempt without an answer may take effect late, and must not delete the
+/// row of the next worker.
+async fn row_conditions(store: &Handle, change: &Change) -> Result<Vec<Condition>, ReadError> {
+    if change.value.is_some() {
+        return Ok(Vec::new());
+    }
+    let row = (store.read_one)((change.table, Arc::clone(&change.key))).await?;
+    let revision = row.map_or(0, |row| row.revision);
+    Ok(vec![Condition { table: change.table, key: Arc::clone(&change.key), revision }])
+}
+
 impl State {
     fn tick(&mut self, now: Duration) {
         if now >= self.grant_request_due && self.link.is_some() {
@@ -350,27 +381,28 @@
         if now < self.announce_due || self.link.is_some() || self.tracked.is_none() {
             return;
         }
+        self.announce(now);
+    }
+
+    fn announce(&mut self, now: Duration) {
         self.announce_due = now + ANNOUNCE_AFTER;
         let content = Process { address: self.context.settings.links_address };
         self.write_row(Some(rows::encode(&content)));
     }
 
-    /// Writes or deletes the agent's row.
-    fn write_row(&self, value: Option<Vec<u8>>) {
+    /// Writes or deletes the agent's row; an earlier call that is still attempting the opposite gives up.
+    fn write_row(&mut self, value: Option<Vec<u8>>) {
+        let is_present = value.is_some();
+        if let Some((was_present, write)) = self.row_write.take_if(|(_, write)| !write.is_finished()) {
+            if was_present == is_present {
+                self.row_write = Some((was_present, write));
+                return;
+            }
+            write.abort();
+        }
         let key = Arc::from(format!("{AGENT_PREFIX}{}", self.context.settings.name));
         let change = Change { table: Table::Cell, key, value };
-        let store = Arc::clone(&self.context.store);
-        tokio::spawn(async move {
-            for _ in 0..ANNOUNCE_ATTEMPTS {
-                let transaction = Transaction { conditions: Vec::new(), changes: vec![change.clone()] };
-                let outcome = (store.commit)(transaction).await;
-                log::info!(event = "agent_row", is_present = change.value.is_some(), outcome:? = outcome; "");
-                if matches!(outcome, Outcome::Done(_)) {
-                    return;
-                }
-                tokio::time::sleep(ANNOUNCE_RETRY).await;
-            }
-        });
+        self.row_write = Some((is_present, tokio::spawn(write_row(Arc::clone(&self.context.store), change))));
     }
 
     /// Applies a report from the worker.
@@ -442,6 +474,10 @@
         if self.link.is_some() {
             self.inventory_due = Some(now);
         }
+        let is_row_deleted = self.row_write.as_ref().is_some_and(|(is_present, _)| !is_present);
+        if is_row_deleted {
+            self.announce(now);
+        }
     }
 
     fn handle_leave(&mut self, name: &Name, now: Duration) {
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -6,9 +6,13 @@
 
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::worker::{End, EndKind, Life, RunReport};
+use chervilledge_scheduler::agent::Message;
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
+use chervilledge_scheduler::rows::AGENT_PREFIX;
+use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::worker::{OrderOutcome, PollError, PollResponse, StartOutcome};
 use rstest::rstest;
+use support::Fault;
 use support::agent::{Link, idle_poll, life, link, spawn, spawn_without_report, task};
 
 /// Attempts at a start may be executed seconds after they were sent. A placer that doesn't know of them would start the
@@ -198,6 +202,27 @@
         .await;
 }
 
+/// No placer finds a worker without a row, and a successor would start its tasks elsewhere at once.
+#[rstest]
+#[tokio::test]
+async fn a_late_deletion_of_the_row_does_not_hide_the_next_worker(#[values(true, false)] is_linked: bool) {
+    let agent = spawn().await;
+    let revision = || agent.rows.revision(Table::Cell, &format!("{AGENT_PREFIX}agent-1"));
+    while revision() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let _placer = if is_linked { Some(link(&agent, 1).await) } else { None };
+    // The next announcement without a link follows 3 s after the first.
+    tokio::time::sleep(Duration::from_millis(if is_linked { 100 } else { 2_900 })).await;
+    agent.rows.set_fault(Fault::Refuse);
+    agent.actor.cast(Message::Leave(life().worker)).expect("running");
+    agent.report(Life { worker: "worker-2".into(), born_unix_ms: 9 });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    agent.rows.set_fault(Fault::None);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(revision() > 0, "the agent has no row");
+}
+
 /// What indicates that the worker may have restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Case {
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -118,6 +118,7 @@
     pub actor: ActorRef<Message>,
     pub address: SocketAddr,
     pub worker: ScriptedWorker,
+    pub rows: MemoryStore,
 }
 
 /// Starts an agent whose worker has reported its identity, resources, address and clock.
@@ -144,6 +145,7 @@
         paces: Vec::new(),
     };
     let worker = ScriptedWorker(Arc::new(Mutex::new(script)));
+    let rows = MemoryStore::with_fault(Fault::None);
     let context = Context {
         settings: settings::Agent {
             name: Arc::from("agent-1"),
@@ -152,11 +154,11 @@
         },
         clock: clock::system(),
         calls: Arc::new(worker.calls()),
-        store: MemoryStore::with_fault(Fault::None).store(),
+        store: rows.store(),
         metrics: metrics::open(),
     };
     let actor = agent::spawn(context).await.expect("agent");
-    RunningAgent { actor, address, worker }
+    RunningAgent { actor, address, worker, rows }
 }
 
 impl RunningAgent {
