Keep the row of an agent that comes back while it expires

If the agent comes back and writes its row again before the deletion takes effect, which on a slow store may be seconds later, the row is deleted nevertheless: the placer drops the link, and a successor that claims the cell before the agent has written the row once more doesn't know it.

Cause: the deletion was conditioned on the placer's row only, not on the agent's.

Evidence: the test delays the deletion by 0.8 s and writes the row meanwhile. It failed before: left: false, right: true. Its other case, an agent that doesn't return, passed before and passes.

Fix: the roster keeps the revisions of the agents' rows, and the deletion is conditioned on them.

Not covered: an agent whose link opens after the deletion was sent, without a new row. Its link is then dropped, and it writes its row 3 s later.

--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -31,27 +31,33 @@
         self.is_expiring = true;
         tokio::spawn(async move {
             let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
-            let removed = remove(&store, placer, &jobs, &gone).await;
+            let removed = remove_jobs(&store, placer.clone(), &jobs).await;
+            remove_agents(&store, placer, gone).await;
             // The placer may have ended in the meantime.
             drop(myself.cast(Message::Expired(removed)));
         });
     }
 
-    fn unreachable_agents(&self, now: Duration) -> Vec<Name> {
+    /// Rows of the agents that have been unreachable for long.
+    fn unreachable_agents(&self, now: Duration) -> Vec<Condition> {
+        let Some(roster) = self.context.roster.borrow().clone() else { return Vec::new() };
         self.dialers
             .iter()
             .filter(|(name, dialer)| {
                 self.cell.is_lapsed(name) && now.saturating_sub(dialer.unlinked_since) >= AGENT_ROW_RETENTION
             })
-            .map(|(name, _)| Arc::clone(name))
+            .filter_map(|(name, _)| {
+                let revision = *roster.agent_revisions.get(name)?;
+                Some(Condition { table: Table::Cell, key: Arc::from(format!("{AGENT_PREFIX}{name}")), revision })
+            })
             .collect()
     }
 }
 
-/// Deletes the rows of ended jobs and of unreachable agents; returns the jobs whose rows are gone.
+/// Deletes the rows of ended jobs; returns the jobs whose rows are gone.
 ///
 /// A job's row is deleted before its progress row, since a job without progress would be run again.
-async fn remove(store: &Handle, placer: Condition, jobs: &[JobId], agents: &[Name]) -> Vec<JobId> {
+async fn remove_jobs(store: &Handle, placer: Condition, jobs: &[JobId]) -> Vec<JobId> {
     let mut by_partition: BTreeMap<Partition, Vec<JobId>> = BTreeMap::new();
     for job in jobs {
         by_partition.entry(job_partition(*job)).or_default().push(*job);
@@ -66,16 +72,27 @@
             removed.extend(jobs);
         }
     }
-    let mut changes: Vec<Change> = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
-    changes.extend(agents.iter().map(|name| removal(Table::Cell, Arc::from(format!("{AGENT_PREFIX}{name}")))));
-    if changes.is_empty() {
-        return removed;
+    if !removed.is_empty() {
+        let changes = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
+        let outcome = (store.commit)(Transaction { conditions: vec![placer], changes }).await;
+        log::info!(event = "rows_expired", jobs = removed.len(), agents = 0, outcome:? = outcome; "");
     }
-    let outcome = (store.commit)(Transaction { conditions: vec![placer], changes }).await;
-    log::info!(event = "rows_expired", jobs = removed.len(), agents = agents.len(), outcome:? = outcome; "");
     removed
 }
 
+/// Deletes the rows of unreachable agents, or none if one of them has been written again, which means that its agent is
+/// back.
+async fn remove_agents(store: &Handle, placer: Condition, mut agents: Vec<Condition>) {
+    if agents.is_empty() {
+        return;
+    }
+    let changes: Vec<Change> = agents.iter().map(|row| removal(row.table, Arc::clone(&row.key))).collect();
+    let count = changes.len();
+    agents.push(placer);
+    let outcome = (store.commit)(Transaction { conditions: agents, changes }).await;
+    log::info!(event = "rows_expired", jobs = 0, agents = count, outcome:? = outcome; "");
+}
+
 const fn removal(table: Table, key: Name) -> Change {
     Change { table, key, value: None }
 }
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -36,6 +36,8 @@
     pub read_at: Duration,
     /// Agents and their link addresses.
     pub agents: Map<Name, SocketAddr>,
+    /// Revisions of the agents' rows.
+    pub agent_revisions: Map<Name, u64>,
     /// Entries and their link addresses.
     pub entries: Map<Name, SocketAddr>,
     /// Share of a core that each entry has.
@@ -127,7 +129,7 @@
             }
             key => {
                 if let Some(name) = key.strip_prefix(AGENT_PREFIX) {
-                    apply_process(&mut self.agents, name, row);
+                    self.apply_agent(name, row);
                 } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
                     self.apply_entry(name, row);
                 }
@@ -153,6 +155,19 @@
             .map(|(name, address)| (name, *address))
     }
 
+    fn apply_agent(&mut self, name: &str, row: &Row) {
+        match row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value)) {
+            Some(process) => {
+                self.agents.insert(Arc::from(name), process.address);
+                self.agent_revisions.insert(Arc::from(name), row.revision);
+            }
+            None => {
+                self.agents.remove(name);
+                self.agent_revisions.remove(name);
+            }
+        }
+    }
+
     fn apply_entry(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().and_then(|value| rows::decode::<EntryProcess>(&row.key, value));
         self.response_times.remove(name);
@@ -185,15 +200,3 @@
         self.heartbeat_seen_at = now;
     }
 }
-
-fn apply_process(processes: &mut Map<Name, SocketAddr>, name: &str, row: &Row) {
-    let content = row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value));
-    match content {
-        Some(process) => {
-            processes.insert(Arc::from(name), process.address);
-        }
-        None => {
-            processes.remove(name);
-        }
-    }
-}
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -20,9 +20,9 @@
 use chervilledge_scheduler::candidate::{HEARTBEAT_INTERVAL, HEARTBEAT_STALE_AFTER};
 use chervilledge_scheduler::message::{FromAgent, NO_SECRET, ToAgent};
 use chervilledge_scheduler::placer::{self, Context, Message};
-use chervilledge_scheduler::roster::Roster;
+use chervilledge_scheduler::roster::{self, Roster};
 use chervilledge_scheduler::rows::{self, Effect};
-use chervilledge_scheduler::store::Table;
+use chervilledge_scheduler::store::{CallFuture, Outcome, Store, Table, Transaction};
 use chervilledge_scheduler::{clock, metrics};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -283,6 +283,51 @@
     second.accept().await.wait_for_start().await;
 }
 
+/// An agent that comes back writes its row again. Without a row, it would be lost to this placer and to its successor.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn the_row_of_an_agent_that_comes_back_is_not_deleted(#[values(true, false)] does_return: bool) {
+    const ROW: &str = "agent/agent-1";
+    let rows = claimed_rows();
+    let agent = rows::encode(&rows::Process { address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)) });
+    rows.write(Table::Cell, ROW, Some(agent.clone()));
+    let reader = roster::spawn(rows.store(), tokio_clock());
+    let (deletions, mut deletion) = watch::channel(false);
+    // Deletions from this table take effect late.
+    let (store, commits) = (rows.store(), rows.store());
+    let commit = Box::new(move |transaction: Transaction| {
+        let is_late = transaction.changes.iter().any(|change| change.table == Table::Cell && change.value.is_none());
+        let (commits, deletions) = (Arc::clone(&commits), deletions.clone());
+        Box::pin(async move {
+            if is_late {
+                deletions.send_replace(true);
+                tokio::time::sleep(OBSERVATION_TIME).await;
+            }
+            (commits.commit)(transaction).await
+        }) as CallFuture<Outcome>
+    });
+    let calls = [(); 4].map(|()| Arc::clone(&store));
+    let [read, read_one, watch, watch_configuration] = calls;
+    let store = Arc::new(Store {
+        commit,
+        read: Box::new(move |page| (read.read)(page)),
+        read_one: Box::new(move |row| (read_one.read_one)(row)),
+        watch: Box::new(move |changes| (watch.watch)(changes)),
+        watch_configuration: Box::new(move |changes| (watch_configuration.watch_configuration)(changes)),
+    });
+    let context = Context { store, ..context(&rows, tokio_clock(), reader.view.clone()) };
+    let _placer = placer::spawn(context).await.expect("placer");
+    tokio::time::timeout(WAIT_LIMIT * 3, deletion.wait_for(|is_sent| *is_sent))
+        .await
+        .expect("a deletion")
+        .expect("open");
+    if does_return {
+        rows.write(Table::Cell, ROW, Some(agent));
+    }
+    tokio::time::sleep(OBSERVATION_TIME + HEARTBEAT_INTERVAL / 2).await;
+    assert_eq!(rows.has(Table::Cell, ROW), does_return);
+}
+
 fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
     let mut domains = EvacuatedDomains::default();
     domains.note(&Name::from("a"), Standing { revision, is_requested });
