--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -1,5 +1,6 @@
 //! Links between entries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,10 +10,12 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Entry, PlacerRoute, lock};
+use crate::candidate::Unlinked;
 use crate::clock::whole_ms;
 use crate::message::{FromEntry, LINK_TIMEOUT, StoreOutcome, ToEntry};
 use crate::peer::{self, Link, SharedWaitingWork};
 use crate::placer;
+use crate::roster::Roster;
 use crate::rows;
 
 /// Pause after a failed accept, which is mostly caused by a shortage of file descriptors.
@@ -42,31 +45,53 @@
             let is_other = placer.holder.as_ref().is_some_and(|holder| *holder != entry.inner.settings.name);
             is_other.then_some((placer.term, placer.address))
         });
-        let link = match holder {
-            Some((term, address)) => peer::open(address).await.map(|link| (term, link)),
-            None => None,
+        let Some((term, address)) = holder else {
+            set_route(&entry, PlacerRoute::None);
+            tokio::time::sleep(REDIAL_PAUSE).await;
+            continue;
         };
-        if let Some((term, link)) = link {
+        begin_opening(&entry, term);
+        if let Some(link) = open_link(&entry, term, address).await {
             log::info!(event = "placer_linked", term = term; "");
-            entry.inner.placer_route.send_replace(PlacerRoute::Remote(Arc::clone(&link)));
+            set_route(&entry, PlacerRoute::Remote(Arc::clone(&link)));
             follow_link(&entry, &link, term).await;
             log::info!(event = "placer_unlinked", term = term; "");
-            clear_route(&entry);
         } else {
-            clear_route(&entry);
             tokio::time::sleep(REDIAL_PAUSE).await;
         }
     }
 }
 
-fn clear_route(entry: &Entry) {
+/// Opens the link to the placer of a term; gives up when the roster names another placer.
+async fn open_link(entry: &Entry, term: u64, address: SocketAddr) -> Option<Arc<Link>> {
+    let mut roster = entry.inner.roster.view.clone();
+    tokio::select! {
+        link = peer::open(address) => link,
+        Ok(_) = roster.wait_for(|roster| names_other(roster.as_ref(), term)) => None,
+    }
+}
+
+/// Whether the roster names a placer of another term.
+fn names_other(roster: Option<&Arc<Roster>>, term: u64) -> bool {
+    roster.and_then(|roster| roster.placer.as_ref()).is_some_and(|(placer, _)| placer.term != term)
+}
+
+/// Marks the link to the placer of a term as being opened, since its first attempt.
+fn begin_opening(entry: &Entry, term: u64) {
+    let is_marked = matches!(*entry.inner.placer_route.borrow(), PlacerRoute::Opening(known) if known.term == term);
+    if !is_marked {
+        set_route(entry, PlacerRoute::Opening(Unlinked { term, since: entry.now() }));
+    }
+}
+
+/// Sets the route unless the placer runs in this process.
+fn set_route(entry: &Entry, new: PlacerRoute) {
     entry.inner.placer_route.send_if_modified(|placer_route| {
         let is_other = !matches!(placer_route, PlacerRoute::Local(_)) || entry.local_placer().is_none();
-        let was_set = !matches!(placer_route, PlacerRoute::None);
         if is_other {
-            *placer_route = PlacerRoute::None;
+            *placer_route = new;
         }
-        is_other && was_set
+        is_other
     });
 }
 
@@ -78,7 +103,7 @@
         }
         tokio::time::sleep(PENDING_INTERVAL).await;
     }
-    clear_route(entry);
+    set_route(entry, PlacerRoute::None);
 }
 
 /// Collects the waiting work from the linked placer until the link ends or the roster names another placer.
@@ -98,8 +123,7 @@
                 }
             }
             changed = roster.changed() => {
-                let named = roster.borrow_and_update().as_ref().and_then(|roster| roster.placer.as_ref().map(|placer| placer.0.term));
-                if changed.is_err() || named.is_some_and(|named| named != term) {
+                if changed.is_err() || names_other(roster.borrow_and_update().as_ref(), term) {
                     return;
                 }
             }
@@ -223,7 +247,7 @@
     }
 
     /// Link to another entry; opened if there is none.
-    pub(super) async fn relay_link(&self, name: &Name, address: std::net::SocketAddr) -> Option<Arc<Link>> {
+    pub(super) async fn relay_link(&self, name: &Name, address: SocketAddr) -> Option<Arc<Link>> {
         let known = lock(&self.inner.relays).get(name).cloned();
         if let Some(link) = known.filter(|link| !link.has_ended()) {
             return Some(link);
--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -11,7 +11,7 @@
 use crate::rows::{self, AGENT_PREFIX};
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
 
-/// Maximum number of jobs whose rows are deleted in one transaction.
+/// Maximum number of jobs, and of agents, whose rows are deleted in one transaction.
 const EXPIRY_BATCH_MAX: usize = 20;
 /// Time after which the row of an unreachable agent is deleted; its leases have ended by then.
 const AGENT_ROW_RETENTION: Duration = Duration::from_secs(6);
@@ -31,29 +31,36 @@
         self.is_expiring = true;
         tokio::spawn(async move {
             let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
-            let removed = remove(&store, placer, &jobs, &gone).await;
+            let removed = remove_jobs(&store, placer.clone(), &jobs).await;
+            remove_agents(&store, placer, gone).await;
             // The placer may have ended in the meantime.
             drop(myself.cast(Message::Expired(removed)));
         });
     }
 
-    fn unreachable_agents(&self, now: Duration) -> Vec<Name> {
-        let is_unlinked = |name: &&Name| {
-            let unlinked = self.dialers.get(*name).map(|dialer| now.saturating_sub(dialer.unlinked_since));
+    /// Rows of the agents that have been unreachable for long.
+    fn unreachable_agents(&self, now: Duration) -> Vec<Condition> {
+        let Some(roster) = self.context.roster.borrow().clone() else { return Vec::new() };
+        let is_unlinked = |name: &Name| {
+            let unlinked = self.dialers.get(name).map(|dialer| now.saturating_sub(dialer.unlinked_since));
             unlinked.is_none_or(|unlinked| unlinked >= AGENT_ROW_RETENTION)
         };
-        let roster = self.context.roster.borrow();
-        let unreadable = roster.iter().flat_map(|roster| &roster.unreadable_agents);
-        let undialed = unreadable.filter(|name| !self.dialers.contains_key(*name));
-        let known = self.dialers.keys().chain(undialed);
-        known.filter(is_unlinked).filter(|name| self.cell.is_lapsed(name)).cloned().collect()
+        let unreachable =
+            roster.agent_revisions.iter().filter(|(name, _)| self.cell.is_lapsed(name) && is_unlinked(name));
+        unreachable
+            .take(EXPIRY_BATCH_MAX)
+            .map(|(name, revision)| {
+                let key = Arc::from(format!("{AGENT_PREFIX}{name}"));
+                Condition { table: Table::Cell, key, revision: *revision }
+            })
+            .collect()
     }
 }
 
-/// Deletes the rows of ended jobs and of unreachable agents; returns the jobs whose rows are gone.
+/// Deletes the rows of ended jobs; returns the jobs whose rows are gone.
 ///
 /// A job's row is deleted before its progress row, since a job without progress would be run again.
-async fn remove(store: &Handle, placer: Condition, jobs: &[JobId], agents: &[Name]) -> Vec<JobId> {
+async fn remove_jobs(store: &Handle, placer: Condition, jobs: &[JobId]) -> Vec<JobId> {
     let mut by_partition: BTreeMap<Partition, Vec<JobId>> = BTreeMap::new();
     for job in jobs {
         by_partition.entry(job_partition(*job)).or_default().push(*job);
@@ -68,16 +75,27 @@
             removed.extend(jobs);
         }
     }
-    let mut changes: Vec<Change> = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
-    changes.extend(agents.iter().map(|name| removal(Table::Cell, Arc::from(format!("{AGENT_PREFIX}{name}")))));
-    if changes.is_empty() {
-        return removed;
+    if !removed.is_empty() {
+        let changes = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
+        let outcome = (store.commit)(Transaction { conditions: vec![placer], changes }).await;
+        log::info!(event = "rows_expired", jobs = removed.len(), agents = 0, outcome:? = outcome; "");
     }
-    let outcome = (store.commit)(Transaction { conditions: vec![placer], changes }).await;
-    log::info!(event = "rows_expired", jobs = removed.len(), agents = agents.len(), outcome:? = outcome; "");
     removed
 }
 
+/// Deletes the rows of unreachable agents, or none if one of them has been written again, which means that its agent is
+/// back.
+async fn remove_agents(store: &Handle, placer: Condition, mut agents: Vec<Condition>) {
+    if agents.is_empty() {
+        return;
+    }
+    let changes: Vec<Change> = agents.iter().map(|row| removal(row.table, Arc::clone(&row.key))).collect();
+    let count = changes.len();
+    agents.push(placer);
+    let outcome = (store.commit)(Transaction { conditions: agents, changes }).await;
+    log::info!(event = "rows_expired", jobs = 0, agents = count, outcome:? = outcome; "");
+}
+
 const fn removal(table: Table, key: Name) -> Change {
     Change { table, key, value: None }
 }
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -47,6 +47,8 @@
     pub agents: Map<Name, SocketAddr>,
     /// Agents without a known address, since their row can't be decoded. Their workers may have runs.
     pub unreadable_agents: Set<Name>,
+    /// Revisions of the agents' rows.
+    pub agent_revisions: Map<Name, u64>,
     /// Entries and their link addresses.
     pub entries: Map<Name, SocketAddr>,
     /// Share of a core that each entry has.
@@ -208,6 +210,7 @@
     fn apply_agent(&mut self, name: &str, row: &Row) {
         let content = row.value.as_deref().map(|value| rows::decode::<Process>(&row.key, value));
         self.unreadable_agents.remove(name);
+        self.agent_revisions.insert(Arc::from(name), row.revision);
         match content {
             Some(Some(process)) => {
                 self.agents.insert(Arc::from(name), process.address);
@@ -218,6 +221,7 @@
             }
             None => {
                 self.agents.remove(name);
+                self.agent_revisions.remove(name);
             }
         }
     }
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_cell::authority::AUTHORITY_PERIOD;
+use chervilledge_scheduler::candidate::HEARTBEAT_INTERVAL;
 use chervilledge_scheduler::entry::{self, Entry};
 use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
@@ -46,9 +47,13 @@
 }
 
 async fn spawn(name: &str, store: Handle) -> Entry {
+    spawn_at(name, SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), store).await
+}
+
+async fn spawn_at(name: &str, links_address: SocketAddr, store: Handle) -> Entry {
     let settings = settings::Entry {
         name: name.into(),
-        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        links_address,
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
         configuration_apply: Duration::from_secs(2),
@@ -177,7 +182,7 @@
     let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
     let next = next_placer(&rows).await;
     assert!(next.term > term, "{next:?} after {term}");
-    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD - Duration::from_secs(1)).await);
+    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD.saturating_sub(Duration::from_secs(1))).await);
 }
 
 /// Terms and the numbers of runs, which are multiples of them, would overflow.
@@ -213,5 +218,42 @@
     let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
     let next = next_placer(&rows).await;
     assert!(next.term > first.term, "{next:?} after {first:?}");
-    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD - Duration::from_secs(1)).await);
+    assert!(!is_alone_after(&rows, AUTHORITY_PERIOD.saturating_sub(Duration::from_secs(1))).await);
+}
+
+fn write_placer(rows: &MemoryStore, term: u64, holder: &str, address: SocketAddr) {
+    let placer = rows::Placer { term, holder: Some(Arc::from(holder)), address };
+    rows.write(Table::Cell, PLACER_KEY, Some(rows::encode(&placer)));
+}
+
+/// An entry that connects to a lost placer when the row of the next one, `term` 2, is written; and what keeps both up.
+async fn entry_with_lost_placer(rows: &MemoryStore) -> (Entry, (TcpListener, Entry)) {
+    // A listener that never accepts, as seen by those who connect to a machine that was lost.
+    let lost = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
+    rows.configure(1);
+    write_placer(rows, 1, "lost", lost.local_addr().expect("its address"));
+    let entry = spawn("entry", rows.store()).await;
+    let next = spawn_at("next", free, MemoryStore::with_fault(Fault::None).store()).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    write_placer(rows, 2, "next", free);
+    (entry, (lost, next))
+}
+
+/// The time for which an entry had no link to a lost placer must not count against the next one.
+#[tokio::test]
+async fn a_new_placer_is_not_deposed_for_the_lost_link_to_its_predecessor() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let (_entry, _others) = entry_with_lost_placer(&rows).await;
+    tokio::time::sleep(HEARTBEAT_INTERVAL * 3 / 2).await;
+    assert_eq!(placer(&rows).map(|placer| placer.term), Some(2));
+}
+
+/// An entry that is connecting to a lost placer must not wait for the timeout before it links to the next one.
+#[tokio::test]
+async fn a_new_placer_is_linked_while_its_predecessor_does_not_answer() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let (entry, _others) = entry_with_lost_placer(&rows).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(entry.dump().await["way_to_placer"], "there");
 }
--- a/crates/scheduler/tests/lost_machines.rs
+++ b/crates/scheduler/tests/lost_machines.rs
@@ -40,7 +40,7 @@
 }
 
 async fn spawn_agent(number: u64, rows: &MemoryStore) -> RunningAgent {
-    let agent = agent::spawn_named(&format!("agent-{number}"), rows.store()).await;
+    let agent = agent::spawn_named(&format!("agent-{number}"), rows.clone()).await;
     agent.report(Life { worker: Arc::from(format!("worker-{number}")), born_unix_ms: 7 });
     agent
 }
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -18,12 +18,12 @@
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::candidate::{HEARTBEAT_INTERVAL, HEARTBEAT_STALE_AFTER};
-use chervilledge_scheduler::message::{FromAgent, ToAgent};
+use chervilledge_scheduler::message::{FromAgent, NO_SECRET, ToAgent};
 use chervilledge_scheduler::placer::{self, Context, Message};
-use chervilledge_scheduler::roster::Roster;
+use chervilledge_scheduler::roster::{self, Roster};
 use chervilledge_scheduler::rows::{self, Effect};
-use chervilledge_scheduler::store::Table;
-use chervilledge_scheduler::{clock, metrics, roster};
+use chervilledge_scheduler::store::{CallFuture, Outcome, Store, Table, Transaction};
+use chervilledge_scheduler::{clock, metrics};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use rstest::rstest;
@@ -241,6 +241,97 @@
     assert!(effects[0].1.per_core() > 0.15, "{}", effects[0].1.per_core());
 }
 
+/// The row of an agent may be deleted while runs continue on its worker, which may then be lost unseen.
+#[rstest]
+#[tokio::test]
+async fn a_task_is_not_left_to_an_agent_whose_row_is_gone(#[values(true, false)] is_started_before: bool) {
+    let (first, second) = (TestAgent::listen().await, TestAgent::listen().await);
+    let (view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[("agent-1", first.address)])));
+    let context = Context { lease: Duration::from_secs(1), ..context(&claimed_rows(), clock::system(), roster_view) };
+    let placer = placer::spawn(context).await.expect("placer");
+    let submit = || placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    let mut link = first.accept().await;
+    // Sent in answer to the inventory.
+    assert_eq!(link.first_of_evacuation_and_start().await, Some((0, false)));
+    if is_started_before {
+        submit();
+        link.wait_for_start().await;
+    }
+    view.send_replace(Some(roster(TERM, REVISION, &[])));
+    while link.receiver.receive::<ToAgent>(WAIT_LIMIT).await.is_ok() {}
+    drop((link, first));
+    if !is_started_before {
+        submit();
+        tokio::time::sleep(OBSERVATION_TIME).await;
+    }
+    view.send_replace(Some(roster(TERM, REVISION, &[("agent-2", second.address)])));
+    second.accept().await.wait_for_start().await;
+}
+
+/// A link that opened just before the row was deleted has nobody who would notice its end.
+#[tokio::test]
+async fn a_link_opened_to_an_agent_whose_row_is_gone_is_not_used() {
+    let (first, second) = (TestAgent::listen().await, TestAgent::listen().await);
+    let (view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let placer = placer::spawn(context(&claimed_rows(), clock::system(), roster_view)).await.expect("placer");
+    let (opened, _agent) = tokio::join!(connection::connect::<ToAgent>(first.address, NO_SECRET), first.accept());
+    let (sender, mut receiver) = opened.expect("a link");
+    let message = Box::new(receiver.receive::<FromAgent>(WAIT_LIMIT).await.expect("an inventory"));
+    let agent = Name::from("agent-1");
+    placer.cast(Message::Linked { agent: Arc::clone(&agent), link: 1, sender }).expect("running");
+    placer.cast(Message::FromAgent { agent, link: 1, message }).expect("running");
+    tokio::time::sleep(OBSERVATION_TIME).await;
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    tokio::time::sleep(OBSERVATION_TIME).await;
+    view.send_replace(Some(roster(TERM, REVISION, &[("agent-2", second.address)])));
+    second.accept().await.wait_for_start().await;
+}
+
+/// An agent that comes back writes its row again. Without a row, it would be lost to this placer and to its successor.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn the_row_of_an_agent_that_comes_back_is_not_deleted(#[values(true, false)] does_return: bool) {
+    const ROW: &str = "agent/agent-1";
+    let rows = claimed_rows();
+    let agent = rows::encode(&rows::Process { address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)) });
+    rows.write(Table::Cell, ROW, Some(agent.clone()));
+    let reader = roster::spawn(rows.store(), tokio_clock());
+    let (deletions, mut deletion) = watch::channel(false);
+    // Deletions from this table take effect late.
+    let (store, commits) = (rows.store(), rows.store());
+    let commit = Box::new(move |transaction: Transaction| {
+        let is_late = transaction.changes.iter().any(|change| change.table == Table::Cell && change.value.is_none());
+        let (commits, deletions) = (Arc::clone(&commits), deletions.clone());
+        Box::pin(async move {
+            if is_late {
+                deletions.send_replace(true);
+                tokio::time::sleep(OBSERVATION_TIME).await;
+            }
+            (commits.commit)(transaction).await
+        }) as CallFuture<Outcome>
+    });
+    let calls = [(); 4].map(|()| Arc::clone(&store));
+    let [read, read_one, watch, watch_configuration] = calls;
+    let store = Arc::new(Store {
+        commit,
+        read: Box::new(move |page| (read.read)(page)),
+        read_one: Box::new(move |row| (read_one.read_one)(row)),
+        watch: Box::new(move |changes| (watch.watch)(changes)),
+        watch_configuration: Box::new(move |changes| (watch_configuration.watch_configuration)(changes)),
+    });
+    let context = Context { store, ..context(&rows, tokio_clock(), reader.view.clone()) };
+    let _placer = placer::spawn(context).await.expect("placer");
+    tokio::time::timeout(WAIT_LIMIT * 3, deletion.wait_for(|is_sent| *is_sent))
+        .await
+        .expect("a deletion")
+        .expect("open");
+    if does_return {
+        rows.write(Table::Cell, ROW, Some(agent));
+    }
+    tokio::time::sleep(OBSERVATION_TIME + HEARTBEAT_INTERVAL / 2).await;
+    assert_eq!(rows.has(Table::Cell, ROW), does_return);
+}
+
 fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
     let mut domains = EvacuatedDomains::default();
     domains.note(&Name::from("a"), Standing { revision, is_requested });
@@ -409,6 +500,10 @@
         tokio::time::timeout(WAIT_LIMIT, first).await.expect("an evacuation or a start")
     }
 
+    async fn wait_for_start(&mut self) {
+        while self.first_of_evacuation_and_start().await.is_some() {}
+    }
+
     async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
         loop {
             self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -13,7 +13,6 @@
 use chervilledge_scheduler::agent::{self, Context, Message};
 use chervilledge_scheduler::message::{FromAgent, LINK_TIMEOUT, NO_SECRET, ToAgent};
 use chervilledge_scheduler::settings;
-use chervilledge_scheduler::store::Handle;
 use chervilledge_scheduler::worker::{Calls, OrderOutcome, PollError, PollRequest, PollResponse, Report, StartOutcome};
 use chervilledge_scheduler::{clock, metrics};
 use ractor::ActorRef;
@@ -119,6 +118,7 @@
     pub actor: ActorRef<Message>,
     pub address: SocketAddr,
     pub worker: ScriptedWorker,
+    pub rows: MemoryStore,
 }
 
 /// Starts an agent whose worker has reported its identity, resources, address and clock.
@@ -130,11 +130,11 @@
 
 /// Starts an agent whose worker hasn't reported yet.
 pub async fn spawn_without_report() -> RunningAgent {
-    spawn_named("agent-1", MemoryStore::with_fault(Fault::None).store()).await
+    spawn_named("agent-1", MemoryStore::with_fault(Fault::None)).await
 }
 
 /// Starts an agent that announces itself in a store; its worker hasn't reported yet.
-pub async fn spawn_named(name: &str, store: Handle) -> RunningAgent {
+pub async fn spawn_named(name: &str, rows: MemoryStore) -> RunningAgent {
     let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
     let address = free.local_addr().expect("address");
     drop(free);
@@ -158,11 +158,11 @@
         },
         clock: clock::system(),
         calls: Arc::new(worker.calls()),
-        store,
+        store: rows.store(),
         metrics: metrics::open(),
     };
     let actor = agent::spawn(context).await.expect("agent");
-    RunningAgent { actor, address, worker }
+    RunningAgent { actor, address, worker, rows }
 }
 
 impl RunningAgent {
--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -70,7 +70,7 @@
     for number in 0..entries {
         running.push(spawn_entry(number, &rows).await);
     }
-    let agent = agent::spawn_named("agent-1", rows.store()).await;
+    let agent = agent::spawn_named("agent-1", rows.clone()).await;
     agent.report(agent::life());
     let witnesses = || stored::<rows::Witnesses>(&rows, WITNESSES_KEY).map_or(0, |witnesses| witnesses.members.len());
     wait_for("witnesses", || witnesses() == (entries - 1).min(2)).await;
