--- a/crates/cell/tests/malformed.rs
+++ b/crates/cell/tests/malformed.rs
@@ -9,7 +9,9 @@
 use chervilledge_cell::cell::Inventory;
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::grant::{ClockReading, is_clock_continued, lease_end_ms};
+use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, Schedule, Step, TASKS_MAX, TaskId, TaskKey};
+use chervilledge_cell::progress::{Checkpointed, Outcome, Progress};
 use chervilledge_cell::worker::{End, EndKind, RunReport, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -163,3 +165,53 @@
     assert!(!is_clock_continued(ClockReading { worker_ms: 10, ..reading }, 3, Duration::from_secs(2)));
     assert!(is_clock_continued(reading, u64::MAX, Duration::from_secs(1)));
 }
+
+fn odd_key(rng: &mut SmallRng) -> TaskKey {
+    TaskKey { occurrence: small(rng), step: small(rng), index: small(rng) }
+}
+
+fn odd_progress(rng: &mut SmallRng) -> Progress {
+    let mut keys = || {
+        let valid = TaskKey { occurrence: 0, step: rng.random_range(0..2), index: rng.random_range(0..2) };
+        if rng.random() { valid } else { odd_key(rng) }
+    };
+    let keys = [keys(), keys(), keys(), keys()];
+    let checkpointed = Checkpointed { run: amount(rng), percent: small(rng) };
+    Progress {
+        done: [keys[0]].into(),
+        failures: [(keys[1], (0..rng.random_range(0..100)).map(|_| amount(rng)).collect())].into(),
+        checkpoints: [(keys[2], name("c"))].into(),
+        checkpointed: [(keys[2], checkpointed), (keys[3], checkpointed)].into(),
+        outcome: rng.random_bool(0.2).then_some(Outcome::Completed),
+    }
+}
+
+/// Every successor reads the same progress; agents pass on the reports of any worker.
+#[rstest]
+fn no_figure_in_a_progress_row_or_a_report_ends_the_placer(#[values(1, 2, 3, 4)] seed: u64) {
+    let rng = &mut SmallRng::seed_from_u64(seed);
+    let mut world = World::with_workers(4, 16_000);
+    for round in 0..ROUNDS {
+        world.advance_ms(rng.random_range(1..2_000));
+        let agent = name(&format!("agent-{}", rng.random_range(0..4)));
+        let (job, progress) = (odd_job(rng, u64::from(round)), odd_progress(rng));
+        world.cell.load(job, progress, amount(rng), Duration::from_millis(amount(rng)), world.now);
+        let mut worker = odd_worker(rng);
+        worker.cold_for = Duration::from_millis(amount(rng));
+        worker.resources.accelerators = small(rng);
+        world.cell.worker_seen(&agent, worker, world.now);
+        let odd = [f64::NAN, f64::INFINITY, -1e300, f64::MAX, 0.0][rng.random_range(0..5)];
+        world.cell.take_headrooms(&agent, vec![(name("a"), odd)]);
+        let evidence = Evidence { information: odd, weighted_effect: odd };
+        world.cell.store_evidence(&agent, vec![(Pair { filling: name("a"), serving: name("b") }, evidence)]);
+        world.cell.merge_evidence();
+        if rng.random_bool(0.2) {
+            world.end_random(rng, EndKind::Failed);
+        }
+        world.place();
+        world.cell.watch_runs(world.now);
+        world.cell.save_checkpoints(world.now);
+        drop(world.cell.changed_urgencies(world.now));
+        drop(world.cell.next_batch());
+    }
+}
