Bound the length of logged texts

What operators would see: an error that quotes a malformed text of a megabyte, such as a status report whose number is a long text, makes a log line of a megabyte, for each report; the lines of other events are dropped meanwhile.

Evidence: the error of serde_json for a text of 1 MiB in place of a number is longer than 16 KiB in both cases of the new test; nothing cut it before, as the logger had no bound. CBOR rows were not affected: ciborium doesn't quote texts.

Fix: the logger cuts each text to 16 KiB, for all events in one place.

--- a/crates/scheduler/src/logs.rs
+++ b/crates/scheduler/src/logs.rs
@@ -23,6 +23,8 @@
 const BATCH_LINES: usize = 256;
 /// Number of bytes that a pipe accepts atomically: `PIPE_BUF` of the operating system.
 const CHUNK_BYTES: usize = 4_096;
+/// Maximum length of a text in a line; errors of decoders quote what they decode.
+pub const FIELD_BYTES_MAX: usize = 16 * 1_024;
 /// Pause while a non-blocking pipe is full.
 const READER_PAUSE: Duration = Duration::from_millis(5);
 
@@ -114,13 +116,20 @@
         } else if let Some(boolean) = value.to_bool() {
             json!(boolean)
         } else {
-            json!(value.to_string())
+            json!(bounded(value.to_string()))
         };
         self.0.insert(key.as_str().to_owned(), value);
         Ok(())
     }
 }
 
+/// Cuts a text to the maximum length of a field.
+#[must_use]
+pub fn bounded(mut text: String) -> String {
+    text.truncate(text.floor_char_boundary(FIELD_BYTES_MAX));
+    text
+}
+
 fn write_all(items: &Receiver<WriterMessage>) {
     let mut output = io::stdout();
     while let Ok(first) = items.recv() {
--- a/crates/scheduler/tests/logs.rs
+++ b/crates/scheduler/tests/logs.rs
@@ -1,6 +1,6 @@
 //! Grouping of log lines into writes.
 
-use chervilledge_scheduler::logs::chunks;
+use chervilledge_scheduler::logs::{FIELD_BYTES_MAX, bounded, chunks};
 use rstest::rstest;
 
 /// Number of bytes that a pipe accepts atomically.
@@ -27,3 +27,14 @@
         assert!(chunk.len() <= PIPE_BUF || lines.contains(&chunk), "{} bytes", chunk.len());
     }
 }
+
+/// An error that quotes a text of a megabyte would push out the lines of other events.
+#[rstest]
+#[case::ascii("x")]
+#[case::three_bytes("\u{20ac}")]
+fn no_malformed_text_makes_a_long_line(#[case] character: &str) {
+    let text = serde_json::json!(character.repeat(1 << 20));
+    let error = serde_json::from_value::<u64>(text).expect_err("no number").to_string();
+    assert!(error.len() > FIELD_BYTES_MAX);
+    assert!((FIELD_BYTES_MAX - 2..=FIELD_BYTES_MAX).contains(&bounded(error).len()));
+}
