Keep the order of messages that are posted to a full link

Both sides rely on the order: an agent reports each end once, and the placer skips an end with a smaller number than the last one, so of two swapped reports the earlier is lost. Its run is believed to go on; the end is settled with the later one, so the worker forgets it, and the task is run once more or, if it is to last, not at all before the next link. A stop that overtakes its start only costs time: the worker then refuses the start.

Cause: `Sender::post` mustn't wait, and the queue was bounded.

Fix: the queue is unbounded, and its capacity is a semaphore on which `send` waits and `try_send` fails, as before. `post` takes a permit if there is one. The memory is bounded as before: posted messages never were.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,6 +1,7 @@
 //! Link connections: client and server handshake, receive half and send half.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
 use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
@@ -39,37 +40,44 @@
 /// Scheme prefix of the `Authorization` header field.
 const BEARER_PREFIX: &str = "Bearer ";
 
-/// Send half of a link; all clones send on the same link.
+/// Send half of a link; all clones send on the same link, in the order of their calls.
 #[derive(Clone, Debug)]
 pub struct Sender<M> {
-    queue: mpsc::Sender<M>,
+    queue: mpsc::UnboundedSender<Queued<M>>,
+    capacity: Arc<Semaphore>,
 }
 
-impl<M: Send + 'static> Sender<M> {
-    /// Queues a message without blocking. If the queue is full, a spawned task sends it, possibly out of order.
-    pub fn post(&self, message: M) {
-        if let Err(mpsc::error::TrySendError::Full(message)) = self.queue.try_send(message) {
-            let queue = self.queue.clone();
-            // If the link is closed, the message is dropped, like other messages in flight.
-            tokio::spawn(async move { drop(queue.send(message).await) });
-        }
-    }
+/// Message in the send queue.
+#[derive(Debug)]
+struct Queued<M> {
+    message: M,
+    /// Share of the capacity; `None` for a message posted to a full queue.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl<M> Sender<M> {
+    /// Queues a message without blocking, even if the queue is full.
+    pub fn post(&self, message: M) {
+        let permit = Arc::clone(&self.capacity).try_acquire_owned().ok();
+        // If the link is closed, the message is dropped, like other messages in flight.
+        drop(self.queue.send(Queued { message, _permit: permit }));
+    }
+
     /// Queues a message, waiting while the queue is full.
     ///
     /// # Errors
     ///
     /// [`Error::Closed`] if the link is closed.
     pub async fn send(&self, message: M) -> Result<(), Error> {
-        self.queue.send(message).await.or(Err(Error::Closed))
+        let permit = Arc::clone(&self.capacity).acquire_owned().await.or(Err(Error::Closed))?;
+        self.queue.send(Queued { message, _permit: Some(permit) }).or(Err(Error::Closed))
     }
 
     /// Queues a message and returns true, or drops it and returns false if the queue is full or the link is closed.
     #[must_use]
     pub fn try_send(&self, message: M) -> bool {
-        self.queue.try_send(message).is_ok()
+        let Ok(permit) = Arc::clone(&self.capacity).try_acquire_owned() else { return false };
+        self.queue.send(Queued { message, _permit: Some(permit) }).is_ok()
     }
 
     /// Returns whether the link is closed.
@@ -225,18 +233,18 @@
 
 fn spawn_writer<M: Send + Serialize + 'static>(socket: WebSocketStream<TcpStream>) -> (Sender<M>, Receiver) {
     let (sink, stream) = socket.split();
-    let (queue, messages) = mpsc::channel(WRITER_QUEUE_CAPACITY);
+    let (queue, messages) = mpsc::unbounded_channel();
     let writer = tokio::spawn(write_messages(sink, messages)).abort_handle();
-    (Sender { queue }, Receiver { stream, writer })
+    (Sender { queue, capacity: Arc::new(Semaphore::new(WRITER_QUEUE_CAPACITY)) }, Receiver { stream, writer })
 }
 
 async fn write_messages<M: Serialize>(
     mut sink: impl Sink<Message, Error = SocketError> + Unpin,
-    mut messages: mpsc::Receiver<M>,
+    mut messages: mpsc::UnboundedReceiver<Queued<M>>,
 ) {
     let mut batch = Vec::new();
     while messages.recv_many(&mut batch, WRITER_BATCH_MAX).await > 0 {
-        for message in batch.drain(..) {
+        for Queued { message, .. } in batch.drain(..) {
             let Ok(bytes) = encode(&message) else { return };
             if sink.feed(Message::Binary(bytes.into())).await.is_err() {
                 return;
