Check that no task is stranded

A task that neither waits nor has a run would never start again, and nothing told so.

Change: the cell names such tasks. The random walk checks them for each placer after each step, in addition to its other checks. The dump of the placer has `tasks_stranded`.

--- a/crates/cell/src/cell/runs.rs
+++ b/crates/cell/src/cell/runs.rs
@@ -8,7 +8,7 @@
 
 use super::jobs::need;
 use super::task::{Run, Task};
-use super::{Action, Cell};
+use super::{Action, Cell, task_id};
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
 use crate::packing::Need;
@@ -270,6 +270,25 @@
         agent.runs.iter().filter_map(traits).collect()
     }
 
+    /// Tasks that are due and neither wait nor have a run on an agent's worker, or have one that isn't on the worker.
+    /// There are none: nothing would start such a task again.
+    #[must_use]
+    pub fn stranded(&self) -> Vec<TaskId> {
+        let mut stranded = Vec::new();
+        for entry in self.jobs.values().filter(|entry| entry.is_open()) {
+            for (key, state) in entry.tasks.iter().filter(|(key, state)| !state.is_done && entry.is_due(**key)) {
+                let task = task_id(entry.job.id, *key);
+                let is_held = |run: &Run| {
+                    self.agents.get(&run.agent).is_some_and(|agent| agent.runs.contains(&(task, run.number)))
+                };
+                if !state.runs.iter().all(is_held) || (state.runs.is_empty() && !self.ready.contains(&task)) {
+                    stranded.push(task);
+                }
+            }
+        }
+        stranded
+    }
+
     /// Runs that the placer believes to be on an agent's worker.
     #[must_use]
     pub fn runs_on(&self, name: &Name) -> Vec<(TaskId, u64)> {
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -1,5 +1,5 @@
-//! Random sequences of takeovers, disconnections, restarts and outages: no task runs twice, and no accepted job is
-//! lost.
+//! Random sequences of takeovers, disconnections, restarts and outages: no task runs twice, none is stranded, and no
+//! accepted job is lost.
 //!
 //! Placers, agents, workers and the store are modelled; every decision is made by the cell's own code. The test fails
 //! without any one of these safeguards: the wait for agents that haven't answered, the wait for a silent agent's
@@ -406,6 +406,9 @@
         for task in self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task)) {
             assert!(running.insert(task), "seed {}: {task} runs twice at {:?}", self.seed, self.now);
         }
+        for placer in &self.placers {
+            assert_eq!(placer.cell.stranded(), [], "seed {}, term {}, at {:?}", self.seed, placer.term, self.now);
+        }
     }
 }
 
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -61,6 +61,7 @@
             "jobs": jobs,
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
+            "tasks_stranded": self.cell.stranded().iter().map(ToString::to_string).collect::<Vec<_>>(),
             "agents_unheard": self.cell.unresolved(),
             "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
             "room_reserved": self.cell.reserved(),
