--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -156,15 +156,12 @@
     }
 
     fn apply_agent(&mut self, name: &str, row: &Row) {
-        match row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value)) {
-            Some(process) => {
-                self.agents.insert(Arc::from(name), process.address);
-                self.agent_revisions.insert(Arc::from(name), row.revision);
-            }
-            None => {
-                self.agents.remove(name);
-                self.agent_revisions.remove(name);
-            }
+        if let Some(process) = row.value.as_deref().and_then(|value| rows::decode::<Process>(&row.key, value)) {
+            self.agents.insert(Arc::from(name), process.address);
+            self.agent_revisions.insert(Arc::from(name), row.revision);
+        } else {
+            self.agents.remove(name);
+            self.agent_revisions.remove(name);
         }
     }
 
