Log what lasting tasks wait for that don't run

No line said why a task had not been placed for seconds, nor that a run on which the placer counts had not started, so the hypotheses could not be told apart.

The cell looks at its lasting tasks every 300 ms and reports, through `lasting_tasks_waiting`, those without a run at work for 2 s: one line for each step and reason, repeated every 5 s, at most 16 lines a pass. The reasons tell apart a wait for agents of the former placer, lack of capacity (with the number of workers by what rules them out), capacity that no pass has used, runs whose start or end isn't confirmed, runs on agents without a link, a pause after failures, and faults of the placer's own bookkeeping. `lasting_tasks_running` ends a report. `placement_paused` is the placer's own line while it may not place at all. Number and longest wait are in the dump and in two gauges.

No decision of placement changes: the check only reads, and takes from the placement code whether a worker fits.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -11,6 +11,7 @@
 mod filling;
 mod headroom;
 mod jobs;
+mod lasting;
 mod placing;
 mod preempt;
 mod reservations;
@@ -22,7 +23,7 @@
 mod urgencies;
 pub mod writes;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
 use self::evacuating::EvacuationState;
 pub use self::filling::FillingUsage;
 use self::jobs::JobEntry;
+use self::lasting::LastingState;
+pub use self::lasting::{LastingWaits, Suitability, WaitReason};
 use self::preempt::PreemptionState;
 use self::reservations::Reservation;
 use self::unread::UnreadReport;
@@ -222,6 +225,32 @@
         /// Reason for the doubt.
         reason: &'static str,
     },
+    /// Lasting tasks of a step have had no run at work for long.
+    LastingTasksWaiting {
+        /// The task that has waited longest.
+        task: TaskId,
+        /// Number of the step's tasks that wait for this reason.
+        tasks: usize,
+        /// What they wait for.
+        reason: WaitReason,
+        /// Time for which `task` has waited.
+        waited: Duration,
+        /// Agent and number of the run of `task` that the placer counts on.
+        run: Option<(Name, u64)>,
+        /// Failed runs of `task` so far.
+        failures: usize,
+        /// Workers by whether they can run the tasks; empty unless the tasks wait to be placed.
+        workers: BTreeMap<Suitability, usize>,
+    },
+    /// No task of a step of which [`Note::LastingTasksWaiting`] was reported waits for long any more.
+    LastingTasksRunning {
+        /// The task that was reported first.
+        task: TaskId,
+        /// Largest number of tasks that waited at the same time.
+        tasks: usize,
+        /// Longest time for which one of them waited.
+        waited: Duration,
+    },
     /// The state of an agent has changed.
     AgentChanged {
         /// The agent.
@@ -309,6 +338,7 @@
     jobs: Map<JobId, JobEntry>,
     /// Jobs with a schedule that haven't ended.
     scheduled: Set<JobId>,
+    lasting: LastingState,
     agents: Map<Name, Agent>,
     /// Services whose queues differ in priority.
     prioritized: Set<Name>,
@@ -365,6 +395,7 @@
             queues: Map::default(),
             jobs: Map::default(),
             scheduled: Set::default(),
+            lasting: LastingState::default(),
             agents: Map::default(),
             prioritized: Set::default(),
             ready: BTreeSet::new(),
@@ -415,6 +446,12 @@
         self.needs_placing = true;
     }
 
+    /// Whether a configuration is known; nothing is placed before.
+    #[must_use]
+    pub const fn is_configured(&self) -> bool {
+        self.configuration.is_some()
+    }
+
     /// Stores interference evidence reported by an agent.
     pub fn store_evidence(&mut self, agent: &Name, effects: Vec<(Pair, Evidence)>) {
         let known = self.evidence_by_agent.entry(Arc::clone(agent)).or_default();
--- a/crates/cell/src/cell/evacuating.rs
+++ b/crates/cell/src/cell/evacuating.rs
@@ -295,7 +295,7 @@
 }
 
 /// Whether a lasting run does its work.
-fn is_working(run: &Run) -> bool {
+pub(super) fn is_working(run: &Run) -> bool {
     run.started.is_some() && run.percent > 0 && !run.is_stopping
 }
 
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -194,6 +194,7 @@
         if outcome.is_none() && entry.job.schedule.is_some() {
             self.scheduled.insert(id);
         }
+        self.lasting.add_job(&entry);
         self.jobs.insert(id, entry);
         if outcome.is_none() {
             self.open_occurrences(id, None, now);
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -353,7 +353,7 @@
     }
 
     /// Properties of a step's tasks that are the same on all workers.
-    fn context(&self, task: TaskId) -> StepContext {
+    pub(super) fn context(&self, task: TaskId) -> StepContext {
         let Some(entry) = self.jobs.get(&task.job) else { return StepContext::default() };
         let Some(step) = entry.job.step(task.key) else { return StepContext::default() };
         let is_sized = self.is_prioritized(entry) && packing::counts_size(&need(&entry.job, task.key), step.count);
@@ -496,7 +496,7 @@
 }
 
 /// Runs of the same step and occurrence on an agent's worker.
-fn siblings(agent: &Agent, task: TaskId) -> u32 {
+pub(super) fn siblings(agent: &Agent, task: TaskId) -> u32 {
     let is_sibling = |other: &TaskId| {
         other.job == task.job && other.key.occurrence == task.key.occurrence && other.key.step == task.key.step
     };
--- a/crates/cell/src/cell/reservations.rs
+++ b/crates/cell/src/cell/reservations.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_policy::collections::Set;
+use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
 use super::Cell;
@@ -16,6 +16,7 @@
 use super::placing::{StepContext, TaskGroup, WaitingTask, group};
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
+use crate::packing::Need;
 use crate::urgency::Rank;
 
 /// Longest reservation: a stop that takes three times as long as usual.
@@ -57,6 +58,17 @@
         applied
     }
 
+    /// What tasks other than `task` have reserved, by agent.
+    pub(super) fn reserved_needs(&self, task: TaskId) -> Map<&Name, Vec<Need>> {
+        let mut needs: Map<&Name, Vec<Need>> = Map::default();
+        for (other, reservation) in self.reserved.iter().filter(|(other, _)| **other != task) {
+            if let Some((need, _)) = self.task_usage(*other) {
+                needs.entry(&reservation.agent).or_default().push(need);
+            }
+        }
+        needs
+    }
+
     /// Removes the tasks from the loads again.
     pub(super) fn revert_reservations(&mut self, applied: Vec<AppliedReservation>) {
         for (task, agent) in applied {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::admission::Pool;
+use chervilledge_cell::cell::LastingWaits;
 use chervilledge_cell::evacuation::Held;
 use chervilledge_operator::metrics::Reader;
 use chervilledge_policy::clock::Clock;
@@ -31,6 +32,8 @@
     runs: Counter<u64>,
     displaced: Counter<u64>,
     waiting: Gauge<u64>,
+    lasting_waiting: Gauge<u64>,
+    lasting_wait_ms: Gauge<u64>,
     evacuation_changes: Counter<u64>,
     domains_evacuated: Gauge<u64>,
     evacuated_runs: Gauge<u64>,
@@ -72,6 +75,14 @@
             .with_description("runs stopped to end sooner elsewhere or in favor of other tasks")
             .build(),
         waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
+        lasting_waiting: meter
+            .u64_gauge("chervilledge_lasting_tasks_waiting")
+            .with_description("lasting tasks that may run and have no run at work")
+            .build(),
+        lasting_wait_ms: meter
+            .u64_gauge("chervilledge_lasting_wait_ms")
+            .with_description("longest time for which a lasting task has had no run at work")
+            .build(),
         evacuation_changes: meter
             .u64_counter("chervilledge_evacuation_changes")
             .with_description("requests to evacuate a failure domain, and their removals, by kind")
@@ -221,6 +232,12 @@
         self.confirmation_age_ms.record(crate::clock::whole_ms(confirmation_age), &[]);
     }
 
+    /// Records the lasting tasks without a run at work.
+    pub fn lasting_waits(&self, waits: LastingWaits) {
+        self.lasting_waiting.record(waits.tasks as u64, &[]);
+        self.lasting_wait_ms.record(crate::clock::whole_ms(waits.longest), &[]);
+    }
+
     /// Counts a request to evacuate a failure domain, or its removal.
     pub fn evacuation_changed(&self, kind: &'static str) {
         self.evacuation_changes.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -8,6 +8,7 @@
 mod links;
 mod loading;
 mod notes;
+mod pauses;
 mod urgencies;
 mod versions;
 mod writing;
@@ -39,11 +40,12 @@
 use crate::roster::Roster;
 use crate::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
+use pauses::Pause;
 use versions::Versions;
 
 /// Interval of the checks that depend only on time.
 const TICK: Duration = Duration::from_millis(100);
-/// Interval of the checks for stalled runs and for runs in evacuated failure domains.
+/// Interval of the checks for stalled runs, for runs in evacuated failure domains and for waiting lasting tasks.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 /// The next placement pass may start this many pass durations after the start of the last one, which limits passes to
 /// a quarter of the processor.
@@ -216,6 +218,8 @@
     had_authority: bool,
     /// Since when starts are paused because the operator's rows are out of date.
     starts_paused_since: Option<Duration>,
+    /// Present time in which the placer may not place.
+    pause: Option<Pause>,
     /// When it became known that no previous placer can act any more.
     predecessor_ended_at: Option<Duration>,
     /// Whether that is known, as published with the heartbeat.
@@ -302,6 +306,7 @@
             authority,
             had_authority: true,
             starts_paused_since: None,
+            pause: None,
             predecessor_ended_at: None,
             is_alone,
             is_loaded: false,
@@ -461,6 +466,8 @@
             if holds && self.knows_evacuations() {
                 self.cell.watch_runs(now);
             }
+            self.cell.watch_lasting(self.pause.is_none(), now);
+            self.context.metrics.lasting_waits(self.cell.lasting_waits());
         }
         if holds && self.is_loaded {
             self.cell.save_checkpoints(now);
@@ -478,8 +485,7 @@
     /// Runs placement and sends the orders, writes and log lines that the cell has produced.
     fn advance(&mut self) {
         let now = self.context.clock.now();
-        let knows_roster = self.roster_revision >= self.context.revision;
-        let may_place = self.is_loaded && knows_roster && self.authority.holds(now) && self.knows_evacuations();
+        let may_place = self.may_place(now);
         if may_place && now >= self.place_due && self.cell.needs_placing() {
             self.cell.place(now);
             let took = self.context.clock.now().saturating_sub(now);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -1,11 +1,13 @@
 //! Log lines, metrics and state dump of a placer.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use chervilledge_cell::cell::{Evacuation, Note};
 use serde_json::{Value, json};
 
 use super::State;
+use super::pauses::Pause;
 use crate::clock::whole_ms;
 
 impl State {
@@ -32,6 +34,8 @@
             Note::EvacuationProgress { .. }
             | Note::Placed { .. }
             | Note::WorkerEjected { .. }
+            | Note::LastingTasksWaiting { .. }
+            | Note::LastingTasksRunning { .. }
             | Note::AgentChanged { .. } => {}
         }
     }
@@ -39,6 +43,7 @@
     pub(super) fn dump(&self, now: Duration) -> Value {
         let (jobs, open) = self.cell.job_counts();
         let unsaved = self.cell.unsaved();
+        let lasting = self.cell.lasting_waits();
         let agents: Vec<Value> = self
             .cell
             .agents()
@@ -61,6 +66,8 @@
             "jobs": jobs,
             "jobs_open": open,
             "tasks_waiting": self.cell.waiting(),
+            "lasting_waiting": {"tasks": lasting.tasks, "longest_ms": whole_ms(lasting.longest)},
+            "placement_paused": self.pause.as_ref().map(Pause::reason),
             "agents_unheard": self.cell.unresolved(),
             "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
             "room_reserved": self.cell.reserved(),
@@ -119,6 +126,19 @@
             log::warn!(event = "evacuation_doubtful", domain = domain.as_deref().unwrap_or_default(), reason = reason,
                 term = term; "");
         }
+        Note::LastingTasksWaiting { task, tasks, reason, waited, run, failures, workers } => {
+            let workers: BTreeMap<&str, usize> =
+                workers.iter().map(|(suitability, count)| (suitability.as_str(), *count)).collect();
+            let (agent, run) = run.as_ref().map_or(("", 0), |(agent, run)| (&**agent, *run));
+            // An empty agent and run 0 stand for a task without a run.
+            log::warn!(event = "lasting_tasks_waiting", job:% = task.job, task:% = task, tasks = tasks,
+                reason = reason.as_str(), waited_ms = whole_ms(*waited), agent = agent, run = run,
+                failures = failures, workers:? = workers, term = term; "");
+        }
+        Note::LastingTasksRunning { task, tasks, waited } => {
+            log::info!(event = "lasting_tasks_running", job:% = task.job, task:% = task, tasks = tasks,
+                waited_ms = whole_ms(*waited), term = term; "");
+        }
         Note::AgentChanged { agent, standing, runs } => {
             log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
         }
--- a/tests/cmd_trace.rs
+++ b/tests/cmd_trace.rs
@@ -44,6 +44,20 @@
     assert!(run.out.lines().all(|line| line.starts_with('{')), "{}", run.out);
 }
 
+const LASTING: &str = r#"
+{"at":"13:28:25.001","event":"lasting_tasks_waiting","node":"entry-2","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","tasks":3,"reason":"no_capacity","workers":"{\"ejected\": 2}"}
+"#;
+
+#[test]
+fn waiting_lasting_tasks_are_found_by_job_and_task() {
+    let dir = WorkDir::with_fitters("trace_lasting");
+    dir.write("placer.log", LASTING);
+    for id in ["5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.1"] {
+        let run = dir.run(&format!("trace {id} placer.log"));
+        assert!(run.out.contains("lasting_tasks_waiting job=5c0e7a21d94b36f8 reason=no_capacity"), "{}", run.out);
+    }
+}
+
 #[test]
 fn a_file_that_is_not_there_is_named() {
     let dir = WorkDir::with_fitters("trace_missing");
