Tell a wait for unheard agents from a lack of capacity

`lasting_tasks_waiting reason=agents_unheard` didn't say whether other workers had capacity meanwhile, which is what callers see as a fault. It now counts the workers like the lines on a lack of capacity, with `unheard` for those whose agents are waited for.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -239,7 +239,7 @@
         run: Option<(Name, u64)>,
         /// Failed runs of `task` so far.
         failures: usize,
-        /// Workers by whether they can run the tasks; empty unless the tasks wait to be placed.
+        /// Workers by whether they can run the tasks; empty unless the tasks wait for capacity or for agents.
         workers: BTreeMap<Suitability, usize>,
     },
     /// No task of a step of which [`Note::LastingTasksWaiting`] was reported waits for long any more.
--- a/crates/cell/src/cell/lasting.rs
+++ b/crates/cell/src/cell/lasting.rs
@@ -90,6 +90,8 @@
     PerWorkerMax,
     /// Starts are spread out after its failure domain came back into use.
     StartDeferred,
+    /// Its agent may have runs of a former placer and hasn't answered.
+    Unheard,
     /// Its agent has no link, or hasn't reported its runs yet.
     NotLinked,
     /// Its agent knows of no worker.
@@ -120,6 +122,7 @@
             Self::Reserved => "reserved",
             Self::PerWorkerMax => "per_worker_max",
             Self::StartDeferred => "start_deferred",
+            Self::Unheard => "unheard",
             Self::NotLinked => "not_linked",
             Self::NoWorker => "no_worker",
             Self::OtherService => "other_service",
@@ -288,6 +291,7 @@
             reported.due.insert(*reason, now + REPORT_INTERVAL);
             let (reason, workers) = match reason {
                 WaitReason::NoCapacity => self.placement_wait_reason(task, now),
+                WaitReason::AgentsUnheard => (*reason, self.suitable_workers(task, now)),
                 reason => (*reason, BTreeMap::new()),
             };
             let state = self.jobs.get(&task.job).and_then(|entry| entry.tasks.get(&task.key));
@@ -366,7 +370,9 @@
         context: StepContext,
         now: Duration,
     ) -> Suitability {
-        let Some(need) = self.need_at(task, agent, &[], context, now) else { return self.exclusion(task, agent, now) };
+        let Some(need) = self.need_at(task, agent, &[], context, now) else {
+            return self.exclusion(task, name, agent, now);
+        };
         let fits = |load: &Load| seeker.cost(name, agent, load, &need).is_some();
         if !fits(&agent.load) {
             let per_worker_max = self.step_of(task).and_then(|step| step.per_worker_max);
@@ -386,10 +392,11 @@
     }
 
     /// Why no task of a step may run on a worker, whatever its free capacity.
-    fn exclusion(&self, task: TaskId, agent: &Agent, now: Duration) -> Suitability {
+    fn exclusion(&self, task: TaskId, name: &Name, agent: &Agent, now: Duration) -> Suitability {
         let service = self.jobs.get(&task.job).map(|entry| &self.terms_of(entry).service);
         let label = self.step_of(task).and_then(|step| step.required_label.as_ref());
         match &agent.worker {
+            _ if self.unresolved.contains(name) => Suitability::Unheard,
             _ if agent.contact != Contact::Linked => Suitability::NotLinked,
             None => Suitability::NoWorker,
             Some(worker) if service != Some(&worker.service) => Suitability::OtherService,
--- a/crates/cell/tests/lasting.rs
+++ b/crates/cell/tests/lasting.rs
@@ -51,7 +51,7 @@
 }
 
 #[test]
-fn a_successor_names_the_agents_that_it_waits_for() {
+fn a_successor_tells_a_wait_for_unheard_agents_from_a_lack_of_capacity() {
     let mut world = World::with_workers(2, MILLICORES);
     world.cell = Cell::new(2, LEASE);
     world.cell.configure(Arc::new(configuration()));
@@ -62,7 +62,11 @@
     let inventory = world.inventory(&name("agent-0"), MILLICORES);
     world.cell.agent_linked(&name("agent-0"), inventory, world.now);
     world.place();
-    assert_eq!(reasons(&watch(&mut world, 2_400)), [(WaitReason::AgentsUnheard, 2)]);
+    let notes = watch(&mut world, 2_400);
+    let [Note::LastingTasksWaiting { reason: WaitReason::AgentsUnheard, tasks: 2, workers, .. }] = &*notes else {
+        panic!("{notes:?}")
+    };
+    assert_eq!(*workers, BTreeMap::from([(Suitability::HasCapacity, 1), (Suitability::Unheard, 1)]));
 }
 
 fn evacuated() -> EvacuatedDomains {
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -460,14 +460,15 @@
         self.cell.ask_placing();
         if now >= self.watch_due {
             self.watch_due = now + WATCH_INTERVAL;
+            // Before the agents lapse: the tasks that this frees are only placed afterwards.
+            self.cell.watch_lasting(self.pause.is_none(), now);
+            self.context.metrics.lasting_waits(self.cell.lasting_waits());
             if holds {
                 self.cell.lapse_agents(self.authority.last_confirmed(), now);
             }
             if holds && self.knows_evacuations() {
                 self.cell.watch_runs(now);
             }
-            self.cell.watch_lasting(self.pause.is_none(), now);
-            self.context.metrics.lasting_waits(self.cell.lasting_waits());
         }
         if holds && self.is_loaded {
             self.cell.save_checkpoints(now);
