Count a predecessor as over once its authority has ended

Callers would wait longer after each later takeover: a placer whose predecessor is lost for good, so that nobody answers or refuses at its address, asked it without end and never knew that no former placer acts. Its own successor then had to wait for the authority of both.

Cause: the wait for the end of the authority began only after evidence of the end, which a machine that is lost never gives. Change: the wait is the bound of the search for evidence.

--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -73,33 +73,36 @@
 
 /// Determines when no previous placer can act any more.
 ///
-/// The previous placer can't when it released the cell, when it was an earlier start of this process, when nothing
-/// listens at its address, or when it reports that it doesn't place. Placers before it have ended when it knew so, or
-/// when the authority of whichever was active before this claim has expired.
+/// None can once the authority of whichever was active before this claim has expired. Before that, the previous placer
+/// can't when there is evidence of its end, and the placers before it can't when it knew so.
 pub(super) async fn await_predecessor_end(context: Context, placer: ActorRef<Message>) {
-    let by = match &context.predecessor {
-        None => "none",
-        Some(predecessor) if predecessor.holder.is_none() => "given_up",
-        Some(predecessor) if predecessor.holder.as_ref() == Some(&context.name) => "same_process",
-        Some(predecessor) => loop {
-            match peer::query_term(predecessor.address).await {
-                TermAnswer::NotThere => break "not_there",
-                TermAnswer::Term(term) if term != Some(predecessor.term) => break "says_so",
-                TermAnswer::Term(_) | TermAnswer::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
-            }
-        },
-    };
-    let by = if context.is_predecessor_alone {
-        by
-    } else {
-        let ended = context.claimed + AUTHORITY_PERIOD;
-        tokio::time::sleep(ended.saturating_sub(context.clock.now())).await;
-        "authority_ended"
+    let authority_left = (context.claimed + AUTHORITY_PERIOD).saturating_sub(context.clock.now());
+    let evidence = async {
+        if context.is_predecessor_alone { evidence_of_end(&context).await } else { std::future::pending().await }
     };
+    let by = tokio::time::timeout(authority_left, evidence).await.unwrap_or("authority_ended");
     // The placer may have ended in the meantime.
     drop(placer.cast(Message::PredecessorEnded(by)));
 }
 
+/// Waits for evidence that the previous placer has ended: it released the cell, it was an earlier start of this process,
+/// nothing listens at its address, or it reports that it doesn't place.
+async fn evidence_of_end(context: &Context) -> &'static str {
+    let Some(predecessor) = &context.predecessor else { return "none" };
+    match &predecessor.holder {
+        None => return "given_up",
+        Some(holder) if *holder == context.name => return "same_process",
+        Some(_) => {}
+    }
+    loop {
+        match peer::query_term(predecessor.address).await {
+            TermAnswer::NotThere => return "not_there",
+            TermAnswer::Term(term) if term != Some(predecessor.term) => return "says_so",
+            TermAnswer::Term(_) | TermAnswer::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
+        }
+    }
+}
+
 /// Determines when all leases have ended that former placers have granted, or still grant with their witnesses. Each
 /// former placer renews its term with all of its witnesses, so one of them that answers is enough.
 pub(super) async fn await_former_leases_end(context: Context, placer: ActorRef<Message>) {
