Hand the leases of silent agents over with the cell

Cause: a placer that releases the cell knows until when leases may run on the workers of agents without a link, and its successor began the wait anew. So handovers that are closer than the wait prolong it without a bound. Class: a wait that begins anew with each process that takes part in it.

Change: the release writes a row `handover` with the remaining time of each such lease; the successor counts from when it saw the release. Agents without a link only, 400 at most.

The random walk releases the cell in a fifth of its takeovers, and finds a task that runs twice if the time handed over is 3 s too short.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -73,6 +73,21 @@
         self.limit_former_leases(end);
     }
 
+    /// Records when the lease of an agent ends that hasn't answered yet.
+    pub fn limit_former_lease(&mut self, name: &Name, end: Duration) {
+        if self.unresolved.contains(name)
+            && let Some(agent) = self.agents.get_mut(name)
+        {
+            agent.lease_until = agent.lease_until.min(end);
+        }
+    }
+
+    /// Agents without a link, and how long leases may still run on their workers.
+    pub fn unlinked_leases(&self, now: Duration) -> impl Iterator<Item = (Name, Duration)> {
+        let unlinked = self.agents.iter().filter(|(_, agent)| agent.contact != Contact::Linked);
+        unlinked.map(move |(name, agent)| (Arc::clone(name), agent.lease_until.saturating_sub(now)))
+    }
+
     fn limit_former_leases(&mut self, end: Duration) {
         for name in &self.unresolved {
             if let Some(agent) = self.agents.get_mut(name) {
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -173,6 +173,7 @@
 
     /// A new placer claims the cell; the former ones don't know about it yet.
     fn take_over(&mut self) {
+        let handed_over_leases = self.release();
         self.store.term += 1;
         self.store.revision += 1;
         let mut cell = Cell::new(self.store.term, LEASE);
@@ -180,6 +181,9 @@
         for agent in self.agents.keys() {
             cell.agent_known(agent, self.store.term > 1, self.now);
         }
+        for (agent, end) in handed_over_leases {
+            cell.limit_former_lease(&agent, end);
+        }
         if self.rng.random_bool(0.7) {
             let renewed_ago = self.witness.end_terms_before(self.store.term, self.now);
             cell.former_leases_end(leases_end(self.heartbeat.max(self.now.saturating_sub(renewed_ago)), LEASE));
@@ -205,6 +209,17 @@
         });
     }
 
+    /// The newest placer may release the cell; returns when the leases end that it hands over.
+    fn release(&mut self) -> Vec<(Name, Duration)> {
+        let (now, newest) = (self.now, self.store.term);
+        let may_release = |placer: &mut Placer| placer.term == newest && now >= placer.cut;
+        if !self.rng.random_bool(0.2) {
+            return Vec::new();
+        }
+        let Some(released) = self.placers.pop_if(may_release) else { return Vec::new() };
+        released.cell.unlinked_leases(now).map(|(agent, left)| (agent, now + left)).collect()
+    }
+
     /// A caller's job is stored, and submitted to some of the processes that believe to be the placer.
     fn accept(&mut self) {
         let id = JobId(self.store.jobs.len() as u64);
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -115,6 +115,7 @@
         is_predecessor_alone: roster.is_placer_alone(),
         former_witnesses: roster.acting_witnesses(),
         former_renewed: roster.heartbeat_seen_at,
+        handed_over_leases: roster.handed_over_leases(),
         lease: inner.settings.lease(),
         cancellation_apply: inner.settings.cancellation_apply,
         metrics: Arc::clone(&inner.metrics),
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -39,7 +39,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{SharedWaitingWork, WaitingWork};
 use crate::roster::Roster;
-use crate::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
+use crate::rows::{self, HANDOVER_KEY, HEARTBEAT_KEY, PLACER_KEY};
 use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
 use pauses::Pause;
 use versions::Versions;
@@ -61,6 +61,10 @@
 /// Interval of the checks for jobs and agents whose rows may be deleted.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Leases that a release hands over, so that their row stays small; a successor waits for the others as it does without
+/// a handover.
+const HANDED_OVER_LEASES_MAX: usize = 400;
+
 /// Dependencies and parameters of a placer.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -95,6 +99,8 @@
     pub former_witnesses: Option<Vec<Vec<SocketAddr>>>,
     /// When the last heartbeat of a former placer was seen; the claim depended on there being no later one.
     pub former_renewed: Duration,
+    /// When the leases end at the latest of agents that had no link to a predecessor which released the cell.
+    pub handed_over_leases: Map<Name, Duration>,
     /// Longest lease to grant.
     pub lease: Duration,
     /// Time after its acceptance within which a cancellation must stop the tasks of a job.
@@ -640,9 +646,13 @@
             return;
         };
         let row = rows::Placer { term: self.context.term, holder: None, address };
+        let leases_ms = self.cell.unlinked_leases(now).map(|(name, left)| (name, whole_ms(left) + 1));
+        let handover =
+            rows::Handover { term: self.context.term, leases_ms: leases_ms.take(HANDED_OVER_LEASES_MAX).collect() };
+        let change = |key: &str, value| Change { table: Table::Cell, key: Arc::from(key), value: Some(value) };
         let transaction = Transaction {
             conditions: vec![self.placer_condition()],
-            changes: vec![Change { table: Table::Cell, key: Arc::from(PLACER_KEY), value: Some(rows::encode(&row)) }],
+            changes: vec![change(PLACER_KEY, rows::encode(&row)), change(HANDOVER_KEY, rows::encode(&handover))],
         };
         let outcome = (self.context.store.commit)(transaction).await;
         log::info!(event = "cell_given_up", term = self.context.term, outcome:? = outcome; "");
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -36,6 +36,9 @@
         let is_of_predecessor = self.context.term > 1 && now < self.context.claimed + AUTHORITY_PERIOD;
         for name in roster.agents.keys().chain(&roster.unreadable_agents) {
             self.cell.agent_known(name, is_of_predecessor, now);
+            if let Some(end) = self.context.handed_over_leases.get(name) {
+                self.cell.limit_former_lease(name, *end);
+            }
         }
         // Until the jobs are known, the runs of a job can't be told from orphaned runs.
         if !self.is_loaded {
--- a/crates/scheduler/src/roster.rs
+++ b/crates/scheduler/src/roster.rs
@@ -12,7 +12,9 @@
 use tokio::task::JoinHandle;
 
 use crate::feed::{self, Feed, Timing};
-use crate::rows::{self, AGENT_PREFIX, ENTRY_PREFIX, EntryProcess, HEARTBEAT_KEY, PLACER_KEY, Process, WITNESSES_KEY};
+use crate::rows::{
+    self, AGENT_PREFIX, ENTRY_PREFIX, EntryProcess, HANDOVER_KEY, HEARTBEAT_KEY, PLACER_KEY, Process, WITNESSES_KEY,
+};
 use crate::scan;
 use crate::store::{Handle, ReadError, Row, Rows, Table};
 
@@ -37,6 +39,8 @@
     pub heartbeat: Option<rows::Heartbeat>,
     /// When this heartbeat revision, or the current placer, was first seen.
     pub heartbeat_seen_at: Duration,
+    /// Leases handed over by the last placer that released the cell.
+    pub handover: Option<rows::Handover>,
     /// Content of the row of witnesses.
     pub witnesses: Option<rows::Witnesses>,
     /// Revisions of the rows of the heartbeat and of the witnesses; 0 for a row that doesn't exist.
@@ -139,6 +143,9 @@
                 self.claim_revisions[0] = row.value.as_ref().map_or(0, |_| row.revision);
                 self.heartbeat = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
             }
+            HANDOVER_KEY => {
+                self.handover = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
+            }
             WITNESSES_KEY => {
                 self.claim_revisions[1] = row.value.as_ref().map_or(0, |_| row.revision);
                 self.witnesses = row.value.as_deref().and_then(|value| rows::decode(&row.key, value));
@@ -161,6 +168,19 @@
         self.heartbeat.is_some_and(|heartbeat| heartbeat.term == placer.term && heartbeat.is_alone)
     }
 
+    /// When the leases end at the latest that the last placer handed over with the cell; empty unless it released it.
+    ///
+    /// The row is written together with the release, which counts as a heartbeat when it is seen.
+    #[must_use]
+    pub fn handed_over_leases(&self) -> Map<Name, Duration> {
+        let is_of_release = |handover: &&rows::Handover| {
+            self.placer.as_ref().is_some_and(|(placer, _)| placer.holder.is_none() && placer.term == handover.term)
+        };
+        let leases = self.handover.as_ref().filter(is_of_release).map_or(&[][..], |handover| &handover.leases_ms);
+        let end = |left_ms: u64| self.heartbeat_seen_at.saturating_add(Duration::from_millis(left_ms));
+        leases.iter().map(|(name, left_ms)| (Arc::clone(name), end(*left_ms))).collect()
+    }
+
     /// Witnesses of each placer that may still act; `None` if not all of them are known.
     #[must_use]
     pub fn acting_witnesses(&self) -> Option<Vec<Vec<SocketAddr>>> {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -17,6 +17,8 @@
 pub const HEARTBEAT_KEY: &str = "beat";
 /// Key of the witnesses of the placer's term, in table `cell`.
 pub const WITNESSES_KEY: &str = "witnesses";
+/// Key of the leases that a placer handed over with the cell, in table `cell`.
+pub const HANDOVER_KEY: &str = "handover";
 /// Key of the measured effects of pairs of images, in table `progress`, which only placers read.
 pub const EFFECTS_KEY: &str = "effects";
 /// Prefix of the keys of agents, in table `cell`.
@@ -74,6 +76,15 @@
     pub earlier: Option<Vec<Vec<SocketAddr>>>,
 }
 
+/// Leases that may still run on the workers of agents without a link to the placer that released the cell.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Handover {
+    /// Term of that placer.
+    pub term: u64,
+    /// Names of the agents, and for how long their leases may run on from when the row was written, in milliseconds.
+    pub leases_ms: Vec<(Name, u64)>,
+}
+
 /// Content of the row of an agent or entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Process {
--- a/crates/scheduler/tests/lost_machines.rs
+++ b/crates/scheduler/tests/lost_machines.rs
@@ -45,20 +45,21 @@
     agent
 }
 
-/// An entry and an agent on machines of their own, which can be lost: nothing answers any more, and nothing refuses.
+/// An agent on a machine of its own, which can be lost, with or without an entry on another one: nothing answers any
+/// more, and nothing refuses.
 struct LostMachines {
     agent: RunningAgent,
     lose: mpsc::Sender<()>,
 }
 
 impl LostMachines {
-    fn spawn(rows: &MemoryStore) -> Self {
+    fn spawn(rows: &MemoryStore, has_entry: bool) -> Self {
         let (rows, (lose, never_sent)) = (rows.clone(), mpsc::channel::<()>());
         let (started, agent) = mpsc::channel();
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
             runtime.block_on(async move {
-                let _entry = spawn_entry("entry-1", &rows).await;
+                let _entry = if has_entry { Some(spawn_entry("entry-1", &rows).await) } else { None };
                 started.send(spawn_agent(1, &rows).await).expect("the test");
                 while never_sent.try_recv().is_err() {
                     tokio::time::sleep(Duration::from_millis(5)).await;
@@ -85,16 +86,20 @@
     row.and_then(|placer| placer.holder).is_some_and(|holder| &*holder == name)
 }
 
+async fn start_lasting_task(rows: &MemoryStore, machines: &LostMachines) {
+    wait_for("the first placer", || is_placer(rows, "entry-1")).await;
+    let lasting = Job { steps: vec![Step { count: 1, lasting: true, ..Step::default() }], ..job(1) };
+    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&lasting)));
+    machines.agent.worker.wait_for("the first start", |script| !script.starts.is_empty()).await;
+}
+
 /// On the users' grown sites lasting tasks stood still for 15 s after a placer and machines of workers were removed.
 #[tokio::test]
 async fn a_lasting_task_stays_stopped_when_its_machine_and_the_placer_are_lost_together() {
     let rows = MemoryStore::with_fault(Fault::None);
     rows.configure(1);
-    let machines = LostMachines::spawn(&rows);
-    wait_for("the first placer", || is_placer(&rows, "entry-1")).await;
-    let lasting = Job { steps: vec![Step { count: 1, lasting: true, ..Step::default() }], ..job(1) };
-    rows.write(Table::Jobs, &rows::job_key(JobId(1)), Some(rows::encode(&lasting)));
-    machines.agent.worker.wait_for("the first start", |script| !script.starts.is_empty()).await;
+    let machines = LostMachines::spawn(&rows, true);
+    start_lasting_task(&rows, &machines).await;
     let _others = [spawn_entry("entry-2", &rows).await, spawn_entry("entry-3", &rows).await];
     let agent = spawn_agent(2, &rows).await;
     agent.worker.wait_for("a poll", |script| script.polls.len() > 2).await;
@@ -107,3 +112,38 @@
     println!("started elsewhere after {stopped:?}");
     assert!(stopped < LOST_AFTER, "started elsewhere after {stopped:?}");
 }
+
+/// Each planned change of the placer began the wait for silent agents anew.
+#[tokio::test]
+async fn a_lasting_task_stays_stopped_while_placers_hand_over_one_after_the_other() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let machines = LostMachines::spawn(&rows, false);
+    let mut entries = vec![spawn_entry("entry-1", &rows).await];
+    start_lasting_task(&rows, &machines).await;
+    for name in ["entry-2", "entry-3", "entry-4"] {
+        entries.push(spawn_entry(name, &rows).await);
+    }
+    let agent = spawn_agent(2, &rows).await;
+    agent.worker.wait_for("a poll", |script| script.polls.len() > 2).await;
+    machines.lose.send(()).expect("the machine runs");
+    let lost_at = Instant::now();
+    let handovers = async {
+        for _ in 0..3 {
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            for entry in &entries {
+                if entry.dump().await["placer"].is_object() {
+                    entry.retire().await;
+                }
+            }
+        }
+        std::future::pending().await
+    };
+    tokio::select! {
+        () = handovers => {}
+        () = agent.worker.wait_for("a start elsewhere", |script| !script.starts.is_empty()) => {}
+    }
+    let stopped = lost_at.elapsed();
+    println!("started elsewhere after {stopped:?}");
+    assert!(stopped < LOST_AFTER, "started elsewhere after {stopped:?}");
+}
--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -12,6 +12,7 @@
 use chervilledge_cell::worker::Refusal;
 use chervilledge_link::connection;
 use chervilledge_policy::clock::Clock;
+use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::message::{FromAgent, FromEntry, NO_SECRET, StoreOutcome, ToAgent, ToEntry};
 use chervilledge_scheduler::placer::{self, Context, Message};
@@ -72,6 +73,7 @@
         is_predecessor_alone: true,
         former_witnesses: None,
         former_renewed: Duration::ZERO,
+        handed_over_leases: Map::default(),
         lease: Duration::from_secs(5),
         cancellation_apply: Duration::from_secs(3),
         metrics: metrics::open(),
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -89,6 +89,7 @@
         is_predecessor_alone: true,
         former_witnesses: None,
         former_renewed: Duration::ZERO,
+        handed_over_leases: Map::default(),
         lease: Duration::from_secs(5),
         cancellation_apply: CANCELLATION_APPLY,
         metrics: metrics::open(),
@@ -199,6 +200,21 @@
     assert_eq!((early, is_alone()), (is_predecessor_alone && after > HEARTBEAT_INTERVAL, true));
 }
 
+/// A successor of a placer that doesn't know of the end of its own predecessor would wait for that one again.
+#[tokio::test(start_paused = true)]
+async fn a_predecessor_that_never_answers_is_never_over() {
+    let rows = claimed_rows();
+    let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("free port");
+    let address = silent.local_addr().expect("address");
+    let predecessor = Some(rows::Placer { address, ..placer_row(TERM - 1, Some("entry-2")) });
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let context = Context { predecessor, ..context(&rows, tokio_clock(), roster_view) };
+    let _placer = placer::spawn(context).await.expect("placer");
+    tokio::time::sleep(AUTHORITY_PERIOD + HEARTBEAT_INTERVAL).await;
+    let value = rows.value(Table::Cell, rows::HEARTBEAT_KEY).expect("a heartbeat");
+    assert!(rows::decode::<rows::Heartbeat>(rows::HEARTBEAT_KEY, &value).expect("well-formed").is_alone);
+}
+
 /// Measured effects of pairs of images survive the loss of all processes. The next placer sends them to agents that
 /// know none, and to each agent only those for the images that serve on its worker.
 #[tokio::test]
--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -11,6 +11,7 @@
 use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::{RunReport, RunTraits, StartOrder};
 use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::collections::Map;
 use chervilledge_scheduler::message::ToAgent;
 use chervilledge_scheduler::placer::{self, Message};
 use chervilledge_scheduler::roster::Roster;
@@ -140,6 +141,7 @@
         is_predecessor_alone: true,
         former_witnesses: None,
         former_renewed: Duration::ZERO,
+        handed_over_leases: Map::default(),
         lease: Duration::from_secs(5),
         cancellation_apply: Duration::from_secs(3),
         metrics: metrics::open(),
--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -8,6 +8,7 @@
 
 use chervilledge_cell::authority::leases_end;
 use chervilledge_link::connection;
+use chervilledge_policy::collections::Map;
 use chervilledge_scheduler::entry::{self, Entry};
 use chervilledge_scheduler::message::{FromEntry, LINK_TIMEOUT, ToEntry};
 use chervilledge_scheduler::placer::{self, Context};
@@ -154,6 +155,7 @@
         is_predecessor_alone: false,
         former_witnesses: Some(former_witnesses),
         former_renewed: claimed.saturating_sub(Duration::from_secs(4)),
+        handed_over_leases: Map::default(),
         lease: LEASE,
         cancellation_apply: Duration::from_secs(3),
         metrics: metrics::open(),
