Stop starts from renewing the lease of a silent worker

Cause: the agent withholds the lease from polls once two have failed, so that the wait for the worker's end isn't prolonged, but each start carried a new lease, and the placer went on placing there since the agent is linked. Class, as with the placer's handovers: a wait that each further attempt begins anew.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -46,6 +46,9 @@
 /// Pause after an announcement that failed.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 
+/// Consecutive failed polls from which a worker counts as silent; a single one may have been lost.
+const SILENT_POLLS: u32 = 2;
+
 /// Task and number of a run.
 type RunId = (TaskId, u64);
 
@@ -164,6 +167,11 @@
 }
 
 impl TrackedWorker {
+    /// Whether the worker has left polls unanswered.
+    const fn is_silent(&self) -> bool {
+        self.failed_polls >= SILENT_POLLS
+    }
+
     /// Records that the worker may have restarted.
     fn mark_maybe_restarted(&mut self, now: Duration) {
         self.maybe_restarted_since = Some(now);
@@ -540,7 +548,7 @@
         let is_over = self
             .tracked
             .as_ref()
-            .is_some_and(|tracked| tracked.failed_polls >= 2 && now >= tracked.lease_until + LEASE_SLACK);
+            .is_some_and(|tracked| tracked.is_silent() && now >= tracked.lease_until + LEASE_SLACK);
         // A worker that never had a lease from this agent may have one from an earlier start of the agent.
         if is_over && now >= self.empty_at {
             self.handle_worker_end("silent", now);
@@ -559,9 +567,11 @@
     }
 
     /// End of a lease to send to the worker now, on its own clock; records that it was sent.
+    ///
+    /// A silent worker gets none: extending its lease would only prolong the wait for its end.
     fn offer_lease(&mut self, now: Duration) -> Option<u64> {
         let until = self.grant.until;
-        let tracked = self.tracked.as_mut()?;
+        let tracked = self.tracked.as_mut().filter(|tracked| !tracked.is_silent())?;
         if !self.grant.holds(now) {
             return None;
         }
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -41,8 +41,7 @@
         } else {
             IDLE_POLL_WAIT
         };
-        // Extending the lease of a silent worker would only prolong the wait for its end.
-        let lease_end_ms = if tracked.failed_polls >= 2 { None } else { self.offer_lease(now) };
+        let lease_end_ms = self.offer_lease(now);
         let (Some(target), Some(tracked)) = (self.target(), self.tracked.as_mut()) else { return };
         tracked.is_polling = true;
         // The numbering of ends restarts with each incarnation.
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::worker::{End, EndKind, Life, RunReport};
@@ -223,6 +223,26 @@
     assert!(revision() > 0, "the agent has no row");
 }
 
+/// Starts went on renewing the lease of a worker that answered nothing, so that its tasks waited without a bound.
+#[tokio::test]
+async fn starts_keep_a_silent_worker_from_being_given_up() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    agent.worker.change(|script| (script.poll, script.start) = (Err(PollError::Unknown), StartOutcome::Unknown));
+    let polls = agent.worker.change(|script| script.polls.len());
+    agent.worker.wait_for("polls that fail", |script| script.polls.len() > polls + 2).await;
+    let silent_since = Instant::now();
+    for run in 1..20 {
+        placer.start(task(run), run);
+        let over = placer.wait_for("an end", |message| matches!(message, FromAgent::Gone(_)).then_some(()));
+        if tokio::time::timeout(Duration::from_secs(1), over).await.is_ok() {
+            break;
+        }
+    }
+    assert!(silent_since.elapsed() < Duration::from_secs(7), "given up after {:?}", silent_since.elapsed());
+}
+
 /// What indicates that the worker may have restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Case {
