Take a predecessor that never answers as over with its authority

Cause: a predecessor that doesn't answer was asked for ever. The bound by the placers' authority was applied only after its answer.

The test's predecessor accepts connections and never answers; it failed before: "assertion failed: ... is_alone".

Fix: the wait ends at the latest 10 s after the claim, when no earlier placer can act by its authority. Jobs that were accepted after that are placed, as the silent agents can't know them, and a successor needn't wait.

--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -59,13 +59,24 @@
     }
 }
 
-/// Determines when no previous placer can act any more.
-///
-/// The previous placer can't when it released the cell, when it was an earlier start of this process, when nothing
-/// listens at its address, or when it reports that it doesn't place. Placers before it have ended when it knew so, or
-/// when the authority of whichever was active before this claim has expired.
+/// Determines when no previous placer can act any more: when the previous one has ended, if it knew that those before
+/// it had, and at the latest when the authority of whichever was active before this claim has expired.
 pub(super) async fn await_predecessor_end(context: Context, placer: ActorRef<Message>) {
-    let by = match &context.predecessor {
+    let authority_left = (context.claimed + AUTHORITY_PERIOD).saturating_sub(context.clock.now());
+    let by = if context.is_predecessor_alone {
+        tokio::time::timeout(authority_left, observe_predecessor_end(&context)).await.unwrap_or("authority_ended")
+    } else {
+        tokio::time::sleep(authority_left).await;
+        "authority_ended"
+    };
+    // The placer may have ended in the meantime.
+    drop(placer.cast(Message::PredecessorEnded(by)));
+}
+
+/// Waits for evidence that the previous placer can't act any more: it released the cell, it was an earlier start of this
+/// process, nothing listens at its address, or it reports that it doesn't place.
+async fn observe_predecessor_end(context: &Context) -> &'static str {
+    match &context.predecessor {
         None => "none",
         Some(predecessor) if predecessor.holder.is_none() => "given_up",
         Some(predecessor) if predecessor.holder.as_ref() == Some(&context.name) => "same_process",
@@ -76,16 +87,7 @@
                 TermAnswer::Term(_) | TermAnswer::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
             }
         },
-    };
-    let by = if context.is_predecessor_alone {
-        by
-    } else {
-        let ended = context.claimed + AUTHORITY_PERIOD;
-        tokio::time::sleep(ended.saturating_sub(context.clock.now())).await;
-        "authority_ended"
-    };
-    // The placer may have ended in the meantime.
-    drop(placer.cast(Message::PredecessorEnded(by)));
+    }
 }
 
 /// Reads all jobs and their progress, then follows changes to the jobs.
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -195,6 +195,20 @@
     assert_eq!((early, is_alone()), (is_predecessor_alone && after > HEARTBEAT_INTERVAL, true));
 }
 
+/// A former placer whose machine is gone for good never answers, and can't act once its authority has expired.
+#[tokio::test(start_paused = true)]
+async fn a_former_placer_that_never_answers_is_over_with_its_authority() {
+    let rows = claimed_rows();
+    let gone = TestAgent::listen().await;
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &[])));
+    let predecessor = Some(rows::Placer { address: gone.address, ..placer_row(TERM - 1, Some("entry-2")) });
+    let _placer =
+        placer::spawn(Context { predecessor, ..context(&rows, tokio_clock(), roster_view) }).await.expect("placer");
+    tokio::time::sleep(AUTHORITY_PERIOD + HEARTBEAT_INTERVAL * 3 / 2).await;
+    let heartbeat = rows.value(Table::Cell, rows::HEARTBEAT_KEY).expect("a heartbeat");
+    assert!(rows::decode::<rows::Heartbeat>(rows::HEARTBEAT_KEY, &heartbeat).expect("well-formed").is_alone);
+}
+
 /// Measured effects of pairs of images survive the loss of all processes. The next placer sends them to agents that
 /// know none, and to each agent only those for the images that serve on its worker.
 #[tokio::test]
