--- /dev/null
+++ b/crates/scheduler/src/agent/row.rs
@@ -0,0 +1,74 @@
+//! The agent's row, by which placers find it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::State;
+use crate::rows::{self, AGENT_PREFIX, Process};
+use crate::store::{Change, Condition, Handle, Outcome, ReadError, Table, Transaction};
+
+/// Time without a link from a placer after which the agent writes its row again.
+pub(super) const ANNOUNCE_AFTER: Duration = Duration::from_secs(3);
+/// Attempts at one announcement. Another announcement follows anyway while no placer connects.
+const ANNOUNCE_ATTEMPTS: u32 = 8;
+/// Pause after an announcement that failed.
+const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
+
+impl State {
+    /// Publishes the agent's link address when it has a worker and no placer has connected for some time.
+    pub(super) fn announce_if_due(&mut self, now: Duration) {
+        if now < self.announce_due || self.link.is_some() || self.tracked.is_none() {
+            return;
+        }
+        self.announce(now);
+    }
+
+    pub(super) fn announce(&mut self, now: Duration) {
+        self.announce_due = now + ANNOUNCE_AFTER;
+        let content = Process { address: self.context.settings.links_address };
+        self.write_row(Some(rows::encode(&content)));
+    }
+
+    /// Writes or deletes the agent's row; an earlier call that is still attempting the opposite gives up.
+    pub(super) fn write_row(&mut self, value: Option<Vec<u8>>) {
+        let is_present = value.is_some();
+        if let Some((was_present, write)) = self.row_write.take_if(|(_, write)| !write.is_finished()) {
+            if was_present == is_present {
+                self.row_write = Some((was_present, write));
+                return;
+            }
+            write.abort();
+        }
+        let key = Arc::from(format!("{AGENT_PREFIX}{}", self.context.settings.name));
+        let change = Change { table: Table::Cell, key, value };
+        self.row_write = Some((is_present, tokio::spawn(write_row(Arc::clone(&self.context.store), change))));
+    }
+}
+
+/// Writes or deletes the agent's row, in a limited number of attempts.
+async fn write_row(store: Handle, change: Change) {
+    for _ in 0..ANNOUNCE_ATTEMPTS {
+        if let Ok(conditions) = row_conditions(&store, &change).await {
+            let transaction = Transaction { conditions, changes: vec![change.clone()] };
+            let outcome = (store.commit)(transaction).await;
+            log::info!(event = "agent_row", is_present = change.value.is_some(), outcome:? = outcome; "");
+            if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
+                return;
+            }
+        }
+        tokio::time::sleep(ANNOUNCE_RETRY).await;
+    }
+}
+
+/// Conditions of a write of the agent's row.
+///
+/// A deletion names the row that is there. An attempt without an answer may take effect late, and must not delete the
+/// row of the next worker.
+async fn row_conditions(store: &Handle, change: &Change) -> Result<Vec<Condition>, ReadError> {
+    if change.value.is_some() {
+        return Ok(Vec::new());
+    }
+    let row = (store.read_one)((change.table, Arc::clone(&change.key))).await?;
+    let revision = row.map_or(0, |row| row.revision);
+    Ok(vec![Condition { table: change.table, key: Arc::clone(&change.key), revision }])
+}
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -9,6 +9,7 @@
 mod loading;
 mod notes;
 mod pauses;
+mod release;
 mod urgencies;
 mod versions;
 mod witnesses;
@@ -39,8 +40,8 @@
 use crate::metrics::Metrics;
 use crate::peer::{SharedWaitingWork, WaitingWork};
 use crate::roster::Roster;
-use crate::rows::{self, HANDOVER_KEY, HEARTBEAT_KEY, PLACER_KEY};
-use crate::store::{Change, Handle, Outcome, Row, Table, Transaction};
+use crate::rows::{self, HEARTBEAT_KEY};
+use crate::store::{Change, Handle, Outcome, Row, Table};
 use pauses::Pause;
 use versions::Versions;
 
@@ -61,10 +62,6 @@
 /// Interval of the checks for jobs and agents whose rows may be deleted.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Leases that a release hands over, so that their row stays small; a successor waits for the others as it does without
-/// a handover.
-const HANDED_OVER_LEASES_MAX: usize = 400;
-
 /// Dependencies and parameters of a placer.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -639,30 +636,6 @@
             self.cell.configure(configuration);
         }
     }
-
-    /// Releases the cell, so that another entry can claim it at once.
-    async fn retire(&mut self) {
-        let now = self.context.clock.now();
-        self.authority.revoke();
-        if let Some(batch) = self.cell.next_batch() {
-            self.write_batch(batch, now);
-        }
-        let roster = self.context.roster.borrow().clone();
-        let Some(address) = roster.and_then(|roster| roster.placer.as_ref().map(|(placer, _)| placer.address)) else {
-            return;
-        };
-        let row = rows::Placer { term: self.context.term, holder: None, address };
-        let leases_ms = self.cell.unlinked_leases(now).map(|(name, left)| (name, whole_ms(left) + 1));
-        let handover =
-            rows::Handover { term: self.context.term, leases_ms: leases_ms.take(HANDED_OVER_LEASES_MAX).collect() };
-        let change = |key: &str, value| Change { table: Table::Cell, key: Arc::from(key), value: Some(value) };
-        let transaction = Transaction {
-            conditions: vec![self.placer_condition()],
-            changes: vec![change(PLACER_KEY, rows::encode(&row)), change(HANDOVER_KEY, rows::encode(&handover))],
-        };
-        let outcome = (self.context.store.commit)(transaction).await;
-        log::info!(event = "cell_given_up", term = self.context.term, outcome:? = outcome; "");
-    }
 }
 
 /// Change that writes the placer's heartbeat.
