Refuse starts for a silent worker without ejecting it

A worker that leaves two polls unanswered may answer the next one. Refused as for an unhealthy worker, three starts ejected it for 2 to 8 s; now each pauses it for 0.3 s, as a start past its grant does. The test of the silent worker holds for both.

--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -27,7 +27,7 @@
             None => Some(Refusal::Leaving),
             Some(tracked) if tracked.worker.leaves_in.is_some() => Some(Refusal::Leaving),
             Some(_) if self.is_evacuated() => Some(Refusal::Evacuated),
-            Some(tracked) if tracked.is_silent() => Some(Refusal::Unhealthy),
+            Some(tracked) if tracked.is_silent() => Some(Refusal::Late),
             Some(_) if !self.grant.holds(now) => Some(Refusal::Late),
             Some(_) => None,
         };
