Log the runs that are lost with their worker

Until now `worker_over` and `worker_gone` gave the number of runs, not which, so the number of crashes under a task couldn't be read from the record. The placer writes `run_lost` for each, with the time since its confirmed start, and whether the worker's life ended or the lease lapsed.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -128,6 +128,19 @@
         /// Failed runs of the task so far.
         failures: usize,
     },
+    /// A run was lost with its worker, or with the worker's lease.
+    RunLost {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Time since the start of the run; `None` if the start isn't confirmed.
+        ran: Option<Duration>,
+        /// Why it is lost.
+        how: &'static str,
+    },
     /// A job has ended.
     JobEnded {
         /// The job.
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -6,7 +6,7 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
-use super::{Agent, Cell, task_id};
+use super::{Agent, Cell, Note, task_id};
 use crate::authority;
 use crate::health::Health;
 use crate::job::TaskId;
@@ -170,8 +170,13 @@
         self.needs_placing = true;
     }
 
-    /// Records that the worker's life is over or that its lease has ended: nothing runs there.
+    /// Records that the worker's life is over: nothing runs there.
     pub fn worker_gone(&mut self, name: &Name, now: Duration) {
+        self.lose_worker(name, "worker_gone", now);
+    }
+
+    /// Removes the worker and all its runs; `how` is the reason for the log.
+    fn lose_worker(&mut self, name: &Name, how: &'static str, now: Duration) {
         let Some(agent) = self.agents.get_mut(name) else { return };
         let lost: Vec<(TaskId, u64)> = agent.runs.drain().collect();
         agent.unmatched_runs.clear();
@@ -186,11 +191,17 @@
         }
         self.counters.lost += lost.len() as u64;
         for (task, number) in lost {
+            self.log_lost(name, task, number, how, now);
             self.remove_run(task, number, now);
         }
         self.needs_placing = true;
     }
 
+    fn log_lost(&mut self, name: &Name, task: TaskId, run: u64, how: &'static str, now: Duration) {
+        let ran = self.run(task, run).and_then(|run| run.started).map(|started| now.saturating_sub(started));
+        self.notes.push(Note::RunLost { task, run, agent: Arc::clone(name), ran, how });
+    }
+
     /// Records that an agent's link is lost.
     pub fn agent_silent(&mut self, name: &Name) {
         if let Some(agent) = self.agents.get_mut(name)
@@ -208,7 +219,7 @@
     pub fn lapse_agents(&mut self, confirmed: Option<Duration>, now: Duration) {
         let Some(confirmed) = confirmed else { return };
         for name in self.agents_without_lease(confirmed) {
-            self.worker_gone(&name, now);
+            self.lose_worker(&name, "lapsed", now);
             if let Some(agent) = self.agents.get_mut(&name) {
                 agent.contact = Contact::Lapsed;
             }
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -31,6 +31,7 @@
             Note::RunYielded { .. } => metrics.displaced("yielded"),
             Note::Preempted { .. } => metrics.displaced("preempted"),
             Note::EvacuationDoubtful { reason, .. } => metrics.evacuation_changed(reason),
+            Note::RunLost { how, .. } => metrics.run_ended(how),
             Note::EvacuationProgress { .. }
             | Note::Placed { .. }
             | Note::WorkerEjected { .. }
@@ -89,6 +90,11 @@
             log::info!(event = "run_ended", task:% = task, run = run, agent = &**agent, how = how,
                 failures = failures; "");
         }
+        Note::RunLost { task, run, agent, ran, how } => {
+            // 0 stands for a start that isn't confirmed.
+            log::info!(event = "run_lost", task:% = task, run = run, agent = &**agent, how = *how,
+                ran_ms = whole_ms(ran.unwrap_or_default()), term = term; "");
+        }
         Note::JobEnded { job, state, age, objective, queue, task } => {
             let task = task.map_or_else(String::new, |task| task.to_string());
             // 0 stands for a job without an objective.
