--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -6,6 +6,7 @@
 mod agents;
 mod backlog;
 mod checkpoints;
+mod crashed;
 mod ends;
 mod evacuating;
 mod filling;
@@ -34,6 +35,7 @@
 use self::backlog::PoolKey;
 use self::checkpoints::CheckpointSelection;
 pub use self::checkpoints::UnsavedWork;
+use self::crashed::{CrashState, Trial};
 pub use self::evacuating::Evacuation;
 use self::evacuating::EvacuationState;
 pub use self::filling::FillingUsage;
@@ -47,6 +49,7 @@
 use self::writes::Writes;
 use crate::admission::{Backlog, RateMeter};
 use crate::configuration::{Configuration, Queue};
+use crate::crashes::Blame;
 use crate::evacuation::Held;
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
@@ -95,6 +98,13 @@
         /// Every end up to this number is durable.
         cursor: u64,
     },
+    /// Let the agent forget a reported crash, which is durable.
+    SettleCrash {
+        /// Agent that receives the order.
+        agent: Name,
+        /// Life of its worker that ended in the crash.
+        life: Life,
+    },
 }
 
 /// Decision or observation for the log.
@@ -141,6 +151,35 @@
         /// Why it is lost.
         how: &'static str,
     },
+    /// The worker crashed under a run.
+    RunCrashed {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Agent of the worker.
+        agent: Name,
+        /// Age of the run at the crash.
+        age: Duration,
+        /// Part of the run in the crash.
+        blame: Blame,
+        /// Crashes under the task so far.
+        crashes: usize,
+    },
+    /// A task is given up because workers crash under it.
+    TaskGivenUp {
+        /// The task.
+        task: TaskId,
+        /// Crashes under the task.
+        crashes: usize,
+    },
+    /// The last crash under a task isn't held against it, since other workers crashed together with its worker.
+    CrashExcused {
+        /// The task.
+        task: TaskId,
+        /// Number of these workers.
+        workers: usize,
+    },
     /// A job has ended.
     JobEnded {
         /// The job.
@@ -288,6 +327,8 @@
     pub failed: u64,
     /// Runs that were lost with their worker or lease.
     pub lost: u64,
+    /// Runs that were on a worker when it crashed.
+    pub crashed: u64,
     /// Start orders that were refused.
     pub refused: u64,
     /// Second copies of slow runs.
@@ -325,6 +366,12 @@
     pub(crate) runs: Set<(TaskId, u64)>,
     /// Runs on the worker that aren't, or not yet, matched to a run of a task; nothing is placed beside them.
     pub(crate) unmatched_runs: Set<(TaskId, u64)>,
+    /// When a start on the worker was last ordered.
+    pub(crate) last_start: Duration,
+    /// Suspect runs on the worker that have just started.
+    pub(crate) trials: Vec<Trial>,
+    /// Latest life of the worker whose crash the agent has reported.
+    pub(crate) crashed_life: Option<Life>,
     pub(crate) health: Health,
     /// Nothing is placed before this time after a refusal.
     pub(crate) paused_until: Duration,
@@ -360,6 +407,7 @@
     /// Capacity reserved for tasks for whose sake runs were stopped.
     reserved: Map<TaskId, Reservation>,
     preemptions: PreemptionState,
+    crashes: CrashState,
     /// Accepted jobs of which no task has started, by queue.
     pending_by_queue: Map<Name, usize>,
     /// Agents of the predecessor's cell that haven't answered yet; no task that may run there is started elsewhere.
@@ -416,6 +464,7 @@
             ready: BTreeSet::new(),
             reserved: Map::default(),
             preemptions: PreemptionState::default(),
+            crashes: CrashState::default(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
             unread_reports: Vec::new(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -11,7 +11,7 @@
 use crate::health::Health;
 use crate::job::TaskId;
 use crate::packing::{Load, Need};
-use crate::worker::{End, EndKind, Life, RunReport, Worker};
+use crate::worker::{CrashReport, End, EndKind, Life, RunReport, Worker};
 
 /// State of the link to an agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +37,8 @@
     pub starting: Vec<(TaskId, u64)>,
     /// Ends that aren't settled.
     pub ends: Vec<End>,
+    /// Crashes of the worker that aren't settled.
+    pub crashes: Vec<CrashReport>,
     /// Without a worker: certainly nothing runs there any more.
     pub is_empty: bool,
 }
@@ -116,6 +118,9 @@
         if !self.agents.contains_key(name) {
             self.agents.insert(Arc::clone(name), Agent::new(now));
         }
+        for crash in &inventory.crashes {
+            self.worker_crashed(name, crash, now);
+        }
         let Some(worker) = inventory.worker else {
             if inventory.is_empty {
                 self.worker_gone(name, now);
@@ -149,7 +154,10 @@
     pub fn worker_seen(&mut self, name: &Name, worker: Worker, now: Duration) {
         let Some(agent) = self.agents.get(name) else { return };
         let previous = agent.worker.as_ref().map(|previous| previous.life.clone());
-        if previous.as_ref().is_some_and(|previous| *previous != worker.life) {
+        if let Some(previous) = previous.as_ref().filter(|previous| **previous != worker.life) {
+            if agent.crashed_life.as_ref() != Some(previous) {
+                self.crash_unreported(name, now);
+            }
             self.worker_gone(name, now);
         }
         let Some(agent) = self.agents.get_mut(name) else { return };
@@ -180,6 +188,7 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         let lost: Vec<(TaskId, u64)> = agent.runs.drain().collect();
         agent.unmatched_runs.clear();
+        agent.trials.clear();
         agent.worker = None;
         agent.leaving_since = None;
         agent.load = Load::default();
@@ -191,7 +200,9 @@
         }
         self.counters.lost += lost.len() as u64;
         for (task, number) in lost {
-            self.log_lost(name, task, number, how, now);
+            if !self.is_crash_known(task, number) {
+                self.log_lost(name, task, number, how, now);
+            }
             self.remove_run(task, number, now);
         }
         self.needs_placing = true;
@@ -350,6 +361,9 @@
             headrooms: Map::default(),
             runs: Set::default(),
             unmatched_runs: Set::default(),
+            last_start: Duration::ZERO,
+            trials: Vec::new(),
+            crashed_life: None,
             health: Health::default(),
             paused_until: Duration::ZERO,
             last_end: 0,
--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -14,6 +14,7 @@
 use super::jobs::JobEntry;
 use super::task::{Checkpoint, Task};
 use super::{Cell, Note};
+use crate::crashes::CrashHistory;
 use crate::job::{JobId, TaskKey};
 use crate::progress::{Checkpointed, Progress};
 use crate::worker::RunReport;
@@ -134,7 +135,10 @@
 /// Approximate size of a row.
 fn row_bytes(progress: &Progress) -> usize {
     let texts: usize = progress.checkpoints.values().map(|text| text.len()).sum();
-    (progress.done.len() + progress.failures.len()) * KEY_BYTES + progress.checkpoints.len() * CHECKPOINT_BYTES + texts
+    let crashes = progress.crashes.values().map(CrashHistory::len).sum::<usize>();
+    (progress.done.len() + progress.failures.len() + progress.crashes.len() + crashes) * KEY_BYTES
+        + progress.checkpoints.len() * CHECKPOINT_BYTES
+        + texts
 }
 
 impl Cell {
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -50,6 +50,9 @@
         if matches!(end.kind, EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone) {
             self.keep_final_checkpoint(end);
         }
+        if let Some(started) = self.run(end.task, end.run).and_then(|run| run.started) {
+            self.clear_crashes(end.task, now.saturating_sub(started));
+        }
         // The run is removed first, so that what follows only affects the task's other runs.
         if let Some(task) = self.task_mut(end.task) {
             task.runs.retain(|run| run.number != end.run);
@@ -139,6 +142,7 @@
         }
         entry.progress.done.insert(task.key);
         entry.progress.failures.remove(&task.key);
+        entry.progress.crashes.remove(&task.key);
         entry.progress.checkpoints.remove(&task.key);
         entry.progress.checkpointed.remove(&task.key);
         self.count_done(task);
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -360,6 +360,7 @@
             let task = Task {
                 is_done: entry.progress.done.contains(&key),
                 failed_runs: entry.progress.failures.get(&key).cloned().unwrap_or_default(),
+                crashes: entry.progress.crashes.get(&key).cloned().unwrap_or_default(),
                 checkpoint: Checkpoint::stored(&entry.progress, key),
                 ..Task::default()
             };
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -67,6 +67,9 @@
 /// Task that waits for capacity.
 pub(super) struct WaitingTask {
     pub(super) rank: Rank,
+    /// The task isn't suspect of crashing workers. Suspects go first, so that they find the workers with the fewest
+    /// other runs.
+    is_trusted: bool,
     /// No run of the task was displaced; tasks with displaced runs go first among those of equal rank.
     is_new: bool,
     pub(super) task: TaskId,
@@ -91,7 +94,8 @@
             && !agent.is_start_deferred(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
-        fits.then(|| packing::cost(load, need)).flatten()
+        let risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now)?;
+        fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
 
     pub(super) fn avoids(&self, name: &Name) -> bool {
@@ -108,6 +112,7 @@
             return;
         }
         self.needs_placing = false;
+        self.decide_verdicts(now);
         self.estimate_run_times(now);
         let waiting = self.rank_waiting(now);
         let mut applied = self.apply_reservations(now);
@@ -119,7 +124,7 @@
 
     fn place_ranked(&mut self, waiting: Vec<WaitingTask>, now: Duration) {
         let mut starved = self.starved(&waiting, now);
-        // Tasks of a step are identical: where one doesn't fit, the others don't either.
+        // Tasks of a step are identical but for suspects: where one doesn't fit, the others don't either.
         let mut without_capacity: Set<TaskGroup> = Set::default();
         let mut candidates: (Option<TaskGroup>, Vec<Candidate>) = (None, Vec::new());
         let mut budget = PASS_LIMITS;
@@ -142,7 +147,7 @@
             if is_placed {
                 starved.remove(&task.job);
                 budget.placed = budget.placed.saturating_sub(1);
-            } else {
+            } else if !self.is_suspect(task) {
                 without_capacity.insert(group);
             }
         }
@@ -200,9 +205,10 @@
             }
             let rank = ranks.entry((task.job, task.key.step)).or_insert_with(|| self.rank(entry, task.key.step, now));
             let is_new = state.is_none_or(|state| state.displacements == 0);
-            waiting.push(WaitingTask { rank: *rank, is_new, task: *task });
+            let is_trusted = state.is_none_or(|state| !state.crashes.is_suspect());
+            waiting.push(WaitingTask { rank: *rank, is_trusted, is_new, task: *task });
         }
-        waiting.sort_unstable_by_key(|waiting| (waiting.rank, waiting.is_new, waiting.task));
+        waiting.sort_unstable_by_key(|waiting| (waiting.is_trusted, waiting.rank, waiting.is_new, waiting.task));
         waiting
     }
 
@@ -445,12 +451,17 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
+        let is_suspect = state.crashes.is_suspect();
         state.starts = starts.unwrap_or(state.starts + 1);
         let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.text));
         agent.occupy(&need, step.image.clone());
         let run = self.run_number(number);
         let Some(agent) = self.agents.get_mut(name) else { return };
         agent.runs.insert((task, run));
+        if is_suspect {
+            agent.add_trial(task, run, None);
+        }
+        agent.last_start = now;
         agent.next_start = now + RETURN_START_GAP;
         if let Some(state) = self.task_mut(task) {
             state.checkpoint.run = run;
--- a/crates/cell/src/cell/runs.rs
+++ b/crates/cell/src/cell/runs.rs
@@ -68,6 +68,7 @@
             agent.runs.insert((task, number));
             agent.occupy(&need, image);
         }
+        self.confirm_trial(name, task, number, now);
         self.mark_started(task.job);
     }
 
@@ -87,6 +88,8 @@
             run.started = Some(now);
             run.timed_at = now;
             run.progressed_at = now;
+            let agent = Arc::clone(&run.agent);
+            self.confirm_trial(&agent, task, number, now);
         }
     }
 
@@ -173,6 +176,7 @@
         if !agent.runs.remove(&(task, number)) {
             return false;
         }
+        agent.end_trial(task, number);
         if let Some((need, image)) = occupied {
             agent.vacate(&need, image);
         }
--- a/crates/cell/src/cell/stragglers.rs
+++ b/crates/cell/src/cell/stragglers.rs
@@ -77,6 +77,9 @@
                 let Some(expected) = expected(entry, *key) else { continue };
                 let task = TaskId { job: entry.job.id, key: *key };
                 let is_speculative = entry.job.step(*key).is_some_and(|step| step.speculative);
+                if is_speculative && state.crashes.is_suspect() {
+                    continue;
+                }
                 if is_speculative && now.saturating_sub(started) >= expected.mul_f64(COPY_FACTOR).max(COPY_MIN) {
                     copies.push(task);
                 } else if !is_speculative && state.avoided.len() < RESTARTS_MAX && is_stalled(run, expected, now) {
--- a/crates/cell/src/cell/task.rs
+++ b/crates/cell/src/cell/task.rs
@@ -6,6 +6,7 @@
 
 use chervilledge_policy::id::Name;
 
+use crate::crashes::CrashHistory;
 use crate::job::TaskKey;
 use crate::pace::FULL_PERCENT;
 use crate::progress::Progress;
@@ -95,7 +96,9 @@
     pub(crate) starts: u64,
     /// Numbers of its failed runs.
     pub(crate) failed_runs: BTreeSet<u64>,
-    /// Time that they took at full pace.
+    /// Crashes of workers under it.
+    pub(crate) crashes: CrashHistory,
+    /// Time that its failed runs took at full pace.
     pub(crate) failed_time: Duration,
     pub(crate) checkpoint: Checkpoint,
     /// When the task last began to wait for capacity.
--- a/crates/cell/src/cell/unread.rs
+++ b/crates/cell/src/cell/unread.rs
@@ -10,6 +10,7 @@
 use chervilledge_policy::id::Name;
 
 use super::Cell;
+use crate::crashes::Crash;
 use crate::job::{JobId, TaskId};
 use crate::worker::{End, Life};
 
@@ -18,6 +19,7 @@
 enum Reported {
     Run { task: TaskId, number: u64, percent: Option<u32> },
     End(End),
+    Crash { task: TaskId, number: u64, crash: Crash },
 }
 
 /// Report about an unknown job.
@@ -35,7 +37,7 @@
 impl UnreadReport {
     const fn job(&self) -> JobId {
         match &self.report {
-            Reported::Run { task, .. } => task.job,
+            Reported::Run { task, .. } | Reported::Crash { task, .. } => task.job,
             Reported::End(end) => end.task.job,
         }
     }
@@ -87,6 +89,7 @@
                     }
                 }
                 Reported::End(end) => self.record_end(&unread.agent, &end, now),
+                Reported::Crash { task, number, crash } => self.crash_run(&unread.agent, task, number, crash, now),
             }
         }
         self.writes.release_ends(id);
@@ -105,6 +108,13 @@
         }
     }
 
+    /// Keeps the crash under a run of an unknown job until its row has been read.
+    pub(crate) fn keep_unread_crash(&mut self, name: &Name, task: TaskId, number: u64, crash: Crash, now: Duration) {
+        let report = Reported::Crash { task, number, crash };
+        let life = self.life_of(name).cloned().unwrap_or_else(|| Life { worker: Arc::clone(name), born_unix_ms: 0 });
+        self.unread_reports.push(UnreadReport { agent: Arc::clone(name), life, report, at: now, revision: None });
+    }
+
     /// Keeps an end of an unknown job until its row has been read; it isn't settled before that.
     pub(crate) fn keep_unread_end(&mut self, name: &Name, life: Life, end: End, now: Duration) {
         self.remove_unmatched(name, (end.task, end.run));
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -61,6 +61,15 @@
     version: Option<u64>,
 }
 
+/// Reported crash of a worker that isn't durable.
+#[derive(Debug)]
+struct UnsettledCrash {
+    agent: Name,
+    life: Life,
+    /// Jobs of the runs, and the versions of their progress that hold the crash.
+    versions: Vec<(JobId, u64)>,
+}
+
 /// Queues of the jobs to write and of the unsettled ends.
 #[derive(Debug, Default)]
 pub(crate) struct Writes {
@@ -84,6 +93,7 @@
     is_in_flight: bool,
     /// Unsettled ends by agent, in the order of their numbers.
     ends: Map<Name, VecDeque<UnsettledEnd>>,
+    crashes: Vec<UnsettledCrash>,
 }
 
 impl Writes {
@@ -98,6 +108,19 @@
         self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version: None });
     }
 
+    /// Adds a crash that may be settled once the present version of each job is durable.
+    pub(crate) fn add_crash(&mut self, agent: Name, life: Life, jobs: impl Iterator<Item = JobId>) {
+        if !self.has_crash(&agent, &life) {
+            let versions = jobs.map(|job| (job, self.present(job))).collect();
+            self.crashes.push(UnsettledCrash { agent, life, versions });
+        }
+    }
+
+    /// Whether a crash waits to be settled.
+    pub(crate) fn has_crash(&self, agent: &Name, life: &Life) -> bool {
+        self.crashes.iter().any(|crash| crash.agent == *agent && crash.life == *life)
+    }
+
     /// Releases the held ends of a job: they are settled once its present version is durable.
     pub(crate) fn release_ends(&mut self, job: JobId) {
         let version = self.present(job);
@@ -250,6 +273,15 @@
     }
 
     fn settle(&mut self) {
+        let versions = &self.writes.versions;
+        let is_durable = |crash: &mut UnsettledCrash| {
+            let is_job_durable =
+                |(job, version): &(JobId, u64)| versions.get(job).is_none_or(|versions| versions.durable >= *version);
+            crash.versions.iter().all(is_job_durable)
+        };
+        for UnsettledCrash { agent, life, .. } in self.writes.crashes.extract_if(.., is_durable) {
+            self.actions.push_back(Action::SettleCrash { agent, life });
+        }
         let mut ends = std::mem::take(&mut self.writes.ends);
         for (agent, waiting) in &mut ends {
             let mut settled: Option<(Life, u64)> = None;
--- /dev/null
+++ b/crates/cell/src/crashes.rs
@@ -0,0 +1,190 @@
+//! Crashes of workers under a task: which of the runs on a worker is to blame, and when a task is given up.
+//!
+//! A crash ends every run on its worker, and none of them reports an end. A task that crashes workers does so soon after
+//! each of its starts, so the age of a run tells whether it is suspect, and a suspect is started beside no other suspect:
+//! the next crash under it then has one suspect only. A run that lives well beyond the crashes under its task clears the
+//! task.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Age of a run up to which its start may have crashed the worker. A worker that fails at a start does so while it loads
+/// the program, and its agent may notice 150 ms later, which is the pause between two polls.
+pub const SUSPECT_AGE_MAX: Duration = Duration::from_millis(300);
+/// Multiple of the greatest age of a crashed run of a task that a run has to live to clear the task.
+const PROBATION_FACTOR: u32 = 2;
+/// Greatest difference of two ages that count as the same, apart from a part of the smaller one.
+const AGE_TOLERANCE: Duration = Duration::from_millis(200);
+/// The same part: one in this many.
+const AGE_TOLERANCE_DIVISOR: u32 = 4;
+/// Longest time that a run has to live to clear its task: longer than the time between two crashes of a worker in its
+/// worst hour.
+const PROBATION_MAX: Duration = Duration::from_secs(10);
+/// Crashes in which a task was suspect from which it is given up, if no other run on the worker had just started at the
+/// last one. Users allow a task to be given up from the second crash on.
+const SOLE_CRASHES_MAX: usize = 2;
+/// The same if some other run had just started as well.
+const SUSPECT_CRASHES_MAX: usize = 3;
+/// Crashes soon after the start from which a task is given up whatever else happened: users take three more starts after
+/// three crashes as too many.
+const YOUNG_CRASHES_MAX: usize = 4;
+/// Crashes at about the same age from which a task is given up whatever else happened; it crashes workers later in its
+/// run.
+const ALIKE_CRASHES_MAX: usize = 5;
+
+/// Part of a run in the crash of its worker.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Blame {
+    /// A suspect was beside the run, or it hadn't just started.
+    Bystander,
+    /// One of several runs that may have crashed the worker.
+    Suspect,
+    /// The only such run.
+    Sole,
+}
+
+impl Blame {
+    /// Lower-case form, for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Bystander => "bystander",
+            Self::Suspect => "suspect",
+            Self::Sole => "sole",
+        }
+    }
+}
+
+/// Crash of a worker under a run.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    /// Time from the start of the run to the crash.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "age_ms")]
+    pub age: Duration,
+    /// Part of the run in it.
+    pub blame: Blame,
+}
+
+/// Crashes under a task since a run last cleared it, by run number.
+///
+/// Kept by number instead of a count, since an unsettled crash is reported again to the next placer.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct CrashHistory(BTreeMap<u64, Crash>);
+
+impl CrashHistory {
+    /// Whether no crash is held against the task.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Number of crashes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the crash under a run is known.
+    #[must_use]
+    pub fn contains(&self, run: u64) -> bool {
+        self.0.contains_key(&run)
+    }
+
+    /// Whether the task may be one that crashes workers.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.young() > 1 || self.0.values().any(|crash| crash.blame != Blame::Bystander)
+    }
+
+    /// Number of crashes soon after the start.
+    fn young(&self) -> usize {
+        self.0.values().filter(|crash| crash.age <= SUSPECT_AGE_MAX).count()
+    }
+
+    /// Time that a run has to live to clear the task.
+    fn probation(&self) -> Duration {
+        let greatest_age = self.0.values().map(|crash| crash.age).max().unwrap_or_default();
+        greatest_age.saturating_mul(PROBATION_FACTOR).clamp(SUSPECT_AGE_MAX, PROBATION_MAX)
+    }
+
+    /// Adds a crash, unless it is known; returns whether it was added.
+    pub fn add(&mut self, run: u64, crash: Crash) -> bool {
+        if self.contains(run) {
+            return false;
+        }
+        self.clear_after(crash.age);
+        self.0.insert(run, crash);
+        true
+    }
+
+    /// Clears the task if a run of this age does so.
+    pub fn clear_after(&mut self, age: Duration) {
+        if !self.is_empty() && age > self.probation() {
+            self.0.clear();
+        }
+    }
+
+    /// What the crashes tell of the task.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        let suspect = self.0.values().filter(|crash| crash.blame != Blame::Bystander).count();
+        let last = self.0.values().next_back().map(|crash| crash.blame);
+        let suspect_max = if last == Some(Blame::Sole) { SOLE_CRASHES_MAX } else { SUSPECT_CRASHES_MAX };
+        if self.young() >= YOUNG_CRASHES_MAX || (self.len() >= ALIKE_CRASHES_MAX && self.are_ages_alike()) {
+            Verdict::GivenUp
+        } else if suspect >= suspect_max && last != Some(Blame::Bystander) {
+            Verdict::GivenUpUnlessCommon
+        } else {
+            Verdict::Tolerated
+        }
+    }
+
+    /// Holds the last crash against the task no longer, since other workers crashed at the same time.
+    pub fn excuse_last(&mut self) {
+        if let Some(mut crash) = self.0.last_entry() {
+            crash.get_mut().blame = Blame::Bystander;
+        }
+    }
+
+    fn are_ages_alike(&self) -> bool {
+        let ages = || self.0.values().map(|crash| crash.age);
+        let (least, greatest) = (ages().min().unwrap_or_default(), ages().max().unwrap_or_default());
+        greatest <= least + least / AGE_TOLERANCE_DIVISOR + AGE_TOLERANCE
+    }
+}
+
+/// Consequence of the crashes under a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It may start again.
+    Tolerated,
+    /// It is given up unless others crashed together with the last worker.
+    GivenUpUnlessCommon,
+    /// It is given up.
+    GivenUp,
+}
+
+/// A run on a worker that crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Victim {
+    /// Age of the run.
+    pub age: Duration,
+    /// Whether its task was suspect before.
+    pub is_suspect: bool,
+}
+
+/// Part of each run in the crash of a worker.
+#[must_use]
+pub fn blames(runs: &[Victim]) -> Vec<Blame> {
+    let is_young = |run: &Victim| run.age <= SUSPECT_AGE_MAX;
+    let has_suspect = runs.iter().any(|run| is_young(run) && run.is_suspect);
+    let is_accused = |run: &Victim| is_young(run) && run.is_suspect == has_suspect;
+    let blame = if runs.iter().filter(|run| is_young(run)).count() == 1 { Blame::Sole } else { Blame::Suspect };
+    runs.iter().map(|run| if is_accused(run) { blame } else { Blame::Bystander }).collect()
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cell;
 pub mod colocation;
 pub mod configuration;
+pub mod crashes;
 pub mod evacuation;
 pub mod grant;
 pub mod health;
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -5,6 +5,7 @@
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::CrashHistory;
 use crate::job::TaskKey;
 
 /// How a job ended.
@@ -36,6 +37,9 @@
     ///
     /// Stored as numbers instead of a count, since an unsettled end is reported again to the next placer.
     pub failures: BTreeMap<TaskKey, BTreeSet<u64>>,
+    /// Crashes of workers under tasks that may have caused them and aren't done; of a limited number of tasks.
+    #[serde(default)]
+    pub crashes: BTreeMap<TaskKey, CrashHistory>,
     /// Newest stored checkpoint of tasks that aren't done.
     pub checkpoints: BTreeMap<TaskKey, Name>,
     /// Origin of these checkpoints.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -102,6 +102,29 @@
     pub checkpoint: Name,
 }
 
+/// Run that a worker had when it crashed.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CrashedRun {
+    /// Task of the run.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Time from the order to start until the first sign of the crash.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "age_ms")]
+    pub age: Duration,
+}
+
+/// Crash of a worker, as reported by its agent until the placer has made it durable.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// Life of the worker that has ended.
+    pub life: Life,
+    /// Runs that the worker had, or may have had.
+    pub runs: Vec<CrashedRun>,
+}
+
 /// Order to start a run.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StartOrder {
--- /dev/null
+++ b/crates/cell/tests/crashes.rs
@@ -0,0 +1,347 @@
+//! Crashes of workers: which task is to blame, and when it is given up.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::cell::{Action, Cell, Inventory, Note};
+use chervilledge_cell::crashes::{Blame, Crash, CrashHistory, SUSPECT_AGE_MAX, Verdict, Victim, blames};
+use chervilledge_cell::job::{Job, JobId, JobState, Step, TaskId, TaskKey};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, Worker};
+use chervilledge_policy::id::Name;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use support::{LEASE, World, configuration, job, name, step, worker};
+
+/// Users' limit on the starts of a task that crashes each of its workers: three crashes, and fewer than three starts
+/// after them.
+const STARTS_MAX: usize = 5;
+/// Job whose runs don't end by themselves.
+const LASTING_JOB: JobId = JobId(500);
+const MILLICORES: u64 = 4_000;
+/// Time after which a crashed worker is back.
+const RESTART: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(50);
+
+/// A cell with workers that some tasks crash.
+struct Crashing {
+    world: World,
+    /// Time from the start of such a task to the crash, by job.
+    fuses: BTreeMap<JobId, Duration>,
+    /// Whether agents report crashes; otherwise the placer sees a new life of the worker.
+    are_reported: bool,
+    /// Crashes that are due, by agent.
+    due: BTreeMap<Name, Duration>,
+    back: BTreeMap<Name, Duration>,
+    lives: BTreeMap<Name, u64>,
+    started_at: BTreeMap<(TaskId, u64), Duration>,
+    starts: BTreeMap<TaskId, usize>,
+    notes: Vec<Note>,
+}
+
+impl Crashing {
+    fn with_workers(count: usize) -> Self {
+        Self {
+            world: World::with_workers(count, MILLICORES),
+            fuses: BTreeMap::new(),
+            are_reported: true,
+            due: BTreeMap::new(),
+            back: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            started_at: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    fn submit_deadly(&mut self, job: Job, fuse: Duration) {
+        self.fuses.insert(job.id, fuse);
+        self.world.submit(job);
+    }
+
+    fn present(&self, agent: &Name) -> Worker {
+        let worker = worker(agent, MILLICORES);
+        let born_unix_ms = self.lives.get(agent).copied().unwrap_or(1);
+        Worker { life: Life { born_unix_ms, ..worker.life }, ..worker }
+    }
+
+    fn crash(&mut self, agent: &Name) {
+        let now = self.world.now;
+        let runs = std::mem::take(&mut self.world.workers.entry(Arc::clone(agent)).or_default().running);
+        let crashed =
+            |run: &(TaskId, u64)| CrashedRun { task: run.0, run: run.1, age: now.saturating_sub(self.started_at[run]) };
+        let report = CrashReport { life: self.present(agent).life, runs: runs.keys().map(crashed).collect() };
+        self.due.remove(agent);
+        if self.are_reported {
+            self.world.cell.worker_crashed(agent, &report, now);
+            self.world.cell.worker_gone(agent, now);
+        }
+        self.back.insert(Arc::clone(agent), now + RESTART);
+    }
+
+    fn step(&mut self) {
+        self.world.now += STEP;
+        let now = self.world.now;
+        for agent in
+            self.due.iter().filter(|(_, at)| **at <= now).map(|(agent, _)| Arc::clone(agent)).collect::<Vec<_>>()
+        {
+            self.crash(&agent);
+        }
+        for agent in self.back.extract_if(.., |_, at| *at <= now).map(|(agent, _)| agent).collect::<Vec<_>>() {
+            *self.lives.entry(Arc::clone(&agent)).or_insert(1) += 1;
+            self.world.workers.insert(Arc::clone(&agent), support::WorkerRuns::default());
+            let inventory = Inventory { worker: Some(self.present(&agent)), ..Inventory::default() };
+            self.world.cell.agent_linked(&agent, inventory, now);
+        }
+        self.world.cell.place(now);
+        for action in self.world.cell.take_actions() {
+            let is_down = |agent: &Name| self.back.contains_key(agent);
+            match &action {
+                Action::Start { agent, .. } | Action::Stop { agent, .. } if is_down(agent) => {}
+                Action::Start { agent, order, .. } => {
+                    *self.starts.entry(order.task).or_default() += 1;
+                    self.started_at.insert((order.task, order.run), now);
+                    if let Some(fuse) = self.fuses.get(&order.task.job) {
+                        let due = self.due.entry(Arc::clone(agent)).or_insert(now + *fuse);
+                        *due = (*due).min(now + *fuse);
+                    }
+                    self.world.carry_out(&action);
+                }
+                _ => self.world.carry_out(&action),
+            }
+        }
+        self.notes.extend(self.world.cell.take_notes());
+    }
+
+    /// Runs the cell; each innocent run ends after `work`.
+    fn run(&mut self, time: Duration, work: Duration) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            self.step();
+            let now = self.world.now;
+            for (agent, task, run) in self.world.all_running() {
+                if !self.fuses.contains_key(&task.job)
+                    && task.job != LASTING_JOB
+                    && now >= self.started_at[&(task, run)] + work
+                {
+                    self.world.end(&agent, task, run, EndKind::Done);
+                }
+            }
+        }
+    }
+
+    fn state(&self, id: u64) -> Option<JobState> {
+        // Ended, whether or not the end is durable yet.
+        let ended = self.notes.iter().find_map(|note| match note {
+            Note::JobEnded { job, state, .. } if *job == JobId(id) => Some(*state),
+            _ => None,
+        });
+        ended.or_else(|| self.world.cell.state(JobId(id)))
+    }
+
+    fn starts_of(&self, id: u64) -> usize {
+        self.starts.iter().filter(|(task, _)| task.job == JobId(id)).map(|(_, count)| *count).max().unwrap_or(0)
+    }
+}
+
+fn lasting() -> Step {
+    Step { lasting: true, ..step(1, 500) }
+}
+
+fn gang() -> Step {
+    Step { gang: true, ..step(3, 500) }
+}
+
+fn copied() -> Step {
+    Step { speculative: true, ..step(1, 500) }
+}
+
+fn key() -> TaskKey {
+    TaskKey { occurrence: 0, step: 0, index: 0 }
+}
+
+fn crash(age_ms: u64, blame: Blame) -> Crash {
+    Crash { age: Duration::from_millis(age_ms), blame }
+}
+
+/// A task crashed worker after worker, since runs that vanish with their worker didn't count.
+#[rstest]
+fn a_task_crashes_worker_after_worker(
+    #[values(step(1, 500), lasting(), gang(), copied())] deadly: Step,
+    #[values(10, 240, 2_000)] fuse_ms: u64,
+    #[values(true, false)] are_reported: bool,
+) {
+    let mut cell = Crashing { are_reported, ..Crashing::with_workers(8) };
+    for id in 1..=20 {
+        cell.world.submit_plain(id, 6);
+    }
+    cell.submit_deadly(job(99, vec![deadly]), Duration::from_millis(fuse_ms));
+    for id in 100..=120 {
+        cell.world.submit_plain(id, 6);
+    }
+    cell.run(Duration::from_mins(2), Duration::from_millis(800));
+    assert!(cell.starts_of(99) <= STARTS_MAX, "started {} times", cell.starts_of(99));
+    assert_eq!(cell.state(99), Some(JobState::Failed));
+    let lost: Vec<u64> = (1..=20).chain(100..=120).filter(|id| cell.state(*id) != Some(JobState::Completed)).collect();
+    assert!(lost.is_empty(), "not completed: {lost:?}");
+}
+
+/// Tasks that stand beside the crashes of others, or whose workers crash for other reasons, must not be given up.
+#[rstest]
+fn a_bystander_of_crashes_is_given_up(
+    #[values(400, 1_500, 5_000)] work_ms: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cell = Crashing::with_workers(10);
+    cell.world.submit(job(500, vec![Step { count: 6, ..lasting() }]));
+    for wave in 0..9 {
+        for id in 0..8 {
+            cell.world.submit(job(wave * 10 + id, vec![step(8, 300)]));
+        }
+        cell.submit_deadly(job(200 + wave, vec![step(1, 500)]), Duration::from_millis(10));
+        cell.run(Duration::from_millis(rng.random_range(1_000..5_000)), Duration::from_millis(work_ms));
+        for number in rand::seq::index::sample(&mut rng, 10, 3) {
+            cell.crash(&name(&format!("agent-{number}")));
+        }
+    }
+    cell.run(Duration::from_mins(3), Duration::from_millis(work_ms));
+    let failed: Vec<u64> = (0..=500).filter(|id| cell.state(*id) == Some(JobState::Failed)).collect();
+    assert_eq!(failed, (200..209).collect::<Vec<u64>>());
+}
+
+/// A successor must go on counting where its predecessor stopped, whether the crash was durable or not.
+#[rstest]
+fn a_takeover_forgets_the_crashes_under_a_task(#[values(true, false)] is_durable: bool) {
+    let agent = name("agent-0");
+    let task = TaskId { job: JobId(1), key: key() };
+    let mut history = CrashHistory::default();
+    history.add(1, crash(12, Blame::Suspect));
+    let mut progress = chervilledge_cell::progress::Progress::default();
+    progress.crashes.insert(key(), history.clone());
+    let report = CrashReport {
+        life: support::life(&agent),
+        runs: vec![CrashedRun { task, run: 2, age: Duration::from_millis(11) }],
+    };
+    let mut crashes = vec![report];
+    if is_durable {
+        history.add(2, crash(11, Blame::Sole));
+        progress.crashes.insert(key(), history);
+    }
+    crashes.push(CrashReport {
+        life: Life { born_unix_ms: 2, ..support::life(&agent) },
+        runs: vec![CrashedRun { task, run: 10_001, age: Duration::from_millis(13) }],
+    });
+    let mut cell = Cell::new(2, LEASE);
+    let now = Duration::from_secs(100);
+    cell.configure(Arc::new(configuration()));
+    cell.agent_known(&agent, true, now);
+    cell.load(job(1, vec![step(1, 500)]), progress, 5, Duration::ZERO, now);
+    let back = Worker { life: Life { born_unix_ms: 3, ..support::life(&agent) }, ..worker(&agent, MILLICORES) };
+    cell.agent_linked(&agent, Inventory { worker: Some(back), crashes, ..Inventory::default() }, now);
+    cell.place(now);
+    cell.place(now + Duration::from_millis(500));
+    assert!(!cell.take_actions().iter().any(|action| matches!(action, Action::Start { .. })));
+    let given_up = |note: &Note| matches!(note, Note::TaskGivenUp { crashes: 3, .. });
+    assert!(cell.take_notes().iter().any(given_up));
+}
+
+/// An agent forgets a crash once it is settled, so that must not happen before it is durable.
+#[test]
+fn a_crash_is_settled_before_it_is_durable() {
+    let mut world = World::with_workers(1, MILLICORES);
+    let agent = name("agent-0");
+    world.submit(job(1, vec![step(1, 500)]));
+    world.place();
+    let (_, task, run) = world.all_running()[0].clone();
+    let age = Duration::from_millis(10);
+    let report = CrashReport { life: support::life(&agent), runs: vec![CrashedRun { task, run, age }] };
+    world.cell.worker_crashed(&agent, &report, world.now);
+    world.cell.worker_gone(&agent, world.now);
+    let batch = world.cell.next_batch().expect("the crash is written");
+    assert!(batch.writes[0].progress.crashes.contains_key(&key()));
+    let is_settled =
+        |world: &mut World| world.cell.take_actions().iter().any(|action| matches!(action, Action::SettleCrash { .. }));
+    assert!(!is_settled(&mut world));
+    world.cell.committed(&batch, 77, world.now);
+    assert!(is_settled(&mut world));
+}
+
+/// The end of a worker that has announced it, or whose lease lapses, isn't the fault of a task.
+#[rstest]
+fn a_task_is_blamed_for_the_planned_end_of_its_worker(#[values(true, false)] leaves: bool) {
+    let mut world = World::with_workers(1, MILLICORES);
+    let agent = name("agent-0");
+    for start in 1..=10 {
+        if start == 1 {
+            world.submit(job(1, vec![step(1, 500)]));
+        }
+        world.place();
+        if leaves {
+            let leaving = Worker { leaves_in: Some(Duration::from_secs(2)), ..worker(&agent, MILLICORES) };
+            let leaving = Worker { life: Life { born_unix_ms: start, ..leaving.life.clone() }, ..leaving };
+            world.cell.worker_seen(&agent, leaving, world.now);
+        } else {
+            world.cell.agent_silent(&agent);
+            world.advance_ms(20_000);
+            world.cell.lapse_agents(Some(world.now), world.now);
+        }
+        world.workers.insert(Arc::clone(&agent), support::WorkerRuns::default());
+        let back = worker(&agent, MILLICORES);
+        let back = Worker { life: Life { born_unix_ms: start + 1, ..back.life.clone() }, ..back };
+        world.cell.agent_linked(&agent, Inventory { worker: Some(back), ..Inventory::default() }, world.now);
+    }
+    assert_eq!(world.cell.counters().crashed, 0);
+    assert_ne!(world.cell.state(JobId(1)), Some(JobState::Failed));
+}
+
+/// With another run that has just started beside it, the next crash couldn't be put down to a suspect.
+#[test]
+fn a_run_starts_beside_a_suspect_that_has_just_started() {
+    let mut cell = Crashing::with_workers(2);
+    cell.submit_deadly(job(99, vec![step(1, 500)]), Duration::from_millis(100));
+    cell.run(Duration::from_millis(200), Duration::from_secs(9));
+    assert_eq!(cell.starts_of(99), 2, "one worker has crashed, and the other is about to");
+    cell.world.submit_plain(1, 3);
+    cell.step();
+    assert_eq!(cell.starts_of(1), 0);
+    cell.run(Duration::from_secs(8), Duration::from_secs(1));
+    assert_eq!(cell.state(1), Some(JobState::Completed));
+}
+
+#[rstest]
+#[case::alone(&[(20, false)], &[Blame::Sole])]
+#[case::beside_an_old_run(&[(20, false), (4_000, false)], &[Blame::Sole, Blame::Bystander])]
+#[case::beside_a_young_run(&[(20, false), (200, false)], &[Blame::Suspect, Blame::Suspect])]
+#[case::suspect_beside_a_young_run(&[(20, true), (200, false)], &[Blame::Suspect, Blame::Bystander])]
+#[case::old_suspect(&[(900, true), (200, false)], &[Blame::Bystander, Blame::Sole])]
+#[case::none_is_young(&[(900, false), (2_000, false)], &[Blame::Bystander, Blame::Bystander])]
+fn the_wrong_run_is_blamed_for_a_crash(#[case] runs: &[(u64, bool)], #[case] expected: &[Blame]) {
+    let victim =
+        |(age_ms, is_suspect): &(u64, bool)| Victim { age: Duration::from_millis(*age_ms), is_suspect: *is_suspect };
+    assert_eq!(blames(&runs.iter().map(victim).collect::<Vec<_>>()), expected);
+}
+
+#[rstest]
+#[case::only_suspect_twice(&[(20, Blame::Suspect), (20, Blame::Sole)], Verdict::GivenUpUnlessCommon)]
+#[case::one_of_several_twice(&[(20, Blame::Suspect), (20, Blame::Suspect)], Verdict::Tolerated)]
+#[case::one_of_several_three_times(&[(20, Blame::Suspect); 3], Verdict::GivenUpUnlessCommon)]
+#[case::four_times_soon_after_the_start(&[(20, Blame::Bystander); 4], Verdict::GivenUp)]
+#[case::always_at_the_same_age(&[(3_000, Blame::Bystander); 5], Verdict::GivenUp)]
+#[case::at_several_ages(
+    &[(9_000, Blame::Bystander), (900, Blame::Bystander), (3_000, Blame::Bystander), (70, Blame::Bystander), (5_000, Blame::Bystander)],
+    Verdict::Tolerated
+)]
+#[case::cleared_by_a_long_run(&[(20, Blame::Sole), (2_000, Blame::Bystander), (20, Blame::Sole)], Verdict::Tolerated)]
+fn a_task_is_given_up_too_early_or_too_late(#[case] crashes: &[(u64, Blame)], #[case] expected: Verdict) {
+    let mut history = CrashHistory::default();
+    for (run, (age_ms, blame)) in (1..).zip(crashes) {
+        assert!(history.add(run, crash(*age_ms, *blame)));
+        assert!(!history.add(run, crash(*age_ms, *blame)), "a repeated report counts once");
+    }
+    assert_eq!(history.verdict(), expected);
+    assert!(crash(20, Blame::Sole).age <= SUSPECT_AGE_MAX);
+}
--- a/crates/cell/tests/evacuation.rs
+++ b/crates/cell/tests/evacuation.rs
@@ -49,7 +49,7 @@
     let actions = world.cell.take_actions();
     let domains = actions.iter().filter_map(|action| match action {
         Action::Start { agent, .. } => Some(domain_of(agent)),
-        Action::Stop { .. } | Action::Settle { .. } => None,
+        Action::Stop { .. } | Action::Settle { .. } | Action::SettleCrash { .. } => None,
     });
     let domains = domains.collect();
     for action in &actions {
--- a/crates/cell/tests/malformed.rs
+++ b/crates/cell/tests/malformed.rs
@@ -8,11 +8,12 @@
 
 use chervilledge_cell::cell::Inventory;
 use chervilledge_cell::configuration::Configuration;
+use chervilledge_cell::crashes::{Blame, Crash, CrashHistory};
 use chervilledge_cell::grant::{ClockReading, is_clock_continued, lease_end_ms};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, Schedule, Step, TASKS_MAX, TaskId, TaskKey};
 use chervilledge_cell::progress::{Checkpointed, Outcome, Progress};
-use chervilledge_cell::worker::{End, EndKind, RunReport, Worker};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, End, EndKind, RunReport, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -177,9 +178,14 @@
     };
     let keys = [keys(), keys(), keys(), keys()];
     let checkpointed = Checkpointed { run: amount(rng), percent: small(rng) };
+    let mut crashes = CrashHistory::default();
+    for _ in 0..rng.random_range(0..6) {
+        crashes.add(amount(rng), Crash { age: Duration::from_millis(amount(rng)), blame: Blame::Suspect });
+    }
     Progress {
         done: [keys[0]].into(),
         failures: [(keys[1], (0..rng.random_range(0..100)).map(|_| amount(rng)).collect())].into(),
+        crashes: [(keys[1], crashes)].into(),
         checkpoints: [(keys[2], name("c"))].into(),
         checkpointed: [(keys[2], checkpointed), (keys[3], checkpointed)].into(),
         outcome: rng.random_bool(0.2).then_some(Outcome::Completed),
@@ -199,6 +205,10 @@
         let mut worker = odd_worker(rng);
         worker.cold_for = Duration::from_millis(amount(rng));
         worker.resources.accelerators = small(rng);
+        let age = Duration::from_millis(amount(rng));
+        let crashed_run = |(task, run): (TaskId, u64)| CrashedRun { task, run, age };
+        let runs = world.cell.runs_on(&agent).into_iter().map(crashed_run).collect();
+        world.cell.worker_crashed(&agent, &CrashReport { life: worker.life.clone(), runs }, world.now);
         world.cell.worker_seen(&agent, worker, world.now);
         let odd = [f64::NAN, f64::INFINITY, -1e300, f64::MAX, 0.0][rng.random_range(0..5)];
         world.cell.take_headrooms(&agent, vec![(name("a"), odd)]);
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -20,7 +20,7 @@
     let actions = world.cell.take_actions();
     let starts = actions.iter().filter_map(|action| match action {
         Action::Start { agent, order, .. } => Some((agent.to_string(), order.task.job.0, order.run)),
-        Action::Stop { .. } | Action::Settle { .. } => None,
+        Action::Stop { .. } | Action::Settle { .. } | Action::SettleCrash { .. } => None,
     });
     let starts = starts.collect();
     for action in &actions {
--- a/crates/cell/tests/preemption.rs
+++ b/crates/cell/tests/preemption.rs
@@ -51,7 +51,7 @@
 fn stopped(action: &Action) -> TaskId {
     match action {
         Action::Stop { task, .. } => *task,
-        Action::Start { .. } | Action::Settle { .. } => panic!("{action:?} isn't a stop"),
+        Action::Start { .. } | Action::Settle { .. } | Action::SettleCrash { .. } => panic!("{action:?} isn't a stop"),
     }
 }
 
@@ -105,7 +105,7 @@
                         ends.push((world.now + Duration::from_millis(850), Arc::clone(agent), order.task, order.run));
                     }
                 }
-                Action::Settle { .. } => world.carry_out(&action),
+                Action::Settle { .. } | Action::SettleCrash { .. } => world.carry_out(&action),
             }
         }
     }
--- a/crates/cell/tests/stops.rs
+++ b/crates/cell/tests/stops.rs
@@ -68,7 +68,7 @@
     let actions = world.cell.take_actions();
     let stop = |action: &Action| match action {
         Action::Stop { task, reason, .. } => Some((*task, *reason)),
-        Action::Start { .. } | Action::Settle { .. } => None,
+        Action::Start { .. } | Action::Settle { .. } | Action::SettleCrash { .. } => None,
     };
     let stops = actions.iter().filter_map(stop).collect();
     for action in &actions {
@@ -170,7 +170,7 @@
     world.cell.place(world.now);
     let start = |action: &Action| match action {
         Action::Start { order, .. } => Some(order.task),
-        Action::Stop { .. } | Action::Settle { .. } => None,
+        Action::Stop { .. } | Action::Settle { .. } | Action::SettleCrash { .. } => None,
     };
     let starts: Vec<TaskId> = world.cell.take_actions().iter().filter_map(start).collect();
     assert_eq!(starts.first(), Some(&yielding), "{starts:?}");
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -177,6 +177,7 @@
             Action::Settle { agent, cursor, .. } => {
                 self.settle(agent, *cursor);
             }
+            Action::SettleCrash { .. } => {}
         }
     }
 
@@ -230,6 +231,7 @@
             running: runs.running.keys().map(report).collect(),
             starting: Vec::new(),
             ends: runs.ends.clone(),
+            crashes: Vec::new(),
             is_empty: false,
         }
     }
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -129,6 +129,7 @@
             running: self.running.keys().map(report).collect(),
             starting: Vec::new(),
             ends: self.ends.clone(),
+            crashes: Vec::new(),
             is_empty: false,
         }
     }
@@ -421,7 +422,8 @@
         let placer = &mut self.placers[position];
         let (Action::Start { agent: agent_name, .. }
         | Action::Stop { agent: agent_name, .. }
-        | Action::Settle { agent: agent_name, .. }) = action;
+        | Action::Settle { agent: agent_name, .. }
+        | Action::SettleCrash { agent: agent_name, .. }) = action;
         let Some(agent) = self.agents.get_mut(agent_name) else { return };
         // Without a link the order is lost.
         if !placer.links.contains(agent_name) || agent.term != placer.term {
@@ -456,6 +458,7 @@
                 }
                 agent.ends.retain(|end| end.number > *cursor);
             }
+            Action::SettleCrash { .. } => panic!("seed {}: no worker crashes", self.seed),
         }
     }
 
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -3,12 +3,14 @@
 //! It obeys one placer at a time, the one with the highest term, and renews the worker's lease only under that placer's
 //! grants. A worker that restarts keeps its name and becomes a new incarnation, identified by its `Life`.
 
+mod crashes;
 mod links;
 mod looks;
 mod orders;
 mod paces;
 mod row;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +21,7 @@
 use chervilledge_cell::interference::Interference;
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::pace::Paces;
-use chervilledge_cell::worker::{End, Life, RunReport, RunTraits, Worker};
+use chervilledge_cell::worker::{CrashReport, End, Life, RunReport, RunTraits, Worker};
 use chervilledge_link::connection::Sender;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
@@ -154,6 +156,8 @@
     failed_polls: u32,
     /// Consecutive refused connections.
     refused_connections: u32,
+    /// When the first call failed since the last successful poll.
+    failing_since: Option<Duration>,
     /// Since when the worker may have restarted. Nothing is settled until a poll confirms the incarnation.
     maybe_restarted_since: Option<Duration>,
     is_polling: bool,
@@ -214,6 +218,14 @@
     /// Acknowledged starts and the time of the acknowledgement; kept until a poll that was sent later.
     acknowledged_starts: Map<RunId, Duration>,
     pending_stops: Map<RunId, PendingStop>,
+    /// When the start of each run on the worker was first sent, or when the run was first seen.
+    started_at: Map<RunId, Duration>,
+    /// Crashes of the worker that the placer hasn't settled, the oldest first.
+    crashes: VecDeque<CrashReport>,
+    /// Silent life of the worker that was given up, and has crashed unless it is heard of again.
+    silent_life: Option<CrashReport>,
+    /// Whether the placer records crashes.
+    placer_knows_crashes: bool,
     traits: Map<RunId, RunTraits>,
     ordered_paces: Map<RunId, u32>,
     /// Target paces of filling runs, derived from the serving runs beside them and from their urgencies.
@@ -279,6 +291,10 @@
             unanswered: Map::default(),
             acknowledged_starts: Map::default(),
             pending_stops: Map::default(),
+            started_at: Map::default(),
+            crashes: VecDeque::new(),
+            silent_life: None,
+            placer_knows_crashes: false,
             traits: Map::default(),
             ordered_paces: Map::default(),
             decided_paces: Paces::new(context.settings.latency_harm_after),
@@ -398,6 +414,7 @@
     ) {
         log::info!(event = "worker_registered", worker = &*worker.life.worker,
             born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
+        self.confirm_silent_crash(&worker.life);
         self.tracked = Some(TrackedWorker {
             cold_until: now + worker.cold_for,
             worker,
@@ -412,6 +429,7 @@
             reported_progress: Map::default(),
             failed_polls: 0,
             refused_connections: 0,
+            failing_since: None,
             maybe_restarted_since: None,
             is_polling: false,
             poll_due: now,
@@ -438,6 +456,7 @@
     /// Orders name the worker and not its incarnation, so orders meant for the previous one may have been executed by
     /// the new one, or may still be. The placer learns of the restart from the inventory, which lists such runs.
     fn handle_worker_restart(&mut self, now: Duration) {
+        self.report_crash(now);
         let Some(tracked) = self.tracked.take() else { return };
         self.prune_unanswered(now);
         let uncertain_runs: Vec<RunId> = self
@@ -450,6 +469,7 @@
         log::info!(event = "worker_reborn", worker = &*tracked.worker.life.worker, runs = tracked.running.len(),
             doubtful = uncertain_runs.len(); "");
         self.previous_life.get_or_insert(tracked.worker.life);
+        self.started_at.clear();
         self.pending_starts.clear();
         self.acknowledged_starts.clear();
         self.traits.clear();
@@ -463,9 +483,15 @@
 
     /// Records that the worker has ended.
     fn handle_worker_end(&mut self, reason: &'static str, now: Duration) {
+        match reason {
+            "left" => {}
+            "silent" => self.silent_life = self.crash_report(now),
+            _ => self.report_crash(now),
+        }
         let Some(tracked) = self.tracked.take() else { return };
         log::info!(event = "worker_over", worker = &*tracked.worker.life.worker, reason = reason,
             runs = tracked.running.len(), starting = self.pending_starts.len(); "");
+        self.started_at.clear();
         self.pending_starts.clear();
         self.acknowledged_starts.clear();
         self.pending_stops.clear();
--- /dev/null
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -0,0 +1,87 @@
+//! Reports of crashes of the worker, with the runs that it had.
+//!
+//! A crashed worker lists no ends, and the placer that ordered its runs may be gone: the agent keeps each crash until
+//! a placer has made it durable.
+
+use std::time::Duration;
+
+use chervilledge_cell::worker::{CrashReport, CrashedRun, Life};
+use chervilledge_policy::collections::Set;
+
+use super::{RunId, State};
+use crate::message::FromAgent;
+
+/// Number of crashes that the agent keeps: more than a worker has while no placer can settle them.
+const CRASHES_MAX: usize = 16;
+
+impl State {
+    /// Reports that the worker's present life has ended in a crash, unless its end was announced.
+    pub(super) fn report_crash(&mut self, now: Duration) {
+        if let Some(report) = self.crash_report(now) {
+            self.add_crash(report);
+        }
+    }
+
+    /// Reports a silent life of the worker as crashed when another one is heard of.
+    pub(super) fn confirm_silent_crash(&mut self, life: &Life) {
+        if let Some(report) = self.silent_life.take_if(|report| report.life != *life) {
+            self.add_crash(report);
+        }
+        self.silent_life = None;
+    }
+
+    /// The worker's present life and its runs as a crash; `None` without a worker, or if its end was announced.
+    pub(super) fn crash_report(&self, now: Duration) -> Option<CrashReport> {
+        let tracked = self.tracked.as_ref().filter(|tracked| tracked.worker.leaves_in.is_none())?;
+        let crashed_at = tracked.failing_since.unwrap_or(now);
+        let is_unresolved =
+            |run: &&RunId| self.pending_starts.contains_key(*run) || self.pending_stops.contains_key(*run);
+        let sent = self.pending_starts.iter().filter(|(_, starting)| starting.attempts > 0).map(|(run, _)| *run);
+        let runs: Set<RunId> = tracked
+            .running
+            .iter()
+            .map(|report| (report.task, report.run))
+            .chain(self.acknowledged_starts.keys().copied())
+            .chain(sent)
+            .chain(self.unanswered.keys().filter(is_unresolved).copied())
+            .collect();
+        let crashed_run = |run: RunId| {
+            let started_at = self.started_at.get(&run).copied().unwrap_or(crashed_at);
+            CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at) }
+        };
+        let runs = runs.into_iter().map(crashed_run).collect();
+        Some(CrashReport { life: tracked.worker.life.clone(), runs })
+    }
+
+    fn add_crash(&mut self, report: CrashReport) {
+        log::info!(event = "worker_crashed", worker = &*report.life.worker, runs = report.runs.len(),
+            youngest_ms = report.runs.iter().map(|run| crate::clock::whole_ms(run.age)).min().unwrap_or_default(); "");
+        if report.runs.is_empty() {
+            return;
+        }
+        if self.placer_knows_crashes {
+            self.send_to_placer(FromAgent::Crashed(report.clone()));
+        }
+        if self.crashes.len() == CRASHES_MAX
+            && let Some(dropped) = self.crashes.pop_front()
+        {
+            log::warn!(event = "crash_forgotten", worker = &*dropped.life.worker, runs = dropped.runs.len(); "");
+        }
+        self.crashes.push_back(report);
+    }
+
+    /// Updates when the runs on the worker were started, from a poll.
+    pub(super) fn update_started_at(&mut self, now: Duration) {
+        let Some(tracked) = &self.tracked else { return };
+        for report in &tracked.running {
+            self.started_at.entry((report.task, report.run)).or_insert(now);
+        }
+        let is_running = |run: &RunId| tracked.running.iter().any(|report| (report.task, report.run) == *run);
+        self.started_at.retain(|run, _| {
+            self.pending_starts.contains_key(run)
+                || self.acknowledged_starts.contains_key(run)
+                || self.unanswered.contains_key(run)
+                || is_running(run)
+        });
+    }
+}
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -12,7 +12,7 @@
 use super::paces::UNKNOWN_PERCENT;
 use super::{Message, State};
 use crate::message::{FromAgent, LINK_TIMEOUT, ToAgent};
-use crate::rows::{Effect, VERSION};
+use crate::rows::{self, Effect, VERSION};
 
 /// Pause after a failed accept, which is mostly caused by a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -66,8 +66,8 @@
     }
 
     pub(super) fn handle_placer_message(&mut self, link: u64, message: ToAgent, now: Duration) {
-        if let ToAgent::Hello { term } = message {
-            self.handle_hello(link, term, now);
+        if let ToAgent::Hello { term, version } = message {
+            self.handle_hello(link, term, version.as_ref(), now);
             return;
         }
         // Messages of a previous placer or link are obsolete.
@@ -83,6 +83,7 @@
             ToAgent::Start { life, order } => self.start(&life, order, now),
             ToAgent::Stop { life, task, run } => self.stop(&life, (task, run), now),
             ToAgent::Settle { life, cursor } => self.settle(&life, cursor, now),
+            ToAgent::SettleCrash(life) => self.crashes.retain(|crash| crash.life != life),
             ToAgent::Urgencies(changes) => self.apply_urgencies(changes),
             ToAgent::Effects(effects) => {
                 self.interference.set_shared(effects.into_iter().map(Effect::into_evidence).collect());
@@ -96,7 +97,7 @@
         }
     }
 
-    fn handle_hello(&mut self, link: u64, term: u64, now: Duration) {
+    fn handle_hello(&mut self, link: u64, term: u64, version: Option<&Name>, now: Duration) {
         let Some(sender) = self.unidentified_links.remove(&link) else { return };
         if term < self.term {
             log::info!(event = "placer_refused", link = link, term = term, obeyed_term = self.term; "");
@@ -106,6 +107,7 @@
         log::info!(event = "placer_obeyed", link = link, term = term, former_term = self.term; "");
         self.term = term;
         self.link = Some((link, sender));
+        self.placer_knows_crashes = rows::knows_crashes(version);
         self.inventory_due = Some(now);
         self.grant_request_due = now;
         if let Some(tracked) = &mut self.tracked {
@@ -125,6 +127,7 @@
         let now = self.context.clock.now();
         let starting = self.unconfirmed_runs();
         let version = Some(Name::from(VERSION));
+        let crashes = self.crashes.iter().cloned().collect();
         let message = match &mut self.tracked {
             Some(tracked) => {
                 self.previous_life = None;
@@ -139,6 +142,7 @@
                     is_empty: false,
                     asked: now,
                     version,
+                    crashes,
                 }
             }
             None => FromAgent::Inventory {
@@ -149,6 +153,7 @@
                 is_empty: now >= self.empty_at,
                 asked: now,
                 version,
+                crashes,
             },
         };
         let is_final = self.tracked.is_some() || now >= self.empty_at;
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -86,6 +86,7 @@
     fn handle_poll_failure(&mut self, error: PollError, now: Duration) {
         let Some(tracked) = &mut self.tracked else { return };
         tracked.failed_polls += 1;
+        tracked.failing_since.get_or_insert(now);
         tracked.mark_maybe_restarted(now);
         tracked.poll_due = now + FAILURE_PAUSE;
         tracked.refused_connections = if error == PollError::NotThere { tracked.refused_connections + 1 } else { 0 };
@@ -102,6 +103,7 @@
         let Some(tracked) = &mut self.tracked else { return };
         tracked.failed_polls = 0;
         tracked.refused_connections = 0;
+        tracked.failing_since = None;
         tracked.maybe_restarted_since = tracked.maybe_restarted_since.filter(|since| *since > sent);
         tracked.reading = Some(ClockReading { worker_ms: response.clock_ms, received: now });
         tracked.running = response.running;
@@ -112,6 +114,7 @@
         self.acknowledged_starts.retain(|_, taken| *taken > sent);
         self.clear_ended();
         self.report_absent(sent);
+        self.update_started_at(now);
         if term == self.term && self.inventory_due.is_some_and(|due| sent >= due) {
             self.send_inventory();
         } else if self.inventory_due.is_none() {
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -75,6 +75,7 @@
         let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return };
         let Some(starting) = self.pending_starts.get_mut(&run) else { return };
         starting.attempts += 1;
+        self.started_at.entry(run).or_insert(now);
         let call = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -138,6 +139,9 @@
             log::info!(event = "worker_doubtful", worker = &*life.worker, result:? = result; "");
             tracked.mark_maybe_restarted(now);
         }
+        if result == StartOutcome::Unknown {
+            tracked.failing_since.get_or_insert(now);
+        }
     }
 
     /// Drops unanswered starts that can no longer be executed.
@@ -263,6 +267,7 @@
             let run = (end.task, end.run);
             self.pending_stops.remove(&run);
             self.acknowledged_starts.remove(&run);
+            self.started_at.remove(&run);
             self.traits.remove(&run);
             self.ordered_paces.remove(&run);
             if self.pending_starts.remove(&run).is_some() {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -5,7 +5,7 @@
 use chervilledge_cell::admission::Backlog;
 use chervilledge_cell::job::{Job, JobId, JobState, TaskId};
 use chervilledge_cell::urgency::Urgency;
-use chervilledge_cell::worker::{End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
+use chervilledge_cell::worker::{CrashReport, End, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
 use chervilledge_policy::id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationNanoSeconds, serde_as};
@@ -29,6 +29,9 @@
     Hello {
         /// Term of the placer.
         term: u64,
+        /// Version of the placer; versions before 0.4.0 don't tell it.
+        #[serde(default)]
+        version: Option<Name>,
     },
     /// Reply to [`FromAgent::Ask`].
     Grant {
@@ -72,6 +75,8 @@
         /// All ends up to this number are durable.
         cursor: u64,
     },
+    /// Lets the agent forget a crash that it has reported; the crash is durable.
+    SettleCrash(Life),
     /// Traits of runs, for an agent that didn't start them.
     Describe(Vec<(TaskId, u64, RunTraits)>),
     /// Urgencies that have changed since the runs were started or described: task, run number, urgency.
@@ -102,6 +107,9 @@
         /// Version of the agent; versions before 0.2.0 don't tell it.
         #[serde(default)]
         version: Option<Name>,
+        /// Crashes of the worker that aren't settled; versions before 0.4.0 report none.
+        #[serde(default)]
+        crashes: Vec<CrashReport>,
     },
     /// The agent obeys a newer term.
     Superseded {
@@ -118,6 +126,9 @@
     Worker(Worker),
     /// The worker's incarnation has ended; nothing runs there.
     Gone(Life),
+    /// The worker's incarnation has ended in a crash; sent before [`Self::Gone`] or the inventory that shows the end.
+    /// Only for versions from 0.4.0 on.
+    Crashed(CrashReport),
     /// The worker acknowledged a start.
     Started {
         /// Task of the run.
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -30,6 +30,7 @@
     job_ms: Histogram<f64>,
     durable_ms: Histogram<f64>,
     runs: Counter<u64>,
+    given_up: Counter<u64>,
     displaced: Counter<u64>,
     waiting: Gauge<u64>,
     lasting_waiting: Gauge<u64>,
@@ -70,6 +71,7 @@
         job_ms: latency("chervilledge_job_ms", "age of a job when its end was decided"),
         durable_ms: latency("chervilledge_durable_ms", "time until a batch of progress was written"),
         runs: meter.u64_counter("chervilledge_runs").with_description("runs by how they ended").build(),
+        given_up: meter.u64_counter("chervilledge_tasks_given_up").with_description("tasks that crash workers").build(),
         displaced: meter
             .u64_counter("chervilledge_displaced_runs")
             .with_description("runs stopped to end sooner elsewhere or in favor of other tasks")
@@ -191,6 +193,11 @@
         self.runs.add(1, &[KeyValue::new("how", how)]);
     }
 
+    /// Counts a task that is given up because workers crash under it.
+    pub fn task_given_up(&self) {
+        self.given_up.add(1, &[]);
+    }
+
     /// Counts a run that is stopped so that it ends sooner elsewhere, or in favor of another task.
     pub fn displaced(&self, reason: &'static str) {
         self.displaced.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -577,6 +577,7 @@
                 (agent, ToAgent::Stop { life, task, run })
             }
             Action::Settle { agent, life, cursor } => (agent, ToAgent::Settle { life, cursor }),
+            Action::SettleCrash { agent, life } => (agent, ToAgent::SettleCrash(life)),
         };
         // Without a link the order is dropped; the agent's next inventory reveals that.
         if let Some(link) = self.links.get(&agent) {
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -12,7 +12,7 @@
 
 use super::{AgentLink, Dialer, Message, State};
 use crate::message::{FromAgent, LINK_TIMEOUT, NO_SECRET, ToAgent};
-use crate::rows::Effect;
+use crate::rows::{self, Effect, VERSION};
 
 /// Timeout for opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
@@ -101,10 +101,10 @@
 
     pub(super) fn handle_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
-            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version } => {
+            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version, crashes } => {
                 self.agent_versions.insert(Arc::clone(agent), version);
                 self.log_versions();
-                self.handle_inventory(agent, Inventory { worker, running, starting, ends, is_empty }, now);
+                self.handle_inventory(agent, Inventory { worker, running, starting, ends, crashes, is_empty }, now);
                 self.send_grant(agent, asked, now);
             }
             FromAgent::Superseded { term } => {
@@ -120,9 +120,14 @@
             }
             FromAgent::Gone(life) => {
                 if self.cell.life_of(agent) == Some(&life) {
+                    let reports_crashes = rows::knows_crashes(self.agent_versions.get(agent).and_then(Option::as_ref));
+                    if !reports_crashes {
+                        self.cell.crash_unreported(agent, now);
+                    }
                     self.cell.worker_gone(agent, now);
                 }
             }
+            FromAgent::Crashed(report) => self.cell.worker_crashed(agent, &report, now),
             FromAgent::Started { task, run } => self.cell.run_started(task, run, now),
             FromAgent::Refused { task, run, refusal } => {
                 log::info!(event = "start_refused", task:% = task, run = run, agent = &**agent, refusal:? = refusal; "");
@@ -160,7 +165,7 @@
         let opened = tokio::time::timeout(OPEN_TIMEOUT, connection::connect::<ToAgent>(address, NO_SECRET)).await;
         if let Ok(Ok((sender, mut receiver))) = opened {
             pause = REDIAL_PAUSE.0;
-            sender.post(ToAgent::Hello { term });
+            sender.post(ToAgent::Hello { term, version: Some(Name::from(VERSION)) });
             let linked = Message::Linked { agent: Arc::clone(&name), link: number, sender };
             if placer.cast(linked).is_err() {
                 return;
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -21,7 +21,7 @@
         let metrics = &self.context.metrics;
         match note {
             Note::Placed { job_age, is_first: true, .. } => metrics.first_start(*job_age),
-            Note::Ended { how, .. } => metrics.run_ended(how),
+            Note::Ended { how, .. } | Note::RunLost { how, .. } => metrics.run_ended(how),
             Note::JobEnded { state, age, .. } => metrics.job_ended(state.as_str(), *age),
             Note::Evacuation { is_requested, .. } => {
                 metrics.evacuation_changed(if *is_requested { "requested" } else { "removed" });
@@ -31,10 +31,12 @@
             Note::RunYielded { .. } => metrics.displaced("yielded"),
             Note::Preempted { .. } => metrics.displaced("preempted"),
             Note::EvacuationDoubtful { reason, .. } => metrics.evacuation_changed(reason),
-            Note::RunLost { how, .. } => metrics.run_ended(how),
+            Note::RunCrashed { .. } => metrics.run_ended("crashed"),
+            Note::TaskGivenUp { .. } => metrics.task_given_up(),
             Note::EvacuationProgress { .. }
             | Note::Placed { .. }
             | Note::WorkerEjected { .. }
+            | Note::CrashExcused { .. }
             | Note::LastingTasksWaiting { .. }
             | Note::LastingTasksRunning { .. }
             | Note::AgentChanged { .. } => {}
@@ -95,6 +97,16 @@
             log::info!(event = "run_lost", task:% = task, run = run, agent = &**agent, how = *how,
                 ran_ms = whole_ms(ran.unwrap_or_default()), term = term; "");
         }
+        Note::RunCrashed { task, run, agent, age, blame, crashes } => {
+            log::info!(event = "run_crashed", task:% = task, run = run, agent = &**agent, age_ms = whole_ms(*age),
+                blame = blame.as_str(), crashes = crashes, term = term; "");
+        }
+        Note::CrashExcused { task, workers } => {
+            log::info!(event = "crash_excused", task:% = task, workers = workers, term = term; "");
+        }
+        Note::TaskGivenUp { task, crashes } => {
+            log::warn!(event = "task_given_up", job:% = task.job, task:% = task, crashes = crashes, term = term; "");
+        }
         Note::JobEnded { job, state, age, objective, queue, task } => {
             let task = task.map_or_else(String::new, |task| task.to_string());
             // 0 stands for a job without an objective.
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -37,11 +37,24 @@
 /// First version that answers as a witness, as major and minor number.
 const FIRST_WITNESS_VERSION: (u64, u64) = (0, 3);
 
+/// First version that reports and records crashes of workers, as major and minor number.
+const FIRST_CRASH_VERSION: (u64, u64) = (0, 4);
+
 /// Whether an entry of a version answers as a witness.
 #[must_use]
 pub fn can_witness(version: &str) -> bool {
+    is_from(version, FIRST_WITNESS_VERSION)
+}
+
+/// Whether a process of a version reports or records crashes of workers.
+#[must_use]
+pub fn knows_crashes(version: Option<&Name>) -> bool {
+    version.is_some_and(|version| is_from(version, FIRST_CRASH_VERSION))
+}
+
+fn is_from(version: &str, first: (u64, u64)) -> bool {
     let mut numbers = version.split('.').map(str::parse::<u64>);
-    matches!((numbers.next(), numbers.next()), (Some(Ok(major)), Some(Ok(minor))) if (major, minor) >= FIRST_WITNESS_VERSION)
+    matches!((numbers.next(), numbers.next()), (Some(Ok(major)), Some(Ok(minor))) if (major, minor) >= first)
 }
 
 /// Content of the placer's row.
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -13,11 +13,14 @@
 use std::time::Duration;
 
 use chervilledge_cell::admission::{Backlog, Estimates, Pool, WorkBySize};
+use chervilledge_cell::crashes::{Blame, Crash, CrashHistory};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, JobState, Schedule, Step, TaskId, TaskKey, Terms};
 use chervilledge_cell::progress::{Checkpointed, Outcome, Progress};
 use chervilledge_cell::urgency::Urgency;
-use chervilledge_cell::worker::{End, EndKind, Life, Refusal, RunReport, RunTraits, StartOrder, Worker};
+use chervilledge_cell::worker::{
+    CrashReport, CrashedRun, End, EndKind, Life, Refusal, RunReport, RunTraits, StartOrder, Worker,
+};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::message::{FromAgent, FromEntry, StoreOutcome, ToAgent, ToEntry};
@@ -29,10 +32,13 @@
 /// Environment variable with the file to which the samples of the present version are written.
 const SAMPLES_ENV: &str = "CHERVILLEDGE_SAMPLES";
 
-/// Samples that the version in production wrote, and the one before it.
-const RELEASED: [&str; 2] = [include_str!("samples/0.2.0.txt"), include_str!("samples/0.1.0.txt")];
-/// Rows that the version in production ignores, and messages that are sent to newer versions only.
-const UNKNOWN_TO_PRODUCTION: [&str; 6] = [
+/// Samples that the version in production wrote, and those before it.
+const RELEASED: [&str; 3] =
+    [include_str!("samples/0.3.0.txt"), include_str!("samples/0.2.0.txt"), include_str!("samples/0.1.0.txt")];
+/// Messages that versions before 0.4.0 don't know, and that aren't sent to them.
+const SINCE_0_4: [&str; 2] = ["from-agent/crashed", "to-agent/settle-crash"];
+/// Rows that versions before 0.3.0 ignore, and messages that aren't sent to them.
+const SINCE_0_3: [&str; 6] = [
     "from-entry/term-renewed",
     "from-entry/terms-ended",
     "row/handover",
@@ -40,6 +46,8 @@
     "to-entry/end-terms",
     "to-entry/renew-term",
 ];
+/// What each of these versions doesn't know.
+const UNKNOWN: [&[&[&str]]; 3] = [&[&SINCE_0_4], &[&SINCE_0_4, &SINCE_0_3], &[&SINCE_0_4, &SINCE_0_3]];
 
 fn name(text: &str) -> Name {
     Arc::from(text)
@@ -114,10 +122,13 @@
 }
 
 fn progress() -> Progress {
+    let mut history = CrashHistory::default();
+    history.add(10_001, Crash { age: Duration::from_millis(12), blame: Blame::Sole });
     Progress {
         done: [task().key].into(),
         failures: [(task().key, [10_001].into())].into(),
         checkpoints: [(task().key, name("00000bb8"))].into(),
+        crashes: [(task().key, history)].into(),
         checkpointed: [(task().key, Checkpointed { run: 10_001, percent: 41 })].into(),
         outcome: Some(Outcome::Completed),
     }
@@ -185,13 +196,14 @@
         let end = End { number: 58, task, run, kind: EndKind::Done, checkpoint: name("") };
         let order = StartOrder { task, run, spec: Arc::from("text"), checkpoint: name("00000bb8"), traits: traits() };
         let domain = name("hobart");
-        self.add("to-agent/hello", &ToAgent::Hello { term: 2 });
+        self.add("to-agent/hello", &ToAgent::Hello { term: 2, version: Some(name("0.2.0")) });
         let lease = Duration::from_secs(5);
         self.add("to-agent/grant", &ToAgent::Grant { asked: Duration::from_nanos(1_234_567), lease });
         self.add("to-agent/evacuation", &ToAgent::Evacuation { domain, revision: 198, is_requested: true });
         self.add("to-agent/start", &ToAgent::Start { life: life(), order });
         self.add("to-agent/stop", &ToAgent::Stop { life: life(), task, run });
         self.add("to-agent/settle", &ToAgent::Settle { life: life(), cursor: 58 });
+        self.add("to-agent/settle-crash", &ToAgent::SettleCrash(life()));
         self.add("to-agent/describe", &ToAgent::Describe(vec![(task, run, traits())]));
         self.add("to-agent/urgencies", &ToAgent::Urgencies(vec![(task, run, Urgency(36_000))]));
         self.add("to-agent/effects", &ToAgent::Effects(vec![effect()]));
@@ -200,6 +212,7 @@
         self.add("from-agent/ask", &FromAgent::Ask { asked: Duration::from_nanos(1_234_567) });
         self.add("from-agent/worker", &FromAgent::Worker(worker()));
         self.add("from-agent/gone", &FromAgent::Gone(life()));
+        self.add("from-agent/crashed", &FromAgent::Crashed(crash_report()));
         self.add("from-agent/started", &FromAgent::Started { task, run });
         let refusals = [
             ("fenced", Refusal::Fenced),
@@ -270,9 +283,15 @@
         is_empty: false,
         asked: Duration::from_nanos(1_234_567),
         version: Some(name("0.2.0")),
+        crashes: vec![crash_report()],
     }
 }
 
+fn crash_report() -> CrashReport {
+    let age = Duration::from_millis(12);
+    CrashReport { life: life(), runs: vec![CrashedRun { task: task(), run: 10_001, age }] }
+}
+
 fn from_hex(digits: &str) -> Vec<u8> {
     let pairs = digits.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).expect("digits"));
     pairs.map(|pair| u8::from_str_radix(pair, 16).expect("hexadecimal digits")).collect()
@@ -346,12 +365,12 @@
 #[test]
 fn production_reads_what_is_written_now() {
     let present = Samples::present();
-    for samples in RELEASED {
+    for (samples, unknown) in RELEASED.into_iter().zip(UNKNOWN) {
         let released = released(samples);
-        let known: Vec<&String> =
-            present.0.keys().filter(|name| !UNKNOWN_TO_PRODUCTION.contains(&name.as_str())).collect();
+        let unknown = unknown.concat();
+        let known: Vec<&String> = present.0.keys().filter(|name| !unknown.contains(&name.as_str())).collect();
         assert_eq!(known, released.keys().collect::<Vec<_>>());
-        assert!(UNKNOWN_TO_PRODUCTION.iter().all(|name| present.0.contains_key(*name)));
+        assert!(unknown.iter().all(|name| present.0.contains_key(*name)));
         for (name, old) in &released {
             assert_reads_alike(name, &value(old), &value(&present.0[name]));
         }
--- /dev/null
+++ b/crates/scheduler/tests/crashes.rs
@@ -0,0 +1,132 @@
+//! What an agent reports of a worker that crashed.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::job::TaskId;
+use chervilledge_cell::worker::{CrashReport, Life, Refusal, RunReport};
+use chervilledge_scheduler::agent::Message;
+use chervilledge_scheduler::message::{FromAgent, ToAgent};
+use chervilledge_scheduler::worker::{PollError, PollResponse, StartOutcome};
+use support::agent::{self, Link, RunningAgent, idle_poll, life, task};
+
+/// Time in which an unwanted message would arrive.
+const QUIET: Duration = Duration::from_millis(600);
+
+fn running(run: u64) -> PollResponse {
+    let report =
+        RunReport { task: task(1), run, checkpoint: Arc::from(""), percent: 10, measured: 0, pace_percent: 100 };
+    PollResponse { running: vec![report], ..idle_poll() }
+}
+
+/// An agent whose worker has run 1 of a task.
+async fn agent_with_run(version: Option<&str>) -> (RunningAgent, Link) {
+    let agent = agent::spawn().await;
+    let mut link = agent::link_of_version(&agent, 2, version).await;
+    link.inventory().await;
+    link.start(task(1), 1);
+    link.wait_for("start", |message| matches!(message, FromAgent::Started { .. }).then_some(())).await;
+    agent.worker.change(|script| script.poll = Ok(running(1)));
+    agent.worker.wait_for("polls of the run", |script| script.polls.len() > 4).await;
+    (agent, link)
+}
+
+async fn crashed(link: &mut Link) -> CrashReport {
+    link.wait_for("crash", |message| match message {
+        FromAgent::Crashed(report) => Some(report),
+        FromAgent::Gone(_) => panic!("the end came before the crash"),
+        _ => None,
+    })
+    .await
+}
+
+fn runs(report: &CrashReport) -> Vec<(TaskId, u64)> {
+    report.runs.iter().map(|run| (run.task, run.run)).collect()
+}
+
+/// The placer couldn't tell which runs a crashed worker had, nor for how long.
+#[tokio::test]
+async fn the_runs_of_a_crashed_worker_are_lost_without_a_word() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    tokio::time::sleep(QUIET).await;
+    agent.worker.change(|script| script.poll = Err(PollError::NotThere));
+    let report = crashed(&mut link).await;
+    assert_eq!((report.life.clone(), runs(&report)), (life(), vec![(task(1), 1)]));
+    assert!(report.runs[0].age >= QUIET, "{report:?}");
+    link.wait_for("end", |message| matches!(message, FromAgent::Gone(_)).then_some(())).await;
+}
+
+/// A crash must survive the placer that it was reported to, until one has made it durable.
+#[tokio::test]
+async fn a_crash_is_lost_with_the_placer() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.worker.change(|script| script.poll = Err(PollError::NotThere));
+    crashed(&mut link).await;
+    drop(link);
+    agent.worker.change(|script| script.poll = Ok(PollResponse { born_unix_ms: Some(8), ..idle_poll() }));
+    agent.report(Life { born_unix_ms: 8, ..life() });
+    let reported = |message: FromAgent| match message {
+        FromAgent::Inventory { worker: Some(_), crashes, .. } => Some(crashes),
+        _ => None,
+    };
+    let mut next = agent::link(&agent, 3).await;
+    let crashes = next.wait_for("inventory", reported).await;
+    assert_eq!(crashes.iter().map(runs).collect::<Vec<_>>(), [vec![(task(1), 1)]]);
+    next.sender.post(ToAgent::SettleCrash(life()));
+    tokio::time::sleep(QUIET).await;
+    let mut last = agent::link(&agent, 4).await;
+    assert_eq!(last.wait_for("inventory", reported).await, []);
+}
+
+/// A run whose order never reached the worker didn't crash it.
+#[tokio::test]
+async fn a_refused_start_counts_as_a_crashed_run() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.worker.change(|script| script.start = StartOutcome::Refused(Refusal::Unhealthy));
+    link.start(task(2), 1);
+    link.wait_for("refusal", |message| matches!(message, FromAgent::Refused { .. }).then_some(())).await;
+    agent.worker.change(|script| script.poll = Err(PollError::NotThere));
+    assert_eq!(runs(&crashed(&mut link).await), [(task(1), 1)]);
+}
+
+/// A start without an answer may be what crashed the worker.
+#[tokio::test]
+async fn a_start_that_crashes_the_worker_before_its_answer_is_forgotten() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.worker.change(|script| {
+        script.start = StartOutcome::Unknown;
+        script.poll = Err(PollError::NotThere);
+    });
+    link.start(task(2), 1);
+    let report = crashed(&mut link).await;
+    let young = report.runs.iter().find(|run| run.task == task(2)).expect("the unanswered start");
+    assert!(young.age < Duration::from_millis(100), "{report:?}");
+}
+
+/// A worker that left as announced hasn't crashed.
+#[tokio::test]
+async fn a_planned_end_is_reported_as_a_crash() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.actor.cast(Message::Leave(life().worker)).expect("leave");
+    let first = link.wait_for("end", |message| match message {
+        FromAgent::Crashed(_) => Some("crashed"),
+        FromAgent::Gone(_) => Some("gone"),
+        _ => None,
+    });
+    assert_eq!(first.await, "gone");
+}
+
+/// A placer of a version before 0.4.0 would close the link.
+#[tokio::test]
+async fn an_older_placer_is_told_of_a_crash() {
+    let (agent, mut link) = agent_with_run(None).await;
+    agent.worker.change(|script| script.poll = Err(PollError::NotThere));
+    let first = link.wait_for("end", |message| match message {
+        FromAgent::Crashed(_) => Some("crashed"),
+        FromAgent::Gone(_) => Some("gone"),
+        _ => None,
+    });
+    assert_eq!(first.await, "gone");
+}
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -496,6 +496,7 @@
             is_empty: false,
             asked: Duration::ZERO,
             version: None,
+            crashes: Vec::new(),
         });
         PlacerLink { sender, receiver }
     }
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -10,11 +10,12 @@
 use chervilledge_cell::worker::{Life, RunTraits, StartOrder, Worker};
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_policy::capacity::Resources;
+use chervilledge_policy::id::Name;
 use chervilledge_scheduler::agent::{self, Context, Message};
 use chervilledge_scheduler::message::{FromAgent, LINK_TIMEOUT, NO_SECRET, ToAgent};
-use chervilledge_scheduler::settings;
 use chervilledge_scheduler::worker::{Calls, OrderOutcome, PollError, PollRequest, PollResponse, Report, StartOutcome};
 use chervilledge_scheduler::{clock, metrics};
+use chervilledge_scheduler::{rows, settings};
 use ractor::ActorRef;
 
 use super::{Fault, MemoryStore};
@@ -195,8 +196,13 @@
 
 /// Opens a link under the given term.
 pub async fn link(agent: &RunningAgent, term: u64) -> Link {
+    link_of_version(agent, term, Some(rows::VERSION)).await
+}
+
+/// Opens a link as a placer of another version.
+pub async fn link_of_version(agent: &RunningAgent, term: u64, version: Option<&str>) -> Link {
     let (sender, receiver) = connection::connect::<ToAgent>(agent.address, NO_SECRET).await.expect("link");
-    sender.post(ToAgent::Hello { term });
+    sender.post(ToAgent::Hello { term, version: version.map(Name::from) });
     Link { sender, receiver }
 }
 
