Start nothing on a worker whose capacity has shrunk below its load

What users would see: a worker that doesn't guard its capacity and has just announced a smaller one gets further tasks that use leftover processor time (LIMIT).

Cause: the free capacity of a worker is cut off at 0, so a task of which the processor time doesn't count still fits by its memory on a worker that is over its processors. The class: a difference that saturates hides that it is negative.

Starts of other kinds were right: what is being stopped and what is reserved counts against the new capacity.

Change: a worker whose runs need more than it has, has no room. Room kept for tasks that haven't started doesn't make it so. Runs on a shrunk worker go on, as before.

--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -277,6 +277,7 @@
         let Some((need, image)) = self.task_usage(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
             agent.occupy(&need, image);
+            agent.load.kept = agent.load.kept.checked_add(&Load::counted(&need)).unwrap_or(agent.load.total);
             agent.runs.insert((task, 0));
         }
     }
@@ -285,6 +286,7 @@
         let Some((need, image)) = self.task_usage(task) else { return };
         if let Some(agent) = self.agents.get_mut(agent) {
             agent.vacate(&need, image);
+            agent.load.kept = agent.load.kept.saturating_sub(&Load::counted(&need));
             agent.runs.remove(&(task, 0));
         }
     }
--- a/crates/cell/src/packing.rs
+++ b/crates/cell/src/packing.rs
@@ -13,6 +13,8 @@
     pub total: Resources,
     /// Resources reserved by its runs, without the processor time of filling runs.
     pub used: Resources,
+    /// Part of `used` of tasks that haven't started and for which room is kept.
+    pub kept: Resources,
     /// Processor time that filling runs ask for, in thousandths of a core.
     pub filling_millicores: u64,
     /// Part of `filling_millicores` that those runs can't use at their pace.
@@ -88,6 +90,13 @@
         signed(total) - signed(used) - signed(self.filling_millicores.saturating_sub(self.withheld_millicores))
     }
 
+    /// Whether the runs need more than the worker has, since its capacity has shrunk. Such a worker has no room, not even
+    /// for a task of which only a part counts.
+    #[must_use]
+    pub fn is_exceeded(&self) -> bool {
+        !self.total.covers(&self.used.saturating_sub(&self.kept))
+    }
+
     /// Free capacity of the worker.
     #[must_use]
     pub fn free(&self) -> Resources {
@@ -145,7 +154,7 @@
 /// Cost of placing a task on a worker, lower is better; `None` when the task doesn't fit.
 #[must_use]
 pub fn cost(load: &Load, need: &Need) -> Option<i64> {
-    if !load.free().covers(&Load::counted(need)) {
+    if load.is_exceeded() || !load.free().covers(&Load::counted(need)) {
         return None;
     }
     let far = if need.is_far { FAR_PENALTY } else { 0 };
