Place nothing on a restarted worker before it tells its capacity

Cause: an agent that learns of the new life from a poll takes over all that it knew of the former one, also its capacity, which a poll doesn't tell.

Change: the capacity of the new life counts as none until its own report, one heartbeat at most.

--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -6,6 +6,7 @@
 use chervilledge_cell::grant::ClockReading;
 use chervilledge_cell::pace::FULL_PERCENT;
 use chervilledge_cell::worker::{Life, RunReport, Worker};
+use chervilledge_policy::capacity::Resources;
 
 use super::{Message, State};
 use crate::message::FromAgent;
@@ -74,7 +75,10 @@
                 if born_unix_ms != life.born_unix_ms =>
             {
                 let (worker, address) = (tracked.worker.clone(), tracked.address);
-                let worker = Worker { life: Life { born_unix_ms, ..life.clone() }, leaves_in: None, ..worker };
+                // Its capacity isn't known before its own report.
+                let resources = Resources::default();
+                let worker =
+                    Worker { life: Life { born_unix_ms, ..life.clone() }, leaves_in: None, resources, ..worker };
                 self.handle_worker_restart(now);
                 self.track_worker(worker, address, 0, Some(ClockReading { worker_ms: clock_ms, received: now }), now);
             }
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -169,19 +169,24 @@
 impl RunningAgent {
     /// Sends a report of the worker.
     pub fn report(&self, life: Life) {
+        self.report_resources(life, 1, Resources { processor_millicores: 16_000, ..Resources::default() });
+    }
+
+    /// Sends a report of the worker with these resources.
+    pub fn report_resources(&self, life: Life, sequence: u64, resources: Resources) {
         let report = Report {
             worker: Worker {
                 life,
                 service: Arc::from("portal"),
                 failure_domain: Arc::from("a"),
-                resources: Resources { processor_millicores: 16_000, ..Resources::default() },
+                resources,
                 kind: None,
                 rack: None,
                 leaves_in: None,
                 cold_for: Duration::ZERO,
             },
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            sequence: 1,
+            sequence,
             clock_ms: Some(1_000),
         };
         self.actor.cast(Message::Report(Box::new(report))).expect("report");
