Give up fewer tasks that stood beside crashes

Cause: two crashes were taken as proof however often workers crash for other reasons, and a crash was held against a task for good although later runs lived much longer.

Change: while workers have crashed on which nothing had just started, within a minute, the third crash decides. A crash is refuted by a run that lives twice as long, 0.6 s at least. Crashes under the same task aren't a common cause.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -173,11 +173,13 @@
         /// Crashes under the task.
         crashes: usize,
     },
-    /// The last crash under a task isn't held against it, since other workers crashed together with its worker.
+    /// A task isn't given up for the last crash under it, which may have another cause.
     CrashExcused {
         /// The task.
         task: TaskId,
-        /// Number of these workers.
+        /// That cause.
+        reason: &'static str,
+        /// Number of other workers that crashed at the same time.
         workers: usize,
     },
     /// A job has ended.
--- a/crates/cell/src/cell/crashed.rs
+++ b/crates/cell/src/cell/crashed.rs
@@ -7,7 +7,7 @@
 
 use super::task::Run;
 use super::{Agent, Cell, Note};
-use crate::crashes::{self, Crash, SUSPECT_AGE_MAX, Verdict, Victim};
+use crate::crashes::{self, Blame, Crash, SUSPECT_AGE_MAX, Verdict, Victim};
 use crate::job::TaskId;
 use crate::progress::Outcome;
 use crate::worker::{CrashReport, CrashedRun};
@@ -22,6 +22,8 @@
 
 /// Time around a crash in which others count as having the same cause; agents notice a crash within 0.4 s.
 const COMMON_CAUSE_PERIOD: Duration = Duration::from_millis(400);
+/// Time for which a crash without a suspect lets others count as unexplained too.
+const UNEXPLAINED_PERIOD: Duration = Duration::from_mins(1);
 /// Other crashes in that time from which a common cause is assumed, in a small cell.
 const COMMON_WORKERS_MIN: usize = 2;
 /// The same in a large cell, as the number of agents per such crash.
@@ -31,21 +33,25 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
     recent: Vec<RecentCrash>,
+    /// When a worker last crashed on which no run had just started.
+    unexplained_at: Option<Duration>,
     pending: Vec<PendingVerdict>,
 }
 
 #[derive(Clone, Debug)]
 struct RecentCrash {
-    agent: Name,
     /// When it was reported.
     at: Duration,
+    /// Tasks that were suspect in it.
+    accused: Vec<TaskId>,
 }
 
-/// Task that is given up unless its last crash has a common cause with others.
+/// Task that is given up unless its last crash has another cause.
 #[derive(Clone, Debug)]
 struct PendingVerdict {
     task: TaskId,
-    crash: RecentCrash,
+    /// When the crash was reported.
+    crashed_at: Duration,
 }
 
 /// Run of a suspect task that hasn't shown yet that its start is harmless.
@@ -112,8 +118,14 @@
     fn crash_runs(&mut self, name: &Name, runs: &[CrashedRun], now: Duration) {
         let victims: Vec<Victim> =
             runs.iter().map(|run| Victim { age: run.age, is_suspect: self.is_suspect(run.task) }).collect();
-        self.crashes.recent.push(RecentCrash { agent: Arc::clone(name), at: now });
-        for (run, blame) in runs.iter().zip(crashes::blames(&victims)) {
+        let blames = crashes::blames(&victims);
+        let accused = runs.iter().zip(&blames).filter(|(_, blame)| **blame != Blame::Bystander);
+        let accused = accused.map(|(run, _)| run.task).collect();
+        self.crashes.recent.push(RecentCrash { at: now, accused });
+        if victims.iter().all(|victim| victim.age > SUSPECT_AGE_MAX) {
+            self.crashes.unexplained_at = Some(now);
+        }
+        for (run, blame) in runs.iter().zip(blames) {
             let crash = Crash { age: run.age, blame };
             if self.jobs.contains_key(&run.task.job) {
                 self.crash_run(name, run.task, run.run, crash, now);
@@ -131,9 +143,9 @@
             return;
         }
         let (crashes, verdict) = (state.crashes.len(), state.crashes.verdict());
-        if verdict == Verdict::GivenUpUnlessCommon {
+        if verdict == Verdict::Doubtful {
             state.not_before = now + COMMON_CAUSE_PERIOD;
-            self.crashes.pending.push(PendingVerdict { task, crash: RecentCrash { agent: Arc::clone(name), at: now } });
+            self.crashes.pending.push(PendingVerdict { task, crashed_at: now });
         }
         let may_store =
             entry.progress.crashes.len() < STORED_TASKS_MAX || entry.progress.crashes.contains_key(&task.key);
@@ -149,25 +161,32 @@
         }
     }
 
-    /// Decides on tasks that are to blame for a crash unless it has a common cause with others.
+    /// Decides on tasks that are to blame for a crash unless it has another cause.
     pub(super) fn decide_verdicts(&mut self, now: Duration) {
         self.crashes.recent.retain(|crash| now < crash.at + COMMON_CAUSE_PERIOD * 3);
-        let due = self.crashes.pending.extract_if(.., |pending| now >= pending.crash.at + COMMON_CAUSE_PERIOD);
-        for PendingVerdict { task, crash } in due.collect::<Vec<_>>() {
-            let is_near =
-                |other: &&RecentCrash| other.agent != crash.agent && other.at.abs_diff(crash.at) <= COMMON_CAUSE_PERIOD;
-            let common = self.crashes.recent.iter().filter(is_near).count();
-            if common < COMMON_WORKERS_MIN.max(self.agents.len() / AGENTS_PER_COMMON_WORKER) {
-                self.give_up(task, now);
-                continue;
-            }
+        let due = self.crashes.pending.extract_if(.., |pending| now >= pending.crashed_at + COMMON_CAUSE_PERIOD);
+        for PendingVerdict { task, crashed_at } in due.collect::<Vec<_>>() {
+            let is_other = |crash: &&RecentCrash| {
+                !crash.accused.contains(&task) && crash.at.abs_diff(crashed_at) <= COMMON_CAUSE_PERIOD
+            };
+            let common = self.crashes.recent.iter().filter(is_other).count();
+            let is_common = common >= COMMON_WORKERS_MIN.max(self.agents.len() / AGENTS_PER_COMMON_WORKER);
+            let is_unexplained = self.crashes.unexplained_at.is_some_and(|at| now < at + UNEXPLAINED_PERIOD);
             let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
             let Some(state) = entry.tasks.get_mut(&task.key) else { continue };
-            state.crashes.excuse_last();
-            if let Some(stored) = entry.progress.crashes.get_mut(&task.key) {
-                stored.clone_from(&state.crashes);
-            }
-            self.notes.push(Note::CrashExcused { task, workers: common });
+            let reason = if is_common {
+                state.crashes.excuse_last();
+                if let Some(stored) = entry.progress.crashes.get_mut(&task.key) {
+                    stored.clone_from(&state.crashes);
+                }
+                "common_cause"
+            } else if is_unexplained && !state.crashes.is_certain() {
+                "unexplained_crashes"
+            } else {
+                self.give_up(task, now);
+                continue;
+            };
+            self.notes.push(Note::CrashExcused { task, reason, workers: common });
         }
     }
 
--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash ends every run on its worker, and none of them reports an end. A task that crashes workers does so soon after
 //! each of its starts, so the age of a run tells whether it is suspect, and a suspect is started beside no other suspect:
-//! the next crash under it then has one suspect only. A run that lives well beyond the crashes under its task clears the
-//! task.
+//! the next crash under it then has one suspect only. A run that lives well beyond the crashes under its task refutes
+//! them.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,19 +14,19 @@
 /// Age of a run up to which its start may have crashed the worker. A worker that fails at a start does so while it loads
 /// the program, and its agent may notice 150 ms later, which is the pause between two polls.
 pub const SUSPECT_AGE_MAX: Duration = Duration::from_millis(300);
-/// Multiple of the greatest age of a crashed run of a task that a run has to live to clear the task.
-const PROBATION_FACTOR: u32 = 2;
+/// Multiple of the age of a crashed run that another run of the task has to live to refute that the task crashes workers
+/// so early.
+const REFUTED_FACTOR: u32 = 2;
 /// Greatest difference of two ages that count as the same, apart from a part of the smaller one.
 const AGE_TOLERANCE: Duration = Duration::from_millis(200);
 /// The same part: one in this many.
 const AGE_TOLERANCE_DIVISOR: u32 = 4;
-/// Longest time that a run has to live to clear its task: longer than the time between two crashes of a worker in its
-/// worst hour.
-const PROBATION_MAX: Duration = Duration::from_secs(10);
+/// Longest time that a run has to live for that: longer than the time between two crashes of a worker in its worst hour.
+const REFUTED_MAX: Duration = Duration::from_secs(10);
 /// Crashes in which a task was suspect from which it is given up, if no other run on the worker had just started at the
 /// last one. Users allow a task to be given up from the second crash on.
 const SOLE_CRASHES_MAX: usize = 2;
-/// The same if some other run had just started as well.
+/// The same if some other run had just started as well, or while workers crash without a suspect.
 const SUSPECT_CRASHES_MAX: usize = 3;
 /// Crashes soon after the start from which a task is given up whatever else happened: users take three more starts after
 /// three crashes as too many.
@@ -70,7 +70,7 @@
     pub blame: Blame,
 }
 
-/// Crashes under a task since a run last cleared it, by run number.
+/// Crashes under a task that no later run has refuted, by run number.
 ///
 /// Kept by number instead of a count, since an unsettled crash is reported again to the next placer.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -107,12 +107,6 @@
         self.0.values().filter(|crash| crash.age <= SUSPECT_AGE_MAX).count()
     }
 
-    /// Time that a run has to live to clear the task.
-    fn probation(&self) -> Duration {
-        let greatest_age = self.0.values().map(|crash| crash.age).max().unwrap_or_default();
-        greatest_age.saturating_mul(PROBATION_FACTOR).clamp(SUSPECT_AGE_MAX, PROBATION_MAX)
-    }
-
     /// Adds a crash, unless it is known; returns whether it was added.
     pub fn add(&mut self, run: u64, crash: Crash) -> bool {
         if self.contains(run) {
@@ -123,23 +117,35 @@
         true
     }
 
-    /// Clears the task if a run of this age does so.
+    /// Forgets the crashes that a run of this age refutes: the task doesn't crash each worker that early.
     pub fn clear_after(&mut self, age: Duration) {
-        if !self.is_empty() && age > self.probation() {
-            self.0.clear();
-        }
+        self.0.retain(|_, crash| {
+            let refuted_from = crash.age.max(SUSPECT_AGE_MAX).saturating_mul(REFUTED_FACTOR).min(REFUTED_MAX);
+            age <= refuted_from
+        });
+    }
+
+    /// Whether the task was suspect in so many crashes that it is given up although workers crash for other reasons too.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        self.suspect() >= SUSPECT_CRASHES_MAX
+    }
+
+    /// Number of crashes in which the task was suspect.
+    fn suspect(&self) -> usize {
+        self.0.values().filter(|crash| crash.blame != Blame::Bystander).count()
     }
 
     /// What the crashes tell of the task.
     #[must_use]
     pub fn verdict(&self) -> Verdict {
-        let suspect = self.0.values().filter(|crash| crash.blame != Blame::Bystander).count();
+        let suspect = self.suspect();
         let last = self.0.values().next_back().map(|crash| crash.blame);
         let suspect_max = if last == Some(Blame::Sole) { SOLE_CRASHES_MAX } else { SUSPECT_CRASHES_MAX };
         if self.young() >= YOUNG_CRASHES_MAX || (self.len() >= ALIKE_CRASHES_MAX && self.are_ages_alike()) {
             Verdict::GivenUp
         } else if suspect >= suspect_max && last != Some(Blame::Bystander) {
-            Verdict::GivenUpUnlessCommon
+            Verdict::Doubtful
         } else {
             Verdict::Tolerated
         }
@@ -164,8 +170,9 @@
 pub enum Verdict {
     /// It may start again.
     Tolerated,
-    /// It is given up unless others crashed together with the last worker.
-    GivenUpUnlessCommon,
+    /// It is given up unless the last crash may have another cause: others at the same time, or workers that crash
+    /// without a suspect.
+    Doubtful,
     /// It is given up.
     GivenUp,
 }
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -56,12 +56,13 @@
     fn add_crash(&mut self, report: CrashReport) {
         log::info!(event = "worker_crashed", worker = &*report.life.worker, runs = report.runs.len(),
             youngest_ms = report.runs.iter().map(|run| crate::clock::whole_ms(run.age)).min().unwrap_or_default(); "");
-        if report.runs.is_empty() {
-            return;
-        }
         if self.placer_knows_crashes {
             self.send_to_placer(FromAgent::Crashed(report.clone()));
         }
+        // Nothing has to last of a crash that no run can be blamed for.
+        if report.runs.is_empty() {
+            return;
+        }
         if self.crashes.len() == CRASHES_MAX
             && let Some(dropped) = self.crashes.pop_front()
         {
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -101,8 +101,8 @@
             log::info!(event = "run_crashed", task:% = task, run = run, agent = &**agent, age_ms = whole_ms(*age),
                 blame = blame.as_str(), crashes = crashes, term = term; "");
         }
-        Note::CrashExcused { task, workers } => {
-            log::info!(event = "crash_excused", task:% = task, workers = workers, term = term; "");
+        Note::CrashExcused { task, reason, workers } => {
+            log::info!(event = "crash_excused", task:% = task, reason = *reason, workers = workers, term = term; "");
         }
         Note::TaskGivenUp { task, crashes } => {
             log::warn!(event = "task_given_up", job:% = task.job, task:% = task, crashes = crashes, term = term; "");
