Blame no run for a crash that happened before its start

Cause: a worker that restarts under the same name within milliseconds takes starts that its agent sends before it notices. The agent reported them with the runs of the former life.

Change: starts that the agent sent within the age of the new life aren't reported. The age is the smaller one of two, by the worker's wall clock and by its own clock, which starts anew with each life.

Test: a_run_of_the_next_life_is_blamed_for_the_crash_before failed before.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -31,6 +31,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use self::crashes::life_age;
 use crate::clock::whole_ms;
 use crate::message::{FromAgent, HEARTBEAT_INTERVAL, ToAgent};
 use crate::metrics::Metrics;
@@ -395,7 +396,8 @@
                 return;
             }
             if tracked.worker.life.worker == report.worker.life.worker {
-                self.handle_worker_restart(now);
+                let life_age = life_age(report.worker.life.born_unix_ms, report.clock_ms.unwrap_or_default());
+                self.handle_worker_restart(life_age, now);
             } else {
                 self.handle_worker_end("replaced", now);
             }
@@ -455,8 +457,10 @@
     ///
     /// Orders name the worker and not its incarnation, so orders meant for the previous one may have been executed by
     /// the new one, or may still be. The placer learns of the restart from the inventory, which lists such runs.
-    fn handle_worker_restart(&mut self, now: Duration) {
-        self.report_crash(now);
+    ///
+    /// `life_age` is the age of the new one.
+    fn handle_worker_restart(&mut self, life_age: Duration, now: Duration) {
+        self.report_crash(life_age, now);
         let Some(tracked) = self.tracked.take() else { return };
         self.prune_unanswered(now);
         let uncertain_runs: Vec<RunId> = self
@@ -485,8 +489,8 @@
     fn handle_worker_end(&mut self, reason: &'static str, now: Duration) {
         match reason {
             "left" => {}
-            "silent" => self.silent_life = self.crash_report(now),
-            _ => self.report_crash(now),
+            "silent" => self.silent_life = self.crash_report(Duration::ZERO, now),
+            _ => self.report_crash(Duration::ZERO, now),
         }
         let Some(tracked) = self.tracked.take() else { return };
         log::info!(event = "worker_over", worker = &*tracked.worker.life.worker, reason = reason,
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -9,15 +9,22 @@
 use chervilledge_policy::collections::Set;
 
 use super::{RunId, State};
+use crate::clock::unix_ms;
 use crate::message::FromAgent;
 
 /// Number of crashes that the agent keeps: more than a worker has while no placer can settle them.
 const CRASHES_MAX: usize = 16;
 
+/// Age of a worker's life, by its wall clock and by its own clock, which starts anew with each life.
+pub(super) fn life_age(born_unix_ms: u64, clock_ms: u64) -> Duration {
+    Duration::from_millis(unix_ms().saturating_sub(born_unix_ms).min(clock_ms))
+}
+
 impl State {
-    /// Reports that the worker's present life has ended in a crash, unless its end was announced.
-    pub(super) fn report_crash(&mut self, now: Duration) {
-        if let Some(report) = self.crash_report(now) {
+    /// Reports that the worker's present life has ended in a crash, unless its end was announced; `life_age` is the age
+    /// of the next life, if it has begun.
+    pub(super) fn report_crash(&mut self, life_age: Duration, now: Duration) {
+        if let Some(report) = self.crash_report(life_age, now) {
             self.add_crash(report);
         }
     }
@@ -31,7 +38,9 @@
     }
 
     /// The worker's present life and its runs as a crash; `None` without a worker, or if its end was announced.
-    pub(super) fn crash_report(&self, now: Duration) -> Option<CrashReport> {
+    ///
+    /// Without the runs that were started within `life_age`: the next life took those.
+    pub(super) fn crash_report(&self, life_age: Duration, now: Duration) -> Option<CrashReport> {
         let tracked = self.tracked.as_ref().filter(|tracked| tracked.worker.leaves_in.is_none())?;
         let crashed_at = tracked.failing_since.unwrap_or(now);
         let is_unresolved =
@@ -49,7 +58,9 @@
             let started_at = self.started_at.get(&run).copied().unwrap_or(crashed_at);
             CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at) }
         };
-        let runs = runs.into_iter().map(crashed_run).collect();
+        let is_of_next_life =
+            |run: &RunId| self.started_at.get(run).is_some_and(|at| now.saturating_sub(*at) < life_age);
+        let runs = runs.into_iter().filter(|run| !is_of_next_life(run)).map(crashed_run).collect();
         Some(CrashReport { life: tracked.worker.life.clone(), runs })
     }
 
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -105,6 +105,18 @@
     assert!(young.age < Duration::from_millis(100), "{report:?}");
 }
 
+/// A start that reached the next life of the worker didn't crash the one before.
+#[tokio::test]
+async fn a_run_of_the_next_life_is_blamed_for_the_crash_before() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    tokio::time::sleep(QUIET).await;
+    link.start(task(2), 1);
+    link.wait_for("start", |message| matches!(message, FromAgent::Started { .. }).then_some(())).await;
+    let next = PollResponse { clock_ms: 300, born_unix_ms: Some(8), ..idle_poll() };
+    agent.worker.change(|script| script.poll = Ok(next));
+    assert_eq!(runs(&crashed(&mut link).await), [(task(1), 1)]);
+}
+
 /// A worker that left as announced hasn't crashed.
 #[tokio::test]
 async fn a_planned_end_is_reported_as_a_crash() {
