Store that a crash under a task is refuted

What a successor would see: a crash that a long run has refuted, so the task counts as suspect again after a takeover, and may be given up a crash too early.

Cause: the stored crashes were written when a crash was added, and removed when none was left, not when some were refuted.

Test: a_refuted_crash_is_handed_to_the_next_placer failed before. One function stores the crashes now.

--- a/crates/cell/src/cell/crashed.rs
+++ b/crates/cell/src/cell/crashed.rs
@@ -7,9 +7,9 @@
 
 use super::task::Run;
 use super::{Agent, Cell, Note};
-use crate::crashes::{self, Blame, Crash, SUSPECT_AGE_MAX, Verdict, Victim};
-use crate::job::TaskId;
-use crate::progress::Outcome;
+use crate::crashes::{self, Blame, Crash, CrashHistory, SUSPECT_AGE_MAX, Verdict, Victim};
+use crate::job::{TaskId, TaskKey};
+use crate::progress::{Outcome, Progress};
 use crate::worker::{CrashReport, CrashedRun};
 
 /// Tasks of a job whose crashes are stored, so that the row stays small.
@@ -147,10 +147,7 @@
             state.not_before = now + COMMON_CAUSE_PERIOD;
             self.crashes.pending.push(PendingVerdict { task, crashed_at: now });
         }
-        let may_store =
-            entry.progress.crashes.len() < STORED_TASKS_MAX || entry.progress.crashes.contains_key(&task.key);
-        if (crashes > 1 || state.crashes.is_suspect()) && may_store {
-            entry.progress.crashes.insert(task.key, state.crashes.clone());
+        if store_crashes(&mut entry.progress, task.key, &state.crashes) {
             self.mark_dirty(task.job);
         }
         let Crash { age, blame } = crash;
@@ -176,9 +173,7 @@
             let Some(state) = entry.tasks.get_mut(&task.key) else { continue };
             let reason = if is_common {
                 state.crashes.excuse_last();
-                if let Some(stored) = entry.progress.crashes.get_mut(&task.key) {
-                    stored.clone_from(&state.crashes);
-                }
+                store_crashes(&mut entry.progress, task.key, &state.crashes);
                 "common_cause"
             } else if is_unexplained && !state.crashes.is_certain() {
                 "unexplained_crashes"
@@ -198,14 +193,12 @@
         self.end_job(task.job, Outcome::Failed, Some(task), now);
     }
 
-    /// Clears a task of the crashes under it if a run has lived for long enough.
+    /// Forgets the crashes under a task that a run of it has refuted.
     pub(crate) fn clear_crashes(&mut self, task: TaskId, lived: Duration) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.crashes.is_empty()) else { return };
         state.crashes.clear_after(lived);
-        if state.crashes.is_empty() {
-            entry.progress.crashes.remove(&task.key);
-        }
+        store_crashes(&mut entry.progress, task.key, &state.crashes);
     }
 
     pub(crate) fn is_suspect(&self, task: TaskId) -> bool {
@@ -228,3 +221,17 @@
         state.is_some_and(|state| state.crashes.contains(run))
     }
 }
+
+/// Updates the stored crashes under a task; returns whether they are stored. A single crash that nobody is suspect of
+/// isn't worth a write.
+fn store_crashes(progress: &mut Progress, key: TaskKey, crashes: &CrashHistory) -> bool {
+    if let Some(stored) = progress.crashes.get_mut(&key) {
+        stored.clone_from(crashes);
+        return true;
+    }
+    let may_store = (crashes.len() > 1 || crashes.is_suspect()) && progress.crashes.len() < STORED_TASKS_MAX;
+    if may_store {
+        progress.crashes.insert(key, crashes.clone());
+    }
+    may_store
+}
--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -17,12 +17,12 @@
 /// Multiple of the age of a crashed run that another run of the task has to live to refute that the task crashes workers
 /// so early.
 const REFUTED_FACTOR: u32 = 2;
-/// Greatest difference of two ages that count as the same, apart from a part of the smaller one.
-const AGE_TOLERANCE: Duration = Duration::from_millis(200);
-/// The same part: one in this many.
-const AGE_TOLERANCE_DIVISOR: u32 = 4;
 /// Longest time that a run has to live for that: longer than the time between two crashes of a worker in its worst hour.
 const REFUTED_MAX: Duration = Duration::from_secs(10);
+/// Part of an age by which another may be greater and still count as the same: one in this many.
+const AGE_TOLERANCE_DIVISOR: u32 = 4;
+/// Time by which it may be greater besides, since agents notice a crash late.
+const AGE_TOLERANCE: Duration = Duration::from_millis(200);
 /// Crashes in which a task was suspect from which it is given up, if no other run on the worker had just started at the
 /// last one. Users allow a task to be given up from the second crash on.
 const SOLE_CRASHES_MAX: usize = 2;
--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -270,6 +270,32 @@
     assert!(is_settled(&mut world));
 }
 
+/// A successor would hold a crash against a task that a long run has refuted.
+#[test]
+fn a_refuted_crash_is_handed_to_the_next_placer() {
+    let mut world = World::with_workers(1, MILLICORES);
+    let agent = name("agent-0");
+    world.submit(job(1, vec![step(1, 500)]));
+    for age_ms in [3_000, 20] {
+        world.place();
+        let (_, task, run) = world.all_running()[0].clone();
+        let crashed = CrashedRun { task, run, age: Duration::from_millis(age_ms) };
+        let report = CrashReport { life: support::life(&agent), runs: vec![crashed] };
+        world.cell.worker_crashed(&agent, &report, world.now);
+        world.cell.worker_gone(&agent, world.now);
+        world.workers.insert(Arc::clone(&agent), support::WorkerRuns::default());
+        let back = Inventory { worker: Some(worker(&agent, MILLICORES)), ..Inventory::default() };
+        world.cell.agent_linked(&agent, back, world.now);
+    }
+    world.place();
+    let (_, task, run) = world.all_running()[0].clone();
+    world.advance_ms(1_000);
+    world.end(&agent, task, run, EndKind::Failed);
+    let batch = world.cell.next_batch().expect("the failure is written");
+    let stored = &batch.writes[0].progress.crashes[&key()];
+    assert_eq!((stored.len(), stored.is_suspect()), (1, false));
+}
+
 /// The end of a worker that has announced it, or whose lease lapses, isn't the fault of a task.
 #[rstest]
 fn a_task_is_blamed_for_the_planned_end_of_its_worker(#[values(true, false)] leaves: bool) {
