Date a crash by the age of the worker's next life

Cause: a worker that is back under its name at once fails no call, so the agent dated the crash by when it noticed: run 4 crashed its worker 24 ms after the order (born_unix_ms of the next life) and was reported 309 ms old, as a bystander; run 2 in the same way, after a delayed order.

Change: a crash is no later than the begin of the next life, whose age is known.

Test: the_age_of_a_crashed_run_grows_until_the_agent_notices failed before (636 ms).

--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -42,7 +42,7 @@
     /// Without the runs that were started within `life_age`: the next life took those.
     pub(super) fn crash_report(&self, life_age: Duration, now: Duration) -> Option<CrashReport> {
         let tracked = self.tracked.as_ref().filter(|tracked| tracked.worker.leaves_in.is_none())?;
-        let crashed_at = tracked.failing_since.unwrap_or(now);
+        let crashed_at = tracked.failing_since.unwrap_or(now).min(now.saturating_sub(life_age));
         let is_unresolved =
             |run: &&RunId| self.pending_starts.contains_key(*run) || self.pending_stops.contains_key(*run);
         let sent = self.pending_starts.iter().filter(|(_, starting)| starting.attempts > 0).map(|(run, _)| *run);
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -117,6 +117,17 @@
     assert_eq!(runs(&crashed(&mut link).await), [(task(1), 1)]);
 }
 
+/// An agent that notices a restart late would report a run that crashed the worker at its start as an old one.
+#[tokio::test]
+async fn the_age_of_a_crashed_run_grows_until_the_agent_notices() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    tokio::time::sleep(QUIET).await;
+    let next = PollResponse { clock_ms: 500, born_unix_ms: Some(8), ..idle_poll() };
+    agent.worker.change(|script| script.poll = Ok(next));
+    let age = crashed(&mut link).await.runs[0].age;
+    assert!(age < QUIET, "{age:?}");
+}
+
 /// A worker that left as announced hasn't crashed.
 #[tokio::test]
 async fn a_planned_end_is_reported_as_a_crash() {
