Show that tasks run twice when a worker has over 500 ends

A worker lists 500 ends at a time. The next placer takes the tasks whose ends come later for tasks without a run, and starts them again; their ends are acknowledged afterwards.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -36,6 +36,7 @@
     let play: fn(&Record, &Path, bool) -> Verdict = match &**case {
         "gang" => gang,
         "large" => large,
+        "many" => many,
         "poison" => poison,
         "report" => report,
         "schedule" => schedule,
@@ -378,3 +379,38 @@
         .collect();
     judge(record, &left)
 }
+
+/// More ends on a worker than it lists at a time, while the process that places is killed.
+fn many(record: &Record, program: &Path, has_trouble: bool) -> Verdict {
+    const TASKS: u64 = 2_100;
+    let cluster = Cluster::start(record, program, 3, 3);
+    if !cluster.wait_until_ready() {
+        return Err("not ready");
+    }
+    let job = json!({
+        "spec": "{\"ms\":800}", "steps": [{"count": TASKS, "cpu": 40, "mem_mb": 20, "estimate_ms": 800}],
+    });
+    let id = "8000000000000001";
+    if cluster.submit(0, id, &job) != 200 {
+        return Err("the job isn't accepted");
+    }
+    let running = || cluster.workers.iter().map(|worker| worker.running().len()).collect::<Vec<_>>();
+    if !wait_for(8_000, || running().iter().any(|count| *count > 600)) {
+        return Err("too few tasks run at a time");
+    }
+    record.say(format!("tasks that run on each worker: {:?}", running()));
+    if has_trouble {
+        let Some(placer) = cluster.placer() else { return Err("no entry places") };
+        record.say(format!("{} is killed, and starts again a second later; tasks that run: {:?}", placer.name, running()));
+        placer.end(record);
+        sleep_ms(1_000);
+        placer.start(record);
+    }
+    let is_done = wait_for(30_000, || {
+        sleep_ms(1_000);
+        cluster.state(1, id).as_deref() == Some("completed")
+    });
+    record.say(format!("the job is shown as completed: {is_done}"));
+    sleep_ms(3_000);
+    judge(record, &twice(record))
+}
