Add an outage of the store to the review's case 3

With tasks of the sites' size (0.25 s on 0.48 cores) more than 500 ends gather on a worker while the store is silent for 4.5 s; the entry that places is killed at its end.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -387,6 +387,9 @@
     if !cluster.wait_until_ready() {
         return Err("not ready");
     }
+    if std::env::var_os("OUTAGE").is_some() {
+        return many_in_outage(record, &cluster);
+    }
     let job = json!({
         "spec": "{\"ms\":800}", "steps": [{"count": TASKS, "cpu": 40, "mem_mb": 20, "estimate_ms": 800}],
     });
@@ -414,3 +417,34 @@
     sleep_ms(3_000);
     judge(record, &twice(record))
 }
+
+/// Beside the case: tasks of the sites' size, whose ends gather while the store is silent for 4.5 s.
+fn many_in_outage(record: &Record, cluster: &Cluster) -> Verdict {
+    const JOBS: u64 = 24;
+    let step = json!([{"count": 250, "cpu": 480, "mem_mb": 200, "estimate_ms": 250}]);
+    let ids: Vec<String> = (0..JOBS).map(|number| format!("8{number:015x}")).collect();
+    for (position, id) in ids.iter().enumerate() {
+        let job = json!({"spec": "{\"ms\":250}", "steps": step});
+        if cluster.submit(position % 3, id, &job) != 200 {
+            return Err("a job isn't accepted");
+        }
+    }
+    let Some(placer) = cluster.placer() else { return Err("no entry places") };
+    cluster.store.set_silent(true);
+    record.say("the store is silent");
+    sleep_ms(4_400);
+    record.say(format!("{} is killed", placer.name));
+    placer.end(record);
+    sleep_ms(100);
+    cluster.store.set_silent(false);
+    record.say("the store answers");
+    sleep_ms(1_000);
+    placer.start(record);
+    let is_done = wait_for(50_000, || {
+        sleep_ms(1_000);
+        ids.iter().all(|id| cluster.state(1, id).as_deref() == Some("completed"))
+    });
+    record.say(format!("the jobs are shown as completed: {is_done}"));
+    sleep_ms(3_000);
+    judge(record, &twice(record))
+}
