Give the tasks of the review's case 3 more time to start

A slower machine might not have started 600 tasks on a worker before the first of them ended. The tasks take 1.5 s now, and the entry is killed 0.8 s after they run.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -391,7 +391,7 @@
         return many_in_outage(record, &cluster);
     }
     let job = json!({
-        "spec": "{\"ms\":800}", "steps": [{"count": TASKS, "cpu": 40, "mem_mb": 20, "estimate_ms": 800}],
+        "spec": "{\"ms\":1500}", "steps": [{"count": TASKS, "cpu": 40, "mem_mb": 20, "estimate_ms": 1_500}],
     });
     let id = "8000000000000001";
     if cluster.submit(0, id, &job) != 200 {
@@ -403,6 +403,8 @@
     }
     record.say(format!("tasks that run on each worker: {:?}", running()));
     if has_trouble {
+        // They end while no entry places.
+        sleep_ms(800);
         let Some(placer) = cluster.placer() else { return Err("no entry places") };
         record.say(format!("{} is killed, and starts again a second later; tasks that run: {:?}", placer.name, running()));
         placer.end(record);
