Excuse lapsed leases in the review's check of TWICE

An end isn't taken note of if the worker's lease lapsed before a cursor reached it; the check of cases 1 and 3 was stricter than the rule there.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -93,6 +93,13 @@
     let runs = record.runs.lock().unwrap().clone();
     let now = record.now();
     let end = |run: &Run| run.ended.as_ref().map_or(now, |(at, _)| *at);
+    let lapses = record.lapses.lock().unwrap().clone();
+    // An end isn't taken note of if the worker's lease lapsed before a cursor reached it.
+    let is_noted = |run: &Run| {
+        run.acked.is_some_and(|acked| {
+            !lapses.iter().any(|(worker, at)| *worker == run.worker && *at >= end(run) && *at <= acked)
+        })
+    };
     let mut found = Vec::new();
     for (position, first) in runs.iter().enumerate() {
         for second in runs[position + 1..].iter().filter(|second| second.task == first.task) {
@@ -104,7 +111,7 @@
                 ));
             }
             let is_done = first.ended.as_ref().is_some_and(|(_, how)| how == "done");
-            if is_done && first.acked.is_some() && second.began > end(first) {
+            if is_done && is_noted(first) && second.began > end(first) {
                 found.push(format!("TWICE task {}: run {} starts after run {} was done", first.task, second.run, first.run));
             }
         }
--- a/review/stand/src/record.rs
+++ b/review/stand/src/record.rs
@@ -23,12 +23,14 @@
     began: Instant,
     file: Arc<Mutex<BufWriter<File>>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Workers whose lease lapsed, and when.
+    pub lapses: Arc<Mutex<Vec<(String, u64)>>>,
 }
 
 impl Record {
     pub fn open(path: &std::path::Path) -> Self {
         let file = File::create(path).expect("record.txt can be written");
-        Self { began: Instant::now(), file: Arc::new(Mutex::new(BufWriter::new(file))), runs: Arc::default() }
+        Self { began: Instant::now(), file: Arc::new(Mutex::new(BufWriter::new(file))), runs: Arc::default(), lapses: Arc::default() }
     }
 
     pub fn now(&self) -> u64 {
@@ -47,6 +49,11 @@
         self.note(text);
     }
 
+    pub fn lapse(&self, worker: &str) {
+        self.lapses.lock().unwrap().push((worker.to_owned(), self.now()));
+        self.note(format!("the lease lapses worker={worker}"));
+    }
+
     pub fn begin(&self, task: &str, run: u64, worker: &str) {
         let began = self.now();
         self.runs.lock().unwrap().push(Run {
--- a/review/stand/src/worker.rs
+++ b/review/stand/src/worker.rs
@@ -74,6 +74,8 @@
     sequence: u64,
     fence: u64,
     lease_end_ms: u64,
+    /// No lease is in force.
+    has_lapsed: bool,
     runs: BTreeMap<RunId, Run>,
     stopping: BTreeMap<RunId, Instant>,
     /// Highest run of each task that was stopped or has ended here.
@@ -113,6 +115,7 @@
         sequence: 0,
         fence: 0,
         lease_end_ms: 0,
+        has_lapsed: true,
         runs: BTreeMap::new(),
         stopping: BTreeMap::new(),
         floor: BTreeMap::new(),
@@ -254,7 +257,12 @@
         for (run, how) in ended {
             self.end(&mut state, &run, how);
         }
-        if state.clock_ms() >= state.lease_end_ms {
+        let has_lapsed = state.clock_ms() >= state.lease_end_ms;
+        if has_lapsed && !state.has_lapsed {
+            self.record.lapse(&self.id);
+        }
+        state.has_lapsed = has_lapsed;
+        if has_lapsed {
             let runs: Vec<RunId> = state.runs.keys().cloned().collect();
             for run in runs {
                 self.end(&mut state, &run, "lapsed");
