Process reports about tasks of occurrences that aren't open yet

Cause: a new placer creates the tasks of a schedule with its next tick, which knows the wall clock. The agents' inventories come before. Their ends had no task to be recorded at, were acknowledged nevertheless, and the tick then created the tasks as not started. Runs that went on were stopped, failures and crashes weren't counted.

Evidence: the new placer logs run_ended how=done at 00:25:11.090 and placed run=10001 at 00:25:11.161. Ruled out: an end that the agent doesn't repeat (it is logged), a row that is overwritten (the test has no store).

Change: a report creates the tasks of its occurrence first. A former placer has started the task, so the occurrence is due whatever this process's clock shows; the same holds where the bound on unfinished tasks would have left it out.

--- a/crates/cell/src/cell/crashed.rs
+++ b/crates/cell/src/cell/crashed.rs
@@ -137,6 +137,7 @@
 
     /// Records the crash of a worker under a run, and gives the task up if it is to blame too often.
     pub(crate) fn crash_run(&mut self, name: &Name, task: TaskId, run: u64, crash: Crash, now: Duration) {
+        self.open_reported_occurrence(task, now);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|entry| entry.is_open()) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key).filter(|state| !state.is_done) else { return };
         if !state.crashes.add(run, crash) {
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -41,6 +41,7 @@
     }
 
     pub(crate) fn record_end(&mut self, name: &Name, end: &End, now: Duration) {
+        self.open_reported_occurrence(end.task, now);
         self.remove_unmatched(name, (end.task, end.run));
         let was_known = self.release(name, end.task, end.run);
         let done_work = self.run_mut(end.task, end.run).and_then(|run| {
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -43,7 +43,8 @@
     /// Some task has started.
     pub(crate) has_started: bool,
     pub(crate) submitted_at: Duration,
-    /// Occurrences whose tasks exist.
+    /// Number of occurrences that were opened in their order; later ones are opened early when a worker reports one of
+    /// their tasks.
     pub(crate) opened_occurrences: u32,
     /// Work of the runs of each step that are done.
     pub(crate) measured: Vec<MeasuredWork>,
@@ -74,6 +75,11 @@
         self.outcome.is_none()
     }
 
+    /// Whether the tasks of an occurrence exist.
+    fn has_opened(&self, occurrence: u32) -> bool {
+        self.left.contains_key(&(occurrence, 0))
+    }
+
     /// Whether all steps that the task depends on are done.
     pub(crate) fn is_due(&self, key: TaskKey) -> bool {
         let Some(step) = self.job.step(key) else { return false };
@@ -226,12 +232,32 @@
                 break;
             }
             entry.opened_occurrences += 1;
-            left += open_occurrence(entry, occurrence);
+            // An occurrence that was opened early is contained in `left` already.
+            if !entry.has_opened(occurrence) {
+                left += open_occurrence(entry, occurrence);
+            }
         }
         self.queue_due_tasks(id, now);
         self.finish_if_done(id, now);
     }
 
+    /// Creates the tasks of the occurrence that a worker's report is about, unless they exist.
+    ///
+    /// A former placer has started the task, so its occurrence is due, whatever this process's clock shows. The report
+    /// would be lost without the task, and with it that the task has run.
+    pub(crate) fn open_reported_occurrence(&mut self, task: TaskId, now: Duration) {
+        let occurrence = task.key.occurrence;
+        let is_missing = |entry: &&mut JobEntry| {
+            entry.is_open()
+                && occurrence < entry.job.occurrences()
+                && entry.job.step(task.key).is_some()
+                && !entry.has_opened(occurrence)
+        };
+        let Some(entry) = self.jobs.get_mut(&task.job).filter(is_missing) else { return };
+        open_occurrence(entry, occurrence);
+        self.queue_due_tasks(task.job, now);
+    }
+
     /// Queues every task that may start and has no run.
     pub(crate) fn queue_due_tasks(&mut self, id: JobId, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.is_open()) else { return };
--- a/crates/cell/src/cell/runs.rs
+++ b/crates/cell/src/cell/runs.rs
@@ -40,6 +40,7 @@
             self.keep_unread_run(name, (task, number), percent, now);
             return;
         }
+        self.open_reported_occurrence(task, now);
         let allowed = self.may_adopt(task);
         let urgency = self.urgency(task, Urgency::UNKNOWN, now);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| allowed) else {
