Store progress of any size without stopping other jobs

Cause: progress names every task that was ever done, 27 bytes each. Above the store's 64 KB the whole batch is refused, goes to the front of the queue again, and nothing else is written.

Ruled out: the store's rates (429) and an unresolved conflict (no progress_conflict).

Change: large progress has a compact form, with bitmaps of done tasks and ranges of completed occurrences, whose tasks are forgotten. What is still larger than a row is divided between rows of one transaction. Batches are bounded by bytes, and a job that is refused alone goes to the back. Progress below 32 KB is written as before.

The scheduler's test store has the platform's limits now.

--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -14,7 +14,6 @@
 use super::jobs::JobEntry;
 use super::task::{Checkpoint, Task};
 use super::{Cell, Note};
-use crate::crashes::CrashHistory;
 use crate::job::{JobId, TaskKey};
 use crate::progress::{Checkpointed, Progress};
 use crate::worker::RunReport;
@@ -27,13 +26,10 @@
 const UNSAVED_MIN_CORE_MS: u64 = 1_000;
 /// Bytes of rows per selection: at 10 Mbit/s they delay the ends in the same batch by 70 ms.
 const SELECTION_BYTES_MAX: usize = 64 << 10;
-/// Row size up to which checkpoints of more tasks are added. A row may have 64 KiB, which must also hold the ends of
-/// tasks.
+/// Size of a job's progress up to which checkpoints of more running tasks are added.
 const ROW_BYTES_MAX: usize = 24 << 10;
-/// Size of a task key in a row, in bytes.
-const KEY_BYTES: usize = 30;
-/// Size of a checkpoint in a row without its text, in bytes: the key twice, run and percent.
-const CHECKPOINT_BYTES: usize = 2 * KEY_BYTES + 24;
+/// Tasks of a job whose checkpoints are stored, so that its progress fits into one transaction.
+const STORED_TASKS_MAX: usize = 5_000;
 
 /// Work of open jobs that is saved on workers but not durable.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -83,6 +79,9 @@
     /// Copies the checkpoint of a task into the job's progress.
     pub(crate) fn store_checkpoint(&mut self, key: TaskKey) {
         let Some(task) = self.tasks.get(&key) else { return };
+        if self.progress.checkpoints.len() >= STORED_TASKS_MAX && !self.progress.checkpoints.contains_key(&key) {
+            return;
+        }
         let Checkpoint { text, run, percent } = &task.checkpoint;
         self.progress.checkpoints.insert(key, Arc::clone(text));
         self.progress.checkpointed.insert(key, Checkpointed { run: *run, percent: *percent });
@@ -114,12 +113,12 @@
     fn store_unsaved_checkpoints(&mut self) -> usize {
         let mut unsaved = self.unsaved_tasks();
         unsaved.sort_unstable_by(|one, other| other.cmp(one));
-        let mut bytes = row_bytes(&self.progress);
+        let mut bytes = self.progress.stored_bytes();
         let mut count = 0;
         for (_, key) in unsaved {
             let Some(task) = self.tasks.get(&key) else { continue };
             if !self.progress.checkpoints.contains_key(&key) {
-                let more = CHECKPOINT_BYTES + task.checkpoint.text.len();
+                let more = Progress::checkpoint_bytes(&task.checkpoint.text);
                 if bytes + more > ROW_BYTES_MAX {
                     continue;
                 }
@@ -132,15 +131,6 @@
     }
 }
 
-/// Approximate size of a row.
-fn row_bytes(progress: &Progress) -> usize {
-    let texts: usize = progress.checkpoints.values().map(|text| text.len()).sum();
-    let crashes = progress.crashes.values().map(CrashHistory::len).sum::<usize>();
-    (progress.done.len() + progress.failures.len() + progress.crashes.len() + crashes) * KEY_BYTES
-        + progress.checkpoints.len() * CHECKPOINT_BYTES
-        + texts
-}
-
 impl Cell {
     /// Selects the jobs whose checkpoints are written next, if a selection is due.
     ///
@@ -168,7 +158,7 @@
         for (core_ms, id) in unsaved.iter().take(JOBS_MAX) {
             let Some(entry) = self.jobs.get_mut(id) else { continue };
             let count = entry.store_unsaved_checkpoints();
-            bytes += row_bytes(&entry.progress);
+            bytes += entry.progress.stored_bytes();
             if count == 0 {
                 continue;
             }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -124,6 +124,11 @@
         for task in done {
             self.mark_done(task);
         }
+        if let Some(entry) = self.jobs.get_mut(&task.job)
+            && entry.is_occurrence_done(task.key.occurrence)
+        {
+            entry.fold_completed_occurrences();
+        }
         if is_open {
             self.mark_dirty(task.job);
             self.queue_due_tasks(task.job, now);
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -14,6 +14,10 @@
 use crate::run_time::MeasuredWork;
 use crate::urgency;
 
+/// Done tasks of a job with a schedule above which those of completed occurrences are forgotten. Below it, the row of
+/// the progress stays readable for every version.
+const DONE_TASKS_MAX: usize = 1_000;
+
 /// Progress of the unfinished tasks of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnfinishedProgress {
@@ -75,9 +79,32 @@
         self.outcome.is_none()
     }
 
-    /// Whether the tasks of an occurrence exist.
+    /// Whether the tasks of an occurrence were created.
     fn has_opened(&self, occurrence: u32) -> bool {
-        self.left.contains_key(&(occurrence, 0))
+        self.left.contains_key(&(occurrence, 0)) || self.progress.completed.contains(occurrence)
+    }
+
+    /// Forgets the tasks of completed occurrences once there are many, so that the progress and the tasks of a job with
+    /// a schedule grow with what is open. Called when the last task of an occurrence is done.
+    pub(super) fn fold_completed_occurrences(&mut self) {
+        if self.job.schedule.is_none() || self.progress.done.len() <= DONE_TASKS_MAX {
+            return;
+        }
+        let unfinished = self.left.iter().filter(|(_, left)| **left > 0).map(|((occurrence, _), _)| *occurrence);
+        let running = self.tasks.iter().filter(|(_, task)| !task.runs.is_empty()).map(|(key, _)| key.occurrence);
+        let kept: Set<u32> = unfinished.chain(running).collect();
+        for (occurrence, _) in self.left.keys().filter(|(occurrence, _)| !kept.contains(occurrence)) {
+            self.progress.completed.insert(*occurrence);
+        }
+        self.left.retain(|(occurrence, _), _| kept.contains(occurrence));
+        self.tasks.retain(|key, _| kept.contains(&key.occurrence));
+        self.progress.done.retain(|key| kept.contains(&key.occurrence));
+    }
+
+    /// Whether every task of an occurrence is done.
+    pub(super) fn is_occurrence_done(&self, occurrence: u32) -> bool {
+        let mut steps = 0..u32::try_from(self.job.steps.len()).unwrap_or(u32::MAX);
+        steps.all(|step| self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0))
     }
 
     /// Whether all steps that the task depends on are done.
@@ -223,6 +250,12 @@
         let mut left: u64 = entry.left.values().map(|left| u64::from(*left)).sum();
         loop {
             let occurrence = entry.opened_occurrences;
+            if let Some(last) = entry.progress.completed.last_of_range(occurrence) {
+                entry.opened_occurrences = last.saturating_add(1).min(entry.job.occurrences());
+                if occurrence < entry.opened_occurrences {
+                    continue;
+                }
+            }
             let is_due = match (entry.job.due_unix_ms(occurrence), unix_ms) {
                 (None, _) => true,
                 (Some(due), Some(unix_ms)) => unix_ms >= due,
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -12,7 +12,6 @@
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
-use super::jobs::JobEntry;
 use super::{Action, Cell};
 use crate::job::JobId;
 use crate::progress::Progress;
@@ -20,6 +19,9 @@
 
 /// Progress rows per batch; below the store's bound on a transaction, with room for conditions.
 const BATCH_MAX: usize = 40;
+/// Size of the progress in a batch, in bytes: in Base64 and with keys and conditions less than the 1 MB that the store
+/// takes in one call.
+const BATCH_BYTES_MAX: usize = 512 << 10;
 /// Time for which checkpoints wait to join a batch with ends; most cells have several in that time.
 const CHECKPOINT_WAIT_MAX: Duration = Duration::from_millis(400);
 
@@ -194,13 +196,20 @@
             self.settle();
             return None;
         }
-        let count = self.writes.dirty.len().min(BATCH_MAX);
-        let mut jobs: Vec<JobId> = self.writes.dirty.drain(..count).collect();
-        for job in &jobs {
-            self.writes.dirty_set.remove(job);
+        let (mut jobs, mut bytes): (Vec<JobId>, usize) = (Vec::new(), 0);
+        while jobs.len() < BATCH_MAX
+            && let Some(job) = self.writes.dirty.front().copied()
+        {
+            bytes += self.jobs.get(&job).map_or(0, |entry| entry.progress.stored_bytes());
+            if bytes > BATCH_BYTES_MAX && !jobs.is_empty() {
+                break;
+            }
+            self.writes.dirty.pop_front();
+            self.writes.dirty_set.remove(&job);
+            jobs.push(job);
         }
         self.writes.has_job_end &= !self.writes.dirty.is_empty();
-        self.add_checkpoints(&mut jobs);
+        self.add_checkpoints(&mut jobs, bytes);
         if jobs.is_empty() {
             self.settle();
             return None;
@@ -217,13 +226,22 @@
     }
 
     /// Fills a batch up with jobs of which only checkpoints are written.
-    fn add_checkpoints(&mut self, jobs: &mut Vec<JobId>) {
+    fn add_checkpoints(&mut self, jobs: &mut Vec<JobId>, mut bytes: usize) {
         while jobs.len() < BATCH_MAX
-            && let Some(job) = self.writes.checkpoint_only.pop_front()
+            && let Some(job) = self.writes.checkpoint_only.front().copied()
         {
             // Ends of the job or of its tasks are written together with the checkpoints in the same progress.
-            let is_needed = self.jobs.get(&job).is_some_and(JobEntry::is_open);
-            if is_needed && !self.writes.dirty_set.contains(&job) && !jobs.contains(&job) {
+            let needed = self
+                .jobs
+                .get(&job)
+                .filter(|entry| entry.is_open() && !self.writes.dirty_set.contains(&job) && !jobs.contains(&job));
+            let job_bytes = needed.map(|entry| entry.progress.stored_bytes());
+            bytes += job_bytes.unwrap_or(0);
+            if bytes > BATCH_BYTES_MAX && !jobs.is_empty() {
+                break;
+            }
+            self.writes.checkpoint_only.pop_front();
+            if job_bytes.is_some() {
                 jobs.push(job);
                 self.writes.checkpoint_only_in_flight.insert(job);
             }
@@ -263,6 +281,15 @@
         self.writes.is_in_flight = false;
         self.writes.has_job_end |= batch.writes.iter().any(|write| write.progress.outcome.is_some());
         let checkpoint_only = std::mem::take(&mut self.writes.checkpoint_only_in_flight);
+        // A job that is written alone may be too large for the store; it must not keep the others from being written.
+        if let [write] = &*batch.writes
+            && !checkpoint_only.contains(&write.job)
+        {
+            if self.writes.dirty_set.insert(write.job) {
+                self.writes.dirty.push_back(write.job);
+            }
+            return;
+        }
         for write in batch.writes.iter().rev() {
             if checkpoint_only.contains(&write.job) {
                 self.writes.checkpoint_only.push_front(write.job);
--- a/crates/cell/tests/malformed.rs
+++ b/crates/cell/tests/malformed.rs
@@ -12,7 +12,7 @@
 use chervilledge_cell::grant::{ClockReading, is_clock_continued, lease_end_ms};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, Schedule, Step, TASKS_MAX, TaskId, TaskKey};
-use chervilledge_cell::progress::{Checkpointed, Outcome, Progress};
+use chervilledge_cell::progress::{Checkpointed, Occurrences, Outcome, Progress};
 use chervilledge_cell::worker::{CrashReport, CrashedRun, End, EndKind, RunReport, Worker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -182,7 +182,12 @@
     for _ in 0..rng.random_range(0..6) {
         crashes.add(amount(rng), Crash { age: Duration::from_millis(amount(rng)), blame: Blame::Suspect });
     }
+    let mut completed = Occurrences::default();
+    for _ in 0..rng.random_range(0..4) {
+        completed.insert(small(rng));
+    }
     Progress {
+        completed,
         done: [keys[0]].into(),
         failures: [(keys[1], (0..rng.random_range(0..100)).map(|_| amount(rng)).collect())].into(),
         crashes: [(keys[1], crashes)].into(),
--- a/crates/cell/tests/schedules.rs
+++ b/crates/cell/tests/schedules.rs
@@ -151,3 +151,59 @@
     cell.open_due(FIRST_UNIX_MS - 10, world.now);
     assert_eq!(cell.waiting(), 0);
 }
+
+/// A job that repeats kept every task that was ever done, until its progress was too large to store (`review/2`).
+#[test]
+fn the_progress_of_a_repeating_job_grows_with_what_is_open() {
+    const OCCURRENCES: u32 = 4_000;
+    let mut world = World::with_workers(2, MILLICORES);
+    let schedule =
+        Schedule { first_unix_ms: FIRST_UNIX_MS, interval: Duration::from_millis(500), occurrences: OCCURRENCES };
+    world.submit(Job { schedule: Some(schedule), ..job(1, vec![step(2, 1_000)]) });
+    let (mut largest_bytes, mut stuck, mut last) = (0, None, None);
+    for occurrence in 0..OCCURRENCES {
+        world.cell.open_due(FIRST_UNIX_MS + u64::from(occurrence) * 500, world.now);
+        world.place();
+        for (agent, task, run) in world.all_running() {
+            // One task of an early occurrence runs on.
+            if *stuck.get_or_insert(task) != task {
+                world.end(&agent, task, run, EndKind::Done);
+            }
+        }
+        world.advance_ms(500);
+        let batch = world.cell.next_batch().expect("ends have to be stored");
+        largest_bytes = largest_bytes.max(batch.writes[0].progress.stored_bytes());
+        world.cell.committed(&batch, 20 + u64::from(occurrence), world.now);
+        last = Some(batch.writes[0].progress.clone());
+    }
+    assert!(largest_bytes <= 48 << 10, "{largest_bytes} bytes");
+    // A new placer starts only what is left.
+    let mut cell = Cell::new(2, LEASE);
+    cell.configure(Arc::new(configuration()));
+    let schedule = Schedule { occurrences: OCCURRENCES + 1, ..schedule };
+    let next = Job { schedule: Some(schedule), ..job(1, vec![step(2, 1_000)]) };
+    cell.load(next, last.expect("progress"), 30, Duration::ZERO, world.now);
+    cell.open_due(FIRST_UNIX_MS + u64::from(OCCURRENCES) * 500, world.now);
+    assert_eq!(cell.waiting(), 3, "the task that ran on, and those of the last occurrence");
+}
+
+/// A report about an occurrence that is completed and forgotten doesn't bring its tasks back.
+#[test]
+fn a_completed_occurrence_stays_completed() {
+    let world = World::with_workers(1, MILLICORES);
+    let mut cell = Cell::new(2, LEASE);
+    cell.configure(Arc::new(configuration()));
+    let agent = name("agent-0");
+    cell.agent_known(&agent, true, world.now);
+    let mut progress = Progress::default();
+    progress.completed.insert(0);
+    cell.load(scheduled_job(), progress, 7, Duration::ZERO, world.now);
+    let ends = vec![run_end(1, task(0, 1), EndKind::Failed)];
+    let running = vec![running(task(0, 0))];
+    let inventory = Inventory { worker: Some(worker(&agent, MILLICORES)), running, ends, ..Inventory::default() };
+    cell.agent_linked(&agent, inventory, world.now);
+    cell.open_due(FIRST_UNIX_MS + 2_000, world.now);
+    let stops = cell.take_actions();
+    assert!(matches!(&*stops, [Action::Stop { task, .. }] if task.key.occurrence == 0), "{stops:?}");
+    assert_eq!(cell.waiting(), 2, "the tasks of the second occurrence");
+}
--- a/crates/scheduler/src/entry/requests.rs
+++ b/crates/scheduler/src/entry/requests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::job::{Job, JobId, JobState};
-use chervilledge_cell::progress::{Outcome, Progress};
+use chervilledge_cell::progress::Outcome;
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::Name;
 use rand::Rng;
@@ -13,6 +13,7 @@
 use crate::clock::whole_ms;
 use crate::message::{FromEntry, StoreOutcome, ToEntry};
 use crate::placer;
+use crate::progress_rows;
 use crate::repeat;
 use crate::rows;
 use crate::store::{Row, Table};
@@ -230,8 +231,8 @@
         let progress = self.read_row(Table::Progress, &key).await?;
         if let Some(value) = progress.and_then(|row| row.value) {
             // A job whose progress can't be decoded has run, but it isn't known how far.
-            let progress = rows::decode::<Progress>(&key, &value).ok_or(())?;
-            return Ok(Some(match progress.outcome {
+            let outcome = progress_rows::decode_outcome(id, &value).ok_or(())?;
+            return Ok(Some(match outcome {
                 Some(Outcome::Completed) => JobState::Completed,
                 Some(Outcome::Failed) => JobState::Failed,
                 Some(Outcome::Canceled) => JobState::Canceled,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outage;
 pub mod peer;
 pub mod placer;
+pub mod progress_rows;
 pub mod repeat;
 pub mod roster;
 pub mod rows;
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -259,6 +259,8 @@
     early_cancels: Set<JobId>,
     /// Jobs whose progress row can't be decoded. It isn't known which of their tasks have run, so none may start.
     unreadable_jobs: Set<JobId>,
+    /// Number of further rows that the progress of a job may have.
+    progress_parts: Map<JobId, u32>,
     /// When the last batch was sent.
     last_batch_sent: Duration,
     /// Earliest time of the next placement pass.
@@ -355,6 +357,7 @@
             next_link: 1,
             early_cancels: Set::default(),
             unreadable_jobs: Set::default(),
+            progress_parts: Map::default(),
             last_batch_sent: Duration::ZERO,
             place_due: Duration::ZERO,
             watch_due: Duration::ZERO,
@@ -464,6 +467,7 @@
             Message::Expired(jobs) => {
                 self.is_expiring = false;
                 for job in jobs {
+                    self.progress_parts.remove(&job);
                     self.cell.forget(job);
                 }
             }
--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -8,11 +8,14 @@
 use chervilledge_policy::id::Name;
 
 use super::{Message, State};
+use crate::progress_rows;
 use crate::rows::{self, AGENT_PREFIX};
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
 
 /// Maximum number of jobs, and of agents, whose rows are deleted in one transaction.
 const EXPIRY_BATCH_MAX: usize = 20;
+/// Maximum number of progress rows that are deleted in one transaction, below the store's limit on its entries.
+const ROWS_REMOVED_MAX: usize = 90;
 /// Time after which the row of an unreachable agent is deleted; its leases have ended by then.
 const AGENT_ROW_RETENTION: Duration = Duration::from_secs(6);
 
@@ -21,6 +24,8 @@
     pub(super) fn expire(&mut self, now: Duration) {
         let mut expired = self.cell.expired(self.context.ended_jobs_kept, now);
         expired.truncate(EXPIRY_BATCH_MAX);
+        let parts = |id: JobId| self.progress_parts.get(&id).copied().unwrap_or(0);
+        let expired: Vec<(JobId, u32)> = expired.into_iter().map(|(id, _)| (id, parts(id))).collect();
         let gone = self.unreachable_agents(now);
         if expired.is_empty() && gone.is_empty() {
             return;
@@ -30,8 +35,7 @@
         let myself = self.myself.clone();
         self.is_expiring = true;
         tokio::spawn(async move {
-            let jobs: Vec<JobId> = expired.into_iter().map(|(id, _)| id).collect();
-            let removed = remove_jobs(&store, placer.clone(), &jobs).await;
+            let removed = remove_jobs(&store, placer.clone(), &expired).await;
             remove_agents(&store, placer, gone).await;
             // The placer may have ended in the meantime.
             drop(myself.cast(Message::Expired(removed)));
@@ -57,27 +61,31 @@
     }
 }
 
-/// Deletes the rows of ended jobs; returns the jobs whose rows are gone.
+/// Deletes the rows of ended jobs, each with the number of further rows of its progress; returns the jobs whose rows are gone.
 ///
 /// A job's row is deleted before its progress row, since a job without progress would be run again.
-async fn remove_jobs(store: &Handle, placer: Condition, jobs: &[JobId]) -> Vec<JobId> {
-    let mut by_partition: BTreeMap<Partition, Vec<JobId>> = BTreeMap::new();
+async fn remove_jobs(store: &Handle, placer: Condition, jobs: &[(JobId, u32)]) -> Vec<JobId> {
+    let mut by_partition: BTreeMap<Partition, Vec<(JobId, u32)>> = BTreeMap::new();
     for job in jobs {
-        by_partition.entry(job_partition(*job)).or_default().push(*job);
+        by_partition.entry(job_partition(job.0)).or_default().push(*job);
     }
-    let mut removed = Vec::new();
+    let (mut removed, mut progress_keys) = (Vec::new(), Vec::new());
     for jobs in by_partition.into_values() {
         let changes = jobs
             .iter()
-            .flat_map(|id| [removal(Table::Jobs, rows::job_key(*id)), removal(Table::Jobs, rows::cancel_key(*id))])
+            .flat_map(|(id, _)| [removal(Table::Jobs, rows::job_key(*id)), removal(Table::Jobs, rows::cancel_key(*id))])
             .collect();
         if matches!((store.commit)(Transaction { conditions: Vec::new(), changes }).await, Outcome::Done(_)) {
-            removed.extend(jobs);
+            for (id, parts) in jobs {
+                progress_keys.push(rows::job_key(id));
+                progress_keys.extend((1..=parts).map(|number| progress_rows::part_key(id, number)));
+                removed.push(id);
+            }
         }
     }
-    if !removed.is_empty() {
-        let changes = removed.iter().map(|id| removal(Table::Progress, rows::job_key(*id))).collect();
-        let outcome = (store.commit)(Transaction { conditions: vec![placer], changes }).await;
+    for keys in progress_keys.chunks(ROWS_REMOVED_MAX) {
+        let changes = keys.iter().map(|key| removal(Table::Progress, Arc::clone(key))).collect();
+        let outcome = (store.commit)(Transaction { conditions: vec![placer.clone()], changes }).await;
         log::info!(event = "rows_expired", jobs = removed.len(), agents = 0, outcome:? = outcome; "");
     }
     removed
--- a/crates/scheduler/src/placer/loading.rs
+++ b/crates/scheduler/src/placer/loading.rs
@@ -8,15 +8,26 @@
 
 use super::State;
 use crate::clock::unix_ms;
+use crate::progress_rows;
 use crate::rows;
 use crate::store::Row;
 
 impl State {
     pub(super) fn load(&mut self, jobs: &[Row], progress: &[Row], now: Duration) {
         let mut known: Map<JobId, (Progress, u64)> = Map::default();
+        let mut parts = progress_rows::Parts::new();
+        for row in progress {
+            let (Some((job, number)), Some(value)) = (progress_rows::parse_part_key(&row.key), row.value.as_deref())
+            else {
+                continue;
+            };
+            parts.insert((job, number), value);
+            let known = self.progress_parts.entry(job).or_default();
+            *known = number.max(*known);
+        }
         for row in progress {
             let (Ok(id), Some(value)) = (row.key.parse::<JobId>(), row.value.as_deref()) else { continue };
-            if let Some(content) = rows::decode::<Progress>(&row.key, value) {
+            if let Some(content) = progress_rows::decode(id, value, &parts) {
                 known.insert(id, (content, row.revision));
             } else {
                 self.unreadable_jobs.insert(id);
--- a/crates/scheduler/src/placer/writing.rs
+++ b/crates/scheduler/src/placer/writing.rs
@@ -7,29 +7,20 @@
 use chervilledge_cell::job::JobId;
 
 use super::{Message, RETRY_PAUSE, State};
+use crate::progress_rows;
 use crate::rows::{self, PLACER_KEY};
-use crate::store::{Change, Condition, Outcome, Table, Transaction};
+use crate::store::{Condition, Outcome, Table, Transaction};
 
 impl State {
-    pub(super) fn write_batch(&self, batch: Batch, now: Duration) {
-        let transaction = Transaction {
-            conditions: std::iter::once(self.placer_condition())
-                .chain(batch.writes.iter().map(|write| Condition {
-                    table: Table::Progress,
-                    key: rows::job_key(write.job),
-                    revision: write.revision,
-                }))
-                .collect(),
-            changes: batch
-                .writes
-                .iter()
-                .map(|write| Change {
-                    table: Table::Progress,
-                    key: rows::job_key(write.job),
-                    value: Some(rows::encode(&write.progress)),
-                })
-                .collect(),
-        };
+    pub(super) fn write_batch(&mut self, batch: Batch, now: Duration) {
+        let mut transaction = Transaction { conditions: vec![self.placer_condition()], changes: Vec::new() };
+        for write in &batch.writes {
+            let (table, key) = (Table::Progress, rows::job_key(write.job));
+            transaction.conditions.push(Condition { table, key, revision: write.revision });
+            let changes = progress_rows::changes(write.job, &write.progress);
+            self.note_parts(write.job, changes.len());
+            transaction.changes.extend(changes);
+        }
         let answer = (self.context.store.commit)(transaction);
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -42,6 +33,16 @@
         });
     }
 
+    /// Records how many rows the progress of a job was written to. Rows that a shorter form leaves over are ignored, and
+    /// deleted together with the job.
+    fn note_parts(&mut self, job: JobId, rows: usize) {
+        let parts = u32::try_from(rows.saturating_sub(1)).unwrap_or(u32::MAX);
+        if parts > 0 {
+            let known = self.progress_parts.entry(job).or_default();
+            *known = parts.max(*known);
+        }
+    }
+
     /// Condition that this placer hasn't been deposed.
     pub(super) fn placer_condition(&self) -> Condition {
         Condition { table: Table::Cell, key: Arc::from(PLACER_KEY), revision: self.context.revision }
--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -38,6 +38,9 @@
     }
 }
 
+/// Largest content of a row, in bytes: the platform takes 65,536 (`row_bytes`), which this fills in Base64.
+pub const ROW_BYTES_MAX: usize = 48 << 10;
+
 /// Number of partitions of the jobs table. A partition processes its transactions one after another, and only a few a
 /// second when the store is slow.
 const JOB_PARTITIONS: u64 = 16;
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -16,7 +16,7 @@
 use chervilledge_cell::crashes::{Blame, Crash, CrashHistory};
 use chervilledge_cell::interference::{Evidence, Pair};
 use chervilledge_cell::job::{Job, JobId, JobState, Schedule, Step, TaskId, TaskKey, Terms};
-use chervilledge_cell::progress::{Checkpointed, Outcome, Progress};
+use chervilledge_cell::progress::{Checkpointed, Occurrences, Outcome, Progress};
 use chervilledge_cell::urgency::Urgency;
 use chervilledge_cell::worker::{
     CrashReport, CrashedRun, End, EndKind, Life, Refusal, RunReport, RunTraits, StartOrder, Worker,
@@ -24,6 +24,7 @@
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::Name;
 use chervilledge_scheduler::message::{FromAgent, FromEntry, StoreOutcome, ToAgent, ToEntry};
+use chervilledge_scheduler::progress_rows::{self, Parts};
 use chervilledge_scheduler::rows::{self, Effect};
 use ciborium::Value;
 use serde::Serialize;
@@ -33,8 +34,14 @@
 const SAMPLES_ENV: &str = "CHERVILLEDGE_SAMPLES";
 
 /// Samples that the version in production wrote, and those before it.
-const RELEASED: [&str; 3] =
-    [include_str!("samples/0.3.0.txt"), include_str!("samples/0.2.0.txt"), include_str!("samples/0.1.0.txt")];
+const RELEASED: [&str; 4] = [
+    include_str!("samples/0.4.0.txt"),
+    include_str!("samples/0.3.0.txt"),
+    include_str!("samples/0.2.0.txt"),
+    include_str!("samples/0.1.0.txt"),
+];
+/// Rows that versions before 0.5.0 can't decode; they start no task of such a job.
+const SINCE_0_5: [&str; 1] = ["row/progress-compact"];
 /// Messages that versions before 0.4.0 don't know, and that aren't sent to them.
 const SINCE_0_4: [&str; 2] = ["from-agent/crashed", "to-agent/settle-crash"];
 /// Rows that versions before 0.3.0 ignore, and messages that aren't sent to them.
@@ -47,7 +54,12 @@
     "to-entry/renew-term",
 ];
 /// What each of these versions doesn't know.
-const UNKNOWN: [&[&[&str]]; 3] = [&[&SINCE_0_4], &[&SINCE_0_4, &SINCE_0_3], &[&SINCE_0_4, &SINCE_0_3]];
+const UNKNOWN: [&[&[&str]]; 4] = [
+    &[&SINCE_0_5],
+    &[&SINCE_0_5, &SINCE_0_4],
+    &[&SINCE_0_5, &SINCE_0_4, &SINCE_0_3],
+    &[&SINCE_0_5, &SINCE_0_4, &SINCE_0_3],
+];
 
 fn name(text: &str) -> Name {
     Arc::from(text)
@@ -125,6 +137,7 @@
     let mut history = CrashHistory::default();
     history.add(10_001, Crash { age: Duration::from_millis(12), blame: Blame::Sole });
     Progress {
+        completed: Occurrences::default(),
         done: [task().key].into(),
         failures: [(task().key, [10_001].into())].into(),
         checkpoints: [(task().key, name("00000bb8"))].into(),
@@ -179,6 +192,7 @@
     fn add_rows(&mut self) {
         self.add("row/job", &job());
         self.add("row/progress", &progress());
+        self.0.insert("row/progress-compact".to_owned(), compact_progress_row(&compact_progress()));
         self.add("row/placer", &rows::Placer { term: 2, holder: Some(name("entry-1")), address: address() });
         self.add("row/heartbeat", &rows::Heartbeat { term: 2, is_alone: true });
         self.add("row/agent", &agent_row());
@@ -265,6 +279,16 @@
     }
 }
 
+fn compact_progress() -> Progress {
+    let mut progress = progress();
+    progress.completed.insert(3);
+    progress
+}
+
+fn compact_progress_row(progress: &Progress) -> Vec<u8> {
+    progress_rows::changes(task().job, progress).swap_remove(0).value.expect("a row")
+}
+
 fn agent_row() -> rows::Process {
     rows::Process { address: address() }
 }
@@ -317,6 +341,9 @@
     match name.split_once('/').expect("a kind and a name") {
         ("row", "job") => again::<Job>(name, bytes),
         ("row", "progress") => again::<Progress>(name, bytes),
+        ("row", "progress-compact") => {
+            progress_rows::decode(task().job, bytes, &Parts::new()).as_ref().map(compact_progress_row)
+        }
         ("row", "placer") => again::<rows::Placer>(name, bytes),
         ("row", "heartbeat") => again::<rows::Heartbeat>(name, bytes),
         ("row", "agent") => again::<rows::Process>(name, bytes),
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -29,6 +29,11 @@
 /// Response time of the store.
 const ANSWER_TIME: Duration = Duration::from_millis(10);
 
+/// Limits of the platform's store: bytes of a row, and entries and bytes of a call.
+const ROW_BYTES_MAX: usize = 65_536;
+const CALL_ENTRIES_MAX: usize = 100;
+const CALL_BYTES_MAX: usize = 1_000_000;
+
 /// Time beyond a feed's wait after which a client of the store gives up on a response.
 const WATCH_MARGIN: Duration = Duration::from_secs(3);
 
@@ -279,6 +284,9 @@
 
     /// Response to a transaction; `None` if it is never sent.
     fn apply(&mut self, transaction: &Transaction) -> Option<Outcome> {
+        if !is_within_limits(transaction) && matches!(self.fault, Fault::None | Fault::Slow(_)) {
+            return Some(Outcome::Refused);
+        }
         match self.fault {
             Fault::None | Fault::Slow(_) | Fault::LoseAnswers(0) => Some(self.commit(transaction)),
             Fault::Refuse => Some(Outcome::Refused),
@@ -329,6 +337,15 @@
     }
 }
 
+/// Whether the platform's store takes a transaction; contents count in Base64.
+fn is_within_limits(transaction: &Transaction) -> bool {
+    let base64_bytes = |change: &Change| change.value.as_ref().map_or(0, |value| value.len().div_ceil(3) * 4);
+    let entries = transaction.conditions.len() + transaction.changes.len();
+    let bytes: usize = transaction.changes.iter().map(|change| base64_bytes(change) + change.key.len()).sum();
+    let is_row_small = |change: &Change| base64_bytes(change) <= ROW_BYTES_MAX;
+    entries <= CALL_ENTRIES_MAX && bytes <= CALL_BYTES_MAX && transaction.changes.iter().all(is_row_small)
+}
+
 /// Clock that follows the runtime's clock, which tests may pause.
 pub fn tokio_clock() -> Clock {
     thread_local! {
