Wait for the ends that a worker doesn't list yet

Cause: a worker lists 500 ends at a time. The list was taken for the whole, so a run that was neither running nor listed counted as one that doesn't exist, and its task as not started.

Ruled out: an agent that isn't waited for, and ends that are acknowledged without being stored (none of 1 to 500 runs again).

Change: a full page is passed on as has_more_ends; the agent's inventory says that it is partial, and a whole one follows after the last page. Until then the agent counts among those whose runs aren't known. By the same cause, a run was stopped as order_lost when a link was opened again, and reported as absent after a stop; both are held back now.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -18,7 +18,7 @@
 pub enum Contact {
     /// Named by a row; it hasn't reported the runs on its worker yet.
     Unheard,
-    /// Linked, and its worker's runs are known.
+    /// Linked, and its worker's runs are known; not all of its ends if the agent is unresolved.
     Linked,
     /// Its link is lost; runs may go on until the lease ends.
     Silent,
@@ -41,6 +41,8 @@
     pub crashes: Vec<CrashReport>,
     /// Without a worker: certainly nothing runs there any more.
     pub is_empty: bool,
+    /// Whether runs that aren't listed may have ended on the worker; the whole inventory follows.
+    pub is_partial: bool,
 }
 
 impl Cell {
@@ -140,12 +142,21 @@
         };
         self.worker_seen(name, worker, now);
         if let Some(agent) = self.agents.get_mut(name) {
-            agent.contact = Contact::Linked;
+            let is_first = std::mem::replace(&mut agent.contact, Contact::Linked) == Contact::Unheard;
+            // A former placer may have started the runs whose ends aren't listed.
+            if is_first && inventory.is_partial {
+                self.unresolved.insert(Arc::clone(name));
+            }
         }
         self.runs_ended(name, inventory.ends, now);
-        self.reconcile(name, &inventory.running, &inventory.starting, now);
-        self.unresolved.remove(name);
+        self.adopt_listed(name, &inventory.running, &inventory.starting, now);
         self.needs_placing = true;
+        if inventory.is_partial {
+            self.log_agent(name, "linked_in_part");
+            return;
+        }
+        self.stop_missing(name, &inventory.running, &inventory.starting);
+        self.unresolved.remove(name);
         self.log_agent(name, "linked");
     }
 
@@ -277,8 +288,8 @@
         }
     }
 
-    /// Reconciles the runs on a worker with the runs that were ordered.
-    fn reconcile(&mut self, name: &Name, running: &[RunReport], starting: &[(TaskId, u64)], now: Duration) {
+    /// Matches the runs that are listed for a worker to their tasks.
+    fn adopt_listed(&mut self, name: &Name, running: &[RunReport], starting: &[(TaskId, u64)], now: Duration) {
         for report in running {
             self.adopt(name, report.task, report.run, Some(report.percent), now);
             self.take_checkpoint(report);
@@ -286,6 +297,10 @@
         for (task, run) in starting {
             self.adopt(name, *task, *run, None, now);
         }
+    }
+
+    /// Stops the runs that were ordered and that the whole inventory of the worker doesn't list.
+    fn stop_missing(&mut self, name: &Name, running: &[RunReport], starting: &[(TaskId, u64)]) {
         let Some(agent) = self.agents.get(name) else { return };
         let present: Set<(TaskId, u64)> =
             running.iter().map(|report| (report.task, report.run)).chain(starting.iter().copied()).collect();
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -233,6 +233,7 @@
             ends: runs.ends.clone(),
             crashes: Vec::new(),
             is_empty: false,
+            is_partial: false,
         }
     }
 }
--- a/crates/cell/tests/takeover.rs
+++ b/crates/cell/tests/takeover.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::authority::{lapse_after, takeover_wait};
-use chervilledge_cell::cell::{Action, Cell};
+use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::EndKind;
@@ -183,3 +183,66 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Stop { .. })), "{actions:?}");
     assert!(actions.iter().any(|action| matches!(action, Action::Settle { cursor: 1, .. })), "{actions:?}");
 }
+
+/// A worker lists 500 ends at a time; the tasks of the others ran again after a takeover (`review/3`).
+#[test]
+fn tasks_whose_ends_are_not_listed_yet_start_again() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![step(3, 1_000)]));
+    world.place();
+    let runs = world.all_running();
+    let agent = Arc::clone(&runs[0].0);
+    for (holder, task, run) in &runs {
+        let kind = if *holder == agent { EndKind::Done } else { EndKind::Stopped };
+        world.end(holder, *task, *run, kind);
+    }
+    let done = runs.iter().filter(|(holder, ..)| *holder == agent).count();
+    let mut cell = Cell::new(2, LEASE);
+    cell.configure(Arc::new(configuration()));
+    cell.agent_known(&agent, true, world.now);
+    cell.load(job(1, vec![step(3, 1_000)]), Progress::default(), 7, Duration::ZERO, world.now);
+    let whole = world.inventory(&agent, MILLICORES);
+    let partial = Inventory { ends: whole.ends[..1].to_vec(), is_partial: true, ..whole.clone() };
+    cell.agent_linked(&agent, partial, world.now);
+    cell.place(world.now);
+    let starts = cell.take_actions();
+    assert!(starts.is_empty(), "{starts:?}");
+    let batch = cell.next_batch().expect("the listed end has to be stored");
+    cell.committed(&batch, 20, world.now);
+    assert!(matches!(&*cell.take_actions(), [Action::Settle { cursor: 1, .. }]));
+    cell.agent_linked(&agent, whole, world.now);
+    cell.place(world.now);
+    let starts = cell.take_actions().into_iter().filter(|action| matches!(action, Action::Start { .. })).count();
+    assert_eq!(starts, 3 - done, "only tasks without an end `done`");
+}
+
+/// A run that ended behind the listed ends counted as an order that was lost when the link was opened again.
+#[test]
+fn a_run_that_ended_behind_the_listed_ends_is_stopped() {
+    let mut world = World::with_workers(1, MILLICORES);
+    world.submit(job(1, vec![step(1, 1_000)]));
+    world.place();
+    let (agent, task, run) = world.all_running()[0].clone();
+    world.cell.agent_silent(&agent);
+    let whole = Inventory { running: Vec::new(), ..world.inventory(&agent, MILLICORES) };
+    world.cell.agent_linked(&agent, Inventory { is_partial: true, ..whole.clone() }, world.now);
+    assert_eq!(world.cell.take_actions(), []);
+    assert_eq!(world.cell.runs_on(&agent), [(task, run)]);
+    world.cell.agent_linked(&agent, whole, world.now);
+    assert!(matches!(&*world.cell.take_actions(), [Action::Stop { reason: "order_lost", .. }]));
+}
+
+/// A worker that is lost before it has listed its other ends keeps no task waiting.
+#[test]
+fn a_partial_inventory_is_forgotten_with_the_worker() {
+    let mut world = World::with_workers(1, MILLICORES);
+    let agent = name("agent-0");
+    world.cell = successor(&world, 2, &[(JobId(1), Progress::default(), 0)]);
+    let partial = Inventory { is_partial: true, ..world.inventory(&agent, MILLICORES) };
+    world.cell.agent_linked(&agent, partial, world.now);
+    world.cell.agent_silent(&agent);
+    assert_eq!(world.cell.unresolved(), 1);
+    world.advance_ms(60_000);
+    world.cell.lapse_agents(Some(world.now), world.now);
+    assert_eq!(world.cell.unresolved(), 0);
+}
--- a/crates/cell/tests/walk.rs
+++ b/crates/cell/tests/walk.rs
@@ -131,6 +131,7 @@
             ends: self.ends.clone(),
             crashes: Vec::new(),
             is_empty: false,
+            is_partial: false,
         }
     }
 }
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -148,8 +148,10 @@
     cursor: u64,
     /// Latest end that was reported to the placer.
     reported_end: u64,
-    /// Ends that aren't settled yet.
+    /// Ends that aren't settled yet, as far as the worker lists them.
     ends: Vec<End>,
+    /// Whether there may be further ends.
+    has_more_ends: bool,
     running: Vec<RunReport>,
     /// Progress as last reported to the placer.
     reported_progress: Map<RunId, (u32, u32, Name)>,
@@ -205,6 +207,8 @@
     unidentified_links: Map<u64, Sender<FromAgent>>,
     /// When the placer requested an inventory, which must come from a poll sent after this time.
     inventory_due: Option<Duration>,
+    /// Whether an inventory without all ends was sent; the whole one follows when the worker lists the last of them.
+    is_inventory_partial: bool,
     grant: Grant,
     /// Failure domains in which nothing may start, as learned from any placer.
     evacuated: EvacuatedDomains,
@@ -283,6 +287,7 @@
             link: None,
             unidentified_links: Map::default(),
             inventory_due: None,
+            is_inventory_partial: false,
             grant: Grant::default(),
             evacuated: EvacuatedDomains::default(),
             tracked: None,
@@ -427,6 +432,7 @@
             cursor: 0,
             reported_end: 0,
             ends: Vec::new(),
+            has_more_ends: false,
             running: Vec::new(),
             reported_progress: Map::default(),
             failed_polls: 0,
@@ -437,7 +443,7 @@
             poll_due: now,
         });
         if self.link.is_some() {
-            self.inventory_due = Some(now);
+            self.request_inventory(now);
         }
         let is_row_deleted = self.row_write.as_ref().is_some_and(|(is_present, _)| !is_present);
         if is_row_deleted {
@@ -522,6 +528,12 @@
         }
     }
 
+    /// Requires an inventory from a poll that is sent from now on.
+    fn request_inventory(&mut self, now: Duration) {
+        self.inventory_due = Some(now);
+        self.is_inventory_partial = false;
+    }
+
     fn send_to_placer(&self, message: FromAgent) {
         if let Some((_, sender)) = &self.link {
             sender.post(message);
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -108,7 +108,7 @@
         self.term = term;
         self.link = Some((link, sender));
         self.placer_knows_crashes = rows::knows_crashes(version);
-        self.inventory_due = Some(now);
+        self.request_inventory(now);
         self.grant_request_due = now;
         if let Some(tracked) = &mut self.tracked {
             // Ends and progress are reported again.
@@ -143,6 +143,7 @@
                     asked: now,
                     version,
                     crashes,
+                    is_partial: tracked.has_more_ends,
                 }
             }
             None => FromAgent::Inventory {
@@ -154,11 +155,16 @@
                 asked: now,
                 version,
                 crashes,
+                is_partial: false,
             },
         };
-        let is_final = self.tracked.is_some() || now >= self.empty_at;
-        if is_final {
-            self.inventory_due = None;
+        match &self.tracked {
+            Some(tracked) if tracked.has_more_ends => self.is_inventory_partial = true,
+            None if now < self.empty_at => {}
+            _ => {
+                self.inventory_due = None;
+                self.is_inventory_partial = false;
+            }
         }
         self.send_to_placer(message);
     }
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -115,14 +115,20 @@
         let cursor = tracked.cursor;
         tracked.ends = response.ends.into_iter().filter(|end| end.number > cursor).collect();
         tracked.ends.sort_unstable_by_key(|end| end.number);
+        tracked.has_more_ends = response.has_more_ends;
+        let has_more_ends = response.has_more_ends;
         tracked.poll_due = if tracked.ends.is_empty() { now } else { now + UNSETTLED_PAUSE };
         self.acknowledged_starts.retain(|_, taken| *taken > sent);
         self.clear_ended();
-        self.report_absent(sent);
+        // A run that isn't listed may have ended as done.
+        if !has_more_ends {
+            self.report_absent(sent);
+        }
         self.update_started_at(now);
-        if term == self.term && self.inventory_due.is_some_and(|due| sent >= due) {
+        let is_inventory_due = term == self.term && self.inventory_due.is_some_and(|due| sent >= due);
+        if is_inventory_due && !(has_more_ends && self.is_inventory_partial) {
             self.send_inventory();
-        } else if self.inventory_due.is_none() {
+        } else if self.inventory_due.is_none() || self.is_inventory_partial {
             self.report_ends();
         }
         self.update_paces(now);
@@ -140,7 +146,8 @@
 
     /// Reports the progress of runs that has changed since the last report.
     pub(super) fn report_progress(&mut self, now: Duration) {
-        if now < self.report_due || self.inventory_due.is_some() || self.link.is_none() {
+        let has_inventory = self.inventory_due.is_none() || self.is_inventory_partial;
+        if now < self.report_due || !has_inventory || self.link.is_none() {
             return;
         }
         self.report_due = now + REPORT_INTERVAL;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -110,6 +110,10 @@
         /// Crashes of the worker that aren't settled; versions before 0.4.0 report none.
         #[serde(default)]
         crashes: Vec<CrashReport>,
+        /// Whether runs that aren't listed may have ended on the worker. The whole inventory follows once the ends that
+        /// are listed are settled. Versions before 0.5.0 don't tell.
+        #[serde(default)]
+        is_partial: bool,
     },
     /// The agent obeys a newer term.
     Superseded {
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -101,10 +101,11 @@
 
     pub(super) fn handle_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
-            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version, crashes } => {
+            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version, crashes, is_partial } => {
                 self.agent_versions.insert(Arc::clone(agent), version);
                 self.log_versions();
-                self.handle_inventory(agent, Inventory { worker, running, starting, ends, crashes, is_empty }, now);
+                let inventory = Inventory { worker, running, starting, ends, crashes, is_empty, is_partial };
+                self.handle_inventory(agent, inventory, now);
                 self.send_grant(agent, asked, now);
             }
             FromAgent::Superseded { term } => {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -59,8 +59,10 @@
     pub born_unix_ms: Option<u64>,
     /// Runs that are running.
     pub running: Vec<RunReport>,
-    /// Ends that the worker hasn't been told to forget.
+    /// Ends that the worker hasn't been told to forget, the earliest ones.
     pub ends: Vec<End>,
+    /// Whether there may be further ends. A run that is neither running nor listed may then have ended.
+    pub has_more_ends: bool,
 }
 
 /// Why a poll failed.
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -305,6 +305,7 @@
         starting: vec![(task(), 10_002)],
         ends: vec![end.clone()],
         is_empty: false,
+        is_partial: false,
         asked: Duration::from_nanos(1_234_567),
         version: Some(name("0.2.0")),
         crashes: vec![crash_report()],
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -494,6 +494,7 @@
             starting: Vec::new(),
             ends: Vec::new(),
             is_empty: false,
+            is_partial: false,
             asked: Duration::ZERO,
             version: None,
             crashes: Vec::new(),
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -102,7 +102,7 @@
 
 /// Response of a worker on which nothing runs.
 pub fn idle_poll() -> PollResponse {
-    PollResponse { clock_ms: 1_000, born_unix_ms: Some(7), running: Vec::new(), ends: Vec::new() }
+    PollResponse { clock_ms: 1_000, born_unix_ms: Some(7), running: Vec::new(), ends: Vec::new(), has_more_ends: false }
 }
 
 pub fn life() -> Life {
