Keep a worker that answers, whatever other reports say

Cause: an agent took each report of a later start time for its worker's, and told the placer that the one it had was over, though it answered polls.

Ruled out by tests on the former code: reports of a smaller start time or none, a DELETE of another worker. Likewise shown: a late report after the time of day was set back, an agent that starts again and hears the foreign report, and the crash of a silent worker that such a report confirms.

Change: a report of another life makes the agent poll the worker that it has, and the answer decides. A silent worker keeps its lease. A worker that has not answered yet is replaced without a word to the placer.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -8,6 +8,7 @@
 mod looks;
 mod orders;
 mod paces;
+mod reports;
 mod row;
 
 use std::collections::VecDeque;
@@ -31,7 +32,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use self::crashes::life_age;
+use self::reports::OtherReport;
 use crate::clock::whole_ms;
 use crate::message::{FromAgent, HEARTBEAT_INTERVAL, ToAgent};
 use crate::metrics::Metrics;
@@ -161,13 +162,30 @@
     refused_connections: u32,
     /// When the first call failed since the last successful poll.
     failing_since: Option<Duration>,
+    identity: Identity,
     /// Since when the worker may have restarted. Nothing is settled until a poll confirms the incarnation.
     maybe_restarted_since: Option<Duration>,
     is_polling: bool,
     poll_due: Duration,
 }
 
+/// What shows that an incarnation is the worker beside the agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Identity {
+    /// Its report alone, which another writer may have sent.
+    Reported,
+    /// It answers polls, without telling when it started.
+    Answers,
+    /// It answers polls and tells when it started.
+    AnswersWithStart,
+}
+
 impl TrackedWorker {
+    /// Whether this incarnation has answered a poll of this agent.
+    fn is_confirmed(&self) -> bool {
+        self.identity != Identity::Reported
+    }
+
     /// Whether the worker has left polls unanswered.
     const fn is_silent(&self) -> bool {
         self.failed_polls >= SILENT_POLLS
@@ -213,6 +231,8 @@
     /// Failure domains in which nothing may start, as learned from any placer.
     evacuated: EvacuatedDomains,
     tracked: Option<TrackedWorker>,
+    /// Latest report of an incarnation other than the confirmed one.
+    other_report: Option<OtherReport>,
     /// Previous incarnation of the worker, while the placer still counts on it.
     previous_life: Option<Life>,
     /// Time from which a worker that has ended, or was never known, can't run anything any more.
@@ -291,6 +311,7 @@
             grant: Grant::default(),
             evacuated: EvacuatedDomains::default(),
             tracked: None,
+            other_report: None,
             previous_life: None,
             empty_at: now + lapse_after(LEASE_MAX),
             pending_starts: Map::default(),
@@ -372,87 +393,9 @@
         }
     }
 
-    /// Applies a report from the worker.
-    fn handle_report(&mut self, report: Report, now: Duration) {
-        let received = now;
-        let reading = report.clock_ms.map(|worker_ms| ClockReading { worker_ms, received });
-        if let Some(tracked) = &mut self.tracked {
-            if tracked.worker.life == report.worker.life {
-                if report.sequence <= tracked.sequence {
-                    return;
-                }
-                tracked.sequence = report.sequence;
-                tracked.address = report.address;
-                let has_changed = tracked.worker.leaves_in.is_some() != report.worker.leaves_in.is_some()
-                    || tracked.worker.resources != report.worker.resources
-                    || tracked.worker.service != report.worker.service
-                    || tracked.worker.cold_for.is_zero() != report.worker.cold_for.is_zero();
-                tracked.cold_until = now + report.worker.cold_for;
-                tracked.worker = report.worker.clone();
-                if has_changed {
-                    log::info!(event = "worker_changed", worker = &*report.worker.life.worker,
-                        leaves = report.worker.leaves_in.is_some(); "");
-                    self.send_to_placer(FromAgent::Worker(report.worker));
-                }
-                return;
-            }
-            if report.worker.life.born_unix_ms < tracked.worker.life.born_unix_ms {
-                log::info!(event = "report_of_former_life", worker = &*report.worker.life.worker; "");
-                return;
-            }
-            if tracked.worker.life.worker == report.worker.life.worker {
-                let life_age = life_age(report.worker.life.born_unix_ms, report.clock_ms.unwrap_or_default());
-                self.handle_worker_restart(life_age, now);
-            } else {
-                self.handle_worker_end("replaced", now);
-            }
-        }
-        self.track_worker(report.worker, report.address, report.sequence, reading, now);
-    }
-
-    /// Starts to track an incarnation of the worker.
-    fn track_worker(
-        &mut self,
-        worker: Worker,
-        address: SocketAddr,
-        sequence: u64,
-        reading: Option<ClockReading>,
-        now: Duration,
-    ) {
-        log::info!(event = "worker_registered", worker = &*worker.life.worker,
-            born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
-        self.confirm_silent_crash(&worker.life);
-        self.tracked = Some(TrackedWorker {
-            cold_until: now + worker.cold_for,
-            worker,
-            address,
-            sequence,
-            reading,
-            lease_until: Duration::ZERO,
-            cursor: 0,
-            reported_end: 0,
-            ends: Vec::new(),
-            has_more_ends: false,
-            running: Vec::new(),
-            reported_progress: Map::default(),
-            failed_polls: 0,
-            refused_connections: 0,
-            failing_since: None,
-            maybe_restarted_since: None,
-            is_polling: false,
-            poll_due: now,
-        });
-        if self.link.is_some() {
-            self.request_inventory(now);
-        }
-        let is_row_deleted = self.row_write.as_ref().is_some_and(|(is_present, _)| !is_present);
-        if is_row_deleted {
-            self.announce(now);
-        }
-    }
-
     fn handle_leave(&mut self, name: &Name, now: Duration) {
         if self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life.worker == *name) {
+            self.other_report = None;
             self.handle_worker_end("left", now);
             // No placer has to wait for an agent whose worker has left.
             self.write_row(None);
@@ -514,6 +457,7 @@
             self.send_to_placer(FromAgent::Gone(previous_life));
         }
         self.send_to_placer(FromAgent::Gone(tracked.worker.life));
+        self.apply_other_report(now);
     }
 
     /// Gives up a worker that doesn't respond and whose lease has ended.
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -37,11 +37,13 @@
         self.silent_life = None;
     }
 
-    /// The worker's present life and its runs as a crash; `None` without a worker, or if its end was announced.
+    /// The worker's present life and its runs as a crash; `None` without a worker that has answered, or if its end was
+    /// announced.
     ///
     /// Without the runs that were started within `life_age`: the next life took those.
     pub(super) fn crash_report(&self, life_age: Duration, now: Duration) -> Option<CrashReport> {
-        let tracked = self.tracked.as_ref().filter(|tracked| tracked.worker.leaves_in.is_none())?;
+        let tracked =
+            self.tracked.as_ref().filter(|tracked| tracked.is_confirmed() && tracked.worker.leaves_in.is_none())?;
         let crashed_at = tracked.failing_since.unwrap_or(now).min(now.saturating_sub(life_age));
         let is_unresolved =
             |run: &&RunId| self.pending_starts.contains_key(*run) || self.pending_stops.contains_key(*run);
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -82,8 +82,14 @@
                     Worker { life: Life { born_unix_ms, ..life.clone() }, leaves_in: None, resources, ..worker };
                 self.handle_worker_restart(life_age(born_unix_ms, clock_ms), now);
                 self.track_worker(worker, address, 0, Some(ClockReading { worker_ms: clock_ms, received: now }), now);
+                self.confirm_worker(true);
+                self.apply_other_report(now);
+            }
+            Ok(response) => {
+                self.confirm_worker(response.born_unix_ms.is_some());
+                self.reject_other_report(sent);
+                self.apply_poll(response, term, sent, now);
             }
-            Ok(response) => self.apply_poll(response, term, sent, now),
             Err(error) => self.handle_poll_failure(error, now),
         }
     }
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -33,6 +34,8 @@
     pub delays_start_responses: bool,
     pub stop: OrderOutcome,
     pub poll: Result<PollResponse, PollError>,
+    /// Responses to polls of other workers than that of [`life`], by name.
+    pub other_polls: BTreeMap<Name, Result<PollResponse, PollError>>,
     /// Duration of a poll after the worker has composed its response.
     pub poll_delay: Duration,
     pub starts: Vec<(TaskId, u64, u64)>,
@@ -86,10 +89,11 @@
                 paces.change(|script| script.paces.push((task, percent)));
                 Box::pin(async { OrderOutcome::Taken })
             }),
-            poll: Box::new(move |(_, ask)| {
+            poll: Box::new(move |(target, ask)| {
                 let (answer, takes) = polls.change(|script| {
                     script.polls.push(ask);
-                    (script.poll.clone(), script.poll_delay)
+                    let answer = script.other_polls.get(&target.worker).unwrap_or(&script.poll);
+                    (answer.clone(), script.poll_delay)
                 });
                 Box::pin(async move {
                     tokio::time::sleep(takes.max(Duration::from_millis(5))).await;
@@ -144,6 +148,7 @@
         delays_start_responses: false,
         stop: OrderOutcome::Taken,
         poll: Ok(idle_poll()),
+        other_polls: BTreeMap::new(),
         poll_delay: Duration::ZERO,
         starts: Vec::new(),
         stops: Vec::new(),
