Refuse a job that does not fit into a row at once

The row of a job was encoded when its transaction was built, and neither its size nor that it can be encoded was checked before.

Change: the row is encoded before the job is queued. A transaction takes rows up to a size.

--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,5 +1,6 @@
 //! Keys and contents of the cell's rows.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::store::ROW_BYTES_MAX;
+
 /// Key of the placer's row, in table `cell`.
 pub const PLACER_KEY: &str = "placer";
 /// Key of the placer's heartbeat, in table `cell`.
@@ -199,6 +202,37 @@
     bytes
 }
 
+/// Reason why the row of a job can't be written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobRowFault {
+    /// It is larger than a row of the store.
+    TooLarge,
+    /// A value has no encoded form.
+    NoForm,
+}
+
+impl fmt::Display for JobRowFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge => write!(f, "the job takes more than {ROW_BYTES_MAX} bytes"),
+            Self::NoForm => f.write_str("a time of the job is out of range"),
+        }
+    }
+}
+
+impl std::error::Error for JobRowFault {}
+
+/// Encodes the row of a job.
+///
+/// # Errors
+///
+/// [`JobRowFault`] if the store wouldn't take the row, or a value of the job has no encoded form.
+pub fn encode_job(job: &Job) -> Result<Vec<u8>, JobRowFault> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(job, &mut bytes).or(Err(JobRowFault::NoForm))?;
+    if bytes.len() <= ROW_BYTES_MAX { Ok(bytes) } else { Err(JobRowFault::TooLarge) }
+}
+
 /// Decodes the content of a row; logs an error and returns `None` if it is malformed.
 #[must_use]
 pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -23,16 +23,29 @@
 
 /// Maximum number of rows in one transaction; below the store's limit on conditions and changes together.
 const TRANSACTION_ROWS_MAX: usize = 45;
+/// Size of the rows from which a transaction takes no further one, in bytes; with one more of the largest rows it stays
+/// within the store's 1 MB in Base64.
+const TRANSACTION_BYTES_MAX: usize = 512 << 10;
 /// Maximum number of requests waiting for the next transaction; further ones are refused at once.
 const QUEUE_CAPACITY: usize = 1_024;
 
 /// Row to store.
 #[derive(Clone, Debug)]
 enum Write {
-    Job(Box<Job>),
+    /// Job and its encoded row.
+    Job(JobId, Vec<u8>),
     Cancel(JobId),
 }
 
+impl Write {
+    const fn row_bytes(&self) -> usize {
+        match self {
+            Self::Job(_, row) => row.len(),
+            Self::Cancel(_) => 0,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Request {
     write: Write,
@@ -86,9 +99,16 @@
         &self.health
     }
 
-    /// Stores a job unless it is already stored.
+    /// Stores a job unless it is already stored. One that doesn't fit into a row is refused, since the store would refuse
+    /// it together with the others of its transaction.
     pub async fn store_job(&self, job: Job, deadline: Duration) -> StoreOutcome {
-        self.enqueue(job.id, Write::Job(Box::new(job)), deadline).await
+        match rows::encode_job(&job) {
+            Ok(row) => self.enqueue(job.id, Write::Job(job.id, row), deadline).await,
+            Err(fault) => {
+                log::warn!(event = "job_not_stored", job:% = job.id, error:% = fault; "");
+                StoreOutcome::Refused
+            }
+        }
     }
 
     /// Stores the cancellation of a job.
@@ -119,11 +139,11 @@
                 None => return,
             }
         }
-        while pending.len() < TRANSACTION_ROWS_MAX {
-            match queue.try_recv() {
-                Ok(request) => pending.push(request),
-                Err(_) => break,
-            }
+        let mut bytes: usize = pending.iter().map(|request| request.write.row_bytes()).sum();
+        while pending.len() < TRANSACTION_ROWS_MAX && bytes < TRANSACTION_BYTES_MAX {
+            let Ok(request) = queue.try_recv() else { break };
+            bytes += request.write.row_bytes();
+            pending.push(request);
         }
         pending = write_batch(&store, &clock, &health, pending).await;
     }
@@ -150,8 +170,8 @@
         }
         Outcome::Conflict(rows) => {
             let is_stored = |request: &Request| match &request.write {
-                Write::Job(job) => {
-                    let key = rows::job_key(job.id);
+                Write::Job(id, _) => {
+                    let key = rows::job_key(*id);
                     rows.iter().any(|(table, row)| &**table == Table::Jobs.name() && row.key == key && row.revision > 0)
                 }
                 Write::Cancel(_) => false,
@@ -187,13 +207,13 @@
     let mut transaction = Transaction::default();
     for request in pending {
         match &request.write {
-            Write::Job(job) => {
-                let key = rows::job_key(job.id);
+            Write::Job(id, row) => {
+                let key = rows::job_key(*id);
                 if transaction.changes.iter().any(|change| change.key == key) {
                     continue;
                 }
                 transaction.conditions.push(Condition { table: Table::Jobs, key: Arc::clone(&key), revision: 0 });
-                transaction.changes.push(Change { table: Table::Jobs, key, value: Some(rows::encode(job)) });
+                transaction.changes.push(Change { table: Table::Jobs, key, value: Some(row.clone()) });
             }
             Write::Cancel(id) => {
                 let key = rows::cancel_key(*id);
--- a/crates/scheduler/tests/submit.rs
+++ b/crates/scheduler/tests/submit.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
+use chervilledge_cell::job::{Job, Step};
+use chervilledge_policy::id::Name;
 use chervilledge_scheduler::message::StoreOutcome;
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::submit;
+use futures_util::future::join_all;
 use rstest::rstest;
 use support::{Fault, MemoryStore, job, tokio_clock};
 use tokio::time::Instant;
@@ -74,3 +77,34 @@
     assert_eq!(submitter.store_job(job(3), deadline()).await, StoreOutcome::Done);
     assert_eq!(submitter.store_job(job(4), deadline()).await, StoreOutcome::Done);
 }
+
+/// A job whose steps take about this many bytes in its row.
+fn large_job(id: u64, bytes: usize) -> Job {
+    let label = Some(Name::from("x".repeat(bytes / 8)));
+    Job { steps: vec![Step { count: 1, required_label: label, ..Step::default() }; 8], ..job(id) }
+}
+
+/// Jobs in one transaction with one that is too large for a row, or with so many large ones that they are too much for one
+/// call, were refused with it.
+#[tokio::test(start_paused = true)]
+async fn a_job_too_large_for_a_row_refuses_those_beside_it() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    // All of one partition.
+    let sizes = std::iter::once(70_000).chain(std::iter::repeat_n(40_000, 40));
+    let jobs = sizes.enumerate().map(|(number, bytes)| large_job(16 * (number as u64 + 1), bytes));
+    let stored = join_all(jobs.map(|job| submitter.store_job(job, deadline()))).await;
+    assert_eq!(stored[0], StoreOutcome::Refused);
+    assert!(stored[1..].iter().all(|stored| *stored == StoreOutcome::Done), "{stored:?}");
+}
+
+/// A job with a value that can't be encoded ended the task that stores the jobs of its partition.
+#[tokio::test(start_paused = true)]
+async fn a_job_without_an_encoded_form_ends_the_writer() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let submitter = submit::spawn(&rows.store(), &tokio_clock());
+    let target = Some(Duration::from_secs(u64::MAX));
+    let poison = Job { steps: vec![Step { count: 1, latency_target: target, ..Step::default() }], ..job(16) };
+    assert_eq!(submitter.store_job(poison, deadline()).await, StoreOutcome::Refused);
+    assert_eq!(submitter.store_job(job(32), deadline()).await, StoreOutcome::Done);
+}
