--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -249,13 +249,10 @@
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         let mut left: u64 = entry.left.values().map(|left| u64::from(*left)).sum();
         loop {
-            let occurrence = entry.opened_occurrences;
-            if let Some(last) = entry.progress.completed.last_of_range(occurrence) {
+            if let Some(last) = entry.progress.completed.last_of_range(entry.opened_occurrences) {
                 entry.opened_occurrences = last.saturating_add(1).min(entry.job.occurrences());
-                if occurrence < entry.opened_occurrences {
-                    continue;
-                }
             }
+            let occurrence = entry.opened_occurrences;
             let is_due = match (entry.job.due_unix_ms(occurrence), unix_ms) {
                 (None, _) => true,
                 (Some(due), Some(unix_ms)) => unix_ms >= due,
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -162,6 +162,7 @@
     refused_connections: u32,
     /// When the first call failed since the last successful poll.
     failing_since: Option<Duration>,
+    /// What shows that this incarnation is the worker beside the agent.
     identity: Identity,
     /// Since when the worker may have restarted. Nothing is settled until a poll confirms the incarnation.
     maybe_restarted_since: Option<Duration>,
@@ -169,7 +170,7 @@
     poll_due: Duration,
 }
 
-/// What shows that an incarnation is the worker beside the agent.
+/// Evidence of an incarnation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Identity {
     /// Its report alone, which another writer may have sent.
@@ -395,6 +396,7 @@
 
     fn handle_leave(&mut self, name: &Name, now: Duration) {
         if self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life.worker == *name) {
+            // Another worker is tracked from its next report on, after the row is deleted.
             self.other_report = None;
             self.handle_worker_end("left", now);
             // No placer has to wait for an agent whose worker has left.
--- a/crates/scheduler/src/progress_rows.rs
+++ b/crates/scheduler/src/progress_rows.rs
@@ -35,6 +35,12 @@
     content: ByteBuf,
 }
 
+/// Content of the row with the job's own key.
+enum FirstRow {
+    Whole(Progress),
+    Divided(FirstPart),
+}
+
 /// Compact form of [`Progress`].
 #[derive(Debug, Default, Deserialize, Serialize)]
 struct CompactProgress {
@@ -142,8 +148,9 @@
 /// Decodes the progress of a job; logs an error and returns `None` if it is malformed or a part is missing.
 #[must_use]
 pub fn decode(job: JobId, value: &[u8], parts: &Parts<'_>) -> Option<Progress> {
-    let Ok(first) = ciborium::from_reader::<FirstPart, _>(value) else {
-        return rows::decode(&rows::job_key(job), value);
+    let first = match decode_first(job, value)? {
+        FirstRow::Whole(progress) => return Some(progress),
+        FirstRow::Divided(first) => first,
     };
     let mut content = first.content.into_vec();
     for number in 1..=first.parts {
@@ -164,8 +171,21 @@
 /// outcome is small.
 #[must_use]
 pub fn decode_outcome(job: JobId, value: &[u8]) -> Option<Option<Outcome>> {
-    if ciborium::from_reader::<FirstPart, _>(value).is_ok() {
-        return Some(None);
+    match decode_first(job, value)? {
+        FirstRow::Whole(progress) => Some(progress.outcome),
+        FirstRow::Divided(_) => Some(None),
     }
-    rows::decode::<Progress>(&rows::job_key(job), value).map(|progress| progress.outcome)
+}
+
+/// Decodes the row with the job's own key. Most of these rows are whole, so that form is tried first.
+fn decode_first(job: JobId, value: &[u8]) -> Option<FirstRow> {
+    let error = match ciborium::from_reader(value) {
+        Ok(progress) => return Some(FirstRow::Whole(progress)),
+        Err(error) => error,
+    };
+    let Ok(first) = ciborium::from_reader(value) else {
+        log::warn!(event = "row_malformed", key:% = job, error:% = error; "");
+        return None;
+    };
+    Some(FirstRow::Divided(first))
 }
