Send the state of a worker's next life only with its runs

Cause: the agent sent the state of the worker's next life as a change, before the inventory that lists its runs. The placer takes all runs of the former life for lost then, also those that the next life took.

Change: no state is sent while the inventory is due, which has the latest state.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -480,6 +480,11 @@
         self.is_inventory_partial = false;
     }
 
+    /// Whether the placer has an inventory of the present incarnation, even if it is a partial one.
+    const fn is_inventory_sent(&self) -> bool {
+        self.inventory_due.is_none() || self.is_inventory_partial
+    }
+
     fn send_to_placer(&self, message: FromAgent) {
         if let Some((_, sender)) = &self.link {
             sender.post(message);
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -134,7 +134,7 @@
         let is_inventory_due = term == self.term && self.inventory_due.is_some_and(|due| sent >= due);
         if is_inventory_due && !(has_more_ends && self.is_inventory_partial) {
             self.send_inventory();
-        } else if self.inventory_due.is_none() || self.is_inventory_partial {
+        } else if self.is_inventory_sent() {
             self.report_ends();
         }
         self.update_paces(now);
@@ -152,8 +152,7 @@
 
     /// Reports the progress of runs that has changed since the last report.
     pub(super) fn report_progress(&mut self, now: Duration) {
-        let has_inventory = self.inventory_due.is_none() || self.is_inventory_partial;
-        if now < self.report_due || !has_inventory || self.link.is_none() {
+        if now < self.report_due || !self.is_inventory_sent() || self.link.is_none() {
             return;
         }
         self.report_due = now + REPORT_INTERVAL;
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -74,7 +74,11 @@
         if has_changed {
             log::info!(event = "worker_changed", worker = &*report.worker.life.worker,
                 leaves = report.worker.leaves_in.is_some(); "");
-            self.send_to_placer(FromAgent::Worker(report.worker));
+            // The placer learns of a new incarnation from its inventory: without the runs that it has, it would take
+            // those of the former one for lost.
+            if self.is_inventory_sent() {
+                self.send_to_placer(FromAgent::Worker(report.worker));
+            }
         }
     }
 
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -102,6 +102,7 @@
 async fn inventory_of_next_life(placer: &mut Link) -> Vec<(TaskId, u64)> {
     let choose = |message| match message {
         FromAgent::Gone(life) => panic!("{life:?} is reported as gone before its orders are accounted for"),
+        FromAgent::Worker(worker) => panic!("{:?} is reported before its runs", worker.life),
         FromAgent::Inventory { worker: Some(worker), running, starting, .. } if worker.life == next_life() => {
             Some(running.into_iter().map(|report| (report.task, report.run)).chain(starting).collect())
         }
@@ -136,6 +137,24 @@
     assert_eq!(inventory_of_next_life(&mut placer).await, vec![(task(1), 1)]);
 }
 
+/// The state of the next life was sent without its runs, so that the placer started them elsewhere.
+#[tokio::test]
+async fn the_next_life_of_a_worker_is_told_without_its_runs() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    assert_eq!(placer.inventory().await, Vec::new());
+    agent.worker.change(|script| script.poll_delay = Duration::from_millis(200));
+    let polls = agent.worker.change(|script| script.polls.len());
+    agent.worker.wait_for("a slow poll of the former life", |script| script.polls.len() > polls + 1).await;
+    let running =
+        RunReport { task: task(1), run: 1, checkpoint: "".into(), percent: 10, measured: 400, pace_percent: 100 };
+    agent.worker.change(|script| {
+        script.poll = Ok(PollResponse { running: vec![running], born_unix_ms: Some(9), ..idle_poll() });
+    });
+    agent.report(next_life());
+    assert_eq!(inventory_of_next_life(&mut placer).await, vec![(task(1), 1)]);
+}
+
 /// An unanswered start may be executed by the worker's next incarnation.
 #[tokio::test]
 async fn a_start_without_an_answer_is_stopped_in_the_next_life_of_a_worker() {
