Measure the wait for former leases from the claim in its test

Cause, in the test: the wait counts from the claim, and the test's clock began after the context was built, later by what a busy machine takes.

The test is as strict: the lower bound is the same and counts from the moment that it is about, the upper bound is shorter by that time.

--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -164,6 +164,8 @@
         former_witnesses.push(addresses);
     }
     let clock = clock::system();
+    // The leases count from the claim.
+    let began = Instant::now();
     let claimed = clock.now();
     let context = Context {
         name: Arc::from("entry-1"),
@@ -188,7 +190,6 @@
         ended_jobs_kept: Duration::from_mins(2),
     };
     let expected = leases_end(Duration::ZERO, LEASE).saturating_sub(Duration::from_millis(renewed_ms_ago));
-    let began = Instant::now();
     let _placer = placer::spawn(context).await.expect("placer");
     let is_alone = || stored::<rows::Heartbeat>(&rows, HEARTBEAT_KEY).is_some_and(|heartbeat| heartbeat.is_alone);
     wait_for("the end of all former placers", is_alone).await;
