Reserve the addresses at which tests start listeners later

Cause: six places chose a port by binding port 0, closed that listener and bound the port again later. Until then the kernel may give it to anyone: a listener of a test beside it, or a connection's own end.

Evidence: the panic is in the second bind, with AddrInUse.

Ruled out: a fault of the agent. It binds once, before anything else, and no other agent of the test exists yet; a listener in TIME_WAIT doesn't keep tokio from binding, since it sets SO_REUSEADDR.

Change: free_address() keeps a bound socket that doesn't listen. The kernel hands such a port out neither for port 0 nor for connections, and a listener of tokio can be bound beside it. All six places use it.

--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -13,6 +13,7 @@
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
+use support::ports::free_address;
 use support::{Fault, MemoryStore, tokio_clock};
 use tokio::time::Instant;
 
@@ -230,7 +231,7 @@
 async fn entry_with_lost_placer(rows: &MemoryStore) -> (Entry, (TcpListener, Entry)) {
     // A listener that never accepts, as seen by those who connect to a machine that was lost.
     let lost = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
+    let free = free_address();
     rows.configure(1);
     write_placer(rows, 1, "lost", lost.local_addr().expect("its address"));
     let entry = spawn("entry", rows.store()).await;
--- a/crates/scheduler/tests/entry.rs
+++ b/crates/scheduler/tests/entry.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use chervilledge_scheduler::entry::{self, Entry, Reply};
@@ -10,6 +10,7 @@
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
+use support::ports::free_address;
 use support::{Fault, MemoryStore, job, tokio_clock};
 
 /// Timeout of callers.
@@ -58,7 +59,7 @@
 /// The same through another entry, which relays the job to the peer that made the unanswered attempt.
 #[tokio::test]
 async fn a_job_that_may_be_stored_by_a_peer_is_not_refused() {
-    let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|free| free.local_addr()).expect("a free port");
+    let address = free_address();
     let loses = MemoryStore::with_fault(Fault::LoseAnswers(u32::MAX));
     let peer = spawn_at("entry-2", address, &loses, APPLY).await;
     let refuses = MemoryStore::with_fault(Fault::Refuse);
--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -28,6 +28,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use support::agent::{self, link, task};
+use support::ports::free_address;
 use support::{Fault, MemoryStore, job};
 use tokio::sync::watch;
 
@@ -223,9 +224,7 @@
 /// to be written that placers can't load.
 #[tokio::test]
 async fn malformed_messages_of_entries_store_nothing_and_do_not_end_the_entry() {
-    let free = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
-    let address = free.local_addr().expect("address");
-    drop(free);
+    let address = free_address();
     let settings = json!({"name": "entry-1", "links_address": address, "processor_share": 1.0,
         "worker_lease_max_ms": 5_000, "configuration_apply_ms": 2_000, "cancellation_apply_ms": 3_000,
         "ended_jobs_kept_s": 120.0, "stop_timeout_s": 6.0});
--- a/crates/scheduler/tests/succession.rs
+++ b/crates/scheduler/tests/succession.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::{clock, metrics, settings};
 use rstest::rstest;
+use support::ports::free_address;
 use support::{Fault, MemoryStore, tokio_clock};
 
 /// Term under which the small entry placed before the power loss of all machines.
@@ -37,12 +38,6 @@
     entry::spawn(settings, clock, rows.store(), metrics::open()).await.expect("an entry")
 }
 
-/// Address at which nothing listens yet.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    listener.local_addr().expect("its address")
-}
-
 fn write_entry(rows: &MemoryStore, name: &str, processor_share: f64, address: SocketAddr) {
     let row = rows::EntryProcess { address, processor_share, response: None, version: None };
     rows.write(Table::Cell, &format!("entry/{name}"), Some(rows::encode(&row)));
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use chervilledge_scheduler::{rows, settings};
 use ractor::ActorRef;
 
+use super::ports::free_address;
 use super::{Fault, MemoryStore};
 
 /// Timeout for conditions that should be met soon.
@@ -140,9 +141,7 @@
 
 /// Starts an agent that announces itself in a store; its worker hasn't reported yet.
 pub async fn spawn_named(name: &str, rows: MemoryStore) -> RunningAgent {
-    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
-    let address = free.local_addr().expect("address");
-    drop(free);
+    let address = free_address();
     let script = Script {
         start: StartOutcome::Running { clock_ms: None },
         delays_start_responses: false,
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -4,10 +4,9 @@
 
 pub mod agent;
 pub mod narrow;
+pub mod ports;
 
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
-use std::net::{Ipv4Addr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,8 +23,6 @@
 use chervilledge_scheduler::{clock, metrics, settings};
 use tokio::time::Instant;
 
-/// Attempts to bind a port that was free before.
-const ATTEMPTS_AT_A_PORT: u32 = 10;
 /// Response time of the store.
 const ANSWER_TIME: Duration = Duration::from_millis(10);
 
@@ -362,28 +359,18 @@
 
 /// Starts an entry on a free port.
 pub async fn spawn_entry(name: &str, store: Handle) -> Entry {
-    for _ in 0..ATTEMPTS_AT_A_PORT {
-        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
-        let links_address = free.local_addr().expect("address");
-        drop(free);
-        let settings = settings::Entry {
-            name: name.into(),
-            links_address,
-            processor_share: 1.0,
-            worker_lease_max: Duration::from_secs(5),
-            configuration_apply: Duration::from_secs(2),
-            evacuation_apply: None,
-            cancellation_apply: Duration::from_secs(3),
-            ended_jobs_kept: Duration::from_mins(2),
-            stop_timeout: Duration::from_secs(6),
-        };
-        match entry::spawn(settings, clock::system(), Arc::clone(&store), metrics::open()).await {
-            // Another test has taken the port meanwhile.
-            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
-            other => return other.expect("an entry"),
-        }
-    }
-    panic!("no free port")
+    let settings = settings::Entry {
+        name: name.into(),
+        links_address: ports::free_address(),
+        processor_share: 1.0,
+        worker_lease_max: Duration::from_secs(5),
+        configuration_apply: Duration::from_secs(2),
+        evacuation_apply: None,
+        cancellation_apply: Duration::from_secs(3),
+        ended_jobs_kept: Duration::from_mins(2),
+        stop_timeout: Duration::from_secs(6),
+    };
+    entry::spawn(settings, clock::system(), store, metrics::open()).await.expect("an entry")
 }
 
 /// Configuration with the queue and service of a job.
--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -17,6 +17,7 @@
 use chervilledge_scheduler::store::{Call, Handle, Store, Table, Transaction};
 use chervilledge_scheduler::{candidate, clock, metrics};
 use rstest::rstest;
+use support::ports::free_address;
 use support::{Fault, MemoryStore, agent};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -26,11 +27,6 @@
 /// Timeout for conditions that should be met soon.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
-fn free_address() -> SocketAddr {
-    let free = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
-    free.local_addr().expect("address")
-}
-
 async fn spawn_entry(number: usize, store: Handle) -> Entry {
     support::spawn_entry(&format!("entry-{number}"), store).await
 }
