Start the members of a gang from one checkpoint

Cause: place_gang started each member from the checkpoint of its own task. Members report theirs at different times, and each saves one of its own at a stop. Members that start from different ones never work together, so no run saved anything and the difference stayed.

Ruled out by the same record: members that start apart (within 2 ms) and different run numbers (2 for all).

--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -14,7 +14,7 @@
 use super::jobs::JobEntry;
 use super::task::{Checkpoint, Task};
 use super::{Cell, Note};
-use crate::job::{JobId, TaskKey};
+use crate::job::{JobId, TaskId, TaskKey};
 use crate::progress::{Checkpointed, Progress};
 use crate::worker::RunReport;
 
@@ -132,6 +132,21 @@
 }
 
 impl Cell {
+    /// Gives all members of a gang one checkpoint, the one with the most progress.
+    ///
+    /// The checkpoint of any member is valid for the gang, and members that start from different ones don't work
+    /// together.
+    pub(crate) fn share_checkpoint(&mut self, members: &[TaskId]) {
+        let checkpoints = members.iter().filter_map(|member| Some(&self.task(*member)?.checkpoint));
+        let saved = checkpoints.filter(|checkpoint| !checkpoint.text.is_empty());
+        let Some(shared) = saved.max_by_key(|checkpoint| (checkpoint.percent, checkpoint.run)).cloned() else { return };
+        for member in members {
+            if let Some(task) = self.task_mut(*member) {
+                task.checkpoint = shared.clone();
+            }
+        }
+    }
+
     /// Selects the jobs whose checkpoints are written next, if a selection is due.
     ///
     /// Nothing is selected while checkpoints of an earlier selection aren't durable.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -249,6 +249,7 @@
         let racks = if self.step_of(task).is_some_and(|step| step.same_rack) { self.racks() } else { vec![None] };
         for rack in racks {
             if let Some(places) = self.choose_all(&members, rack.as_ref(), now) {
+                self.share_checkpoint(&members);
                 let starts = self.gang_starts(&members);
                 for (member, agent) in members.iter().zip(&places) {
                     self.start(*member, agent, Some(starts), now);
--- a/crates/cell/src/cell/runs.rs
+++ b/crates/cell/src/cell/runs.rs
@@ -244,12 +244,16 @@
         self.actions.push_back(Action::Stop { agent: Arc::clone(name), life, task, run, reason });
     }
 
+    pub(crate) fn task(&self, task: TaskId) -> Option<&Task> {
+        self.jobs.get(&task.job)?.tasks.get(&task.key)
+    }
+
     pub(crate) fn task_mut(&mut self, task: TaskId) -> Option<&mut Task> {
         self.jobs.get_mut(&task.job)?.tasks.get_mut(&task.key)
     }
 
     pub(crate) fn run(&self, task: TaskId, number: u64) -> Option<&Run> {
-        self.jobs.get(&task.job)?.tasks.get(&task.key)?.runs.iter().find(|run| run.number == number)
+        self.task(task)?.runs.iter().find(|run| run.number == number)
     }
 
     pub(crate) fn run_mut(&mut self, task: TaskId, number: u64) -> Option<&mut Run> {
