Report tasks that start again and again without progress

Cause: the placer counted failures and crashes of a task, but not starts that lead nowhere for other reasons (alone, broken, lapsed, refused, stopped).

Change: a task counts its starts from one and the same checkpoint. From the fifth on it is restarting: `task_restarts` names the worst task of a job each time that the starts have doubled, with how the last run ended; chervilledge_tasks_restarting, chervilledge_jobs_restarting and `tasks_restarting` of the dump have the rest. A new checkpoint, or for a lasting task a run at work, ends it. It only observes. remove_run takes how the run ended, so that all five ways out of a run are covered.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -16,6 +16,7 @@
 mod placing;
 mod preempt;
 mod reservations;
+mod restarts;
 mod run_times;
 mod runs;
 mod stragglers;
@@ -44,6 +45,8 @@
 pub use self::lasting::{LastingWaits, Suitability, WaitReason};
 use self::preempt::PreemptionState;
 use self::reservations::Reservation;
+use self::restarts::RestartState;
+pub use self::restarts::{RestartCounts, RestartingTask};
 use self::unread::UnreadReport;
 pub use self::urgencies::UrgencyChanges;
 use self::writes::Writes;
@@ -305,6 +308,17 @@
         /// Longest time for which one of them waited.
         waited: Duration,
     },
+    /// A task of a job starts again and again without progress; reported for the task with the most starts.
+    TaskRestarts {
+        /// The task.
+        task: TaskId,
+        /// Starts since its last progress.
+        starts: u32,
+        /// Time since the first of them.
+        lasted: Duration,
+        /// How the last run ended; empty if none has.
+        how: &'static str,
+    },
     /// The state of an agent has changed.
     AgentChanged {
         /// The agent.
@@ -401,6 +415,7 @@
     /// Jobs with a schedule that haven't ended.
     scheduled: Set<JobId>,
     lasting: LastingState,
+    restarts: RestartState,
     agents: Map<Name, Agent>,
     /// Services whose queues differ in priority.
     prioritized: Set<Name>,
@@ -461,6 +476,7 @@
             jobs: Map::default(),
             scheduled: Set::default(),
             lasting: LastingState::default(),
+            restarts: RestartState::default(),
             agents: Map::default(),
             prioritized: Set::default(),
             ready: BTreeSet::new(),
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -214,7 +214,7 @@
             if !self.is_crash_known(task, number) {
                 self.log_lost(name, task, number, how, now);
             }
-            self.remove_run(task, number, now);
+            self.remove_run(task, number, how, now);
         }
         self.needs_placing = true;
     }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -70,7 +70,7 @@
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
         if was_known {
-            self.remove_run(end.task, end.run, now);
+            self.remove_run(end.task, end.run, end.kind.as_str(), now);
         }
         self.log_end(name, end);
     }
@@ -84,14 +84,7 @@
     }
 
     fn log_end(&mut self, name: &Name, end: &End) {
-        let how = match end.kind {
-            EndKind::Done => "done",
-            EndKind::Failed => "failed",
-            EndKind::Stopped => "stopped",
-            EndKind::Lapsed => "lapsed",
-            EndKind::Broken => "broken",
-            EndKind::Alone => "alone",
-        };
+        let how = end.kind.as_str();
         let failures = self.task_mut(end.task).map_or(0, |task| task.failed_runs.len());
         self.notes.push(Note::Ended { task: end.task, run: end.run, agent: Arc::clone(name), how, failures });
     }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -454,7 +454,7 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
-        let is_suspect = state.crashes.is_suspect();
+        let (is_suspect, is_copy) = (state.crashes.is_suspect(), !state.runs.is_empty());
         state.starts = starts.unwrap_or(state.starts + 1);
         let (number, checkpoint) = (state.starts, Arc::clone(&state.checkpoint.text));
         agent.occupy(&need, step.image.clone());
@@ -471,6 +471,9 @@
             let restored_percent = if state.checkpoint.text.is_empty() { 0 } else { state.checkpoint.percent };
             state.runs.push(Run { urgency, restored_percent, ..Run::new(run, name, now) });
         }
+        if !is_copy {
+            self.count_start(task, now);
+        }
         self.ready.remove(&task);
         self.counters.starts += 1;
         let traits = RunTraits::of(step, urgency);
--- a/crates/cell/src/cell/runs.rs
+++ b/crates/cell/src/cell/runs.rs
@@ -6,6 +6,7 @@
 use chervilledge_policy::collections::Set;
 use chervilledge_policy::id::Name;
 
+use super::evacuating::is_working;
 use super::jobs::need;
 use super::task::{Run, Task};
 use super::{Action, Cell, task_id};
@@ -107,7 +108,7 @@
         if !self.release(name, task, number) {
             return;
         }
-        self.remove_run(task, number, now);
+        self.remove_run(task, number, "refused", now);
         // The order counts as never given, so the task's waiting time includes the time before it.
         if refusal == Refusal::Evacuated
             && let (Some(state), Some(ready_since)) = (self.task_mut(task), ready_since)
@@ -120,7 +121,7 @@
     pub fn run_absent(&mut self, name: &Name, task: TaskId, number: u64, now: Duration) {
         self.remove_unmatched(name, (task, number));
         if self.release(name, task, number) {
-            self.remove_run(task, number, now);
+            self.remove_run(task, number, "absent", now);
         }
     }
 
@@ -128,6 +129,7 @@
     pub fn runs_reported(&mut self, running: &[RunReport], now: Duration) {
         let mut repaced_agents: Set<Name> = Set::default();
         for report in running {
+            let is_lasting = self.step_of(report.task).is_some_and(|step| step.lasting);
             if let Some(run) = self.run_mut(report.task, report.run) {
                 if run.pace_percent != report.pace_percent {
                     repaced_agents.insert(Arc::clone(&run.agent));
@@ -144,6 +146,9 @@
                     run.progress_time = run.full_pace_time;
                     run.progressed_at = now;
                 }
+                if is_lasting && is_working(run) {
+                    self.clear_restarts(report.task);
+                }
             } else {
                 continue;
             }
@@ -199,13 +204,14 @@
         }
     }
 
-    /// Removes a run from its task, and queues the task again if it has no other run.
-    pub(crate) fn remove_run(&mut self, task: TaskId, number: u64, now: Duration) {
+    /// Removes a run that ended as `how` tells from its task, and queues the task again if it has no other run.
+    pub(crate) fn remove_run(&mut self, task: TaskId, number: u64, how: &'static str, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let is_open = entry.is_open();
         let is_due = entry.is_due(task.key);
         let Some(state) = entry.tasks.get_mut(&task.key) else { return };
         state.runs.retain(|run| run.number != number);
+        state.restarts.how = how;
         let is_waiting = is_open && is_due && !state.is_done && state.runs.is_empty();
         state.not_before = state.not_before.max(now);
         if is_waiting {
--- a/crates/cell/src/cell/task.rs
+++ b/crates/cell/src/cell/task.rs
@@ -6,6 +6,7 @@
 
 use chervilledge_policy::id::Name;
 
+use super::restarts::Restarts;
 use crate::crashes::CrashHistory;
 use crate::job::TaskKey;
 use crate::pace::FULL_PERCENT;
@@ -101,6 +102,7 @@
     /// Time that its failed runs took at full pace.
     pub(crate) failed_time: Duration,
     pub(crate) checkpoint: Checkpoint,
+    pub(crate) restarts: Restarts,
     /// When the task last began to wait for capacity.
     pub(crate) ready_since: Duration,
     /// Earliest time of the next start.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -87,6 +87,21 @@
     Alone,
 }
 
+impl EndKind {
+    /// Lower-case form, for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// End of a run; the worker keeps it until it is told to forget it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct End {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::admission::Pool;
-use chervilledge_cell::cell::LastingWaits;
+use chervilledge_cell::cell::{LastingWaits, RestartCounts};
 use chervilledge_cell::evacuation::Held;
 use chervilledge_operator::metrics::Reader;
 use chervilledge_policy::clock::Clock;
@@ -35,6 +35,8 @@
     waiting: Gauge<u64>,
     lasting_waiting: Gauge<u64>,
     lasting_wait_ms: Gauge<u64>,
+    restarting_tasks: Gauge<u64>,
+    restarting_jobs: Gauge<u64>,
     evacuation_changes: Counter<u64>,
     domains_evacuated: Gauge<u64>,
     evacuated_runs: Gauge<u64>,
@@ -64,6 +66,7 @@
     let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
     let meter = provider.meter("chervilledge");
     let latency = |name: &'static str, text: &'static str| latency(&meter, name, text);
+    let gauge = |name: &'static str, text: &'static str| meter.u64_gauge(name).with_description(text).build();
     Arc::new(Metrics {
         requests: meter.u64_counter("chervilledge_requests").with_description("callers' requests by answer").build(),
         request_ms: latency("chervilledge_request_ms", "time until a caller's request was answered"),
@@ -76,27 +79,29 @@
             .u64_counter("chervilledge_displaced_runs")
             .with_description("runs stopped to end sooner elsewhere or in favor of other tasks")
             .build(),
-        waiting: meter.u64_gauge("chervilledge_tasks_waiting").with_description("tasks that wait for room").build(),
-        lasting_waiting: meter
-            .u64_gauge("chervilledge_lasting_tasks_waiting")
-            .with_description("lasting tasks that may run and have no run at work")
-            .build(),
-        lasting_wait_ms: meter
-            .u64_gauge("chervilledge_lasting_wait_ms")
-            .with_description("longest time for which a lasting task has had no run at work")
-            .build(),
+        waiting: gauge("chervilledge_tasks_waiting", "tasks that wait for room"),
+        lasting_waiting: gauge(
+            "chervilledge_lasting_tasks_waiting",
+            "lasting tasks that may run and have no run at work",
+        ),
+        lasting_wait_ms: gauge(
+            "chervilledge_lasting_wait_ms",
+            "longest time for which a lasting task has had no run at work",
+        ),
+        restarting_tasks: gauge("chervilledge_tasks_restarting", "tasks that start again and again without progress"),
+        restarting_jobs: gauge(
+            "chervilledge_jobs_restarting",
+            "jobs with tasks that start again and again without progress",
+        ),
         evacuation_changes: meter
             .u64_counter("chervilledge_evacuation_changes")
             .with_description("requests to evacuate a failure domain, and their removals, by kind")
             .build(),
-        domains_evacuated: meter
-            .u64_gauge("chervilledge_domains_evacuated")
-            .with_description("failure domains in which nothing may start")
-            .build(),
-        evacuated_runs: meter
-            .u64_gauge("chervilledge_evacuated_runs")
-            .with_description("runs on workers of evacuated failure domains, by what keeps them there")
-            .build(),
+        domains_evacuated: gauge("chervilledge_domains_evacuated", "failure domains in which nothing may start"),
+        evacuated_runs: gauge(
+            "chervilledge_evacuated_runs",
+            "runs on workers of evacuated failure domains, by what keeps them there",
+        ),
         starts_refused: meter
             .u64_counter("chervilledge_starts_refused_evacuated")
             .with_description("orders to start that the agent refused since its failure domain is evacuated")
@@ -105,10 +110,10 @@
             .u64_counter("chervilledge_checkpoints")
             .with_description("checkpoints of running tasks that were chosen to become durable")
             .build(),
-        unsaved_core_ms: meter
-            .u64_gauge("chervilledge_unsaved_core_ms")
-            .with_description("work saved on workers that the last choice of checkpoints left undurable")
-            .build(),
+        unsaved_core_ms: gauge(
+            "chervilledge_unsaved_core_ms",
+            "work saved on workers that the last choice of checkpoints left undurable",
+        ),
         store_standings: meter
             .u64_counter("chervilledge_store_standings")
             .with_description("changes of what is believed of the store, by the new standing")
@@ -117,23 +122,20 @@
             .u64_counter("chervilledge_probes")
             .with_description("reads that try a store that breaks connections")
             .build(),
-        store_response_ms: meter
-            .u64_gauge("chervilledge_store_response_ms")
-            .with_description("least time of this entry's last reads of the store")
-            .build(),
-        confirmation_age_ms: meter
-            .u64_gauge("chervilledge_confirmation_age_ms")
-            .with_description("age of the placer's last confirmation at the store")
-            .build(),
+        store_response_ms: gauge(
+            "chervilledge_store_response_ms",
+            "least time of this entry's last reads of the store",
+        ),
+        confirmation_age_ms: gauge(
+            "chervilledge_confirmation_age_ms",
+            "age of the placer's last confirmation at the store",
+        ),
         store_ms: latency("chervilledge_store_ms", "time of calls to the store"),
-        configuration_version: meter
-            .u64_gauge("chervilledge_configuration_version")
-            .with_description("version of the configuration in force")
-            .build(),
-        configuration_age_ms: meter
-            .u64_gauge("chervilledge_configuration_age_ms")
-            .with_description("time since the store last told the configuration, or that it hasn't changed")
-            .build(),
+        configuration_version: gauge("chervilledge_configuration_version", "version of the configuration in force"),
+        configuration_age_ms: gauge(
+            "chervilledge_configuration_age_ms",
+            "time since the store last told the configuration, or that it hasn't changed",
+        ),
         look_ms: latency("chervilledge_look_ms", "time of looks at the worker"),
         pace_orders: meter
             .u64_counter("chervilledge_pace_orders")
@@ -143,14 +145,14 @@
             .u64_counter("chervilledge_urgencies_told")
             .with_description("runs of which an agent was told that their urgency has changed")
             .build(),
-        backlog_core_ms: meter
-            .u64_gauge("chervilledge_backlog_core_ms")
-            .with_description("work of open jobs that can still be of use, in core-milliseconds")
-            .build(),
-        backlog_rate_millicores: meter
-            .u64_gauge("chervilledge_backlog_rate_millicores")
-            .with_description("rate at which work is done while some waits; 0 before it is measured")
-            .build(),
+        backlog_core_ms: gauge(
+            "chervilledge_backlog_core_ms",
+            "work of open jobs that can still be of use, in core-milliseconds",
+        ),
+        backlog_rate_millicores: gauge(
+            "chervilledge_backlog_rate_millicores",
+            "rate at which work is done while some waits; 0 before it is measured",
+        ),
         refusals: meter
             .u64_counter("chervilledge_backlog_refusals")
             .with_description("submissions that the backlog left no time, by what became of them")
@@ -245,6 +247,12 @@
         self.lasting_wait_ms.record(crate::clock::whole_ms(waits.longest), &[]);
     }
 
+    /// Records the tasks that start again and again without progress, and their jobs.
+    pub fn restarts(&self, counts: RestartCounts) {
+        self.restarting_tasks.record(counts.tasks as u64, &[]);
+        self.restarting_jobs.record(counts.jobs as u64, &[]);
+    }
+
     /// Counts a request to evacuate a failure domain, or its removal.
     pub fn evacuation_changed(&self, kind: &'static str) {
         self.evacuation_changes.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -521,6 +521,8 @@
             // Before the agents lapse: the tasks that this frees are only placed afterwards.
             self.cell.watch_lasting(self.pause.is_none(), now);
             self.context.metrics.lasting_waits(self.cell.lasting_waits());
+            self.cell.watch_restarts(now);
+            self.context.metrics.restarts(self.cell.restart_counts());
         }
         if holds {
             self.cell.lapse_agents(confirmed, now);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilledge_cell::cell::{Evacuation, Note};
+use chervilledge_cell::cell::{Evacuation, Note, RestartingTask};
 use serde_json::{Value, json};
 
 use super::State;
@@ -39,6 +39,7 @@
             | Note::CrashExcused { .. }
             | Note::LastingTasksWaiting { .. }
             | Note::LastingTasksRunning { .. }
+            | Note::TaskRestarts { .. }
             | Note::AgentChanged { .. } => {}
         }
     }
@@ -52,6 +53,15 @@
             .agents()
             .map(|(name, contact, runs)| json!({"agent": name, "contact": format!("{contact:?}"), "runs": runs}))
             .collect();
+        let restarting: Vec<Value> = self
+            .cell
+            .restarting_tasks()
+            .into_iter()
+            .map(|RestartingTask { task, starts, since, how }| {
+                json!({"task": task.to_string(), "starts": starts, "lasted_ms": whole_ms(now.saturating_sub(since)),
+                "last_end": how})
+            })
+            .collect();
         let evacuations: Vec<Value> = self
             .cell
             .evacuations()
@@ -71,6 +81,7 @@
             "tasks_waiting": self.cell.waiting(),
             "tasks_stranded": self.cell.stranded().iter().map(ToString::to_string).collect::<Vec<_>>(),
             "lasting_waiting": {"tasks": lasting.tasks, "longest_ms": whole_ms(lasting.longest)},
+            "tasks_restarting": restarting,
             "placement_paused": self.pause.as_ref().map(Pause::reason),
             "agents_unheard": self.cell.unresolved(),
             "checkpoints": {"unsaved_jobs": unsaved.jobs, "unsaved_core_ms": unsaved.core_ms},
@@ -158,6 +169,10 @@
             log::info!(event = "lasting_tasks_running", job:% = task.job, task:% = task, tasks = tasks,
                 waited_ms = whole_ms(*waited), term = term; "");
         }
+        Note::TaskRestarts { task, starts, lasted, how } => {
+            log::warn!(event = "task_restarts", job:% = task.job, task:% = task, starts = starts,
+                lasted_ms = whole_ms(*lasted), last_end = *how, term = term; "");
+        }
         Note::AgentChanged { agent, standing, runs } => {
             log::info!(event = "agent", agent = &**agent, standing = standing, runs = runs, term = term; "");
         }
