--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod message;
 pub mod metrics;
 pub mod outage;
+pub mod panics;
 pub mod peer;
 pub mod placer;
 pub mod progress_rows;
--- a/crates/scheduler/src/logs.rs
+++ b/crates/scheduler/src/logs.rs
@@ -17,6 +17,8 @@
 
 /// Default log filter.
 const DEFAULT_FILTER: &str = "info, hyper=warn, ractor=warn, tungstenite=warn";
+/// Name of the thread that writes the log.
+pub const WRITER_THREAD: &str = "logs";
 /// Maximum number of lines queued for the writer; about one second of output of the busiest process.
 const QUEUE_LINES: usize = 2_048;
 /// Maximum number of lines taken from the queue at once.
@@ -47,7 +49,10 @@
 pub fn open(node: &str, role: &str) -> Result<Logs, FlexiLoggerError> {
     let (sender, lines) = sync_channel(QUEUE_LINES);
     let writer = Lines { sender, dropped: AtomicU64::new(0), node: node.to_owned(), role: role.to_owned() };
-    thread::Builder::new().name("logs".to_owned()).spawn(move || write_all(&lines)).map_err(FlexiLoggerError::from)?;
+    thread::Builder::new()
+        .name(WRITER_THREAD.to_owned())
+        .spawn(move || write_all(&lines))
+        .map_err(FlexiLoggerError::from)?;
     Logger::try_with_env_or_str(DEFAULT_FILTER)?.log_to_writer(Box::new(writer)).start().map(Logs)
 }
 
