--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -12,11 +12,11 @@
 use chervilledge_policy::code::Code;
 use chervilledge_scheduler::entry::{self, Entry, Reply};
 use chervilledge_scheduler::message::{FromEntry, LINK_TIMEOUT, ToEntry};
+use chervilledge_scheduler::metrics;
 use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use chervilledge_scheduler::store::Table;
-use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
-use support::{Fault, MemoryStore, job, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, job, tokio_clock};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -87,17 +87,7 @@
 }
 
 async fn spawn(rows: &MemoryStore) -> Entry {
-    let settings = settings::Entry {
-        name: "entry-1".into(),
-        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        processor_share: 1.0,
-        worker_lease_max: Duration::from_secs(5),
-        configuration_apply: Duration::from_secs(2),
-        evacuation_apply: None,
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
-    };
+    let settings = entry_settings("entry-1", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
     entry::spawn(settings, tokio_clock(), rows.store(), metrics::open()).await.expect("an entry")
 }
 
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -9,12 +9,12 @@
 use chervilledge_cell::authority::AUTHORITY_PERIOD;
 use chervilledge_scheduler::candidate::HEARTBEAT_INTERVAL;
 use chervilledge_scheduler::entry::{self, Entry};
+use chervilledge_scheduler::metrics;
 use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY};
 use chervilledge_scheduler::store::{Call, Handle, Store, Table};
-use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
 use support::ports::free_address;
-use support::{Fault, MemoryStore, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, tokio_clock};
 use tokio::time::Instant;
 
 /// Entries in each region.
@@ -52,17 +52,7 @@
 }
 
 async fn spawn_at(name: &str, links_address: SocketAddr, store: Handle) -> Entry {
-    let settings = settings::Entry {
-        name: name.into(),
-        links_address,
-        processor_share: 1.0,
-        worker_lease_max: Duration::from_secs(5),
-        configuration_apply: Duration::from_secs(2),
-        evacuation_apply: None,
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
-    };
+    let settings = entry_settings(name, links_address);
     entry::spawn(settings, tokio_clock(), store, metrics::open()).await.expect("an entry")
 }
 
--- a/crates/scheduler/tests/entry.rs
+++ b/crates/scheduler/tests/entry.rs
@@ -11,7 +11,7 @@
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
 use support::ports::free_address;
-use support::{Fault, MemoryStore, job, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, job, tokio_clock};
 
 /// Timeout of callers.
 const TIMEOUT: Duration = Duration::from_secs(3);
@@ -27,17 +27,7 @@
 }
 
 async fn spawn_at(name: &str, links_address: SocketAddr, rows: &MemoryStore, configuration_apply: Duration) -> Entry {
-    let settings = settings::Entry {
-        name: name.into(),
-        links_address,
-        processor_share: 1.0,
-        worker_lease_max: Duration::from_secs(5),
-        configuration_apply,
-        evacuation_apply: None,
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
-    };
+    let settings = settings::Entry { configuration_apply, ..entry_settings(name, links_address) };
     entry::spawn(settings, tokio_clock(), rows.store(), metrics::open()).await.expect("an entry")
 }
 
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 
 use chervilledge_cell::worker::Refusal;
-use chervilledge_policy::id::Name;
 use chervilledge_scheduler::entry::{self, Entry};
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::worker::StartOutcome;
 use chervilledge_scheduler::{metrics, settings};
 use rstest::rstest;
 use support::agent::{Link, link, spawn, task};
-use support::{Fault, MemoryStore, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, tokio_clock};
 
 /// Domain of the worker beside the agent under test.
 const DOMAIN: &str = "a";
@@ -23,15 +22,9 @@
 
 async fn spawn_entry(rows: &MemoryStore, configuration_apply: Duration) -> Entry {
     let settings = settings::Entry {
-        name: Name::from("entry-1"),
-        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        processor_share: 1.0,
-        worker_lease_max: Duration::from_secs(5),
         configuration_apply,
         evacuation_apply: Some(APPLY),
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
+        ..entry_settings("entry-1", SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
     };
     entry::spawn(settings, tokio_clock(), rows.store(), metrics::open()).await.expect("an entry")
 }
--- a/crates/scheduler/tests/outage.rs
+++ b/crates/scheduler/tests/outage.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use chervilledge_scheduler::entry::{self, Entry, Reply};
-use chervilledge_scheduler::{metrics, settings};
+use chervilledge_scheduler::metrics;
 use rstest::rstest;
-use support::{Fault, MemoryStore, job, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, job, tokio_clock};
 use tokio::time::Instant;
 
 const ENTRIES: usize = 55;
@@ -20,17 +20,7 @@
 const UNDECIDED_PER_S: usize = 12;
 
 async fn spawn(number: usize, rows: &MemoryStore) -> Entry {
-    let settings = settings::Entry {
-        name: format!("entry-{number}").into(),
-        links_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        processor_share: 1.0,
-        worker_lease_max: Duration::from_secs(5),
-        configuration_apply: Duration::from_secs(2),
-        evacuation_apply: None,
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
-    };
+    let settings = entry_settings(&format!("entry-{number}"), SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
     entry::spawn(settings, tokio_clock(), rows.store(), metrics::open()).await.expect("an entry")
 }
 
--- a/crates/scheduler/tests/succession.rs
+++ b/crates/scheduler/tests/succession.rs
@@ -13,7 +13,7 @@
 use chervilledge_scheduler::{clock, metrics, settings};
 use rstest::rstest;
 use support::ports::free_address;
-use support::{Fault, MemoryStore, tokio_clock};
+use support::{Fault, MemoryStore, entry_settings, tokio_clock};
 
 /// Term under which the small entry placed before the power loss of all machines.
 const TERM: u64 = 3;
@@ -24,17 +24,7 @@
 const HANDED_OVER: Duration = Duration::from_secs(5);
 
 async fn spawn(name: &str, processor_share: f64, address: SocketAddr, rows: &MemoryStore, clock: Clock) -> Entry {
-    let settings = settings::Entry {
-        name: name.into(),
-        links_address: address,
-        processor_share,
-        worker_lease_max: Duration::from_secs(5),
-        configuration_apply: Duration::from_secs(2),
-        evacuation_apply: None,
-        cancellation_apply: Duration::from_secs(3),
-        ended_jobs_kept: Duration::from_mins(2),
-        stop_timeout: Duration::from_secs(6),
-    };
+    let settings = settings::Entry { processor_share, ..entry_settings(name, address) };
     entry::spawn(settings, clock, rows.store(), metrics::open()).await.expect("an entry")
 }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod ports;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -357,11 +358,11 @@
     Configuration { version, queues: Vec::new(), services: Map::default(), limits }
 }
 
-/// Starts an entry on a free port.
-pub async fn spawn_entry(name: &str, store: Handle) -> Entry {
-    let settings = settings::Entry {
+/// Settings of an entry.
+pub fn entry_settings(name: &str, links_address: SocketAddr) -> settings::Entry {
+    settings::Entry {
         name: name.into(),
-        links_address: ports::free_address(),
+        links_address,
         processor_share: 1.0,
         worker_lease_max: Duration::from_secs(5),
         configuration_apply: Duration::from_secs(2),
@@ -369,7 +370,12 @@
         cancellation_apply: Duration::from_secs(3),
         ended_jobs_kept: Duration::from_mins(2),
         stop_timeout: Duration::from_secs(6),
-    };
+    }
+}
+
+/// Starts an entry on a free port.
+pub async fn spawn_entry(name: &str, store: Handle) -> Entry {
+    let settings = entry_settings(name, ports::free_address());
     entry::spawn(settings, clock::system(), store, metrics::open()).await.expect("an entry")
 }
 
