Ask a worker at once whether it has started again

Cause: since a report of another incarnation doesn't replace the tracked one; a poll decides. A poll in flight waits up to a second for the end of a run, and no other was sent before it was answered. In that time the next incarnation could crash as well; both crashes became one, and the runs' ages were counted to the second, so the task that crashed was a bystander.

Change: the first report of another incarnation sends a poll at once, beside one in flight, and polls don't wait while such a report is undecided. Further reports of that kind send none while it is. Answers are applied by when their poll was sent, as before.

Test: a_restart_is_noticed_only_when_a_waiting_poll_ends in crates/scheduler/tests/other_reports.rs; failed before (no crash within 1 s, the poll in flight takes 5 s).

--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -27,10 +27,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(600);
 
 impl State {
-    /// Polls the worker when a poll is due and none is in flight.
+    /// Polls the worker when a poll is due, unless one is in flight that suffices.
     pub(super) fn poll_if_due(&mut self, now: Duration) {
         let is_colocated = self.is_colocated();
         let is_urgent = self.inventory_due.is_some()
+            || self.other_report.is_some()
             || self.pending_stops.values().any(|stopping| stopping.acknowledged_at.is_some());
         let Some(tracked) = &self.tracked else { return };
         if tracked.is_polling || now < tracked.poll_due || self.term == 0 {
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -47,8 +47,12 @@
         } else if is_former {
             log::info!(event = "report_of_former_life", worker = &*other.worker; "");
         } else if can_poll_tell {
-            // A poll that is sent from now on decides.
+            // A poll that is sent from now on decides. It doesn't wait for one in flight, which may be answered late:
+            // until then, the runs of a worker that has started again would be blamed on the former incarnation.
             tracked.poll_due = now;
+            if self.other_report.is_none() {
+                tracked.is_polling = false;
+            }
             self.keep_other_report(report, now);
         } else if is_same_worker {
             let life_age = life_age(report.worker.life.born_unix_ms, report.clock_ms.unwrap_or_default());
--- a/crates/scheduler/tests/other_reports.rs
+++ b/crates/scheduler/tests/other_reports.rs
@@ -66,6 +66,29 @@
     assert!(told.is_err(), "{told:?}");
 }
 
+/// A worker that had started again was taken for the former incarnation for as long as a poll was waiting, and tasks that
+/// crash workers weren't to blame for the crashes in that time.
+#[tokio::test]
+async fn a_restart_is_noticed_only_when_a_waiting_poll_ends() {
+    let (agent, mut placer) = agent_with_run().await;
+    let sent = agent.worker.change(|script| {
+        script.poll_delay = Duration::from_secs(5);
+        script.polls.len()
+    });
+    agent.worker.wait_for("a waiting poll", |script| script.polls.len() > sent).await;
+    agent.worker.change(|script| {
+        script.poll_delay = Duration::ZERO;
+        script.poll = Ok(PollResponse { clock_ms: 20, born_unix_ms: Some(9), ..idle_poll() });
+    });
+    agent.report(Life { born_unix_ms: 9, ..life() });
+    let crashed = |message| if let FromAgent::Crashed(report) = message { Some(report.life) } else { None };
+    let noticed = tokio::time::timeout(Duration::from_secs(1), placer.wait_for("crash", crashed)).await;
+    assert_eq!(noticed, Ok(life()));
+    let waits: Vec<Duration> =
+        agent.worker.change(|script| script.polls[sent + 1..].iter().map(|poll| poll.wait).collect());
+    assert_eq!(waits.first(), Some(&Duration::ZERO));
+}
+
 /// One report of another writer, or one that comes late from a former lifetime, ended a worker that answered polls; its
 /// tasks ran twice.
 #[rstest]
