--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -42,7 +42,7 @@
 pub use self::filling::FillingUsage;
 use self::jobs::JobEntry;
 use self::lasting::LastingState;
-pub use self::lasting::{LastingWaits, Suitability, WaitReason};
+pub use self::lasting::{CapacityWait, LastingWaits, Suitability, WaitReason};
 use self::preempt::PreemptionState;
 use self::reservations::Reservation;
 use self::restarts::RestartState;
@@ -298,6 +298,8 @@
         failures: usize,
         /// Workers by whether they can run the tasks; empty unless the tasks wait for capacity or for agents.
         workers: BTreeMap<Suitability, usize>,
+        /// Need of `task` and free capacity; only if the tasks wait for capacity.
+        capacity: Option<CapacityWait>,
     },
     /// No task of a step of which [`Note::LastingTasksWaiting`] was reported waits for long any more.
     LastingTasksRunning {
--- a/crates/cell/src/cell/lasting.rs
+++ b/crates/cell/src/cell/lasting.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::collections::{Map, Set};
 use chervilledge_policy::id::Name;
 
@@ -136,6 +137,20 @@
     }
 }
 
+/// What a task that waits for capacity needs, and what it is compared with.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CapacityWait {
+    /// Resources that the task needs.
+    pub need: Resources,
+    /// The open worker with the most free processors, and what is free there.
+    pub roomiest: Option<(Name, Resources)>,
+    /// Other tasks that were started since the task began to wait.
+    pub starts_meanwhile: u64,
+    /// Processor time that those of them ask for that aren't lasting and count against a worker's capacity, in
+    /// thousandths of a core.
+    pub started_millicores: u64,
+}
+
 /// Lasting tasks that may run and have no run at work, as of the last pass.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LastingWaits {
@@ -166,13 +181,22 @@
     due: Map<WaitReason, Duration>,
 }
 
+/// Starts under this term.
+#[derive(Clone, Copy, Debug, Default)]
+struct StartSums {
+    starts: u64,
+    /// Processor time that short tasks among them ask for, in thousandths of a core.
+    short_millicores: u64,
+}
+
 /// Lasting tasks under observation.
 #[derive(Debug, Default)]
 pub(crate) struct LastingState {
     /// Jobs with a lasting step; those that have ended are removed by the next pass.
     jobs: Set<JobId>,
-    /// Since when each task has had no run at work.
-    waiting_since: Map<TaskId, Duration>,
+    /// Since when each task has had no run at work, and the starts until then.
+    waiting_since: Map<TaskId, (Duration, StartSums)>,
+    starts: StartSums,
     reported: Map<TaskGroup, ReportedStep>,
     waits: LastingWaits,
 }
@@ -184,6 +208,14 @@
             self.jobs.insert(entry.job.id);
         }
     }
+
+    /// Counts a start.
+    pub(super) fn add_start(&mut self, need: &Need) {
+        self.starts.starts += 1;
+        if !need.is_serving {
+            self.starts.short_millicores += Load::counted(need).processor_millicores;
+        }
+    }
 }
 
 impl Cell {
@@ -196,7 +228,10 @@
         let waiting = self.waiting_lasting_tasks(may_place, now);
         let mut groups: BTreeMap<(TaskGroup, WaitReason), WaitingGroup> = BTreeMap::new();
         let mut waits = LastingWaits::default();
-        self.lasting.waiting_since = waiting.iter().map(|(task, _, since)| (*task, *since)).collect();
+        let starts = self.lasting.starts;
+        let known = std::mem::take(&mut self.lasting.waiting_since);
+        let since = |task: &TaskId, since: &Duration| known.get(task).copied().unwrap_or((*since, starts));
+        self.lasting.waiting_since = waiting.iter().map(|(task, _, at)| (*task, since(task, at))).collect();
         for (task, reason, since) in waiting {
             let waited = now.saturating_sub(since);
             waits.tasks += 1;
@@ -234,13 +269,17 @@
                 }
                 let task = task_id(entry.job.id, *key);
                 if let Some(reason) = self.wait_reason(entry, task, state, may_place, now) {
-                    waiting.push((task, reason, self.lasting.waiting_since.get(&task).copied().unwrap_or(now)));
+                    waiting.push((task, reason, self.waiting_since(task).unwrap_or(now)));
                 }
             }
         }
         waiting
     }
 
+    fn waiting_since(&self, task: TaskId) -> Option<Duration> {
+        self.lasting.waiting_since.get(&task).map(|(since, _)| *since)
+    }
+
     /// What a lasting task without a run at work waits for; `None` if that is another step.
     fn wait_reason(
         &self,
@@ -297,7 +336,17 @@
             let state = self.jobs.get(&task.job).and_then(|entry| entry.tasks.get(&task.key));
             let run = state.and_then(|state| state.runs.last()).map(|run| (Arc::clone(&run.agent), run.number));
             let failures = state.map_or(0, |state| state.failed_runs.len());
-            self.notes.push(Note::LastingTasksWaiting { task, tasks, reason, waited, run, failures, workers });
+            let capacity = (reason == WaitReason::NoCapacity).then(|| self.capacity_wait(task, now));
+            self.notes.push(Note::LastingTasksWaiting {
+                task,
+                tasks,
+                reason,
+                waited,
+                run,
+                failures,
+                workers,
+                capacity,
+            });
         }
     }
 
@@ -347,6 +396,25 @@
         (reason, workers)
     }
 
+    /// What a task that waits for capacity needs, and what is free and was started meanwhile.
+    fn capacity_wait(&self, task: TaskId, now: Duration) -> CapacityWait {
+        let context = self.context(task);
+        let is_open = |agent: &Agent| self.need_at(task, agent, &[], context, now).is_some();
+        let open = self.agents.iter().filter(|(_, agent)| is_open(agent));
+        let roomiest = open
+            .map(|(name, agent)| (agent.load.free(), name))
+            .max_by_key(|(free, name)| (free.processor_millicores, *name))
+            .map(|(free, name)| (Arc::clone(name), free));
+        let starts = self.lasting.starts;
+        let before = self.lasting.waiting_since.get(&task).map_or(starts, |(_, before)| *before);
+        CapacityWait {
+            need: self.task_usage(task).map(|(need, _)| need.resources).unwrap_or_default(),
+            roomiest,
+            starts_meanwhile: starts.starts - before.starts,
+            started_millicores: starts.short_millicores - before.short_millicores,
+        }
+    }
+
     /// Number of workers by whether they can run a task now.
     fn suitable_workers(&self, task: TaskId, now: Duration) -> BTreeMap<Suitability, usize> {
         let mut workers = BTreeMap::new();
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -476,6 +476,7 @@
         }
         self.ready.remove(&task);
         self.counters.starts += 1;
+        self.lasting.add_start(&need);
         let traits = RunTraits::of(step, urgency);
         let order = StartOrder { task, run, spec: Arc::clone(&job.spec), checkpoint, traits };
         self.actions.push_back(Action::Start { agent: Arc::clone(name), life, order });
--- a/crates/cell/tests/lasting.rs
+++ b/crates/cell/tests/lasting.rs
@@ -203,3 +203,20 @@
     assert_eq!(*waited, Duration::from_millis(4_500));
     assert_eq!(world.cell.lasting_waits(), LastingWaits::default());
 }
+
+#[test]
+fn a_lack_of_capacity_is_told_with_the_need_and_what_was_started_meanwhile() {
+    let mut world = World::with_workers(1, MILLICORES);
+    world.submit(job(1, vec![lasting_step(1, 12_000)]));
+    world.place();
+    world.submit(job(2, vec![lasting_step(1, 8_000)]));
+    watch(&mut world, 0);
+    world.submit(job(3, vec![step(3, 1_000)]));
+    world.place();
+    let notes = watch(&mut world, 2_400);
+    let [.., Note::LastingTasksWaiting { capacity: Some(capacity), .. }] = &*notes else { panic!("{notes:?}") };
+    let (agent, free) = capacity.roomiest.as_ref().expect("an open worker");
+    assert_eq!((&**agent, free.processor_millicores), ("agent-0", 1_000));
+    assert_eq!(capacity.need.processor_millicores, 8_000);
+    assert_eq!((capacity.starts_meanwhile, capacity.started_millicores), (3, 3_000));
+}
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilledge_cell::cell::{Evacuation, Note, RestartingTask};
+use chervilledge_cell::cell::{CapacityWait, Evacuation, Note, RestartingTask};
+use chervilledge_cell::job::TaskId;
+use chervilledge_policy::capacity::Resources;
 use serde_json::{Value, json};
 
 use super::State;
@@ -156,7 +158,7 @@
             log::warn!(event = "evacuation_doubtful", domain = domain.as_deref().unwrap_or_default(), reason = reason,
                 term = term; "");
         }
-        Note::LastingTasksWaiting { task, tasks, reason, waited, run, failures, workers } => {
+        Note::LastingTasksWaiting { task, tasks, reason, waited, run, failures, workers, capacity } => {
             let workers: BTreeMap<&str, usize> =
                 workers.iter().map(|(suitability, count)| (suitability.as_str(), *count)).collect();
             let (agent, run) = run.as_ref().map_or(("", 0), |(agent, run)| (&**agent, *run));
@@ -164,6 +166,9 @@
             log::warn!(event = "lasting_tasks_waiting", job:% = task.job, task:% = task, tasks = tasks,
                 reason = reason.as_str(), waited_ms = whole_ms(*waited), agent = agent, run = run,
                 failures = failures, workers:? = workers, term = term; "");
+            if let Some(capacity) = capacity {
+                log_capacity_wait(*task, capacity, term);
+            }
         }
         Note::LastingTasksRunning { task, tasks, waited } => {
             log::info!(event = "lasting_tasks_running", job:% = task.job, task:% = task, tasks = tasks,
@@ -178,3 +183,13 @@
         }
     }
 }
+
+fn log_capacity_wait(task: TaskId, capacity: &CapacityWait, term: u64) {
+    let CapacityWait { need, roomiest, starts_meanwhile, started_millicores } = capacity;
+    let (agent, free) = roomiest.as_ref().map_or(("", Resources::default()), |(agent, free)| (&**agent, *free));
+    log::warn!(event = "capacity_missing", job:% = task.job, task:% = task, need_millicores = need.processor_millicores,
+        need_memory_bytes = need.memory_bytes, need_accelerators = need.accelerators, roomiest = agent,
+        free_millicores = free.processor_millicores, free_memory_bytes = free.memory_bytes,
+        free_accelerators = free.accelerators, starts_meanwhile = starts_meanwhile,
+        started_millicores = started_millicores, term = term; "");
+}
