Serve the worker of a stopping agent until the process has to end

Cause: an agent exited within a millisecond of SIGTERM, though the platform gives it 6 s. For the rest of that time its worker was up, with nobody to start anything on it or to renew its lease: what ended there wasn't replaced, its runs lapsed 4.7 s later, and room stood free beside lasting tasks that waited in a full cell.

The placer gives such a worker only what fits nowhere else. No run is moved: the agent can't know whether it is started again, and after a restart the runs go on.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -224,6 +224,16 @@
         self.notes.push(Note::RunLost { task, run, agent: Arc::clone(name), ran, how });
     }
 
+    /// Records whether an agent with a link has been asked to stop.
+    pub fn agent_stopping(&mut self, name: &Name, is_stopping: bool) {
+        if let Some(agent) = self.agents.get_mut(name)
+            && agent.is_stopping != is_stopping
+        {
+            agent.is_stopping = is_stopping;
+            self.log_agent(name, if is_stopping { "stopping" } else { "not_stopping" });
+        }
+    }
+
     /// Records that an agent's link is lost.
     pub fn agent_silent(&mut self, name: &Name) {
         if let Some(agent) = self.agents.get_mut(name)
@@ -369,6 +379,7 @@
     fn new(lease_until: Duration) -> Self {
         Self {
             contact: Contact::Unheard,
+            is_stopping: false,
             worker: None,
             lease_until,
             load: Load::default(),
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -30,6 +30,10 @@
 /// Penalty per serving run of another image where images share workers, in thousandths of a core.
 const MIXED_RUN_PENALTY: i64 = 3_000;
 
+/// Penalty for a worker whose agent stops, in thousandths of a core: more than any other penalty, so that only tasks
+/// which fit nowhere else go there.
+const STOPPING_PENALTY: i64 = 1_000_000_000;
+
 /// Time without any run after which a job is placed wherever its resources fit, however slow its run would be there;
 /// users take a job that makes no progress for 3 s beside free capacity as lost.
 const STARVED_AFTER: Duration = Duration::from_secs(2);
@@ -94,7 +98,8 @@
             && !agent.is_start_deferred(self.now)
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
-        let risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now)?;
+        let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now)?;
+        let risk = crash_risk.saturating_add(if agent.is_stopping { STOPPING_PENALTY } else { 0 });
         fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
 
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -508,3 +508,17 @@
     world.cell.store_evidence(&name("observer"), effects.iter().map(evidence).collect());
     world.cell.merge_evidence();
 }
+
+/// The machine of a stopping agent may be removed with the worker and its runs.
+#[test]
+fn a_task_goes_to_the_worker_of_a_stopping_agent_while_another_has_room() {
+    let mut world = World::with_workers(2, 1_000);
+    world.cell.agent_stopping(&name("agent-0"), true);
+    world.submit(job(1, vec![step(1, 600)]));
+    world.place();
+    let agents = |world: &World| world.all_running().into_iter().map(|(agent, ..)| agent).collect::<Vec<_>>();
+    assert_eq!(agents(&world), [name("agent-1")]);
+    world.submit(job(2, vec![step(1, 600)]));
+    world.place();
+    assert_eq!(agents(&world), [name("agent-0"), name("agent-1")]);
+}
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -117,6 +117,13 @@
     },
     /// Requests a dump of the state.
     Dump(RpcReplyPort<Value>),
+    /// Announces that the process stops.
+    Retire {
+        /// Time after which it stops.
+        within: Duration,
+        /// Answered once there is no worker left that needs the agent.
+        idle: RpcReplyPort<()>,
+    },
 }
 
 /// Dependencies of an agent.
@@ -214,6 +221,14 @@
     due: Duration,
 }
 
+/// Announced stop of the process.
+#[derive(Debug)]
+struct Retirement {
+    stops_at: Duration,
+    /// `None` once it was answered.
+    idle: Option<RpcReplyPort<()>>,
+}
+
 /// State of the agent.
 #[derive(Debug)]
 pub struct State {
@@ -266,6 +281,7 @@
     report_due: Duration,
     unlinked_since: Duration,
     announce_due: Duration,
+    retirement: Option<Retirement>,
     /// Latest write of the agent's row, and whether it leaves one.
     row_write: Option<(bool, JoinHandle<()>)>,
     tasks: Vec<JoinHandle<()>>,
@@ -293,6 +309,16 @@
     Ok(actor)
 }
 
+/// Announces that the process stops, and waits for `within` or until there is no worker left that needs the agent.
+///
+/// The worker is served meanwhile: it may be up for as long as the process may still run, and nobody else gives it work
+/// or renews its lease.
+pub async fn retire(agent: &ActorRef<Message>, within: Duration) {
+    let timeout = Some(within);
+    // Without an answer the worker was served until the end.
+    drop(agent.call(|idle| Message::Retire { within, idle }, timeout).await);
+}
+
 impl Actor for Agent {
     type Msg = Message;
     type State = State;
@@ -334,6 +360,7 @@
             report_due: Duration::ZERO,
             unlinked_since: now,
             announce_due: now,
+            retirement: None,
             row_write: None,
             tasks,
             context,
@@ -361,7 +388,9 @@
             Message::Stopped { run, life, result } => state.handle_stop_outcome(run, &life, result, now),
             Message::Paced { run, percent, result } => state.handle_pace_outcome(run, percent, result),
             Message::Dump(reply) => drop(reply.send(state.dump(now))),
+            Message::Retire { within, idle } => state.retire(within, idle, now),
         }
+        state.end_retirement_if_idle();
         state.poll_if_due(now);
         Ok(())
     }
@@ -382,7 +411,7 @@
     fn tick(&mut self, now: Duration) {
         if now >= self.grant_request_due && self.link.is_some() {
             self.grant_request_due = now + HEARTBEAT_INTERVAL;
-            self.send_to_placer(FromAgent::Ask { asked: now });
+            self.request_grant(now);
         }
         self.announce_if_due(now);
         self.expire_silent_worker(now);
@@ -394,6 +423,26 @@
         }
     }
 
+    fn retire(&mut self, within: Duration, idle: RpcReplyPort<()>, now: Duration) {
+        self.retirement = Some(Retirement { stops_at: now + within, idle: Some(idle) });
+        self.request_grant(now);
+    }
+
+    /// Ends the process's wait for its stop when the agent has no worker.
+    fn end_retirement_if_idle(&mut self) {
+        if self.tracked.is_none()
+            && let Some(idle) = self.retirement.as_mut().and_then(|retirement| retirement.idle.take())
+        {
+            // The process may have stopped waiting.
+            drop(idle.send(()));
+        }
+    }
+
+    fn request_grant(&self, now: Duration) {
+        let stops_in = self.retirement.as_ref().map(|retirement| retirement.stops_at.saturating_sub(now));
+        self.send_to_placer(FromAgent::Ask { asked: now, stops_in });
+    }
+
     fn handle_leave(&mut self, name: &Name, now: Duration) {
         if self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life.worker == *name) {
             // Another worker is tracked from its next report on, after the row is deleted.
@@ -516,6 +565,7 @@
             "is_linked": self.link.is_some(),
             "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
             "worker": self.tracked.as_ref().map(|tracked| tracked.worker.life.worker.to_string()),
+            "stops_in_ms": self.retirement.as_ref().map(|retirement| whole_ms(retirement.stops_at.saturating_sub(now))),
             "is_evacuated": self.is_evacuated(),
             "running": self.tracked.as_ref().map_or(0, |tracked| tracked.running.len()),
             "starting": self.pending_starts.len(),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -119,7 +119,7 @@
         } else {
             self.send_inventory();
         }
-        self.send_to_placer(FromAgent::Ask { asked: now });
+        self.request_grant(now);
     }
 
     /// Sends the placer an inventory of the runs on the worker.
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -125,6 +125,10 @@
         /// Reading of the agent's clock.
         #[serde_as(as = "DurationNanoSeconds<u64>")]
         asked: Duration,
+        /// Time after which the agent stops, if it was asked to. Versions before 0.6.0 don't tell.
+        #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+        #[serde(default, rename = "stops_in_ms")]
+        stops_in: Option<Duration>,
     },
     /// The worker's state has changed.
     Worker(Worker),
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -114,7 +114,10 @@
                     drop(self.myself.cast(Message::Deposed("agent")));
                 }
             }
-            FromAgent::Ask { asked } => self.send_grant(agent, asked, now),
+            FromAgent::Ask { asked, stops_in } => {
+                self.cell.agent_stopping(agent, stops_in.is_some());
+                self.send_grant(agent, asked, now);
+            }
             FromAgent::Worker(worker) => {
                 self.cell.worker_seen(agent, worker, now);
                 self.send_evacuation(agent);
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -79,4 +79,8 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "latency_harm_after_ms")]
     pub latency_harm_after: Duration,
+    /// Time between SIGTERM and SIGKILL, for most of which the agent goes on; without it the agent stops at once.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(default, rename = "stop_timeout_s")]
+    pub stop_timeout: Duration,
 }
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -6,7 +6,7 @@
 
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::worker::{End, EndKind, Life, RunReport};
-use chervilledge_scheduler::agent::Message;
+use chervilledge_scheduler::agent::{self, Message};
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::rows::AGENT_PREFIX;
 use chervilledge_scheduler::store::Table;
@@ -15,6 +15,9 @@
 use support::Fault;
 use support::agent::{Link, idle_poll, life, link, spawn, spawn_without_report, task};
 
+/// Timeout for conditions that should be met soon.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
 /// Attempts at a start may be executed seconds after they were sent. A placer that doesn't know of them would start the
 /// task elsewhere.
 #[tokio::test]
@@ -269,3 +272,30 @@
     PollFailed,
     StartUnanswered,
 }
+
+/// A process that needn't serve a worker must not use up its time for stopping.
+#[tokio::test]
+async fn a_stopping_agent_without_a_worker_waits_for_its_timeout() {
+    let agent = spawn_without_report().await;
+    let retirement = agent::retire(&agent.actor, Duration::from_mins(10));
+    tokio::time::timeout(WAIT_LIMIT, retirement).await.expect("the agent needn't wait");
+}
+
+#[tokio::test]
+async fn a_stopping_agent_leaves_its_placer_without_notice() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    let actor = agent.actor.clone();
+    let retirement = tokio::spawn(async move { agent::retire(&actor, Duration::from_mins(10)).await });
+    let notice = |message| match message {
+        FromAgent::Ask { stops_in: Some(stops_in), .. } => Some(stops_in),
+        _ => None,
+    };
+    assert!(placer.wait_for("notice", notice).await <= Duration::from_mins(10));
+    placer.start(task(1), 1);
+    agent.worker.wait_for("a start", |script| !script.starts.is_empty()).await;
+    assert!(!retirement.is_finished());
+    agent.actor.cast(Message::Leave(life().worker)).expect("the agent runs");
+    tokio::time::timeout(WAIT_LIMIT, retirement).await.expect("no worker is left").expect("no panic");
+}
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -34,7 +34,8 @@
 const SAMPLES_ENV: &str = "CHERVILLEDGE_SAMPLES";
 
 /// Samples that the version in production wrote, and those before it.
-const RELEASED: [&str; 4] = [
+const RELEASED: [&str; 5] = [
+    include_str!("samples/0.5.0.txt"),
     include_str!("samples/0.4.0.txt"),
     include_str!("samples/0.3.0.txt"),
     include_str!("samples/0.2.0.txt"),
@@ -54,7 +55,8 @@
     "to-entry/renew-term",
 ];
 /// What each of these versions doesn't know.
-const UNKNOWN: [&[&[&str]]; 4] = [
+const UNKNOWN: [&[&[&str]]; 5] = [
+    &[],
     &[&SINCE_0_5],
     &[&SINCE_0_5, &SINCE_0_4],
     &[&SINCE_0_5, &SINCE_0_4, &SINCE_0_3],
@@ -223,7 +225,7 @@
         self.add("to-agent/effects", &ToAgent::Effects(vec![effect()]));
         self.add("from-agent/inventory", &inventory(&report, &end));
         self.add("from-agent/superseded", &FromAgent::Superseded { term: 3 });
-        self.add("from-agent/ask", &FromAgent::Ask { asked: Duration::from_nanos(1_234_567) });
+        self.add("from-agent/ask", &FromAgent::Ask { asked: Duration::from_nanos(1_234_567), stops_in: None });
         self.add("from-agent/worker", &FromAgent::Worker(worker()));
         self.add("from-agent/gone", &FromAgent::Gone(life()));
         self.add("from-agent/crashed", &FromAgent::Crashed(crash_report()));
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -240,7 +240,7 @@
     let kept = async {
         while !rows.has(Table::Progress, rows::EFFECTS_KEY) {
             tokio::time::sleep(Duration::from_millis(20)).await;
-            link.sender.post(FromAgent::Ask { asked: Duration::ZERO });
+            link.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: None });
         }
     };
     tokio::time::timeout(WAIT_LIMIT, kept).await.expect("the effects are kept");
@@ -511,7 +511,7 @@
                 match self.receiver.receive::<ToAgent>(WAIT_LIMIT).await.expect("a message") {
                     ToAgent::Evacuation { revision, is_requested, .. } => return Some((revision, is_requested)),
                     ToAgent::Start { .. } => return None,
-                    _ => self.sender.post(FromAgent::Ask { asked: Duration::ZERO }),
+                    _ => self.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: None }),
                 }
             }
         };
@@ -524,7 +524,7 @@
 
     async fn wait_for_effects(&mut self) -> Vec<(Pair, Evidence)> {
         loop {
-            self.sender.post(FromAgent::Ask { asked: Duration::ZERO });
+            self.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: None });
             if let ToAgent::Effects(effects) = self.receiver.receive::<ToAgent>(WAIT_LIMIT).await.expect("a message") {
                 return effects.into_iter().map(Effect::into_evidence).collect();
             }
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -160,6 +160,7 @@
             name: Arc::from(name),
             links_address: address,
             latency_harm_after: Duration::from_secs(4),
+            stop_timeout: Duration::from_secs(6),
         },
         clock: clock::system(),
         calls: Arc::new(worker.calls()),
@@ -221,7 +222,7 @@
         let chosen = async {
             loop {
                 let message = self.receiver.receive::<FromAgent>(LINK_TIMEOUT).await.expect("message");
-                if let FromAgent::Ask { asked } | FromAgent::Inventory { asked, .. } = &message {
+                if let FromAgent::Ask { asked, .. } | FromAgent::Inventory { asked, .. } = &message {
                     self.sender.post(ToAgent::Grant { asked: *asked, lease: LEASE });
                 }
                 if let Some(chosen) = choose(message) {
