Give up no sound run for the worker of a stopping agent

A task with a run isn't placed there, and no run is stopped for a place there.

a_sound_run_is_moved_to_the_worker_of_a_stopping_agent fails without the condition. The field is called is_retiring now, since is_stopping stands for runs.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -372,7 +372,7 @@
 pub(crate) struct Agent {
     pub(crate) contact: Contact,
     /// The agent was asked to stop. Its machine may start it again or be removed with the worker.
-    pub(crate) is_stopping: bool,
+    pub(crate) is_retiring: bool,
     pub(crate) worker: Option<Worker>,
     /// Latest time at which the worker's lease can end, by the leases granted so far.
     pub(crate) lease_until: Duration,
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -225,12 +225,12 @@
     }
 
     /// Records whether an agent with a link has been asked to stop.
-    pub fn agent_stopping(&mut self, name: &Name, is_stopping: bool) {
+    pub fn agent_retiring(&mut self, name: &Name, is_retiring: bool) {
         if let Some(agent) = self.agents.get_mut(name)
-            && agent.is_stopping != is_stopping
+            && agent.is_retiring != is_retiring
         {
-            agent.is_stopping = is_stopping;
-            self.log_agent(name, if is_stopping { "stopping" } else { "not_stopping" });
+            agent.is_retiring = is_retiring;
+            self.log_agent(name, if is_retiring { "stopping" } else { "not_stopping" });
         }
     }
 
@@ -379,7 +379,7 @@
     fn new(lease_until: Duration) -> Self {
         Self {
             contact: Contact::Unheard,
-            is_stopping: false,
+            is_retiring: false,
             worker: None,
             lease_until,
             load: Load::default(),
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -32,7 +32,7 @@
 
 /// Penalty for a worker whose agent stops, in thousandths of a core: more than any other penalty, so that only tasks
 /// which fit nowhere else go there.
-const STOPPING_PENALTY: i64 = 1_000_000_000;
+const RETIRING_PENALTY: i64 = 1_000_000_000;
 
 /// Time without any run after which a job is placed wherever its resources fit, however slow its run would be there;
 /// users take a job that makes no progress for 3 s beside free capacity as lost.
@@ -96,10 +96,12 @@
         let disturbs_none = need.disturbed == 0;
         let fits = (disturbs_none || colocation::is_worth_starting(self.run_time, need.pace_percent, waited))
             && !agent.is_start_deferred(self.now)
+            // A sound run isn't given up for a worker that may be lost.
+            && (!agent.is_retiring || self.state.runs.is_empty())
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
         let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now)?;
-        let risk = crash_risk.saturating_add(if agent.is_stopping { STOPPING_PENALTY } else { 0 });
+        let risk = crash_risk.saturating_add(if agent.is_retiring { RETIRING_PENALTY } else { 0 });
         fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
 
--- a/crates/cell/src/cell/reservations.rs
+++ b/crates/cell/src/cell/reservations.rs
@@ -188,7 +188,8 @@
 
     /// Whether a task fits on a worker once the runs in `stopped` and those being stopped there have ended.
     pub(super) fn fits_after(&self, task: TaskId, name: &Name, stopped: &[(TaskId, u64)], now: Duration) -> bool {
-        let Some(agent) = self.agents.get(name) else { return false };
+        // No run is stopped for the sake of a place on a worker that may be lost.
+        let Some(agent) = self.agents.get(name).filter(|agent| !agent.is_retiring) else { return false };
         let mut over = self.stopping(name);
         over.extend(stopped);
         let Some(need) = self.need_at(task, agent, &over, StepContext::default(), now) else { return false };
--- a/crates/cell/tests/evacuation.rs
+++ b/crates/cell/tests/evacuation.rs
@@ -405,3 +405,18 @@
         .collect();
     assert_eq!(reasons, ["no_other_domain", "no_worker"]);
 }
+
+/// The machine of a stopping agent may be removed with the worker and its runs.
+#[test]
+fn a_sound_run_is_moved_to_the_worker_of_a_stopping_agent() {
+    let mut world = spread_world(2);
+    world.submit(job(1, vec![lasting(1, 1)]));
+    let started_in = placed(&mut world);
+    report(&mut world, |_| 100);
+    let other = name(if started_in == ["hobart"] { "agent-1" } else { "agent-0" });
+    world.cell.agent_retiring(&other, true);
+    world.cell.evacuate(&set(&[(started_in[0], 5, true)], 0), world.now);
+    assert_eq!(stops(&mut world), []);
+    world.cell.agent_retiring(&other, false);
+    assert_eq!(stops(&mut world).len(), 1);
+}
--- a/crates/cell/tests/placing.rs
+++ b/crates/cell/tests/placing.rs
@@ -513,7 +513,7 @@
 #[test]
 fn a_task_goes_to_the_worker_of_a_stopping_agent_while_another_has_room() {
     let mut world = World::with_workers(2, 1_000);
-    world.cell.agent_stopping(&name("agent-0"), true);
+    world.cell.agent_retiring(&name("agent-0"), true);
     world.submit(job(1, vec![step(1, 600)]));
     world.place();
     let agents = |world: &World| world.all_running().into_iter().map(|(agent, ..)| agent).collect::<Vec<_>>();
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -115,7 +115,7 @@
                 }
             }
             FromAgent::Ask { asked, stops_in } => {
-                self.cell.agent_stopping(agent, stops_in.is_some());
+                self.cell.agent_retiring(agent, stops_in.is_some());
                 self.send_grant(agent, asked, now);
             }
             FromAgent::Worker(worker) => {
