Wait for the row and for an unknown worker before an agent stops

It now ends once the row is written and nothing can be running any more. No test shows the lost row.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -121,7 +121,7 @@
     Retire {
         /// Time after which it stops.
         within: Duration,
-        /// Answered once there is no worker left that needs the agent.
+        /// Answered once no worker needs the agent any more.
         idle: RpcReplyPort<()>,
     },
 }
@@ -390,7 +390,7 @@
             Message::Dump(reply) => drop(reply.send(state.dump(now))),
             Message::Retire { within, idle } => state.retire(within, idle, now),
         }
-        state.end_retirement_if_idle();
+        state.end_retirement_if_idle(now);
         state.poll_if_due(now);
         Ok(())
     }
@@ -428,9 +428,13 @@
         self.request_grant(now);
     }
 
-    /// Ends the process's wait for its stop when the agent has no worker.
-    fn end_retirement_if_idle(&mut self) {
-        if self.tracked.is_none()
+    /// Ends the process's wait for its stop when no worker needs the agent and its row is written.
+    fn end_retirement_if_idle(&mut self, now: Duration) {
+        // A worker that isn't known yet may have runs of an earlier start of the agent.
+        let has_no_worker = self.tracked.is_none() && now >= self.empty_at;
+        let is_row_written = self.row_write.as_ref().is_none_or(|(_, write)| write.is_finished());
+        if has_no_worker
+            && is_row_written
             && let Some(idle) = self.retirement.as_mut().and_then(|retirement| retirement.idle.take())
         {
             // The process may have stopped waiting.
