Guard the renewals and the notice of a stopping agent

The reviewer's mutants passed all tests: one renews no lease while the agent stops, one makes the placer ignore the notice. the_lease_of_a_stopping_agents_worker_lapses and a_task_goes_to_the_worker_of_an_agent_that_has_announced_its_stop fail with them.

--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -15,6 +15,8 @@
 use support::Fault;
 use support::agent::{Link, idle_poll, life, link, spawn, spawn_without_report, task};
 
+/// Lease that the placer's end of a link grants.
+const LEASE: Duration = Duration::from_secs(5);
 /// Timeout for conditions that should be met soon.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -299,3 +301,20 @@
     agent.actor.cast(Message::Leave(life().worker)).expect("the agent runs");
     tokio::time::timeout(WAIT_LIMIT, retirement).await.expect("no worker is left").expect("no panic");
 }
+
+/// The runs on the worker lapse before the agent's time to stop is over unless their lease is renewed meanwhile.
+#[tokio::test]
+async fn the_lease_of_a_stopping_agents_worker_lapses() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    let actor = agent.actor.clone();
+    let _retirement = tokio::spawn(async move { agent::retire(&actor, Duration::from_mins(10)).await });
+    let stopping_since = Instant::now();
+    let is_renewed = || {
+        let has_lease =
+            agent.worker.change(|script| script.polls.last().is_some_and(|poll| poll.lease_end_ms.is_some()));
+        has_lease && stopping_since.elapsed() > LEASE + Duration::from_secs(1)
+    };
+    placer.wait_for("a lease beyond the one at the stop", |_| is_renewed().then_some(())).await;
+}
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -284,6 +284,24 @@
     second.accept().await.wait_for_start().await;
 }
 
+/// The machine of a stopping agent may be removed with the worker and its runs.
+#[tokio::test]
+async fn a_task_goes_to_the_worker_of_an_agent_that_has_announced_its_stop() {
+    let (stopping, other) = (TestAgent::listen().await, TestAgent::listen().await);
+    let agents = [("agent-1", stopping.address), ("agent-2", other.address)];
+    let (_view, roster_view) = watch::channel(Some(roster(TERM, REVISION, &agents)));
+    let placer = placer::spawn(context(&claimed_rows(), clock::system(), roster_view)).await.expect("placer");
+    let (mut stopping_link, mut other_link) = tokio::join!(stopping.accept(), other.accept());
+    stopping_link.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: Some(Duration::from_secs(5)) });
+    while !matches!(stopping_link.receiver.receive::<ToAgent>(WAIT_LIMIT).await, Ok(ToAgent::Grant { .. })) {}
+    assert_eq!(other_link.first_of_evacuation_and_start().await, Some((0, false)));
+    placer.cast(Message::Submitted(Box::new(job(1)))).expect("running");
+    tokio::select! {
+        () = other_link.wait_for_start() => {}
+        () = stopping_link.wait_for_start_while_stopping() => panic!("the task starts on the worker of the stopping agent"),
+    }
+}
+
 /// A link that opened just before the row was deleted has nobody who would notice its end.
 #[tokio::test]
 async fn a_link_opened_to_an_agent_whose_row_is_gone_is_not_used() {
@@ -518,6 +536,12 @@
         tokio::time::timeout(WAIT_LIMIT, first).await.expect("an evacuation or a start")
     }
 
+    async fn wait_for_start_while_stopping(&mut self) {
+        while !matches!(self.receiver.receive::<ToAgent>(WAIT_LIMIT).await, Ok(ToAgent::Start { .. })) {
+            self.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: Some(Duration::from_secs(5)) });
+        }
+    }
+
     async fn wait_for_start(&mut self) {
         while self.first_of_evacuation_and_start().await.is_some() {}
     }
