Log the steps by which an agent rules a run out

The log of an agent named each start without an answer, and then nothing until the placer's `run_absent` seconds later. `stop_not_taken`, `stop_taken` and `absence_confirmed` tell when a stop was sent, how often it got no answer and how long the poll that confirms it took.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -208,12 +208,22 @@
 /// Order to stop whose effect isn't confirmed yet.
 #[derive(Debug)]
 struct PendingStop {
+    /// When the run was to be stopped.
+    since: Duration,
+    /// Calls that were sent.
+    attempts: u32,
     /// When the worker acknowledged the order.
     acknowledged_at: Option<Duration>,
     is_calling: bool,
     due: Duration,
 }
 
+impl PendingStop {
+    const fn new(now: Duration) -> Self {
+        Self { since: now, attempts: 0, acknowledged_at: None, is_calling: false, due: now }
+    }
+}
+
 /// State of the agent.
 #[derive(Debug)]
 pub struct State {
@@ -429,10 +439,7 @@
         self.acknowledged_starts.clear();
         self.traits.clear();
         self.ordered_paces.clear();
-        self.pending_stops = uncertain_runs
-            .into_iter()
-            .map(|run| (run, PendingStop { acknowledged_at: None, is_calling: false, due: now }))
-            .collect();
+        self.pending_stops = uncertain_runs.into_iter().map(|run| (run, PendingStop::new(now))).collect();
         self.empty_at = self.empty_at.max(now);
     }
 
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -129,7 +129,7 @@
         self.clear_ended();
         // A run that isn't listed may have ended as done.
         if !has_more_ends {
-            self.report_absent(sent);
+            self.report_absent(sent, now);
         }
         self.update_started_at(now);
         let is_inventory_due = term == self.term && self.inventory_due.is_some_and(|due| sent >= due);
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -8,6 +8,7 @@
 use chervilledge_policy::id::Name;
 
 use super::{Message, PendingStart, PendingStop, RunId, State, TrackedWorker};
+use crate::clock::whole_ms;
 use crate::message::FromAgent;
 use crate::worker::{OrderOutcome, StartOutcome};
 
@@ -151,7 +152,7 @@
 
     fn ensure_absent(&mut self, run: RunId, now: Duration) {
         self.pending_starts.remove(&run);
-        self.pending_stops.entry(run).or_insert(PendingStop { acknowledged_at: None, is_calling: false, due: now });
+        self.pending_stops.entry(run).or_insert_with(|| PendingStop::new(now));
         self.send_pending_stops(now);
     }
 
@@ -192,6 +193,7 @@
                 continue;
             }
             stopping.is_calling = true;
+            stopping.attempts += 1;
             let call = (self.context.calls.stop)((target.clone(), run.0, run.1));
             let (run, life, myself) = (*run, life.clone(), self.myself.clone());
             tokio::spawn(async move {
@@ -208,14 +210,21 @@
         }
         let Some(stopping) = self.pending_stops.get_mut(&run) else { return };
         stopping.is_calling = false;
+        let stopping_ms = whole_ms(now.saturating_sub(stopping.since));
         match result {
             OrderOutcome::Taken => {
+                log::info!(event = "stop_taken", task:% = run.0, run = run.1, attempts = stopping.attempts,
+                    stopping_ms = stopping_ms; "");
                 stopping.acknowledged_at = Some(now);
                 if let Some(tracked) = &mut self.tracked {
                     tracked.poll_due = now;
                 }
             }
-            OrderOutcome::Fenced | OrderOutcome::Unknown => stopping.due = now + STOP_RETRY,
+            OrderOutcome::Fenced | OrderOutcome::Unknown => {
+                log::info!(event = "stop_not_taken", task:% = run.0, run = run.1, attempt = stopping.attempts,
+                    stopping_ms = stopping_ms, result:? = result; "");
+                stopping.due = now + STOP_RETRY;
+            }
         }
     }
 
@@ -230,7 +239,7 @@
 
     /// Reports stopped runs that the worker neither runs nor lists, according to a poll sent after the stop was
     /// acknowledged.
-    pub(super) fn report_absent(&mut self, sent: Duration) {
+    pub(super) fn report_absent(&mut self, sent: Duration, now: Duration) {
         let Some(tracked) = &self.tracked else { return };
         let is_listed = |run: &RunId| {
             tracked.running.iter().any(|report| (report.task, report.run) == *run)
@@ -243,7 +252,12 @@
             .map(|(run, _)| *run)
             .collect();
         for run in absent {
-            self.pending_stops.remove(&run);
+            if let Some(stopping) = self.pending_stops.remove(&run) {
+                let acknowledged = stopping.acknowledged_at.unwrap_or(now);
+                log::info!(event = "absence_confirmed", task:% = run.0, run = run.1,
+                    stopping_ms = whole_ms(now.saturating_sub(stopping.since)),
+                    acknowledged_ms = whole_ms(now.saturating_sub(acknowledged)); "");
+            }
             self.traits.remove(&run);
             self.send_to_placer(FromAgent::Absent { task: run.0, run: run.1 });
         }
