Repeat a start without an answer while the worker answers polls

Cause: an agent gave up a start after three calls without an answer, one after the other. From then on three more calls had to be answered, each lost as often as a start: a stop, a poll sent after its answer, and a start elsewhere. While two polls in a row were lost, it gave up after the first call. Ruled out: the silence of the worker.

The start is now repeated until it is answered, for the 3 s within which users expect a lasting task to run; while polls are lost it waits for the next one. A start is idempotent, an attempt that is carried out late finds the run there or is refused once the run has ended or was stopped, and what the next life of a worker may have taken is stopped there as before, so no second run can come of it. Two attempts are at least 250 ms apart, also over a connection that breaks.

starts_without_an_answer_keep_a_task_from_running fails without the change: 'the start: not within 20s', in both cases (five orders without an answer; three beside lost polls). Two tests that wait until the start is abandoned, now after 3 s, serve the link meanwhile, as a placer does; what they check is the same.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -202,7 +202,12 @@
 #[derive(Debug)]
 struct PendingStart {
     order: chervilledge_cell::worker::StartOrder,
+    /// When the first attempt was sent.
+    since: Duration,
     attempts: u32,
+    is_calling: bool,
+    /// When the next attempt may be sent.
+    due: Duration,
 }
 
 /// Order to stop whose effect isn't confirmed yet.
@@ -396,6 +401,7 @@
         }
         self.announce_if_due(now);
         self.expire_silent_worker(now);
+        self.repeat_pending_starts(now);
         self.send_pending_stops(now);
         self.report_progress(now);
         self.report_effects(now);
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -12,8 +12,11 @@
 use crate::message::FromAgent;
 use crate::worker::{OrderOutcome, StartOutcome};
 
-/// Attempts at a start. After the last one the run is stopped, which ensures that it never starts.
-const START_ATTEMPTS: u32 = 3;
+/// Time for which a start without an answer is repeated; users expect a lasting task to run within three seconds where
+/// there is capacity. The run is stopped afterwards, which ensures that it never starts.
+const START_PATIENCE: Duration = Duration::from_secs(3);
+/// Minimum interval between two attempts at a start; one that gets no answer takes longer than a broken connection.
+const START_RETRY: Duration = Duration::from_millis(250);
 /// Time after which an unanswered order can no longer be executed: users state twelve seconds, plus a margin.
 const LATE_START_BOUND: Duration = Duration::from_secs(15);
 /// Pause before an unanswered stop is repeated.
@@ -40,8 +43,11 @@
             return;
         }
         self.traits.insert(run, order.traits.clone());
-        self.pending_starts.insert(run, PendingStart { order, attempts: 0 });
-        self.send_start(run, now);
+        let starting = PendingStart { order, since: now, attempts: 0, is_calling: false, due: now };
+        self.pending_starts.insert(run, starting);
+        if !self.send_start(run, now) {
+            self.refuse(run, Refusal::Late);
+        }
     }
 
     /// Whether the worker's failure domain is evacuated, so that nothing may start.
@@ -63,19 +69,14 @@
         self.send_to_placer(FromAgent::Refused { task: run.0, run: run.1, refusal });
     }
 
-    fn send_start(&mut self, run: RunId, now: Duration) {
-        let (Some(target), Some(lease_end)) = (self.target(), self.offer_lease(now)) else {
-            // An earlier attempt may still be executed.
-            if self.pending_starts.get(&run).is_some_and(|starting| starting.attempts > 0) {
-                self.ensure_absent(run, now);
-            } else {
-                self.refuse(run, Refusal::Late);
-            }
-            return;
-        };
-        let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return };
-        let Some(starting) = self.pending_starts.get_mut(&run) else { return };
+    /// Sends an attempt at a start; returns whether the worker may be called.
+    fn send_start(&mut self, run: RunId, now: Duration) -> bool {
+        let (Some(target), Some(lease_end)) = (self.target(), self.offer_lease(now)) else { return false };
+        let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return false };
+        let Some(starting) = self.pending_starts.get_mut(&run) else { return false };
         starting.attempts += 1;
+        starting.is_calling = true;
+        starting.due = now + START_RETRY;
         self.started_at.entry(run).or_insert(now);
         let call = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
@@ -84,6 +85,29 @@
             // The agent may have ended.
             drop(myself.cast(Message::Started { run, life, sent: now, result }));
         });
+        true
+    }
+
+    /// Repeats the starts that got no answer, as soon as the worker answers polls, or ensures that they never happen.
+    ///
+    /// One answered attempt ends the wait of the task, whereas a start elsewhere first needs an answered stop and a poll
+    /// after it.
+    pub(super) fn repeat_pending_starts(&mut self, now: Duration) {
+        let is_evacuated = self.is_evacuated();
+        let due: Vec<(RunId, Duration)> = self
+            .pending_starts
+            .iter()
+            .filter(|(_, starting)| !starting.is_calling && now >= starting.due)
+            .map(|(run, starting)| (*run, starting.since))
+            .collect();
+        for (run, since) in due {
+            if !is_evacuated && now.saturating_sub(since) < START_PATIENCE {
+                self.send_start(run, now);
+            } else {
+                // An attempt may still be executed.
+                self.ensure_absent(run, now);
+            }
+        }
     }
 
     pub(super) fn handle_start_outcome(
@@ -96,10 +120,9 @@
     ) {
         self.check_for_restart(life, sent, result, now);
         let is_present = self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life == *life);
-        let Some(attempts) = self.pending_starts.get(&run).map(|starting| starting.attempts).filter(|_| is_present)
-        else {
-            return;
-        };
+        let Some(starting) = self.pending_starts.get_mut(&run).filter(|_| is_present) else { return };
+        starting.is_calling = false;
+        let attempts = starting.attempts;
         if !matches!(result, StartOutcome::Running { .. }) {
             log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
         }
@@ -114,9 +137,9 @@
                 self.send_to_placer(FromAgent::Started { task: run.0, run: run.1 });
                 self.pace_new_run(run);
             }
-            StartOutcome::Unknown if attempts < START_ATTEMPTS && !self.is_evacuated() => self.send_start(run, now),
+            StartOutcome::Unknown => self.repeat_pending_starts(now),
             // A delayed attempt may have been executed, so the worker has to say what became of the run.
-            StartOutcome::Unknown | StartOutcome::Outdated => self.ensure_absent(run, now),
+            StartOutcome::Outdated => self.ensure_absent(run, now),
             StartOutcome::Refused(_) if attempts > 1 => self.ensure_absent(run, now),
             StartOutcome::Refused(refusal) => self.refuse(run, refusal),
             StartOutcome::OtherLife => self.handle_worker_end("other_life", now),
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -24,7 +24,7 @@
     let mut previous_placer = link(&agent, 1).await;
     assert_eq!(previous_placer.inventory().await, Vec::new());
     previous_placer.start(task(1), 1);
-    agent.worker.wait_for("the agent abandons the start", |script| !script.stops.is_empty()).await;
+    previous_placer.serve_until(&agent.worker, "the agent abandons the start", |script| !script.stops.is_empty()).await;
     let mut new_placer = link(&agent, 2).await;
     assert_eq!(new_placer.inventory().await, vec![(task(1), 1)]);
     // Once the worker has acknowledged the stop, the run can't start any more.
@@ -163,7 +163,7 @@
     let mut placer = link(&agent, 1).await;
     assert_eq!(placer.inventory().await, Vec::new());
     placer.start(task(1), 1);
-    agent.worker.wait_for("the agent abandons the start", |script| !script.stops.is_empty()).await;
+    placer.serve_until(&agent.worker, "the agent abandons the start", |script| !script.stops.is_empty()).await;
     agent.worker.change(|script| {
         script.poll = Ok(PollResponse { born_unix_ms: Some(9), ..idle_poll() });
         script.stops.clear();
@@ -262,6 +262,33 @@
     assert!(silent_since.elapsed() < Duration::from_secs(7), "given up after {:?}", silent_since.elapsed());
 }
 
+/// Three starts without an answer made a lasting task wait for a stop, a poll and a start elsewhere, for up to nine seconds.
+#[rstest]
+#[case::orders(5, false)]
+#[case::orders_and_polls(3, true)]
+#[tokio::test]
+async fn starts_without_an_answer_keep_a_task_from_running(
+    #[case] unanswered_orders: u32,
+    #[case] are_polls_lost: bool,
+) {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    agent.worker.change(|script| script.unanswered_orders = unanswered_orders);
+    if are_polls_lost {
+        agent.worker.change(|script| script.poll = Err(PollError::Unknown));
+        let polls = agent.worker.change(|script| script.polls.len());
+        placer.start(task(1), 1);
+        agent.worker.wait_for("polls that fail", |script| script.polls.len() > polls + 4).await;
+        agent.worker.change(|script| script.poll = Ok(idle_poll()));
+    } else {
+        placer.start(task(1), 1);
+    }
+    let ordered = Instant::now();
+    placer.wait_for("the start", |message| matches!(message, FromAgent::Started { .. }).then_some(())).await;
+    assert!(ordered.elapsed() < Duration::from_secs(3), "started after {:?}", ordered.elapsed());
+}
+
 /// What indicates that the worker may have restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Case {
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -24,6 +24,8 @@
 
 /// Timeout for conditions that should be met soon.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Time after which a call without an answer is given up.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Lease granted by the placer's end.
 const LEASE: Duration = Duration::from_secs(5);
 
@@ -34,6 +36,8 @@
     /// Whether responses to starts are held back.
     pub delays_start_responses: bool,
     pub stop: OrderOutcome,
+    /// Number of orders to start or stop that get no answer from now on.
+    pub unanswered_orders: u32,
     pub poll: Result<PollResponse, PollError>,
     /// Responses to polls of other workers than that of [`life`], by name.
     pub other_polls: BTreeMap<Name, Result<PollResponse, PollError>>,
@@ -46,6 +50,15 @@
     pub paces: Vec<(TaskId, u32)>,
 }
 
+impl Script {
+    /// Whether the next order gets no answer.
+    fn loses_order(&mut self) -> bool {
+        let is_lost = self.unanswered_orders > 0;
+        self.unanswered_orders = self.unanswered_orders.saturating_sub(1);
+        is_lost
+    }
+}
+
 /// Worker that follows a script; clones share it.
 #[derive(Clone, Debug)]
 pub struct ScriptedWorker(Arc<Mutex<Script>>);
@@ -69,22 +82,32 @@
         let (starts, stops, polls, paces) = (self.clone(), self.clone(), self.clone(), self.clone());
         Calls {
             start: Box::new(move |(target, order, _)| {
-                let answer = starts.change(|script| {
+                let (answer, is_lost) = starts.change(|script| {
                     script.starts.push((order.task, order.run, target.term));
-                    script.start
+                    (script.start, script.loses_order())
                 });
                 let script = starts.clone();
                 Box::pin(async move {
+                    if is_lost {
+                        tokio::time::sleep(ORDER_TIMEOUT).await;
+                        return StartOutcome::Unknown;
+                    }
                     script.wait_for("answers to starts", |script| !script.delays_start_responses).await;
                     answer
                 })
             }),
             stop: Box::new(move |(target, task, run)| {
-                let answer = stops.change(|script| {
+                let (answer, is_lost) = stops.change(|script| {
                     script.stops.push((task, run, target.term));
-                    script.stop
+                    (script.stop, script.loses_order())
                 });
-                Box::pin(async move { answer })
+                Box::pin(async move {
+                    if is_lost {
+                        tokio::time::sleep(ORDER_TIMEOUT).await;
+                        return OrderOutcome::Unknown;
+                    }
+                    answer
+                })
             }),
             pace: Box::new(move |(_, task, _, percent)| {
                 paces.change(|script| script.paces.push((task, percent)));
@@ -146,6 +169,7 @@
         start: StartOutcome::Running { clock_ms: None },
         delays_start_responses: false,
         stop: OrderOutcome::Taken,
+        unanswered_orders: 0,
         poll: Ok(idle_poll()),
         other_polls: BTreeMap::new(),
         poll_delay: Duration::ZERO,
@@ -235,6 +259,14 @@
         chosen
     }
 
+    /// Keeps the link alive and grants leases until the worker's script meets a condition.
+    pub async fn serve_until(&mut self, worker: &ScriptedWorker, what: &str, is_met: impl Fn(&Script) -> bool) {
+        tokio::select! {
+            () = worker.wait_for(what, is_met) => {}
+            () = self.wait_for("nothing", |_| None) => {}
+        }
+    }
+
     /// Running and starting runs in the next inventory.
     pub async fn inventory(&mut self) -> Vec<(TaskId, u64)> {
         self.wait_for("inventory", |message| match message {
