Don't repeat a start on a worker that has announced its end

An agent refuses an order to start on a worker that leaves, but repeated one that had got no answer before the announcement, so that a task could start there just before its end (DRAIN in the users' rules where it comes later than their bound).

a_start_without_an_answer_is_repeated_on_a_worker_that_leaves fails on the code before the two changes: 'absence: not within 20s', the second call was made and the run started. The run is now stopped, since the first call may still be carried out.

--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -93,7 +93,8 @@
     /// One answered attempt ends the wait of the task, whereas a start elsewhere first needs an answered stop and a poll
     /// after it.
     pub(super) fn repeat_pending_starts(&mut self, now: Duration) {
-        let is_evacuated = self.is_evacuated();
+        let may_start =
+            !self.is_evacuated() && self.tracked.as_ref().is_some_and(|tracked| tracked.worker.leaves_in.is_none());
         let due: Vec<(RunId, Duration)> = self
             .pending_starts
             .iter()
@@ -101,7 +102,7 @@
             .map(|(run, starting)| (*run, starting.since))
             .collect();
         for (run, since) in due {
-            if !is_evacuated && now.saturating_sub(since) < START_PATIENCE {
+            if may_start && now.saturating_sub(since) < START_PATIENCE {
                 self.send_start(run, now);
             } else {
                 // An attempt may still be executed.
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -289,6 +289,20 @@
     assert!(ordered.elapsed() < Duration::from_secs(3), "started after {:?}", ordered.elapsed());
 }
 
+/// Nothing may start on a worker that has announced its end.
+#[tokio::test]
+async fn a_start_without_an_answer_is_repeated_on_a_worker_that_leaves() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    agent.worker.change(|script| script.unanswered_orders = 1);
+    placer.start(task(1), 1);
+    agent.worker.wait_for("the start", |script| !script.starts.is_empty()).await;
+    agent.report_leaving(life(), 2);
+    placer.wait_for("absence", |message| matches!(message, FromAgent::Absent { .. }).then_some(())).await;
+    assert_eq!(agent.worker.change(|script| script.starts.len()), 1);
+}
+
 /// What indicates that the worker may have restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Case {
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -202,6 +202,16 @@
 
     /// Sends a report of the worker with these resources.
     pub fn report_resources(&self, life: Life, sequence: u64, resources: Resources) {
+        self.report_state(life, sequence, resources, None);
+    }
+
+    /// Sends a report of the worker that it leaves soon.
+    pub fn report_leaving(&self, life: Life, sequence: u64) {
+        let resources = Resources { processor_millicores: 16_000, ..Resources::default() };
+        self.report_state(life, sequence, resources, Some(Duration::from_secs(5)));
+    }
+
+    fn report_state(&self, life: Life, sequence: u64, resources: Resources, leaves_in: Option<Duration>) {
         let report = Report {
             worker: Worker {
                 life,
@@ -210,7 +220,7 @@
                 resources,
                 kind: None,
                 rack: None,
-                leaves_in: None,
+                leaves_in,
                 cold_for: Duration::ZERO,
             },
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
