Count the pause before a stop is repeated from its sending

A stop that got no answer was repeated 250 to 350 ms after its timeout of 0.5 s, while its task had no run and its capacity was held: a move, a preemption or a start that was given up each waited for it. The pause is there for calls that fail at once; beside a call that timed out it only adds to the wait. It now counts from the sending, as that of a repeated start, so that a timeout is followed by the next call.

stops_without_an_answer_keep_a_task_from_running (five stops without an answer; users expect a lasting task to run within 3 s where there is capacity) fails without the change: 'absent after 4.040428635s'.

--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -15,12 +15,10 @@
 /// Time for which a start without an answer is repeated; users expect a lasting task to run within three seconds where
 /// there is capacity. The run is stopped afterwards, which ensures that it never starts.
 const START_PATIENCE: Duration = Duration::from_secs(3);
-/// Minimum interval between two attempts at a start; one that gets no answer takes longer than a broken connection.
-const START_RETRY: Duration = Duration::from_millis(250);
+/// Minimum interval between two calls for one order; a call that gets no answer takes longer than a broken connection.
+const ORDER_RETRY: Duration = Duration::from_millis(250);
 /// Time after which an unanswered order can no longer be executed: users state twelve seconds, plus a margin.
 const LATE_START_BOUND: Duration = Duration::from_secs(15);
-/// Pause before an unanswered stop is repeated.
-const STOP_RETRY: Duration = Duration::from_millis(250);
 
 impl State {
     pub(super) fn start(&mut self, life: &Life, order: StartOrder, now: Duration) {
@@ -76,7 +74,7 @@
         let Some(starting) = self.pending_starts.get_mut(&run) else { return false };
         starting.attempts += 1;
         starting.is_calling = true;
-        starting.due = now + START_RETRY;
+        starting.due = now + ORDER_RETRY;
         self.started_at.entry(run).or_insert(now);
         let call = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
@@ -218,6 +216,7 @@
             }
             stopping.is_calling = true;
             stopping.attempts += 1;
+            stopping.due = now + ORDER_RETRY;
             let call = (self.context.calls.stop)((target.clone(), run.0, run.1));
             let (run, life, myself) = (*run, life.clone(), self.myself.clone());
             tokio::spawn(async move {
@@ -247,7 +246,7 @@
             OrderOutcome::Fenced | OrderOutcome::Unknown => {
                 log::info!(event = "stop_not_taken", task:% = run.0, run = run.1, attempt = stopping.attempts,
                     stopping_ms = stopping_ms, result:? = result; "");
-                stopping.due = now + STOP_RETRY;
+                self.send_pending_stops(now);
             }
         }
     }
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -289,6 +289,19 @@
     assert!(ordered.elapsed() < Duration::from_secs(3), "started after {:?}", ordered.elapsed());
 }
 
+/// Each stop without an answer cost a pause of up to 350 ms beyond its timeout, while its task had no run.
+#[tokio::test]
+async fn stops_without_an_answer_keep_a_task_from_running() {
+    let agent = spawn().await;
+    let mut placer = link(&agent, 1).await;
+    placer.inventory().await;
+    agent.worker.change(|script| script.unanswered_orders = 5);
+    let ordered = Instant::now();
+    placer.sender.post(ToAgent::Stop { life: life(), task: task(1), run: 1 });
+    placer.wait_for("absence", |message| matches!(message, FromAgent::Absent { .. }).then_some(())).await;
+    assert!(ordered.elapsed() < Duration::from_secs(3), "absent after {:?}", ordered.elapsed());
+}
+
 /// Nothing may start on a worker that has announced its end.
 #[tokio::test]
 async fn a_start_without_an_answer_is_repeated_on_a_worker_that_leaves() {
