Count the age of a crashed run from the last attempt at its start

Cause: each start was repeated until an attempt was executed, which crashed the worker 10 ms later. The agent counted the age of the run from the first attempt, 502 and 1005 ms, so that it was a bystander (a suspect is at most 300 ms old), and the age of 1005 ms refuted the crash before.

The age now counts from the last attempt before the worker lists the run. A run that an earlier attempt had started can look younger by the time between two attempts until a poll shows it.

a_run_is_as_old_as_its_first_start_without_an_answer fails without the change: an age of 507 ms.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -259,7 +259,7 @@
     /// Acknowledged starts and the time of the acknowledgement; kept until a poll that was sent later.
     acknowledged_starts: Map<RunId, Duration>,
     pending_stops: Map<RunId, PendingStop>,
-    /// When the start of each run on the worker was first sent, or when the run was first seen.
+    /// When the start of each run was last sent before the worker listed it, or when it was first listed.
     started_at: Map<RunId, Duration>,
     /// Crashes of the worker that the placer hasn't settled, the oldest first.
     crashes: VecDeque<CrashReport>,
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -75,7 +75,11 @@
         starting.attempts += 1;
         starting.is_calling = true;
         starting.due = now + ORDER_RETRY;
-        self.started_at.entry(run).or_insert(now);
+        // A run that the worker lists was started by an earlier attempt.
+        let is_listed = |tracked: &TrackedWorker| tracked.running.iter().any(|report| (report.task, report.run) == run);
+        if !self.tracked.as_ref().is_some_and(is_listed) {
+            self.started_at.insert(run, now);
+        }
         let call = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
         tokio::spawn(async move {
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::crashes::SUSPECT_AGE_MAX;
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::worker::{CrashReport, Life, Refusal, RunReport};
 use chervilledge_scheduler::agent::Message;
@@ -105,6 +106,20 @@
     assert!(young.age < Duration::from_millis(100), "{report:?}");
 }
 
+/// A task that crashed its workers at the second attempt of each start counted as a bystander, and was started without end.
+#[tokio::test]
+async fn a_run_is_as_old_as_its_first_start_without_an_answer() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.worker.change(|script| script.unanswered_orders = 1);
+    link.start(task(2), 1);
+    let started = |message| matches!(message, FromAgent::Started { task: id, .. } if id == task(2)).then_some(());
+    link.wait_for("start", started).await;
+    agent.worker.change(|script| script.poll = Err(PollError::NotThere));
+    let report = crashed(&mut link).await;
+    let young = report.runs.iter().find(|run| run.task == task(2)).expect("the repeated start");
+    assert!(young.age <= SUSPECT_AGE_MAX, "{report:?}");
+}
+
 /// A start that reached the next life of the worker didn't crash the one before.
 #[tokio::test]
 async fn a_run_of_the_next_life_is_blamed_for_the_crash_before() {
