--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -209,18 +209,33 @@
 #[derive(Debug)]
 struct PendingStart {
     order: chervilledge_cell::worker::StartOrder,
+    /// When the first attempt was sent.
+    since: Duration,
     attempts: u32,
+    is_calling: bool,
+    /// When the next attempt may be sent.
+    due: Duration,
 }
 
 /// Order to stop whose effect isn't confirmed yet.
 #[derive(Debug)]
 struct PendingStop {
+    /// When the run was to be stopped.
+    since: Duration,
+    /// Calls that were sent.
+    attempts: u32,
     /// When the worker acknowledged the order.
     acknowledged_at: Option<Duration>,
     is_calling: bool,
     due: Duration,
 }
 
+impl PendingStop {
+    const fn new(now: Duration) -> Self {
+        Self { since: now, attempts: 0, acknowledged_at: None, is_calling: false, due: now }
+    }
+}
+
 /// Announced stop of the process.
 #[derive(Debug)]
 struct Retirement {
@@ -259,7 +274,7 @@
     /// Acknowledged starts and the time of the acknowledgement; kept until a poll that was sent later.
     acknowledged_starts: Map<RunId, Duration>,
     pending_stops: Map<RunId, PendingStop>,
-    /// When the start of each run on the worker was first sent, or when the run was first seen.
+    /// When the start of each run was last sent before the worker listed it, or when it was first listed.
     started_at: Map<RunId, Duration>,
     /// Crashes of the worker that the placer hasn't settled, the oldest first.
     crashes: VecDeque<CrashReport>,
@@ -415,6 +430,7 @@
         }
         self.announce_if_due(now);
         self.expire_silent_worker(now);
+        self.repeat_pending_starts(now);
         self.send_pending_stops(now);
         self.report_progress(now);
         self.report_effects(now);
@@ -482,10 +498,7 @@
         self.acknowledged_starts.clear();
         self.traits.clear();
         self.ordered_paces.clear();
-        self.pending_stops = uncertain_runs
-            .into_iter()
-            .map(|run| (run, PendingStop { acknowledged_at: None, is_calling: false, due: now }))
-            .collect();
+        self.pending_stops = uncertain_runs.into_iter().map(|run| (run, PendingStop::new(now))).collect();
         self.empty_at = self.empty_at.max(now);
     }
 
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -8,15 +8,17 @@
 use chervilledge_policy::id::Name;
 
 use super::{Message, PendingStart, PendingStop, RunId, State, TrackedWorker};
+use crate::clock::whole_ms;
 use crate::message::FromAgent;
 use crate::worker::{OrderOutcome, StartOutcome};
 
-/// Attempts at a start. After the last one the run is stopped, which ensures that it never starts.
-const START_ATTEMPTS: u32 = 3;
+/// Time for which a start without an answer is repeated; users expect a lasting task to run within three seconds where
+/// there is capacity. The run is stopped afterwards, which ensures that it never starts.
+const START_PATIENCE: Duration = Duration::from_secs(3);
+/// Minimum interval between two calls for one order; a call that gets no answer takes longer than a broken connection.
+const ORDER_RETRY: Duration = Duration::from_millis(250);
 /// Time after which an unanswered order can no longer be executed: users state twelve seconds, plus a margin.
 const LATE_START_BOUND: Duration = Duration::from_secs(15);
-/// Pause before an unanswered stop is repeated.
-const STOP_RETRY: Duration = Duration::from_millis(250);
 
 impl State {
     pub(super) fn start(&mut self, life: &Life, order: StartOrder, now: Duration) {
@@ -39,8 +41,11 @@
             return;
         }
         self.traits.insert(run, order.traits.clone());
-        self.pending_starts.insert(run, PendingStart { order, attempts: 0 });
-        self.send_start(run, now);
+        let starting = PendingStart { order, since: now, attempts: 0, is_calling: false, due: now };
+        self.pending_starts.insert(run, starting);
+        if !self.send_start(run, now) {
+            self.refuse(run, Refusal::Late);
+        }
     }
 
     /// Whether the worker's failure domain is evacuated, so that nothing may start.
@@ -62,20 +67,19 @@
         self.send_to_placer(FromAgent::Refused { task: run.0, run: run.1, refusal });
     }
 
-    fn send_start(&mut self, run: RunId, now: Duration) {
-        let (Some(target), Some(lease_end)) = (self.target(), self.offer_lease(now)) else {
-            // An earlier attempt may still be executed.
-            if self.pending_starts.get(&run).is_some_and(|starting| starting.attempts > 0) {
-                self.ensure_absent(run, now);
-            } else {
-                self.refuse(run, Refusal::Late);
-            }
-            return;
-        };
-        let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return };
-        let Some(starting) = self.pending_starts.get_mut(&run) else { return };
+    /// Sends an attempt at a start; returns whether the worker may be called.
+    fn send_start(&mut self, run: RunId, now: Duration) -> bool {
+        let (Some(target), Some(lease_end)) = (self.target(), self.offer_lease(now)) else { return false };
+        let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return false };
+        let Some(starting) = self.pending_starts.get_mut(&run) else { return false };
         starting.attempts += 1;
-        self.started_at.entry(run).or_insert(now);
+        starting.is_calling = true;
+        starting.due = now + ORDER_RETRY;
+        // A run that the worker lists was started by an earlier attempt.
+        let is_listed = |tracked: &TrackedWorker| tracked.running.iter().any(|report| (report.task, report.run) == run);
+        if !self.tracked.as_ref().is_some_and(is_listed) {
+            self.started_at.insert(run, now);
+        }
         let call = (self.context.calls.start)((target, starting.order.clone(), lease_end));
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -83,6 +87,30 @@
             // The agent may have ended.
             drop(myself.cast(Message::Started { run, life, sent: now, result }));
         });
+        true
+    }
+
+    /// Repeats the starts that got no answer, as soon as the worker answers polls, or ensures that they never happen.
+    ///
+    /// One answered attempt ends the wait of the task, whereas a start elsewhere first needs an answered stop and a poll
+    /// after it.
+    pub(super) fn repeat_pending_starts(&mut self, now: Duration) {
+        let may_start =
+            !self.is_evacuated() && self.tracked.as_ref().is_some_and(|tracked| tracked.worker.leaves_in.is_none());
+        let due: Vec<(RunId, Duration)> = self
+            .pending_starts
+            .iter()
+            .filter(|(_, starting)| !starting.is_calling && now >= starting.due)
+            .map(|(run, starting)| (*run, starting.since))
+            .collect();
+        for (run, since) in due {
+            if may_start && now.saturating_sub(since) < START_PATIENCE {
+                self.send_start(run, now);
+            } else {
+                // An attempt may still be executed.
+                self.ensure_absent(run, now);
+            }
+        }
     }
 
     pub(super) fn handle_start_outcome(
@@ -95,10 +123,9 @@
     ) {
         self.check_for_restart(life, sent, result, now);
         let is_present = self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life == *life);
-        let Some(attempts) = self.pending_starts.get(&run).map(|starting| starting.attempts).filter(|_| is_present)
-        else {
-            return;
-        };
+        let Some(starting) = self.pending_starts.get_mut(&run).filter(|_| is_present) else { return };
+        starting.is_calling = false;
+        let attempts = starting.attempts;
         if !matches!(result, StartOutcome::Running { .. }) {
             log::info!(event = "start_not_taken", task:% = run.0, run = run.1, attempt = attempts, result:? = result; "");
         }
@@ -113,9 +140,9 @@
                 self.send_to_placer(FromAgent::Started { task: run.0, run: run.1 });
                 self.pace_new_run(run);
             }
-            StartOutcome::Unknown if attempts < START_ATTEMPTS && !self.is_evacuated() => self.send_start(run, now),
+            StartOutcome::Unknown => self.repeat_pending_starts(now),
             // A delayed attempt may have been executed, so the worker has to say what became of the run.
-            StartOutcome::Unknown | StartOutcome::Outdated => self.ensure_absent(run, now),
+            StartOutcome::Outdated => self.ensure_absent(run, now),
             StartOutcome::Refused(_) if attempts > 1 => self.ensure_absent(run, now),
             StartOutcome::Refused(refusal) => self.refuse(run, refusal),
             StartOutcome::OtherLife => self.handle_worker_end("other_life", now),
@@ -151,7 +178,7 @@
 
     fn ensure_absent(&mut self, run: RunId, now: Duration) {
         self.pending_starts.remove(&run);
-        self.pending_stops.entry(run).or_insert(PendingStop { acknowledged_at: None, is_calling: false, due: now });
+        self.pending_stops.entry(run).or_insert_with(|| PendingStop::new(now));
         self.send_pending_stops(now);
     }
 
@@ -192,6 +219,8 @@
                 continue;
             }
             stopping.is_calling = true;
+            stopping.attempts += 1;
+            stopping.due = now + ORDER_RETRY;
             let call = (self.context.calls.stop)((target.clone(), run.0, run.1));
             let (run, life, myself) = (*run, life.clone(), self.myself.clone());
             tokio::spawn(async move {
@@ -208,14 +237,21 @@
         }
         let Some(stopping) = self.pending_stops.get_mut(&run) else { return };
         stopping.is_calling = false;
+        let stopping_ms = whole_ms(now.saturating_sub(stopping.since));
         match result {
             OrderOutcome::Taken => {
+                log::info!(event = "stop_taken", task:% = run.0, run = run.1, attempts = stopping.attempts,
+                    stopping_ms = stopping_ms; "");
                 stopping.acknowledged_at = Some(now);
                 if let Some(tracked) = &mut self.tracked {
                     tracked.poll_due = now;
                 }
             }
-            OrderOutcome::Fenced | OrderOutcome::Unknown => stopping.due = now + STOP_RETRY,
+            OrderOutcome::Fenced | OrderOutcome::Unknown => {
+                log::info!(event = "stop_not_taken", task:% = run.0, run = run.1, attempt = stopping.attempts,
+                    stopping_ms = stopping_ms, result:? = result; "");
+                self.send_pending_stops(now);
+            }
         }
     }
 
@@ -230,7 +266,7 @@
 
     /// Reports stopped runs that the worker neither runs nor lists, according to a poll sent after the stop was
     /// acknowledged.
-    pub(super) fn report_absent(&mut self, sent: Duration) {
+    pub(super) fn report_absent(&mut self, sent: Duration, now: Duration) {
         let Some(tracked) = &self.tracked else { return };
         let is_listed = |run: &RunId| {
             tracked.running.iter().any(|report| (report.task, report.run) == *run)
@@ -243,7 +279,12 @@
             .map(|(run, _)| *run)
             .collect();
         for run in absent {
-            self.pending_stops.remove(&run);
+            if let Some(stopping) = self.pending_stops.remove(&run) {
+                let acknowledged = stopping.acknowledged_at.unwrap_or(now);
+                log::info!(event = "absence_confirmed", task:% = run.0, run = run.1,
+                    stopping_ms = whole_ms(now.saturating_sub(stopping.since)),
+                    acknowledged_ms = whole_ms(now.saturating_sub(acknowledged)); "");
+            }
             self.traits.remove(&run);
             self.send_to_placer(FromAgent::Absent { task: run.0, run: run.1 });
         }
