Let clients share a budget of memory and connections

What callers saw: a process that ran out of memory ended, and with it the requests of all callers of that entry.

Cause: each listener took 3,000 connections, whatever memory and descriptors the machine has, and nothing bounded what their bodies took together: 3,000 bodies of 256 KiB are 768 MB. Ruled out: frames of bodies (mended before, whole bodies exceeded the bound all the same).

chervilledge_caller::budget is shared by all HTTP listeners of a process. A connection counts as 32 KiB, a body as its buffer's capacity. When the budget is used up, the connection that has held the most bytes for the longest without being served is closed; a request that is served never is. If the requester itself is the costliest, or all are served, it gets 503 with Retry-After, so that nothing was accepted. listener::bind takes the budget in place of connections_max, and body::read_whole counts in it: budget::open(limits, clock), Connection::grow, begin_reading, begin_serving, begin_waiting and release are the interface for other daemons.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -1,16 +1,26 @@
 //! Bodies of callers' requests.
 
 use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::budget::{Connection, Full, Share};
+
+/// Least capacity of the buffer of a body.
+const CAPACITY_BYTES_MIN: usize = 1024;
+
 /// Reason why a body wasn't read.
 #[derive(Debug)]
 pub enum Error {
     /// The client broke the body off.
     Broken(hyper::Error),
+    /// The budget of the clients is used up.
+    Full,
     /// The body is longer than allowed.
     TooLarge,
 }
@@ -19,6 +29,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Broken(error) => write!(f, "the body was broken off: {error}"),
+            Self::Full => Full.fmt(f),
             Self::TooLarge => f.write_str("the body is too large"),
         }
     }
@@ -26,23 +37,63 @@
 
 impl std::error::Error for Error {}
 
-/// Reads a whole body of at most `bytes_max`. Its parts are copied, so that their read buffers aren't kept.
+impl From<Full> for Error {
+    fn from(_: Full) -> Self {
+        Self::Full
+    }
+}
+
+/// Whole body, counted in the budget until it is dropped.
+#[derive(Debug)]
+pub struct Held {
+    bytes: Vec<u8>,
+    share: Share,
+}
+
+impl Deref for Held {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Held {
+    /// Appends a copy of `part`, so that its read buffer isn't kept.
+    fn append(&mut self, part: &[u8], bytes_max: usize) -> Result<(), Full> {
+        let length = self.bytes.len() + part.len();
+        if length > self.bytes.capacity() {
+            let capacity = length.max((2 * self.bytes.capacity()).clamp(CAPACITY_BYTES_MIN, bytes_max));
+            self.share.grow_to(capacity)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(part);
+        Ok(())
+    }
+}
+
+/// Reads the whole body of a request to a [`listener`](crate::listener), of at most `bytes_max`, within the listener's
+/// budget.
 ///
 /// # Errors
 ///
 /// Why the body wasn't read.
-pub async fn read_whole(mut body: Incoming, bytes_max: usize) -> Result<Vec<u8>, Error> {
+pub async fn read_whole(mut body: Incoming, parts: &Parts, bytes_max: usize) -> Result<Held, Error> {
     if body.size_hint().lower() > bytes_max as u64 {
         return Err(Error::TooLarge);
     }
-    let mut read = Vec::new();
+    // Only a listener's request has a connection.
+    let connection = parts.extensions.get::<Arc<Connection>>().ok_or(Full)?;
+    let mut held = Held { bytes: Vec::new(), share: Share::empty(Arc::clone(connection)) };
+    connection.begin_reading();
     while let Some(part) = next_data(&mut body).await.map_err(Error::Broken)? {
-        if read.len() + part.len() > bytes_max {
+        if held.len() + part.len() > bytes_max {
             return Err(Error::TooLarge);
         }
-        read.extend_from_slice(&part);
+        held.append(&part, bytes_max)?;
     }
-    Ok(read)
+    connection.begin_serving();
+    Ok(held)
 }
 
 /// Start of a request body.
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod budget;
 pub mod listener;
 pub mod request;
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,7 +20,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use chervilledge_caller::listener;
+use chervilledge_caller::budget::{self, Limits};
+use chervilledge_caller::listener::{self, HeadLimits};
 use chervilledge_operator::listen;
 use chervilledge_operator::secret::Secrets;
 use chervilledge_policy::clock::Clock;
@@ -128,7 +129,7 @@
     let metrics = metrics::open(&requests.context);
     let routes = operators::routes(&requests, &platform, &metrics, (&batch, &batch_actor), Name::clone(&settings.name));
     let operators = listen::bind(settings.operators_address, listen::Settings::new(operator_secrets), routes).await?;
-    let callers = bind_callers(&settings, &requests).await?;
+    let callers = bind_callers(&settings, &requests, clock.clone()).await?;
     let peers = peers::Context {
         platform,
         clock,
@@ -263,18 +264,20 @@
     client::Settings { address: settings.platform_address, backoff_limit, ..defaults }
 }
 
-async fn bind_callers(settings: &settings::Entry, requests: &Arc<Requests>) -> io::Result<listener::Listener> {
-    let bounds = listener::Settings {
-        head_bytes_max: settings.bounds.head_bytes_max,
-        head_timeout: HEAD_TIMEOUT,
-        connections_max: settings.bounds.caller_connections_max,
-    };
+async fn bind_callers(
+    settings: &settings::Entry,
+    requests: &Arc<Requests>,
+    clock: Clock,
+) -> io::Result<listener::Listener> {
+    let heads = HeadLimits { bytes_max: settings.bounds.head_bytes_max, timeout: HEAD_TIMEOUT };
+    let limits = Limits { bytes_max: usize::MAX, connections_max: settings.bounds.caller_connections_max };
+    let budget = budget::open(limits, clock);
     let requests = Arc::clone(requests);
     let handler = move |request| {
         let requests = Arc::clone(&requests);
         async move { requests::serve(&requests, request).await }
     };
-    listener::bind(settings.callers_address, bounds, handler).await
+    listener::bind(settings.callers_address, &budget, heads, handler).await
 }
 
 /// Builds the handler that passes reports on batch tasks to the batch actor.
