Bound the time of bodies and of unread answers

What callers saw: connections that a client leaves open with half a body or an unread answer kept their share of the process for good; when all 3,000 were taken, further callers waited for ever.

Cause: only heads had a timeout.

A connection whose client neither sends a head nor reads its answer for 30 s is closed.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -3,14 +3,21 @@
 use std::fmt;
 use std::ops::Deref;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use tokio::time::{Instant, timeout_at};
+
 use crate::budget::{Connection, Full, Share};
 
+/// Longest time that a body may take: as long as callers wait for an answer.
+const BODY_TIMEOUT: Duration = Duration::from_mins(1);
+/// Longest time without any part of a body.
+const BODY_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Least capacity of the buffer of a body.
 const CAPACITY_BYTES_MIN: usize = 1024;
 
@@ -21,6 +28,8 @@
     Broken(hyper::Error),
     /// The budget of the clients is used up.
     Full,
+    /// The body took too long, or no part of it came for too long.
+    TimedOut,
     /// The body is longer than allowed.
     TooLarge,
 }
@@ -30,6 +39,7 @@
         match self {
             Self::Broken(error) => write!(f, "the body was broken off: {error}"),
             Self::Full => Full.fmt(f),
+            Self::TimedOut => f.write_str("the body took too long"),
             Self::TooLarge => f.write_str("the body is too large"),
         }
     }
@@ -84,9 +94,13 @@
     }
     // Only a listener's request has a connection.
     let connection = parts.extensions.get::<Arc<Connection>>().ok_or(Full)?;
+    let due = Instant::now() + BODY_TIMEOUT;
     let mut held = Held { bytes: Vec::new(), share: Share::empty(Arc::clone(connection)) };
     connection.begin_reading();
-    while let Some(part) = next_data(&mut body).await.map_err(Error::Broken)? {
+    loop {
+        let part_due = due.min(Instant::now() + BODY_SILENCE_TIMEOUT);
+        let part = timeout_at(part_due, next_data(&mut body)).await.or(Err(Error::TimedOut))?;
+        let Some(part) = part.map_err(Error::Broken)? else { break };
         if held.len() + part.len() > bytes_max {
             return Err(Error::TooLarge);
         }
--- a/crates/caller/src/budget.rs
+++ b/crates/caller/src/budget.rs
@@ -285,6 +285,21 @@
         self.update(|holder, now| (holder.since, holder.phase) = (now, phase));
     }
 
+    /// Returns when the client hasn't sent a head or read its answer for `timeout`.
+    pub async fn stalled(&self, timeout: Duration) {
+        loop {
+            let now = self.budget.inner.clock.now();
+            let waited = match self.budget.lock().holders.get(&self.number) {
+                Some(holder) if holder.phase == Phase::Waiting => now.saturating_sub(holder.since),
+                _ => Duration::ZERO,
+            };
+            if waited >= timeout {
+                return;
+            }
+            tokio::time::sleep(timeout.saturating_sub(waited)).await;
+        }
+    }
+
     fn update(&self, change: impl FnOnce(&mut Holder, Duration)) {
         let now = self.budget.inner.clock.now();
         let mut state = self.budget.lock();
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -28,6 +28,9 @@
 /// Smallest limit on heads that the HTTP library supports, in bytes.
 const HEAD_BYTES_LEAST: usize = 8 * 1024;
 
+/// Longest time that a client may leave an answer unread.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Limits on the heads of requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HeadLimits {
@@ -103,6 +106,7 @@
                         // A connection that the caller breaks off is no fault of ours.
                         _ = served => {}
                         () = connection.closed() => {}
+                        () = connection.stalled(ANSWER_TIMEOUT) => {}
                     }
                 });
             }
