Count peers that open links in the budget

What callers saw: a process that ran out of memory ended. Any peer that reaches the address for links could make it hold 4 MiB a link for 1.9 s, on as many links as it opened, and answers that it didn't read without a bound.

Cause: links were accepted without a limit; a message is buffered whole before it is decoded; answers to a peer went to an unbounded queue.

connection::accept_counted takes a connection of the budget: what is read counts until the message it belongs to is decoded, and the costliest connection gives way, as on the other listeners. A peer is heard no further while 128 messages to it are unread, and its link ends after LINK_TIMEOUT. Links that a process opens itself, to peers that it knows from their rows, aren't counted.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervilledge_caller::budget::{Connection, Full};
 use chervilledge_policy::code::Code;
 use futures_util::{Sink, SinkExt, StreamExt};
 use serde::Serialize;
@@ -19,6 +20,7 @@
 use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
 use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config, client_async_with_config};
 
+use crate::counted::Counted;
 use crate::error::Error;
 use crate::message::{ToAgent, ToEntry};
 
@@ -28,6 +30,10 @@
 /// Capacity of a link's send queue, in messages; senders wait while it is full.
 const WRITER_QUEUE_CAPACITY: usize = 1024;
 
+/// As [`WRITER_QUEUE_CAPACITY`], for a link that is counted in a budget: a queue of small messages takes no more than what a
+/// connection counts for.
+const COUNTED_QUEUE_CAPACITY: usize = 128;
+
 /// Maximum number of messages that the writer task sends per flush.
 const WRITER_BATCH_MAX: usize = 64;
 
@@ -73,6 +79,16 @@
         self.queue.send(Queued { message, _permit: Some(permit) }).or(Err(Error::Closed))
     }
 
+    /// Waits for at most `timeout` until the queue isn't full.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unread`] if it stays full.
+    pub async fn ready(&self, timeout: Duration) -> Result<(), Error> {
+        let permit = tokio::time::timeout(timeout, self.capacity.acquire()).await.or(Err(Error::Unread))?;
+        permit.map(drop).or(Err(Error::Closed))
+    }
+
     /// Queues a message and returns true, or drops it and returns false if the queue is full or the link is closed.
     #[must_use]
     pub fn try_send(&self, message: M) -> bool {
@@ -90,7 +106,9 @@
 /// Receive half of a link; dropping it closes the link.
 #[derive(Debug)]
 pub struct Receiver {
-    stream: futures_util::stream::SplitStream<WebSocketStream<TcpStream>>,
+    stream: futures_util::stream::SplitStream<WebSocketStream<Counted>>,
+    /// Share of the budget, returned with each whole message; `None` for a peer that isn't counted.
+    share: Option<Arc<Connection>>,
     /// Aborts the writer task, which may block indefinitely on a peer that doesn't read.
     writer: AbortHandle,
 }
@@ -107,14 +125,23 @@
     /// # Errors
     ///
     /// [`Error::Silent`] if no frame arrives within `silence_timeout`, [`Error::Decode`] for a malformed message,
-    /// [`Error::Closed`] if the peer closed the link, [`Error::Socket`] if the WebSocket layer failed.
+    /// [`Error::Closed`] if the peer closed the link, [`Error::Full`] if the link has to make room for others,
+    /// [`Error::Socket`] if the WebSocket layer failed.
     pub async fn receive<M: DeserializeOwned>(&mut self, silence_timeout: Duration) -> Result<M, Error> {
         loop {
-            let next = tokio::time::timeout(silence_timeout, self.stream.next()).await.or(Err(Error::Silent))?;
+            let next = tokio::time::timeout(silence_timeout, self.stream.next());
+            let next = until_closed(self.share.as_deref(), next).await?.or(Err(Error::Silent))?;
             match next {
                 None | Some(Ok(Message::Close(_))) => return Err(Error::Closed),
                 Some(Err(error)) => return Err(socket_error(&error)),
-                Some(Ok(Message::Binary(bytes))) => return decode(&bytes),
+                Some(Ok(Message::Binary(bytes))) => {
+                    let message = decode(&bytes);
+                    drop(bytes);
+                    if let Some(share) = &self.share {
+                        share.release();
+                    }
+                    return message;
+                }
                 Some(Ok(Message::Ping(_) | Message::Pong(_) | Message::Frame(_))) => {}
                 Some(Ok(Message::Text(_))) => return Err(Error::Decode("text frame".to_owned())),
             }
@@ -122,6 +149,15 @@
     }
 }
 
+/// Waits for `operation`, unless the connection has to make room for others before.
+async fn until_closed<T>(share: Option<&Connection>, operation: impl Future<Output = T>) -> Result<T, Error> {
+    let Some(share) = share else { return Ok(operation.await) };
+    tokio::select! {
+        result = operation => Ok(result),
+        () = share.closed() => Err(Error::Full(Full)),
+    }
+}
+
 /// Decodes one CBOR message.
 ///
 /// # Errors
@@ -186,14 +222,43 @@
     stream: TcpStream,
     is_valid: impl Fn(&str) -> bool + Unpin,
 ) -> Result<(Sender<M>, Receiver), Error>
+where
+    M: Send + Serialize + 'static,
+{
+    handshake(stream, None, is_valid).await
+}
+
+/// Accepts a link that sends messages of type `M`, from a peer that is counted in a budget and needs no secret.
+///
+/// # Errors
+///
+/// [`Error::Full`] if the link has to make room for others, [`Error::TimedOut`] if the peer doesn't finish the handshake in
+/// time.
+pub async fn accept_counted<M>(stream: TcpStream, share: Connection) -> Result<(Sender<M>, Receiver), Error>
+where
+    M: Send + Serialize + 'static,
+{
+    handshake(stream, Some(Arc::new(share)), |_| true).await
+}
+
+async fn handshake<M>(
+    stream: TcpStream,
+    share: Option<Arc<Connection>>,
+    is_valid: impl Fn(&str) -> bool + Unpin,
+) -> Result<(Sender<M>, Receiver), Error>
 where
     M: Send + Serialize + 'static,
 {
     stream.set_nodelay(true)?;
+    let stream = Counted::new(stream, share.clone());
     let handshake = accept_hdr_async_with_config(stream, authorize(is_valid), Some(socket_config()));
-    let socket = tokio::time::timeout(OPEN_TIMEOUT, handshake).await.or(Err(Error::TimedOut))?;
+    let handshake = tokio::time::timeout(OPEN_TIMEOUT, handshake);
+    let socket = until_closed(share.as_deref(), handshake).await?.or(Err(Error::TimedOut))?;
     let socket = socket.map_err(|error| handshake_error(&error))?;
-    Ok(spawn_writer(socket))
+    if let Some(share) = &share {
+        share.release();
+    }
+    Ok(spawn_writer(socket, share))
 }
 
 async fn dial<M>(address: SocketAddr, secret: &str) -> Result<(Sender<M>, Receiver), Error>
@@ -205,10 +270,11 @@
     let mut request = format!("ws://{address}/link").into_client_request().map_err(|error| socket_error(&error))?;
     let value = HeaderValue::from_str(&format!("{BEARER_PREFIX}{secret}")).or(Err(Error::Refused(Code::LinkSecret)))?;
     request.headers_mut().insert(header::AUTHORIZATION, value);
+    let stream = Counted::new(stream, None);
     let (socket, _) = client_async_with_config(request, stream, Some(socket_config()))
         .await
         .map_err(|error| handshake_error(&error))?;
-    Ok(spawn_writer(socket))
+    Ok(spawn_writer(socket, None))
 }
 
 fn socket_config() -> WebSocketConfig {
@@ -231,11 +297,15 @@
     }
 }
 
-fn spawn_writer<M: Send + Serialize + 'static>(socket: WebSocketStream<TcpStream>) -> (Sender<M>, Receiver) {
+fn spawn_writer<M: Send + Serialize + 'static>(
+    socket: WebSocketStream<Counted>,
+    share: Option<Arc<Connection>>,
+) -> (Sender<M>, Receiver) {
     let (sink, stream) = socket.split();
     let (queue, messages) = mpsc::unbounded_channel();
     let writer = tokio::spawn(write_messages(sink, messages)).abort_handle();
-    (Sender { queue, capacity: Arc::new(Semaphore::new(WRITER_QUEUE_CAPACITY)) }, Receiver { stream, writer })
+    let capacity = if share.is_some() { COUNTED_QUEUE_CAPACITY } else { WRITER_QUEUE_CAPACITY };
+    (Sender { queue, capacity: Arc::new(Semaphore::new(capacity)) }, Receiver { stream, share, writer })
 }
 
 async fn write_messages<M: Serialize>(
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 
+use chervilledge_caller::budget::Full;
 use chervilledge_policy::code::Code;
 
 /// Reason why a link couldn't be opened or was closed.
@@ -14,6 +15,8 @@
     Decode(String),
     /// A message can't be encoded.
     Encode(String),
+    /// The connection has to make room for others in the budget of the process.
+    Full(Full),
     /// The connection failed.
     Io(io::Error),
     /// The peer refused the link.
@@ -24,6 +27,8 @@
     Socket(String),
     /// Opening the link timed out.
     TimedOut,
+    /// The peer doesn't read what is sent to it.
+    Unread,
 }
 
 impl Error {
@@ -34,7 +39,9 @@
             Self::Decode(_) | Self::Encode(_) => Code::LinkFrame,
             Self::Refused(code) => *code,
             Self::Silent => Code::LinkSilent,
-            Self::Closed | Self::Io(_) | Self::Socket(_) | Self::TimedOut => Code::LinkClosed,
+            Self::Closed | Self::Full(_) | Self::Io(_) | Self::Socket(_) | Self::TimedOut | Self::Unread => {
+                Code::LinkClosed
+            }
         }
     }
 }
@@ -45,11 +52,13 @@
             Self::Closed => f.write_str("link closed by the peer"),
             Self::Decode(error) => write!(f, "malformed message: {error}"),
             Self::Encode(error) => write!(f, "message can't be encoded: {error}"),
+            Self::Full(error) => error.fmt(f),
             Self::Io(error) => write!(f, "connection failed: {error}"),
             Self::Refused(code) => write!(f, "link refused: {code}"),
             Self::Silent => f.write_str("no frame received from the peer within the timeout"),
             Self::Socket(error) => write!(f, "WebSocket failed: {error}"),
             Self::TimedOut => f.write_str("timed out opening the link"),
+            Self::Unread => f.write_str("the peer doesn't read what is sent to it"),
         }
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,7 @@
 //! Agents connect to entries. A link is a WebSocket connection; each binary message carries one CBOR message.
 
 pub mod connection;
+mod counted;
 pub mod error;
 pub mod message;
 pub mod task;
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_caller::budget::{self, Budget, Limits};
 use chervilledge_cell::authority::{LEASE_SLACK, lapse_after};
 use chervilledge_cell::evacuation::EvacuatedDomains;
 use chervilledge_cell::grant::{ClockReading, Grant, lease_end_ms};
@@ -287,9 +288,19 @@
 ///
 /// The error of the operating system when the address for links can't be bound.
 pub async fn spawn(context: Context) -> std::io::Result<ActorRef<Message>> {
+    let budget = budget::open(Limits::default(), context.clock.clone());
+    spawn_within(context, &budget).await
+}
+
+/// As [`spawn`], with a budget for links that the agent shares with its other listeners.
+///
+/// # Errors
+///
+/// As [`spawn`].
+pub async fn spawn_within(context: Context, budget: &Budget) -> std::io::Result<ActorRef<Message>> {
     let listener = TcpListener::bind(context.settings.links_address).await?;
     let (actor, _) = Actor::spawn(None, Agent, context).await.map_err(std::io::Error::other)?;
-    tokio::spawn(links::accept_all(listener, actor.clone()));
+    tokio::spawn(links::accept_all(listener, actor.clone(), budget.clone()));
     Ok(actor)
 }
 
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chervilledge_caller::budget::{Budget, Connection};
 use chervilledge_cell::evacuation::Standing;
 use chervilledge_cell::worker::Worker;
 use chervilledge_link::connection;
@@ -17,11 +18,11 @@
 /// Pause after a failed accept, which is mostly caused by a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-pub(super) async fn accept_all(listener: TcpListener, agent: ActorRef<Message>) {
+pub(super) async fn accept_all(listener: TcpListener, agent: ActorRef<Message>, budget: Budget) {
     for number in 1.. {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, number, agent.clone()));
+                tokio::spawn(serve(stream, budget.admit().await, number, agent.clone()));
             }
             Err(error) => {
                 log::warn!(event = "accept_failed", error:% = error; "");
@@ -31,25 +32,26 @@
     }
 }
 
-async fn serve(stream: TcpStream, link: u64, agent: ActorRef<Message>) {
-    let opened = connection::accept_typed::<FromAgent>(stream, |_| true).await;
+async fn serve(stream: TcpStream, share: Connection, link: u64, agent: ActorRef<Message>) {
+    let opened = connection::accept_counted::<FromAgent>(stream, share).await;
     let Ok((sender, mut receiver)) = opened else { return };
-    if agent.cast(Message::Linked { link, sender }).is_err() {
+    if agent.cast(Message::Linked { link, sender: sender.clone() }).is_err() {
         return;
     }
-    loop {
-        match receiver.receive::<ToAgent>(LINK_TIMEOUT).await {
-            Ok(message) => {
-                if agent.cast(Message::FromPlacer { link, message: Box::new(message) }).is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                log::info!(event = "placer_link_ended", link = link, error:% = error; "");
-                break;
-            }
+    let error = loop {
+        let message = match receiver.receive::<ToAgent>(LINK_TIMEOUT).await {
+            Ok(message) => Box::new(message),
+            Err(error) => break error,
+        };
+        // A peer that doesn't read what is sent to it is heard no more.
+        if let Err(error) = sender.ready(LINK_TIMEOUT).await {
+            break error;
         }
-    }
+        if agent.cast(Message::FromPlacer { link, message }).is_err() {
+            return;
+        }
+    };
+    log::info!(event = "placer_link_ended", link = link, error:% = error; "");
     // The agent may have ended.
     drop(agent.cast(Message::Unlinked(link)));
 }
--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use chervilledge_caller::budget::{self, Budget, Limits};
 use chervilledge_cell::admission::RetrySlots;
 use chervilledge_cell::configuration::Configuration;
 use chervilledge_cell::evacuation::EvacuatedDomains;
@@ -142,6 +143,22 @@
     clock: Clock,
     store: Handle,
     metrics: Arc<Metrics>,
+) -> std::io::Result<Entry> {
+    let budget = budget::open(Limits::default(), clock.clone());
+    spawn_within(settings, clock, store, metrics, &budget).await
+}
+
+/// As [`spawn`], with a budget for links that the entry shares with its other listeners.
+///
+/// # Errors
+///
+/// As [`spawn`].
+pub async fn spawn_within(
+    settings: settings::Entry,
+    clock: Clock,
+    store: Handle,
+    metrics: Arc<Metrics>,
+    budget: &Budget,
 ) -> std::io::Result<Entry> {
     let listener = TcpListener::bind(settings.links_address).await?;
     let (configuration_sender, configuration) = watch::channel(None);
@@ -189,7 +206,7 @@
         })),
         tokio::spawn(announce::run(entry.clone())),
         tokio::spawn(count_entries(entry.inner.roster.view.clone(), entries)),
-        tokio::spawn(links::accept_all(listener, entry.clone())),
+        tokio::spawn(links::accept_all(listener, entry.clone(), budget.clone())),
         tokio::spawn(election::run(entry.clone())),
         tokio::spawn(links::follow_placer(entry.clone())),
     ];
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_caller::budget::{Budget, Connection};
 use chervilledge_cell::admission::Backlog;
-use chervilledge_link::connection::{self, Sender};
+use chervilledge_link::connection::{self, Receiver, Sender};
+use chervilledge_link::error::Error;
 use chervilledge_policy::id::Name;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -131,11 +133,11 @@
     }
 }
 
-pub(super) async fn accept_all(listener: TcpListener, entry: Entry) {
+pub(super) async fn accept_all(listener: TcpListener, entry: Entry, budget: Budget) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, entry.clone()));
+                tokio::spawn(serve(stream, budget.admit().await, entry.clone()));
             }
             Err(error) => {
                 log::warn!(event = "accept_failed", error:% = error; "");
@@ -145,21 +147,25 @@
     }
 }
 
-async fn serve(stream: TcpStream, entry: Entry) {
-    let Ok((sender, mut receiver)) = connection::accept_typed::<FromEntry>(stream, |_| true).await else { return };
+async fn serve(stream: TcpStream, share: Connection, entry: Entry) {
+    let Ok((sender, receiver)) = connection::accept_counted::<FromEntry>(stream, share).await else { return };
     let counts = tokio::spawn(send_pending(entry.clone(), sender.clone()));
-    loop {
-        match receiver.receive::<ToEntry>(LINK_TIMEOUT).await {
-            Ok(message) => entry.handle_message(message, &sender),
-            Err(error) => {
-                log::debug!(event = "entry_link_ended", error:% = error; "");
-                break;
-            }
-        }
+    if let Err(error) = handle_messages(receiver, sender, &entry).await {
+        log::debug!(event = "entry_link_ended", error:% = error; "");
     }
     counts.abort();
 }
 
+/// Handles the messages of a link until it ends.
+async fn handle_messages(mut receiver: Receiver, sender: Sender<FromEntry>, entry: &Entry) -> Result<(), Error> {
+    loop {
+        let message = receiver.receive::<ToEntry>(LINK_TIMEOUT).await?;
+        // A peer that doesn't read its answers gets no more of them.
+        sender.ready(LINK_TIMEOUT).await?;
+        entry.handle_message(message, &sender);
+    }
+}
+
 /// Sends the waiting work to a linked entry while this entry places.
 async fn send_pending(entry: Entry, sender: Sender<FromEntry>) {
     let mut sent: Option<(SharedWaitingWork, Duration)> = None;
