--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -65,12 +65,18 @@
 
 /// Binds a listener that answers each request with `handler`.
 ///
-/// Connections share `budget`. A request carries its connection as `Arc<Connection>` in its extensions.
+/// Connections share `budget`, and each has the limits that `heads` returns when it is accepted. A request carries its
+/// connection as `Arc<Connection>` in its extensions.
 ///
 /// # Errors
 ///
 /// The error of the operating system when the address can't be bound.
-pub async fn bind<H, F>(address: SocketAddr, budget: &Budget, heads: HeadLimits, handler: H) -> io::Result<Listener>
+pub async fn bind<H, F>(
+    address: SocketAddr,
+    budget: &Budget,
+    heads: impl Fn() -> HeadLimits + Send + Sync + 'static,
+    handler: H,
+) -> io::Result<Listener>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -85,7 +91,7 @@
 async fn accept_all<H, F>(
     listener: TcpListener,
     budget: Budget,
-    heads: HeadLimits,
+    heads: impl Fn() -> HeadLimits,
     handler: Arc<H>,
     mut stopped: watch::Receiver<bool>,
 ) where
@@ -100,7 +106,7 @@
         };
         match accepted {
             Ok((stream, connection)) => {
-                let served = graceful.watch(serve(stream, heads, Arc::clone(&handler), Arc::clone(&connection)));
+                let served = graceful.watch(serve(stream, heads(), Arc::clone(&handler), Arc::clone(&connection)));
                 tokio::spawn(async move {
                     tokio::select! {
                         // A connection that the caller breaks off is no fault of ours.
--- a/crates/caller/tests/listener.rs
+++ b/crates/caller/tests/listener.rs
@@ -1,6 +1,8 @@
 //! What clients of a listener may do, and for how long.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,7 +46,7 @@
 
 async fn bind(budget: &Budget) -> Listener {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    listener::bind(any, budget, HEAD_LIMITS, answer).await.expect("a free port")
+    listener::bind(any, budget, || HEAD_LIMITS, answer).await.expect("a free port")
 }
 
 async fn read_status(stream: &mut TcpStream) -> String {
@@ -108,3 +110,19 @@
     sleep(Duration::from_secs(70)).await;
     assert_eq!(budget.connections(), 0);
 }
+
+#[tokio::test]
+async fn changed_limit_on_heads_applies_to_new_connections() {
+    let bytes_max = Arc::new(AtomicUsize::new(8 * 1024));
+    let limit = Arc::clone(&bytes_max);
+    let heads = move || HeadLimits { bytes_max: limit.load(Ordering::Relaxed), ..HEAD_LIMITS };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = listener::bind(any, &open_budget(), heads, answer).await.expect("a free port");
+    let head = format!("GET / HTTP/1.1\r\nhost: h\r\nx: {}\r\n\r\n", "x".repeat(12 * 1024));
+    for (bytes, status) in [(8, "HTTP/1.1 431 Request Header Fields Too Large"), (32, "HTTP/1.1 200 OK")] {
+        bytes_max.store(bytes * 1024, Ordering::Relaxed);
+        let mut client = TcpStream::connect(listener.address()).await.expect("a connection");
+        client.write_all(head.as_bytes()).await.expect("sent");
+        assert_eq!(read_status(&mut client).await, status);
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -277,7 +277,7 @@
         let requests = Arc::clone(&requests);
         async move { requests::serve(&requests, request).await }
     };
-    listener::bind(settings.callers_address, &budget, heads, handler).await
+    listener::bind(settings.callers_address, &budget, move || heads, handler).await
 }
 
 /// Builds the handler that passes reports on batch tasks to the batch actor.
