Let a body grow only when the connections that make room are dropped

Found in a trial with larger crowds: 2,500 callers took an entry to 110 MiB and 1,500 registrations an agent to 105 MiB of 128, with a budget of 40 and 32 MiB. A closed connection left the budget at once, but held its buffers until its task ran.

Cause: bodies that grew in between took the room before it was there. Connections that make room are now counted until they are dropped, and a body waits for them. What is left above the budget is the process itself, what the allocator can't use again, and links, which are counted as before.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -70,11 +70,11 @@
 
 impl Held {
     /// Appends a copy of `part`, so that its read buffer isn't kept.
-    fn append(&mut self, part: &[u8], bytes_max: usize) -> Result<(), Full> {
+    async fn append(&mut self, part: &[u8], bytes_max: usize) -> Result<(), Full> {
         let length = self.bytes.len() + part.len();
         if length > self.bytes.capacity() {
             let capacity = length.max((2 * self.bytes.capacity()).clamp(CAPACITY_BYTES_MIN, bytes_max));
-            self.share.grow_to(capacity)?;
+            self.share.grow_to(capacity).await?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(part);
@@ -104,7 +104,7 @@
         if held.len() + part.len() > bytes_max {
             return Err(Error::TooLarge);
         }
-        held.append(&part, bytes_max)?;
+        held.append(&part, bytes_max).await?;
     }
     connection.begin_serving();
     Ok(held)
--- a/crates/caller/src/budget.rs
+++ b/crates/caller/src/budget.rs
@@ -79,6 +79,10 @@
     /// Sum of the bytes of `holders`.
     bytes: usize,
     holders: Map<u64, Holder>,
+    /// Bytes of connections that make room and aren't dropped yet.
+    closing: Map<u64, usize>,
+    /// Sum of the bytes of `closing`.
+    closing_bytes: usize,
     next_number: u64,
     closed: u64,
     refused: u64,
@@ -191,9 +195,18 @@
         waiting.max_by_key(cost).map(|(number, _)| *number)
     }
 
+    fn take(&mut self, number: u64, bytes: usize) {
+        if let Some(holder) = self.holders.get_mut(&number) {
+            holder.bytes += bytes;
+            self.bytes += bytes;
+        }
+    }
+
     fn close(&mut self, number: u64, now: Duration) {
         if let Some(holder) = self.holders.remove(&number) {
             self.bytes -= holder.bytes;
+            self.closing.insert(number, holder.bytes);
+            self.closing_bytes += holder.bytes;
             holder.closed.notify_one();
             self.closed += 1;
             self.log_if_due(now);
@@ -222,9 +235,11 @@
         let mut state = self.budget.lock();
         if let Some(holder) = state.holders.remove(&self.number) {
             state.bytes -= holder.bytes;
-            drop(state);
-            self.budget.inner.released.notify_waiters();
+        } else if let Some(bytes) = state.closing.remove(&self.number) {
+            state.closing_bytes -= bytes;
         }
+        drop(state);
+        self.budget.inner.released.notify_waiters();
     }
 }
 
@@ -234,12 +249,38 @@
         self.closed.notified().await;
     }
 
-    /// Takes `bytes` more of the budget.
+    /// Takes `bytes` more of the budget, before the connections that make room for them are dropped.
     ///
     /// # Errors
     ///
     /// [`Full`] if no other connection can make room, or if this one has to make room itself.
     pub fn grow(&self, bytes: usize) -> Result<(), Full> {
+        self.make_room(bytes)?.take(self.number, bytes);
+        Ok(())
+    }
+
+    /// Takes `bytes` more of the budget when the connections that make room for them are dropped.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::grow`].
+    pub async fn grow_when_free(&self, bytes: usize) -> Result<(), Full> {
+        let budget = &self.budget.inner;
+        loop {
+            let released = budget.released.notified();
+            {
+                let mut state = self.make_room(bytes)?;
+                if state.bytes.saturating_add(state.closing_bytes).saturating_add(bytes) <= budget.limits.bytes_max {
+                    state.take(self.number, bytes);
+                    return Ok(());
+                }
+            }
+            released.await;
+        }
+    }
+
+    /// Closes connections until there is room for `bytes` more, apart from what these still hold.
+    fn make_room(&self, bytes: usize) -> Result<MutexGuard<'_, State>, Full> {
         let budget = &self.budget.inner;
         let now = budget.clock.now();
         let mut state = self.budget.lock();
@@ -247,11 +288,7 @@
             return Err(Full);
         }
         state.make_room(bytes, Some(self.number), budget.limits.bytes_max, now)?;
-        state.bytes += bytes;
-        if let Some(holder) = state.holders.get_mut(&self.number) {
-            holder.bytes += bytes;
-        }
-        Ok(())
+        Ok(state)
     }
 
     /// Returns all but the connection's own share, and waits for the client anew.
@@ -334,9 +371,9 @@
     /// # Errors
     ///
     /// As [`Connection::grow`].
-    pub fn grow_to(&mut self, bytes: usize) -> Result<(), Full> {
+    pub async fn grow_to(&mut self, bytes: usize) -> Result<(), Full> {
         let missing = bytes.saturating_sub(self.bytes);
-        self.connection.grow(missing)?;
+        self.connection.grow_when_free(missing).await?;
         self.bytes += missing;
         Ok(())
     }
--- a/crates/caller/tests/budget.rs
+++ b/crates/caller/tests/budget.rs
@@ -36,13 +36,13 @@
     connection.grow(0) == Err(Full)
 }
 
-#[test]
-fn stalled_body_makes_room_for_an_ordinary_one() {
+#[tokio::test]
+async fn stalled_body_makes_room_for_an_ordinary_one() {
     let fixture = Fixture::open(2 * CONNECTION_BYTES + BODY_BYTES, 10);
     let stalled = fixture.admit();
     stalled.begin_reading();
     let mut body = Share::empty(Arc::clone(&stalled));
-    body.grow_to(BODY_BYTES).expect("room");
+    body.grow_to(BODY_BYTES).await.expect("room");
     fixture.advance(1_000);
     let ordinary = fixture.admit();
     ordinary.begin_reading();
@@ -54,15 +54,15 @@
     assert_eq!(fixture.budget.bytes(), CONNECTION_BYTES + 1_000);
 }
 
-#[test]
-fn costliest_body_is_refused_instead_of_closing_a_cheaper_one() {
+#[tokio::test]
+async fn costliest_body_is_refused_instead_of_closing_a_cheaper_one() {
     let fixture = Fixture::open(2 * CONNECTION_BYTES + BODY_BYTES, 10);
     let (large, small) = (fixture.admit(), fixture.admit());
     large.begin_reading();
     fixture.advance(1_000);
     let mut body = Share::empty(Arc::clone(&large));
-    body.grow_to(BODY_BYTES).expect("room");
-    assert_eq!(body.grow_to(BODY_BYTES + 1), Err(Full));
+    body.grow_to(BODY_BYTES).await.expect("room");
+    assert_eq!(body.grow_to(BODY_BYTES + 1).await, Err(Full));
     assert!(!is_closed(&small));
     drop(body);
     assert_eq!(fixture.budget.bytes(), 2 * CONNECTION_BYTES);
@@ -103,3 +103,19 @@
     drop(second);
     assert_eq!((fixture.budget.bytes(), fixture.budget.connections()), (0, 0));
 }
+
+#[tokio::test]
+async fn body_does_not_grow_before_the_closed_connection_is_dropped() {
+    let fixture = Fixture::open(3 * CONNECTION_BYTES, 10);
+    let stalled = fixture.admit();
+    stalled.grow(CONNECTION_BYTES).expect("room");
+    fixture.advance(1_000);
+    let ordinary = fixture.admit();
+    ordinary.begin_reading();
+    let mut growing = Box::pin(ordinary.grow_when_free(CONNECTION_BYTES));
+    assert!(futures_util::poll!(&mut growing).is_pending());
+    assert!(is_closed(&stalled));
+    drop(stalled);
+    growing.await.expect("room");
+    assert_eq!(fixture.budget.bytes(), 2 * CONNECTION_BYTES);
+}
