--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -94,9 +94,14 @@
         self.ready[name].as_str().expect("address").parse().expect("address")
     }
 
+    /// Identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("process").id()
+    }
+
     /// Sends a signal by its name, such as `TERM`, `KILL`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("process").id();
+        let id = self.id();
         let status = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
         assert!(status.expect("kill").success(), "signal {name}");
     }
