Bound the answer of the task runtime that an agent reads

What was seen: a task runtime whose answer never ends filled the agent till its time limit of one second, each second anew. Cause: the answer was collected frame by frame without a limit; only the time was bounded. Ruled out: the client's connection pool (one connection).

Change: at most 2 MiB are read, copied into one buffer, so that a frame doesn't keep its read buffer. The list of a worker's tasks has a few hundred bytes a task.

--- a/crates/worker/src/runtime.rs
+++ b/crates/worker/src/runtime.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::Name;
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -20,6 +20,9 @@
 /// Timeout of one call; the runtime is on the same worker.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest answer that is read, in bytes: the statuses of thousands of tasks, of a few hundred bytes each.
+const ANSWER_BYTES_MAX: usize = 2 * 1024 * 1024;
+
 /// Command to start a task.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -260,9 +263,21 @@
             if error.is_connect() { Error::Unsent(error.to_string()) } else { Error::Unknown(error.to_string()) }
         })?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|error| Error::Unknown(error.to_string()))?;
-        Ok((status, body.to_bytes()))
+        Ok((status, read_answer(response.into_body()).await?))
+    }
+}
+
+/// Reads a whole answer into one buffer, since each frame of its own would keep a read buffer.
+async fn read_answer(body: Incoming) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, ANSWER_BYTES_MAX);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::Unknown(error.to_string()))?;
+        if let Ok(part) = frame.into_data() {
+            bytes.extend_from_slice(&part);
+        }
     }
+    Ok(bytes.freeze())
 }
 
 fn to_json_bytes<T: Serialize>(value: &T) -> Bytes {
