Copy the parts of an operator's body into one buffer

What was seen: six clients with a valid secret took an agent 134 MB with bodies of 512 KiB in chunks of one byte, 40 times what they sent. Cause: `collect` keeps each frame, which costs more than a byte and keeps the read buffer that it points into. Ruled out: bodies without a valid secret, which are never read.

Change: each part is copied as it comes.

--- a/crates/operator/src/listen.rs
+++ b/crates/operator/src/listen.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chervilledge_policy::code::Code;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Method, StatusCode};
@@ -322,15 +322,23 @@
     Err(Failure::new(StatusCode::UNAUTHORIZED, Code::OperatorSecret))
 }
 
+/// Reads a whole body into one buffer, since each frame of its own would keep a read buffer.
 async fn whole_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    let collected = Limited::new(body, limit).collect().await;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|error| {
-        if error.is::<http_body_util::LengthLimitError>() {
-            Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Code::RequestTooLarge)
-        } else {
-            Failure::new(StatusCode::BAD_REQUEST, Code::RequestMalformed)
+    let mut body = Limited::new(body, limit);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<http_body_util::LengthLimitError>() {
+                Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Code::RequestTooLarge)
+            } else {
+                Failure::new(StatusCode::BAD_REQUEST, Code::RequestMalformed)
+            }
+        })?;
+        if let Ok(part) = frame.into_data() {
+            bytes.extend_from_slice(&part);
         }
-    })
+    }
+    Ok(bytes.freeze())
 }
 
 fn failure_response(failure: &Failure) -> http::Response<Full<Bytes>> {
