Bound the connections to the link listener that haven't presented a secret

What was seen: 600 connections that send nothing or half a handshake gave an entry 632 descriptors; with enough of them, none is left for callers and agents. Cause: each connection is accepted and kept for the three seconds that a handshake may take, and nothing bounds their number.

Change: at most 64 handshakes are in progress; a further connection closes the oldest one. An agent presents its secret at once, so strangers that stall give way to it; a limit that let new connections wait would have kept agents out instead.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -1,9 +1,10 @@
 //! Listener for links from agents.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chervilledge_link::connection::{self, Receiver, Sender};
@@ -18,14 +19,19 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use crate::entry::fleet::{Fleet, Link};
 use crate::entry::peers;
 use crate::rollout::Enforced;
+use crate::sync::lock;
 
 /// Pause after a failed accept, which is usually caused by a shortage of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that haven't presented a secret at the same time; an agent presents it at once.
+const HANDSHAKES_MAX: usize = 64;
+
 /// Timing of links.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -97,7 +103,11 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let context = Arc::new(context);
-    let task = tokio::spawn(accept_all(listener, move |stream| serve(stream, Arc::clone(&context))));
+    let handshakes = Arc::new(Handshakes::default());
+    let task = tokio::spawn(accept_all(listener, move |stream| {
+        let place = handshakes.begin();
+        serve(stream, Arc::clone(&context), Arc::clone(&handshakes), place)
+    }));
     Ok(Listener { address, task })
 }
 
@@ -113,9 +123,53 @@
     }
 }
 
-async fn serve(stream: TcpStream, context: Arc<Context>) {
+/// Connections whose WebSocket handshake is in progress.
+#[derive(Debug, Default)]
+struct Handshakes(Mutex<InProgress>);
+
+#[derive(Debug, Default)]
+struct InProgress {
+    /// Number of the last connection.
+    last: u64,
+    /// Ends each connection; at most [`HANDSHAKES_MAX`] are kept.
+    evictions: BTreeMap<u64, CancellationToken>,
+}
+
+/// Place of a connection among the handshakes in progress.
+#[derive(Debug)]
+struct Handshake {
+    number: u64,
+    is_evicted: CancellationToken,
+}
+
+impl Handshakes {
+    /// Counts a new connection, and ends the oldest one if there are too many.
+    fn begin(&self) -> Handshake {
+        let mut in_progress = lock(&self.0);
+        in_progress.last += 1;
+        let number = in_progress.last;
+        let is_evicted = CancellationToken::new();
+        in_progress.evictions.insert(number, is_evicted.clone());
+        if in_progress.evictions.len() > HANDSHAKES_MAX
+            && let Some((_, oldest)) = in_progress.evictions.pop_first()
+        {
+            oldest.cancel();
+        }
+        Handshake { number, is_evicted }
+    }
+
+    fn end(&self, handshake: &Handshake) {
+        lock(&self.0).evictions.remove(&handshake.number);
+    }
+}
+
+async fn serve(stream: TcpStream, context: Arc<Context>, handshakes: Arc<Handshakes>, place: Handshake) {
     let secrets = Arc::clone(&context.secrets);
-    let opened = connection::accept(stream, move |secret| secrets.accepts(secret.as_bytes())).await;
+    let opened = tokio::select! {
+        opened = connection::accept(stream, move |secret| secrets.accepts(secret.as_bytes())) => opened,
+        () = place.is_evicted.cancelled() => Err(Error::TimedOut),
+    };
+    handshakes.end(&place);
     let (sender, mut receiver) = match opened {
         Ok(halves) => halves,
         Err(error) => return record_refusal(&context.fleet, &error),
