Break off a streamed body that is cancelled before its end

What was seen: callers whose streamed bodies stop short held every slot of a worker for the request's time limit and ten seconds more. Cause: the agent kept the channel of the body's parts open after the cancellation, so the exchange with the backend server waited for parts that would never come, until the grace of a cancelled request ended it. That grace is for a backend server that works on a whole request.

Change: the cancellation closes the channel. A body whose end is queued is still sent whole; any other is broken off, the connection to the backend server ends, and the slot is free.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -110,8 +110,8 @@
     start: Option<Box<Start>>,
     /// Entry that waits for the answer.
     entry: BootId,
-    /// Sends parts of a streamed body.
-    parts: mpsc::UnboundedSender<BodyPart>,
+    /// Sends parts of a streamed body; `None` once the answer is no longer wanted, which breaks off a body without its end.
+    parts: Option<mpsc::UnboundedSender<BodyPart>>,
     /// Taken by the exchange.
     parts_taken: Option<mpsc::UnboundedReceiver<BodyPart>>,
     credit: Arc<Semaphore>,
@@ -387,7 +387,8 @@
     }
 
     fn on_body(&mut self, request: RequestId, part: BodyPart) {
-        let is_taken = self.held.get(&request).is_some_and(|held| held.parts.send(part).is_ok());
+        let parts = self.held.get(&request).and_then(|held| held.parts.as_ref());
+        let is_taken = parts.is_some_and(|parts| parts.send(part).is_ok());
         self.dropped_messages += u64::from(!is_taken);
     }
 
@@ -493,6 +494,7 @@
                     if let Some(held) = self.held.get_mut(&request) {
                         held.abandoned.send_replace(true);
                         held.asked = None;
+                        held.parts = None;
                     }
                 }
                 Action::Drop(_) => {}
@@ -571,7 +573,7 @@
     Held {
         start: Some(start),
         entry,
-        parts,
+        parts: Some(parts),
         parts_taken: Some(parts_taken),
         credit: open_credit(),
         abandoned: watch::Sender::new(false),
