Join the small parts of a streamed body or answer into one message

What was seen: 60 answers of 32 KiB in chunks of one byte took an entry 98 MB; an answer with a length that came in single bytes took an agent 51 MB, near its 64 MB. Cause: each part became a message of its own on the link, some hundred bytes for one, and windows count bytes only, so that 256 KiB of window hold 262,144 messages; a short answer was collected frame by frame, each frame with the read buffer that it points into.

Change: parts below 1 KiB are joined with those that have arrived behind them, up to the 32 KiB of a message; a short answer is copied into one buffer. Larger parts pass as before.

--- a/src/agent/exchange.rs
+++ b/src/agent/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chervilledge_caller::body::next_data;
 use chervilledge_link::connection::Sender;
 use chervilledge_link::message::{CHUNK_BYTES, Header, Reply, Start, StartBody, ToEntry, WINDOW_BYTES};
 use chervilledge_policy::admission::Finished;
@@ -18,6 +19,8 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
+use crate::body::{Joined, read_whole};
+
 /// Time that a backend server gets to finish a request whose answer is no longer wanted.
 const ABANDON_GRACE: Duration = Duration::from_secs(10);
 
@@ -207,26 +210,23 @@
 
 /// Sends a short answer in one message, once its whole body is there.
 async fn send_whole(route: &Route, parts: &Parts, body: Incoming) {
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match read_whole(body).await {
+        Ok(body) => body,
         Err(error) => {
             log::warn!(event = "answer_broken", request:% = route.origin.id, error:% = error; "");
             return send_broken(route).await;
         }
     };
-    let whole = Reply::Whole {
-        origin: route.origin,
-        status: parts.status.as_u16(),
-        headers: passed_on(&parts.headers),
-        body: body.into(),
-    };
+    let whole =
+        Reply::Whole { origin: route.origin, status: parts.status.as_u16(), headers: passed_on(&parts.headers), body };
     send(route, whole).await;
 }
 
-async fn send_body(route: &Route, mut body: Incoming, credit: &Semaphore, abandoned: &watch::Receiver<bool>) {
+async fn send_body(route: &Route, body: Incoming, credit: &Semaphore, abandoned: &watch::Receiver<bool>) {
     let mut offset_bytes = 0;
+    let mut body = Joined::new(body);
     loop {
-        let bytes = match next_data(&mut body).await {
+        let bytes = match body.next().await {
             Ok(Some(bytes)) => bytes,
             Ok(None) => {
                 send(route, Reply::End { origin: route.origin, total_bytes: offset_bytes }).await;
@@ -239,7 +239,7 @@
             }
         };
         if !send_chunks(route, &mut offset_bytes, bytes, credit, abandoned).await {
-            return discard_body(body).await;
+            return discard_body(body.into_inner()).await;
         }
     }
 }
@@ -292,15 +292,6 @@
     while let Ok(Some(_)) = next_data(&mut body).await {}
 }
 
-async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(bytes) = frame?.into_data() {
-            return Ok(Some(bytes));
-        }
-    }
-    Ok(None)
-}
-
 fn passed_on(headers: &HeaderMap) -> Vec<Header> {
     headers
         .iter()
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -19,6 +19,7 @@
 use http::{Method, Response};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
+use crate::body::Joined;
 use crate::entry::answering::{
     ANSWER_QUEUE_PARTS, CallerState, abort_body, build_response, streaming_body, wait_for_caller,
 };
@@ -374,7 +375,7 @@
             link: dispatched.link.clone(),
             credit: Arc::clone(&dispatched.credit),
             prefix: std::mem::take(&mut streamed.prefix),
-            rest,
+            rest: Joined::new(rest),
             bytes_max: streamed.bytes_max,
         };
         let task_sender = self.task_sender.clone();
--- a/src/entry/upload.rs
+++ b/src/entry/upload.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chervilledge_caller::body;
 use chervilledge_link::message::{BodyChunk, CHUNK_BYTES, ToAgent};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::RequestId;
-use hyper::body::Incoming;
 use tokio::sync::Semaphore;
 
+use crate::body::Joined;
 use crate::entry::fleet::Link;
 
 /// Request body to be forwarded.
@@ -24,7 +23,7 @@
     /// Bytes of the body already read.
     pub prefix: Bytes,
     /// Rest of the body.
-    pub rest: Incoming,
+    pub rest: Joined,
     /// Maximum length of the whole body, in bytes.
     pub bytes_max: u64,
 }
@@ -40,7 +39,7 @@
         let mut offset_bytes = 0;
         let prefix = std::mem::take(&mut self.prefix);
         self.send_part(&mut offset_bytes, prefix).await?;
-        while let Some(bytes) = body::next_data(&mut self.rest).await.or(Err(Code::BadRequest))? {
+        while let Some(bytes) = self.rest.next().await.or(Err(Code::BadRequest))? {
             self.send_part(&mut offset_bytes, bytes).await?;
         }
         let end = ToAgent::BodyEnd { request: self.request, total_bytes: offset_bytes };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`entry::spawn`] and [`agent::spawn`] start the two roles; the daemons are thin frames around them.
 
 pub mod agent;
+pub mod body;
 pub mod boot;
 pub mod clock;
 pub mod cmd;
