Bound the time of a caller's body at the entry

What was seen: 32 callers whose small bodies stop one byte short held all 32 connections of an entry for good; no ordinary request was answered. Cause: a body was read before the request's time limit applied, and nothing else ends the wait. Ruled out: the head's time limit, which ends with the head.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 pub mod answering;
 pub mod batch;
+pub mod bodies;
 pub mod exchange;
 pub mod fleet;
 pub mod journal;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -374,7 +374,7 @@
             request: id,
             link: dispatched.link.clone(),
             credit: Arc::clone(&dispatched.credit),
-            prefix: std::mem::take(&mut streamed.prefix),
+            prefix: streamed.prefix.take(),
             rest: Joined::new(rest),
             bytes_max: streamed.bytes_max,
         };
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use chervilledge_caller::answer::Body;
-use chervilledge_caller::body::{self, Start};
 use chervilledge_caller::request::{Head, is_passed_on, read_head};
 use chervilledge_caller::{Outcome, Refusal};
 use chervilledge_link::message::Header;
@@ -18,6 +17,7 @@
 use http::{Method, Request, Response};
 use hyper::body::{Body as _, Incoming};
 
+use crate::entry::bodies::{self, Start};
 use crate::entry::exchange::{self, Context};
 use crate::entry::journal::{StepKind, Trace};
 use crate::entry::keys::{ClaimRefused, Keys};
@@ -101,8 +101,12 @@
     let arrived = requests.context.clock.now();
     let bounds = &requests.bounds;
     let body_bytes_max = service.request_body_limit_bytes.min(bounds.body_bytes_max);
-    let body = read_body(body, body_bytes_max, bounds.inline_body_bytes_max).await?;
     let timeout = head.timeout.unwrap_or(bounds.request_timeout_ms).min(bounds.request_timeout_max_ms);
+    if body.size_hint().lower() > body_bytes_max {
+        return Err(Code::BodyTooLarge);
+    }
+    let start = bodies::read_start(body, parts, bounds.inline_body_bytes_max, timeout).await?;
+    let body = forwarded_body(start, body_bytes_max)?;
     // A body forwarded in part can't be sent to another worker, and a key requires at most one run.
     let is_repeatable = matches!(body, ForwardedBody::Whole(_)) && head.idempotency_key.is_none();
     let idempotent = is_repeatable && is_idempotent(service, &parts.method);
@@ -114,19 +118,15 @@
     Ok(PreparedRequest { forwarded, spec, key })
 }
 
-async fn read_body(body: Incoming, bytes_max: u64, inline_bytes_max: usize) -> Result<ForwardedBody, Code> {
-    if body.size_hint().lower() > bytes_max {
-        return Err(Code::BodyTooLarge);
-    }
-    match body::read_start(body, inline_bytes_max).await {
-        Ok(Start::Whole(bytes)) if u64::try_from(bytes.len()).is_ok_and(|length| length <= bytes_max) => {
+fn forwarded_body(start: Start, bytes_max: u64) -> Result<ForwardedBody, Code> {
+    match start {
+        Start::Whole(bytes) if u64::try_from(bytes.len()).is_ok_and(|length| length <= bytes_max) => {
             Ok(ForwardedBody::Whole(bytes))
         }
-        Ok(Start::Whole(_)) => Err(Code::BodyTooLarge),
-        Ok(Start::Longer { prefix, rest }) => {
-            Ok(ForwardedBody::Streamed(StreamedBody { prefix, rest: Some(rest), bytes_max }))
+        Start::Whole(_) => Err(Code::BodyTooLarge),
+        Start::Longer { prefix, rest } => {
+            Ok(ForwardedBody::Streamed(StreamedBody { prefix: Some(prefix), rest: Some(rest), bytes_max }))
         }
-        Err(_) => Err(Code::BadRequest),
     }
 }
 
--- a/src/entry/upload.rs
+++ b/src/entry/upload.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Semaphore;
 
 use crate::body::Joined;
+use crate::entry::bodies::{self, Held};
 use crate::entry::fleet::Link;
 
 /// Request body to be forwarded.
@@ -21,7 +22,7 @@
     /// Bytes that the entry may send to the agent.
     pub credit: Arc<Semaphore>,
     /// Bytes of the body already read.
-    pub prefix: Bytes,
+    pub prefix: Option<Held>,
     /// Rest of the body.
     pub rest: Joined,
     /// Maximum length of the whole body, in bytes.
@@ -33,13 +34,14 @@
     ///
     /// # Errors
     ///
-    /// [`Code::BodyTooLarge`] when the body exceeds `bytes_max`, [`Code::BadRequest`] when the caller aborts it,
-    /// [`Code::LinkClosed`] when the link ends.
+    /// [`Code::BodyTooLarge`] when the body exceeds `bytes_max`, [`Code::BadRequest`] when the caller aborts it or stops
+    /// sending it, [`Code::LinkClosed`] when the link ends.
     pub async fn send_body(mut self) -> Result<(), Code> {
         let mut offset_bytes = 0;
-        let prefix = std::mem::take(&mut self.prefix);
-        self.send_part(&mut offset_bytes, prefix).await?;
-        while let Some(bytes) = self.rest.next().await.or(Err(Code::BadRequest))? {
+        if let Some(prefix) = self.prefix.take() {
+            self.send_part(&mut offset_bytes, Bytes::clone(&prefix)).await?;
+        }
+        while let Some(bytes) = bodies::next_part(self.rest.next()).await? {
             self.send_part(&mut offset_bytes, bytes).await?;
         }
         let end = ToAgent::BodyEnd { request: self.request, total_bytes: offset_bytes };
--- a/src/entry/work.rs
+++ b/src/entry/work.rs
@@ -2,13 +2,14 @@
 
 use std::hash::{Hash, Hasher};
 
-use bytes::Bytes;
 use chervilledge_link::message::Header;
 use chervilledge_policy::id::Name;
 use chervilledge_policy::retry;
 use hyper::body::Incoming;
 use rustc_hash::FxHasher;
 
+use crate::entry::bodies::Held;
+
 /// Parts of a caller's request that are forwarded to an agent.
 #[derive(Debug)]
 pub struct ForwardedRequest {
@@ -45,7 +46,7 @@
 #[derive(Debug)]
 pub enum ForwardedBody {
     /// The whole body.
-    Whole(Bytes),
+    Whole(Held),
     /// A body that is read from the caller while it is forwarded.
     Streamed(StreamedBody),
 }
@@ -53,8 +54,8 @@
 /// Body that is read from the caller while it is forwarded.
 #[derive(Debug)]
 pub struct StreamedBody {
-    /// Bytes already read.
-    pub prefix: Bytes,
+    /// Bytes already read; taken together with the rest.
+    pub prefix: Option<Held>,
     /// Rest of the body; taken by the dispatch that the agent starts.
     pub rest: Option<Incoming>,
     /// Maximum length of the whole body, in bytes.
