Bound what all callers' bodies of an entry take together

What was seen: 400 callers with bodies of 1 MiB that stop short took an entry 430 to 462 MB of the 260 MB of its machine; with the default limits, 4,096 connections and 64 KiB, they could take 268 MB. Cause: only the single body and the number of connections were bounded. Ruled out: small chunks (256 bytes and 1 byte: 40 and 21 MB).

Change: new setting `callers_bytes_max`, 144 MiB, for connections (32 KiB each) and bodies; a whole body counts twice, since a copy of it waits to be sent to an agent.

--- a/crates/operator/src/form.rs
+++ b/crates/operator/src/form.rs
@@ -19,6 +19,7 @@
     ("body_bytes_max", AMOUNT),
     ("inline_body_bytes_max", AMOUNT),
     ("caller_connections_max", POSITIVE),
+    ("callers_bytes_max", AMOUNT),
     ("agent_queue_max", COUNT),
 ]);
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -271,7 +271,10 @@
     clock: Clock,
 ) -> io::Result<listener::Listener> {
     let heads = HeadLimits { bytes_max: settings.bounds.head_bytes_max, timeout: HEAD_TIMEOUT };
-    let limits = Limits { bytes_max: usize::MAX, connections_max: settings.bounds.caller_connections_max };
+    let limits = Limits {
+        bytes_max: settings.bounds.callers_bytes_max,
+        connections_max: settings.bounds.caller_connections_max,
+    };
     let budget = budget::open(limits, clock);
     let requests = Arc::clone(requests);
     let handler = move |request| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use chervilledge_caller::budget::CONNECTION_BYTES;
 use chervilledge_operator::form::{self, Role};
 use chervilledge_operator::secret::{self, Secrets, Source};
 use chervilledge_policy::capacity::Capacity;
@@ -126,6 +127,8 @@
     pub inline_body_bytes_max: usize,
     /// Callers' connections served at the same time.
     pub caller_connections_max: usize,
+    /// Memory that callers' connections and what they have sent may take together, in bytes.
+    pub callers_bytes_max: usize,
     /// Requests that an agent lets wait for a slot.
     pub agent_queue_max: u32,
     /// Threads of the process's runtime.
@@ -145,6 +148,8 @@
             body_bytes_max: 64 * 1024 * 1024,
             inline_body_bytes_max: 64 * 1024,
             caller_connections_max: 4_096,
+            // Each of `caller_connections_max` connections counts as 32 KiB, and 16 MiB are left to bodies.
+            callers_bytes_max: 144 * 1024 * 1024,
             agent_queue_max: 16,
             threads: 1,
         }
@@ -262,6 +267,12 @@
             "$.bounds.inline_body_bytes_max",
             "is greater than 1048576",
         );
+        push_if(
+            &mut faults,
+            self.callers_bytes_max < self.inline_body_bytes_max.saturating_mul(2).saturating_add(CONNECTION_BYTES),
+            "$.bounds.callers_bytes_max",
+            "is less than twice inline_body_bytes_max and 32768 for a connection",
+        );
         push_if(&mut faults, self.caller_connections_max == 0, "$.bounds.caller_connections_max", "is zero");
         faults
     }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -26,7 +26,7 @@
         "heartbeat_interval_ms": 500, "link_silence_ms": 1600, "link_backoff_max_ms": 2000, "request_timeout_ms": 10000,
         "request_timeout_max_ms": 300_000, "drain_timeout_ms": 300_000, "head_bytes_max": 16_384,
         "body_bytes_max": 67_108_864, "inline_body_bytes_max": 65_536, "caller_connections_max": 4096,
-        "agent_queue_max": 16,
+        "callers_bytes_max": 150_994_944, "agent_queue_max": 16,
     })
 }
 
@@ -113,6 +113,8 @@
 #[case::fraction("/bounds", json!({ "link_silence_ms": 1.5 }), "$.bounds.link_silence_ms: wrong type (4104)")]
 #[case::too_large("/bounds", json!({ "request_timeout_ms": u64::MAX }), "$.bounds.request_timeout_ms: out of range")]
 #[case::contradiction("/bounds", json!({ "link_silence_ms": 700 }), "$.bounds.link_silence_ms: is less than two heartbeat")]
+#[case::no_room_for_a_body("/bounds", json!({ "callers_bytes_max": 65_536 }), "$.bounds.callers_bytes_max: is less than twice \
+         inline_body_bytes_max")]
 fn a_fault_of_an_entry_is_named(#[case] pointer: &str, #[case] value: Value, #[case] expected: &str) {
     let (status, text) = check(ENTRY, &changed(entry(), pointer, value).to_string());
     assert_eq!(status, 2, "{text}");
