Check what a caller gets whose body stops short

A body that stops short is refused at the request's time limit: 504, code 1004, `Retry-After` and `not-run`.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -108,6 +108,26 @@
     assert_unharmed(&cluster).await;
 }
 
+#[rstest]
+#[case::with_a_length("content-length: 2\r\n\r\na")]
+#[case::in_chunks("transfer-encoding: chunked\r\n\r\n1\r\na\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn body_that_stops_short_is_refused_at_the_time_limit(#[case] rest: &str) {
+    let cluster = cluster::start(1, 1).await;
+    let head = "POST /portal/x HTTP/1.1\r\nhost: a\r\nx-timeout-ms: 300\r\n";
+    let mut stream = TcpStream::connect(cluster.entries[0].callers()).await.expect("connect");
+    stream.write_all(format!("{head}{rest}").as_bytes()).await.expect("write");
+    let answer = read_all(stream).await;
+
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    for promised in ["\"code\":1004", "retry-after: 1\r\n", "x-chervilledge-outcome: not-run\r\n"] {
+        assert!(answer.contains(promised), "{answer}");
+    }
+    assert!(cluster.executed().is_empty());
+    assert_unharmed(&cluster).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn body_that_breaks_off_is_never_passed_off_as_whole() {
     let cluster = cluster::start(1, 1).await;
