--- a/src/entry/upload.rs
+++ b/src/entry/upload.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chervilledge_caller::body;
 use chervilledge_link::message::{BodyChunk, CHUNK_BYTES, ToAgent};
 use chervilledge_policy::code::Code;
 use chervilledge_policy::id::RequestId;
-use hyper::body::Incoming;
 use tokio::sync::Semaphore;
 
+use crate::body::Joined;
+use crate::entry::bodies::{self, Held};
 use crate::entry::fleet::Link;
 
 /// Request body to be forwarded.
@@ -22,9 +22,9 @@
     /// Bytes that the entry may send to the agent.
     pub credit: Arc<Semaphore>,
     /// Bytes of the body already read.
-    pub prefix: Bytes,
+    pub prefix: Option<Held>,
     /// Rest of the body.
-    pub rest: Incoming,
+    pub rest: Joined,
     /// Maximum length of the whole body, in bytes.
     pub bytes_max: u64,
 }
@@ -34,13 +34,14 @@
     ///
     /// # Errors
     ///
-    /// [`Code::BodyTooLarge`] when the body exceeds `bytes_max`, [`Code::BadRequest`] when the caller aborts it,
-    /// [`Code::LinkClosed`] when the link ends.
+    /// [`Code::BodyTooLarge`] when the body exceeds `bytes_max`, [`Code::BadRequest`] when the caller aborts it or stops
+    /// sending it, [`Code::LinkClosed`] when the link ends.
     pub async fn send_body(mut self) -> Result<(), Code> {
         let mut offset_bytes = 0;
-        let prefix = std::mem::take(&mut self.prefix);
-        self.send_part(&mut offset_bytes, prefix).await?;
-        while let Some(bytes) = body::next_data(&mut self.rest).await.or(Err(Code::BadRequest))? {
+        if let Some(prefix) = self.prefix.take() {
+            self.send_part(&mut offset_bytes, Bytes::clone(&prefix)).await?;
+        }
+        while let Some(bytes) = bodies::next_part(self.rest.next()).await? {
             self.send_part(&mut offset_bytes, bytes).await?;
         }
         let end = ToAgent::BodyEnd { request: self.request, total_bytes: offset_bytes };
