Let a caller's body at the entry wait for the room that it takes

The budget now counts connections that make room until they are dropped, and growing waits for them, so the entry's own way of letting their tasks run before it allocates goes out.

--- a/src/entry/bodies.rs
+++ b/src/entry/bodies.rs
@@ -65,7 +65,7 @@
     let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let share = Share::empty(Arc::clone(connection));
     let capacity_min_bytes = announced_bytes.max(CAPACITY_BYTES_MIN);
-    let mut buffer = Buffer { bytes: Vec::new(), capacity_bytes: 0, share, capacity_min_bytes };
+    let mut buffer = Buffer { bytes: Vec::new(), share, capacity_min_bytes };
     if announced_bytes > inline_bytes_max {
         return Ok(Start::Longer { prefix: buffer.freeze(), rest: body });
     }
@@ -75,15 +75,11 @@
         let part_due = due.min(Instant::now() + PART_TIMEOUT);
         let part = timeout_at(part_due, next_data(&mut body)).await.or(Err(Code::DeadlineBeforeStart))?;
         let Some(part) = part.or(Err(Code::BadRequest))? else {
-            buffer.count_copy().or(Err(Code::Overloaded))?;
+            buffer.count_copy().await.or(Err(Code::Overloaded))?;
             connection.begin_serving();
             return Ok(Start::Whole(buffer.freeze()));
         };
-        if buffer.reserve(part.len(), inline_bytes_max).or(Err(Code::Overloaded))? {
-            // Connections that had to make room free their memory when their tasks run.
-            tokio::task::yield_now().await;
-        }
-        buffer.append(&part);
+        buffer.append(&part, inline_bytes_max).await.or(Err(Code::Overloaded))?;
     }
     connection.begin_serving();
     Ok(Start::Longer { prefix: buffer.freeze(), rest: body })
@@ -102,38 +98,29 @@
 #[derive(Debug)]
 struct Buffer {
     bytes: Vec<u8>,
-    /// Capacity that `bytes` has, or gets with the next part.
-    capacity_bytes: usize,
-    /// Covers `capacity_bytes`.
+    /// Covers the capacity of `bytes`.
     share: Share,
     /// Length that the body announced, if any: one allocation then holds the whole body.
     capacity_min_bytes: usize,
 }
 
 impl Buffer {
-    /// Takes a share of the budget for `more_bytes`; tells whether it had to grow.
-    fn reserve(&mut self, more_bytes: usize, bytes_max: usize) -> Result<bool, Full> {
-        let length = self.bytes.len() + more_bytes;
-        if length <= self.capacity_bytes {
-            return Ok(false);
-        }
-        let doubled = (2 * self.capacity_bytes).min(bytes_max);
-        self.capacity_bytes = length.max(doubled).max(self.capacity_min_bytes);
-        self.share.grow_to(self.capacity_bytes)?;
-        Ok(true)
-    }
-
     /// Appends a copy of a part, so that its read buffer isn't kept.
-    fn append(&mut self, part: &[u8]) {
-        if self.bytes.capacity() < self.capacity_bytes {
-            self.bytes.reserve_exact(self.capacity_bytes - self.bytes.len());
+    async fn append(&mut self, part: &[u8], bytes_max: usize) -> Result<(), Full> {
+        let length = self.bytes.len() + part.len();
+        if length > self.bytes.capacity() {
+            let doubled = (2 * self.bytes.capacity()).min(bytes_max);
+            let capacity = length.max(doubled).max(self.capacity_min_bytes);
+            self.share.grow_to(capacity).await?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(part);
+        Ok(())
     }
 
     /// Counts the copy of a whole body that waits to be sent to an agent.
-    fn count_copy(&mut self) -> Result<(), Full> {
-        self.share.grow_to(self.capacity_bytes + self.bytes.len())
+    async fn count_copy(&mut self) -> Result<(), Full> {
+        self.share.grow_to(self.bytes.capacity() + self.bytes.len()).await
     }
 
     fn freeze(self) -> Held {
