Keep placing at a planned stop until another entry can take the cell

Cause: an entry that places released the cell within 20 ms of SIGTERM, whoever was there to take it. Its process lives 2.3 s longer, and the next claim came 0.4 s after the first entry had started again.

Evidence: the log of booking: stop_asked of all four entries at 8.00, cell_given_up at 8.02, the first started at 10.80, placer_started at 11.18; no start in between. Ruled out: a late claim (0.4 s after the start, as at any takeover); leases (they run on by the handover).

Change: the placer releases the cell once another entry answers that it isn't stopping itself, at the latest a second before the end of the process, which needs one write for it. A cell without another entry is released at once, as before. An entry that stops isn't handed the cell by a smaller one any more either. The log line no_successor tells of a release that nobody could take.

Tests: entries_that_stop_together_leave_the_cell_without_a_placer failed before (holder None a second after SIGTERM) and passes; an_entry_that_stops_alone_releases_the_cell_at_once passes before and after.

--- a/crates/scheduler/src/entry.rs
+++ b/crates/scheduler/src/entry.rs
@@ -6,6 +6,7 @@
 mod links;
 mod operator;
 mod requests;
+mod retirement;
 
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -229,15 +230,6 @@
         !self.inner.is_stopping.load(Ordering::Relaxed) && self.configuration().is_some() && has_route
     }
 
-    /// Releases the cell if this entry places, and takes on no new role.
-    pub async fn retire(&self) {
-        self.inner.is_stopping.store(true, Ordering::Relaxed);
-        if let Some((_, placer)) = self.local_placer() {
-            // No reply is needed from a placer that has already ended.
-            drop(ractor::call_t!(placer, placer::Message::Retire, RETIRE_TIMEOUT_MS));
-        }
-    }
-
     /// State dump of the entry and of its placer.
     pub async fn dump(&self) -> Value {
         let placer = match self.local_placer() {
--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -10,7 +10,7 @@
 
 use super::{Entry, PlacerRoute, RETIRE_TIMEOUT_MS, lock};
 use crate::clock::whole_ms;
-use crate::peer::{self, TermAnswer};
+use crate::peer;
 use crate::roster::Roster;
 use crate::{candidate, placer, rows};
 
@@ -81,7 +81,7 @@
 async fn hand_over(entry: &Entry, tenure: &mut Tenure, term: u64, placer: &ActorRef<placer::Message>) {
     let Some(roster) = entry.roster() else { return };
     for (name, address) in roster.larger_entries(entry.inner.settings.processor_share) {
-        if matches!(peer::query_term(address).await, TermAnswer::Term(_)) {
+        if peer::can_take_cell(address).await {
             log::info!(event = "cell_handed_over", term = term, larger = &**name; "");
             tenure.hand_over();
             // No reply is needed from a placer that has already ended.
--- a/crates/scheduler/src/entry/links.rs
+++ b/crates/scheduler/src/entry/links.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervilledge_caller::budget::{Budget, Connection};
@@ -193,7 +194,10 @@
     fn handle_message(&self, message: ToEntry, sender: &Sender<FromEntry>) {
         let own = self.local_placer();
         match message {
-            ToEntry::Beat => sender.post(FromEntry::Beat { term: own.map(|(term, _)| term) }),
+            ToEntry::Beat => {
+                let is_stopping = self.inner.is_stopping.load(Ordering::Relaxed);
+                sender.post(FromEntry::Beat { term: own.map(|(term, _)| term), is_stopping });
+            }
             ToEntry::State { question, job } => {
                 let sender = sender.clone();
                 tokio::spawn(async move {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -225,6 +225,9 @@
     Beat {
         /// Term; `None` when the entry doesn't place.
         term: Option<u64>,
+        /// Whether the entry stops and claims the cell no more. Versions before 0.6.0 don't tell.
+        #[serde(default)]
+        is_stopping: bool,
     },
     /// Reply to [`ToEntry::State`].
     State {
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -82,8 +82,13 @@
 pub enum TermAnswer {
     /// Nothing listens at the address.
     NotThere,
-    /// Term under which the entry places, if it does.
-    Term(Option<u64>),
+    /// The entry runs.
+    Running {
+        /// Term under which the entry places, if it does.
+        term: Option<u64>,
+        /// Whether it stops and claims the cell no more.
+        is_stopping: bool,
+    },
     /// No reply in time.
     Unknown,
 }
@@ -101,13 +106,18 @@
     sender.post(ToEntry::Beat);
     loop {
         match receiver.receive::<FromEntry>(OPEN_TIMEOUT).await {
-            Ok(FromEntry::Beat { term }) => return TermAnswer::Term(term),
+            Ok(FromEntry::Beat { term, is_stopping }) => return TermAnswer::Running { term, is_stopping },
             Ok(_) => {}
             Err(_) => return TermAnswer::Unknown,
         }
     }
 }
 
+/// Whether an entry runs and can take the cell.
+pub async fn can_take_cell(address: SocketAddr) -> bool {
+    matches!(query_term(address).await, TermAnswer::Running { is_stopping: false, .. })
+}
+
 /// Asks a witness how long ago it may last have renewed a term before `term`, and not to do so any more; `None` without
 /// an answer.
 pub async fn end_terms(address: SocketAddr, term: u64) -> Option<Duration> {
--- a/crates/scheduler/src/placer/feed.rs
+++ b/crates/scheduler/src/placer/feed.rs
@@ -96,8 +96,8 @@
     loop {
         match peer::query_term(predecessor.address).await {
             TermAnswer::NotThere => return "not_there",
-            TermAnswer::Term(term) if term != Some(predecessor.term) => return "says_so",
-            TermAnswer::Term(_) | TermAnswer::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
+            TermAnswer::Running { term, .. } if term != Some(predecessor.term) => return "says_so",
+            TermAnswer::Running { .. } | TermAnswer::Unknown => tokio::time::sleep(PREDECESSOR_RETRY).await,
         }
     }
 }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -56,7 +56,7 @@
                     Some(rows::encode(&rows::Heartbeat { term: TERM, is_alone: true })),
                 );
                 let backlog = if has_backlog { backlog() } else { Backlog::default() };
-                sender.post(FromEntry::Beat { term: Some(TERM) });
+                sender.post(FromEntry::Beat { term: Some(TERM), is_stopping: false });
                 sender.post(FromEntry::Pending { counts: Vec::new(), backlog });
             }
         }
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -259,7 +259,7 @@
         self.add("to-entry/submitted", &ToEntry::Submitted(Box::new(job())));
         self.add("to-entry/canceled", &ToEntry::Canceled(id));
         self.add("to-entry/relay", &ToEntry::Relay { question, job: Some(Box::new(job())), cancel: Some(id) });
-        self.add("from-entry/beat", &FromEntry::Beat { term: Some(2) });
+        self.add("from-entry/beat", &FromEntry::Beat { term: Some(2), is_stopping: false });
         let states =
             [JobState::Queued, JobState::Running, JobState::Completed, JobState::Failed, JobState::Canceled].map(Some);
         for state in states {
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -19,6 +19,8 @@
 
 /// Entries in each region.
 const ENTRIES: usize = 4;
+/// Time that the platform gives entries to stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time during which takeovers are counted.
 const WATCHED: Duration = Duration::from_secs(40);
 
@@ -167,7 +169,7 @@
     let entry = spawn("entry-1", rows.store()).await;
     let term = next_placer(&rows).await.term;
     if is_restarted {
-        entry.retire().await;
+        entry.retire(STOP_TIMEOUT).await;
     }
     rows.write(Table::Cell, PLACER_KEY, Some(odd));
     let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
@@ -203,7 +205,7 @@
     let entry = spawn("entry-1", rows.store()).await;
     let first = next_placer(&rows).await;
     if is_restarted {
-        entry.retire().await;
+        entry.retire(STOP_TIMEOUT).await;
     }
     rows.write(Table::Cell, PLACER_KEY, odd);
     let _successor = if is_restarted { Some(spawn("entry-2", rows.store()).await) } else { None };
@@ -248,3 +250,54 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert_eq!(entry.dump().await["way_to_placer"], "there");
 }
+
+/// An entry that others can reach.
+async fn spawn_linked(name: &str, rows: &MemoryStore) -> Entry {
+    spawn_at(name, free_address(), rows.store()).await
+}
+
+/// Waits until one of two entries places; returns it, then the other one.
+async fn placing_first(entries: [Entry; 2]) -> [Entry; 2] {
+    let wait = async {
+        loop {
+            for (number, entry) in entries.iter().enumerate() {
+                if !entry.dump().await["placer"].is_null() {
+                    return number;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let placing = tokio::time::timeout(STOP_TIMEOUT, wait).await.expect("a placer in time");
+    let [first, second] = entries;
+    if placing == 0 { [first, second] } else { [second, first] }
+}
+
+/// Nothing starts on any worker while a cell has no placer, and entries may be stopped all at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_stop_together_leave_the_cell_without_a_placer() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let entries = [spawn_linked("entry-1", &rows).await, spawn_linked("entry-2", &rows).await];
+    let [placing, other] = placing_first(entries).await;
+    let present = placer(&rows).expect("a placer");
+    other.retire(STOP_TIMEOUT).await;
+    let retiring = tokio::spawn(async move { placing.retire(STOP_TIMEOUT).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(placer(&rows), Some(present), "no entry can take the cell");
+    let _started = spawn_linked("entry-3", &rows).await;
+    let next = tokio::time::timeout(Duration::from_secs(2), next_placer(&rows)).await.expect("a release in time");
+    assert_eq!(next.holder, None);
+    retiring.await.expect("the entry stops");
+    assert_eq!(next_placer(&rows).await.holder.as_deref(), Some("entry-3"));
+}
+
+/// A rolling restart takes as long as the entries take to stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stops_alone_releases_the_cell_at_once() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    rows.configure(1);
+    let entries = [spawn_linked("entry-1", &rows).await, spawn_linked("entry-2", &rows).await];
+    let [placing, _other] = placing_first(entries).await;
+    tokio::time::timeout(Duration::from_secs(1), placing.retire(STOP_TIMEOUT)).await.expect("a release in time");
+}
--- a/crates/scheduler/tests/lost_machines.rs
+++ b/crates/scheduler/tests/lost_machines.rs
@@ -116,7 +116,7 @@
             tokio::time::sleep(Duration::from_millis(2_500)).await;
             for entry in &entries {
                 if entry.dump().await["placer"].is_object() {
-                    entry.retire().await;
+                    entry.retire(Duration::ZERO).await;
                 }
             }
         }
