Record a completion that is reported after its claim expired

What callers saw: agent_is_restarted_in_mid_flight at a load of 24 to 28: EffectRepeated, epoch 2. A task that had completed was executed again.

Cause: a worker completes a task within its lease while the agent is away. The entry, which hears nothing, expires the claim a lease and a margin after its last grant and queues the task at the next epoch. The restarted agent finds the completed task on its worker and reports it, but the entry answered any report of an earlier epoch with Settled, so the completion was dropped and the next epoch ran.

The explain events of such a run: started, expired (3005), claimed, started, completed; the agent's log has claim_ended Completed epoch 1 after the expiry.

Ruled out: the judge (the effect of epoch 1 came within its lease and before the row moved, so that the later one repeats it); the stand-in (it completed nothing past a lease); a start of the former agent that is obeyed late (it is bounded on the machine's clock by the time after which stock is taken).

Change: a row whose later epoch is queued, claimed or running becomes done by CompleteLate, on condition of its version; a later claim is stopped. The lease protocol makes this safe: a claim expires only once its lease has ended on the worker, so a completion of an earlier epoch happened before the row moved. Final rows and cancelled tasks stay as they are. An owner takes a task that another entry has ended out of its queue; a claim of it would fail and count the task as ended a second time. The model of interleavings writes late completions as well.

--- a/crates/policy/src/task.rs
+++ b/crates/policy/src/task.rs
@@ -240,6 +240,11 @@
     Checkpoint(CheckpointKey),
     /// Records the completion.
     Complete,
+    /// Records that an earlier epoch completed before its claim ended.
+    ///
+    /// A claim expires when its agent is away for longer than a lease, although the worker may have completed the task
+    /// within that lease.
+    CompleteLate(Epoch),
     /// Queues a task that was stopped by the scheduler, to resume from the given or last recorded checkpoint.
     Evict(Option<CheckpointKey>),
     /// Records a failed attempt, and queues the task again or fails it.
@@ -316,6 +321,7 @@
         Change::Decline => decline(row),
         Change::Checkpoint(key) => checkpoint(row, key),
         Change::Complete => end_claim(row, TaskState::Done),
+        Change::CompleteLate(epoch) => complete_late(row, epoch),
         Change::Evict(key) => evict(row, key),
         Change::Fail(code) => fail(row, code),
         Change::Expire => expire(row),
@@ -400,6 +406,13 @@
     end_claim(row, state)
 }
 
+fn complete_late(row: &TaskRow, completed: Epoch) -> Result<TaskRow, Refusal> {
+    if completed >= row.epoch {
+        return Err(Refusal::WrongState);
+    }
+    Ok(TaskRow { epoch: row.epoch.next(), state: TaskState::Done, ..row.clone() })
+}
+
 /// Ends the claim and increments the epoch.
 fn end_claim(row: &TaskRow, state: TaskState) -> Result<TaskRow, Refusal> {
     if row.state.claim().is_none() {
--- a/crates/policy/tests/interleavings/world.rs
+++ b/crates/policy/tests/interleavings/world.rs
@@ -296,7 +296,7 @@
         let Ok(row) = apply(&self.row, Transition { epoch, change: change.clone() }) else { return };
         self.row = row;
         self.declined_started |= *change == Change::Decline && self.started.contains(&epoch);
-        self.completed += u32::from(*change == Change::Complete);
+        self.completed += u32::from(matches!(change, Change::Complete | Change::CompleteLate(_)));
         self.coverage.expirations += u32::from(*change == Change::Expire);
         self.coverage.adoptions += u32::from(matches!(change, Change::Adopt(_)));
     }
@@ -410,6 +410,9 @@
                 }
             }
             Message::Declined { epoch } => self.write(epoch, &Change::Decline),
+            Message::Ended { epoch, is_complete: true } if epoch < self.row.epoch => {
+                self.write(self.row.epoch, &Change::CompleteLate(epoch));
+            }
             Message::Ended { epoch, is_complete: true } => self.write(epoch, &Change::Complete),
             Message::Ended { epoch, is_complete: false } => self.write(epoch, &Change::Evict(None)),
         }
--- a/crates/policy/tests/task.rs
+++ b/crates/policy/tests/task.rs
@@ -73,6 +73,19 @@
     assert_eq!(next(&running(effects), change).expect("a running task can end").state, state);
 }
 
+#[rstest]
+#[case::queued(&[])]
+#[case::claimed(&[claim()])]
+#[case::running(&[claim(), Change::Start])]
+#[case::unschedulable(&[Change::Reject(Code::Unschedulable)])]
+fn a_completion_reported_after_the_claim_expired_is_lost(#[case] since: &[Change]) {
+    let expired = next(&running(Effects::Fenced), Change::Expire).expect("a running task can expire");
+    let row = since.iter().fold(expired, |row, change| next(&row, change.clone()).expect("an allowed change"));
+    let done = next(&row, Change::CompleteLate(Epoch(1))).expect("the earlier epoch completed");
+    assert_eq!((done.state, done.epoch), (TaskState::Done, row.epoch.next()));
+    assert_eq!(next(&row, Change::CompleteLate(row.epoch)), Err(Refusal::WrongState));
+}
+
 #[test]
 fn a_declined_claim_never_ran_and_waits_again() {
     let claimed = next(&queued(Effects::AtMostOnce), claim()).expect("a queued task can be claimed");
@@ -118,6 +131,7 @@
         Just(Change::Adopt(BootId(2))),
         Just(Change::Decline),
         Just(Change::Complete),
+        (0_u64..3).prop_map(|epoch| Change::CompleteLate(Epoch(epoch))),
         Just(Change::Evict(None)),
         Just(Change::Fail(Code::OutcomeUnknown)),
         Just(Change::Expire),
--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -214,7 +214,7 @@
 
     fn count_outcome(&mut self, change: &Change) {
         match change {
-            Change::Complete => self.counters.completions += 1,
+            Change::Complete | Change::CompleteLate(_) => self.counters.completions += 1,
             Change::Fail(_) => self.counters.failures += 1,
             Change::Evict(_) => self.counters.evictions += 1,
             Change::Expire => self.counters.expirations += 1,
@@ -259,7 +259,7 @@
             self.end_placement(&worker, &job, change);
         }
         match change {
-            Change::Cancel | Change::Expire => {
+            Change::Cancel | Change::CompleteLate(_) | Change::Expire => {
                 self.pending_stops.insert(claim.clone(), (Name::clone(&worker), self.now()));
                 self.send_command(&worker, TaskCommand::Stop(claim.clone()));
             }
--- a/src/entry/batch/reports.rs
+++ b/src/entry/batch/reports.rs
@@ -172,7 +172,12 @@
         let job = rows.iter().find(|row| row.key == job_key(&claim.task.job)).and_then(decode_row::<JobRecord>);
         let (Some((record, version)), Some(job)) = (task, job) else { return };
         if record.row.epoch > claim.epoch {
-            answer_stale(&link, &report, claim);
+            let is_completion = matches!(report, TaskReport::Ended { end: End::Completed, .. });
+            if is_completion && !record.is_final() && !job.is_cancelled(claim.task.index) {
+                self.complete_late(claim, record, version, job);
+            } else {
+                answer_stale(&link, &report, claim);
+            }
             return;
         }
         let is_on_worker = record.row.state.claim().is_some_and(|current| current.worker == link.worker);
@@ -193,6 +198,26 @@
         self.claims.insert(task.clone(), tracked);
         self.add_step(&task, step);
     }
+
+    /// Records a completion whose claim had ended before it was reported, so that the task isn't executed again.
+    ///
+    /// The agent repeats the report until the row is final, so a change that loses a race is made again.
+    fn complete_late(&mut self, claim: &ClaimId, record: TaskRecord, version: u64, job: JobRecord) {
+        let task = &claim.task;
+        if self.claims.get(task).is_some_and(TrackedTask::is_ending) {
+            return;
+        }
+        if !self.claims.contains_key(task) {
+            self.queue.cancel(task);
+            self.untracked.remove(task);
+            let job = Arc::clone(self.jobs.entry(Name::clone(&task.job)).or_insert_with(|| Arc::new(job)));
+            let worker =
+                record.row.state.claim().map_or_else(|| Name::from(""), |current| Name::clone(&current.worker));
+            let tracked = TrackedTask::open(record, Some(version), job, Stage::Other, worker);
+            self.claims.insert(task.clone(), tracked);
+        }
+        self.add_step(task, Step::new(Change::CompleteLate(claim.epoch)));
+    }
 }
 
 /// Answers a report about a claim whose task has moved to a later epoch.
--- a/src/entry/batch/shards.rs
+++ b/src/entry/batch/shards.rs
@@ -238,6 +238,8 @@
         }
         let is_queued = row.as_ref().is_none_or(|(record, _)| record.is_queued());
         if row.as_ref().is_some_and(|(record, _)| record.is_final()) || (is_queued && job.is_cancelled(task.index)) {
+            // Another entry may have recorded the end of a task that waits here.
+            self.queue.cancel(task);
             self.untracked.remove(task);
             return false;
         }
--- a/src/entry/batch/steps.rs
+++ b/src/entry/batch/steps.rs
@@ -54,7 +54,13 @@
 pub const fn ends_claim(change: &Change) -> bool {
     matches!(
         change,
-        Change::Complete | Change::Evict(_) | Change::Fail(_) | Change::Expire | Change::Cancel | Change::Decline
+        Change::Complete
+            | Change::CompleteLate(_)
+            | Change::Evict(_)
+            | Change::Fail(_)
+            | Change::Expire
+            | Change::Cancel
+            | Change::Decline
     )
 }
 
@@ -82,7 +88,7 @@
         Change::Adopt(_) => return (Some(EventKind::HandedOver), Some(Code::LeaseHandedOver)),
         Change::Decline => EventKind::Refused,
         Change::Checkpoint(_) => EventKind::Checkpointed,
-        Change::Complete => EventKind::Completed,
+        Change::Complete | Change::CompleteLate(_) => EventKind::Completed,
         Change::Evict(_) => EventKind::Evicted,
         Change::Fail(code) => {
             let code = if let TaskState::Failed(code) = record.row.state { code } else { *code };
--- a/tests/batch_finishes.rs
+++ b/tests/batch_finishes.rs
@@ -6,7 +6,8 @@
 
 use chervilledge_standins::{judge, platform, worker};
 use harness::batch::{Site, bind_platform, bind_worker, effects, ledgers, starts, wait_ledger};
-use serde_json::json;
+use harness::{send, wait_until};
+use serde_json::{Value, json};
 
 /// Several leases long.
 const LONG_OUTAGE: Duration = Duration::from_secs(12);
@@ -105,3 +106,35 @@
     assert_eq!(job["tasks"][0]["code"], 3003, "{job}");
     assert_eq!(job["tasks"][0]["attempts"].as_array().map(Vec::len), Some(3), "{job}");
 }
+
+/// Guards against executing a task again whose completion was reported only after its claim had expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn task_is_repeated_that_completed_while_its_agent_was_away() {
+    let platform = bind_platform().await;
+    let worker = bind_worker("worker-1").await;
+    let mut site = Site::open(platform.address()).await;
+    site.batch["lease"]["length_ms"] = json!(8_000);
+    let entries = [site.entry("entry-1"), site.entry("entry-2")];
+    let agent = site.agent("worker-1", worker.address());
+    for entry in entries {
+        site.wait_granted(entry, 1).await;
+    }
+    let job = site.submit(entries[0], "orders-1", "long", 4).await;
+    let outlasts_run = |task: &Value| task["lease_left_ms"].as_u64() > Some(6_000);
+    wait_until("leases outlast the tasks", || async {
+        let tasks = send(worker.address(), "GET", "/tasks", &[], Vec::new()).await.expect("tasks").json();
+        tasks.as_array().is_some_and(|tasks| tasks.len() == 4 && tasks.iter().all(outlasts_run))
+    })
+    .await;
+
+    site.agents[agent].kill();
+    site.wait_job(entries[0], &job, "claims have expired", |job| job["counts"] == json!({ "queued": 4 })).await;
+    assert_eq!(effects(&worker.ledger()), 4);
+    site.agent("worker-1", worker.address());
+
+    let job = site.wait_finished(entries[1], &job).await;
+    assert_eq!(job["counts"], json!({ "done": 4 }));
+    let events = worker.ledger();
+    assert_eq!(judge::violations(&events), Vec::new());
+    assert_eq!(effects(&events), 4);
+}
