Don't convict a task by starts that no worker answered

Cause: the agent reports the runs that a crashed worker had or may have had, and the placer took both for the same evidence. By one unanswered start nobody can tell a task that crashes its worker before the answer from one that never ran. What can be told is whether the run was there: the worker listed it, or answered its start by a clock that goes on. An answer by a clock that began anew comes from the next life.

Change: the agent marks the other runs as unconfirmed, and so does a placer that infers a crash under a start that it never saw confirmed. A task is given up as a suspect only if two of its crashes are confirmed, which is the users' own bound. Unconfirmed crashes still make it a suspect, whose next start is kept apart from others, and count towards the four crashes soon after the start and the five at the same age: BUDGET stays bounded by four crashes seen, at most four starts of a task that never answers, where five are allowed.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -52,7 +52,7 @@
 use self::writes::Writes;
 use crate::admission::{Backlog, RateMeter};
 use crate::configuration::{Configuration, Queue};
-use crate::crashes::Blame;
+use crate::crashes::Crash;
 use crate::evacuation::Held;
 use crate::health::Health;
 use crate::interference::{Effects, Evidence, Interference, Pair};
@@ -162,10 +162,8 @@
         run: u64,
         /// Agent of the worker.
         agent: Name,
-        /// Age of the run at the crash.
-        age: Duration,
-        /// Part of the run in the crash.
-        blame: Blame,
+        /// Its age and its part in the crash.
+        crash: Crash,
         /// Crashes under the task so far.
         crashes: usize,
     },
--- a/crates/cell/src/cell/crashed.rs
+++ b/crates/cell/src/cell/crashed.rs
@@ -108,8 +108,8 @@
         // When the worker crashed isn't known, only until when each run has made progress.
         let crashed_run = |(task, number): &(TaskId, u64)| {
             let lived = |run: &Run| Some(run.progressed_at.saturating_sub(run.started?));
-            let age = self.run(*task, *number).and_then(lived).unwrap_or_default();
-            CrashedRun { task: *task, run: *number, age }
+            let age = self.run(*task, *number).and_then(lived);
+            CrashedRun { task: *task, run: *number, age: age.unwrap_or_default(), is_unconfirmed: age.is_none() }
         };
         let runs: Vec<CrashedRun> = agent.runs.iter().map(crashed_run).collect();
         self.crash_runs(name, &runs, now);
@@ -126,7 +126,7 @@
             self.crashes.unexplained_at = Some(now);
         }
         for (run, blame) in runs.iter().zip(blames) {
-            let crash = Crash { age: run.age, blame };
+            let crash = Crash { age: run.age, blame, is_unconfirmed: run.is_unconfirmed };
             if self.jobs.contains_key(&run.task.job) {
                 self.crash_run(name, run.task, run.run, crash, now);
             } else {
@@ -151,9 +151,8 @@
         if store_crashes(&mut entry.progress, task.key, &state.crashes) {
             self.mark_dirty(task.job);
         }
-        let Crash { age, blame } = crash;
         self.counters.crashed += 1;
-        self.notes.push(Note::RunCrashed { task, run, agent: Arc::clone(name), age, blame, crashes });
+        self.notes.push(Note::RunCrashed { task, run, agent: Arc::clone(name), crash, crashes });
         if verdict == Verdict::GivenUp {
             self.give_up(task, now);
         }
--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -24,10 +24,13 @@
 /// Time by which it may be greater besides, since agents notice a crash late.
 const AGE_TOLERANCE: Duration = Duration::from_millis(200);
 /// Crashes in which a task was suspect from which it is given up, if no other run on the worker had just started at the
-/// last one. Users allow a task to be given up from the second crash on.
+/// last one.
 const SOLE_CRASHES_MAX: usize = 2;
 /// The same if some other run had just started as well, or while workers crash without a suspect.
 const SUSPECT_CRASHES_MAX: usize = 3;
+/// Crashes among these with the run known to have been on the worker: users allow a task to be given up under which two
+/// workers have crashed.
+const CONFIRMED_CRASHES_MIN: usize = 2;
 /// Crashes soon after the start from which a task is given up whatever else happened: users take three more starts after
 /// three crashes as too many.
 const YOUNG_CRASHES_MAX: usize = 4;
@@ -68,6 +71,9 @@
     pub age: Duration,
     /// Part of the run in it.
     pub blame: Blame,
+    /// Whether the run may not have been on the worker. Versions before 0.7.0 don't tell.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unconfirmed: bool,
 }
 
 /// Crashes under a task that no later run has refuted, by run number.
@@ -128,23 +134,27 @@
     /// Whether the task was suspect in so many crashes that it is given up although workers crash for other reasons too.
     #[must_use]
     pub fn is_certain(&self) -> bool {
-        self.suspect() >= SUSPECT_CRASHES_MAX
+        self.suspect().count() >= SUSPECT_CRASHES_MAX
     }
 
-    /// Number of crashes in which the task was suspect.
-    fn suspect(&self) -> usize {
-        self.0.values().filter(|crash| crash.blame != Blame::Bystander).count()
+    /// Crashes in which the task was suspect.
+    fn suspect(&self) -> impl Iterator<Item = &Crash> {
+        self.0.values().filter(|crash| crash.blame != Blame::Bystander)
+    }
+
+    /// Whether so many workers crashed under the task as users take for enough to give it up.
+    fn is_confirmed(&self) -> bool {
+        self.suspect().filter(|crash| !crash.is_unconfirmed).count() >= CONFIRMED_CRASHES_MIN
     }
 
     /// What the crashes tell of the task.
     #[must_use]
     pub fn verdict(&self) -> Verdict {
-        let suspect = self.suspect();
         let last = self.0.values().next_back().map(|crash| crash.blame);
         let suspect_max = if last == Some(Blame::Sole) { SOLE_CRASHES_MAX } else { SUSPECT_CRASHES_MAX };
         if self.young() >= YOUNG_CRASHES_MAX || (self.len() >= ALIKE_CRASHES_MAX && self.are_ages_alike()) {
             Verdict::GivenUp
-        } else if suspect >= suspect_max && last != Some(Blame::Bystander) {
+        } else if self.suspect().count() >= suspect_max && last != Some(Blame::Bystander) && self.is_confirmed() {
             Verdict::Doubtful
         } else {
             Verdict::Tolerated
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -35,7 +35,7 @@
 /// Size of a run number, in bytes.
 const RUN_BYTES: usize = 5;
 /// Size of a crash, in bytes.
-const CRASH_BYTES: usize = 48;
+const CRASH_BYTES: usize = 64;
 /// Size of a checkpoint in a plain row without its text, in bytes: the key twice, run and percent.
 const CHECKPOINT_BYTES: usize = 2 * KEY_BYTES + 24;
 /// Size of an occurrence and step in the compact form, and of a range of occurrences, in bytes.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -129,6 +129,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "age_ms")]
     pub age: Duration,
+    /// The worker neither listed the run nor answered its start, so that the run may never have been there. Versions
+    /// before 0.7.0 don't tell.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unconfirmed: bool,
 }
 
 /// Crash of a worker, as reported by its agent until the placer has made it durable.
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -218,6 +218,14 @@
     due: Duration,
 }
 
+/// Order to start that the worker has acknowledged.
+#[derive(Clone, Copy, Debug)]
+struct AcknowledgedStart {
+    at: Duration,
+    /// Another incarnation of the worker may have given the answer.
+    is_doubtful: bool,
+}
+
 /// Order to stop whose effect isn't confirmed yet.
 #[derive(Debug)]
 struct PendingStop {
@@ -272,8 +280,8 @@
     pending_starts: Map<RunId, PendingStart>,
     /// Starts with an unanswered attempt, and the time of the last one.
     unanswered: Map<RunId, Duration>,
-    /// Acknowledged starts and the time of the acknowledgement; kept until a poll that was sent later.
-    acknowledged_starts: Map<RunId, Duration>,
+    /// Acknowledged starts; kept until a poll that was sent after the acknowledgement.
+    acknowledged_starts: Map<RunId, AcknowledgedStart>,
     pending_stops: Map<RunId, PendingStop>,
     /// When the start of each run was last sent before the worker listed it, or when it was first listed.
     started_at: Map<RunId, Duration>,
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -125,7 +125,7 @@
         tracked.has_more_ends = response.has_more_ends;
         let has_more_ends = response.has_more_ends;
         tracked.poll_due = if tracked.ends.is_empty() { now } else { now + UNSETTLED_PAUSE };
-        self.acknowledged_starts.retain(|_, taken| *taken > sent);
+        self.acknowledged_starts.retain(|_, taken| taken.at > sent);
         self.clear_ended();
         // A run that isn't listed may have ended as done.
         if !has_more_ends {
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -7,7 +7,7 @@
 use chervilledge_cell::worker::{Life, Refusal, StartOrder};
 use chervilledge_policy::id::Name;
 
-use super::{Message, PendingStart, PendingStop, RunId, State, TrackedWorker};
+use super::{AcknowledgedStart, Message, PendingStart, PendingStop, RunId, State, TrackedWorker};
 use crate::clock::whole_ms;
 use crate::message::FromAgent;
 use crate::worker::{OrderOutcome, StartOutcome};
@@ -121,7 +121,7 @@
         result: StartOutcome,
         now: Duration,
     ) {
-        self.check_for_restart(life, sent, result, now);
+        let is_doubtful = self.check_for_restart(life, sent, result, now);
         let is_present = self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life == *life);
         let Some(starting) = self.pending_starts.get_mut(&run).filter(|_| is_present) else { return };
         starting.is_calling = false;
@@ -136,7 +136,7 @@
         match result {
             StartOutcome::Running { .. } => {
                 self.pending_starts.remove(&run);
-                self.acknowledged_starts.insert(run, now);
+                self.acknowledged_starts.insert(run, AcknowledgedStart { at: now, is_doubtful });
                 self.send_to_placer(FromAgent::Started { task: run.0, run: run.1 });
                 self.pace_new_run(run);
             }
@@ -149,9 +149,9 @@
         }
     }
 
-    /// Detects a response to a start that another incarnation of the worker may have given.
-    fn check_for_restart(&mut self, life: &Life, sent: Duration, result: StartOutcome, now: Duration) {
-        let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return };
+    /// Detects a response to a start that another incarnation of the worker may have given; returns whether it may.
+    fn check_for_restart(&mut self, life: &Life, sent: Duration, result: StartOutcome, now: Duration) -> bool {
+        let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return true };
         let is_doubtful = match result {
             StartOutcome::Running { clock_ms: Some(clock_ms) } => {
                 tracked.reading.is_some_and(|reading| !is_clock_continued(reading, clock_ms, sent))
@@ -169,6 +169,7 @@
         if result == StartOutcome::Unknown {
             tracked.failing_since.get_or_insert(now);
         }
+        is_doubtful
     }
 
     /// Drops unanswered starts that can no longer be executed.
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -110,9 +110,9 @@
             log::info!(event = "run_lost", task:% = task, run = run, agent = &**agent, how = *how,
                 ran_ms = whole_ms(ran.unwrap_or_default()), term = term; "");
         }
-        Note::RunCrashed { task, run, agent, age, blame, crashes } => {
-            log::info!(event = "run_crashed", task:% = task, run = run, agent = &**agent, age_ms = whole_ms(*age),
-                blame = blame.as_str(), crashes = crashes, term = term; "");
+        Note::RunCrashed { task, run, agent, crash, crashes } => {
+            log::info!(event = "run_crashed", task:% = task, run = run, agent = &**agent, age_ms = whole_ms(crash.age),
+                blame = crash.blame.as_str(), is_unconfirmed = crash.is_unconfirmed, crashes = crashes, term = term; "");
         }
         Note::CrashExcused { task, reason, workers } => {
             log::info!(event = "crash_excused", task:% = task, reason = *reason, workers = workers, term = term; "");
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::cell::{Cell, Note};
 use chervilledge_cell::crashes::SUSPECT_AGE_MAX;
 use chervilledge_cell::job::TaskId;
+use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::{CrashReport, Life, Refusal, RunReport};
 use chervilledge_scheduler::agent::Message;
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
@@ -106,6 +108,77 @@
     assert!(young.age < Duration::from_millis(100), "{report:?}");
 }
 
+/// Response of a worker in its next life, which has just begun.
+fn next_life() -> PollResponse {
+    PollResponse { clock_ms: 0, born_unix_ms: Some(8), ..idle_poll() }
+}
+
+/// Starts a run while a poll waits for ends; returns the crash when the worker's next life begins.
+async fn crash_after_start(run: u64, answer: StartOutcome) -> CrashReport {
+    let agent = agent::spawn().await;
+    let mut link = agent::link(&agent, 2).await;
+    link.inventory().await;
+    let polls = agent.worker.change(|script| {
+        script.poll_delay = Duration::from_mins(1);
+        script.start = answer;
+        script.delays_start_responses = answer == StartOutcome::Unknown;
+        script.polls.len()
+    });
+    link.serve_until(&agent.worker, "a poll that waits", |script| script.polls.len() > polls).await;
+    link.start(task(9), run);
+    agent.worker.wait_for("start", |script| !script.starts.is_empty()).await;
+    if answer != StartOutcome::Unknown {
+        link.wait_for("start", |message| matches!(message, FromAgent::Started { .. }).then_some(())).await;
+    }
+    agent.worker.change(|script| {
+        script.poll_delay = Duration::ZERO;
+        script.poll = Ok(next_life());
+    });
+    agent.report(Life { born_unix_ms: 8, ..life() });
+    crashed(&mut link).await
+}
+
+/// Crashes under run 1 and 2 of a task.
+async fn two_crashes(answer: StartOutcome) -> Vec<CrashReport> {
+    let reports = vec![crash_after_start(1, answer).await, crash_after_start(2, answer).await];
+    assert_eq!(reports.iter().map(runs).collect::<Vec<_>>(), [[(task(9), 1)], [(task(9), 2)]]);
+    assert!(reports.iter().all(|report| report.runs[0].age <= SUSPECT_AGE_MAX), "{reports:?}");
+    reports
+}
+
+/// Whether a placer gives the task up for these crashes.
+fn is_given_up(reports: &[CrashReport]) -> bool {
+    let job = support::job(9);
+    let mut cell = Cell::new(2, Duration::from_secs(5));
+    let mut now = Duration::from_secs(100);
+    cell.configure(support::configuration_of(&job));
+    cell.load(job, Progress::default(), 5, Duration::ZERO, now);
+    for report in reports {
+        cell.worker_crashed(&report.life.worker, report, now);
+        now += Duration::from_secs(2);
+        cell.place(now);
+    }
+    cell.take_notes().iter().any(|note| matches!(note, Note::TaskGivenUp { .. }))
+}
+
+/// A task was given up for two restarts of workers that had never run it.
+#[tokio::test]
+async fn starts_without_an_answer_convict_a_task() {
+    assert!(!is_given_up(&two_crashes(StartOutcome::Unknown).await));
+}
+
+/// The answer of a worker's next life says nothing about the life that has crashed.
+#[tokio::test]
+async fn starts_that_the_next_life_answers_convict_a_task() {
+    assert!(!is_given_up(&two_crashes(StartOutcome::Running { clock_ms: Some(0) }).await));
+}
+
+/// Users allow a task to be given up under which two workers have crashed.
+#[tokio::test]
+async fn a_task_is_started_again_after_two_crashes_of_its_own() {
+    assert!(is_given_up(&two_crashes(StartOutcome::Running { clock_ms: None }).await));
+}
+
 /// A task that crashed its workers at the second attempt of each start counted as a bystander, and was started without end.
 #[tokio::test]
 async fn a_run_is_as_old_as_its_first_start_without_an_answer() {
