Look for due tasks only when a step ends, not at each end

What callers saw: none yet. An entry that takes over a cell with many ends of large jobs shows and starts nothing while it takes note of the ends.

Cause: each task that is done had all tasks of its job looked through for those that have become due, so the ends of a job of N tasks cost N * N. Only the last end of a step makes other tasks due.

Ruled out: the writes (1 batch and 5), the size of the progress that is written (the same batch), the settling of ends (it grows with agents).

Change: the job's tasks are looked through when a step of an occurrence has no task left. Placing is asked for at each end, as before.

--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -117,13 +117,18 @@
         for task in done {
             self.mark_done(task);
         }
-        if let Some(entry) = self.jobs.get_mut(&task.job)
-            && entry.is_occurrence_done(task.key.occurrence)
-        {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let is_step_done = entry.is_step_done(task.key.occurrence, task.key.step);
+        if is_step_done && entry.is_occurrence_done(task.key.occurrence) {
             entry.fold_completed_occurrences();
         }
-        if is_open {
-            self.mark_dirty(task.job);
+        if !is_open {
+            return;
+        }
+        self.mark_dirty(task.job);
+        self.needs_placing = true;
+        // Only the end of a whole step makes other tasks due.
+        if is_step_done {
             self.queue_due_tasks(task.job, now);
             self.finish_if_done(task.job, now);
         }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -104,7 +104,12 @@
     /// Whether every task of an occurrence is done.
     pub(super) fn is_occurrence_done(&self, occurrence: u32) -> bool {
         let mut steps = 0..u32::try_from(self.job.steps.len()).unwrap_or(u32::MAX);
-        steps.all(|step| self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0))
+        steps.all(|step| self.is_step_done(occurrence, step))
+    }
+
+    /// Whether all tasks of a step are done, in an occurrence whose tasks exist.
+    pub(super) fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
+        self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0)
     }
 
     /// Whether all steps that the task depends on are done.
--- /dev/null
+++ b/crates/cell/tests/limits.rs
@@ -0,0 +1,127 @@
+//! Jobs and takeovers near the limits of the platform's pages.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chervilledge_cell::cell::{Action, Cell, Inventory};
+use chervilledge_cell::job::{Job, JobState, TaskId, TaskKey};
+use chervilledge_cell::progress::Progress;
+use chervilledge_cell::worker::{End, EndKind};
+use chervilledge_policy::id::Name;
+use support::{LEASE, configuration, job, name, step, worker};
+
+const NOW: Duration = Duration::from_secs(100);
+/// Most ends that a worker lists at a time.
+const PAGE_ENDS: usize = 500;
+/// Agents that the ends of a takeover are spread over.
+const AGENTS: usize = 40;
+
+/// A new placer, and the ends that wait on the worker of each agent.
+struct Takeover {
+    cell: Cell,
+    jobs: Vec<Job>,
+    waiting: BTreeMap<Name, Vec<End>>,
+    ends: usize,
+    /// Reports of agents with ends.
+    pages: u32,
+    /// Transactions of the placer.
+    batches: u32,
+}
+
+fn takeover(jobs: u64, tasks_per_job: u32) -> Takeover {
+    let mut cell = Cell::new(2, LEASE);
+    cell.configure(Arc::new(configuration()));
+    let jobs: Vec<Job> = (1..=jobs).map(|id| job(id, vec![step(tasks_per_job, 1_000)])).collect();
+    let agents: Vec<Name> = (0..AGENTS).map(|number| name(&format!("agent-{number}"))).collect();
+    let mut waiting: BTreeMap<Name, Vec<End>> = BTreeMap::new();
+    let tasks = jobs.iter().flat_map(|job| {
+        (0..tasks_per_job).map(|index| TaskId { job: job.id, key: TaskKey { occurrence: 0, step: 0, index } })
+    });
+    let mut ends = 0;
+    for (task, agent) in tasks.zip(agents.iter().cycle()) {
+        let waiting = waiting.entry(Arc::clone(agent)).or_default();
+        let number = waiting.len() as u64 + 1;
+        waiting.push(End { number, task, run: 1, kind: EndKind::Done, checkpoint: name("") });
+        ends += 1;
+    }
+    for agent in &agents {
+        cell.agent_known(agent, true, NOW);
+    }
+    Takeover { cell, jobs, waiting, ends, pages: 0, batches: 0 }
+}
+
+impl Takeover {
+    fn load_jobs(&mut self) {
+        for job in &self.jobs {
+            self.cell.load(job.clone(), Progress::default(), 7, Duration::ZERO, NOW);
+        }
+        self.cell.jobs_read(1_000);
+    }
+
+    /// Each agent reports the first page of its worker's ends.
+    fn link_agents(&mut self) {
+        for (agent, ends) in &self.waiting {
+            let ends: Vec<End> = ends.iter().take(PAGE_ENDS).cloned().collect();
+            let is_partial = ends.len() == PAGE_ENDS;
+            let worker = Some(worker(agent, 16_000));
+            let inventory = Inventory { worker, ends, is_partial, ..Inventory::default() };
+            self.cell.agent_linked(agent, inventory, NOW);
+            self.pages += 1;
+        }
+    }
+
+    /// Writes all progress, settles the ends, and reports further pages until no end is left.
+    fn finish(&mut self) {
+        let mut reported: BTreeMap<Name, u64> = BTreeMap::new();
+        while let Some(batch) = self.cell.next_batch() {
+            self.batches += 1;
+            self.cell.committed(&batch, 30 + u64::from(self.batches), NOW);
+            for action in self.cell.take_actions() {
+                let Action::Settle { agent, cursor, .. } = action else { continue };
+                let ends = self.waiting.get_mut(&agent).expect("a known agent");
+                ends.retain(|end| end.number > cursor);
+                let reported = reported.entry(Name::clone(&agent)).or_insert(PAGE_ENDS as u64);
+                let page = ends.iter().take(PAGE_ENDS).filter(|end| end.number > *reported);
+                let page: Vec<End> = page.cloned().collect();
+                if let Some(last) = page.last() {
+                    *reported = last.number;
+                    self.pages += 1;
+                    self.cell.runs_ended(&agent, page, NOW);
+                }
+            }
+        }
+        assert!(self.waiting.values().all(Vec::is_empty), "not all ends are settled");
+        for job in &self.jobs {
+            assert_eq!(self.cell.state(job.id), Some(JobState::Completed), "{}", job.id);
+        }
+    }
+}
+
+/// Time that the takeover takes, the pages and the writes; `are_jobs_read_first` before the agents answer.
+fn measure(jobs: u64, tasks_per_job: u32, are_jobs_read_first: bool) -> Duration {
+    let mut takeover = takeover(jobs, tasks_per_job);
+    let began = Instant::now();
+    if are_jobs_read_first {
+        takeover.load_jobs();
+        takeover.link_agents();
+    } else {
+        takeover.link_agents();
+        takeover.load_jobs();
+    }
+    takeover.finish();
+    let took = began.elapsed();
+    let Takeover { ends, pages, batches, .. } = takeover;
+    println!("{ends} ends of {jobs} jobs: {took:?}, {pages} pages, {batches} batches");
+    took
+}
+
+/// The time of a takeover grew with the product of the ends that wait and the tasks of a job.
+#[test]
+fn a_takeover_takes_longer_for_ends_of_large_jobs() {
+    let small = measure(200, 100, true);
+    let large = measure(2, 10_000, true);
+    assert!(large < small * 10, "{large:?} for as many ends as in {small:?}");
+}
