Keep reports of jobs that aren't read by job

What callers saw: none yet. A new placer whose agents answer before it has read the jobs shows and starts nothing while it loads them.

Cause: reports about jobs that aren't read were one list, which was looked through for each job that was loaded; so were the ends of all agents, to release those of the job. The cost is the number of jobs times the number of ends.

Change: the reports are kept by job, and the version that releases held ends is kept once for each job instead of at each end. An end of the job that is held after a release holds the released ones that aren't settled back until its own release, which follows since each held end has a report.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -47,7 +47,7 @@
 use self::reservations::Reservation;
 use self::restarts::RestartState;
 pub use self::restarts::{RestartCounts, RestartingTask};
-use self::unread::UnreadReport;
+use self::unread::UnreadReports;
 pub use self::urgencies::UrgencyChanges;
 use self::writes::Writes;
 use crate::admission::{Backlog, RateMeter};
@@ -434,7 +434,7 @@
     /// Agents of the predecessor's cell that haven't answered yet; no task that may run there is started elsewhere.
     unresolved: Set<Name>,
     /// Runs and ends that agents reported of unknown jobs, in the order of the reports.
-    unread_reports: Vec<UnreadReport>,
+    unread_reports: UnreadReports,
     /// The former placer no longer acts.
     is_predecessor_over: bool,
     /// When all leases granted by former placers will have ended, once known.
@@ -489,7 +489,7 @@
             crashes: CrashState::default(),
             pending_by_queue: Map::default(),
             unresolved: Set::default(),
-            unread_reports: Vec::new(),
+            unread_reports: UnreadReports::new(),
             is_predecessor_over: term == 1,
             former_leases_end: None,
             fresh_from: (term == 1).then_some(0),
--- a/crates/cell/src/cell/unread.rs
+++ b/crates/cell/src/cell/unread.rs
@@ -4,6 +4,7 @@
 //! after its successor read the rows. Until the rows stored by then have been read, such a run is neither stopped nor
 //! started elsewhere, and such an end isn't settled.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,14 +35,10 @@
     revision: Option<u64>,
 }
 
-impl UnreadReport {
-    const fn job(&self) -> JobId {
-        match &self.report {
-            Reported::Run { task, .. } | Reported::Crash { task, .. } => task.job,
-            Reported::End(end) => end.task.job,
-        }
-    }
+/// Reports about unknown jobs, by job, each in the order in which they came.
+pub(crate) type UnreadReports = BTreeMap<JobId, Vec<UnreadReport>>;
 
+impl UnreadReport {
     fn is_run(&self, name: &Name, run: (TaskId, u64)) -> bool {
         self.agent == *name && matches!(&self.report, Reported::Run { task, number, .. } if (*task, *number) == run)
     }
@@ -50,7 +47,7 @@
 impl Cell {
     /// Records the store's revision in the answer to a call that was sent at `asked`.
     pub fn store_revision_seen(&mut self, asked: Duration, revision: u64) {
-        for unread in self.unread_reports.iter_mut().filter(|unread| unread.at <= asked) {
+        for unread in self.unread_reports.values_mut().flatten().filter(|unread| unread.at <= asked) {
             unread.revision.get_or_insert(revision);
         }
     }
@@ -58,9 +55,16 @@
     /// Records that every job whose row was stored up to a revision is known.
     pub fn jobs_read(&mut self, revision: u64) {
         let is_read = |unread: &mut UnreadReport| unread.revision.is_some_and(|stored_by| stored_by <= revision);
-        let without_job: Vec<UnreadReport> = self.unread_reports.extract_if(.., is_read).collect();
+        let mut without_job: Vec<UnreadReport> = Vec::new();
+        for (job, reports) in &mut self.unread_reports {
+            let known = without_job.len();
+            without_job.extend(reports.extract_if(.., is_read));
+            if without_job.len() > known {
+                self.writes.release_ends(*job);
+            }
+        }
+        self.unread_reports.retain(|_, reports| !reports.is_empty());
         for unread in without_job {
-            self.writes.release_ends(unread.job());
             if let Reported::Run { task, number, .. } = unread.report
                 && self.life_of(&unread.agent) == Some(&unread.life)
             {
@@ -71,11 +75,8 @@
 
     /// Processes the reports about a job that has just become known.
     pub(crate) fn take_unread(&mut self, id: JobId, now: Duration) {
-        let all: Vec<UnreadReport> = self.unread_reports.extract_if(.., |unread| unread.job() == id).collect();
-        if all.is_empty() {
-            return;
-        }
-        for unread in all {
+        let Some(reports) = self.unread_reports.remove(&id) else { return };
+        for unread in reports {
             match unread.report {
                 Reported::Run { task, number, percent } => {
                     // Otherwise the worker's life is over, or the end of the run was reported as well.
@@ -101,9 +102,11 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
         let report = Reported::Run { task: run.0, number: run.1, percent };
-        if agent.unmatched_runs.insert(run) {
-            self.unread_reports.push(UnreadReport { agent: Arc::clone(name), life, report, at: now, revision: None });
-        } else if !self.unread_reports.iter().any(|unread| unread.is_run(name, run)) {
+        let is_new = agent.unmatched_runs.insert(run);
+        let reports = self.unread_reports.get(&run.0.job);
+        if is_new {
+            self.keep_unread(run.0.job, name, life, report, now);
+        } else if !reports.is_some_and(|reports| reports.iter().any(|unread| unread.is_run(name, run))) {
             self.order_stop(name, run.0, run.1, "not_wanted");
         }
     }
@@ -112,19 +115,18 @@
     pub(crate) fn keep_unread_crash(&mut self, name: &Name, task: TaskId, number: u64, crash: Crash, now: Duration) {
         let report = Reported::Crash { task, number, crash };
         let life = self.life_of(name).cloned().unwrap_or_else(|| Life { worker: Arc::clone(name), born_unix_ms: 0 });
-        self.unread_reports.push(UnreadReport { agent: Arc::clone(name), life, report, at: now, revision: None });
+        self.keep_unread(task.job, name, life, report, now);
     }
 
     /// Keeps an end of an unknown job until its row has been read; it isn't settled before that.
     pub(crate) fn keep_unread_end(&mut self, name: &Name, life: Life, end: End, now: Duration) {
         self.remove_unmatched(name, (end.task, end.run));
         self.writes.add_held_end(Arc::clone(name), life.clone(), end.number, end.task.job);
-        self.unread_reports.push(UnreadReport {
-            agent: Arc::clone(name),
-            life,
-            report: Reported::End(end),
-            at: now,
-            revision: None,
-        });
+        self.keep_unread(end.task.job, name, life, Reported::End(end), now);
+    }
+
+    fn keep_unread(&mut self, job: JobId, name: &Name, life: Life, report: Reported, now: Duration) {
+        let unread = UnreadReport { agent: Arc::clone(name), life, report, at: now, revision: None };
+        self.unread_reports.entry(job).or_default().push(unread);
     }
 }
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -59,7 +59,16 @@
     life: Life,
     number: u64,
     job: JobId,
-    /// Version of the job's progress that holds the end; `None` while the job isn't known.
+    /// Version of the job's progress that holds the end; `None` for a held end, see [`HeldEnds`].
+    version: Option<u64>,
+}
+
+/// Ends of a job that weren't settled when they came because the job wasn't known.
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldEnds {
+    /// Number of those that aren't settled; at least 1.
+    count: usize,
+    /// Version of the job's progress that holds them; `None` until they are released.
     version: Option<u64>,
 }
 
@@ -95,6 +104,7 @@
     is_in_flight: bool,
     /// Unsettled ends by agent, in the order of their numbers.
     ends: Map<Name, VecDeque<UnsettledEnd>>,
+    held: Map<JobId, HeldEnds>,
     crashes: Vec<UnsettledCrash>,
 }
 
@@ -108,6 +118,9 @@
     /// Adds an end that isn't settled until its job is released.
     pub(crate) fn add_held_end(&mut self, agent: Name, life: Life, number: u64, job: JobId) {
         self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version: None });
+        // Ends of the job that were released before wait with this one; each held end is released once more.
+        let held = self.held.entry(job).or_default();
+        *held = HeldEnds { count: held.count + 1, version: None };
     }
 
     /// Adds a crash that may be settled once the present version of each job is durable.
@@ -126,8 +139,8 @@
     /// Releases the held ends of a job: they are settled once its present version is durable.
     pub(crate) fn release_ends(&mut self, job: JobId) {
         let version = self.present(job);
-        for end in self.ends.values_mut().flatten().filter(|end| end.job == job) {
-            end.version.get_or_insert(version);
+        if let Some(held) = self.held.get_mut(&job) {
+            held.version.get_or_insert(version);
         }
     }
 
@@ -159,8 +172,17 @@
         self.versions.remove(&job);
     }
 
+    fn forget_held(&mut self, job: JobId) {
+        let Some(held) = self.held.get_mut(&job) else { return };
+        held.count -= 1;
+        if held.count == 0 {
+            self.held.remove(&job);
+        }
+    }
+
     fn is_durable(&self, end: &UnsettledEnd) -> bool {
-        let Some(version) = end.version else { return false };
+        let held_version = || self.held.get(&end.job).and_then(|held| held.version);
+        let Some(version) = end.version.or_else(held_version) else { return false };
         self.versions.get(&end.job).is_none_or(|versions| versions.durable >= version)
     }
 }
@@ -313,6 +335,9 @@
         for (agent, waiting) in &mut ends {
             let mut settled: Option<(Life, u64)> = None;
             while let Some(end) = waiting.pop_front_if(|end| self.writes.is_durable(end)) {
+                if end.version.is_none() {
+                    self.writes.forget_held(end.job);
+                }
                 settled = Some((end.life, end.number));
             }
             if let Some((life, cursor)) = settled {
--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -17,7 +17,7 @@
 /// Most ends that a worker lists at a time.
 const PAGE_ENDS: usize = 500;
 /// Agents that the ends of a takeover are spread over.
-const AGENTS: usize = 40;
+const AGENTS: usize = 200;
 
 /// A new placer, and the ends that wait on the worker of each agent.
 struct Takeover {
@@ -125,3 +125,12 @@
     let large = measure(2, 10_000, true);
     assert!(large < small * 10, "{large:?} for as many ends as in {small:?}");
 }
+
+/// The time of a takeover grew with the product of the ends that wait and the jobs, when agents answer before the rows are
+/// read.
+#[test]
+fn ends_of_jobs_that_are_not_read_cost_more_with_each_job() {
+    let few = measure(250, 25, false);
+    let many = measure(4_000, 25, false);
+    assert!(many < few * 64, "{many:?} for 16 times as much as in {few:?}");
+}
