Queue only tasks that an end or an occurrence makes due

What callers saw: none yet. An entry that places a job with many open occurrences spends its processor on going through them.

Cause: the last end of a step, which for a step of one task is each end, and the opening of an occurrence went through all tasks of the job; for a job with a schedule that is up to 10,000 open occurrences, and every 100 ms besides.

Ruled out: the writes (one batch for 500 ends), folding completed occurrences (once in 1,000 ends).

Change: a step's end queues the tasks of the steps that wait for it, an opened occurrence its own tasks.

--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -8,7 +8,7 @@
 
 use super::agents::{counts_as_success, tasks_of_step};
 use super::{Cell, Note};
-use crate::job::TaskId;
+use crate::job::{TaskId, TaskKey};
 use crate::pace::FULL_PERCENT;
 use crate::progress::Outcome;
 use crate::worker::{End, EndKind};
@@ -129,7 +129,8 @@
         self.needs_placing = true;
         // Only the end of a whole step makes other tasks due.
         if is_step_done {
-            self.queue_due_tasks(task.job, now);
+            let TaskKey { occurrence, step, .. } = task.key;
+            self.queue_due_tasks(task.job, occurrence, |later| later.after.contains(&step), now);
             self.finish_if_done(task.job, now);
         }
     }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -8,7 +8,7 @@
 
 use super::task::{Checkpoint, Task};
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TASKS_MAX, TaskId, TaskKey, WORK_MAX};
+use crate::job::{Job, JobId, JobState, Step, TASKS_MAX, TaskId, TaskKey, WORK_MAX};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 use crate::run_time::MeasuredWork;
@@ -252,6 +252,7 @@
 
     fn open_occurrences(&mut self, id: JobId, unix_ms: Option<u64>, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
+        let mut opened = Vec::new();
         let mut left: u64 = entry.left.values().map(|left| u64::from(*left)).sum();
         loop {
             if let Some(last) = entry.progress.completed.last_of_range(entry.opened_occurrences) {
@@ -270,9 +271,12 @@
             // An occurrence that was opened early is contained in `left` already.
             if !entry.has_opened(occurrence) {
                 left += open_occurrence(entry, occurrence);
+                opened.push(occurrence);
             }
         }
-        self.queue_due_tasks(id, now);
+        for occurrence in opened {
+            self.queue_due_tasks(id, occurrence, |_| true, now);
+        }
         self.finish_if_done(id, now);
     }
 
@@ -290,26 +294,33 @@
         };
         let Some(entry) = self.jobs.get_mut(&task.job).filter(is_missing) else { return };
         open_occurrence(entry, occurrence);
-        self.queue_due_tasks(task.job, now);
+        self.queue_due_tasks(task.job, occurrence, |_| true, now);
     }
 
-    /// Queues every task that may start and has no run.
-    pub(crate) fn queue_due_tasks(&mut self, id: JobId, now: Duration) {
+    /// Queues the tasks of the chosen steps of an occurrence that may start and have no run.
+    pub(crate) fn queue_due_tasks(
+        &mut self,
+        id: JobId,
+        occurrence: u32,
+        is_chosen: impl Fn(&Step) -> bool,
+        now: Duration,
+    ) {
+        self.needs_placing = true;
         let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.is_open()) else { return };
-        let due: Vec<TaskKey> = entry
-            .tasks
-            .iter()
-            .filter(|(key, task)| !task.is_done && task.runs.is_empty() && entry.is_due(**key))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in due {
-            if self.ready.insert(task_id(id, key))
-                && let Some(task) = entry.tasks.get_mut(&key)
-            {
-                task.ready_since = now;
+        let job = Arc::clone(&entry.job);
+        for (step, content) in (0_u32..).zip(&job.steps).filter(|(_, content)| is_chosen(content)) {
+            if !entry.is_due(TaskKey { occurrence, step, index: 0 }) {
+                continue;
+            }
+            for index in 0..content.count {
+                let key = TaskKey { occurrence, step, index };
+                if let Some(task) = entry.tasks.get_mut(&key).filter(|task| !task.is_done && task.runs.is_empty())
+                    && self.ready.insert(task_id(id, key))
+                {
+                    task.ready_since = now;
+                }
             }
         }
-        self.needs_placing = true;
     }
 
     /// Cancels a job that hasn't ended.
