Fold each completed occurrence once some are folded

What callers saw: none; each end of a job with a schedule cost the placer's link and the store up to 17 KB.

Cause: the tasks of completed occurrences are kept until 1,000 are done, so that the row of a short job stays readable for versions before 0.5.0, and then folded into ranges. From then on that reason is gone, but the next 1,000 were kept again and written with each end.

Ruled out: the ranges (one of 16 bytes here), open tasks (one).

Change: once a job has folded occurrences, an occurrence is folded at its end, unless a copy of one of its tasks still runs; those are folded as before.

--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -14,8 +14,8 @@
 use crate::run_time::MeasuredWork;
 use crate::urgency;
 
-/// Done tasks of a job with a schedule above which those of completed occurrences are forgotten. Below it, the row of
-/// the progress stays readable for every version.
+/// Done tasks of a job with a schedule above which those of completed occurrences are forgotten, from then on at the end of
+/// each occurrence. Below it, the row of the progress stays readable for every version.
 const DONE_TASKS_MAX: usize = 1_000;
 
 /// Progress of the unfinished tasks of a job.
@@ -85,9 +85,15 @@
     }
 
     /// Forgets the tasks of completed occurrences once there are many, so that the progress and the tasks of a job with
-    /// a schedule grow with what is open. Called when the last task of an occurrence is done.
-    pub(super) fn fold_completed_occurrences(&mut self) {
-        if self.job.schedule.is_none() || self.progress.done.len() <= DONE_TASKS_MAX {
+    /// a schedule grow with what is open. Called when the last task of `occurrence` is done.
+    pub(super) fn fold_completed_occurrences(&mut self, occurrence: u32) {
+        if self.job.schedule.is_none() {
+            return;
+        }
+        if self.progress.done.len() <= DONE_TASKS_MAX {
+            if !self.progress.completed.is_empty() {
+                self.fold_occurrence(occurrence);
+            }
             return;
         }
         let unfinished = self.left.iter().filter(|(_, left)| **left > 0).map(|((occurrence, _), _)| *occurrence);
@@ -107,6 +113,26 @@
         steps.all(|step| self.is_step_done(occurrence, step))
     }
 
+    /// Forgets the tasks of a completed occurrence, unless copies of them still run.
+    fn fold_occurrence(&mut self, occurrence: u32) {
+        let keys = |job: &Job| -> Vec<TaskKey> {
+            let steps = (0_u32..).zip(&job.steps);
+            steps
+                .flat_map(|(step, content)| (0..content.count).map(move |index| TaskKey { occurrence, step, index }))
+                .collect()
+        };
+        let keys = keys(&self.job);
+        if keys.iter().any(|key| self.tasks.get(key).is_some_and(|task| !task.runs.is_empty())) {
+            return;
+        }
+        for key in keys {
+            self.tasks.remove(&key);
+            self.progress.done.remove(&key);
+            self.left.remove(&(occurrence, key.step));
+        }
+        self.progress.completed.insert(occurrence);
+    }
+
     /// Whether all tasks of a step are done, in an occurrence whose tasks exist.
     pub(super) fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
         self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0)
--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -140,16 +140,19 @@
     assert!(many < few * 64, "{many:?} for 16 times as much as in {few:?}");
 }
 
-/// Runs a job of one task whose occurrences are all due, `places` of them at a time; returns the time and the bytes of
-/// progress written for each end.
-fn repeat(occurrences: u32, places: u64) -> (Duration, usize) {
+/// Runs a job of one task whose occurrences are due at an interval of passes, `places` of them at a time; returns the time
+/// and the largest progress that was written after completed occurrences were folded.
+fn repeat(occurrences: u32, places: u64, interval: Duration) -> (Duration, usize) {
     let mut world = World::with_workers(1, 1_000 * places);
-    let schedule = Schedule { first_unix_ms: 0, interval: Duration::ZERO, occurrences };
+    let schedule = Schedule { first_unix_ms: 0, interval, occurrences };
     world.submit(Job { schedule: Some(schedule), ..job(1, vec![step(1, 1_000)]) });
-    let (mut bytes_max, mut bytes_written, mut ends) = (0, 0, 0);
+    let (mut folded_bytes_max, mut bytes_written, mut ends) = (0, 0, 0);
     let began = Instant::now();
-    while world.cell.state(JobId(1)) != Some(JobState::Completed) {
-        world.cell.open_due(1, world.now);
+    for pass in 0.. {
+        if world.cell.state(JobId(1)) == Some(JobState::Completed) {
+            break;
+        }
+        world.cell.open_due(pass, world.now);
         world.place();
         for (agent, task, run) in world.all_running() {
             world.end(&agent, task, run, EndKind::Done);
@@ -157,22 +160,31 @@
         }
         world.advance_ms(100);
         let batch = world.cell.next_batch().expect("ends have to be stored");
-        let bytes = batch.writes[0].progress.stored_bytes();
-        bytes_max = bytes_max.max(bytes);
-        bytes_written += bytes;
+        let progress = &batch.writes[0].progress;
+        bytes_written += progress.stored_bytes();
+        if !progress.completed.is_empty() {
+            folded_bytes_max = progress.stored_bytes().max(folded_bytes_max);
+        }
         let revision = world.next_revision();
         world.cell.committed(&batch, revision, world.now);
     }
-    let (took, bytes_per_end) = (began.elapsed(), bytes_written / ends);
-    println!("{occurrences} occurrences: {took:?}, {bytes_max} bytes at most, {bytes_per_end} bytes for an end");
+    let took = began.elapsed();
+    println!("{occurrences} occurrences: {took:?}, {} bytes for an end", bytes_written / ends);
     assert_eq!(ends, occurrences as usize);
-    (took, bytes_per_end)
+    (took, folded_bytes_max)
 }
 
 /// Each end went through all open occurrences of its job.
 #[test]
 fn an_end_of_a_repeating_job_costs_more_with_each_open_occurrence() {
-    let few = shortest(|| repeat(1_000, 500).0);
-    let many = shortest(|| repeat(8_000, 500).0);
+    let few = shortest(|| repeat(1_000, 500, Duration::ZERO).0);
+    let many = shortest(|| repeat(8_000, 500, Duration::ZERO).0);
     assert!(many < few * 32, "{many:?} for 8 times as much as in {few:?}");
 }
+
+/// Completed occurrences were written again with each end, up to 1,000 of them.
+#[test]
+fn a_repeating_job_writes_its_completed_occurrences_again() {
+    let (_, folded_bytes_max) = repeat(100_000, 1, Duration::from_millis(1));
+    assert!(folded_bytes_max <= 64, "{folded_bytes_max} bytes");
+}
