--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -8,7 +8,7 @@
 
 use super::agents::{counts_as_success, tasks_of_step};
 use super::{Cell, Note};
-use crate::job::TaskId;
+use crate::job::{TaskId, TaskKey};
 use crate::pace::FULL_PERCENT;
 use crate::progress::Outcome;
 use crate::worker::{End, EndKind};
@@ -117,14 +117,20 @@
         for task in done {
             self.mark_done(task);
         }
-        if let Some(entry) = self.jobs.get_mut(&task.job)
-            && entry.is_occurrence_done(task.key.occurrence)
-        {
-            entry.fold_completed_occurrences();
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let is_step_done = entry.is_step_done(task.key.occurrence, task.key.step);
+        if is_step_done && entry.is_occurrence_done(task.key.occurrence) {
+            entry.fold_completed_occurrences(task.key.occurrence);
+        }
+        if !is_open {
+            return;
         }
-        if is_open {
-            self.mark_dirty(task.job);
-            self.queue_due_tasks(task.job, now);
+        self.mark_dirty(task.job);
+        self.needs_placing = true;
+        // Only the end of a whole step makes other tasks due.
+        if is_step_done {
+            let TaskKey { occurrence, step, .. } = task.key;
+            self.queue_due_tasks(task.job, occurrence, |later| later.after.contains(&step), now);
             self.finish_if_done(task.job, now);
         }
     }
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -8,14 +8,14 @@
 
 use super::task::{Checkpoint, Task};
 use super::{Cell, Note, task_id};
-use crate::job::{Job, JobId, JobState, TASKS_MAX, TaskId, TaskKey, WORK_MAX};
+use crate::job::{Job, JobId, JobState, Step, TASKS_MAX, TaskId, TaskKey, WORK_MAX};
 use crate::packing::Need;
 use crate::progress::{Outcome, Progress};
 use crate::run_time::MeasuredWork;
 use crate::urgency;
 
-/// Done tasks of a job with a schedule above which those of completed occurrences are forgotten. Below it, the row of
-/// the progress stays readable for every version.
+/// Done tasks of a job with a schedule above which those of completed occurrences are forgotten, from then on at the end of
+/// each occurrence. Below it, the row of the progress stays readable for every version.
 const DONE_TASKS_MAX: usize = 1_000;
 
 /// Progress of the unfinished tasks of a job.
@@ -85,9 +85,15 @@
     }
 
     /// Forgets the tasks of completed occurrences once there are many, so that the progress and the tasks of a job with
-    /// a schedule grow with what is open. Called when the last task of an occurrence is done.
-    pub(super) fn fold_completed_occurrences(&mut self) {
-        if self.job.schedule.is_none() || self.progress.done.len() <= DONE_TASKS_MAX {
+    /// a schedule grow with what is open. Called when the last task of `occurrence` is done.
+    pub(super) fn fold_completed_occurrences(&mut self, occurrence: u32) {
+        if self.job.schedule.is_none() {
+            return;
+        }
+        if self.progress.done.len() <= DONE_TASKS_MAX {
+            if !self.progress.completed.is_empty() {
+                self.fold_occurrence(occurrence);
+            }
             return;
         }
         let unfinished = self.left.iter().filter(|(_, left)| **left > 0).map(|((occurrence, _), _)| *occurrence);
@@ -104,7 +110,32 @@
     /// Whether every task of an occurrence is done.
     pub(super) fn is_occurrence_done(&self, occurrence: u32) -> bool {
         let mut steps = 0..u32::try_from(self.job.steps.len()).unwrap_or(u32::MAX);
-        steps.all(|step| self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0))
+        steps.all(|step| self.is_step_done(occurrence, step))
+    }
+
+    /// Forgets the tasks of a completed occurrence, unless copies of them still run.
+    fn fold_occurrence(&mut self, occurrence: u32) {
+        let keys = |job: &Job| -> Vec<TaskKey> {
+            let steps = (0_u32..).zip(&job.steps);
+            steps
+                .flat_map(|(step, content)| (0..content.count).map(move |index| TaskKey { occurrence, step, index }))
+                .collect()
+        };
+        let keys = keys(&self.job);
+        if keys.iter().any(|key| self.tasks.get(key).is_some_and(|task| !task.runs.is_empty())) {
+            return;
+        }
+        for key in keys {
+            self.tasks.remove(&key);
+            self.progress.done.remove(&key);
+            self.left.remove(&(occurrence, key.step));
+        }
+        self.progress.completed.insert(occurrence);
+    }
+
+    /// Whether all tasks of a step are done, in an occurrence whose tasks exist.
+    pub(super) fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
+        self.left.get(&(occurrence, step)).is_some_and(|left| *left == 0)
     }
 
     /// Whether all steps that the task depends on are done.
@@ -247,6 +278,7 @@
 
     fn open_occurrences(&mut self, id: JobId, unix_ms: Option<u64>, now: Duration) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
+        let mut opened = Vec::new();
         let mut left: u64 = entry.left.values().map(|left| u64::from(*left)).sum();
         loop {
             if let Some(last) = entry.progress.completed.last_of_range(entry.opened_occurrences) {
@@ -265,9 +297,12 @@
             // An occurrence that was opened early is contained in `left` already.
             if !entry.has_opened(occurrence) {
                 left += open_occurrence(entry, occurrence);
+                opened.push(occurrence);
             }
         }
-        self.queue_due_tasks(id, now);
+        for occurrence in opened {
+            self.queue_due_tasks(id, occurrence, |_| true, now);
+        }
         self.finish_if_done(id, now);
     }
 
@@ -285,26 +320,33 @@
         };
         let Some(entry) = self.jobs.get_mut(&task.job).filter(is_missing) else { return };
         open_occurrence(entry, occurrence);
-        self.queue_due_tasks(task.job, now);
+        self.queue_due_tasks(task.job, occurrence, |_| true, now);
     }
 
-    /// Queues every task that may start and has no run.
-    pub(crate) fn queue_due_tasks(&mut self, id: JobId, now: Duration) {
+    /// Queues the tasks of the chosen steps of an occurrence that may start and have no run.
+    pub(crate) fn queue_due_tasks(
+        &mut self,
+        id: JobId,
+        occurrence: u32,
+        is_chosen: impl Fn(&Step) -> bool,
+        now: Duration,
+    ) {
+        self.needs_placing = true;
         let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.is_open()) else { return };
-        let due: Vec<TaskKey> = entry
-            .tasks
-            .iter()
-            .filter(|(key, task)| !task.is_done && task.runs.is_empty() && entry.is_due(**key))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in due {
-            if self.ready.insert(task_id(id, key))
-                && let Some(task) = entry.tasks.get_mut(&key)
-            {
-                task.ready_since = now;
+        let job = Arc::clone(&entry.job);
+        for (step, content) in (0_u32..).zip(&job.steps).filter(|(_, content)| is_chosen(content)) {
+            if !entry.is_due(TaskKey { occurrence, step, index: 0 }) {
+                continue;
+            }
+            for index in 0..content.count {
+                let key = TaskKey { occurrence, step, index };
+                if let Some(task) = entry.tasks.get_mut(&key).filter(|task| !task.is_done && task.runs.is_empty())
+                    && self.ready.insert(task_id(id, key))
+                {
+                    task.ready_since = now;
+                }
             }
         }
-        self.needs_placing = true;
     }
 
     /// Cancels a job that hasn't ended.
