--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -71,7 +71,7 @@
     pub age: Duration,
     /// Part of the run in it.
     pub blame: Blame,
-    /// Whether the run may not have been on the worker. Versions before 0.7.0 don't tell.
+    /// Whether the run may not have been on the worker. Versions before 0.6.0 don't tell.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_unconfirmed: bool,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -130,7 +130,7 @@
     #[serde(rename = "age_ms")]
     pub age: Duration,
     /// The worker neither listed the run nor answered its start, so that the run may never have been there. Versions
-    /// before 0.7.0 don't tell.
+    /// before 0.6.0 don't tell.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_unconfirmed: bool,
 }
