Don't take a start that is executed late for a long run

Callers would see a task started more than five times although it crashes its workers.

Cause: the age of a crashed run whose start got no answer was counted from the order. A slow worker may execute it seconds later and crash within milliseconds; a run that seems to have lived that long refutes the crashes before it.

Change: an unconfirmed run, which the worker neither listed nor acknowledged, isn't known to have lived at all: its age is zero. It counts as young, refutes nothing, and convicts nobody without two confirmed crashes.

--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -59,9 +59,10 @@
         let is_listed = |run: RunId| tracked.running.iter().any(|report| (report.task, report.run) == run);
         let is_answered = |run: RunId| self.acknowledged_starts.get(&run).is_some_and(|taken| !taken.is_doubtful);
         let crashed_run = |run: RunId| {
-            let started_at = self.started_at.get(&run).copied().unwrap_or(crashed_at);
-            let age = crashed_at.saturating_sub(started_at);
-            CrashedRun { task: run.0, run: run.1, age, is_unconfirmed: !is_listed(run) && !is_answered(run) }
+            let is_unconfirmed = !is_listed(run) && !is_answered(run);
+            // The worker may have taken an unanswered order just before it crashed.
+            let started_at = self.started_at.get(&run).copied().filter(|_| !is_unconfirmed).unwrap_or(crashed_at);
+            CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at), is_unconfirmed }
         };
         let is_of_next_life =
             |run: &RunId| self.started_at.get(run).is_some_and(|at| now.saturating_sub(*at) < life_age);
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -193,6 +193,21 @@
     assert!(young.age <= SUSPECT_AGE_MAX, "{report:?}");
 }
 
+/// A slow worker may execute a start seconds later and crash then; an old run would refute the crashes before.
+#[tokio::test]
+async fn a_start_that_is_executed_late_looks_like_a_long_run() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    agent.worker.change(|script| script.delays_start_responses = true);
+    link.start(task(2), 1);
+    agent.worker.wait_for("start", |script| !script.starts.is_empty()).await;
+    tokio::time::sleep(SUSPECT_AGE_MAX + Duration::from_millis(200)).await;
+    let next = PollResponse { clock_ms: 0, born_unix_ms: Some(8), ..idle_poll() };
+    agent.worker.change(|script| script.poll = Ok(next));
+    let report = crashed(&mut link).await;
+    let late = report.runs.iter().find(|run| run.task == task(2)).expect("the unanswered start");
+    assert!(late.age <= SUSPECT_AGE_MAX, "{report:?}");
+}
+
 /// A start that reached the next life of the worker didn't crash the one before.
 #[tokio::test]
 async fn a_run_of_the_next_life_is_blamed_for_the_crash_before() {
