Date a worker's crash by its wall clock when an answer was read late

Timeline (16:03:SS): run 10002 of the task was placed on agent-3 at 20.017; the next life of its worker was born at 20.034; agent-3 logged nothing from 19.961 to 25.011, as it does while it is suspended; at 25.017 it reported the crash with an age of 4,079 ms. So the run counted as a bystander, refuted the crash under run 10001, and the crash, under which no run seemed young, counted as unexplained, which excused run 10005 later. Four more starts followed.

Cause: the age of the next life was the smaller of what the worker's clocks tell. Its own clock tells the age at which it wrote the answer, 0.917 s; the agent read the answer 4 s later. So the crash was dated those 4 s late.

Hypotheses: the agent or its connection was slow (the gap in its log, and 25.017 - 0.917 - 4.079 = 20.021, the time of the order); the worker executed the order late (its next life was born 17 ms after the placement); another crash at 24.1 (no life of the worker ended then). Not shown: whether a report or a poll told it, and the suspension itself.

Change: the age by the wall clock is used if it isn't less than the one that the worker wrote, and not before the last sign of the former life; otherwise the one that the worker wrote, as before.

--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -15,12 +15,19 @@
 /// Number of crashes that the agent keeps: more than a worker has while no placer can settle them.
 const CRASHES_MAX: usize = 16;
 
-/// Age of a worker's life, by its wall clock and by its own clock, which starts anew with each life.
-pub(super) fn life_age(born_unix_ms: u64, clock_ms: u64) -> Duration {
-    Duration::from_millis(unix_ms().saturating_sub(born_unix_ms).min(clock_ms))
-}
-
 impl State {
+    /// Age of the worker's next life, of which a response or report has just been read.
+    ///
+    /// Its own clock tells the age at which it wrote that, which may be seconds ago. Its wall clock is used if it agrees
+    /// with that clock and with the last sign of the former life.
+    pub(super) fn next_life_age(&self, born_unix_ms: u64, clock_ms: u64, now: Duration) -> Duration {
+        let written_at_age = Duration::from_millis(clock_ms);
+        let wall_age = Duration::from_millis(unix_ms().saturating_sub(born_unix_ms));
+        let reading = self.tracked.as_ref().and_then(|tracked| tracked.reading);
+        let age_max = reading.map_or(Duration::MAX, |reading| now.saturating_sub(reading.received));
+        if (written_at_age..=age_max).contains(&wall_age) { wall_age } else { written_at_age }
+    }
+
     /// Reports that the worker's present life has ended in a crash, unless its end was announced; `life_age` is the age
     /// of the next life, if it has begun.
     pub(super) fn report_crash(&mut self, life_age: Duration, now: Duration) {
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -8,7 +8,6 @@
 use chervilledge_cell::worker::{Life, RunReport, Worker};
 use chervilledge_policy::capacity::Resources;
 
-use super::crashes::life_age;
 use super::{Message, State};
 use crate::message::FromAgent;
 use crate::worker::{PollError, PollRequest, PollResponse};
@@ -81,7 +80,8 @@
                 let resources = Resources::default();
                 let worker =
                     Worker { life: Life { born_unix_ms, ..life.clone() }, leaves_in: None, resources, ..worker };
-                self.handle_worker_restart(life_age(born_unix_ms, clock_ms), now);
+                let life_age = self.next_life_age(born_unix_ms, clock_ms, now);
+                self.handle_worker_restart(life_age, now);
                 self.track_worker(worker, address, 0, Some(ClockReading { worker_ms: clock_ms, received: now }), now);
                 self.confirm_worker(true);
                 self.apply_other_report(now);
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -11,7 +11,6 @@
 use chervilledge_cell::worker::Worker;
 use chervilledge_policy::collections::Map;
 
-use super::crashes::life_age;
 use super::{Identity, State, TrackedWorker};
 use crate::message::FromAgent;
 use crate::worker::Report;
@@ -55,7 +54,8 @@
             }
             self.keep_other_report(report, now);
         } else if is_same_worker {
-            let life_age = life_age(report.worker.life.born_unix_ms, report.clock_ms.unwrap_or_default());
+            let clock_ms = report.clock_ms.unwrap_or_default();
+            let life_age = self.next_life_age(report.worker.life.born_unix_ms, clock_ms, now);
             self.handle_worker_restart(life_age, now);
             self.track_reported(report, now);
         } else {
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -11,6 +11,7 @@
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::{CrashReport, Life, Refusal, RunReport};
 use chervilledge_scheduler::agent::Message;
+use chervilledge_scheduler::clock::unix_ms;
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::worker::{PollError, PollResponse, StartOutcome};
 use support::agent::{self, Link, RunningAgent, idle_poll, life, task};
@@ -231,6 +232,24 @@
     assert!(age < QUIET, "{age:?}");
 }
 
+/// An agent that was suspended reads how old the worker's next life was when it answered, which may be seconds ago.
+#[tokio::test]
+async fn a_crash_is_dated_from_an_answer_that_was_read_late() {
+    let (agent, mut link) = agent_with_run(Some("0.4.0")).await;
+    link.start(task(2), 1);
+    let started = |message| matches!(message, FromAgent::Started { task: id, .. } if id == task(2)).then_some(());
+    link.wait_for("start", started).await;
+    agent.worker.change(|script| {
+        script.poll_delay = SUSPECT_AGE_MAX * 3;
+        // Later than the polls that the former life has answered.
+        let born_unix_ms = Some(unix_ms() + 50);
+        script.poll = Ok(PollResponse { clock_ms: 20, born_unix_ms, ..idle_poll() });
+    });
+    let report = crashed(&mut link).await;
+    let young = report.runs.iter().find(|run| run.task == task(2)).expect("the run that was started last");
+    assert!(young.age <= SUSPECT_AGE_MAX, "{report:?}");
+}
+
 /// A worker that left as announced hasn't crashed.
 #[tokio::test]
 async fn a_planned_end_is_reported_as_a_crash() {
