Release the room of claims that end before their tasks start

What callers saw: tasks that stay queued although the only worker is free.

Cause: placement counts a proposal from the choice of a worker until the agent has admitted or declined it. A claim that ended in between in another way, cancelled, completed, failed, expired or lost to another write, was counted as the end of an admitted task. That adds free resources, which the next report replaces, but left the proposal in place for as long as the worker stayed linked. Four lost claims of four cores fill a worker of sixteen for good.

Ruled out: avoidance of the worker (no failure was counted), the quota (the reason given is the room).

Change: the end of a claim whose start the agent is not known to have admitted resolves its proposal first.

--- a/src/entry/batch/claims.rs
+++ b/src/entry/batch/claims.rs
@@ -89,6 +89,12 @@
         Some(TaskCommand::Confirm { claim: self.claim(), agent })
     }
 
+    /// Returns whether the agent isn't known to have admitted the task, so that placement still counts its proposal.
+    #[must_use]
+    pub const fn is_proposed(&self) -> bool {
+        matches!(self.stage, Stage::Claiming | Stage::Sent)
+    }
+
     /// Returns whether a pending step ends the claim.
     #[must_use]
     pub fn is_ending(&self) -> bool {
@@ -256,7 +262,7 @@
         let job = Arc::clone(&tracked.job);
         if tracked.is_charged {
             self.queue.release(&job.row.team, &job.row.declared);
-            self.end_placement(&worker, &job, change);
+            self.end_placement(&claim.task, change);
         }
         match change {
             Change::Cancel | Change::CompleteLate(_) | Change::Expire => {
@@ -268,9 +274,16 @@
         self.release_task(&claim.task);
     }
 
-    fn end_placement(&mut self, worker: &str, job: &Arc<JobRecord>, change: &Change) {
-        let Some(id) = self.agents.get(worker).and_then(|agent| agent.worker) else { return };
+    fn end_placement(&mut self, task: &TaskId, change: &Change) {
+        let Some(tracked) = self.claims.get(task) else { return };
+        let (worker, job, is_proposed) =
+            (Name::clone(&tracked.worker), Arc::clone(&tracked.job), tracked.is_proposed());
+        let Some(id) = self.agents.get(&worker).and_then(|agent| agent.worker) else { return };
         let request = PlacementRequest { kind: self.kinds.id(&job.row.kind), resources: job.row.declared };
+        if is_proposed && *change != Change::Decline {
+            // The proposal would otherwise keep its room for as long as the worker stays linked.
+            self.workers.admitted(id, &request);
+        }
         match change {
             Change::Complete => self.workers.succeeded(id, &request, &job.row.id),
             Change::Fail(_) => {
@@ -280,7 +293,7 @@
             Change::Decline => self.workers.declined(id, &request, None),
             _ => self.workers.withdrawn(id, &request),
         }
-        self.restore_reported_state(worker);
+        self.restore_reported_state(&worker);
         self.place_at = Duration::ZERO;
     }
 
@@ -313,7 +326,7 @@
         let Some(tracked) = self.claims.get(&claim.task) else { return };
         let (worker, job) = (Name::clone(&tracked.worker), Arc::clone(&tracked.job));
         self.queue.release(&job.row.team, &job.row.declared);
-        self.end_placement(&worker, &job, &Change::Decline);
+        self.end_placement(&claim.task, &Change::Decline);
         let code = Some(Code::PlatformUnavailable);
         self.history.add(now, &claim.task, claim.epoch, EventKind::NotPlaced, Some(&worker), code);
         self.place_at = now + Duration::from_millis(RETRY_WAIT_MS.start);
@@ -368,7 +381,7 @@
         let must_stop = tracked.record.row.epoch > claim.epoch && tracked.stage != Stage::Claiming;
         if tracked.is_charged {
             self.queue.release(&job.row.team, &job.row.declared);
-            self.end_placement(&worker, &job, &Change::Cancel);
+            self.end_placement(&claim.task, &Change::Cancel);
         }
         if must_stop {
             self.pending_stops.insert(claim.clone(), (Name::clone(&worker), self.context.clock.now()));
@@ -379,11 +392,12 @@
 
     /// Drops a claim whose current row is unknown, and schedules a reload of its job.
     fn drop_and_reload(&mut self, claim: &ClaimId) {
-        let Some(tracked) = self.claims.remove(&claim.task) else { return };
+        let Some(tracked) = self.claims.get(&claim.task) else { return };
         if tracked.is_charged {
             self.queue.release(&tracked.job.row.team, &tracked.job.row.declared);
-            self.end_placement(&tracked.worker, &tracked.job, &Change::Cancel);
+            self.end_placement(&claim.task, &Change::Cancel);
         }
+        self.claims.remove(&claim.task);
         self.reload_job(&claim.task);
     }
 }
--- a/tests/batch_finishes.rs
+++ b/tests/batch_finishes.rs
@@ -138,3 +138,28 @@
     assert_eq!(judge::violations(&events), Vec::new());
     assert_eq!(effects(&events), 4);
 }
+
+/// Guards against room on a worker that stays reserved for claims which ended before their tasks started.
+#[tokio::test(flavor = "multi_thread")]
+async fn room_is_lost_to_tasks_cancelled_before_they_start() {
+    let platform = bind_platform().await;
+    let worker = bind_worker("worker-1").await;
+    let mut site = Site::open(platform.address()).await;
+    site.batch["lease"]["length_ms"] = json!(8_000);
+    let entry = site.entry("entry-1");
+    let agent = site.agent("worker-1", worker.address());
+    site.wait_granted(entry, 1).await;
+    site.agents[agent].signal("STOP");
+    let cancelled = site.submit(entry, "orders-1", "medium", 4).await;
+    site.wait_job(entry, &cancelled, "tasks are claimed", |job| job["counts"] == json!({ "claimed": 4 })).await;
+    let answer = site.post(entry, "/jobs/cancel", json!({ "jobs": [cancelled] })).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    site.wait_finished(entry, &cancelled).await;
+    site.agents[agent].signal("CONT");
+
+    let job = site.submit(entry, "orders-2", "medium", 4).await;
+
+    let job = site.wait_finished(entry, &job).await;
+    assert_eq!(job["counts"], json!({ "done": 4 }));
+    assert_eq!(judge::violations(&worker.ledger()), Vec::new());
+}
