Answer the start of a completed task with its completion

Cause: a worker keeps a completed task until its end is settled, and refuses a start of the next epoch meanwhile. The agent, which knew of the completion and was still reporting it, sent the start to the worker, took the refusal for a start of unknown outcome, and reported a failed start once the list did not show the epoch. Three failures in a row avoid a worker, for 30 s to begin with and twice as long with each more.

Evidence: the new test makes the entry claim the tasks again by stale reads. It needs no load.

Change: an agent answers a start with Completed while it reports the completion of an earlier epoch of the task. The row of the later claim becomes done.

--- a/src/agent/tasks/commands.rs
+++ b/src/agent/tasks/commands.rs
@@ -46,6 +46,9 @@
         if self.unsettled.contains_key(claim) {
             return;
         }
+        if self.has_completed_earlier(claim) {
+            return self.refuse(entry, claim, start.agent, End::Completed, now);
+        }
         match self.admit(start, now) {
             Ok(Admission::Reserved) => self.start(start, now),
             Ok(Admission::Duplicate) => {
@@ -60,6 +63,13 @@
         }
     }
 
+    /// Returns whether an earlier epoch of the task completed on the worker, which no entry has settled yet.
+    fn has_completed_earlier(&self, claim: &ClaimId) -> bool {
+        self.unsettled.iter().any(|(earlier, unsettled)| {
+            earlier.task == claim.task && earlier.epoch < claim.epoch && unsettled.end == End::Completed
+        })
+    }
+
     fn admit(&mut self, start: &TaskStart, now: Duration) -> Result<Admission, End> {
         let claim = &start.claim;
         let is_current = self.holders.get(&start.lease).is_some_and(|holder| holder.is_start_current(start.ask, now));
--- a/tests/batch_finishes.rs
+++ b/tests/batch_finishes.rs
@@ -120,12 +120,7 @@
         site.wait_granted(entry, 1).await;
     }
     let job = site.submit(entries[0], "orders-1", "long", 4).await;
-    let outlasts_run = |task: &Value| task["lease_left_ms"].as_u64() > Some(6_000);
-    wait_until("leases outlast the tasks", || async {
-        let tasks = send(worker.address(), "GET", "/tasks", &[], Vec::new()).await.expect("tasks").json();
-        tasks.as_array().is_some_and(|tasks| tasks.len() == 4 && tasks.iter().all(outlasts_run))
-    })
-    .await;
+    wait_leases(&worker, 4, 6_000).await;
 
     site.agents[agent].kill();
     site.wait_job(entries[0], &job, "claims have expired", |job| job["counts"] == json!({ "queued": 4 })).await;
@@ -163,3 +158,48 @@
     assert_eq!(job["counts"], json!({ "done": 4 }));
     assert_eq!(judge::violations(&worker.ledger()), Vec::new());
 }
+
+/// Guards against counting the refused start of a task that its worker has completed as a failure of the worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn worker_is_avoided_that_completed_a_task_before_its_next_start() {
+    let platform = bind_platform().await;
+    let worker = bind_worker("worker-1").await;
+    let mut site = Site::open(platform.address()).await;
+    site.batch["lease"]["length_ms"] = json!(4_000);
+    let entry = site.entry("entry-1");
+    let agent = site.agent("worker-1", worker.address());
+    site.wait_granted(entry, 1).await;
+    let job = site.submit(entry, "orders-1", "medium", 4).await;
+    wait_leases(&worker, 4, 1_500).await;
+
+    // The entry can't read the rows of the claims that it has expired, so that it claims the tasks again.
+    platform.control(platform::Faults { stale_reads: Duration::from_mins(10), ..platform::Faults::default() });
+    site.agents[agent].kill();
+    wait_until("claims have expired", || async { written(&platform, "queued") >= 4 }).await;
+    site.agent("worker-1", worker.address());
+    wait_until("tasks are done", || async { written(&platform, "done") == 4 }).await;
+    platform.control(platform::Faults::default());
+
+    let job = site.wait_finished(entry, &job).await;
+    assert_eq!(job["counts"], json!({ "done": 4 }));
+    let tasks = job["tasks"].as_array().expect("tasks");
+    assert!(tasks.iter().all(|task| task["attempts"] == json!([])), "{job:#}");
+    assert_eq!(effects(&worker.ledger()), 4);
+}
+
+/// Waits until a worker holds `count` tasks whose leases are all longer than a time.
+async fn wait_leases(worker: &worker::Handle, count: usize, longer_than_ms: u64) {
+    let is_longer = |task: &Value| task["lease_left_ms"].as_u64() > Some(longer_than_ms);
+    wait_until("leases are long", || async {
+        let tasks = send(worker.address(), "GET", "/tasks", &[], Vec::new()).await.expect("tasks").json();
+        tasks.as_array().is_some_and(|tasks| tasks.len() == count && tasks.iter().all(is_longer))
+    })
+    .await;
+}
+
+/// Number of writes of tasks' rows in a state.
+fn written(platform: &platform::Handle, state: &str) -> usize {
+    let writes = platform.ledger_after(0).into_iter().flat_map(|entry| entry.writes);
+    let values = writes.filter(|write| write.key.starts_with("tasks/")).filter_map(|write| write.value);
+    values.filter(|value| value["state"] == state).count()
+}
