End a watch only once every process has been sampled

What was seen: an_agent_restarted_while_the_store_is_down_learns_the_version failed with "entry-1 was sampled 1 times".

Cause: the watch ended with the test, however often it had sampled. That test watches for 30 to 43 ms at a load of about 15 (23 runs), and samples are 20 ms apart, so that each process has two samples and a delay of a few milliseconds leaves one. A process that was never sampled went unnoticed.

Evidence: 1 of 72 runs, twelve at a time beside six busy loops, failed with the same words: watched for 26 ms, each of the three processes sampled once. No sample was given up in those runs, nor in 23 runs without loops.

Change: the end of a watch waits until each process that it watches has been sampled twice, and fails after the harness's usual limit. The former assertions stay: at least two samples of every start, and versions that never fall. It is stricter than before, as a process without any sample fails too. The new test suspends an entry for a second; with the former watch 3 of 3 runs failed ("nothing was sampled").

Measured: 144 of 144 runs of the test passed under the same load, the new test in 3 of 3, and all eleven tests of the file in one run.

--- a/tests/harness/watch.rs
+++ b/tests/harness/watch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::cluster::Cluster;
-use super::{OPERATOR_SECRET, Process, send};
+use super::{OPERATOR_SECRET, Process, send, wait_until};
 
 /// Time between two samples of one process.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
@@ -17,6 +18,9 @@
 /// Time after which a sample of a stopped process is given up.
 const SAMPLE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Samples of every process that a watch needs to tell whether a version decreased.
+const SAMPLES_MIN: usize = 2;
+
 /// Versions seen of one start of a process, in order; zero until it knows any.
 pub type Versions = Vec<u64>;
 
@@ -27,6 +31,8 @@
 #[derive(Default)]
 pub struct Watch {
     samples: Arc<Mutex<Samples>>,
+    /// Number of samples of each process.
+    counts: Vec<Arc<AtomicUsize>>,
     tasks: JoinSet<()>,
 }
 
@@ -43,23 +49,29 @@
     pub fn add(&mut self, process: &Process) {
         let operators = process.address("operators_address");
         let samples = Arc::clone(&self.samples);
+        let count = Arc::new(AtomicUsize::new(0));
+        self.counts.push(Arc::clone(&count));
         self.tasks.spawn(async move {
             loop {
                 if let Some((start, version)) = sample(operators).await {
                     samples.lock().expect("samples").entry(start).or_default().push(version);
+                    count.fetch_add(1, Ordering::Relaxed);
                 }
                 tokio::time::sleep(SAMPLE_INTERVAL).await;
             }
         });
     }
 
-    /// Ends the watch and asserts that no start of any process ever enforced a lower version than before.
-    pub fn assert_never_decreased(mut self) -> Samples {
+    /// Ends the watch once every process has been sampled often enough, and asserts that no start of any process ever
+    /// enforced a lower version than before.
+    pub async fn assert_never_decreased(mut self) -> Samples {
+        let is_enough = |count: &Arc<AtomicUsize>| count.load(Ordering::Relaxed) >= SAMPLES_MIN;
+        wait_until("every process was sampled", || async { self.counts.iter().all(is_enough) }).await;
         self.tasks.abort_all();
         let samples = std::mem::take(&mut *self.samples.lock().expect("samples"));
         assert!(!samples.is_empty(), "nothing was sampled");
         for ((name, boot), versions) in &samples {
-            assert!(versions.len() > 1, "{name} {boot} was sampled {} times", versions.len());
+            assert!(versions.len() >= SAMPLES_MIN, "{name} {boot} was sampled {} times", versions.len());
             assert!(versions.is_sorted(), "{name} {boot}: {versions:?}");
         }
         samples
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -61,7 +61,7 @@
             assert_eq!(rollout(&entry.process, "entry").await["enforced"]["checksum"], accepted["checksum"]);
         }
     }
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -78,7 +78,7 @@
     wait_everywhere(&cluster, 2).await;
     let versions = history(&cluster, 0).await;
     assert_eq!(versions.as_array().map(Vec::len), Some(1), "accepted once: {versions}");
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -126,7 +126,7 @@
         })
         .await;
     }
-    let samples = watch.assert_never_decreased();
+    let samples = watch.assert_never_decreased().await;
     assert_eq!(samples.len(), 4, "each process was sampled under one start");
 }
 
@@ -152,7 +152,7 @@
     assert_eq!(send(callers, "GET", "/portal/x", &[], Vec::new()).await.expect("answer").status, 200);
     cluster.platform.control(Faults::default());
     tokio::time::sleep(FAULT_TIME).await;
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
     wait_everywhere(&cluster, 2).await;
 }
 
@@ -169,7 +169,22 @@
     cluster.wait_for_workers(2).await;
     let status = status(&cluster).await;
     assert_eq!((&status["processes"], &status["laggards"]), (&2.into(), &json!([])), "{status}");
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
+}
+
+/// Guards against a watch that ends before it has sampled a process that is slow to answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_process_is_not_sampled() {
+    let cluster = cluster::start(1, 1).await;
+    let entry = &cluster.entries[0].process;
+    entry.signal("STOP");
+    let watch = Watch::cluster(&cluster);
+    let wake = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        entry.signal("CONT");
+    };
+    let ((), samples) = tokio::join!(wake, watch.assert_never_decreased());
+    assert_eq!(samples.len(), 2, "each process was sampled under one start");
 }
 
 /// What `status` shows.
@@ -196,7 +211,7 @@
     cluster.platform.control(Faults::default());
     tokio::time::sleep(FAULT_TIME).await;
     wait_everywhere(&cluster, 2).await;
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
     assert_eq!(history(&cluster, 1).await[0]["version"], 2, "the table kept the accepted version");
 }
 
@@ -215,7 +230,7 @@
     let accepted = operator::accept(directory, operators(&cluster, 0), &plan).await;
     assert_eq!(accepted.json()["accepted"]["version"], 3, "{accepted:?}");
     wait_everywhere(&cluster, 3).await;
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -234,7 +249,7 @@
         assert_eq!(late.json()["detail"]["winner"]["version"], 2, "the winner of the version planned for");
     }
     wait_everywhere(&cluster, 3).await;
-    watch.assert_never_decreased();
+    watch.assert_never_decreased().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
