Bound the row of measured effects by bytes

What callers saw: none yet. With long image names in some jobs, what was measured of all pairs of images is lost with the placer, and every filling run counts as disturbing until it is measured again.

Cause: the row was bounded by 1,000 pairs, and its size by an assumed 30 bytes a pair; callers choose the names. The store refuses a larger row each time.

Evidence: 1,000 pairs of two names of 100 bytes make a row of 210,815 bytes, one pair of two names of 48 KB one of 98,341; a row takes 49,152.

Ruled out: the number of pairs; 1,000 with names of 10 bytes fit.

Change: the pairs with the most evidence are stored as far as they fit into a row, and none of more than 1 KB, so that one name doesn't displace the others.

--- a/crates/scheduler/src/placer/effects.rs
+++ b/crates/scheduler/src/placer/effects.rs
@@ -17,8 +17,6 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval at which the data is stored for successors.
 const SAVE_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum number of stored pairs, at about 30 bytes each; well below the size limit of a row.
-const SAVED_PAIRS_MAX: usize = 1_000;
 /// Minimum evidence for a pair to be stored: that of a few observations.
 const INFORMATION_MIN: f64 = 100.0;
 
@@ -61,14 +59,11 @@
     /// Stores the pairs with the most evidence. A failed write isn't retried; the next one follows at the interval.
     fn save_effects(&self, mut effects: Vec<(Pair, Evidence)>) {
         effects.retain(|(_, evidence)| evidence.information >= INFORMATION_MIN);
-        effects.sort_unstable_by(|one, other| other.1.information.total_cmp(&one.1.information));
-        effects.truncate(SAVED_PAIRS_MAX);
-        let content: Vec<Effect> = effects.iter().map(Effect::from_evidence).collect();
-        let change =
-            Change { table: Table::Progress, key: Arc::from(EFFECTS_KEY), value: Some(rows::encode(&content)) };
+        let pairs = effects.len();
+        let content = rows::encode_effects(effects.iter().map(Effect::from_evidence).collect());
+        let change = Change { table: Table::Progress, key: Arc::from(EFFECTS_KEY), value: Some(content) };
         let transaction = Transaction { conditions: vec![self.placer_condition()], changes: vec![change] };
         let answer = (self.context.store.commit)(transaction);
-        let pairs = content.len();
         tokio::spawn(async move {
             let outcome = answer.await;
             if !matches!(outcome, Outcome::Done(_)) {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -34,6 +34,13 @@
 /// Suffix of the keys of cancellations, in table `jobs`.
 const CANCEL_SUFFIX: &str = "/cancel";
 
+/// Maximum number of stored pairs of images.
+const STORED_EFFECTS_MAX: usize = 1_000;
+/// Largest stored effect, in bytes, so that the names of one job don't displace the effects of others.
+const EFFECT_BYTES_MAX: usize = 1 << 10;
+/// Upper bound of the bytes of a row with a list besides the items of that list.
+const ROW_HEAD_BYTES: usize = 64;
+
 /// Version of this build, as told to other processes.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
 
@@ -160,6 +167,27 @@
     }
 }
 
+/// Encodes the row of measured effects: the pairs with the most evidence, as far as they fit into a row.
+#[must_use]
+pub fn encode_effects(mut effects: Vec<Effect>) -> Vec<u8> {
+    effects.sort_unstable_by(|one, other| other.2.total_cmp(&one.2));
+    encode(&fitting(effects.into_iter().take(STORED_EFFECTS_MAX), EFFECT_BYTES_MAX))
+}
+
+/// Items of at most `item_bytes_max` bytes, as many as fit into a row together.
+fn fitting<T: Serialize>(items: impl Iterator<Item = T>, item_bytes_max: usize) -> Vec<T> {
+    let mut room_bytes = ROW_BYTES_MAX - ROW_HEAD_BYTES;
+    let fits = |item: &T| {
+        let bytes = encode(item).len();
+        let fits = bytes <= item_bytes_max.min(room_bytes);
+        if fits {
+            room_bytes -= bytes;
+        }
+        fits
+    };
+    items.filter(fits).collect()
+}
+
 /// Key in table `jobs`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobKey {
