Bound the row of handed-over leases by bytes

What callers saw: none yet. A placer that stops as planned can't release the cell, and the next one waits until its authority and the leases have ended.

Cause: the row was bounded by 400 leases, whatever the names of the agents. It is written in the transaction that releases the cell.

Evidence: 400 names of 194 bytes, the longest that the key of an agent's row has room for, make a row of 80,020 bytes; a row takes 49,152.

Change: as many leases are handed over as fit into a row; a successor waits for the others as it does without a handover, as before beyond 400.

--- a/crates/scheduler/src/placer/release.rs
+++ b/crates/scheduler/src/placer/release.rs
@@ -7,10 +7,6 @@
 use crate::rows::{self, HANDOVER_KEY, PLACER_KEY};
 use crate::store::{Change, Table, Transaction};
 
-/// Leases that a release hands over, so that their row stays small; a successor waits for the others as it does without
-/// a handover.
-const HANDED_OVER_LEASES_MAX: usize = 400;
-
 impl State {
     /// Releases the cell, so that another entry can claim it at once.
     pub(super) async fn retire(&mut self) {
@@ -25,12 +21,11 @@
         };
         let row = rows::Placer { term: self.context.term, holder: None, address };
         let leases_ms = self.cell.unlinked_leases(now).map(|(name, left)| (name, whole_ms(left) + 1));
-        let handover =
-            rows::Handover { term: self.context.term, leases_ms: leases_ms.take(HANDED_OVER_LEASES_MAX).collect() };
+        let handover = rows::encode_handover(self.context.term, leases_ms);
         let change = |key: &str, value| Change { table: Table::Cell, key: Arc::from(key), value: Some(value) };
         let transaction = Transaction {
             conditions: vec![self.placer_condition()],
-            changes: vec![change(PLACER_KEY, rows::encode(&row)), change(HANDOVER_KEY, rows::encode(&handover))],
+            changes: vec![change(PLACER_KEY, rows::encode(&row)), change(HANDOVER_KEY, handover)],
         };
         let outcome = (self.context.store.commit)(transaction).await;
         log::info!(event = "cell_given_up", term = self.context.term, outcome:? = outcome; "");
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -40,6 +40,8 @@
 const EFFECT_BYTES_MAX: usize = 1 << 10;
 /// Upper bound of the bytes of a row with a list besides the items of that list.
 const ROW_HEAD_BYTES: usize = 64;
+/// Maximum number of leases that are handed over.
+const HANDED_OVER_LEASES_MAX: usize = 400;
 
 /// Version of this build, as told to other processes.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
@@ -174,6 +176,13 @@
     encode(&fitting(effects.into_iter().take(STORED_EFFECTS_MAX), EFFECT_BYTES_MAX))
 }
 
+/// Encodes the leases that a placer hands over: as many as fit into a row. A successor waits for the others as it does
+/// without a handover.
+#[must_use]
+pub fn encode_handover(term: u64, leases_ms: impl Iterator<Item = (Name, u64)>) -> Vec<u8> {
+    encode(&Handover { term, leases_ms: fitting(leases_ms.take(HANDED_OVER_LEASES_MAX), ROW_BYTES_MAX) })
+}
+
 /// Items of at most `item_bytes_max` bytes, as many as fit into a row together.
 fn fitting<T: Serialize>(items: impl Iterator<Item = T>, item_bytes_max: usize) -> Vec<T> {
     let mut room_bytes = ROW_BYTES_MAX - ROW_HEAD_BYTES;
