Bound the stored checkpoints of a job by bytes

What callers saw: none yet. A job whose stopped runs leave long checkpoints is never shown as done; other jobs with ends behind its own on the same worker wait with it, since a worker lists 500 ends until they are settled.

Progress above 1 MB fits into no transaction, so its version is never durable and its ends aren't settled.

Evidence: 5,000 texts of 200 bytes make progress of 1,120,000 bytes. By reading: a batch of only checkpoints that the store refuses goes first again.

Ruled out: done tasks (1.3 KB for 10,000), crashes (200 tasks), failed runs (some 440 KB where a task of 10,000 may fail three times).

Change: a job stores at most 200 KB of checkpoints, 5,000 of 16 bytes as before. Where there is no room the older checkpoint of the task stays, and a checkpoint that isn't stored doesn't count as chosen.

Result: progress stays below 700 KB for texts of 16, 200 and 50,000 bytes, and all ends are settled.

--- a/crates/cell/src/cell/checkpoints.rs
+++ b/crates/cell/src/cell/checkpoints.rs
@@ -28,8 +28,8 @@
 const SELECTION_BYTES_MAX: usize = 64 << 10;
 /// Size of a job's progress up to which checkpoints of more running tasks are added.
 const ROW_BYTES_MAX: usize = 24 << 10;
-/// Tasks of a job whose checkpoints are stored, so that its progress fits into one transaction.
-const STORED_TASKS_MAX: usize = 5_000;
+/// Size of a job's stored checkpoints, so that its progress fits into one transaction: 5,000 of 16 bytes.
+const STORED_BYTES_MAX: usize = 200 << 10;
 
 /// Work of open jobs that is saved on workers but not durable.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -76,15 +76,29 @@
 }
 
 impl JobEntry {
-    /// Copies the checkpoint of a task into the job's progress.
-    pub(crate) fn store_checkpoint(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get(&key) else { return };
-        if self.progress.checkpoints.len() >= STORED_TASKS_MAX && !self.progress.checkpoints.contains_key(&key) {
-            return;
-        }
+    /// Copies the checkpoint of a task into the job's progress, if there is room; an older one is kept otherwise. Returns
+    /// whether it was copied.
+    pub(crate) fn store_checkpoint(&mut self, key: TaskKey) -> bool {
+        let Some(task) = self.tasks.get(&key) else { return false };
         let Checkpoint { text, run, percent } = &task.checkpoint;
+        let stored_bytes =
+            self.progress.checkpoints.get(&key).map_or(0, |text| Progress::compact_checkpoint_bytes(text));
+        let bytes = self.checkpoint_bytes - stored_bytes + Progress::compact_checkpoint_bytes(text);
+        if bytes > STORED_BYTES_MAX {
+            return false;
+        }
+        self.checkpoint_bytes = bytes;
         self.progress.checkpoints.insert(key, Arc::clone(text));
         self.progress.checkpointed.insert(key, Checkpointed { run: *run, percent: *percent });
+        true
+    }
+
+    /// Removes the checkpoint of a task from the job's progress.
+    pub(crate) fn forget_checkpoint(&mut self, key: TaskKey) {
+        if let Some(text) = self.progress.checkpoints.remove(&key) {
+            self.checkpoint_bytes -= Progress::compact_checkpoint_bytes(&text);
+        }
+        self.progress.checkpointed.remove(&key);
     }
 
     /// Tasks with a checkpoint that isn't in the progress, with the work in core-milliseconds that storing it would
@@ -124,8 +138,7 @@
                 }
                 bytes += more;
             }
-            self.store_checkpoint(key);
-            count += 1;
+            count += usize::from(self.store_checkpoint(key));
         }
         count
     }
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -148,8 +148,7 @@
         entry.progress.done.insert(task.key);
         entry.progress.failures.remove(&task.key);
         entry.progress.crashes.remove(&task.key);
-        entry.progress.checkpoints.remove(&task.key);
-        entry.progress.checkpointed.remove(&task.key);
+        entry.forget_checkpoint(task.key);
         self.count_done(task);
         self.ready.remove(&task);
         self.stop_runs(task, "done_elsewhere", |_| true);
--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -37,6 +37,8 @@
     /// Number of tasks that aren't done, by occurrence and step.
     pub(crate) left: Map<(u32, u32), u32>,
     pub(crate) progress: Progress,
+    /// Size of the checkpoints in `progress`, in bytes of its compact form.
+    pub(crate) checkpoint_bytes: usize,
     /// Revision of the progress row; 0 when there is none.
     pub(crate) revision: u64,
     /// No former placer can have started a task of the job.
@@ -234,6 +236,7 @@
             job: Arc::new(job),
             tasks: Map::default(),
             left: Map::default(),
+            checkpoint_bytes: progress.checkpoints.values().map(|text| Progress::compact_checkpoint_bytes(text)).sum(),
             progress,
             revision,
             is_fresh,
@@ -371,6 +374,7 @@
         entry.outcome = Some(outcome);
         // A job that has ended needs nothing else, and successors read every row.
         entry.progress = Progress { outcome: Some(outcome), ..Progress::default() };
+        entry.checkpoint_bytes = 0;
         let age = entry.age(now);
         let (objective, queue) = (entry.objective(), Arc::clone(&entry.job.queue));
         let state = match outcome {
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -130,6 +130,11 @@
         CHECKPOINT_BYTES + text.len()
     }
 
+    /// Approximate size of a checkpoint in the compact form, in bytes.
+    pub(crate) fn compact_checkpoint_bytes(text: &str) -> usize {
+        2 * COMPACT_KEY_BYTES + text.len()
+    }
+
     fn plain_bytes(&self) -> usize {
         (self.done.len() + self.failures.len() + self.crashes.len()) * KEY_BYTES
             + self.failures.values().map(BTreeSet::len).sum::<usize>() * RUN_BYTES
@@ -146,7 +151,7 @@
             + (self.failures.len() + self.crashes.len()) * COMPACT_KEY_BYTES
             + self.failures.values().map(BTreeSet::len).sum::<usize>() * RUN_BYTES
             + self.crash_bytes()
-            + self.checkpoints.values().map(|text| 2 * COMPACT_KEY_BYTES + text.len()).sum::<usize>()
+            + self.checkpoints.values().map(|text| Self::compact_checkpoint_bytes(text)).sum::<usize>()
     }
 
     fn crash_bytes(&self) -> usize {
--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use chervilledge_cell::cell::{Action, Cell, Inventory};
-use chervilledge_cell::job::{Job, JobId, JobState, Schedule, TaskId, TaskKey};
+use chervilledge_cell::job::{Job, JobId, JobState, Schedule, Step, TaskId, TaskKey};
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::{End, EndKind};
 use chervilledge_policy::id::Name;
+use rstest::rstest;
 use support::{LEASE, World, configuration, job, name, step, worker};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -188,3 +189,32 @@
     let (_, folded_bytes_max) = repeat(100_000, 1, Duration::from_millis(1));
     assert!(folded_bytes_max <= 64, "{folded_bytes_max} bytes");
 }
+
+/// Progress that the store takes in one call, in bytes: 1 MB in Base64 with keys and conditions.
+const STORABLE_BYTES: usize = 700_000;
+
+/// Checkpoints of stopped runs made progress that the store refuses; its ends weren't settled, nor those of other jobs
+/// behind them on the same worker.
+#[rstest]
+#[case::texts_as_on_the_page(16, 5_000)]
+#[case::long_texts(200, 800)]
+#[case::a_few_texts_above_a_call(50_000, 4)]
+fn checkpoints_outgrow_a_transaction(#[case] text_bytes: usize, #[case] stored_min: usize) {
+    let mut world = World::with_workers(1, 1_000);
+    let saving = Step { checkpointing: true, ..step(10_000, 1_000) };
+    world.cell.load(job(1, vec![saving]), Progress::default(), 7, Duration::ZERO, world.now);
+    let end = |index: u32| {
+        let task = TaskId { job: JobId(1), key: TaskKey { occurrence: 0, step: 0, index } };
+        let checkpoint = name(&format!("{index:0text_bytes$}"));
+        End { number: u64::from(index) + 1, task, run: 1, kind: EndKind::Stopped, checkpoint }
+    };
+    let count = if text_bytes > 200 { 20 } else { 10_000 };
+    world.cell.runs_ended(&name("agent-0"), (0..count).map(end).collect(), world.now);
+    let batch = world.cell.next_batch().expect("ends have to be stored");
+    let progress = &batch.writes[0].progress;
+    assert!(progress.stored_bytes() <= STORABLE_BYTES, "{} bytes", progress.stored_bytes());
+    assert!(progress.checkpoints.len() >= stored_min, "{} checkpoints", progress.checkpoints.len());
+    world.cell.committed(&batch, 30, world.now);
+    let settled = |action: &Action| matches!(action, Action::Settle { cursor, .. } if *cursor == u64::from(count));
+    assert!(world.cell.take_actions().iter().any(settled), "not all ends are settled");
+}
