--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -218,3 +218,13 @@
     let settled = |action: &Action| matches!(action, Action::Settle { cursor, .. } if *cursor == u64::from(count));
     assert!(world.cell.take_actions().iter().any(settled), "not all ends are settled");
 }
+
+/// Jobs at the limits of what is accepted.
+#[rstest]
+#[case::tasks(vec![step(10_000, 1)], true)]
+#[case::too_many_tasks(vec![step(10_000, 1), step(1, 1)], false)]
+#[case::steps(vec![step(1, 1); 1_000], true)]
+#[case::too_many_steps(vec![step(1, 1); 1_001], false)]
+fn a_job_at_a_limit_is_refused(#[case] steps: Vec<Step>, #[case] is_accepted: bool) {
+    assert_eq!(job(1, steps).check().is_ok(), is_accepted);
+}
