Measure a takeover with 100,000 ends by hand

A test that is ignored by default: 20 agents whose workers list 5,000 ends each, 500 at a time, a placer, and a store with the limits of the platform.

No task is started.

--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use chervilledge_cell::job::{JobId, TaskId, TaskKey};
-use chervilledge_cell::worker::{Life, RunTraits, StartOrder, Worker};
+use chervilledge_cell::worker::{End, Life, RunTraits, StartOrder, Worker};
 use chervilledge_link::connection::{self, Receiver, Sender};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::id::Name;
@@ -26,6 +26,8 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 /// Time after which a call without an answer is given up.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Ends that a worker lists at a time.
+const PAGE_ENDS: usize = 500;
 /// Lease granted by the placer's end.
 const LEASE: Duration = Duration::from_secs(5);
 
@@ -39,6 +41,8 @@
     /// Number of orders to start or stop that get no answer from now on.
     pub unanswered_orders: u32,
     pub poll: Result<PollResponse, PollError>,
+    /// Ends that the worker lists page by page instead of those in `poll`, ascending by number.
+    pub paged_ends: Vec<End>,
     /// Responses to polls of other workers than that of [`life`], by name.
     pub other_polls: BTreeMap<Name, Result<PollResponse, PollError>>,
     /// Duration of a poll after the worker has composed its response.
@@ -51,6 +55,16 @@
 }
 
 impl Script {
+    /// Next page of the paged ends, if there are any.
+    fn page_after(&self, cursor: u64) -> Option<PollResponse> {
+        if self.paged_ends.is_empty() {
+            return None;
+        }
+        let first = self.paged_ends.partition_point(|end| end.number <= cursor);
+        let ends: Vec<End> = self.paged_ends[first..].iter().take(PAGE_ENDS).cloned().collect();
+        Some(PollResponse { has_more_ends: ends.len() == PAGE_ENDS, ends, ..idle_poll() })
+    }
+
     /// Whether the next order gets no answer.
     fn loses_order(&mut self) -> bool {
         let is_lost = self.unanswered_orders > 0;
@@ -115,9 +129,10 @@
             }),
             poll: Box::new(move |(target, ask)| {
                 let (answer, takes) = polls.change(|script| {
+                    let page = script.page_after(ask.cursor);
                     script.polls.push(ask);
                     let answer = script.other_polls.get(&target.worker).unwrap_or(&script.poll);
-                    (answer.clone(), script.poll_delay)
+                    (page.map_or_else(|| answer.clone(), Ok), script.poll_delay)
                 });
                 Box::pin(async move {
                     tokio::time::sleep(takes.max(Duration::from_millis(5))).await;
@@ -171,6 +186,7 @@
         stop: OrderOutcome::Taken,
         unanswered_orders: 0,
         poll: Ok(idle_poll()),
+        paged_ends: Vec::new(),
         other_polls: BTreeMap::new(),
         poll_delay: Duration::ZERO,
         starts: Vec::new(),
