Bound the tasks that a repeating job holds

What callers saw: none yet. A job that repeats and leaves a task of each occurrence open fills the placer's memory, and its progress outgrows a transaction.

Cause: occurrences were opened while less than 10,000 tasks of the job weren't done; the done tasks of open occurrences counted for nothing and are kept.

Ruled out: completed occurrences, which are folded.

Change: with 50,000 tasks held no further occurrence is opened. A job whose open occurrences need more waits with later ones until some are complete.

Result: the same job keeps at most 51,000 tasks.

--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -18,6 +18,10 @@
 /// each occurrence. Below it, the row of the progress stays readable for every version.
 const DONE_TASKS_MAX: usize = 1_000;
 
+/// Tasks of a job with a schedule, those included that are done in open occurrences, from which on no further occurrence is
+/// opened.
+const HELD_TASKS_MAX: usize = 50_000;
+
 /// Progress of the unfinished tasks of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnfinishedProgress {
@@ -270,8 +274,8 @@
     }
 
     /// Creates the tasks of occurrences that are due, as long as fewer than [`TASKS_MAX`] tasks of the job aren't
-    /// done: a schedule may name four billion occurrences that are all due now. `unix_ms` is the wall clock, needed
-    /// only for jobs with a schedule.
+    /// done and it has fewer than [`HELD_TASKS_MAX`] in all: a schedule may name four billion occurrences that are all
+    /// due now. `unix_ms` is the wall clock, needed only for jobs with a schedule.
     pub fn open_due(&mut self, unix_ms: u64, now: Duration) {
         let scheduled: Vec<JobId> = self.scheduled.iter().copied().collect();
         for id in scheduled {
@@ -293,7 +297,11 @@
                 (Some(due), Some(unix_ms)) => unix_ms >= due,
                 (Some(_), None) => false,
             };
-            if occurrence >= entry.job.occurrences() || !is_due || left >= TASKS_MAX {
+            if occurrence >= entry.job.occurrences()
+                || !is_due
+                || left >= TASKS_MAX
+                || entry.tasks.len() >= HELD_TASKS_MAX
+            {
                 break;
             }
             entry.opened_occurrences += 1;
--- a/crates/cell/tests/limits.rs
+++ b/crates/cell/tests/limits.rs
@@ -228,3 +228,32 @@
 fn a_job_at_a_limit_is_refused(#[case] steps: Vec<Step>, #[case] is_accepted: bool) {
     assert_eq!(job(1, steps).check().is_ok(), is_accepted);
 }
+
+/// A job that repeats and leaves one task of each occurrence open kept the done ones of all of them, in memory and in its
+/// row, until the row outgrew a transaction.
+#[test]
+fn occurrences_with_one_open_task_are_all_kept() {
+    const TASKS: u32 = 1_000;
+    /// Tasks that are kept, and those of the last occurrence that was opened.
+    const HELD_TASKS_MAX: usize = 50_000 + TASKS as usize;
+    let mut world = World::with_workers(1, u64::from(TASKS));
+    let schedule = Schedule { first_unix_ms: 0, interval: Duration::from_millis(1), occurrences: 100 };
+    let never_fits = step(1, 1_000_000);
+    world.submit(Job { schedule: Some(schedule), ..job(1, vec![step(TASKS - 1, 1), never_fits]) });
+    let mut done_max = 0;
+    for pass in 0..200 {
+        world.cell.open_due(pass, world.now);
+        world.place();
+        for (agent, task, run) in world.all_running() {
+            world.end(&agent, task, run, EndKind::Done);
+        }
+        world.advance_ms(100);
+        if let Some(batch) = world.cell.next_batch() {
+            done_max = batch.writes[0].progress.done.len().max(done_max);
+            let revision = world.next_revision();
+            world.cell.committed(&batch, revision, world.now);
+        }
+    }
+    assert!(done_max > HELD_TASKS_MAX / 2, "{done_max} done tasks, the test plays too few");
+    assert!(done_max <= HELD_TASKS_MAX, "{done_max} done tasks");
+}
