--- a/crates/scheduler/src/store.rs
+++ b/crates/scheduler/src/store.rs
@@ -203,7 +203,7 @@
 pub struct Rows {
     /// Rows, ascending by key in a read and by revision in a feed.
     pub rows: Vec<Row>,
-    /// Newest revision of the store at that time.
+    /// Newest revision of the store at that time; in a feed, the revision from which to go on.
     pub revision: u64,
     /// Whether there are more rows after the last one.
     pub has_more: bool,
