--- a/crates/scheduler/tests/takeover_size.rs
+++ b/crates/scheduler/tests/takeover_size.rs
@@ -1,4 +1,4 @@
-//! Time and calls of a takeover with many ends that wait on workers, measured by hand:
+//! Time and calls of a takeover with many ends that wait on workers, and bytes written for an end, measured by hand:
 //!
 //!     cargo test -p chervilledge-scheduler --test takeover_size -- --ignored --nocapture --test-threads 1
 
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use chervilledge_cell::job::{Job, JobId, JobState, Step, TaskId, TaskKey};
+use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::{End, EndKind, Life};
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -16,7 +17,7 @@
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows::{self, PLACER_KEY};
 use chervilledge_scheduler::store::Table;
-use chervilledge_scheduler::{clock, metrics};
+use chervilledge_scheduler::{clock, metrics, progress_rows};
 use ractor::ActorRef;
 use rstest::rstest;
 use support::agent::{RunningAgent, spawn_named};
@@ -117,3 +118,19 @@
     println!("{jobs} jobs: {took:?}, {polls} polls, {} transactions, {starts} starts", newest.unwrap_or(0) - before);
     assert_eq!(starts, 0, "a task that is done was started again");
 }
+
+/// Progress of a job whose ends are written one by one, as it is written and as versions before 0.5.0 wrote it.
+#[test]
+#[ignore = "a measurement, by hand"]
+fn bytes_written_for_an_end() {
+    const TASKS: u32 = 10_000;
+    let (mut progress, mut present, mut plain) = (Progress::default(), 0, 0);
+    for index in 0..TASKS {
+        progress.done.insert(TaskKey { occurrence: 0, step: 0, index });
+        let changes = progress_rows::changes(JobId(1), &progress);
+        present += changes.iter().filter_map(|change| change.value.as_ref()).map(Vec::len).sum::<usize>();
+        plain += rows::encode(&progress).len();
+    }
+    let ends = TASKS as usize;
+    println!("{ends} tasks: {} bytes for an end, {} in the plain form", present / ends, plain / ends);
+}
