--- a/crates/cell/src/cell/jobs.rs
+++ b/crates/cell/src/cell/jobs.rs
@@ -18,6 +18,10 @@
 /// each occurrence. Below it, the row of the progress stays readable for every version.
 const DONE_TASKS_MAX: usize = 1_000;
 
+/// Tasks of a job with a schedule, those included that are done in open occurrences, from which on no further occurrence is
+/// opened.
+const HELD_TASKS_MAX: usize = 50_000;
+
 /// Progress of the unfinished tasks of a job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnfinishedProgress {
@@ -37,6 +41,8 @@
     /// Number of tasks that aren't done, by occurrence and step.
     pub(crate) left: Map<(u32, u32), u32>,
     pub(crate) progress: Progress,
+    /// Size of the checkpoints in `progress`, in bytes of its compact form.
+    pub(crate) checkpoint_bytes: usize,
     /// Revision of the progress row; 0 when there is none.
     pub(crate) revision: u64,
     /// No former placer can have started a task of the job.
@@ -234,6 +240,7 @@
             job: Arc::new(job),
             tasks: Map::default(),
             left: Map::default(),
+            checkpoint_bytes: progress.checkpoints.values().map(|text| Progress::compact_checkpoint_bytes(text)).sum(),
             progress,
             revision,
             is_fresh,
@@ -267,8 +274,8 @@
     }
 
     /// Creates the tasks of occurrences that are due, as long as fewer than [`TASKS_MAX`] tasks of the job aren't
-    /// done: a schedule may name four billion occurrences that are all due now. `unix_ms` is the wall clock, needed
-    /// only for jobs with a schedule.
+    /// done and it has fewer than [`HELD_TASKS_MAX`] in all: a schedule may name four billion occurrences that are all
+    /// due now. `unix_ms` is the wall clock, needed only for jobs with a schedule.
     pub fn open_due(&mut self, unix_ms: u64, now: Duration) {
         let scheduled: Vec<JobId> = self.scheduled.iter().copied().collect();
         for id in scheduled {
@@ -290,7 +297,11 @@
                 (Some(due), Some(unix_ms)) => unix_ms >= due,
                 (Some(_), None) => false,
             };
-            if occurrence >= entry.job.occurrences() || !is_due || left >= TASKS_MAX {
+            if occurrence >= entry.job.occurrences()
+                || !is_due
+                || left >= TASKS_MAX
+                || entry.tasks.len() >= HELD_TASKS_MAX
+            {
                 break;
             }
             entry.opened_occurrences += 1;
@@ -371,6 +382,7 @@
         entry.outcome = Some(outcome);
         // A job that has ended needs nothing else, and successors read every row.
         entry.progress = Progress { outcome: Some(outcome), ..Progress::default() };
+        entry.checkpoint_bytes = 0;
         let age = entry.age(now);
         let (objective, queue) = (entry.objective(), Arc::clone(&entry.job.queue));
         let state = match outcome {
