--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -35,7 +35,7 @@
 /// Size of a run number, in bytes.
 const RUN_BYTES: usize = 5;
 /// Size of a crash, in bytes.
-const CRASH_BYTES: usize = 48;
+const CRASH_BYTES: usize = 64;
 /// Size of a checkpoint in a plain row without its text, in bytes: the key twice, run and percent.
 const CHECKPOINT_BYTES: usize = 2 * KEY_BYTES + 24;
 /// Size of an occurrence and step in the compact form, and of a range of occurrences, in bytes.
@@ -130,6 +130,11 @@
         CHECKPOINT_BYTES + text.len()
     }
 
+    /// Approximate size of a checkpoint in the compact form, in bytes.
+    pub(crate) fn compact_checkpoint_bytes(text: &str) -> usize {
+        2 * COMPACT_KEY_BYTES + text.len()
+    }
+
     fn plain_bytes(&self) -> usize {
         (self.done.len() + self.failures.len() + self.crashes.len()) * KEY_BYTES
             + self.failures.values().map(BTreeSet::len).sum::<usize>() * RUN_BYTES
@@ -146,7 +151,7 @@
             + (self.failures.len() + self.crashes.len()) * COMPACT_KEY_BYTES
             + self.failures.values().map(BTreeSet::len).sum::<usize>() * RUN_BYTES
             + self.crash_bytes()
-            + self.checkpoints.values().map(|text| 2 * COMPACT_KEY_BYTES + text.len()).sum::<usize>()
+            + self.checkpoints.values().map(|text| Self::compact_checkpoint_bytes(text)).sum::<usize>()
     }
 
     fn crash_bytes(&self) -> usize {
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -15,12 +15,19 @@
 /// Number of crashes that the agent keeps: more than a worker has while no placer can settle them.
 const CRASHES_MAX: usize = 16;
 
-/// Age of a worker's life, by its wall clock and by its own clock, which starts anew with each life.
-pub(super) fn life_age(born_unix_ms: u64, clock_ms: u64) -> Duration {
-    Duration::from_millis(unix_ms().saturating_sub(born_unix_ms).min(clock_ms))
-}
-
 impl State {
+    /// Age of the worker's next life, of which a response or report has just been read.
+    ///
+    /// Its own clock tells the age at which it wrote that, which may be seconds ago. Its wall clock is used if it agrees
+    /// with that clock and with the last sign of the former life.
+    pub(super) fn next_life_age(&self, born_unix_ms: u64, clock_ms: u64, now: Duration) -> Duration {
+        let written_at_age = Duration::from_millis(clock_ms);
+        let wall_age = Duration::from_millis(unix_ms().saturating_sub(born_unix_ms));
+        let reading = self.tracked.as_ref().and_then(|tracked| tracked.reading);
+        let age_max = reading.map_or(Duration::MAX, |reading| now.saturating_sub(reading.received));
+        if (written_at_age..=age_max).contains(&wall_age) { wall_age } else { written_at_age }
+    }
+
     /// Reports that the worker's present life has ended in a crash, unless its end was announced; `life_age` is the age
     /// of the next life, if it has begun.
     pub(super) fn report_crash(&mut self, life_age: Duration, now: Duration) {
@@ -56,9 +63,13 @@
             .chain(sent)
             .chain(self.unanswered.keys().filter(is_unresolved).copied())
             .collect();
+        let is_listed = |run: RunId| tracked.running.iter().any(|report| (report.task, report.run) == run);
+        let is_answered = |run: RunId| self.acknowledged_starts.get(&run).is_some_and(|taken| !taken.is_doubtful);
         let crashed_run = |run: RunId| {
-            let started_at = self.started_at.get(&run).copied().unwrap_or(crashed_at);
-            CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at) }
+            let is_unconfirmed = !is_listed(run) && !is_answered(run);
+            // The worker may have taken an unanswered order just before it crashed.
+            let started_at = self.started_at.get(&run).copied().filter(|_| !is_unconfirmed).unwrap_or(crashed_at);
+            CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at), is_unconfirmed }
         };
         let is_of_next_life =
             |run: &RunId| self.started_at.get(run).is_some_and(|at| now.saturating_sub(*at) < life_age);
