Don't convict a task by crashes that nobody saw

What callers could see: a job shown as failed under whose task workers may never have crashed.

Cause: where neither agent nor placer saw a crash, the placer infers it from the worker's new life. It has no sign of when the crash was or of which runs were still there, and took all that it had ordered for present, and for as old as their last progress.

Change: these runs are unconfirmed.

Failed before: crashes_that_nobody_saw_convict_a_task, given up after two.

--- a/crates/cell/src/cell/crashed.rs
+++ b/crates/cell/src/cell/crashed.rs
@@ -105,11 +105,11 @@
     /// Records the crash of a worker whose agent doesn't report crashes, or didn't see this one.
     pub fn crash_unreported(&mut self, name: &Name, now: Duration) {
         let Some(agent) = self.agents.get(name).filter(|agent| agent.leaving_since.is_none()) else { return };
-        // When the worker crashed isn't known, only until when each run has made progress.
+        // When the worker crashed isn't known, nor whether a run was still there, only until when each has made progress.
         let crashed_run = |(task, number): &(TaskId, u64)| {
             let lived = |run: &Run| Some(run.progressed_at.saturating_sub(run.started?));
-            let age = self.run(*task, *number).and_then(lived);
-            CrashedRun { task: *task, run: *number, age: age.unwrap_or_default(), is_unconfirmed: age.is_none() }
+            let age = self.run(*task, *number).and_then(lived).unwrap_or_default();
+            CrashedRun { task: *task, run: *number, age, is_unconfirmed: true }
         };
         let runs: Vec<CrashedRun> = agent.runs.iter().map(crashed_run).collect();
         self.crash_runs(name, &runs, now);
--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -346,6 +346,20 @@
     assert_ne!(world.cell.state(JobId(1)), Some(JobState::Failed));
 }
 
+/// Where neither the agent nor the placer saw when a worker crashed, its runs may have ended before.
+#[rstest]
+fn crashes_that_nobody_saw_convict_a_task(#[values(true, false)] is_started: bool) {
+    let mut cell = Crashing { are_reported: false, are_answered: is_started, ..Crashing::with_workers(1) };
+    cell.submit_deadly(job(1, vec![step(1, 500)]), Duration::from_mins(10));
+    for _ in 0..2 {
+        cell.run(Duration::from_millis(200), Duration::from_mins(10));
+        cell.crash(&name("agent-0"));
+        cell.run(RESTART + STEP * 10, Duration::from_mins(10));
+    }
+    assert_eq!(cell.starts_of(1), 3);
+    assert_ne!(cell.state(1), Some(JobState::Failed));
+}
+
 /// While workers crash for other reasons, two crashes under a task may be a coincidence.
 #[test]
 fn a_task_is_given_up_at_the_second_crash_although_workers_crash_for_other_reasons() {
