Don't hold a crash against runs that had ended unseen

Cause: a worker's list of ends goes with it. While an end that the agent has reported isn't settled, the agent pauses for 150 ms between two polls, so the runs that it takes for running may have ended in the pause. Its report took them for present until the crash.

Change: the agent keeps since when no poll has waited for ends. A run is confirmed at the crash only if one waited, or if the worker's last sign of it, in a list or in the answer to its start, is not older than 50 ms, as with a task that crashes its worker at once. The others are reported as unconfirmed; alone they can't convict a task. Their age stays, unlike that of a start without any sign, since they did run.

Failed before: a_run_that_ended_before_the_crash_convicts_its_task. Its counterpart a_start_that_crashes_the_worker_between_two_polls_is_unconfirmed fails without the 50 ms.

--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -129,8 +129,8 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "age_ms")]
     pub age: Duration,
-    /// The worker neither listed the run nor answered its start, so that the run may never have been there. Versions
-    /// before 0.6.0 don't tell.
+    /// The run may not have been on the worker: its start got no answer, or it may have ended unseen. Versions before
+    /// 0.6.0 don't tell.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_unconfirmed: bool,
 }
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -176,6 +176,8 @@
     maybe_restarted_since: Option<Duration>,
     is_polling: bool,
     poll_due: Duration,
+    /// Since when no poll has waited for the ends of runs, so that a run may have ended unseen.
+    unwatched_since: Option<Duration>,
 }
 
 /// Evidence of an incarnation.
--- a/crates/scheduler/src/agent/crashes.rs
+++ b/crates/scheduler/src/agent/crashes.rs
@@ -15,6 +15,10 @@
 /// Number of crashes that the agent keeps: more than a worker has while no placer can settle them.
 const CRASHES_MAX: usize = 16;
 
+/// Time after the last sign of a run within which it counts as still there although no poll waits for its end: few runs
+/// end so soon.
+const UNSEEN_END_MIN: Duration = Duration::from_millis(50);
+
 impl State {
     /// Age of the worker's next life, of which a response or report has just been read.
     ///
@@ -63,12 +67,14 @@
             .chain(sent)
             .chain(self.unanswered.keys().filter(is_unresolved).copied())
             .collect();
-        let is_listed = |run: RunId| tracked.running.iter().any(|report| (report.task, report.run) == run);
-        let is_answered = |run: RunId| self.acknowledged_starts.get(&run).is_some_and(|taken| !taken.is_doubtful);
+        let is_watched = tracked.unwatched_since.is_none_or(|since| since >= crashed_at);
         let crashed_run = |run: RunId| {
-            let is_unconfirmed = !is_listed(run) && !is_answered(run);
+            let last_sign = self.last_sign(run);
             // The worker may have taken an unanswered order just before it crashed.
-            let started_at = self.started_at.get(&run).copied().filter(|_| !is_unconfirmed).unwrap_or(crashed_at);
+            let started_at = self.started_at.get(&run).copied().filter(|_| last_sign.is_some()).unwrap_or(crashed_at);
+            // A run that ended unseen before the crash had no part in it.
+            let is_seen = |at: Duration| is_watched || crashed_at.saturating_sub(at) <= UNSEEN_END_MIN;
+            let is_unconfirmed = !last_sign.is_some_and(is_seen);
             CrashedRun { task: run.0, run: run.1, age: crashed_at.saturating_sub(started_at), is_unconfirmed }
         };
         let is_of_next_life =
@@ -77,6 +83,15 @@
         Some(CrashReport { life: tracked.worker.life.clone(), runs })
     }
 
+    /// When the worker last showed that it had a run.
+    fn last_sign(&self, run: RunId) -> Option<Duration> {
+        let tracked = self.tracked.as_ref()?;
+        let answered = self.acknowledged_starts.get(&run).filter(|taken| !taken.is_doubtful).map(|taken| taken.at);
+        let is_listed = tracked.running.iter().any(|report| (report.task, report.run) == run);
+        let listed = tracked.reading.filter(|_| is_listed).map(|reading| reading.received);
+        answered.max(listed)
+    }
+
     fn add_crash(&mut self, report: CrashReport) {
         log::info!(event = "worker_crashed", worker = &*report.life.worker, runs = report.runs.len(),
             youngest_ms = report.runs.iter().map(|run| crate::clock::whole_ms(run.age)).min().unwrap_or_default(); "");
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -46,6 +46,9 @@
         let lease_end_ms = self.offer_lease(now);
         let (Some(target), Some(tracked)) = (self.target(), self.tracked.as_mut()) else { return };
         tracked.is_polling = true;
+        if !wait.is_zero() {
+            tracked.unwatched_since = None;
+        }
         // The numbering of ends restarts with each incarnation.
         let cursor = if tracked.maybe_restarted_since.is_some() { 0 } else { tracked.cursor };
         let request = PollRequest { cursor, lease_end_ms, wait };
@@ -69,6 +72,7 @@
     ) {
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return };
         tracked.is_polling = false;
+        tracked.unwatched_since.get_or_insert(now);
         let result = if response.is_ok() { "done" } else { "failed" };
         self.context.metrics.worker_poll(result, now.saturating_sub(sent));
         match response {
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -167,6 +167,7 @@
             maybe_restarted_since: None,
             is_polling: false,
             poll_due: now,
+            unwatched_since: Some(now),
         });
         if self.link.is_some() {
             self.request_inventory(now);
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -9,7 +9,7 @@
 use chervilledge_cell::crashes::SUSPECT_AGE_MAX;
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::progress::Progress;
-use chervilledge_cell::worker::{CrashReport, Life, Refusal, RunReport};
+use chervilledge_cell::worker::{CrashReport, End, EndKind, Life, Refusal, RunReport};
 use chervilledge_scheduler::agent::Message;
 use chervilledge_scheduler::clock::unix_ms;
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
@@ -109,6 +109,11 @@
     assert!(young.age < Duration::from_millis(100), "{report:?}");
 }
 
+/// End of a run that isn't settled, so that the agent pauses between polls.
+fn other_end() -> End {
+    End { number: 1, task: task(8), run: 1, kind: EndKind::Done, checkpoint: Arc::from("") }
+}
+
 /// Response of a worker in its next life, which has just begun.
 fn next_life() -> PollResponse {
     PollResponse { clock_ms: 0, born_unix_ms: Some(8), ..idle_poll() }
@@ -174,6 +179,49 @@
     assert!(!is_given_up(&two_crashes(StartOutcome::Running { clock_ms: Some(0) }).await));
 }
 
+/// A task that crashes its workers at once was taken for one that may have ended before.
+#[tokio::test]
+async fn a_start_that_crashes_the_worker_between_two_polls_is_unconfirmed() {
+    let agent = agent::spawn().await;
+    let mut link = agent::link(&agent, 2).await;
+    link.inventory().await;
+    agent.worker.change(|script| {
+        script.delays_start_responses = true;
+        script.poll = Ok(PollResponse { ends: vec![other_end()], ..idle_poll() });
+    });
+    link.wait_for("end", |message| matches!(message, FromAgent::Ends { .. }).then_some(())).await;
+    link.start(task(9), 1);
+    agent.worker.wait_for("start", |script| !script.starts.is_empty()).await;
+    agent.worker.change(|script| {
+        script.delays_start_responses = false;
+        script.poll = Ok(PollResponse { born_unix_ms: Some(unix_ms()), ..next_life() });
+    });
+    let report = crashed(&mut link).await;
+    assert_eq!(report.runs.iter().map(|run| (run.task, run.is_unconfirmed)).collect::<Vec<_>>(), [(task(9), false)]);
+}
+
+/// Runs that had ended unseen were taken for the cause of a crash after their ends.
+#[tokio::test]
+async fn a_run_that_ended_before_the_crash_convicts_its_task() {
+    let mut reports = Vec::new();
+    for run in [1, 2] {
+        let agent = agent::spawn().await;
+        let mut link = agent::link(&agent, 2).await;
+        link.inventory().await;
+        link.start(task(9), run);
+        link.wait_for("start", |message| matches!(message, FromAgent::Started { .. }).then_some(())).await;
+        let report = RunReport { task: task(9), run, ..running(run).running[0].clone() };
+        let listed = PollResponse { running: vec![report], ends: vec![other_end()], ..idle_poll() };
+        agent.worker.change(|script| script.poll = Ok(listed));
+        link.wait_for("end", |message| matches!(message, FromAgent::Ends { .. }).then_some(())).await;
+        agent.worker.change(|script| script.poll = Ok(next_life()));
+        reports.push(crashed(&mut link).await);
+    }
+    let ages: Vec<Duration> = reports.iter().map(|report| report.runs[0].age).collect();
+    assert!(ages.iter().all(|age| *age <= SUSPECT_AGE_MAX), "{ages:?}");
+    assert!(!is_given_up(&reports));
+}
+
 /// Users allow a task to be given up under which two workers have crashed.
 #[tokio::test]
 async fn a_task_is_started_again_after_two_crashes_of_its_own() {
