Wait for a worker on which a task has not failed

What callers saw: a task given up with "failed on every worker" (3003) after three attempts on one worker, while another worker was only full.

Cause: the choice of a worker passed over those on which the task had failed, up to eight times, and took one of them after all when the others had no room. Each attempt fails at once, so that the three allowed are used up before a busy worker has room again. With fewer than five workers none is avoided, as at most a fifth of them may be.

Change: as long as a worker that isn't avoided and on which the task hasn't failed could hold the task, only such workers are considered, and the task waits for room. Without one, any worker is taken as before. Placement takes the workers that are allowed, in place of proposals that are taken back.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -259,7 +259,26 @@
         usage: &Usage,
         now: Duration,
     ) -> Result<WorkerId, PlacementError> {
-        let best = self.best_of_sample(request, interference, usage, now).or_else(|| self.first_fit(request, now));
+        self.place_on(request, interference, usage, now, |_| true)
+    }
+
+    /// Chooses one of the workers whose names `is_allowed` accepts, and records the proposal.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether none of them has room now, or no worker at all could ever hold the task.
+    pub fn place_on(
+        &mut self,
+        request: &PlacementRequest,
+        interference: &Interference,
+        usage: &Usage,
+        now: Duration,
+        is_allowed: impl Fn(&Name) -> bool,
+    ) -> Result<WorkerId, PlacementError> {
+        let accepts = |worker: &Worker| worker.accepts(&request.resources, now) && is_allowed(&worker.info.name);
+        let best = self
+            .best_of_sample(request, interference, usage, now, accepts)
+            .or_else(|| self.first_fit(request, accepts));
         let Some(id) = best else {
             return Err(self.placement_error(request));
         };
@@ -329,6 +348,13 @@
         self.workers.iter().flatten().any(|worker| worker.info.capacity.covers(resources))
     }
 
+    /// Returns whether a worker that isn't avoided, and whose name `is_allowed` accepts, could hold the resources.
+    #[must_use]
+    pub fn could_hold_on(&self, resources: &Resources, now: Duration, is_allowed: impl Fn(&Name) -> bool) -> bool {
+        let could_hold = |worker: &Worker| worker.info.capacity.covers(resources) && worker.health.is_open(now);
+        self.workers.iter().flatten().any(|worker| could_hold(worker) && is_allowed(&worker.info.name))
+    }
+
     /// Returns the worker on which to earmark room for a task that has long found none: the one with the smallest
     /// shortfall.
     #[must_use]
@@ -420,13 +446,14 @@
         interference: &Interference,
         usage: &Usage,
         now: Duration,
+        accepts: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerId> {
         let sampled =
             self.free_index.sample::<SAMPLE_SIZE>(&request.resources, |bound| self.random.random_range(0..bound));
         let expected = usage.expected(request.kind, &request.resources);
         let mut best: Option<(f64, WorkerId)> = None;
         for id in sampled.into_iter().flatten() {
-            let Some(worker) = self.worker(id).filter(|worker| worker.accepts(&request.resources, now)) else {
+            let Some(worker) = self.worker(id).filter(|worker| accepts(worker)) else {
                 continue;
             };
             let score = self.score(worker, request, &expected, interference, now);
@@ -455,8 +482,8 @@
             + f64::from(tasks_in_rack) * RACK_WEIGHT
     }
 
-    fn first_fit(&self, request: &PlacementRequest, now: Duration) -> Option<WorkerId> {
-        let fits = |id: &WorkerId| self.worker(*id).is_some_and(|worker| worker.accepts(&request.resources, now));
+    fn first_fit(&self, request: &PlacementRequest, accepts: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+        let fits = |id: &WorkerId| self.worker(*id).is_some_and(&accepts);
         self.free_index.candidates(&request.resources).find(fits)
     }
 
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -65,6 +65,20 @@
     assert_eq!(place(&mut fleet, &request, MINUTE), Ok(WorkerId(3)));
 }
 
+#[test]
+fn a_task_is_placed_on_a_worker_that_is_not_allowed() {
+    let mut fleet = fleet(2);
+    let request = request(16, 1);
+    let is_allowed = |name: &Name| **name == *"w1";
+    let place_on_allowed =
+        |fleet: &mut Fleet| fleet.place_on(&request, &Interference::default(), &Usage::default(), MINUTE, is_allowed);
+    assert_eq!(place_on_allowed(&mut fleet), Ok(WorkerId(1)));
+    assert_eq!(place_on_allowed(&mut fleet), Err(PlacementError::NoRoom));
+    assert!(fleet.could_hold_on(&request.resources, MINUTE, is_allowed));
+    assert!(!fleet.could_hold_on(&request.resources, MINUTE, |_| false));
+    assert_eq!(place(&mut fleet, &request, MINUTE), Ok(WorkerId(0)));
+}
+
 #[test]
 fn a_decline_corrects_what_is_believed_to_be_free() {
     let mut fleet = fleet(1);
--- a/src/entry/batch/placing.rs
+++ b/src/entry/batch/placing.rs
@@ -32,9 +32,6 @@
 /// Delay before an unplaced task is retried.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Maximum number of attempts to choose a worker on which the task hasn't failed.
-const WORKER_CHOICES_MAX: usize = 8;
-
 impl State {
     /// Takes tasks from the queue and claims them for workers.
     pub(super) fn place_tasks(&mut self) {
@@ -102,35 +99,19 @@
         running.get(team).copied().unwrap_or(0) + self.running_elsewhere(team) < quota
     }
 
-    /// Chooses a worker, preferring those on which the task hasn't failed.
+    /// Chooses a worker on which the task hasn't failed; without one that could hold the task, any worker.
     fn choose_worker(
         &mut self,
         request: &PlacementRequest,
         record: &TaskRecord,
         now: Duration,
     ) -> Result<WorkerId, PlacementError> {
-        let mut passed_over = Vec::new();
-        let mut chosen = Err(PlacementError::NoRoom);
-        for _ in 0..WORKER_CHOICES_MAX {
-            chosen = self.workers.place(request, &self.interference, &self.usage, now);
-            let Ok(worker) = chosen else { break };
-            let has_failed = |name: &Name| record.row.attempts.iter().any(|attempt| attempt.worker == *name);
-            if !self.workers.name(worker).is_some_and(has_failed) {
-                break;
-            }
-            passed_over.push(worker);
-            chosen = Err(PlacementError::NoRoom);
-        }
-        if chosen.is_err()
-            && let Some(worker) = passed_over.pop()
-        {
-            // Every worker that was chosen is one on which the task has failed before.
-            chosen = Ok(worker);
-        }
-        for worker in passed_over {
-            self.workers.declined(worker, request, None);
+        let attempts = &record.row.attempts;
+        let is_untried = |name: &Name| attempts.iter().all(|attempt| attempt.worker != *name);
+        if !attempts.is_empty() && self.workers.could_hold_on(&request.resources, now, is_untried) {
+            return self.workers.place_on(request, &self.interference, &self.usage, now, is_untried);
         }
-        chosen
+        self.workers.place(request, &self.interference, &self.usage, now)
     }
 
     fn on_unplaced(
--- a/tests/batch_finishes.rs
+++ b/tests/batch_finishes.rs
@@ -90,6 +90,28 @@
     assert_eq!(effects(&events), 40);
 }
 
+/// Guards against giving up a task after failures on one worker while another could run it later.
+#[tokio::test(flavor = "multi_thread")]
+async fn task_fails_on_the_same_worker_again_while_another_is_full() {
+    let platform = bind_platform().await;
+    let (good, bad) = (bind_worker("worker-1").await, bind_worker("worker-2").await);
+    bad.control(worker::Faults { fail_starts: true, ..worker::Faults::default() });
+    let mut site = Site::open(platform.address()).await;
+    let entry = site.entry("entry-1");
+    site.agent("worker-1", good.address());
+    site.wait_granted(entry, 1).await;
+    site.submit(entry, "orders-1", "long", 4).await;
+    wait_ledger("worker is full", &[&good], |events| starts(events) == 4).await;
+    site.agent("worker-2", bad.address());
+    site.wait_granted(entry, 2).await;
+
+    let job = site.submit(entry, "orders-2", "medium", 1).await;
+
+    let job = site.wait_finished(entry, &job).await;
+    assert_eq!(job["counts"], json!({ "done": 1 }), "{job:#}");
+    assert_eq!(job["tasks"][0]["attempts"].as_array().map(Vec::len), Some(1), "{job:#}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn task_that_fails_everywhere_stops_with_its_reason() {
     let platform = bind_platform().await;
