Split the walk of the cell into a folder

Nothing changes but the places and the names of the parts: the store, agents, placers and the world are files of `crates/cell/tests/walk`.

--- /dev/null
+++ b/crates/cell/tests/walk/placer.rs
@@ -0,0 +1,161 @@
+//! Placers: their links to agents, their writes, and the orders that the agents carry out.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervilledge_cell::authority::{Authority, RENEWAL_INTERVAL};
+use chervilledge_cell::cell::writes::Batch;
+use chervilledge_cell::cell::{Action, Cell};
+use chervilledge_cell::worker::EndKind;
+use chervilledge_policy::id::Name;
+use rand::Rng;
+
+use crate::STOP_TIME;
+use crate::support::{LEASE, life};
+use crate::world::World;
+
+pub struct Placer {
+    pub term: u64,
+    pub cell: Cell,
+    pub authority: Authority,
+    /// Agents that are linked.
+    pub links: BTreeSet<Name>,
+    /// Until when the placer can't reach the store.
+    pub cut: Duration,
+    pub confirm_due: Duration,
+    /// Until when the placer can't reach the witness.
+    pub witness_cut: Duration,
+    pub batch: Option<(Batch, Duration)>,
+    /// Revision up to which the jobs have been read.
+    pub read: u64,
+}
+
+impl World {
+    /// Opens and closes links, and transfers the messages on them.
+    pub fn link(&mut self, position: usize) {
+        let now = self.now;
+        let newest = self.store.term;
+        let placer = &mut self.placers[position];
+        for (agent_name, agent) in &mut self.agents {
+            let is_cut = now < agent.cut && !(agent.is_cut_from_newest_only && placer.term < newest);
+            let is_reached = !is_cut && agent.term <= placer.term && agent.fence <= placer.term;
+            if !is_reached {
+                if placer.links.remove(agent_name) {
+                    placer.cell.agent_silent(agent_name);
+                }
+                continue;
+            }
+            if placer.links.insert(Arc::clone(agent_name)) {
+                agent.term = placer.term;
+                agent.fence = placer.term;
+                placer.cell.agent_linked(agent_name, agent.inventory(agent_name), now);
+            } else {
+                placer.cell.runs_ended(agent_name, agent.ends.clone(), now);
+            }
+            if placer.authority.holds(now)
+                && let Some(until) = placer.authority.leases_until(LEASE)
+                && let Some(lease) = placer.cell.grant(agent_name, until, now)
+                && !lease.is_zero()
+            {
+                agent.grant.extend(now, lease);
+            }
+        }
+    }
+
+    pub fn run_placer(&mut self, position: usize) {
+        let now = self.now;
+        let placer = &mut self.placers[position];
+        if now >= placer.cut && now >= placer.confirm_due {
+            placer.confirm_due = now + Duration::from_secs(1);
+            if self.store.term == placer.term {
+                placer.authority.confirmed(now);
+                placer.authority.renewed(now);
+                self.heartbeat = now;
+                self.store.revision += 1;
+                placer.cell.store_revision_seen(now, self.store.revision);
+            }
+        }
+        if placer.authority.renewal_age(now).is_some_and(|age| age > RENEWAL_INTERVAL)
+            && now >= placer.witness_cut
+            && self.witness.renew(placer.term, self.read_by_witness, now)
+        {
+            placer.authority.renewed(now);
+        }
+        if placer.authority.holds(now) {
+            placer.cell.lapse_agents(placer.authority.last_confirmed(), now);
+            placer.cell.place(now);
+        }
+        self.write(position);
+        let actions = self.placers[position].cell.take_actions();
+        for action in actions {
+            self.carry_out(position, &action);
+        }
+    }
+
+    /// Writes progress immediately, later, without an answer, or not at all.
+    pub fn write(&mut self, position: usize) {
+        let now = self.now;
+        let delay = Duration::from_millis(self.rng.random_range(0..400));
+        let loses_answer = !self.is_recovering && self.rng.random_bool(0.1);
+        let placer = &mut self.placers[position];
+        if placer.batch.is_none() {
+            placer.batch = placer.cell.next_batch().map(|batch| (batch, now + delay));
+        }
+        let Some((batch, _)) = placer.batch.take_if(|(_, due)| *due <= now) else { return };
+        if now < placer.cut {
+            placer.cell.requeue_batch(&batch);
+            return;
+        }
+        match self.store.write(placer.term, &batch) {
+            Ok(_) if loses_answer => placer.cell.requeue_batch(&batch),
+            Ok(revision) => placer.cell.committed(&batch, revision, now),
+            Err(Some(revisions)) => placer.cell.conflicted(&batch, &revisions),
+            Err(None) => placer.cell.requeue_batch(&batch),
+        }
+    }
+
+    pub fn carry_out(&mut self, position: usize, action: &Action) {
+        let placer = &mut self.placers[position];
+        let (Action::Start { agent: agent_name, .. }
+        | Action::Stop { agent: agent_name, .. }
+        | Action::Settle { agent: agent_name, .. }
+        | Action::SettleCrash { agent: agent_name, .. }) = action;
+        let Some(agent) = self.agents.get_mut(agent_name) else { return };
+        // Without a link the order is lost.
+        if !placer.links.contains(agent_name) || agent.term != placer.term {
+            return;
+        }
+        match action {
+            Action::Start { order, .. } => {
+                let run = (order.task, order.run);
+                let is_old = agent.stopped.get(&order.task).is_some_and(|stopped| *stopped >= order.run);
+                if agent.grant.holds(self.now) && !is_old {
+                    let end = self.now + Duration::from_millis(self.rng.random_range(300..3_000));
+                    assert!(!self.store.is_done(order.task), "seed {}: {} starts again", self.seed, order.task);
+                    agent.running.insert(run, end);
+                    placer.cell.run_started(order.task, order.run, self.now);
+                } else {
+                    placer.cell.run_absent(agent_name, order.task, order.run, self.now);
+                }
+            }
+            Action::Stop { task, run, .. } => {
+                let stopped = agent.stopped.entry(*task).or_default();
+                *stopped = (*stopped).max(*run);
+                if agent.running.contains_key(&(*task, *run)) {
+                    agent.stopping.entry((*task, *run)).or_insert(self.now + STOP_TIME);
+                } else {
+                    placer.cell.run_absent(agent_name, *task, *run, self.now);
+                }
+            }
+            Action::Settle { life: target_life, cursor, .. } => {
+                assert_eq!(*target_life, life(agent_name));
+                for end in agent.ends.iter().filter(|end| end.number <= *cursor && end.kind == EndKind::Done) {
+                    assert!(self.store.is_done(end.task), "seed {}: {} settled too soon", self.seed, end.task);
+                }
+                agent.ends.retain(|end| end.number > *cursor);
+            }
+            Action::SettleCrash { .. } => panic!("seed {}: no worker crashes", self.seed),
+        }
+    }
+}
