Draw the events of the walk up front, and shrink a series that fails

A seed that failed was only a number: each choice of the walk came from one generator, in the order of its steps, so no event could be left out without changing all that followed. Events are now a list that proptest draws from the seed, with the steps at which they happen. What no event names (the time of a run, of a write, a lost answer) depends on the seed, the step and the matter. A violation is returned instead of a panic, and the series that fails is shrunk by proptest and printed as an expression. proptest is in the workspace already.

--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -7,13 +7,15 @@
 use chervilledge_cell::authority::{Authority, RENEWAL_INTERVAL};
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell};
-use chervilledge_cell::worker::EndKind;
+use chervilledge_cell::job::TaskId;
+use chervilledge_cell::worker::{End, EndKind, Life, StartOrder};
 use chervilledge_policy::id::Name;
 use rand::Rng;
 
 use crate::STOP_TIME;
+use crate::agent::Agent;
 use crate::support::{LEASE, life};
-use crate::world::World;
+use crate::world::{RUN, WRITE, World};
 
 pub struct Placer {
     pub term: u64,
@@ -89,15 +91,16 @@
         self.write(position);
         let actions = self.placers[position].cell.take_actions();
         for action in actions {
-            self.carry_out(position, &action);
+            self.carry_out(position, action);
         }
     }
 
     /// Writes progress immediately, later, without an answer, or not at all.
     pub fn write(&mut self, position: usize) {
         let now = self.now;
-        let delay = Duration::from_millis(self.rng.random_range(0..400));
-        let loses_answer = !self.is_recovering && self.rng.random_bool(0.1);
+        let mut choices = self.choices(WRITE + position as u64);
+        let delay = Duration::from_millis(choices.random_range(0..400));
+        let loses_answer = !self.is_recovering && choices.random_bool(0.1);
         let placer = &mut self.placers[position];
         if placer.batch.is_none() {
             placer.batch = placer.cell.next_batch().map(|batch| (batch, now + delay));
@@ -115,47 +118,67 @@
         }
     }
 
-    pub fn carry_out(&mut self, position: usize, action: &Action) {
-        let placer = &mut self.placers[position];
+    fn carry_out(&mut self, position: usize, action: Action) {
         let (Action::Start { agent: agent_name, .. }
         | Action::Stop { agent: agent_name, .. }
         | Action::Settle { agent: agent_name, .. }
-        | Action::SettleCrash { agent: agent_name, .. }) = action;
-        let Some(agent) = self.agents.get_mut(agent_name) else { return };
+        | Action::SettleCrash { agent: agent_name, .. }) = &action;
+        let agent_name = Arc::clone(agent_name);
+        let placer = &self.placers[position];
         // Without a link the order is lost.
-        if !placer.links.contains(agent_name) || agent.term != placer.term {
+        if !placer.links.contains(&agent_name) || self.agents[&agent_name].term != placer.term {
             return;
         }
         match action {
-            Action::Start { order, .. } => {
-                let run = (order.task, order.run);
-                let is_old = agent.stopped.get(&order.task).is_some_and(|stopped| *stopped >= order.run);
-                if agent.grant.holds(self.now) && !is_old {
-                    let end = self.now + Duration::from_millis(self.rng.random_range(300..3_000));
-                    assert!(!self.store.is_done(order.task), "seed {}: {} starts again", self.seed, order.task);
-                    agent.running.insert(run, end);
-                    placer.cell.run_started(order.task, order.run, self.now);
-                } else {
-                    placer.cell.run_absent(agent_name, order.task, order.run, self.now);
-                }
-            }
-            Action::Stop { task, run, .. } => {
-                let stopped = agent.stopped.entry(*task).or_default();
-                *stopped = (*stopped).max(*run);
-                if agent.running.contains_key(&(*task, *run)) {
-                    agent.stopping.entry((*task, *run)).or_insert(self.now + STOP_TIME);
-                } else {
-                    placer.cell.run_absent(agent_name, *task, *run, self.now);
-                }
-            }
-            Action::Settle { life: target_life, cursor, .. } => {
-                assert_eq!(*target_life, life(agent_name));
-                for end in agent.ends.iter().filter(|end| end.number <= *cursor && end.kind == EndKind::Done) {
-                    assert!(self.store.is_done(end.task), "seed {}: {} settled too soon", self.seed, end.task);
-                }
-                agent.ends.retain(|end| end.number > *cursor);
+            Action::Start { order, .. } => self.start(position, &agent_name, &order),
+            Action::Stop { task, run, .. } => self.stop(position, &agent_name, task, run),
+            Action::Settle { life: target_life, cursor, .. } => self.settle(&agent_name, &target_life, cursor),
+            Action::SettleCrash { .. } => self.violate("no worker crashes"),
+        }
+    }
+
+    fn start(&mut self, position: usize, agent_name: &Name, order: &StartOrder) {
+        let (task, run) = (order.task, order.run);
+        let time = Duration::from_millis(self.choices(RUN).random_range(300..3_000));
+        let (now, is_done) = (self.now, self.store.is_done(task));
+        let (placer, agent) = self.pair(position, agent_name);
+        let is_old = agent.stopped.get(&task).is_some_and(|stopped| *stopped >= run);
+        if !agent.grant.holds(now) || is_old {
+            placer.cell.run_absent(agent_name, task, run, now);
+            return;
+        }
+        agent.running.insert((task, run), now + time);
+        placer.cell.run_started(task, run, now);
+        if is_done {
+            self.violate(&format!("TWICE: {task} starts after its end was stored"));
+        }
+    }
+
+    fn stop(&mut self, position: usize, agent_name: &Name, task: TaskId, run: u64) {
+        let now = self.now;
+        let (placer, agent) = self.pair(position, agent_name);
+        let stopped = agent.stopped.entry(task).or_default();
+        *stopped = (*stopped).max(run);
+        if agent.running.contains_key(&(task, run)) {
+            agent.stopping.entry((task, run)).or_insert(now + STOP_TIME);
+        } else {
+            placer.cell.run_absent(agent_name, task, run, now);
+        }
+    }
+
+    fn settle(&mut self, agent_name: &Name, target_life: &Life, cursor: u64) {
+        assert_eq!(*target_life, life(agent_name));
+        let Some(agent) = self.agents.get_mut(agent_name) else { return };
+        let settled: Vec<End> = agent.ends.extract_if(.., |end| end.number <= cursor).collect();
+        for end in settled.iter().filter(|end| end.kind == EndKind::Done) {
+            if !self.store.is_done(end.task) {
+                self.violate(&format!("TWICE: the end of {} is settled before it is stored", end.task));
             }
-            Action::SettleCrash { .. } => panic!("seed {}: no worker crashes", self.seed),
         }
     }
+
+    /// A placer and an agent.
+    fn pair(&mut self, position: usize, agent: &Name) -> (&mut Placer, &mut Agent) {
+        (&mut self.placers[position], self.agents.get_mut(agent).expect("an agent"))
+    }
 }
--- a/crates/cell/tests/walk/store.rs
+++ b/crates/cell/tests/walk/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use chervilledge_cell::cell::writes::Batch;
-use chervilledge_cell::job::{JobId, TaskId};
+use chervilledge_cell::job::{Job, JobId, TaskId};
 use chervilledge_cell::progress::Progress;
 
 /// Rows of the store.
@@ -11,7 +11,7 @@
 pub struct Store {
     pub term: u64,
     /// Jobs with the revisions of their rows.
-    pub jobs: BTreeMap<JobId, u64>,
+    pub jobs: BTreeMap<JobId, (Job, u64)>,
     pub progress: BTreeMap<JobId, (Progress, u64)>,
     pub revision: u64,
 }
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -1,5 +1,6 @@
 //! The modelled cell: placers, agents with their workers, the store, and the faults between them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use chervilledge_cell::authority::{Authority, leases_end};
 use chervilledge_cell::cell::Cell;
 use chervilledge_cell::grant::Grant;
-use chervilledge_cell::job::{JobId, TaskId};
+use chervilledge_cell::job::{JobId, JobState, TaskId};
 use chervilledge_cell::witness::Witness;
 use chervilledge_cell::worker::EndKind;
 use chervilledge_policy::id::Name;
@@ -16,9 +17,17 @@
 
 use crate::agent::Agent;
 use crate::placer::Placer;
+use crate::series::{Event, Kind, Series, milliseconds};
 use crate::store::Store;
 use crate::support::{LEASE, configuration, name};
-use crate::{AGENTS, JOBS, STEP, content};
+use crate::{AGENTS, FAULT_STEPS, RECOVERY_STEPS, STEP};
+
+/// Keys of choices.
+pub const SUBMIT: u64 = 1;
+pub const READ_BY_WITNESS: u64 = 2;
+pub const READ: u64 = 100;
+pub const WRITE: u64 = 200;
+pub const RUN: u64 = 300;
 
 pub struct World {
     /// Witness of every placer.
@@ -28,38 +37,73 @@
     /// When a term was last renewed in the store.
     pub heartbeat: Duration,
     pub seed: u64,
-    pub rng: SmallRng,
+    /// Events that are left, the next one last.
+    events: Vec<(u32, Event)>,
+    /// Number of the present step.
+    step: u32,
     pub now: Duration,
     pub store: Store,
     pub placers: Vec<Placer>,
     pub agents: BTreeMap<Name, Agent>,
     pub is_recovering: bool,
+    /// First violation.
+    violation: Option<String>,
 }
 
 impl World {
-    pub fn new(seed: u64) -> Self {
+    /// Plays a series, and then a time without faults; returns the first violation.
+    pub fn play(series: &Series) -> Result<(), String> {
+        let mut world = Self::new(series);
+        while world.violation.is_none() && world.step < FAULT_STEPS {
+            world.advance();
+        }
+        world.is_recovering = true;
+        while world.violation.is_none() && world.step < FAULT_STEPS + RECOVERY_STEPS && !world.has_ended() {
+            world.advance();
+        }
+        if !world.has_ended() {
+            world.check_end();
+        }
+        world.violation.map_or(Ok(()), Err)
+    }
+
+    fn new(series: &Series) -> Self {
         let agents = (0..AGENTS).map(|number| (name(&format!("agent-{number}")), Agent::default())).collect();
-        let rng = SmallRng::seed_from_u64(seed);
         let now = Duration::from_secs(1_000);
-        let mut walk = Self {
+        let mut events = series.events.clone();
+        events.sort_by_key(|(step, _)| Reverse(*step));
+        let mut world = Self {
             witness: Witness::new(now),
             read_by_witness: None,
             heartbeat: now,
-            seed,
-            rng,
+            seed: series.seed,
+            events,
+            step: 0,
             now,
             store: Store::default(),
             placers: Vec::new(),
             agents,
             is_recovering: false,
+            violation: None,
         };
-        walk.take_over();
-        walk
+        world.take_over(false, true);
+        world
+    }
+
+    /// Choices that no event names. They depend on the present time and on `key` only, so that a shorter series makes the
+    /// same ones.
+    pub fn choices(&self, key: u64) -> SmallRng {
+        SmallRng::seed_from_u64(mix(mix(self.seed, u64::from(self.step)), key))
+    }
+
+    pub fn violate(&mut self, violation: &str) {
+        let at = self.now;
+        self.violation.get_or_insert_with(|| format!("{violation}, at {at:?}"));
     }
 
     /// A new placer claims the cell; the former ones don't know about it yet.
-    pub fn take_over(&mut self) {
-        let handed_over_leases = self.release();
+    pub fn take_over(&mut self, is_released: bool, asks_witness: bool) {
+        let handed_over_leases = if is_released { self.release() } else { Vec::new() };
         self.store.term += 1;
         self.store.revision += 1;
         let mut cell = Cell::new(self.store.term, LEASE);
@@ -70,14 +114,14 @@
         for (agent, end) in handed_over_leases {
             cell.limit_former_lease(&agent, end);
         }
-        if self.rng.random_bool(0.7) {
+        if asks_witness {
             let renewed_ago = self.witness.end_terms_before(self.store.term, self.now);
             cell.former_leases_end(leases_end(self.heartbeat.max(self.now.saturating_sub(renewed_ago)), LEASE));
         }
         self.heartbeat = self.now;
-        for id in self.store.jobs.keys() {
+        for (id, (job, _)) in &self.store.jobs {
             let (progress, revision) = self.store.progress.get(id).cloned().unwrap_or_default();
-            cell.load(content(*id), progress, revision, Duration::ZERO, self.now);
+            cell.load(job.clone(), progress, revision, Duration::ZERO, self.now);
         }
         let mut authority = Authority::default();
         authority.confirmed(self.now);
@@ -95,92 +139,96 @@
         });
     }
 
-    /// The newest placer may release the cell; returns when the leases end that it hands over.
+    /// The newest placer releases the cell if it can; returns when the leases end that it hands over.
     pub fn release(&mut self) -> Vec<(Name, Duration)> {
         let (now, newest) = (self.now, self.store.term);
         let may_release = |placer: &mut Placer| placer.term == newest && now >= placer.cut;
-        if !self.rng.random_bool(0.2) {
-            return Vec::new();
-        }
         let Some(released) = self.placers.pop_if(may_release) else { return Vec::new() };
         released.cell.unlinked_leases(now).map(|(agent, left)| (agent, now + left)).collect()
     }
 
     /// A caller's job is stored, and submitted to some of the processes that believe to be the placer.
-    pub fn accept(&mut self) {
+    fn accept(&mut self, kind: Kind) {
         let id = JobId(self.store.jobs.len() as u64);
-        if id.0 == JOBS {
-            return;
-        }
+        let job = kind.job(id);
         self.store.revision += 1;
-        self.store.jobs.insert(id, self.store.revision);
+        self.store.jobs.insert(id, (job.clone(), self.store.revision));
+        let mut choices = self.choices(SUBMIT);
         for placer in &mut self.placers {
-            if self.rng.random_bool(0.5) {
-                placer.cell.submit(content(id), None, self.now);
+            if choices.random_bool(0.5) {
+                placer.cell.submit(job.clone(), None, self.now);
             }
         }
     }
 
     /// Reads the jobs that were stored since the last call.
-    pub fn read(&mut self, position: usize) {
+    fn read(&mut self, position: usize) {
+        let mut choices = self.choices(READ + position as u64);
         let placer = &mut self.placers[position];
-        if self.now < placer.cut || !self.rng.random_bool(0.05) {
+        if self.now < placer.cut || !choices.random_bool(0.05) {
             return;
         }
-        for (id, revision) in self.store.jobs.iter().filter(|(_, revision)| **revision > placer.read) {
+        for (id, (job, revision)) in self.store.jobs.iter().filter(|(_, (_, revision))| *revision > placer.read) {
             if placer.cell.knows(*id) {
                 placer.cell.job_row_seen(*id, *revision);
             } else {
-                placer.cell.submit(content(*id), Some(*revision), self.now);
+                placer.cell.submit(job.clone(), Some(*revision), self.now);
             }
         }
         placer.read = self.store.revision;
         placer.cell.jobs_read(placer.read);
     }
 
-    pub fn inject_faults(&mut self) {
-        let until = self.now + Duration::from_millis(self.rng.random_range(500..30_000));
-        if self.rng.random_bool(0.004) {
-            self.take_over();
-        }
-        if self.rng.random_bool(0.01)
-            && let Some(placer) = self.placers.last_mut()
-        {
-            placer.cut = until;
-            placer.witness_cut = if self.rng.random_bool(0.5) { until } else { self.now };
-        }
-        if self.rng.random_bool(0.01) {
-            self.witness = Witness::new(self.now);
-            self.read_by_witness = None;
-        } else if self.rng.random_bool(0.05) {
-            self.read_by_witness = Some(self.store.term);
-        }
-        let names: Vec<Name> = self.agents.keys().cloned().collect();
-        let agent = &names[self.rng.random_range(0..names.len())];
-        let chance: f64 = self.rng.random();
-        let Some(state) = self.agents.get_mut(agent) else { return };
-        if chance < 0.01 {
-            state.cut = until;
-            state.is_cut_from_newest_only = self.rng.random_bool(0.5);
-        } else if chance < 0.02 {
-            // The agent's process restarts; its worker runs on.
-            state.term = 0;
-            state.grant = Grant::default();
-            for placer in &mut self.placers {
-                if placer.links.remove(agent) {
-                    placer.cell.agent_silent(agent);
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Submit(kind) => self.accept(kind),
+            Event::CutPlacer { for_ms, is_cut_from_witness } => {
+                let until = self.now + milliseconds(for_ms);
+                if let Some(placer) = self.placers.last_mut() {
+                    placer.cut = until;
+                    placer.witness_cut = if is_cut_from_witness { until } else { self.now };
                 }
             }
+            Event::CutAgent { agent, for_ms, is_cut_from_newest_only } => {
+                let until = self.now + milliseconds(for_ms);
+                let (_, agent) = self.agent_mut(agent);
+                agent.cut = until;
+                agent.is_cut_from_newest_only = is_cut_from_newest_only;
+            }
+            Event::RestartAgent { agent } => self.restart_agent(agent),
+            Event::RestartWitness => {
+                self.witness = Witness::new(self.now);
+                self.read_by_witness = None;
+            }
+            Event::TakeOver { is_released, asks_witness } => self.take_over(is_released, asks_witness),
         }
     }
 
-    pub fn step(&mut self) {
+    fn agent_mut(&mut self, number: usize) -> (Name, &mut Agent) {
+        let (name, agent) = self.agents.iter_mut().nth(number).expect("an agent");
+        (Arc::clone(name), agent)
+    }
+
+    /// The agent's process restarts; its worker runs on.
+    fn restart_agent(&mut self, number: usize) {
+        let (name, agent) = self.agent_mut(number);
+        agent.term = 0;
+        agent.grant = Grant::default();
+        for placer in &mut self.placers {
+            if placer.links.remove(&name) {
+                placer.cell.agent_silent(&name);
+            }
+        }
+    }
+
+    fn advance(&mut self) {
         self.now += STEP;
-        if !self.is_recovering {
-            self.inject_faults();
+        self.step += 1;
+        while let Some((_, event)) = self.events.pop_if(|(step, _)| *step < self.step) {
+            self.apply(event);
         }
-        if self.is_recovering || self.rng.random_bool(0.02) {
-            self.accept();
+        if self.choices(READ_BY_WITNESS).random_bool(0.05) {
+            self.read_by_witness = Some(self.store.term);
         }
         self.advance_runs();
         for position in 0..self.placers.len() {
@@ -220,13 +268,38 @@
         }
     }
 
-    pub fn check(&self) {
+    fn check(&mut self) {
         let mut running = BTreeSet::new();
-        for task in self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task)) {
-            assert!(running.insert(task), "seed {}: {task} runs twice at {:?}", self.seed, self.now);
+        let runs = self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task));
+        if let Some(twice) = runs.into_iter().find(|task| !running.insert(*task)) {
+            self.violate(&format!("TWICE: {twice} runs twice"));
         }
-        for placer in &self.placers {
-            assert_eq!(placer.cell.stranded(), [], "seed {}, term {}, at {:?}", self.seed, placer.term, self.now);
+        let stranded = |placer: &Placer| Some((placer.term, *placer.cell.stranded().first()?));
+        if let Some((term, task)) = self.placers.iter().find_map(stranded) {
+            self.violate(&format!("LOST: {task} neither waits nor runs in term {term}"));
         }
     }
+
+    /// Whether the newest placer shows every job as ended.
+    fn has_ended(&self) -> bool {
+        self.placers.last().is_some_and(|placer| self.store.jobs.keys().all(|id| has_ended(placer.cell.state(*id))))
+    }
+
+    fn check_end(&mut self) {
+        let Some(placer) = self.placers.last() else { return self.violate("no placer is left") };
+        let open = self.store.jobs.keys().find(|id| !has_ended(placer.cell.state(**id)));
+        if let Some(violation) = open.map(|id| format!("LOST: job {id} is {:?}", placer.cell.state(*id))) {
+            self.violate(&violation);
+        }
+    }
+}
+
+fn has_ended(state: Option<JobState>) -> bool {
+    state == Some(JobState::Completed)
+}
+
+/// Mixes two numbers into one that seeds a generator.
+const fn mix(one: u64, other: u64) -> u64 {
+    let mixed = (one ^ other.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 31)
 }
