Draw gangs, checkpoints and dependent steps in the walk

The walk's jobs were two plain steps, so the fault of gang-different-checkpoints could not occur in it. Workers now keep the progress of each run: a checkpointing task saves each 700 ms of work and at a stop, later members of a gang save later than the first, and a gang works only while all its members are there, else they end `alone` or `broken`. Agents report progress and checkpoints, and placers store them.

The time in which everything has to end is counted from the end of the last fault: a cut may last until 30 s after the fault period.

--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -10,7 +10,9 @@
 //! seeds by hand.
 
 mod agent;
+mod ledger;
 mod placer;
+mod runs;
 mod series;
 mod store;
 #[path = "../support/mod.rs"]
@@ -26,9 +28,10 @@
 const MILLICORES: u64 = 4_000;
 /// Time that a worker takes to stop a run.
 const STOP_TIME: Duration = Duration::from_millis(400);
-/// Steps with faults, and then steps without, in which everything has to end.
+/// Steps with faults.
 const FAULT_STEPS: u32 = 1_200;
-const RECOVERY_STEPS: u32 = 1_200;
+/// Time after the last fault in which everything has to end.
+const RECOVERY_PERIOD: Duration = Duration::from_mins(1);
 
 #[rstest]
 fn nothing_runs_twice_and_all_jobs_end(#[values(1, 2, 3, 4, 5, 6, 7, 8)] group: u64) {
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -8,14 +8,17 @@
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell};
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::worker::{End, EndKind, Life, StartOrder};
+use chervilledge_cell::worker::{EndKind, Life, StartOrder};
 use chervilledge_policy::id::Name;
 use rand::Rng;
 
 use crate::STOP_TIME;
-use crate::agent::Agent;
+use crate::agent::{Agent, ListedEnd};
 use crate::support::{LEASE, life};
-use crate::world::{RUN, WRITE, World};
+use crate::world::{WRITE, World};
+
+/// Steps between two reports of an agent on the progress of its runs.
+const REPORT_STEPS: u32 = 10;
 
 pub struct Placer {
     pub term: u64,
@@ -53,7 +56,10 @@
                 agent.fence = placer.term;
                 placer.cell.agent_linked(agent_name, agent.inventory(agent_name), now);
             } else {
-                placer.cell.runs_ended(agent_name, agent.ends.clone(), now);
+                placer.cell.runs_ended(agent_name, agent.listed_ends(), now);
+                if self.step_number.is_multiple_of(REPORT_STEPS) {
+                    placer.cell.runs_reported(&agent.reports(), now);
+                }
             }
             if placer.authority.holds(now)
                 && let Some(until) = placer.authority.leases_until(LEASE)
@@ -86,6 +92,7 @@
         }
         if placer.authority.holds(now) {
             placer.cell.lapse_agents(placer.authority.last_confirmed(), now);
+            placer.cell.save_checkpoints(now);
             placer.cell.place(now);
         }
         self.write(position);
@@ -138,20 +145,23 @@
     }
 
     fn start(&mut self, position: usize, agent_name: &Name, order: &StartOrder) {
-        let (task, run) = (order.task, order.run);
-        let time = Duration::from_millis(self.choices(RUN).random_range(300..3_000));
-        let (now, is_done) = (self.now, self.store.is_done(task));
+        let (task, run, now) = (order.task, order.run, self.now);
+        let state = self.new_run(order);
         let (placer, agent) = self.pair(position, agent_name);
         let is_old = agent.stopped.get(&task).is_some_and(|stopped| *stopped >= run);
         if !agent.grant.holds(now) || is_old {
             placer.cell.run_absent(agent_name, task, run, now);
             return;
         }
-        agent.running.insert((task, run), now + time);
+        agent.running.insert((task, run), state);
         placer.cell.run_started(task, run, now);
-        if is_done {
+        if self.store.is_done(task) {
             self.violate(&format!("TWICE: {task} starts after its end was stored"));
         }
+        let Some((job, _)) = self.store.jobs.get(&task.job) else { return };
+        if let Err(violation) = self.ledger.started(job, order) {
+            self.violate(&violation);
+        }
     }
 
     fn stop(&mut self, position: usize, agent_name: &Name, task: TaskId, run: u64) {
@@ -159,20 +169,24 @@
         let (placer, agent) = self.pair(position, agent_name);
         let stopped = agent.stopped.entry(task).or_default();
         *stopped = (*stopped).max(run);
-        if agent.running.contains_key(&(task, run)) {
-            agent.stopping.entry((task, run)).or_insert(now + STOP_TIME);
-        } else {
-            placer.cell.run_absent(agent_name, task, run, now);
+        match agent.running.get_mut(&(task, run)) {
+            Some(run) => _ = run.stops_at.get_or_insert(now + STOP_TIME),
+            None => placer.cell.run_absent(agent_name, task, run, now),
         }
     }
 
     fn settle(&mut self, agent_name: &Name, target_life: &Life, cursor: u64) {
         assert_eq!(*target_life, life(agent_name));
         let Some(agent) = self.agents.get_mut(agent_name) else { return };
-        let settled: Vec<End> = agent.ends.extract_if(.., |end| end.number <= cursor).collect();
-        for end in settled.iter().filter(|end| end.kind == EndKind::Done) {
-            if !self.store.is_done(end.task) {
-                self.violate(&format!("TWICE: the end of {} is settled before it is stored", end.task));
+        let settled: Vec<ListedEnd> = agent.ends.extract_if(.., |listed| listed.end.number <= cursor).collect();
+        for listed in settled.iter().filter(|listed| listed.end.kind == EndKind::Done) {
+            let task = listed.end.task;
+            if !self.store.is_done(task) {
+                self.violate(&format!("TWICE: the end of {task} is settled before it is stored"));
+            }
+            let Some((job, _)) = self.store.jobs.get(&task.job) else { continue };
+            if let Err(violation) = self.ledger.noted(job, listed) {
+                self.violate(&violation);
             }
         }
     }
--- a/crates/cell/tests/walk/series.rs
+++ b/crates/cell/tests/walk/series.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use chervilledge_cell::job::{Job, JobId};
+use chervilledge_cell::job::{Job, JobId, Step};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
@@ -17,6 +17,9 @@
 /// Plays of a failing series while it is shrunk.
 const SHRINK_PLAYS_MAX: u32 = 2_000;
 
+/// Estimate of tasks that save their progress.
+const LONG_ESTIMATE: Duration = Duration::from_millis(800);
+
 /// What a caller, a fault or the operator does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -50,12 +53,27 @@
 pub enum Kind {
     /// Two steps, in any order.
     Plain,
+    /// A second step that waits for the first one.
+    Chain,
+    /// A gang that saves its progress.
+    Gang { members: u32 },
+    /// A task that saves its progress.
+    Checkpointing,
 }
 
 impl Kind {
     pub fn job(self, id: JobId) -> Job {
         match self {
             Self::Plain => job(id.0, vec![step(2, 1_000), step(1, 1_000)]),
+            Self::Chain => job(id.0, vec![step(2, 1_000), Step { after: vec![0], ..step(2, 1_000) }]),
+            Self::Gang { members } => {
+                let gang = Step { gang: true, checkpointing: true, estimate: LONG_ESTIMATE, ..step(members, 1_500) };
+                job(id.0, vec![gang, Step { after: vec![0], ..step(1, 500) }])
+            }
+            Self::Checkpointing => {
+                let saving = Step { checkpointing: true, estimate: LONG_ESTIMATE, ..step(2, 1_000) };
+                job(id.0, vec![saving])
+            }
         }
     }
 }
@@ -80,7 +98,12 @@
 }
 
 fn kind() -> impl Strategy<Value = Kind> {
-    Just(Kind::Plain)
+    prop_oneof![
+        4 => Just(Kind::Plain),
+        2 => Just(Kind::Chain),
+        2 => (2_u32..5).prop_map(|members| Kind::Gang { members }),
+        2 => Just(Kind::Checkpointing),
+    ]
 }
 
 fn event() -> impl Strategy<Value = Event> {
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -8,26 +8,25 @@
 use chervilledge_cell::authority::{Authority, leases_end};
 use chervilledge_cell::cell::Cell;
 use chervilledge_cell::grant::Grant;
-use chervilledge_cell::job::{JobId, JobState, TaskId};
+use chervilledge_cell::job::{JobId, JobState};
 use chervilledge_cell::witness::Witness;
-use chervilledge_cell::worker::EndKind;
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::agent::Agent;
+use crate::ledger::Ledger;
 use crate::placer::Placer;
 use crate::series::{Event, Kind, Series, milliseconds};
 use crate::store::Store;
 use crate::support::{LEASE, configuration, name};
-use crate::{AGENTS, FAULT_STEPS, RECOVERY_STEPS, STEP};
+use crate::{AGENTS, FAULT_STEPS, RECOVERY_PERIOD, STEP};
 
 /// Keys of choices.
 pub const SUBMIT: u64 = 1;
 pub const READ_BY_WITNESS: u64 = 2;
 pub const READ: u64 = 100;
 pub const WRITE: u64 = 200;
-pub const RUN: u64 = 300;
 
 pub struct World {
     /// Witness of every placer.
@@ -40,12 +39,15 @@
     /// Events that are left, the next one last.
     events: Vec<(u32, Event)>,
     /// Number of the present step.
-    step: u32,
+    pub step_number: u32,
     pub now: Duration,
     pub store: Store,
     pub placers: Vec<Placer>,
     pub agents: BTreeMap<Name, Agent>,
     pub is_recovering: bool,
+    /// When the last fault ended.
+    pub calm_since: Duration,
+    pub ledger: Ledger,
     /// First violation.
     violation: Option<String>,
 }
@@ -54,11 +56,13 @@
     /// Plays a series, and then a time without faults; returns the first violation.
     pub fn play(series: &Series) -> Result<(), String> {
         let mut world = Self::new(series);
-        while world.violation.is_none() && world.step < FAULT_STEPS {
+        while world.violation.is_none() && world.step_number < FAULT_STEPS {
             world.advance();
         }
         world.is_recovering = true;
-        while world.violation.is_none() && world.step < FAULT_STEPS + RECOVERY_STEPS && !world.has_ended() {
+        let recovery = world.now;
+        let is_in_time = |world: &Self| world.now < recovery.max(world.calm_since) + RECOVERY_PERIOD;
+        while world.violation.is_none() && is_in_time(&world) && !world.has_ended() {
             world.advance();
         }
         if !world.has_ended() {
@@ -78,12 +82,14 @@
             heartbeat: now,
             seed: series.seed,
             events,
-            step: 0,
+            step_number: 0,
             now,
             store: Store::default(),
             placers: Vec::new(),
             agents,
             is_recovering: false,
+            calm_since: now,
+            ledger: Ledger::default(),
             violation: None,
         };
         world.take_over(false, true);
@@ -93,7 +99,12 @@
     /// Choices that no event names. They depend on the present time and on `key` only, so that a shorter series makes the
     /// same ones.
     pub fn choices(&self, key: u64) -> SmallRng {
-        SmallRng::seed_from_u64(mix(mix(self.seed, u64::from(self.step)), key))
+        SmallRng::seed_from_u64(mix(mix(self.seed, u64::from(self.step_number)), key))
+    }
+
+    /// Choices about a thing, at any time.
+    pub fn choices_of(&self, one: u64, other: u64) -> SmallRng {
+        SmallRng::seed_from_u64(mix(mix(self.seed, one), other))
     }
 
     pub fn violate(&mut self, violation: &str) {
@@ -180,6 +191,9 @@
     }
 
     fn apply(&mut self, event: Event) {
+        if !matches!(event, Event::Submit(_)) {
+            self.calm_since = self.now;
+        }
         match event {
             Event::Submit(kind) => self.accept(kind),
             Event::CutPlacer { for_ms, is_cut_from_witness } => {
@@ -223,13 +237,17 @@
 
     fn advance(&mut self) {
         self.now += STEP;
-        self.step += 1;
-        while let Some((_, event)) = self.events.pop_if(|(step, _)| *step < self.step) {
+        self.step_number += 1;
+        while let Some((_, event)) = self.events.pop_if(|(step, _)| *step < self.step_number) {
             self.apply(event);
         }
         if self.choices(READ_BY_WITNESS).random_bool(0.05) {
             self.read_by_witness = Some(self.store.term);
         }
+        let has_cut = self.agents.values().any(|agent| self.now < agent.cut);
+        if has_cut || self.placers.iter().any(|placer| self.now < placer.cut.max(placer.witness_cut)) {
+            self.calm_since = self.now;
+        }
         self.advance_runs();
         for position in 0..self.placers.len() {
             self.read(position);
@@ -243,31 +261,6 @@
         self.check();
     }
 
-    /// Lets runs go on, end, and lapse.
-    pub fn advance_runs(&mut self) {
-        let now = self.now;
-        for agent in self.agents.values_mut() {
-            if agent.grant.holds(now) {
-                agent.lease_until = agent.lease_until.max(agent.grant.until);
-            }
-            let lapsed: Vec<(TaskId, u64)> =
-                if now >= agent.lease_until { agent.running.keys().copied().collect() } else { Vec::new() };
-            for run in lapsed {
-                agent.end(run, EndKind::Lapsed);
-            }
-            let ended: Vec<(TaskId, u64)> =
-                agent.running.iter().filter(|(_, end)| **end <= now).map(|(run, _)| *run).collect();
-            for run in ended {
-                agent.end(run, EndKind::Done);
-            }
-            let stopped: Vec<(TaskId, u64)> =
-                agent.stopping.iter().filter(|(_, end)| **end <= now).map(|(run, _)| *run).collect();
-            for run in stopped {
-                agent.end(run, EndKind::Stopped);
-            }
-        }
-    }
-
     fn check(&mut self) {
         let mut running = BTreeSet::new();
         let runs = self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task));
