Draw agents that stop, lost machines, crashed workers and lasting tasks in the walk

Agents in the walk only lost their links or started again beside their worker, and no task lasted, so neither planned removal of agents nor the wait of a successor for a silent agent could break a rule there. Events are now also SIGTERM for an agent (5 s, then its machine is off), a machine that is off at once, a worker that crashes while its agent lives, a cancellation, and a takeover while its predecessor is cut off from the store for a time that the event names. A machine and a worker come back as a new life. Faults come in clusters, with calm between them.

--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -7,11 +7,11 @@
 use chervilledge_cell::cell::Inventory;
 use chervilledge_cell::grant::Grant;
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::worker::{End, EndKind, RunReport};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, End, EndKind, Life, RunReport, Worker};
 use chervilledge_policy::id::Name;
 
 use crate::MILLICORES;
-use crate::support::worker;
+use crate::support::{life, worker};
 
 /// A run on a worker.
 pub struct Run {
@@ -36,8 +36,24 @@
     pub has_lapsed: bool,
 }
 
-#[derive(Default)]
 pub struct Agent {
+    /// Number of the worker's life.
+    pub born: u64,
+    pub millicores: u64,
+    /// Until when no worker runs.
+    pub worker_down: Duration,
+    /// When the process last started again.
+    pub forgot_at: Option<Duration>,
+    /// Until when the machine is off.
+    pub off_until: Duration,
+    /// When the process ends after SIGTERM.
+    pub exits_at: Option<Duration>,
+    /// Time for which the machine is off then.
+    pub off_for: Duration,
+    /// Crashes that aren't settled.
+    pub crashes: Vec<CrashReport>,
+    /// Grows when placers need a new inventory.
+    pub generation: u64,
     pub term: u64,
     pub grant: Grant,
     /// Highest term that the worker has seen.
@@ -54,7 +70,80 @@
     pub is_cut_from_newest_only: bool,
 }
 
+impl Default for Agent {
+    fn default() -> Self {
+        Self {
+            born: 1,
+            millicores: MILLICORES,
+            worker_down: Duration::ZERO,
+            forgot_at: None,
+            off_until: Duration::ZERO,
+            exits_at: None,
+            off_for: Duration::ZERO,
+            crashes: Vec::new(),
+            generation: 0,
+            term: 0,
+            grant: Grant::default(),
+            fence: 0,
+            lease_until: Duration::ZERO,
+            running: BTreeMap::new(),
+            stopped: BTreeMap::new(),
+            ends: Vec::new(),
+            next_end: 0,
+            cut: Duration::ZERO,
+            is_cut_from_newest_only: false,
+        }
+    }
+}
+
 impl Agent {
+    /// The worker's life ends, and with it all that it knows.
+    pub fn lose_worker(&mut self, until: Duration) {
+        self.born += 1;
+        self.worker_down = until;
+        self.generation += 1;
+        self.fence = 0;
+        self.lease_until = Duration::ZERO;
+        self.running.clear();
+        self.stopped.clear();
+        self.ends.clear();
+        self.next_end = 0;
+    }
+
+    /// The agent's process starts again.
+    pub fn restart(&mut self, now: Duration) {
+        self.forgot_at = Some(now.max(self.off_until));
+        self.term = 0;
+        self.grant = Grant::default();
+        self.crashes.clear();
+        self.exits_at = None;
+    }
+
+    /// Learns the newest term if neither the agent nor its worker knows one.
+    pub fn learn_term(&mut self, newest: u64, now: Duration) {
+        if now >= self.off_until && self.term == 0 && self.fence == 0 {
+            self.term = newest;
+        }
+    }
+
+    /// What the agent knows of the runs that the worker has when it crashes.
+    pub fn crash_report(&self, name: &Name, now: Duration) -> CrashReport {
+        let crashed = |((task, run), state): (&(TaskId, u64), &Run)| CrashedRun {
+            task: *task,
+            run: *run,
+            age: now.saturating_sub(state.started),
+        };
+        CrashReport { life: self.life(name), runs: self.running.iter().map(crashed).collect() }
+    }
+
+    pub fn life(&self, name: &Name) -> Life {
+        Life { born_unix_ms: self.born, ..life(name) }
+    }
+
+    fn worker(&self, name: &Name) -> Worker {
+        Worker { life: self.life(name), ..worker(name, self.millicores) }
+    }
+
     pub fn end(&mut self, run: (TaskId, u64), kind: EndKind) {
         let Some(Run { saved: checkpoint, .. }) = self.running.remove(&run) else { return };
         self.next_end += 1;
@@ -79,14 +168,15 @@
         self.running.iter().map(report).collect()
     }
 
-    pub fn inventory(&self, agent: &Name) -> Inventory {
+    pub fn inventory(&self, agent: &Name, now: Duration) -> Inventory {
+        let is_down = now < self.worker_down;
         Inventory {
-            worker: Some(worker(agent, MILLICORES)),
+            worker: (!is_down).then(|| self.worker(agent)),
             running: self.reports(),
             starting: Vec::new(),
             ends: self.listed_ends(),
-            crashes: Vec::new(),
-            is_empty: false,
+            crashes: self.crashes.clone(),
+            is_empty: is_down,
             is_partial: false,
         }
     }
--- a/crates/cell/tests/walk/ledger.rs
+++ b/crates/cell/tests/walk/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use chervilledge_cell::job::{Job, TaskId, TaskKey};
+use chervilledge_cell::job::{Job, JobId, TaskId, TaskKey};
 use chervilledge_cell::worker::StartOrder;
 use chervilledge_policy::id::Name;
 
@@ -19,6 +19,8 @@
     done: BTreeMap<TaskId, BTreeSet<u64>>,
     /// Tasks of which a worker was told that it may forget such an end.
     noted: BTreeSet<TaskId>,
+    /// Crashes of workers under tasks.
+    crashes: BTreeMap<TaskId, u32>,
     /// Those of `done` after which the task was started again.
     restarted: BTreeSet<(TaskId, u64)>,
 }
@@ -28,8 +30,9 @@
         self.saved.insert((representative(job, task), Name::clone(checkpoint)));
     }
 
-    /// Records a start; returns the first rule that it breaks.
-    pub fn started(&mut self, job: &Job, order: &StartOrder) -> Result<(), String> {
+    /// Records a start; returns the first rule that it breaks. Ends that were taken note of before it bind only machines
+    /// that are in touch.
+    pub fn started(&mut self, job: &Job, order: &StartOrder, is_in_touch: bool) -> Result<(), String> {
         let StartOrder { task, run, checkpoint, .. } = order;
         let (task, run) = (*task, *run);
         let step = job.step(task.key).ok_or_else(|| format!("UNASKED: {task} isn't in its job"))?;
@@ -47,7 +50,7 @@
                 ));
             }
         }
-        if self.noted.contains(&task) {
+        if is_in_touch && self.noted.contains(&task) {
             return Err(format!("TWICE: {task} starts after its end was taken note of"));
         }
         self.restarted.extend(self.done.get(&task).into_iter().flatten().map(|run| (task, *run)));
@@ -75,6 +78,19 @@
         Ok(())
     }
 
+    pub fn crashed(&mut self, task: TaskId) {
+        *self.crashes.entry(task).or_default() += 1;
+    }
+
+    pub fn has_crashed(&self, task: TaskId) -> bool {
+        self.crashes.contains_key(&task)
+    }
+
+    /// Whether a job may be shown as failed: users allow a task to be given up under which two workers have crashed.
+    pub fn may_fail(&self, job: JobId) -> bool {
+        self.crashes.iter().any(|(task, crashes)| task.job == job && *crashes >= 2)
+    }
+
     fn is_step_done(&self, job: &Job, task: TaskId, step: u32) -> bool {
         let count = job.steps[step as usize].count;
         let key = |index| TaskKey { step, index, ..task.key };
--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -10,6 +10,7 @@
 //! seeds by hand.
 
 mod agent;
+mod checks;
 mod ledger;
 mod placer;
 mod runs;
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -1,6 +1,6 @@
 //! Placers: their links to agents, their writes, and the orders that the agents carry out.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 
 use crate::STOP_TIME;
 use crate::agent::{Agent, ListedEnd};
-use crate::support::{LEASE, life};
+use crate::support::LEASE;
 use crate::world::{WRITE, World};
 
 /// Steps between two reports of an agent on the progress of its runs.
@@ -24,13 +24,19 @@
     pub term: u64,
     pub cell: Cell,
     pub authority: Authority,
-    /// Agents that are linked.
-    pub links: BTreeSet<Name>,
+    /// Agents that are linked, with the generations of their last inventories.
+    pub links: BTreeMap<Name, u64>,
     /// Until when the placer can't reach the store.
     pub cut: Duration,
     pub confirm_due: Duration,
     /// Until when the placer can't reach the witness.
     pub witness_cut: Duration,
+    /// When no former placer acts any more.
+    pub alone_at: Duration,
+    /// That time has come.
+    pub is_alone: bool,
+    /// It has learnt of its successor from the store.
+    pub is_deposed: bool,
     pub batch: Option<(Batch, Duration)>,
     /// Revision up to which the jobs have been read.
     pub read: u64,
@@ -44,24 +50,29 @@
         let placer = &mut self.placers[position];
         for (agent_name, agent) in &mut self.agents {
             let is_cut = now < agent.cut && !(agent.is_cut_from_newest_only && placer.term < newest);
-            let is_reached = !is_cut && agent.term <= placer.term && agent.fence <= placer.term;
+            let is_reached =
+                !is_cut && now >= agent.off_until && agent.term <= placer.term && agent.fence <= placer.term;
             if !is_reached {
-                if placer.links.remove(agent_name) {
+                if placer.links.remove(agent_name).is_some() {
                     placer.cell.agent_silent(agent_name);
                 }
                 continue;
             }
-            if placer.links.insert(Arc::clone(agent_name)) {
-                agent.term = placer.term;
-                agent.fence = placer.term;
-                placer.cell.agent_linked(agent_name, agent.inventory(agent_name), now);
-            } else {
+            let is_up = now >= agent.worker_down;
+            let known = placer.links.insert(Arc::clone(agent_name), agent.generation);
+            if known == Some(agent.generation) {
                 placer.cell.runs_ended(agent_name, agent.listed_ends(), now);
                 if self.step_number.is_multiple_of(REPORT_STEPS) {
                     placer.cell.runs_reported(&agent.reports(), now);
                 }
+            } else {
+                agent.term = placer.term;
+                agent.fence = placer.term;
+                placer.cell.agent_linked(agent_name, agent.inventory(agent_name, now), now);
             }
-            if placer.authority.holds(now)
+            placer.cell.agent_retiring(agent_name, agent.exits_at.is_some());
+            if is_up
+                && placer.authority.holds(now)
                 && let Some(until) = placer.authority.leases_until(LEASE)
                 && let Some(lease) = placer.cell.grant(agent_name, until, now)
                 && !lease.is_zero()
@@ -74,9 +85,11 @@
     pub fn run_placer(&mut self, position: usize) {
         let now = self.now;
         let placer = &mut self.placers[position];
-        if now >= placer.cut && now >= placer.confirm_due {
+        let awaits = placer.cell.awaits_confirmation(placer.authority.last_confirmed(), now);
+        if now >= placer.cut && (awaits || now >= placer.confirm_due) {
             placer.confirm_due = now + Duration::from_secs(1);
-            if self.store.term == placer.term {
+            placer.is_deposed = self.store.term != placer.term;
+            if !placer.is_deposed {
                 placer.authority.confirmed(now);
                 placer.authority.renewed(now);
                 self.heartbeat = now;
@@ -90,7 +103,12 @@
         {
             placer.authority.renewed(now);
         }
-        if placer.authority.holds(now) {
+        if !placer.is_alone && now >= placer.alone_at {
+            placer.is_alone = true;
+            placer.cell.predecessor_over(now);
+        }
+        let leases_until = placer.authority.leases_until(LEASE);
+        if placer.authority.holds(now) && leases_until.is_some_and(|until| now < until) {
             placer.cell.lapse_agents(placer.authority.last_confirmed(), now);
             placer.cell.save_checkpoints(now);
             placer.cell.place(now);
@@ -100,6 +118,7 @@
         for action in actions {
             self.carry_out(position, action);
         }
+        self.check_stopping(position);
     }
 
     /// Writes progress immediately, later, without an answer, or not at all.
@@ -133,40 +152,51 @@
         let agent_name = Arc::clone(agent_name);
         let placer = &self.placers[position];
         // Without a link the order is lost.
-        if !placer.links.contains(&agent_name) || self.agents[&agent_name].term != placer.term {
+        if !placer.links.contains_key(&agent_name) || self.agents[&agent_name].term != placer.term {
             return;
         }
         match action {
-            Action::Start { order, .. } => self.start(position, &agent_name, &order),
-            Action::Stop { task, run, .. } => self.stop(position, &agent_name, task, run),
-            Action::Settle { life: target_life, cursor, .. } => self.settle(&agent_name, &target_life, cursor),
-            Action::SettleCrash { .. } => self.violate("no worker crashes"),
+            Action::Start { life, order, .. } => self.start(position, &agent_name, &life, &order),
+            Action::Stop { life, task, run, .. } => self.stop(position, &agent_name, &life, task, run),
+            Action::Settle { life, cursor, .. } => self.settle(&agent_name, &life, cursor),
+            Action::SettleCrash { life, .. } => {
+                let (_, agent) = self.pair(position, &agent_name);
+                agent.crashes.retain(|crash| crash.life != life);
+            }
         }
     }
 
-    fn start(&mut self, position: usize, agent_name: &Name, order: &StartOrder) {
+    fn start(&mut self, position: usize, agent_name: &Name, life: &Life, order: &StartOrder) {
         let (task, run, now) = (order.task, order.run, self.now);
         let state = self.new_run(order);
         let (placer, agent) = self.pair(position, agent_name);
         let is_old = agent.stopped.get(&task).is_some_and(|stopped| *stopped >= run);
-        if !agent.grant.holds(now) || is_old {
+        let is_there = now >= agent.worker_down && agent.life(agent_name) == *life;
+        if !is_there || !agent.grant.holds(now) || is_old {
             placer.cell.run_absent(agent_name, task, run, now);
             return;
         }
         agent.running.insert((task, run), state);
         placer.cell.run_started(task, run, now);
-        if self.store.is_done(task) {
+        let is_in_touch = self.is_in_touch(position, agent_name);
+        // A former placer that can't reach the store doesn't know of a cancellation.
+        let may_know = !self.cancelled.contains(&task.job) || self.placers[position].term == self.store.term;
+        if is_in_touch && may_know && self.store.is_done(task) {
             self.violate(&format!("TWICE: {task} starts after its end was stored"));
         }
         let Some((job, _)) = self.store.jobs.get(&task.job) else { return };
-        if let Err(violation) = self.ledger.started(job, order) {
+        if let Err(violation) = self.ledger.started(job, order, is_in_touch) {
             self.violate(&violation);
         }
     }
 
-    fn stop(&mut self, position: usize, agent_name: &Name, task: TaskId, run: u64) {
+    fn stop(&mut self, position: usize, agent_name: &Name, life: &Life, task: TaskId, run: u64) {
         let now = self.now;
         let (placer, agent) = self.pair(position, agent_name);
+        if now < agent.worker_down || agent.life(agent_name) != *life {
+            placer.cell.run_absent(agent_name, task, run, now);
+            return;
+        }
         let stopped = agent.stopped.entry(task).or_default();
         *stopped = (*stopped).max(run);
         match agent.running.get_mut(&(task, run)) {
@@ -176,8 +206,10 @@
     }
 
     fn settle(&mut self, agent_name: &Name, target_life: &Life, cursor: u64) {
-        assert_eq!(*target_life, life(agent_name));
         let Some(agent) = self.agents.get_mut(agent_name) else { return };
+        if agent.life(agent_name) != *target_life {
+            return;
+        }
         let settled: Vec<ListedEnd> = agent.ends.extract_if(.., |listed| listed.end.number <= cursor).collect();
         for listed in settled.iter().filter(|listed| listed.end.kind == EndKind::Done) {
             let task = listed.end.task;
--- a/crates/cell/tests/walk/runs.rs
+++ b/crates/cell/tests/walk/runs.rs
@@ -141,7 +141,7 @@
                 self.ledger.saved(job, key.0, &run.saved);
             }
         }
-        (run.worked >= run.time).then_some(EndKind::Done)
+        (!step.lasting && run.worked >= run.time).then_some(EndKind::Done)
     }
 
     fn end_run(&mut self, agent: &Name, run: (TaskId, u64), kind: EndKind) {
--- a/crates/cell/tests/walk/series.rs
+++ b/crates/cell/tests/walk/series.rs
@@ -12,19 +12,32 @@
 use crate::world::World;
 use crate::{AGENTS, FAULT_STEPS};
 
-/// Events of a series at most.
-const EVENTS_MAX: usize = 120;
+/// Submissions and cancellations of a series.
+const SUBMISSIONS_MAX: usize = 40;
+/// Clusters of faults of a series.
+const CLUSTERS_MAX: usize = 8;
+/// Faults of a cluster, and the steps within which they begin.
+const CLUSTER_FAULTS_MAX: usize = 8;
+const CLUSTER_STEPS: u32 = 100;
+/// Identifiers of jobs; with few of them, some are submitted again or cancelled.
+const JOBS_MAX: u64 = 100;
 /// Plays of a failing series while it is shrunk.
 const SHRINK_PLAYS_MAX: u32 = 2_000;
 
 /// Estimate of tasks that save their progress.
 const LONG_ESTIMATE: Duration = Duration::from_millis(800);
 
+/// Longest time for which a machine is off.
+const OFF_MAX_MS: u64 = 20_000;
+
 /// What a caller, a fault or the operator does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
     /// A caller's job is stored.
-    Submit(Kind),
+    Submit {
+        job: u64,
+        kind: Kind,
+    },
     /// The newest placer can't reach the store.
     CutPlacer {
         for_ms: u64,
@@ -41,8 +54,28 @@
         agent: usize,
     },
     RestartWitness,
+    /// A worker crashes; its agent notices it.
+    CrashWorker {
+        agent: usize,
+        for_ms: u64,
+    },
+    /// SIGTERM for an agent, whose machine is off for some time afterwards.
+    StopAgent {
+        agent: usize,
+        off_for_ms: u64,
+    },
+    /// A machine with an agent and its worker is off for some time.
+    LoseMachine {
+        agent: usize,
+        off_for_ms: u64,
+    },
+    /// A caller cancels one of the jobs.
+    Cancel {
+        job: u64,
+    },
     /// A new placer claims the cell; the former ones don't know about it yet.
     TakeOver {
+        former_cut_ms: u64,
         is_released: bool,
         asks_witness: bool,
     },
@@ -59,6 +92,8 @@
     Gang { members: u32 },
     /// A task that saves its progress.
     Checkpointing,
+    /// Tasks that run until the job is cancelled.
+    Lasting,
 }
 
 impl Kind {
@@ -70,6 +105,7 @@
                 let gang = Step { gang: true, checkpointing: true, estimate: LONG_ESTIMATE, ..step(members, 1_500) };
                 job(id.0, vec![gang, Step { after: vec![0], ..step(1, 500) }])
             }
+            Self::Lasting => job(id.0, vec![Step { lasting: true, ..step(2, 400) }]),
             Self::Checkpointing => {
                 let saving = Step { checkpointing: true, estimate: LONG_ESTIMATE, ..step(2, 1_000) };
                 job(id.0, vec![saving])
@@ -82,12 +118,15 @@
 #[derive(Clone)]
 pub struct Series {
     pub seed: u64,
+    /// An agent that starts together with its worker obeys any placer, else only the newest ones.
+    pub obeys_any_placer: bool,
     pub events: Vec<(u32, Event)>,
 }
 
 impl fmt::Debug for Series {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "Series {{ seed: {}, events: vec![", self.seed)?;
+        let Self { seed, obeys_any_placer, .. } = self;
+        writeln!(f, "Series {{ seed: {seed}, obeys_any_placer: {obeys_any_placer}, events: vec![")?;
         let mut events = self.events.clone();
         events.sort_by_key(|(step, _)| *step);
         for event in events {
@@ -103,28 +142,56 @@
         2 => Just(Kind::Chain),
         2 => (2_u32..5).prop_map(|members| Kind::Gang { members }),
         2 => Just(Kind::Checkpointing),
+        2 => Just(Kind::Lasting),
+    ]
+}
+
+fn submission() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        12 => (0..JOBS_MAX, kind()).prop_map(|(job, kind)| Event::Submit { job, kind }),
+        1 => (0..JOBS_MAX).prop_map(|job| Event::Cancel { job }),
     ]
 }
 
-fn event() -> impl Strategy<Value = Event> {
+fn fault() -> impl Strategy<Value = Event> {
     let agent = 0..AGENTS;
     let for_ms = 500_u64..30_000;
+    let off_for_ms = 500_u64..OFF_MAX_MS;
     prop_oneof![
-        20 => kind().prop_map(Event::Submit),
-        10 => (for_ms.clone(), any::<bool>())
+        5 => (for_ms.clone(), any::<bool>())
             .prop_map(|(for_ms, is_cut_from_witness)| Event::CutPlacer { for_ms, is_cut_from_witness }),
-        10 => (agent.clone(), for_ms, any::<bool>()).prop_map(|(agent, for_ms, is_cut_from_newest_only)| {
+        5 => (agent.clone(), for_ms, any::<bool>()).prop_map(|(agent, for_ms, is_cut_from_newest_only)| {
             Event::CutAgent { agent, for_ms, is_cut_from_newest_only }
         }),
-        10 => agent.prop_map(|agent| Event::RestartAgent { agent }),
-        10 => Just(Event::RestartWitness),
-        4 => (prop::bool::weighted(0.2), prop::bool::weighted(0.7))
-            .prop_map(|(is_released, asks_witness)| Event::TakeOver { is_released, asks_witness }),
+        3 => Just(Event::RestartWitness),
+        4 => agent.clone().prop_map(|agent| Event::RestartAgent { agent }),
+        4 => (agent.clone(), 100_u64..3_000).prop_map(|(agent, for_ms)| Event::CrashWorker { agent, for_ms }),
+        4 => (agent.clone(), off_for_ms.clone())
+            .prop_map(|(agent, off_for_ms)| Event::StopAgent { agent, off_for_ms }),
+        4 => (agent, off_for_ms).prop_map(|(agent, off_for_ms)| Event::LoseMachine { agent, off_for_ms }),
+        6 => (0_u64..15_000, prop::bool::weighted(0.2), prop::bool::weighted(0.7)).prop_map(
+            |(former_cut_ms, is_released, asks_witness)| Event::TakeOver { former_cut_ms, is_released, asks_witness }
+        ),
     ]
 }
 
+/// Submissions at any time, and faults in clusters, with calm between some of them.
 fn events() -> impl Strategy<Value = Vec<(u32, Event)>> {
-    vec((0..FAULT_STEPS, event()), 1..EVENTS_MAX)
+    let submissions = vec((0..FAULT_STEPS, submission()).no_shrink(), 1..SUBMISSIONS_MAX);
+    let cluster = ((0..FAULT_STEPS).no_shrink(), vec((0..CLUSTER_STEPS, fault()).no_shrink(), 1..CLUSTER_FAULTS_MAX));
+    let clusters = vec(cluster, 0..CLUSTERS_MAX);
+    (submissions, clusters).prop_map(|(mut events, clusters)| {
+        for (first_step, faults) in clusters {
+            events.extend(faults.into_iter().map(|(step, fault)| (first_step + step, fault)));
+        }
+        events
+    })
+}
+
+/// Series of a seed and of events that were drawn. Agents in them know the newest term, since a machine that starts again
+/// and obeys a deposed placer is an open fault of its own.
+const fn drawn(seed: u64, events: Vec<(u32, Event)>) -> Series {
+    Series { seed, obeys_any_placer: false, events }
 }
 
 /// Plays the series of a seed; fails with the shortest series that still fails.
@@ -134,10 +201,10 @@
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes));
-    let played = runner.run(&events(), |events| World::play(&Series { seed, events }).map_err(TestCaseError::fail));
+    let played = runner.run(&events(), |events| World::play(&drawn(seed, events)).map_err(TestCaseError::fail));
     match played {
         Ok(()) => {}
-        Err(TestError::Fail(reason, events)) => panic!("seed {seed}: {reason}\n{:?}", Series { seed, events }),
+        Err(TestError::Fail(reason, events)) => panic!("seed {seed}: {reason}\n{:?}", drawn(seed, events)),
         Err(error) => panic!("seed {seed}: {error}"),
     }
 }
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -5,10 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::authority::{Authority, leases_end};
+use chervilledge_cell::authority::{AUTHORITY_PERIOD, Authority, leases_end};
 use chervilledge_cell::cell::Cell;
-use chervilledge_cell::grant::Grant;
-use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::job::{JobId, TaskId};
 use chervilledge_cell::witness::Witness;
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
@@ -23,10 +22,15 @@
 use crate::{AGENTS, FAULT_STEPS, RECOVERY_PERIOD, STEP};
 
 /// Keys of choices.
-pub const SUBMIT: u64 = 1;
-pub const READ_BY_WITNESS: u64 = 2;
+pub const READ_BY_WITNESS: u64 = 1;
 pub const READ: u64 = 100;
 pub const WRITE: u64 = 200;
+pub const SUBMIT: u64 = 1_000;
+
+/// Steps after which a placer certainly reads the jobs that were stored.
+const READ_STEPS: u32 = 40;
+/// Time from SIGTERM until an agent ends.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
 pub struct World {
     /// Witness of every placer.
@@ -36,6 +40,8 @@
     /// When a term was last renewed in the store.
     pub heartbeat: Duration,
     pub seed: u64,
+    /// See [`Series`].
+    obeys_any_placer: bool,
     /// Events that are left, the next one last.
     events: Vec<(u32, Event)>,
     /// Number of the present step.
@@ -48,6 +54,10 @@
     /// When the last fault ended.
     pub calm_since: Duration,
     pub ledger: Ledger,
+    /// Jobs that callers have cancelled.
+    pub cancelled: BTreeSet<JobId>,
+    /// Since when lasting tasks have had no run.
+    pub idle_since: BTreeMap<TaskId, Duration>,
     /// First violation.
     violation: Option<String>,
 }
@@ -61,6 +71,8 @@
         }
         world.is_recovering = true;
         let recovery = world.now;
+        // Else those might leave no room for a gang.
+        world.cancelled.extend(world.store.jobs.values().filter(|(job, _)| job.is_lasting()).map(|(job, _)| job.id));
         let is_in_time = |world: &Self| world.now < recovery.max(world.calm_since) + RECOVERY_PERIOD;
         while world.violation.is_none() && is_in_time(&world) && !world.has_ended() {
             world.advance();
@@ -81,6 +93,7 @@
             read_by_witness: None,
             heartbeat: now,
             seed: series.seed,
+            obeys_any_placer: series.obeys_any_placer,
             events,
             step_number: 0,
             now,
@@ -90,6 +103,8 @@
             is_recovering: false,
             calm_since: now,
             ledger: Ledger::default(),
+            cancelled: BTreeSet::new(),
+            idle_since: BTreeMap::new(),
             violation: None,
         };
         world.take_over(false, true);
@@ -114,7 +129,10 @@
 
     /// A new placer claims the cell; the former ones don't know about it yet.
     pub fn take_over(&mut self, is_released: bool, asks_witness: bool) {
-        let handed_over_leases = if is_released { self.release() } else { Vec::new() };
+        let released = is_released.then(|| self.release()).flatten();
+        let is_over = self.store.term == 0 || released.as_ref().is_some_and(|(is_alone, _)| *is_alone);
+        let handed_over_leases = released.map(|(_, leases)| leases).unwrap_or_default();
+        let mut alone_at = if is_over { self.now } else { self.now + AUTHORITY_PERIOD };
         self.store.term += 1;
         self.store.revision += 1;
         let mut cell = Cell::new(self.store.term, LEASE);
@@ -127,7 +145,9 @@
         }
         if asks_witness {
             let renewed_ago = self.witness.end_terms_before(self.store.term, self.now);
-            cell.former_leases_end(leases_end(self.heartbeat.max(self.now.saturating_sub(renewed_ago)), LEASE));
+            let end = leases_end(self.heartbeat.max(self.now.saturating_sub(renewed_ago)), LEASE);
+            cell.former_leases_end(end);
+            alone_at = alone_at.min(end);
         }
         self.heartbeat = self.now;
         for (id, (job, _)) in &self.store.jobs {
@@ -141,30 +161,36 @@
             term: self.store.term,
             cell,
             authority,
-            links: BTreeSet::new(),
+            links: BTreeMap::new(),
             cut: self.now,
             confirm_due: self.now,
             witness_cut: self.now,
+            is_deposed: false,
+            alone_at,
+            is_alone: false,
             batch: None,
             read: self.store.revision,
         });
     }
 
-    /// The newest placer releases the cell if it can; returns when the leases end that it hands over.
-    pub fn release(&mut self) -> Vec<(Name, Duration)> {
+    /// The newest placer releases the cell if it can; returns whether no former one acts, and when the leases end that it
+    /// hands over.
+    fn release(&mut self) -> Option<(bool, Vec<(Name, Duration)>)> {
         let (now, newest) = (self.now, self.store.term);
-        let may_release = |placer: &mut Placer| placer.term == newest && now >= placer.cut;
-        let Some(released) = self.placers.pop_if(may_release) else { return Vec::new() };
-        released.cell.unlinked_leases(now).map(|(agent, left)| (agent, now + left)).collect()
+        let released = self.placers.pop_if(|placer| placer.term == newest && now >= placer.cut)?;
+        let leases = released.cell.unlinked_leases(now).map(|(agent, left)| (agent, now + left)).collect();
+        Some((released.is_alone, leases))
     }
 
     /// A caller's job is stored, and submitted to some of the processes that believe to be the placer.
-    fn accept(&mut self, kind: Kind) {
-        let id = JobId(self.store.jobs.len() as u64);
+    fn accept(&mut self, id: JobId, kind: Kind) {
+        if self.store.jobs.contains_key(&id) {
+            return;
+        }
         let job = kind.job(id);
         self.store.revision += 1;
         self.store.jobs.insert(id, (job.clone(), self.store.revision));
-        let mut choices = self.choices(SUBMIT);
+        let mut choices = self.choices(SUBMIT + id.0);
         for placer in &mut self.placers {
             if choices.random_bool(0.5) {
                 placer.cell.submit(job.clone(), None, self.now);
@@ -176,7 +202,7 @@
     fn read(&mut self, position: usize) {
         let mut choices = self.choices(READ + position as u64);
         let placer = &mut self.placers[position];
-        if self.now < placer.cut || !choices.random_bool(0.05) {
+        if self.now < placer.cut || !(choices.random_bool(0.05) || self.step_number.is_multiple_of(READ_STEPS)) {
             return;
         }
         for (id, (job, revision)) in self.store.jobs.iter().filter(|(_, (_, revision))| *revision > placer.read) {
@@ -191,11 +217,15 @@
     }
 
     fn apply(&mut self, event: Event) {
-        if !matches!(event, Event::Submit(_)) {
-            self.calm_since = self.now;
+        if !matches!(event, Event::Submit { .. } | Event::Cancel { .. }) {
+            self.calm_since = self.calm_since.max(self.now);
+        }
+        if let Event::TakeOver { asks_witness: false, .. } = event {
+            // The path to the witness is cut until the predecessor can act no more.
+            self.calm_since = self.now + AUTHORITY_PERIOD;
         }
         match event {
-            Event::Submit(kind) => self.accept(kind),
+            Event::Submit { job, kind } => self.accept(JobId(job), kind),
             Event::CutPlacer { for_ms, is_cut_from_witness } => {
                 let until = self.now + milliseconds(for_ms);
                 if let Some(placer) = self.placers.last_mut() {
@@ -210,11 +240,31 @@
                 agent.is_cut_from_newest_only = is_cut_from_newest_only;
             }
             Event::RestartAgent { agent } => self.restart_agent(agent),
+            Event::CrashWorker { agent, for_ms } => self.crash_worker(agent, milliseconds(for_ms)),
+            Event::StopAgent { agent, off_for_ms } => {
+                let exits_at = self.now + STOP_TIMEOUT;
+                let (_, agent) = self.agent_mut(agent);
+                agent.exits_at.get_or_insert(exits_at);
+                agent.off_for = milliseconds(off_for_ms);
+            }
+            Event::LoseMachine { agent, off_for_ms } => self.lose_machine(agent, milliseconds(off_for_ms)),
+            Event::Cancel { job } => {
+                let id = JobId(job);
+                if self.store.jobs.contains_key(&id) {
+                    self.cancelled.insert(id);
+                }
+            }
             Event::RestartWitness => {
                 self.witness = Witness::new(self.now);
                 self.read_by_witness = None;
             }
-            Event::TakeOver { is_released, asks_witness } => self.take_over(is_released, asks_witness),
+            Event::TakeOver { former_cut_ms, is_released, asks_witness } => {
+                let until = self.now + milliseconds(former_cut_ms);
+                if let Some(former) = self.placers.last_mut().filter(|_| !is_released) {
+                    former.cut = former.cut.max(until);
+                }
+                self.take_over(is_released, asks_witness);
+            }
         }
     }
 
@@ -223,13 +273,64 @@
         (Arc::clone(name), agent)
     }
 
+    fn crash_worker(&mut self, number: usize, down_for: Duration) {
+        let now = self.now;
+        let (name, agent) = self.agent_mut(number);
+        if now < agent.worker_down.max(agent.off_until) {
+            return;
+        }
+        let report = agent.crash_report(&name, now);
+        agent.lose_worker(now + down_for);
+        for run in &report.runs {
+            self.ledger.crashed(run.task);
+        }
+        self.agent_mut(number).1.crashes.push(report);
+    }
+
+    fn lose_machine(&mut self, number: usize, off_for: Duration) {
+        let until = self.now + off_for;
+        let (_, agent) = self.agent_mut(number);
+        let lost: Vec<TaskId> = agent.running.keys().map(|(task, _)| *task).collect();
+        agent.lose_worker(until);
+        agent.off_until = until;
+        self.restart_agent(number);
+        for task in lost {
+            self.ledger.crashed(task);
+        }
+    }
+
+    /// Ends the processes of agents that were told to stop, and lets workers start.
+    fn advance_machines(&mut self) {
+        let now = self.now;
+        for number in 0..AGENTS {
+            let (_, agent) = self.agent_mut(number);
+            let off_for = agent.off_for;
+            if agent.exits_at.is_some_and(|exits_at| now >= exits_at) {
+                self.lose_machine(number, off_for);
+                self.calm_since = self.calm_since.max(now);
+            } else if now >= agent.worker_down && now < agent.worker_down + STEP {
+                agent.generation += 1;
+                self.calm_since = self.calm_since.max(now);
+            }
+        }
+    }
+
+    /// Passes cancellations on until they are stored.
+    fn cancel_jobs(&mut self) {
+        let now = self.now;
+        let Some(placer) = self.placers.last_mut().filter(|placer| now >= placer.cut) else { return };
+        for id in &self.cancelled {
+            placer.cell.cancel(*id, now);
+        }
+    }
+
     /// The agent's process restarts; its worker runs on.
     fn restart_agent(&mut self, number: usize) {
+        let now = self.now;
         let (name, agent) = self.agent_mut(number);
-        agent.term = 0;
-        agent.grant = Grant::default();
+        agent.restart(now);
         for placer in &mut self.placers {
-            if placer.links.remove(&name) {
+            if placer.links.remove(&name).is_some() {
                 placer.cell.agent_silent(&name);
             }
         }
@@ -246,49 +347,22 @@
         }
         let has_cut = self.agents.values().any(|agent| self.now < agent.cut);
         if has_cut || self.placers.iter().any(|placer| self.now < placer.cut.max(placer.witness_cut)) {
-            self.calm_since = self.now;
+            self.calm_since = self.calm_since.max(self.now);
         }
+        self.advance_machines();
         self.advance_runs();
+        self.cancel_jobs();
+        if !self.obeys_any_placer {
+            self.agents.values_mut().for_each(|agent| agent.learn_term(self.store.term, self.now));
+        }
         for position in 0..self.placers.len() {
             self.read(position);
             self.link(position);
             self.run_placer(position);
         }
-        let newest = self.store.term;
-        // A placer that reaches the store learns that it was deposed.
-        let now = self.now;
-        self.placers.retain(|placer| placer.term == newest || placer.cut > now || now < placer.confirm_due);
+        self.placers.retain(|placer| !placer.is_deposed);
         self.check();
     }
-
-    fn check(&mut self) {
-        let mut running = BTreeSet::new();
-        let runs = self.agents.values().flat_map(|agent| agent.running.keys().map(|(task, _)| *task));
-        if let Some(twice) = runs.into_iter().find(|task| !running.insert(*task)) {
-            self.violate(&format!("TWICE: {twice} runs twice"));
-        }
-        let stranded = |placer: &Placer| Some((placer.term, *placer.cell.stranded().first()?));
-        if let Some((term, task)) = self.placers.iter().find_map(stranded) {
-            self.violate(&format!("LOST: {task} neither waits nor runs in term {term}"));
-        }
-    }
-
-    /// Whether the newest placer shows every job as ended.
-    fn has_ended(&self) -> bool {
-        self.placers.last().is_some_and(|placer| self.store.jobs.keys().all(|id| has_ended(placer.cell.state(*id))))
-    }
-
-    fn check_end(&mut self) {
-        let Some(placer) = self.placers.last() else { return self.violate("no placer is left") };
-        let open = self.store.jobs.keys().find(|id| !has_ended(placer.cell.state(**id)));
-        if let Some(violation) = open.map(|id| format!("LOST: job {id} is {:?}", placer.cell.state(*id))) {
-            self.violate(&violation);
-        }
-    }
-}
-
-fn has_ended(state: Option<JobState>) -> bool {
-    state == Some(JobState::Completed)
 }
 
 /// Mixes two numbers into one that seeds a generator.
