Draw jobs with schedules in the walk

No job of the walk had occurrences, so twice-schedule-after-takeover could not occur in it. Jobs now have three occurrences of two steps, 1.5 s apart; the wall clocks of placers are up to 2 s slow, none is fast. ORDER is checked with it: no start before its occurrence is due.

--- a/crates/cell/tests/walk/ledger.rs
+++ b/crates/cell/tests/walk/ledger.rs
@@ -32,13 +32,16 @@
 
     /// Records a start; returns the first rule that it breaks. Ends that were taken note of before it bind only machines
     /// that are in touch.
-    pub fn started(&mut self, job: &Job, order: &StartOrder, is_in_touch: bool) -> Result<(), String> {
+    pub fn started(&mut self, job: &Job, order: &StartOrder, is_in_touch: bool, unix_ms: u64) -> Result<(), String> {
         let StartOrder { task, run, checkpoint, .. } = order;
         let (task, run) = (*task, *run);
         let step = job.step(task.key).ok_or_else(|| format!("UNASKED: {task} isn't in its job"))?;
         if let Some(earlier) = step.after.iter().find(|earlier| !self.is_step_done(job, task, **earlier)) {
             return Err(format!("ORDER: {task} starts before step {earlier} is done"));
         }
+        if job.due_unix_ms(task.key.occurrence).is_some_and(|due| unix_ms < due) {
+            return Err(format!("ORDER: {task} starts before it is due"));
+        }
         if !checkpoint.is_empty() && !self.saved.contains(&(representative(job, task), Name::clone(checkpoint))) {
             return Err(format!("UNASKED: {task} starts with the checkpoint {checkpoint}, which no run saved"));
         }
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -14,9 +14,12 @@
 
 use crate::STOP_TIME;
 use crate::agent::{Agent, ListedEnd};
+use crate::series::unix_ms;
 use crate::support::LEASE;
-use crate::world::{WRITE, World};
+use crate::world::{CLOCK, WRITE, World};
 
+/// Time by which the wall clock of a placer may be slow.
+const CLOCK_SLOW_MAX_MS: u64 = 2_000;
 /// Steps between two reports of an agent on the progress of its runs.
 const REPORT_STEPS: u32 = 10;
 
@@ -84,7 +87,10 @@
 
     pub fn run_placer(&mut self, position: usize) {
         let now = self.now;
+        let slow_by_ms = self.choices_of(CLOCK, self.placers[position].term).random_range(0..CLOCK_SLOW_MAX_MS);
         let placer = &mut self.placers[position];
+        // The wall clocks of placers differ, and none is fast.
+        placer.cell.open_due(unix_ms(now) - slow_by_ms, now);
         let awaits = placer.cell.awaits_confirmation(placer.authority.last_confirmed(), now);
         if now >= placer.cut && (awaits || now >= placer.confirm_due) {
             placer.confirm_due = now + Duration::from_secs(1);
@@ -185,7 +191,7 @@
             self.violate(&format!("TWICE: {task} starts after its end was stored"));
         }
         let Some((job, _)) = self.store.jobs.get(&task.job) else { return };
-        if let Err(violation) = self.ledger.started(job, order, is_in_touch) {
+        if let Err(violation) = self.ledger.started(job, order, is_in_touch, unix_ms(now)) {
             self.violate(&violation);
         }
     }
--- a/crates/cell/tests/walk/series.rs
+++ b/crates/cell/tests/walk/series.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use chervilledge_cell::job::{Job, JobId, Step};
+use chervilledge_cell::job::{Job, JobId, Schedule, Step};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
@@ -12,6 +12,8 @@
 use crate::world::World;
 use crate::{AGENTS, FAULT_STEPS};
 
+/// Wall clock at the time 0.
+const UNIX_START_MS: u64 = 1_800_000_000_000;
 /// Submissions and cancellations of a series.
 const SUBMISSIONS_MAX: usize = 40;
 /// Clusters of faults of a series.
@@ -27,6 +29,9 @@
 /// Estimate of tasks that save their progress.
 const LONG_ESTIMATE: Duration = Duration::from_millis(800);
 
+/// Time from the submission to the first occurrence of a schedule, and between two occurrences.
+const SCHEDULE_DELAY: Duration = Duration::from_secs(1);
+const SCHEDULE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Longest time for which a machine is off.
 const OFF_MAX_MS: u64 = 20_000;
 
@@ -94,10 +99,12 @@
     Checkpointing,
     /// Tasks that run until the job is cancelled.
     Lasting,
+    /// Three occurrences, the first of them due a while after the job was stored.
+    Scheduled,
 }
 
 impl Kind {
-    pub fn job(self, id: JobId) -> Job {
+    pub fn job(self, id: JobId, now: Duration) -> Job {
         match self {
             Self::Plain => job(id.0, vec![step(2, 1_000), step(1, 1_000)]),
             Self::Chain => job(id.0, vec![step(2, 1_000), Step { after: vec![0], ..step(2, 1_000) }]),
@@ -105,6 +112,14 @@
                 let gang = Step { gang: true, checkpointing: true, estimate: LONG_ESTIMATE, ..step(members, 1_500) };
                 job(id.0, vec![gang, Step { after: vec![0], ..step(1, 500) }])
             }
+            Self::Scheduled => {
+                let first_unix_ms = unix_ms(now + SCHEDULE_DELAY);
+                let schedule = Schedule { first_unix_ms, interval: SCHEDULE_INTERVAL, occurrences: 3 };
+                Job {
+                    schedule: Some(schedule),
+                    ..job(id.0, vec![step(2, 500), Step { after: vec![0], ..step(1, 500) }])
+                }
+            }
             Self::Lasting => job(id.0, vec![Step { lasting: true, ..step(2, 400) }]),
             Self::Checkpointing => {
                 let saving = Step { checkpointing: true, estimate: LONG_ESTIMATE, ..step(2, 1_000) };
@@ -143,6 +158,7 @@
         2 => (2_u32..5).prop_map(|members| Kind::Gang { members }),
         2 => Just(Kind::Checkpointing),
         2 => Just(Kind::Lasting),
+        2 => Just(Kind::Scheduled),
     ]
 }
 
@@ -209,6 +225,11 @@
     }
 }
 
+/// Wall clock of a machine that is right, in milliseconds since 1970.
+pub fn unix_ms(now: Duration) -> u64 {
+    UNIX_START_MS + u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Time that an event names.
 pub const fn milliseconds(for_ms: u64) -> Duration {
     Duration::from_millis(for_ms)
--- a/crates/cell/tests/walk/store.rs
+++ b/crates/cell/tests/walk/store.rs
@@ -34,7 +34,11 @@
     }
 
     pub fn is_done(&self, task: TaskId) -> bool {
-        let is_durable = |progress: &Progress| progress.done.contains(&task.key) || progress.outcome.is_some();
+        let is_durable = |progress: &Progress| {
+            progress.done.contains(&task.key)
+                || progress.completed.contains(task.key.occurrence)
+                || progress.outcome.is_some()
+        };
         self.progress.get(&task.job).is_some_and(|(progress, _)| is_durable(progress))
     }
 }
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -23,6 +23,7 @@
 
 /// Keys of choices.
 pub const READ_BY_WITNESS: u64 = 1;
+pub const CLOCK: u64 = 2;
 pub const READ: u64 = 100;
 pub const WRITE: u64 = 200;
 pub const SUBMIT: u64 = 1_000;
@@ -187,7 +188,7 @@
         if self.store.jobs.contains_key(&id) {
             return;
         }
-        let job = kind.job(id);
+        let job = kind.job(id, self.now);
         self.store.revision += 1;
         self.store.jobs.insert(id, (job.clone(), self.store.revision));
         let mut choices = self.choices(SUBMIT + id.0);
