Name a regression test for its failure, and give the walk's crashes their new field

The walk was written before crash reports told whether a run was confirmed; its crashed runs are. The test of refused starts has the name that its writer gave it last. No check changes.

--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -132,6 +132,7 @@
             task: *task,
             run: *run,
             age: now.saturating_sub(state.started),
+            is_unconfirmed: false,
         };
         CrashReport { life: self.life(name), runs: self.running.iter().map(crashed).collect() }
     }
--- a/tests/batch_finishes.rs
+++ b/tests/batch_finishes.rs
@@ -181,9 +181,9 @@
     assert_eq!(judge::violations(&worker.ledger()), Vec::new());
 }
 
-/// Guards against counting the refused start of a task that its worker has completed as a failure of the worker.
+/// Guards against giving up a completed task because its worker refuses to start it again.
 #[tokio::test(flavor = "multi_thread")]
-async fn worker_is_avoided_that_completed_a_task_before_its_next_start() {
+async fn completed_task_is_given_up_after_refused_starts() {
     let platform = bind_platform().await;
     let worker = bind_worker("worker-1").await;
     let mut site = Site::open(platform.address()).await;
