Let workers of the walk list their ends a page at a time

A worker of the walk listed all its ends at once, so twice-ends-behind-the-first-page could not occur in it. It now lists three at a time; an inventory says whether there are more, and the whole one follows when the last page is reached.

--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -13,6 +13,9 @@
 use crate::MILLICORES;
 use crate::support::{life, worker};
 
+/// Ends that a worker lists at a time.
+const PAGE_ENDS: usize = 3;
+
 /// A run on a worker.
 pub struct Run {
     pub started: Duration,
@@ -151,9 +154,28 @@
         self.ends.push(ListedEnd { end, has_lapsed: false });
     }
 
+    /// Whether there are ends behind the first page.
+    fn has_more_ends(&self) -> bool {
+        self.ends.len() > PAGE_ENDS
+    }
+
+    /// Tasks whose capacity is taken: it becomes free when the end is listed.
+    pub fn occupying(&self) -> impl Iterator<Item = TaskId> {
+        let unlisted = self.ends.iter().skip(PAGE_ENDS).map(|listed| listed.end.task);
+        self.running.keys().map(|(task, _)| *task).chain(unlisted)
+    }
+
+    /// Forgets ends; placers get the whole inventory when the first page has become the only one.
+    pub fn forget_ends(&mut self, cursor: u64) -> Vec<ListedEnd> {
+        let had_more = self.has_more_ends();
+        let forgotten = self.ends.extract_if(.., |listed| listed.end.number <= cursor).collect();
+        self.generation += u64::from(had_more && !self.has_more_ends());
+        forgotten
+    }
+
     /// Ends that the agent tells placers.
     pub fn listed_ends(&self) -> Vec<End> {
-        self.ends.iter().map(|listed| listed.end.clone()).collect()
+        self.ends.iter().take(PAGE_ENDS).map(|listed| listed.end.clone()).collect()
     }
 
     pub fn reports(&self) -> Vec<RunReport> {
@@ -177,7 +199,7 @@
             ends: self.listed_ends(),
             crashes: self.crashes.clone(),
             is_empty: is_down,
-            is_partial: false,
+            is_partial: self.has_more_ends(),
         }
     }
 }
--- a/crates/cell/tests/walk/checks.rs
+++ b/crates/cell/tests/walk/checks.rs
@@ -128,7 +128,7 @@
         let need = self.step(task).map_or(u64::MAX, |step| step.resources.processor_millicores);
         let has_room = |(name, agent): (&Name, &Agent)| {
             let has_suspect = agent.running.keys().any(|(task, _)| self.ledger.has_crashed(*task));
-            let used: u64 = agent.running.keys().map(|(task, _)| self.millicores(*task)).sum();
+            let used: u64 = agent.occupying().map(|task| self.millicores(task)).sum();
             name != besides
                 && self.now >= agent.worker_down
                 && agent.exits_at.is_none()
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 
 use crate::STOP_TIME;
-use crate::agent::{Agent, ListedEnd};
+use crate::agent::Agent;
 use crate::series::unix_ms;
 use crate::support::LEASE;
 use crate::world::{CLOCK, WRITE, World};
@@ -121,10 +121,16 @@
         }
         self.write(position);
         let actions = self.placers[position].cell.take_actions();
-        for action in actions {
+        // What an agent lists after these orders wasn't known to the placer.
+        let (settles, others): (Vec<_>, Vec<_>) =
+            actions.into_iter().partition(|action| matches!(action, Action::Settle { .. }));
+        for action in others {
             self.carry_out(position, action);
         }
         self.check_stopping(position);
+        for action in settles {
+            self.carry_out(position, action);
+        }
     }
 
     /// Writes progress immediately, later, without an answer, or not at all.
@@ -216,7 +222,7 @@
         if agent.life(agent_name) != *target_life {
             return;
         }
-        let settled: Vec<ListedEnd> = agent.ends.extract_if(.., |listed| listed.end.number <= cursor).collect();
+        let settled = agent.forget_ends(cursor);
         for listed in settled.iter().filter(|listed| listed.end.kind == EndKind::Done) {
             let task = listed.end.task;
             if !self.store.is_done(task) {
