Draw workers that shrink and grow in the walk

Each worker of the walk had 4 cores for good. A worker now reports capacities of 3 to 6 cores, and LIMIT is checked at each start: what runs, with what is being stopped, fits the capacity last reported.

--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -143,7 +143,7 @@
         Life { born_unix_ms: self.born, ..life(name) }
     }
 
-    fn worker(&self, name: &Name) -> Worker {
+    pub fn worker(&self, name: &Name) -> Worker {
         Worker { life: self.life(name), ..worker(name, self.millicores) }
     }
 
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -189,7 +189,13 @@
             return;
         }
         agent.running.insert((task, run), state);
+        let capacity = agent.millicores;
+        let running: Vec<TaskId> = agent.running.keys().map(|(task, _)| *task).collect();
         placer.cell.run_started(task, run, now);
+        let used: u64 = running.into_iter().map(|task| self.millicores(task)).sum();
+        if used > capacity {
+            self.violate(&format!("LIMIT: {task} brings {agent_name} to {used} of {capacity} millicores"));
+        }
         let is_in_touch = self.is_in_touch(position, agent_name);
         // A former placer that can't reach the store doesn't know of a cancellation.
         let may_know = !self.cancelled.contains(&task.job) || self.placers[position].term == self.store.term;
--- a/crates/cell/tests/walk/series.rs
+++ b/crates/cell/tests/walk/series.rs
@@ -14,6 +14,9 @@
 
 /// Wall clock at the time 0.
 const UNIX_START_MS: u64 = 1_800_000_000_000;
+/// Capacities of workers; the smallest ones have room for a gang together.
+const MILLICORES_MIN: u64 = 3_000;
+const MILLICORES_MAX: u64 = 6_000;
 /// Submissions and cancellations of a series.
 const SUBMISSIONS_MAX: usize = 40;
 /// Clusters of faults of a series.
@@ -74,6 +77,11 @@
         agent: usize,
         off_for_ms: u64,
     },
+    /// A worker reports another capacity.
+    ResizeWorker {
+        agent: usize,
+        millicores: u64,
+    },
     /// A caller cancels one of the jobs.
     Cancel {
         job: u64,
@@ -184,6 +192,8 @@
         4 => (agent.clone(), 100_u64..3_000).prop_map(|(agent, for_ms)| Event::CrashWorker { agent, for_ms }),
         4 => (agent.clone(), off_for_ms.clone())
             .prop_map(|(agent, off_for_ms)| Event::StopAgent { agent, off_for_ms }),
+        4 => (agent.clone(), MILLICORES_MIN..MILLICORES_MAX)
+            .prop_map(|(agent, millicores)| Event::ResizeWorker { agent, millicores }),
         4 => (agent, off_for_ms).prop_map(|(agent, off_for_ms)| Event::LoseMachine { agent, off_for_ms }),
         6 => (0_u64..15_000, prop::bool::weighted(0.2), prop::bool::weighted(0.7)).prop_map(
             |(former_cut_ms, is_released, asks_witness)| Event::TakeOver { former_cut_ms, is_released, asks_witness }
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -248,6 +248,7 @@
                 agent.exits_at.get_or_insert(exits_at);
                 agent.off_for = milliseconds(off_for_ms);
             }
+            Event::ResizeWorker { agent, millicores } => self.resize_worker(agent, millicores),
             Event::LoseMachine { agent, off_for_ms } => self.lose_machine(agent, milliseconds(off_for_ms)),
             Event::Cancel { job } => {
                 let id = JobId(job);
@@ -274,6 +275,16 @@
         (Arc::clone(name), agent)
     }
 
+    fn resize_worker(&mut self, number: usize, millicores: u64) {
+        let now = self.now;
+        let (name, agent) = self.agent_mut(number);
+        agent.millicores = millicores;
+        let (is_up, worker) = (now >= agent.worker_down, agent.worker(&name));
+        for placer in self.placers.iter_mut().filter(|placer| is_up && placer.links.contains_key(&name)) {
+            placer.cell.worker_seen(&name, worker.clone(), now);
+        }
+    }
+
     fn crash_worker(&mut self, number: usize, down_for: Duration) {
         let now = self.now;
         let (name, agent) = self.agent_mut(number);
