Settle ends again that an agent still lists after its link was lost

A takeover found seven ends on a worker that lists three at a time, and the agent's link was lost just when the second page became durable.

Cause: the cell emits the order to settle once, when the ends become durable, and an order without a link is dropped. When the agent is linked again it lists these ends once more, the cell skips them as processed, and nothing settles them until a later end of that worker is settled. While they fill the page no later end is listed: the agent stays `linked_in_part`, and the runs that ended behind the page count as running. With a page that isn't full, the last ends of a worker stay unsettled until its next end.

Ruled out: the walk's pages (the same series with the order repeated ends in time); sizes (no event of the series changes one); the write (the settlement was emitted by its commit). That the placer drops orders without a link was seen in the walk, whose agents do so; of the programs it is by reading.

Change: when an agent is linked, the ends that it lists and that no longer wait for a write are settled again.

--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -148,6 +148,7 @@
                 self.unresolved.insert(Arc::clone(name));
             }
         }
+        self.settle_again(name, &inventory.ends);
         self.runs_ended(name, inventory.ends, now);
         self.adopt_listed(name, &inventory.running, &inventory.starting, now);
         self.needs_placing = true;
--- a/crates/cell/src/cell/ends.rs
+++ b/crates/cell/src/cell/ends.rs
@@ -7,7 +7,7 @@
 use chervilledge_policy::id::Name;
 
 use super::agents::{counts_as_success, tasks_of_step};
-use super::{Cell, Note};
+use super::{Action, Cell, Note};
 use crate::job::TaskId;
 use crate::pace::FULL_PERCENT;
 use crate::progress::Outcome;
@@ -40,6 +40,17 @@
         }
     }
 
+    /// Settles the ends again that an agent lists although they are settled: the order was lost with its link.
+    pub(crate) fn settle_again(&mut self, name: &Name, ends: &[End]) {
+        let Some(agent) = self.agents.get(name) else { return };
+        let Some(life) = agent.worker.as_ref().map(|worker| worker.life.clone()) else { return };
+        let unsettled_from = self.writes.first_unsettled_end(name, &life).unwrap_or(u64::MAX);
+        let is_settled = |number: &u64| *number <= agent.last_end && *number < unsettled_from;
+        if let Some(cursor) = ends.iter().map(|end| end.number).filter(is_settled).max() {
+            self.actions.push_back(Action::Settle { agent: Arc::clone(name), life, cursor });
+        }
+    }
+
     pub(crate) fn record_end(&mut self, name: &Name, end: &End, now: Duration) {
         self.open_reported_occurrence(end.task, now);
         self.remove_unmatched(name, (end.task, end.run));
--- a/crates/cell/src/cell/writes.rs
+++ b/crates/cell/src/cell/writes.rs
@@ -110,6 +110,11 @@
         self.ends.entry(agent).or_default().push_back(UnsettledEnd { life, number, job, version: None });
     }
 
+    /// Number of the first end in a worker's life that waits to be settled.
+    pub(crate) fn first_unsettled_end(&self, agent: &Name, life: &Life) -> Option<u64> {
+        self.ends.get(agent)?.iter().find(|end| end.life == *life).map(|end| end.number)
+    }
+
     /// Adds a crash that may be settled once the present version of each job is durable.
     pub(crate) fn add_crash(&mut self, agent: Name, life: Life, jobs: impl Iterator<Item = JobId>) {
         if !self.has_crash(&agent, &life) {
--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -23,6 +23,8 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use series::{Event, Kind, Series};
+use world::World;
 
 const STEP: Duration = Duration::from_millis(50);
 const AGENTS: usize = 3;
@@ -52,3 +54,17 @@
         series::play_seed(seed);
     }
 }
+
+/// Ends whose settlement was lost with its link were never settled, and hid those behind the first page.
+#[test]
+fn a_settlement_lost_with_its_link_is_repeated() {
+    let events = vec![
+        (93, Event::Submit { job: 47, kind: Kind::Lasting }),
+        (654, Event::Submit { job: 56, kind: Kind::Chain }),
+        (669, Event::CutPlacer { for_ms: 29_964, is_cut_from_witness: true }),
+        (803, Event::Submit { job: 46, kind: Kind::Checkpointing }),
+        (1203, Event::TakeOver { former_cut_ms: 1_476, is_released: false, asks_witness: false }),
+        (1216, Event::CutAgent { agent: 0, for_ms: 8_853, is_cut_from_newest_only: false }),
+    ];
+    assert_eq!(World::play(&Series { seed: 5005, obeys_any_placer: false, events }), Ok(()));
+}
