--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -1,5 +1,5 @@
-//! Random series of takeovers, disconnections, restarts and outages: no task runs twice, none is stranded, and no
-//! accepted job is lost.
+//! Random series of takeovers, disconnections, restarts, planned stops, lost machines and outages: no task runs twice, none
+//! is stranded, and no accepted job is lost.
 //!
 //! Placers, agents, workers and the store are modelled; every decision is made by the cell's own code. The test fails
 //! without any one of these safeguards: the wait for agents that haven't answered, the wait for a silent agent's
