Release the cell if an entry stops while it claims it

What callers could see: nothing starts until a placer whose process has ended counts as lost.

Cause: an entry looked whether it was stopping before it waited up to a second to claim the cell, and not afterwards. A stop in that wait, or during the claim's write, found no placer to retire; the entry then claimed the cell and ended with it. Besides, a release took the address of the row from the last read of the store, and was left out if that had no placer yet.

Change: the entry looks again before the claim, and releases a cell that it has claimed while it was stopped. The release has the entry's own address from its settings.

--- a/crates/scheduler/src/entry/election.rs
+++ b/crates/scheduler/src/entry/election.rs
@@ -29,7 +29,7 @@
     let mut has_claimed = false;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if entry.inner.is_stopping.load(Ordering::Relaxed) {
+        if is_stopping(&entry) {
             continue;
         }
         if let Some((term, placer)) = entry.local_placer() {
@@ -54,13 +54,21 @@
         }
         tokio::time::sleep(jitter + succession::claim_delay(entry.inner.settings.processor_share) + store_delay).await;
         let Some(roster) = entry.roster() else { continue };
-        if is_takeover_due(&entry, &roster) {
+        if !is_stopping(&entry) && is_takeover_due(&entry, &roster) {
             has_claimed = true;
             claim(&entry, &roster).await;
+            // Its retirement found no placer if it began during the claim.
+            if is_stopping(&entry) {
+                entry.release_cell().await;
+            }
         }
     }
 }
 
+fn is_stopping(entry: &Entry) -> bool {
+    entry.inner.is_stopping.load(Ordering::Relaxed)
+}
+
 fn is_takeover_due(entry: &Entry, roster: &Roster) -> bool {
     let unlinked = match *entry.inner.placer_route.borrow() {
         PlacerRoute::Opening(unlinked) => Some(unlinked),
@@ -111,6 +119,7 @@
         term,
         revision,
         claimed,
+        address,
         predecessor: roster.placer.as_ref().map(|(placer, _)| placer.clone()),
         is_predecessor_alone: roster.is_placer_alone(),
         former_witnesses: roster.acting_witnesses(),
--- a/crates/scheduler/src/entry/retirement.rs
+++ b/crates/scheduler/src/entry/retirement.rs
@@ -20,12 +20,19 @@
     /// in time for the end of the process after `within`. Until then it goes on placing.
     pub async fn retire(&self, within: Duration) {
         self.inner.is_stopping.store(true, Ordering::Relaxed);
-        let Some((term, placer)) = self.local_placer() else { return };
+        let Some((term, _)) = self.local_placer() else { return };
         if tokio::time::timeout(within.saturating_sub(RELEASE_TIME), self.wait_for_successor()).await.is_err() {
             log::warn!(event = "no_successor", term = term; "");
         }
-        // No reply is needed from a placer that has already ended.
-        drop(ractor::call_t!(placer, placer::Message::Retire, RETIRE_TIMEOUT_MS));
+        self.release_cell().await;
+    }
+
+    /// Releases the cell if this entry places.
+    pub(super) async fn release_cell(&self) {
+        if let Some((_, placer)) = self.local_placer() {
+            // No reply is needed from a placer that has already ended.
+            drop(ractor::call_t!(placer, placer::Message::Retire, RETIRE_TIMEOUT_MS));
+        }
     }
 
     /// Waits until another entry of the cell can take it; not at all if no other is known.
--- a/crates/scheduler/src/placer.rs
+++ b/crates/scheduler/src/placer.rs
@@ -88,6 +88,8 @@
     pub revision: u64,
     /// When this placer claimed the cell.
     pub claimed: Duration,
+    /// Address at which the entry accepts links, as in the placer's row.
+    pub address: SocketAddr,
     /// Row of the previous placer; `None` when there was none.
     pub predecessor: Option<rows::Placer>,
     /// Whether the previous placer knew that no earlier placer was still active.
--- a/crates/scheduler/src/placer/release.rs
+++ b/crates/scheduler/src/placer/release.rs
@@ -15,11 +15,7 @@
         if let Some(batch) = self.cell.next_batch() {
             self.write_batch(batch, now);
         }
-        let roster = self.context.roster.borrow().clone();
-        let Some(address) = roster.and_then(|roster| roster.placer.as_ref().map(|(placer, _)| placer.address)) else {
-            return;
-        };
-        let row = rows::Placer { term: self.context.term, holder: None, address };
+        let row = rows::Placer { term: self.context.term, holder: None, address: self.context.address };
         let leases_ms = self.cell.unlinked_leases(now).map(|(name, left)| (name, whole_ms(left) + 1));
         let handover = rows::encode_handover(self.context.term, leases_ms);
         let change = |key: &str, value| Change { table: Table::Cell, key: Arc::from(key), value: Some(value) };
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -301,3 +301,18 @@
     let [placing, _other] = placing_first(entries).await;
     tokio::time::timeout(Duration::from_secs(1), placing.retire(STOP_TIMEOUT)).await.expect("a release in time");
 }
+
+/// An entry that is stopped while it waits to claim the cell would take it and end without a release.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_stops_claims_the_cell() {
+    for stopped_after_ms in (100..500).step_by(20) {
+        let rows = MemoryStore::with_fault(Fault::None);
+        rows.configure(1);
+        let entry = spawn("entry-1", rows.store()).await;
+        tokio::time::sleep(Duration::from_millis(stopped_after_ms)).await;
+        entry.retire(STOP_TIMEOUT).await;
+        tokio::time::sleep(STOP_TIMEOUT).await;
+        let holder = placer(&rows).and_then(|placer| placer.holder);
+        assert_eq!(holder, None, "stopped after {stopped_after_ms} ms");
+    }
+}
--- a/crates/scheduler/tests/malformed.rs
+++ b/crates/scheduler/tests/malformed.rs
@@ -72,6 +72,7 @@
         evacuation_apply: None,
         term: 1,
         revision,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         predecessor: None,
         is_predecessor_alone: true,
         former_witnesses: None,
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -85,6 +85,7 @@
         evacuation_apply: None,
         term: TERM,
         revision: REVISION,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         predecessor: Some(placer_row(TERM - 1, None)),
         is_predecessor_alone: true,
         former_witnesses: None,
--- a/crates/scheduler/tests/progress_rows.rs
+++ b/crates/scheduler/tests/progress_rows.rs
@@ -181,6 +181,7 @@
         evacuation_apply: None,
         term: 2,
         revision,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         predecessor: Some(rows::Placer { term: 1, holder: None, ..placer }),
         is_predecessor_alone: true,
         former_witnesses: None,
--- a/crates/scheduler/tests/urgencies.rs
+++ b/crates/scheduler/tests/urgencies.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -137,6 +138,7 @@
         evacuation_apply: None,
         term: 1,
         revision: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         predecessor: None,
         is_predecessor_alone: true,
         former_witnesses: None,
--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -175,6 +175,7 @@
         evacuation_apply: None,
         term: TERM,
         revision: REVISION,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         predecessor: Some(rows::Placer { term: TERM - 1, holder: Some(Arc::from("entry-2")), address: silent_address }),
         is_predecessor_alone: false,
         former_witnesses: Some(former_witnesses),
