--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -68,3 +68,16 @@
     ];
     assert_eq!(World::play(&Series { seed: 5005, obeys_any_placer: false, events }), Ok(()));
 }
+
+/// A machine whose agent and worker have both started again knows no term, and a placer that was deposed may still reach it.
+#[test]
+fn a_machine_that_starts_again_obeys_a_deposed_placer() {
+    let events = vec![
+        (22, Event::TakeOver { former_cut_ms: 8_032, is_released: false, asks_witness: true }),
+        (34, Event::CutAgent { agent: 1, for_ms: 20_825, is_cut_from_newest_only: true }),
+        (48, Event::CrashWorker { agent: 1, for_ms: 1_479 }),
+        (94, Event::Submit { job: 16, kind: Kind::Gang { members: 2 } }),
+        (97, Event::RestartAgent { agent: 1 }),
+    ];
+    assert_eq!(World::play(&Series { seed: 1084, obeys_any_placer: true, events }), Ok(()));
+}
