--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod paces;
 mod reports;
+mod retirement;
 mod row;
 
 use std::collections::VecDeque;
@@ -34,6 +35,8 @@
 use tokio::task::JoinHandle;
 
 use self::reports::OtherReport;
+use self::retirement::Retirement;
+pub use self::retirement::retire;
 use crate::clock::whole_ms;
 use crate::message::{FromAgent, HEARTBEAT_INTERVAL, ToAgent};
 use crate::metrics::Metrics;
@@ -247,14 +250,6 @@
     }
 }
 
-/// Announced stop of the process.
-#[derive(Debug)]
-struct Retirement {
-    stops_at: Duration,
-    /// `None` once it was answered.
-    idle: Option<RpcReplyPort<()>>,
-}
-
 /// State of the agent.
 #[derive(Debug)]
 pub struct State {
@@ -345,16 +340,6 @@
     Ok(actor)
 }
 
-/// Announces that the process stops, and waits for `within` or until there is no worker left that needs the agent.
-///
-/// The worker is served meanwhile: it may be up for as long as the process may still run, and nobody else gives it work
-/// or renews its lease.
-pub async fn retire(agent: &ActorRef<Message>, within: Duration) {
-    let timeout = Some(within);
-    // Without an answer the worker was served until the end.
-    drop(agent.call(|idle| Message::Retire { within, idle }, timeout).await);
-}
-
 impl Actor for Agent {
     type Msg = Message;
     type State = State;
@@ -460,28 +445,8 @@
         }
     }
 
-    fn retire(&mut self, within: Duration, idle: RpcReplyPort<()>, now: Duration) {
-        self.retirement = Some(Retirement { stops_at: now + within, idle: Some(idle) });
-        self.request_grant(now);
-    }
-
-    /// Ends the process's wait for its stop when no worker needs the agent and its row is written.
-    fn end_retirement_if_idle(&mut self, now: Duration) {
-        // A worker that isn't known yet may have runs of an earlier start of the agent.
-        let has_no_worker = self.tracked.is_none() && now >= self.empty_at;
-        let is_row_written = self.row_write.as_ref().is_none_or(|(_, write)| write.is_finished());
-        if has_no_worker
-            && is_row_written
-            && let Some(idle) = self.retirement.as_mut().and_then(|retirement| retirement.idle.take())
-        {
-            // The process may have stopped waiting.
-            drop(idle.send(()));
-        }
-    }
-
     fn request_grant(&self, now: Duration) {
-        let stops_in = self.retirement.as_ref().map(|retirement| retirement.stops_at.saturating_sub(now));
-        self.send_to_placer(FromAgent::Ask { asked: now, stops_in });
+        self.send_to_placer(FromAgent::Ask { asked: now, stops_in: self.stops_in(now) });
     }
 
     fn handle_leave(&mut self, name: &Name, now: Duration) {
@@ -603,7 +568,7 @@
             "is_linked": self.link.is_some(),
             "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
             "worker": self.tracked.as_ref().map(|tracked| tracked.worker.life.worker.to_string()),
-            "stops_in_ms": self.retirement.as_ref().map(|retirement| whole_ms(retirement.stops_at.saturating_sub(now))),
+            "stops_in_ms": self.stops_in(now).map(whole_ms),
             "is_evacuated": self.is_evacuated(),
             "running": self.tracked.as_ref().map_or(0, |tracked| tracked.running.len()),
             "starting": self.pending_starts.len(),
