Log which free capacity a waiting lasting task may not use

The logs couldn't tell whether such a wait was lack of room: capacity_missing named the roomiest open worker without the reason that rules it out, nothing of the room on workers that are closed, and a worker on which a suspect has just started was counted as one without capacity.

Now capacity_missing lists, by reason, the workers whose free capacity is enough for the task (ruled_out), and lasting_tasks_waiting tells suspect_starting and disturbing from no_capacity. No decision changes.

Tests: room_on_a_worker_that_is_ruled_out_is_not_told, three cases.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -42,7 +42,7 @@
 pub use self::filling::FillingUsage;
 use self::jobs::JobEntry;
 use self::lasting::LastingState;
-pub use self::lasting::{CapacityWait, LastingWaits, Suitability, WaitReason};
+pub use self::lasting::{CapacityWait, LastingWaits, RuledOut, Suitability, WaitReason};
 use self::preempt::PreemptionState;
 use self::reservations::Reservation;
 use self::restarts::RestartState;
--- a/crates/cell/src/cell/lasting.rs
+++ b/crates/cell/src/cell/lasting.rs
@@ -18,7 +18,7 @@
 use super::task::{Run, Task};
 use super::{Agent, Cell, Note, task_id};
 use crate::job::{JobId, TaskId};
-use crate::packing::{Load, Need};
+use crate::packing::{self, Load, Need};
 
 /// Time without a run at work after which a task is reported; users take a lasting task that doesn't run for 3 s
 /// beside free capacity as lost.
@@ -91,6 +91,10 @@
     PerWorkerMax,
     /// Starts are spread out after its failure domain came back into use.
     StartDeferred,
+    /// A run of a task that may crash workers has just started there.
+    SuspectStarting,
+    /// Serving runs that the task would disturb have no headroom left.
+    Disturbing,
     /// Its agent may have runs of a former placer and hasn't answered.
     Unheard,
     /// Its agent has no link, or hasn't reported its runs yet.
@@ -123,6 +127,8 @@
             Self::Reserved => "reserved",
             Self::PerWorkerMax => "per_worker_max",
             Self::StartDeferred => "start_deferred",
+            Self::SuspectStarting => "suspect_starting",
+            Self::Disturbing => "disturbing",
             Self::Unheard => "unheard",
             Self::NotLinked => "not_linked",
             Self::NoWorker => "no_worker",
@@ -144,6 +150,8 @@
     pub need: Resources,
     /// The open worker with the most free processors, and what is free there.
     pub roomiest: Option<(Name, Resources)>,
+    /// Workers whose free capacity is enough, by what rules them out.
+    pub ruled_out: BTreeMap<Suitability, RuledOut>,
     /// Other tasks that were started since the task began to wait.
     pub starts_meanwhile: u64,
     /// Processor time that those of them ask for that aren't lasting and count against a worker's capacity, in
@@ -151,6 +159,17 @@
     pub started_millicores: u64,
 }
 
+/// Workers with enough free capacity for a task that are ruled out for the same reason.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RuledOut {
+    /// Number of the workers.
+    pub workers: usize,
+    /// The one with the most free processors.
+    pub roomiest: Name,
+    /// Free processors there, in thousandths of a core.
+    pub free_millicores: u64,
+}
+
 /// Lasting tasks that may run and have no run at work, as of the last pass.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LastingWaits {
@@ -410,6 +429,7 @@
         CapacityWait {
             need: self.task_usage(task).map(|(need, _)| need.resources).unwrap_or_default(),
             roomiest,
+            ruled_out: self.ruled_out(task, now),
             starts_meanwhile: starts.starts - before.starts,
             started_millicores: starts.short_millicores - before.short_millicores,
         }
@@ -418,14 +438,45 @@
     /// Number of workers by whether they can run a task now.
     fn suitable_workers(&self, task: TaskId, now: Duration) -> BTreeMap<Suitability, usize> {
         let mut workers = BTreeMap::new();
-        let Some(seeker) = self.seeker(task, now) else { return workers };
+        for (_, _, suitability) in self.workers_by_suitability(task, now) {
+            *workers.entry(suitability).or_default() += 1;
+        }
+        workers
+    }
+
+    /// Workers with enough free capacity for a task, by what rules them out.
+    fn ruled_out(&self, task: TaskId, now: Duration) -> BTreeMap<Suitability, RuledOut> {
+        let mut ruled_out: BTreeMap<Suitability, RuledOut> = BTreeMap::new();
+        let Some((need, _)) = self.task_usage(task) else { return ruled_out };
+        let has_room = |agent: &Agent| agent.worker.is_some() && packing::cost(&agent.load, &need).is_some();
+        for (name, agent, suitability) in self.workers_by_suitability(task, now) {
+            if suitability == Suitability::HasCapacity || !has_room(agent) {
+                continue;
+            }
+            let free_millicores = agent.load.free().processor_millicores;
+            let known = ruled_out.entry(suitability).or_insert_with(|| RuledOut {
+                workers: 0,
+                roomiest: Arc::clone(name),
+                free_millicores,
+            });
+            known.workers += 1;
+            if (free_millicores, name) > (known.free_millicores, &known.roomiest) {
+                (known.free_millicores, known.roomiest) = (free_millicores, Arc::clone(name));
+            }
+        }
+        ruled_out
+    }
+
+    /// Each worker with whether it can run a task now.
+    fn workers_by_suitability(&self, task: TaskId, now: Duration) -> Vec<(&Name, &Agent, Suitability)> {
+        let Some(seeker) = self.seeker(task, now) else { return Vec::new() };
         let context = self.context(task);
         let reserved = self.reserved_needs(task);
-        for (name, agent) in &self.agents {
+        let suitability = |(name, agent): (&Name, &Agent)| {
             let reserved = reserved.get(name).map_or(&[][..], Vec::as_slice);
-            *workers.entry(self.suitability(task, &seeker, (name, agent), reserved, context, now)).or_default() += 1;
-        }
-        workers
+            self.suitability(task, &seeker, (name, agent), reserved, context, now)
+        };
+        self.agents.iter().map(|(name, agent)| (name, agent, suitability((name, agent)))).collect()
     }
 
     /// Whether a worker can run a task now; `reserved` is what other tasks have reserved there.
@@ -448,8 +499,12 @@
                 Suitability::StartDeferred
             } else if per_worker_max.is_some_and(|max| siblings(agent, task) >= max) {
                 Suitability::PerWorkerMax
-            } else {
+            } else if packing::cost(&agent.load, &need).is_none() {
                 Suitability::NoCapacity
+            } else if agent.crash_risk(self.is_suspect(task), now).is_none() {
+                Suitability::SuspectStarting
+            } else {
+                Suitability::Disturbing
             };
         }
         let mut load = agent.load;
--- a/crates/cell/tests/lasting.rs
+++ b/crates/cell/tests/lasting.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::cell::{Cell, LastingWaits, Note, Suitability, WaitReason};
+use chervilledge_cell::cell::{Cell, LastingWaits, Note, RuledOut, Suitability, WaitReason};
 use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::job::{Job, JobId, Step, TaskId, TaskKey};
 use chervilledge_cell::progress::Progress;
-use chervilledge_cell::worker::{EndKind, Refusal, RunReport, Worker};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, Refusal, RunReport, Worker};
 use rstest::rstest;
 use support::{LEASE, World, configuration, job, name, step, worker};
 
@@ -204,6 +204,45 @@
     assert_eq!(world.cell.lasting_waits(), LastingWaits::default());
 }
 
+/// Starts a run on the only worker, as whose task's second in a crash makes it suspect.
+fn start_suspect(world: &mut World) {
+    let task = TaskId { job: JobId(9), key: TaskKey { occurrence: 0, step: 0, index: 0 } };
+    world.submit(job(9, vec![step(1, 1)]));
+    let crashed = CrashedRun { task, run: 50, age: Duration::from_millis(10), is_unconfirmed: false };
+    let former_life = Life { worker: name("other"), born_unix_ms: 1 };
+    let report = CrashReport { life: former_life, runs: vec![crashed] };
+    world.cell.worker_crashed(&name("agent-0"), &report, world.now);
+    // The start isn't confirmed.
+    world.cell.place(world.now);
+}
+
+#[rstest]
+#[case::ejected(eject, Suitability::Ejected, MILLICORES)]
+#[case::suspect(start_suspect, Suitability::SuspectStarting, MILLICORES - 1)]
+#[case::not_linked(|w: &mut World| w.cell.agent_silent(&name("agent-0")), Suitability::NotLinked, MILLICORES)]
+fn room_on_a_worker_that_is_ruled_out_is_not_told(
+    #[case] prepare: impl Fn(&mut World),
+    #[case] reason: Suitability,
+    #[case] free_millicores: u64,
+) {
+    let mut world = World::with_workers(1, MILLICORES);
+    if reason == Suitability::Ejected {
+        world.submit(lasting_job(1));
+        watch(&mut world, 0);
+        prepare(&mut world);
+    } else {
+        prepare(&mut world);
+        world.submit(lasting_job(1));
+    }
+    let notes = watch(&mut world, 2_400);
+    let capacity = notes.iter().find_map(|note| match note {
+        Note::LastingTasksWaiting { capacity, .. } => capacity.as_ref(),
+        _ => None,
+    });
+    let expected = RuledOut { workers: 1, roomiest: name("agent-0"), free_millicores };
+    assert_eq!(capacity.map(|capacity| &capacity.ruled_out), Some(&BTreeMap::from([(reason, expected)])), "{notes:?}");
+}
+
 #[test]
 fn a_lack_of_capacity_is_told_with_the_need_and_what_was_started_meanwhile() {
     let mut world = World::with_workers(1, MILLICORES);
--- a/crates/scheduler/src/placer/notes.rs
+++ b/crates/scheduler/src/placer/notes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chervilledge_cell::cell::{CapacityWait, Evacuation, Note, RestartingTask};
+use chervilledge_cell::cell::{CapacityWait, Evacuation, Note, RestartingTask, RuledOut};
 use chervilledge_cell::job::TaskId;
 use chervilledge_policy::capacity::Resources;
 use serde_json::{Value, json};
@@ -185,11 +185,17 @@
 }
 
 fn log_capacity_wait(task: TaskId, capacity: &CapacityWait, term: u64) {
-    let CapacityWait { need, roomiest, starts_meanwhile, started_millicores } = capacity;
+    let CapacityWait { need, roomiest, ruled_out, starts_meanwhile, started_millicores } = capacity;
+    let ruled_out: BTreeMap<&str, String> = ruled_out
+        .iter()
+        .map(|(reason, RuledOut { workers, roomiest, free_millicores })| {
+            (reason.as_str(), format!("{workers}: {roomiest} {free_millicores}"))
+        })
+        .collect();
     let (agent, free) = roomiest.as_ref().map_or(("", Resources::default()), |(agent, free)| (&**agent, *free));
     log::warn!(event = "capacity_missing", job:% = task.job, task:% = task, need_millicores = need.processor_millicores,
         need_memory_bytes = need.memory_bytes, need_accelerators = need.accelerators, roomiest = agent,
         free_millicores = free.processor_millicores, free_memory_bytes = free.memory_bytes,
-        free_accelerators = free.accelerators, starts_meanwhile = starts_meanwhile,
+        free_accelerators = free.accelerators, ruled_out:? = ruled_out, starts_meanwhile = starts_meanwhile,
         started_millicores = started_millicores, term = term; "");
 }
