Place lasting tasks that have waited for 2 s before suspects of crashes

Cause: tasks suspect of crashing workers are placed before all others, on the worker with the fewest runs, and nothing else starts there until each has shown for 0.3 s that it is harmless. In a full cell every worker with room goes to one suspect after the other, without a bound on how long a lasting task waits.

Ruled out: to place lasting tasks before suspects always.

Change: a lasting task without a run at work for 2 s goes before all others. The time counts from its last run at work, so refused starts don't begin it anew.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -13,6 +13,7 @@
 mod headroom;
 mod jobs;
 mod lasting;
+mod overdue;
 mod placing;
 mod preempt;
 mod reservations;
--- a/crates/cell/src/cell/lasting.rs
+++ b/crates/cell/src/cell/lasting.rs
@@ -299,6 +299,11 @@
         self.lasting.waiting_since.get(&task).map(|(since, _)| *since)
     }
 
+    /// Time for which a lasting task has had no run at work; `None` if it has one or another reason not to run.
+    pub(super) fn lasting_wait(&self, task: TaskId, now: Duration) -> Option<Duration> {
+        self.waiting_since(task).map(|since| now.saturating_sub(since))
+    }
+
     /// What a lasting task without a run at work waits for; `None` if that is another step.
     fn wait_reason(
         &self,
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -124,6 +124,7 @@
         let waiting = self.rank_waiting(now);
         let mut applied = self.apply_reservations(now);
         self.place_reserved(&waiting, &mut applied, now);
+        self.place_overdue(&waiting, now);
         self.place_ranked(waiting, now);
         self.revert_reservations(applied);
         self.preempt(now);
@@ -178,8 +179,7 @@
     fn place_starved(&mut self, task: TaskId, candidates: &mut [Candidate], now: Duration) -> bool {
         let original_needs: Vec<Need> = candidates.iter().map(|candidate| candidate.need).collect();
         for candidate in candidates.iter_mut() {
-            candidate.need.excess_millicores = STARVED_EXCESS_MILLICORES;
-            candidate.need.pace_percent = FULL_PERCENT;
+            candidate.need = full_pace(candidate.need);
         }
         let is_placed = self.place_task(task, candidates, now);
         for (candidate, need) in candidates.iter_mut().zip(original_needs) {
@@ -492,6 +492,11 @@
     }
 }
 
+/// The need of a task that is placed whatever it disturbs and whatever processor time is left for filling runs.
+pub(super) const fn full_pace(need: Need) -> Need {
+    Need { excess_millicores: STARVED_EXCESS_MILLICORES, pace_percent: FULL_PERCENT, ..need }
+}
+
 /// Group that a task belongs to.
 pub(super) const fn group(task: TaskId) -> TaskGroup {
     (task.job, task.key.occurrence, task.key.step)
