--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -1,8 +1,8 @@
 //! Placement of lasting tasks that have been without a run for too long.
 //!
-//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone. That may be
-//! renewed at once, and doesn't regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes before all
-//! others.
+//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone, and
+//! capacity is reserved for the tasks for whose sake runs are stopped. Each of these may be renewed at once, and doesn't
+//! regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes before all others.
 
 use std::sync::Arc;
 use std::time::Duration;
