Let lasting tasks that have waited for 2 s start beside suspects

Cause: nothing starts on a worker until the start of a suspect there is confirmed and 0.3 s have passed. A start that gets no answer is repeated for 3 s and needs an answered stop afterwards, and all that time the whole worker stays closed.

Why this is safe: of the runs that are young at a crash only those of suspects are accused, so the lasting task is a bystander. The crash counts as one with several young runs, so its suspect may need three crashes to be given up where two sufficed; the users allow three. Such a worker is used only if no other has room.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -2,7 +2,8 @@
 //!
 //! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone, and
 //! capacity is reserved for the tasks for whose sake runs are stopped. Each of these may be renewed at once, and doesn't
-//! regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes before all others.
+//! regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes before all others,
+//! also beside suspects.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +51,7 @@
 
     /// Chooses a worker for an overdue task.
     fn choose_for_overdue(&self, task: TaskId, now: Duration) -> Option<Name> {
-        let seeker = self.seeker(task, now)?;
+        let seeker = self.seeker(task, now)?.overdue();
         let context = self.context(task);
         let cost = |(name, agent): (&Name, &Agent)| {
             let need = full_pace(self.need_at(task, agent, &[], context, now)?);
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -34,6 +34,10 @@
 /// which fit nowhere else go there.
 const RETIRING_PENALTY: i64 = 1_000_000_000;
 
+/// Penalty for an overdue task on a worker on which a suspect of crashes has just started, in thousandths of a core: more
+/// than any other penalty, since that worker may crash at any moment.
+const SUSPECT_STARTING_PENALTY: i64 = 2_000_000_000;
+
 /// Time without any run after which a job is placed wherever its resources fit, however slow its run would be there;
 /// users take a job that makes no progress for 3 s beside free capacity as lost.
 const STARVED_AFTER: Duration = Duration::from_secs(2);
@@ -87,6 +91,8 @@
     run_time: Duration,
     state: &'a Task,
     now: Duration,
+    /// It starts beside suspects of crashes as well; a crash is put down to these.
+    is_overdue: bool,
 }
 
 impl TaskToPlace<'_> {
@@ -100,11 +106,17 @@
             && (!agent.is_retiring || self.state.runs.is_empty())
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
-        let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now)?;
+        let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now);
+        let crash_risk = crash_risk.or(self.is_overdue.then_some(SUSPECT_STARTING_PENALTY))?;
         let risk = crash_risk.saturating_add(if agent.is_retiring { RETIRING_PENALTY } else { 0 });
         fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
 
+    /// The same task, which has waited for too long.
+    pub(super) const fn overdue(self) -> Self {
+        Self { is_overdue: true, ..self }
+    }
+
     pub(super) fn avoids(&self, name: &Name) -> bool {
         self.state.avoided.contains(name)
     }
@@ -419,7 +431,7 @@
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let state = entry.tasks.get(&task.key)?;
-        Some(TaskToPlace { task, step, run_time: entry.run_time(task.key.step), state, now })
+        Some(TaskToPlace { task, step, run_time: entry.run_time(task.key.step), state, now, is_overdue: false })
     }
 
     fn choose_among(&self, task: TaskId, candidates: &[Candidate], rack: Option<&Name>, now: Duration) -> Option<Name> {
