Let lasting tasks that have waited for 2 s use ejected workers

Cause: a worker on which runs fail takes no task for 2 to 8 s, and the next failures eject it anew. Nobody asks whether another worker has room.

Ruled out: shorter ejections for all. They'd send short work to workers that fail it, and a bound on each one doesn't bound a series.

Change: an ejected worker is the last choice of an overdue lasting task, which may fail there and isn't limited in its attempts.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -1,9 +1,9 @@
 //! Placement of lasting tasks that have been without a run for too long.
 //!
-//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone, and
-//! capacity is reserved for the tasks for whose sake runs are stopped. Each of these may be renewed at once, and doesn't
-//! regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes before all others,
-//! also beside suspects.
+//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone,
+//! capacity is reserved for the tasks for whose sake runs are stopped, and workers whose runs fail are ejected. Each of
+//! these may be renewed at once, and doesn't regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes
+//! before all others, also beside suspects or to an ejected worker.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,9 +11,11 @@
 use chervilledge_policy::collections::Set;
 use chervilledge_policy::id::Name;
 
+use super::agents::Contact;
 use super::placing::{TaskGroup, WaitingTask, full_pace, group};
 use super::{Agent, Cell};
 use crate::job::TaskId;
+use crate::worker::Worker;
 
 /// Time without a run at work after which a task is overdue; users take a lasting task that doesn't run for 3 s beside
 /// free capacity as lost.
@@ -49,15 +51,24 @@
         has_waited && self.step_of(task).is_some_and(|step| !step.gang) && !self.is_suspect(task)
     }
 
-    /// Chooses a worker for an overdue task.
+    /// Chooses a worker for an overdue task, one that is open to all if there is one.
     fn choose_for_overdue(&self, task: TaskId, now: Duration) -> Option<Name> {
         let seeker = self.seeker(task, now)?.overdue();
         let context = self.context(task);
         let cost = |(name, agent): (&Name, &Agent)| {
-            let need = full_pace(self.need_at(task, agent, &[], context, now)?);
+            let worker = Self::usable_worker(agent, now)?;
+            let need = full_pace(self.need_on(task, agent, worker, &[], context)?);
             let cost = seeker.cost(name, agent, &agent.load, &need)?;
-            Some((seeker.avoids(name), cost, Arc::clone(name)))
+            Some((agent.health.is_ejected(now), seeker.avoids(name), cost, Arc::clone(name)))
         };
         self.agents.iter().filter_map(cost).min().map(|(.., name)| name)
     }
+
+    /// The worker of an agent, if an overdue task may be placed on it.
+    fn usable_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
+        let worker = agent.worker.as_ref().filter(|worker| worker.leaves_in.is_none())?;
+        let is_usable =
+            agent.contact == Contact::Linked && now >= agent.paused_until && agent.unmatched_runs.is_empty();
+        is_usable.then_some(worker)
+    }
 }
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -348,11 +348,22 @@
         without: &[(TaskId, u64)],
         context: StepContext,
         now: Duration,
+    ) -> Option<Need> {
+        self.need_on(task, agent, open_worker(agent, now)?, without, context)
+    }
+
+    /// What a task needs of an agent's worker, whether or not that worker is open.
+    pub(super) fn need_on(
+        &self,
+        task: TaskId,
+        agent: &Agent,
+        worker: &Worker,
+        without: &[(TaskId, u64)],
+        context: StepContext,
     ) -> Option<Need> {
         let entry = self.jobs.get(&task.job)?;
         let step = entry.job.step(task.key)?;
         let terms = self.terms_of(entry);
-        let worker = open_worker(agent, now)?;
         if worker.service != terms.service
             || self.evacuating.domains.is_evacuated(&worker.failure_domain)
             || step.required_label.as_ref().is_some_and(|label| !worker.has_label(label))
