Let lasting tasks that have waited for 2 s start beside unwanted runs

Cause: nothing is placed on a worker that lists a run which belongs to no task, until that run has ended, since its need isn't known. A stop that gets no answer, or a job whose row can't be read, closes the worker without end.

Why this is safe: needs of such runs count where their jobs are known. Where they aren't, only workers that reject what doesn't fit are used, and never beside a run of the task itself.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -1,9 +1,9 @@
 //! Placement of lasting tasks that have been without a run for too long.
 //!
-//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone,
-//! capacity is reserved for the tasks for whose sake runs are stopped, and workers whose runs fail are ejected. Each of
-//! these may be renewed at once, and doesn't regard who waits. A lasting task that has waited for [`OVERDUE_AFTER`] goes
-//! before all others, also beside suspects or to an ejected worker.
+//! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone, workers whose
+//! runs fail are ejected, capacity is reserved for the tasks for whose sake runs are stopped, and nothing starts beside
+//! runs that belong to no task. Each of these lasts for seconds, may be renewed at once, and doesn't regard who waits. A
+//! lasting task that has waited for [`OVERDUE_AFTER`] goes before all others, to any worker that can hold it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use super::placing::{TaskGroup, WaitingTask, full_pace, group};
 use super::{Agent, Cell};
 use crate::job::TaskId;
+use crate::packing::Load;
 use crate::worker::Worker;
 
 /// Time without a run at work after which a task is overdue; users take a lasting task that doesn't run for 3 s beside
@@ -56,19 +57,40 @@
         let seeker = self.seeker(task, now)?.overdue();
         let context = self.context(task);
         let cost = |(name, agent): (&Name, &Agent)| {
-            let worker = Self::usable_worker(agent, now)?;
+            let worker = self.usable_worker(task, agent, now)?;
             let need = full_pace(self.need_on(task, agent, worker, &[], context)?);
-            let cost = seeker.cost(name, agent, &agent.load, &need)?;
+            let cost = seeker.cost(name, agent, &self.load_with_unmatched(agent), &need)?;
             Some((agent.health.is_ejected(now), seeker.avoids(name), cost, Arc::clone(name)))
         };
         self.agents.iter().filter_map(cost).min().map(|(.., name)| name)
     }
 
     /// The worker of an agent, if an overdue task may be placed on it.
-    fn usable_worker(agent: &Agent, now: Duration) -> Option<&Worker> {
+    fn usable_worker<'a>(&self, task: TaskId, agent: &'a Agent, now: Duration) -> Option<&'a Worker> {
         let worker = agent.worker.as_ref().filter(|worker| worker.leaves_in.is_none())?;
-        let is_usable =
-            agent.contact == Contact::Linked && now >= agent.paused_until && agent.unmatched_runs.is_empty();
+        let is_usable = agent.contact == Contact::Linked
+            && now >= agent.paused_until
+            && agent.unmatched_runs.iter().all(|(other, _)| *other != task)
+            && (self.enforces_capacity(worker) || agent.unmatched_runs.iter().all(|(other, _)| self.is_known(*other)));
         is_usable.then_some(worker)
     }
+
+    /// Whether the worker rejects runs that don't fit.
+    fn enforces_capacity(&self, worker: &Worker) -> bool {
+        let service = self.configuration.as_ref().and_then(|configuration| configuration.services.get(&worker.service));
+        service.is_some_and(|service| service.enforces_capacity)
+    }
+
+    fn is_known(&self, task: TaskId) -> bool {
+        self.jobs.contains_key(&task.job)
+    }
+
+    /// Load of a worker with the runs that aren't matched to a task, as far as their needs are known.
+    fn load_with_unmatched(&self, agent: &Agent) -> Load {
+        let mut load = agent.load;
+        for (need, _) in agent.unmatched_runs.iter().filter_map(|(task, _)| self.task_usage(*task)) {
+            load.add(&need);
+        }
+        load
+    }
 }
