Let lasting tasks that are suspects of crashes become overdue

Callers saw: after a crash, an innocent lasting task that had just started on the worker (or was young at two crashes) waited on beside a free worker that was ejected or listed a run that nobody wants, where other lasting tasks start after 2 s.

Cause: the placement of overdue tasks left suspects of crashes out, so that for them each closure lasted as long as before. Several lasting tasks that start together on a worker which then crashes are all suspects, so this isn't rare.

Evidence: a_crash_under_a_lasting_task_keeps_it_from_a_closed_worker failed before: started after 8.0 s on an ejected worker, not within 30 s beside an unwanted run whose stop gets no answer.

Ruled out: that the order among suspects keeps it waiting. Lasting tasks rank before all other suspects.

Why the fix works: suspects become overdue like all others. The reason to leave them out was that a crash couldn't be put down to one of two suspects, so an overdue suspect still doesn't start beside another one that has just started; an_overdue_suspect_starts_beside_another_suspect fails without that condition.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -27,29 +27,29 @@
 impl Cell {
     /// Places the overdue tasks among those that wait.
     pub(super) fn place_overdue(&mut self, waiting: &[WaitingTask], now: Duration) {
-        // Tasks of a step are identical: where one doesn't fit, the others don't either.
-        let mut without_capacity: Set<TaskGroup> = Set::default();
+        // Tasks of a step are identical but for suspects: where one doesn't fit, the others don't either.
+        let mut without_capacity: Set<(TaskGroup, bool)> = Set::default();
         for WaitingTask { task, .. } in waiting {
             if without_capacity.len() == STEPS_PER_PASS_MAX {
                 break;
             }
-            if without_capacity.contains(&group(*task)) || !self.is_overdue(*task, now) {
+            let alike = (group(*task), self.is_suspect(*task));
+            if without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
                 continue;
             }
             if let Some(agent) = self.choose_for_overdue(*task, now) {
                 self.reserved.remove(task);
                 self.start(*task, &agent, None, now);
             } else {
-                without_capacity.insert(group(*task));
+                without_capacity.insert(alike);
             }
         }
     }
 
-    /// Whether a task has been without a run for too long. Suspects of crashes and gangs, which start as a whole, never
-    /// are.
+    /// Whether a task has been without a run for too long. Gangs, which start as a whole, never are.
     fn is_overdue(&self, task: TaskId, now: Duration) -> bool {
         let has_waited = self.lasting_wait(task, now).is_some_and(|waited| waited >= OVERDUE_AFTER);
-        has_waited && self.step_of(task).is_some_and(|step| !step.gang) && !self.is_suspect(task)
+        has_waited && self.step_of(task).is_some_and(|step| !step.gang)
     }
 
     /// Chooses a worker for an overdue task, one that is open to all if there is one.
