Count unmatched runs against the limit of a step's tasks on a worker

Callers would see: a task starts beside another one of its step on a worker that may have only one (ROUTE, anti_affinity).

Cause: overdue lasting tasks start beside runs that aren't matched to their tasks, and the limit of tasks of a step on one worker counted the matched runs only. Ordinary placement never met this, since nothing else is placed beside an unmatched run.

Evidence: an_overdue_task_starts_beside_an_unmatched_run_of_its_step failed before: the task started after 2.0 s beside the run of its step that was being stopped.

Ruled out: the worker's own check. It guards its capacity and doesn't know the limit.

Why the fix works: the count includes the unmatched runs. A run is never both matched and unmatched, so none counts twice, and on workers that are open to all there are none.

--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -550,11 +550,11 @@
     if has_image { 0 } else { MIXED_IMAGE_PENALTY * i64::try_from(agent.serving.len()).unwrap_or(i64::MAX / 8) }
 }
 
-/// Runs of the same step and occurrence on an agent's worker.
+/// Runs of the same step and occurrence on an agent's worker, including those that aren't matched to their tasks.
 pub(super) fn siblings(agent: &Agent, task: TaskId) -> u32 {
     let is_sibling = |other: &TaskId| {
         other.job == task.job && other.key.occurrence == task.key.occurrence && other.key.step == task.key.step
     };
-    let count = agent.runs.iter().filter(|(other, _)| is_sibling(other)).count();
+    let count = agent.runs.iter().chain(&agent.unmatched_runs).filter(|(other, _)| is_sibling(other)).count();
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/crates/cell/tests/lasting_overdue.rs
+++ b/crates/cell/tests/lasting_overdue.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_cell::cell::Action;
@@ -107,3 +108,24 @@
     make_suspect(&mut world, task(LASTING_JOB, 0));
     assert_eq!(wait_ms(&mut world, task(LASTING_JOB, 0), WAIT_MAX_MS), None);
 }
+
+/// The worker may have one task of the step, and still has a run that is being stopped.
+#[test]
+fn an_overdue_task_starts_beside_an_unmatched_run_of_its_step() {
+    let mut world = World::with_workers(2, MILLICORES);
+    let apart = Step { lasting: true, per_worker_max: Some(1), ..step(1, 1_000) };
+    world.submit(job(LASTING_JOB, vec![Step { count: 2, ..apart }]));
+    world.cell.place(world.now);
+    let actions = world.cell.take_actions();
+    let placed: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start { agent, order, .. } => Some((Arc::clone(agent), order.task, order.run)),
+            _ => None,
+        })
+        .collect();
+    let [(_, task_there, _), (open, waiting, run)] = &*placed else { panic!("two starts: {placed:?}") };
+    world.cell.run_refused(open, *waiting, *run, Refusal::Room, world.now);
+    list_run(&mut world, open, *task_there);
+    assert_eq!(wait_ms(&mut world, *waiting, WAIT_MAX_MS), None);
+}
