Search workers for every overdue lasting task in turn

Callers saw: with more than 32 steps of lasting tasks that wait and fit nowhere, a younger lasting task that fits on a closed worker, say an ejected one, waits until it opens.

Cause: one pass searches every worker for 32 steps at most, and each pass began with the same ones, the oldest.

Evidence: older_tasks_without_room_keep_a_lasting_task_from_an_ejected_worker failed before with 40 and with 200 older steps: started after 8.0 s, when the ejection ended. The limit is 3 s, from the users' rule.

Ruled out: a higher limit, which moves the number of steps at which this begins and makes each pass longer.

Why the fix works: the steps for which no worker was found are kept until all have been searched for, so the next pass goes on with the others.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -44,6 +44,7 @@
 use self::jobs::JobEntry;
 use self::lasting::LastingState;
 pub use self::lasting::{CapacityWait, LastingWaits, RuledOut, Suitability, WaitReason};
+use self::overdue::OverdueState;
 use self::preempt::PreemptionState;
 use self::reservations::Reservation;
 use self::restarts::RestartState;
@@ -418,6 +419,7 @@
     /// Jobs with a schedule that haven't ended.
     scheduled: Set<JobId>,
     lasting: LastingState,
+    overdue: OverdueState,
     restarts: RestartState,
     agents: Map<Name, Agent>,
     /// Services whose queues differ in priority.
@@ -479,6 +481,7 @@
             jobs: Map::default(),
             scheduled: Set::default(),
             lasting: LastingState::default(),
+            overdue: OverdueState::default(),
             restarts: RestartState::default(),
             agents: Map::default(),
             prioritized: Set::default(),
--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -21,29 +21,38 @@
 /// Time without a run at work after which a task is overdue; users take a lasting task that doesn't run for 3 s beside
 /// free capacity as lost.
 const OVERDUE_AFTER: Duration = Duration::from_secs(2);
-/// Limit on the steps for which one pass searches every worker.
+/// Limit on the steps for which one pass searches every worker in vain; the next one goes on with the others.
 const STEPS_PER_PASS_MAX: usize = 32;
 
+/// State of the search for workers for overdue tasks.
+#[derive(Debug, Default)]
+pub(crate) struct OverdueState {
+    /// Steps for which no worker was found since all were last searched for, apart for suspects of crashes. Otherwise
+    /// tasks of a step are identical: where one doesn't fit, the others don't either.
+    without_capacity: Set<(TaskGroup, bool)>,
+}
+
 impl Cell {
     /// Places the overdue tasks among those that wait.
     pub(super) fn place_overdue(&mut self, waiting: &[WaitingTask], now: Duration) {
-        // Tasks of a step are identical but for suspects: where one doesn't fit, the others don't either.
-        let mut without_capacity: Set<(TaskGroup, bool)> = Set::default();
+        let mut left = STEPS_PER_PASS_MAX;
         for WaitingTask { task, .. } in waiting {
-            if without_capacity.len() == STEPS_PER_PASS_MAX {
-                break;
-            }
             let alike = (group(*task), self.is_suspect(*task));
-            if without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
+            if self.overdue.without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
                 continue;
             }
+            if left == 0 {
+                return;
+            }
             if let Some(agent) = self.choose_for_overdue(*task, now) {
                 self.reserved.remove(task);
                 self.start(*task, &agent, None, now);
             } else {
-                without_capacity.insert(alike);
+                left -= 1;
+                self.overdue.without_capacity.insert(alike);
             }
         }
+        self.overdue.without_capacity.clear();
     }
 
     /// Whether a task has been without a run for too long. Gangs, which start as a whole, never are.
--- a/crates/cell/tests/lasting_overdue.rs
+++ b/crates/cell/tests/lasting_overdue.rs
@@ -129,3 +129,17 @@
     list_run(&mut world, open, *task_there);
     assert_eq!(wait_ms(&mut world, *waiting, WAIT_MAX_MS), None);
 }
+
+/// One pass searches every worker for a part of the steps only.
+#[rstest]
+#[case::dozens(40)]
+#[case::hundreds(200)]
+fn older_tasks_without_room_keep_a_lasting_task_from_an_ejected_worker(#[case] older: u64) {
+    let mut world = World::with_workers(1, MILLICORES);
+    (100..100 + older).for_each(|id| world.submit(lasting_job(id, MILLICORES + 1_000)));
+    world.advance_ms(100);
+    eject(&mut world);
+    world.submit(lasting_job(LASTING_JOB, 1_000));
+    let waited_ms = wait_ms(&mut world, task(LASTING_JOB, 0), GIVEN_UP_AFTER_MS);
+    assert!(waited_ms.is_some_and(|waited_ms| waited_ms < WAIT_MAX_MS), "{waited_ms:?} ms");
+}
