Test that a silent agent delays waiting lasting tasks by less than 7 s

After an unplanned takeover no job that the former placer may have started is placed until each silent agent's leases have ended. No test asked that this ends before users count a lasting task that waited before as lost: 3 s beside free capacity after 4 calm ones, so 7 s after the placer was lost. a_lasting_task_stays_stopped_when_its_machine_and_the_placer_are_lost_together allows 9 s, for the task whose own run ended.

The test passes on the present code, and fails ("not started after 7s") if the placer knows only the 10 s for which its predecessor may act.

--- a/crates/cell/tests/takeover.rs
+++ b/crates/cell/tests/takeover.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervilledge_cell::authority::{lapse_after, takeover_wait};
+use chervilledge_cell::authority::{lapse_after, leases_end, takeover_wait};
 use chervilledge_cell::cell::{Action, Cell, Inventory};
-use chervilledge_cell::job::{JobId, JobState};
+use chervilledge_cell::job::{JobId, JobState, Step};
 use chervilledge_cell::progress::Progress;
 use chervilledge_cell::worker::EndKind;
 use rstest::rstest;
@@ -90,6 +90,28 @@
     );
 }
 
+/// Users count the third second without a run beside free capacity, after four calm ones since the placer was lost.
+#[test]
+fn a_silent_agent_keeps_a_waiting_lasting_task_from_free_room() {
+    const TICK_MS: u64 = 100;
+    let mut world = World::with_workers(2, MILLICORES);
+    let lost_at = world.now;
+    world.cell = successor(&world, 2, &[]);
+    let lasting = job(1, vec![Step { lasting: true, ..step(1, 1_000) }]);
+    world.cell.load(lasting, Progress::default(), 20, Duration::ZERO, world.now);
+    let answering = name("agent-1");
+    let inventory = world.inventory(&answering, MILLICORES);
+    world.cell.agent_linked(&answering, inventory, world.now);
+    world.cell.former_leases_end(leases_end(lost_at, LEASE));
+    while world.cell.take_actions().is_empty() {
+        let waited = world.now.saturating_sub(lost_at);
+        assert!(waited < Duration::from_secs(7), "not started after {waited:?}");
+        world.advance_ms(TICK_MS);
+        world.cell.lapse_agents(Some(world.now), world.now);
+        world.cell.place(world.now);
+    }
+}
+
 /// While an agent hasn't answered, a job is placed only if its row is newer than the end of the former placer.
 #[rstest]
 #[case::older(Some(30), false)]
