--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -91,7 +91,7 @@
     run_time: Duration,
     state: &'a Task,
     now: Duration,
-    /// It starts beside suspects of crashes as well; a crash is put down to these.
+    /// It starts beside suspects of crashes as well, unless it is one itself; a crash is put down to these.
     is_overdue: bool,
 }
 
@@ -106,8 +106,10 @@
             && (!agent.is_retiring || self.state.runs.is_empty())
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
-        let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now);
-        let crash_risk = crash_risk.or(self.is_overdue.then_some(SUSPECT_STARTING_PENALTY))?;
+        let is_suspect = self.state.crashes.is_suspect();
+        let starts_beside_suspects = self.is_overdue && !is_suspect;
+        let crash_risk = agent.crash_risk(is_suspect, self.now);
+        let crash_risk = crash_risk.or(starts_beside_suspects.then_some(SUSPECT_STARTING_PENALTY))?;
         let risk = crash_risk.saturating_add(if agent.is_retiring { RETIRING_PENALTY } else { 0 });
         fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
@@ -548,11 +550,11 @@
     if has_image { 0 } else { MIXED_IMAGE_PENALTY * i64::try_from(agent.serving.len()).unwrap_or(i64::MAX / 8) }
 }
 
-/// Runs of the same step and occurrence on an agent's worker.
+/// Runs of the same step and occurrence on an agent's worker, including those that aren't matched to their tasks.
 pub(super) fn siblings(agent: &Agent, task: TaskId) -> u32 {
     let is_sibling = |other: &TaskId| {
         other.job == task.job && other.key.occurrence == task.key.occurrence && other.key.step == task.key.step
     };
-    let count = agent.runs.iter().filter(|(other, _)| is_sibling(other)).count();
+    let count = agent.runs.iter().chain(&agent.unmatched_runs).filter(|(other, _)| is_sibling(other)).count();
     u32::try_from(count).unwrap_or(u32::MAX)
 }
