Place tasks with reserved room before overdue lasting tasks

The aim asks for urgent work to start within 3.6 s.

Cause: overdue lasting tasks were placed before tasks with a reservation, so that the room of a run that was stopped for an urgent task went to a lasting one. The urgent task was by then too late for another stop, and lasting runs are never stopped for it.

Change: a task whose reserved room is free now starts first. What is reserved and not enough for it yet is still open to overdue tasks, as a_reservation_keeps_a_lasting_task_from_free_room asks.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -38,7 +38,8 @@
         let mut left = STEPS_PER_PASS_MAX;
         for WaitingTask { task, .. } in waiting {
             let alike = (group(*task), self.is_suspect(*task));
-            if self.overdue.without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
+            let is_placed = !self.ready.contains(task);
+            if is_placed || self.overdue.without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
                 continue;
             }
             if left == 0 {
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -136,9 +136,11 @@
         self.decide_verdicts(now);
         self.estimate_run_times(now);
         let waiting = self.rank_waiting(now);
-        self.place_overdue(&waiting, now);
         let mut applied = self.apply_reservations(now);
         self.place_reserved(&waiting, &mut applied, now);
+        self.revert_reservations(applied);
+        self.place_overdue(&waiting, now);
+        let applied = self.apply_reservations(now);
         self.place_ranked(waiting, now);
         self.revert_reservations(applied);
         self.preempt(now);
--- /dev/null
+++ b/crates/cell/tests/overdue.rs
@@ -0,0 +1,109 @@
+//! Lasting tasks that have waited for too long, beside what others may rely on.
+
+mod support;
+
+use std::time::Duration;
+
+use chervilledge_cell::cell::Action;
+use chervilledge_cell::job::{Job, JobId, Step};
+use chervilledge_cell::worker::EndKind;
+use support::{World, job, step, urgent_job};
+
+const MILLICORES: u64 = 16_000;
+const PASS_INTERVAL_MS: u64 = 50;
+/// Interval between two looks for lasting tasks that wait.
+const WATCH_INTERVAL_MS: u64 = 300;
+/// Duration of a stop in deployments.
+const STOP_MS: u64 = 900;
+
+fn lasting_job(id: u64, count: u32, millicores: u64) -> Job {
+    job(id, vec![Step { lasting: true, ..step(count, millicores) }])
+}
+
+/// Orders of one pass, and a look for lasting tasks that wait if one is due.
+fn pass(world: &mut World) -> Vec<Action> {
+    let now_ms = u64::try_from(world.now.as_millis()).unwrap_or(u64::MAX);
+    if now_ms % WATCH_INTERVAL_MS == 0 {
+        world.cell.watch_lasting(true, world.now);
+    }
+    world.cell.ask_placing();
+    world.cell.place(world.now);
+    let actions = world.cell.take_actions();
+    world.advance_ms(PASS_INTERVAL_MS);
+    actions
+}
+
+/// Time until a job has a run, `limit_ms` if it has none by then; stops are only answered if `are_answered`.
+fn wait_ms(world: &mut World, id: u64, limit_ms: u64, are_answered: bool) -> u64 {
+    for waited_ms in (0..limit_ms).step_by(50) {
+        for action in pass(world) {
+            match &action {
+                Action::Start { order, .. } if order.task.job == JobId(id) => return waited_ms,
+                Action::Stop { .. } if !are_answered => {}
+                _ => world.carry_out(&action),
+            }
+        }
+    }
+    limit_ms
+}
+
+/// Lasting tasks that have waited for long take the room of each run that is stopped for the urgent one.
+#[test]
+fn lasting_tasks_take_the_room_that_is_freed_for_an_urgent_task() {
+    let mut world = World::with_priorities(4, MILLICORES);
+    world.submit(job(8, vec![Step { estimate: Duration::from_mins(10), ..step(8, 8_000) }]));
+    world.place();
+    assert_eq!(world.all_running().len(), 8, "the cell is full");
+    world.submit(lasting_job(1, 20, 8_000));
+    assert_eq!(wait_ms(&mut world, 1, 3_000, true), 3_000, "no room for the lasting job");
+    world.submit(urgent_job(9, vec![Step { estimate: Duration::from_millis(300), ..step(1, 8_000) }]));
+    let mut stopping: Vec<(u64, Action)> = Vec::new();
+    let (mut lasting_starts, mut stops) = (0, 0);
+    for waited_ms in (0..30_000).step_by(50) {
+        for (_, action) in stopping.extract_if(.., |(at, _)| *at <= waited_ms).collect::<Vec<_>>() {
+            world.carry_out(&action);
+        }
+        for action in pass(&mut world) {
+            match &action {
+                Action::Start { order, .. } if order.task.job == JobId(9) => {
+                    assert!(waited_ms < 3_600, "{waited_ms} ms, {stops} stops");
+                    assert_eq!(lasting_starts, 0, "after {waited_ms} ms and {stops} stops");
+                    return;
+                }
+                Action::Stop { .. } => {
+                    stops += 1;
+                    stopping.push((waited_ms + STOP_MS, action));
+                }
+                _ => {
+                    lasting_starts +=
+                        usize::from(matches!(&action, Action::Start { order, .. } if order.task.job == JobId(1)));
+                    world.carry_out(&action);
+                }
+            }
+        }
+    }
+    panic!("no start; {stops} stops, {lasting_starts} lasting tasks started");
+}
+
+/// An overdue task whose reservation has just come true.
+#[test]
+fn a_lasting_task_with_reserved_room_is_started_twice() {
+    let mut world = World::with_priorities(2, MILLICORES);
+    world.submit(job(8, vec![Step { estimate: Duration::from_mins(10), ..step(4, 8_000) }]));
+    world.place();
+    world.submit(urgent_job(1, vec![Step { lasting: true, ..step(1, 8_000) }]));
+    let mut stops = Vec::new();
+    for _ in 0..48 {
+        stops.extend(pass(&mut world).into_iter().filter(|action| matches!(action, Action::Stop { .. })));
+    }
+    assert_eq!(stops.len(), 1, "a run is stopped for the lasting task");
+    // The ends of all runs make room on the other worker as well.
+    let running = world.all_running();
+    world.carry_out(&stops[0]);
+    for (agent, task, run) in running {
+        world.end(&agent, task, run, EndKind::Done);
+    }
+    let is_start = |action: &Action| matches!(action, Action::Start { order, .. } if order.task.job == JobId(1));
+    let starts = pass(&mut world).iter().filter(|action| is_start(action)).count();
+    assert_eq!(starts, 1);
+}
