Keep the row of an agent that is linked

A worker that is up stays unused although its agent has a link to the placer.

Cause: the placer deletes the rows of agents that have lapsed and have been without a link for 6 s. The time without a link is counted from the end of the last link and not ended by a new one, and an agent is lapsed until its inventory tells the worker. An agent that is back after 6 to 8 s, with a worker that takes a moment to start or a poll that waits, is in that state: its row is deleted, the link is dropped with it, and the agent writes its row again only after 3 s without a link (`ANNOUNCE_AFTER`).

Evidence: `the_row_of_a_linked_agent_is_deleted_while_its_worker_starts` fails without the change: "the placer leaves the agent after 8.010133592s", though the agent has had its link from the start and sent a heartbeat each 0.5 s.

Ruled out: a deletion that is already on its way. It names the revision of the row, and an agent that starts again writes a newer one (`the_row_of_an_agent_that_comes_back_is_not_deleted`). An agent that didn't start again, and whose link opens while the deletion is in flight, still loses its row; that window is one call to the store.

Why it works: an agent with a link isn't unreachable. If the link is lost again, the time without one counts anew.

--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -42,12 +42,13 @@
         });
     }
 
-    /// Rows of the agents that have been unreachable for long.
+    /// Rows of the agents that have been unreachable for long. An agent that is back may take some time to report on its
+    /// worker, and is lapsed until then.
     fn unreachable_agents(&self, now: Duration) -> Vec<Condition> {
         let Some(roster) = self.context.roster.borrow().clone() else { return Vec::new() };
         let is_unlinked = |name: &Name| {
             let unlinked = self.dialers.get(name).map(|dialer| now.saturating_sub(dialer.unlinked_since));
-            unlinked.is_none_or(|unlinked| unlinked >= AGENT_ROW_RETENTION)
+            !self.links.contains_key(name) && unlinked.is_none_or(|unlinked| unlinked >= AGENT_ROW_RETENTION)
         };
         let unreachable =
             roster.agent_revisions.iter().filter(|(name, _)| self.cell.is_lapsed(name) && is_unlinked(name));
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use chervilledge_cell::authority::AUTHORITY_PERIOD;
+use chervilledge_cell::authority::{AUTHORITY_PERIOD, lapse_after};
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::evacuation::{EvacuatedDomains, Standing};
 use chervilledge_cell::interference::{Evidence, Pair};
@@ -367,6 +367,29 @@
     assert_eq!(rows.has(Table::Cell, ROW), does_return);
 }
 
+/// The worker of an agent that is back was left out until the agent wrote its row again, 3 s later.
+#[tokio::test]
+async fn the_row_of_a_linked_agent_is_deleted_while_its_worker_starts() {
+    const ROW: &str = "agent/agent-1";
+    let agent = TestAgent::listen().await;
+    let rows = claimed_rows();
+    rows.write(Table::Cell, ROW, Some(rows::encode(&rows::Process { address: agent.address })));
+    let mut reader = roster::spawn(rows.store(), clock::system());
+    reader.view.wait_for(Option::is_some).await.expect("running");
+    let lease = Duration::from_secs(1);
+    let context = Context { lease, ..context(&rows, clock::system(), reader.view.clone()) };
+    let _placer = placer::spawn(context).await.expect("placer");
+    let mut link = agent.accept_link().await;
+    let linked = Instant::now();
+    while linked.elapsed() < lapse_after(lease) + AGENT_ROW_DELETION_MAX {
+        link.sender.post(FromAgent::Ask { asked: Duration::ZERO, stops_in: None });
+        let answer = link.receiver.receive::<ToAgent>(WAIT_LIMIT).await;
+        assert!(answer.is_ok(), "the placer leaves the agent after {:?}", linked.elapsed());
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+    assert!(rows.has(Table::Cell, ROW));
+}
+
 fn evacuated(revision: u64, is_requested: bool) -> Arc<EvacuatedDomains> {
     let mut domains = EvacuatedDomains::default();
     domains.note(&Name::from("a"), Standing { revision, is_requested });
@@ -494,9 +517,15 @@
         Self { listener, address }
     }
 
-    async fn accept(&self) -> PlacerLink {
+    /// Accepts a link on which the placer isn't told of the worker.
+    async fn accept_link(&self) -> PlacerLink {
         let (stream, _) = self.listener.accept().await.expect("a link");
         let (sender, receiver) = connection::accept_typed(stream, |_| true).await.expect("a handshake");
+        PlacerLink { sender, receiver }
+    }
+
+    async fn accept(&self) -> PlacerLink {
+        let link = self.accept_link().await;
         let worker = Worker {
             life: agent::life(),
             service: Arc::from("portal"),
@@ -507,7 +536,7 @@
             leaves_in: None,
             cold_for: Duration::ZERO,
         };
-        sender.post(FromAgent::Inventory {
+        link.sender.post(FromAgent::Inventory {
             worker: Some(worker),
             running: Vec::new(),
             starting: Vec::new(),
@@ -518,7 +547,7 @@
             version: None,
             crashes: Vec::new(),
         });
-        PlacerLink { sender, receiver }
+        link
     }
 }
 
