Recover a worker's capacity after a report of another writer

The agent stops hearing what its worker says of itself: capacity that has grown again, a change of service, or its end stay unknown for as long as the worker lives.

Cause: an agent applies a report of its worker's life only if its number is higher than that of the latest one, so that late reports are left out. One report of another writer with the worker's identity and a high number hides all later reports of the worker.

Evidence: `a_high_report_number_of_another_writer_hides_the_capacity_of_a_worker` fails without the change: the capacity isn't known within 20 s, with a report each second.

Ruled out: telling the other writer apart by the clock in the report, which may be missing, or taking each report whatever its number: reports that come late would restore a capacity that has shrunk since.

Why it works: reports with lower numbers that rise and come at the worker's interval show that the high number isn't the worker's. Delayed reports come together; `delayed_reports_restore_a_capacity_from_before_it_shrank` passes before and after, and fails if the interval isn't required.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -150,7 +150,10 @@
 struct TrackedWorker {
     worker: Worker,
     address: SocketAddr,
+    /// Number of the latest report that was applied.
     sequence: u64,
+    /// Number of the latest report below `sequence`, and when it was received.
+    outdated_report: Option<(u64, Duration)>,
     /// When the worker stops being slow after its start, according to its latest report.
     cold_until: Duration,
     reading: Option<ClockReading>,
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -5,6 +5,7 @@
 //! incarnation or as a later one, or it is gone.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use chervilledge_cell::grant::ClockReading;
@@ -17,6 +18,8 @@
 
 /// Age up to which a report of another incarnation is used when the tracked one ends: workers report every second.
 const OTHER_REPORT_AGE_MAX: Duration = Duration::from_secs(3);
+/// Interval between two reports of a worker, which reports every second. Delayed reports arrive together.
+const REPORT_INTERVAL: RangeInclusive<Duration> = Duration::from_millis(500)..=Duration::from_millis(2_500);
 
 /// Report of an incarnation other than the tracked one.
 #[derive(Debug)]
@@ -25,6 +28,25 @@
     received: Duration,
 }
 
+impl TrackedWorker {
+    /// Whether a report of this incarnation is to be applied: it has a higher number than the latest one, or the latest
+    /// one came from another writer, since reports with lower numbers go on at the worker's interval.
+    fn is_current(&mut self, sequence: u64, now: Duration) -> bool {
+        if sequence > self.sequence {
+            return true;
+        }
+        let previous = self.outdated_report.replace((sequence, now));
+        let is_current = previous.is_some_and(|(number, received)| {
+            sequence > number && REPORT_INTERVAL.contains(&now.saturating_sub(received))
+        });
+        if is_current {
+            log::warn!(event = "report_number_rejected", worker = &*self.worker.life.worker, number = self.sequence,
+                next = sequence; "");
+        }
+        is_current
+    }
+}
+
 impl State {
     /// Applies a report from the worker.
     pub(super) fn handle_report(&mut self, report: Report, now: Duration) {
@@ -66,7 +88,10 @@
 
     /// Updates the tracked worker from a report of its own.
     fn update_worker(&mut self, report: Report, now: Duration) {
-        let Some(tracked) = self.tracked.as_mut().filter(|tracked| report.sequence > tracked.sequence) else { return };
+        let Some(tracked) = &mut self.tracked else { return };
+        if !tracked.is_current(report.sequence, now) {
+            return;
+        }
         tracked.sequence = report.sequence;
         tracked.address = report.address;
         let has_changed = tracked.worker.leaves_in.is_some() != report.worker.leaves_in.is_some()
@@ -152,6 +177,7 @@
             worker,
             address,
             sequence,
+            outdated_report: None,
             reading,
             lease_until: Duration::ZERO,
             cursor: 0,
