Announce an agent at once after a pause of its process

After a pause of 8 s or more (a frozen machine) the worker of an agent is up and empty, and isn't used for 3 s more.

Cause: the placer deletes the row of an agent that it can't reach for 6 s, and nobody connects to an agent without a row. An agent writes its row again after 3 s without a link, so that not every agent writes at each change of the placer. One that was paused notices the end of its link only when it goes on, and counts the 3 s from then, though the link ended long ago. An agent whose network is cut notices in time and repeats its announcement all the while.

Ruled out: a shorter wait after each end of a link, since all agents would write at once when a placer ends; and counting from the last grant, since during an outage of the store no agent gets any, and all would write when it is over.

Why it works: an agent handles a message at least each 100 ms, so a gap as long as the time after which rows are deleted is a pause. Only then it announces itself without a wait.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -305,6 +305,10 @@
     report_due: Duration,
     unlinked_since: Duration,
     announce_due: Duration,
+    /// When the agent last handled a message.
+    active_at: Duration,
+    /// End of the last pause of the process in which its row may have been deleted.
+    resumed_at: Option<Duration>,
     retirement: Option<Retirement>,
     /// Latest write of the agent's row, and whether it leaves one.
     row_write: Option<(bool, JoinHandle<()>)>,
@@ -384,6 +388,8 @@
             report_due: Duration::ZERO,
             unlinked_since: now,
             announce_due: now,
+            active_at: now,
+            resumed_at: None,
             retirement: None,
             row_write: None,
             tasks,
@@ -398,6 +404,7 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         let now = state.context.clock.now();
+        state.detect_pause(now);
         match message {
             Message::Tick => state.tick(now),
             Message::Report(report) => state.handle_report(*report, now),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -63,7 +63,7 @@
             self.link = None;
             self.inventory_due = None;
             self.unlinked_since = now;
-            self.announce_due = now + super::row::ANNOUNCE_AFTER;
+            self.announce_later(now);
         }
     }
 
--- a/crates/scheduler/src/agent/row.rs
+++ b/crates/scheduler/src/agent/row.rs
@@ -4,17 +4,37 @@
 use std::time::Duration;
 
 use super::State;
+use crate::clock::whole_ms;
+use crate::message::{AGENT_ROW_RETENTION, LINK_TIMEOUT};
 use crate::rows::{self, AGENT_PREFIX, Process};
 use crate::store::{Change, Condition, Handle, Outcome, ReadError, Table, Transaction};
 
 /// Time without a link from a placer after which the agent writes its row again.
-pub(super) const ANNOUNCE_AFTER: Duration = Duration::from_secs(3);
+const ANNOUNCE_AFTER: Duration = Duration::from_secs(3);
 /// Attempts at one announcement. Another announcement follows anyway while no placer connects.
 const ANNOUNCE_ATTEMPTS: u32 = 8;
 /// Pause after an announcement that failed.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(250);
 
 impl State {
+    /// Detects that the process was paused for so long that its row may have been deleted.
+    pub(super) fn detect_pause(&mut self, now: Duration) {
+        let paused = now.saturating_sub(std::mem::replace(&mut self.active_at, now));
+        if paused >= AGENT_ROW_RETENTION {
+            log::warn!(event = "agent_was_paused", paused_ms = whole_ms(paused); "");
+            self.resumed_at = Some(now);
+            self.announce_due = now;
+        }
+    }
+
+    /// Schedules the next announcement after the link has ended.
+    ///
+    /// A link that was lost during a pause of the process ends right after it.
+    pub(super) fn announce_later(&mut self, now: Duration) {
+        let has_resumed = self.resumed_at.is_some_and(|resumed| now.saturating_sub(resumed) < LINK_TIMEOUT);
+        self.announce_due = if has_resumed { now } else { now + ANNOUNCE_AFTER };
+    }
+
     /// Publishes the agent's link address when it has a worker and no placer has connected for some time.
     pub(super) fn announce_if_due(&mut self, now: Duration) {
         if now < self.announce_due || self.link.is_some() || self.tracked.is_none() {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -18,6 +18,9 @@
 /// Silence after which a link is closed: three heartbeat intervals, plus the delay of a slow machine.
 pub const LINK_TIMEOUT: Duration = Duration::from_millis(1_900);
 
+/// Time without a link after which the row of an unreachable agent is deleted; its leases have ended by then.
+pub const AGENT_ROW_RETENTION: Duration = Duration::from_secs(6);
+
 /// Link secret used where the platform distributes none; its network blocks outside access to these ports.
 pub const NO_SECRET: &str = "none";
 
--- a/crates/scheduler/src/placer/expiry.rs
+++ b/crates/scheduler/src/placer/expiry.rs
@@ -8,6 +8,7 @@
 use chervilledge_policy::id::Name;
 
 use super::{Message, State};
+use crate::message::AGENT_ROW_RETENTION;
 use crate::progress_rows;
 use crate::rows::{self, AGENT_PREFIX};
 use crate::store::{Change, Condition, Handle, Outcome, Partition, Table, Transaction, job_partition};
@@ -16,8 +17,6 @@
 const EXPIRY_BATCH_MAX: usize = 20;
 /// Maximum number of progress rows that are deleted in one transaction, below the store's limit on its entries.
 const ROWS_REMOVED_MAX: usize = 90;
-/// Time after which the row of an unreachable agent is deleted; its leases have ended by then.
-const AGENT_ROW_RETENTION: Duration = Duration::from_secs(6);
 
 impl State {
     /// Deletes the rows of jobs whose retention has ended, and of unreachable agents.
