--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -150,7 +150,10 @@
 struct TrackedWorker {
     worker: Worker,
     address: SocketAddr,
+    /// Number of the latest report that was applied.
     sequence: u64,
+    /// Number of the latest report below `sequence`, and when it was received.
+    outdated_report: Option<(u64, Duration)>,
     /// When the worker stops being slow after its start, according to its latest report.
     cold_until: Duration,
     reading: Option<ClockReading>,
@@ -302,6 +305,10 @@
     report_due: Duration,
     unlinked_since: Duration,
     announce_due: Duration,
+    /// When the agent last handled a message.
+    active_at: Duration,
+    /// End of the last pause of the process in which its row may have been deleted.
+    resumed_at: Option<Duration>,
     retirement: Option<Retirement>,
     /// Latest write of the agent's row, and whether it leaves one.
     row_write: Option<(bool, JoinHandle<()>)>,
@@ -381,6 +388,8 @@
             report_due: Duration::ZERO,
             unlinked_since: now,
             announce_due: now,
+            active_at: now,
+            resumed_at: None,
             retirement: None,
             row_write: None,
             tasks,
@@ -395,6 +404,7 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         let now = state.context.clock.now();
+        state.detect_pause(now);
         match message {
             Message::Tick => state.tick(now),
             Message::Report(report) => state.handle_report(*report, now),
