--- a/crates/cell/tests/crashes.rs
+++ b/crates/cell/tests/crashes.rs
@@ -9,7 +9,7 @@
 use chervilledge_cell::cell::{Action, Cell, Inventory, Note};
 use chervilledge_cell::crashes::{Blame, Crash, CrashHistory, SUSPECT_AGE_MAX, Verdict, Victim, blames};
 use chervilledge_cell::job::{Job, JobId, JobState, Step, TaskId, TaskKey};
-use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, Worker};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, RunReport, Worker};
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -107,6 +107,8 @@
             let inventory = Inventory { worker: Some(self.present(&agent)), ..Inventory::default() };
             self.world.cell.agent_linked(&agent, inventory, now);
         }
+        self.report_work(now);
+        self.world.cell.watch_lasting(true, now);
         self.world.cell.place(now);
         for action in self.world.cell.take_actions() {
             let is_down = |agent: &Name| self.back.contains_key(agent);
@@ -132,6 +134,23 @@
         self.notes.extend(self.world.cell.take_notes());
     }
 
+    /// Reports that runs have made progress after their first 300 ms.
+    fn report_work(&mut self, now: Duration) {
+        let at_work = |(_, task, run): &(Name, TaskId, u64)| {
+            self.started_at.get(&(*task, *run)).is_some_and(|at| now >= *at + SUSPECT_AGE_MAX)
+        };
+        let report = |(_, task, run): (Name, TaskId, u64)| RunReport {
+            task,
+            run,
+            checkpoint: name(""),
+            percent: 1,
+            measured: 0,
+            pace_percent: 100,
+        };
+        let reports: Vec<RunReport> = self.world.all_running().into_iter().filter(at_work).map(report).collect();
+        self.world.cell.runs_reported(&reports, now);
+    }
+
     /// Runs the cell; each innocent run ends after `work`.
     fn run(&mut self, time: Duration, work: Duration) {
         let end = self.world.now + time;
