--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -117,6 +117,7 @@
         if placer.authority.holds(now) && leases_until.is_some_and(|until| now < until) {
             placer.cell.lapse_agents(placer.authority.last_confirmed(), now);
             placer.cell.save_checkpoints(now);
+            placer.cell.watch_lasting(true, now);
             placer.cell.place(now);
         }
         self.write(position);
