Bound the searches of a pass for overdue lasting tasks

Cause: place_overdue bounded only the searches in vain. It placed any number of tasks in one pass, each with a search of all workers, as after a takeover or the loss of a failure domain, during which the placer answers nothing.

Change: a pass searches for 32 tasks, placed or not. Ordinary placement follows in the same pass for the others.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -21,8 +21,8 @@
 /// Time without a run at work after which a task is overdue; users take a lasting task that doesn't run for 3 s beside
 /// free capacity as lost.
 const OVERDUE_AFTER: Duration = Duration::from_secs(2);
-/// Limit on the steps for which one pass searches every worker in vain; the next one goes on with the others.
-const STEPS_PER_PASS_MAX: usize = 32;
+/// Limit on the tasks for which one pass searches every worker; the next one goes on with the others.
+const SEARCHES_PER_PASS_MAX: usize = 32;
 
 /// State of the search for workers for overdue tasks.
 #[derive(Debug, Default)]
@@ -35,21 +35,21 @@
 impl Cell {
     /// Places the overdue tasks among those that wait.
     pub(super) fn place_overdue(&mut self, waiting: &[WaitingTask], now: Duration) {
-        let mut left = STEPS_PER_PASS_MAX;
+        let mut searches_left = SEARCHES_PER_PASS_MAX;
         for WaitingTask { task, .. } in waiting {
             let alike = (group(*task), self.is_suspect(*task));
             let is_placed = !self.ready.contains(task);
             if is_placed || self.overdue.without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
                 continue;
             }
-            if left == 0 {
+            if searches_left == 0 {
                 return;
             }
+            searches_left -= 1;
             if let Some(agent) = self.choose_for_overdue(*task, now) {
                 self.reserved.remove(task);
                 self.start(*task, &agent, None, now);
             } else {
-                left -= 1;
                 self.overdue.without_capacity.insert(alike);
             }
         }
