Don't let suspects of crashes become overdue

What callers would see: innocent jobs shown as failed.

Cause: more suspects start at the same time as innocent tasks, which count as young at each other's crashes.

--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -27,9 +27,9 @@
 /// State of the search for workers for overdue tasks.
 #[derive(Debug, Default)]
 pub(crate) struct OverdueState {
-    /// Steps for which no worker was found since all were last searched for, apart for suspects of crashes. Otherwise
-    /// tasks of a step are identical: where one doesn't fit, the others don't either.
-    without_capacity: Set<(TaskGroup, bool)>,
+    /// Steps for which no worker was found since all were last searched for. Tasks of a step are identical: where one
+    /// doesn't fit, the others don't either.
+    without_capacity: Set<TaskGroup>,
 }
 
 impl Cell {
@@ -37,9 +37,9 @@
     pub(super) fn place_overdue(&mut self, waiting: &[WaitingTask], now: Duration) {
         let mut searches_left = SEARCHES_PER_PASS_MAX;
         for WaitingTask { task, .. } in waiting {
-            let alike = (group(*task), self.is_suspect(*task));
             let is_placed = !self.ready.contains(task);
-            if is_placed || self.overdue.without_capacity.contains(&alike) || !self.is_overdue(*task, now) {
+            let is_searched = self.overdue.without_capacity.contains(&group(*task));
+            if is_placed || is_searched || !self.is_overdue(*task, now) {
                 continue;
             }
             if searches_left == 0 {
@@ -50,16 +50,17 @@
                 self.reserved.remove(task);
                 self.start(*task, &agent, None, now);
             } else {
-                self.overdue.without_capacity.insert(alike);
+                self.overdue.without_capacity.insert(group(*task));
             }
         }
         self.overdue.without_capacity.clear();
     }
 
-    /// Whether a task has been without a run for too long. Gangs, which start as a whole, never are.
+    /// Whether a task has been without a run for too long. Gangs, which start as a whole, never are, nor are suspects of
+    /// crashes: beside more of their starts more innocent tasks are taken for the cause of a crash.
     fn is_overdue(&self, task: TaskId, now: Duration) -> bool {
         let has_waited = self.lasting_wait(task, now).is_some_and(|waited| waited >= OVERDUE_AFTER);
-        has_waited && self.step_of(task).is_some_and(|step| !step.gang)
+        has_waited && self.step_of(task).is_some_and(|step| !step.gang) && !self.is_suspect(task)
     }
 
     /// Chooses a worker for an overdue task, one that is open to all if there is one.
--- a/crates/cell/src/cell/placing.rs
+++ b/crates/cell/src/cell/placing.rs
@@ -91,7 +91,7 @@
     run_time: Duration,
     state: &'a Task,
     now: Duration,
-    /// It starts beside suspects of crashes as well, unless it is one itself; a crash is put down to these.
+    /// It starts beside suspects of crashes as well; a crash is put down to these.
     is_overdue: bool,
 }
 
@@ -106,10 +106,8 @@
             && (!agent.is_retiring || self.state.runs.is_empty())
             && self.state.runs.iter().all(|run| run.agent != *name)
             && self.step.per_worker_max.is_none_or(|max| siblings(agent, self.task) < max);
-        let is_suspect = self.state.crashes.is_suspect();
-        let starts_beside_suspects = self.is_overdue && !is_suspect;
-        let crash_risk = agent.crash_risk(is_suspect, self.now);
-        let crash_risk = crash_risk.or(starts_beside_suspects.then_some(SUSPECT_STARTING_PENALTY))?;
+        let crash_risk = agent.crash_risk(self.state.crashes.is_suspect(), self.now);
+        let crash_risk = crash_risk.or(self.is_overdue.then_some(SUSPECT_STARTING_PENALTY))?;
         let risk = crash_risk.saturating_add(if agent.is_retiring { RETIRING_PENALTY } else { 0 });
         fits.then(|| packing::cost(load, need)).flatten().map(|cost| cost.saturating_add(risk))
     }
