Test capacity and leaving workers for overdue lasting tasks

No test of lasting_room failed when overdue tasks ignored the load of unwanted runs, or that a worker leaves.

--- a/crates/cell/tests/overdue.rs
+++ b/crates/cell/tests/overdue.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use chervilledge_cell::cell::Action;
-use chervilledge_cell::job::{Job, JobId, Step};
-use chervilledge_cell::worker::EndKind;
-use support::{World, job, step, urgent_job};
+use chervilledge_cell::job::{Job, JobId, Step, TaskId, TaskKey};
+use chervilledge_cell::worker::{EndKind, RunReport, Worker};
+use chervilledge_policy::id::Name;
+use support::{World, job, name, step, urgent_job, worker};
 
 const MILLICORES: u64 = 16_000;
+/// Users take a lasting task that doesn't run for three seconds beside room as lost.
+const WAIT_MAX_MS: u64 = 3_000;
 const PASS_INTERVAL_MS: u64 = 50;
 /// Interval between two looks for lasting tasks that wait.
 const WATCH_INTERVAL_MS: u64 = 300;
+const WORKER: &str = "agent-0";
 /// Duration of a stop in deployments.
 const STOP_MS: u64 = 900;
 
@@ -20,6 +24,10 @@
     job(id, vec![Step { lasting: true, ..step(count, millicores) }])
 }
 
+fn task(job: u64, index: u32) -> TaskId {
+    TaskId { job: JobId(job), key: TaskKey { occurrence: 0, step: 0, index } }
+}
+
 /// Orders of one pass, and a look for lasting tasks that wait if one is due.
 fn pass(world: &mut World) -> Vec<Action> {
     let now_ms = u64::try_from(world.now.as_millis()).unwrap_or(u64::MAX);
@@ -47,6 +55,50 @@
     limit_ms
 }
 
+/// Makes the worker list a run that isn't wanted and whose stop gets no answer.
+fn list_unwanted(world: &mut World, agent: &Name, task: TaskId) {
+    let mut inventory = world.inventory(agent, MILLICORES);
+    inventory.running.push(RunReport {
+        task,
+        run: 77,
+        checkpoint: name(""),
+        percent: 5,
+        measured: 0,
+        pace_percent: 100,
+    });
+    world.cell.agent_linked(agent, inventory, world.now);
+    world.cell.jobs_read(u64::MAX);
+}
+
+/// The unwanted run belongs to another task of the same step.
+#[test]
+fn a_worker_runs_more_tasks_of_a_step_than_it_may() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(1, vec![Step { lasting: true, per_worker_max: Some(1), ..step(2, 1_000) }]));
+    world.place();
+    let running = world.all_running();
+    let (agent, first, run) = running[0].clone();
+    let (_, second, _) = running[1].clone();
+    world.end(&agent, first, run, EndKind::Failed);
+    list_unwanted(&mut world, &agent, second);
+    let mut starts = Vec::new();
+    for _ in 0..100 {
+        starts.extend(pass(&mut world).into_iter().filter(|action| matches!(action, Action::Start { .. })));
+    }
+    assert!(starts.is_empty(), "{starts:?}");
+}
+
+/// One pass searches workers for 32 steps.
+#[test]
+fn steps_that_fit_nowhere_keep_a_lasting_task_from_free_room() {
+    let mut world = World::with_workers(1, MILLICORES);
+    (10..60).for_each(|id| world.submit(lasting_job(id, 1, MILLICORES * 2)));
+    list_unwanted(&mut world, &name(WORKER), task(9, 0));
+    world.submit(lasting_job(99, 1, 1_000));
+    let waited_ms = wait_ms(&mut world, 99, 30_000, false);
+    assert!(waited_ms < WAIT_MAX_MS, "{waited_ms} ms");
+}
+
 /// Lasting tasks that have waited for long take the room of each run that is stopped for the urgent one.
 #[test]
 fn lasting_tasks_take_the_room_that_is_freed_for_an_urgent_task() {
@@ -107,3 +159,25 @@
     let starts = pass(&mut world).iter().filter(|action| is_start(action)).count();
     assert_eq!(starts, 1);
 }
+
+/// The unwanted run needs room that the placer otherwise takes for free.
+#[test]
+fn an_overdue_task_exceeds_the_capacity_beside_an_unwanted_run() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(9, vec![step(1, 10_000)]));
+    world.place();
+    let (busy, wanted, _) = world.all_running()[0].clone();
+    let other = name(if &*busy == WORKER { "agent-1" } else { WORKER });
+    list_unwanted(&mut world, &other, wanted);
+    world.submit(lasting_job(1, 1, 8_000));
+    assert_eq!(wait_ms(&mut world, 1, 5_000, false), 5_000);
+}
+
+#[test]
+fn an_overdue_task_starts_on_a_leaving_worker() {
+    let mut world = World::with_workers(1, MILLICORES);
+    let leaving = Worker { leaves_in: Some(Duration::from_secs(20)), ..worker(&name(WORKER), MILLICORES) };
+    world.cell.worker_seen(&name(WORKER), leaving, world.now);
+    world.submit(lasting_job(1, 1, 1_000));
+    assert_eq!(wait_ms(&mut world, 1, 5_000, true), 5_000);
+}
