--- a/crates/cell/tests/lasting_room.rs
+++ b/crates/cell/tests/lasting_room.rs
@@ -54,8 +54,8 @@
 }
 
 /// Makes each task of a job suspect of crashing its workers.
-fn submit_suspects(world: &mut World, id: u64, count: u32) {
-    world.submit(job(id, vec![step(count, 10)]));
+fn submit_suspects(world: &mut World, id: u64, count: u32, millicores: u64) {
+    world.submit(job(id, vec![step(count, millicores)]));
     for index in 0..count {
         let life = Life { worker: name("former"), born_unix_ms: u64::from(index) };
         let (task, age) = (task(id, index), Duration::from_millis(10));
@@ -68,17 +68,33 @@
 #[test]
 fn suspects_of_crashes_keep_a_lasting_task_from_a_free_worker() {
     let mut world = World::with_workers(1, MILLICORES);
-    submit_suspects(&mut world, 9, 60);
+    submit_suspects(&mut world, 9, 60, 10);
     world.place();
     world.submit(lasting_job(1_000));
     let waited_ms = wait_ms(&mut world, |_| (), |_| true);
     assert!(waited_ms < WAIT_MAX_MS, "{waited_ms} ms");
 }
 
+/// Each suspect takes the whole worker as soon as the one before has ended.
+#[test]
+fn suspects_take_the_room_before_a_lasting_task_that_has_waited() {
+    let mut world = World::with_workers(1, MILLICORES);
+    submit_suspects(&mut world, 9, 200, MILLICORES);
+    world.place();
+    world.submit(lasting_job(1_000));
+    let end_all = |world: &mut World| {
+        for (agent, task, run) in world.all_running() {
+            world.end(&agent, task, run, EndKind::Done);
+        }
+    };
+    let waited_ms = wait_ms(&mut world, end_all, |_| true);
+    assert!(waited_ms < WAIT_MAX_MS, "{waited_ms} ms");
+}
+
 #[test]
 fn an_unanswered_start_of_a_suspect_keeps_a_lasting_task_from_a_free_worker() {
     let mut world = World::with_workers(1, MILLICORES);
-    submit_suspects(&mut world, 9, 1);
+    submit_suspects(&mut world, 9, 1, 10);
     world.cell.place(world.now);
     assert_eq!(world.cell.take_actions().len(), 1, "the start of the suspect, which gets no answer");
     world.submit(lasting_job(1_000));
--- a/crates/cell/tests/overdue.rs
+++ b/crates/cell/tests/overdue.rs
@@ -6,7 +6,7 @@
 
 use chervilledge_cell::cell::Action;
 use chervilledge_cell::job::{Job, JobId, Step, TaskId, TaskKey};
-use chervilledge_cell::worker::{EndKind, RunReport, Worker};
+use chervilledge_cell::worker::{EndKind, Refusal, RunReport, Worker};
 use chervilledge_policy::id::Name;
 use support::{World, job, name, step, urgent_job, worker};
 
@@ -181,3 +181,41 @@
     world.submit(lasting_job(1, 1, 1_000));
     assert_eq!(wait_ms(&mut world, 1, 5_000, true), 5_000);
 }
+
+/// The ejected worker has more room than the other.
+#[test]
+fn an_overdue_task_starts_on_an_ejected_worker_beside_a_sound_one() {
+    let mut world = World::with_workers(2, MILLICORES);
+    world.submit(job(8, vec![step(2, 14_000)]));
+    world.place();
+    let running = world.all_running();
+    let (ejected, sound) = (running[0].0.clone(), running[1].0.clone());
+    world.submit(lasting_job(1, 1, 8_000));
+    assert_eq!(wait_ms(&mut world, 1, 2_700, true), 2_700, "no room");
+    let ended = |world: &mut World, (agent, task, run): &(Name, TaskId, u64)| {
+        world.end(agent, *task, *run, EndKind::Done);
+    };
+    let refuse = |world: &mut World| {
+        world.cell.run_refused(&ejected, task(7, 0), 1, Refusal::Unhealthy, world.now);
+    };
+    (0..3).for_each(|_| refuse(&mut world));
+    world.advance_ms(300);
+    running.iter().for_each(|run| ended(&mut world, run));
+    let started: Vec<Name> = pass(&mut world)
+        .into_iter()
+        .filter_map(|action| if let Action::Start { agent, .. } = action { Some(agent) } else { None })
+        .collect();
+    assert_eq!(started, [sound]);
+}
+
+/// The unwanted run is one of the task itself, which would run twice.
+#[test]
+fn an_overdue_task_starts_beside_its_own_run() {
+    let mut world = World::with_workers(1, MILLICORES);
+    world.submit(lasting_job(1, 1, 1_000));
+    world.place();
+    let (agent, first, run) = world.all_running()[0].clone();
+    list_unwanted(&mut world, &agent, first);
+    world.end(&agent, first, run, EndKind::Failed);
+    assert_eq!(wait_ms(&mut world, 1, 9_000, false), 9_000);
+}
