--- a/crates/cell/tests/overdue.rs
+++ b/crates/cell/tests/overdue.rs
@@ -189,23 +189,21 @@
     world.submit(job(8, vec![step(2, 14_000)]));
     world.place();
     let running = world.all_running();
-    let (ejected, sound) = (running[0].0.clone(), running[1].0.clone());
+    let [(ejected, ..), (sound, ..)] = &*running else { panic!("two runs") };
     world.submit(lasting_job(1, 1, 8_000));
     assert_eq!(wait_ms(&mut world, 1, 2_700, true), 2_700, "no room");
-    let ended = |world: &mut World, (agent, task, run): &(Name, TaskId, u64)| {
-        world.end(agent, *task, *run, EndKind::Done);
-    };
-    let refuse = |world: &mut World| {
-        world.cell.run_refused(&ejected, task(7, 0), 1, Refusal::Unhealthy, world.now);
-    };
-    (0..3).for_each(|_| refuse(&mut world));
+    for _ in 0..3 {
+        world.cell.run_refused(ejected, task(7, 0), 1, Refusal::Unhealthy, world.now);
+    }
     world.advance_ms(300);
-    running.iter().for_each(|run| ended(&mut world, run));
+    for (agent, task, run) in &running {
+        world.end(agent, *task, *run, EndKind::Done);
+    }
     let started: Vec<Name> = pass(&mut world)
         .into_iter()
         .filter_map(|action| if let Action::Start { agent, .. } = action { Some(agent) } else { None })
         .collect();
-    assert_eq!(started, [sound]);
+    assert_eq!(started, [Name::clone(sound)]);
 }
 
 /// The unwanted run is one of the task itself, which would run twice.
