--- a/crates/cell/src/cell/overdue.rs
+++ b/crates/cell/src/cell/overdue.rs
@@ -3,7 +3,8 @@
 //! Ordinary placement closes workers for the sake of others: suspects of crashes go first and start alone, workers whose
 //! runs fail are ejected, capacity is reserved for the tasks for whose sake runs are stopped, and nothing starts beside
 //! runs that belong to no task. Each of these lasts for seconds, may be renewed at once, and doesn't regard who waits. A
-//! lasting task that has waited for [`OVERDUE_AFTER`] goes before all others, to any worker that can hold it.
+//! lasting task that has waited for [`OVERDUE_AFTER`] goes to any worker that can hold it, before all others but those
+//! whose reserved capacity is free.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,7 +64,8 @@
         has_waited && self.step_of(task).is_some_and(|step| !step.gang) && !self.is_suspect(task)
     }
 
-    /// Chooses a worker for an overdue task, one that is open to all if there is one.
+    /// Chooses a worker for an overdue task: an open one if there is one, else one on which a suspect starts, at last an
+    /// ejected one.
     fn choose_for_overdue(&self, task: TaskId, now: Duration) -> Option<Name> {
         let seeker = self.seeker(task, now)?.overdue();
         let context = self.context(task);
