Keep an agent's link by way of the balancer until a link to the announced address is open

Cause: as soon as entries announced addresses of their own, the agent retired its links to all other addresses, also the one by way of the balancer, before links to the announced addresses were open. A retired link tells the entry that the worker isn't ready, and closes. Until the new link was open, the entry had no worker and the agent got nothing.

Why it works: each open link is known with the entry that answered on it, and an announced address names its entry. A link to another address stays while its entry is chosen and no link to the entry's own address is open; a link to an entry that isn't chosen stays while no chosen entry is linked. Dials in progress to the first addresses go on while a chosen entry has no link.

--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chervilledge_link::message::{EntryAddress, Hello};
-use chervilledge_policy::collections::{Map, Set};
-use chervilledge_policy::id::Name;
+use chervilledge_policy::collections::Map;
+use chervilledge_policy::id::{BootId, Name};
 use chervilledge_policy::membership::{EntryPeer, choose_entries};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -64,8 +64,10 @@
         let mut known: Vec<EntryAddress> = Vec::new();
         let mut lonely = false;
         loop {
-            let wanted = wanted(&settings, &known, lonely);
-            dialers.retire_all_but(&wanted, &ports.retire);
+            let chosen = chosen(&settings, &known);
+            let wanted = wanted(&settings, &chosen, lonely);
+            let is_needed = |address| wanted.contains(&address) || open.needs(address, &chosen, &settings.bootstrap);
+            dialers.retire_unneeded(is_needed, &ports.retire);
             for address in wanted {
                 dialers.want(address, &ports.retire, |is_wanted| {
                     let hello_ports = Arc::clone(&ports);
@@ -83,21 +85,28 @@
                 Ok(Some(heard)) => known = heard,
                 Ok(None) => return,
                 // A link by way of the first address doesn't count: it would end itself.
-                Err(_) => lonely = !open.has_any(&chosen(&settings, &known)),
+                Err(_) => lonely = !open.has_any(&chosen),
             }
         }
     })
 }
 
-/// Addresses to which links are open.
+/// Entry to which a link is to be held, at the address that it announces.
+#[derive(Clone, Copy, Debug)]
+struct Chosen {
+    entry: BootId,
+    address: SocketAddr,
+}
+
+/// Addresses to which links are open, with the entries that answered there.
 #[derive(Debug, Default)]
-struct Open(Mutex<Set<SocketAddr>>);
+struct Open(Mutex<Map<SocketAddr, BootId>>);
 
 impl Open {
     fn note(&self, event: &Event) {
         match event {
-            Event::Open { link, .. } => {
-                lock(&self.0).insert(link.address);
+            Event::Open { link, welcome, .. } => {
+                lock(&self.0).insert(link.address, welcome.entry);
             }
             Event::Closed { link, .. } => {
                 lock(&self.0).remove(&link.address);
@@ -106,9 +115,24 @@
         }
     }
 
-    fn has_any(&self, addresses: &[SocketAddr]) -> bool {
+    fn has_any(&self, chosen: &[Chosen]) -> bool {
+        let open = lock(&self.0);
+        chosen.iter().any(|chosen| open.contains_key(&chosen.address))
+    }
+
+    /// Whether an address that isn't chosen leads to an entry to which no link is open at the address that it announces.
+    fn needs(&self, address: SocketAddr, chosen: &[Chosen], bootstrap: &[SocketAddr]) -> bool {
         let open = lock(&self.0);
-        addresses.iter().any(|address| open.contains(address))
+        let mut pending = chosen.iter().filter(|chosen| !open.contains_key(&chosen.address));
+        match open.get(&address) {
+            Some(entry) if chosen.iter().any(|chosen| chosen.entry == *entry) => {
+                pending.any(|chosen| chosen.entry == *entry)
+            }
+            // The agent would be without any link.
+            Some(_) => pending.count() == chosen.len(),
+            // A dial in progress may lead to any of the entries.
+            None => bootstrap.contains(&address) && (chosen.is_empty() || pending.next().is_some()),
+        }
     }
 }
 
@@ -122,12 +146,13 @@
 struct Dialers(Map<SocketAddr, Dialer>);
 
 impl Dialers {
-    /// Lets the links to other addresses end once nothing is in progress on them.
-    fn retire_all_but(&mut self, wanted: &[SocketAddr], retire: &impl Fn(SocketAddr, bool)) {
+    /// Lets the links to addresses that aren't needed end once nothing is in progress on them.
+    fn retire_unneeded(&mut self, is_needed: impl Fn(SocketAddr) -> bool, retire: &impl Fn(SocketAddr, bool)) {
         self.0.retain(|_, dialer| !dialer.task.is_finished());
         for (address, dialer) in &self.0 {
-            if !wanted.contains(address) && dialer.is_wanted.send_replace(false) {
-                retire(*address, true);
+            let is_needed = is_needed(*address);
+            if dialer.is_wanted.send_replace(is_needed) != is_needed {
+                retire(*address, !is_needed);
             }
         }
     }
@@ -161,18 +186,18 @@
     }
 }
 
-/// Addresses to which links are to be held: chosen among the known entries, and where entries are found first while no
-/// link to a chosen one is open.
-fn wanted(settings: &Settings, known: &[EntryAddress], lonely: bool) -> Vec<SocketAddr> {
-    let mut addresses = chosen(settings, known);
+/// Addresses that are to be dialed: those of the chosen entries, and where entries are found first while no link to a
+/// chosen one is open.
+fn wanted(settings: &Settings, chosen: &[Chosen], lonely: bool) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = chosen.iter().map(|chosen| chosen.address).collect();
     if lonely || addresses.is_empty() {
         addresses.extend(&settings.bootstrap);
     }
     addresses
 }
 
-/// Addresses of the entries that are chosen among the known ones.
-fn chosen(settings: &Settings, known: &[EntryAddress]) -> Vec<SocketAddr> {
+/// Entries that are chosen among the known ones.
+fn chosen(settings: &Settings, known: &[EntryAddress]) -> Vec<Chosen> {
     let peers: Vec<EntryPeer> = known
         .iter()
         .map(|entry| EntryPeer {
@@ -181,7 +206,12 @@
         })
         .collect();
     let chosen = choose_entries(&settings.worker, &peers, settings.links_max);
-    chosen.iter().filter_map(|peer| peer.address.parse().ok()).collect()
+    let is_chosen = |entry: &&EntryAddress| chosen.iter().any(|peer| *peer.address == *entry.address);
+    known
+        .iter()
+        .filter(is_chosen)
+        .filter_map(|known| Some(Chosen { entry: known.entry, address: known.address.parse().ok()? }))
+        .collect()
 }
 
 fn dial_settings(settings: &Settings, address: SocketAddr) -> dial::Settings {
