Start nothing on an agent that has just started before it knows the newest term

Cause: an agent keeps the term that it obeys in memory, and its worker the newest one that it has seen. After both have started again, a deposed placer that still has its authority and reaches the agent before its successor is obeyed. The successor has had the agent's answer before, so that it doesn't wait for it.

New in crates/scheduler/tests/agent.rs, on the agent itself: beside a store whose placer has term 2, an agent that had just started carried out a start of term 1, with the store answering or silent.

Change: the agent reads the placer's row when it starts. It starts nothing before it knows the term, and obeys no placer of an older one; one that it obeyed meanwhile is told of the newer term. Without an answer of the store that ends 10.6 s after the agent's start (the authority of a placer, with clock error and slack): whoever was deposed before acts no more. Leases, stops and inventories don't wait. Orders that come in the first second wait for the read; later ones are refused as late. Reads are repeated each second at most, with a pause of 0.25 s after an error, and end with that time.

The walk: its agents knew the newest term at once in all series but one (obeys_any_placer). Now an agent that has started again reads it as the product does, and can't while it is cut off; the flag is gone, and the series plays as all others.

Cost: one read for each start of an agent; in an outage of the store a worker whose agent starts takes no new task for up to 10.6 s, while a placer without the store acts for 10 s at most.

--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervilledge_cell::authority::AUTHORITY_PERIOD;
 use chervilledge_cell::cell::Inventory;
 use chervilledge_cell::grant::Grant;
 use chervilledge_cell::job::TaskId;
@@ -58,6 +59,8 @@
     /// Grows when placers need a new inventory.
     pub generation: u64,
     pub term: u64,
+    /// Newest term, once the agent has read it from the store since it started.
+    pub newest_term: Option<u64>,
     pub grant: Grant,
     /// Highest term that the worker has seen.
     pub fence: u64,
@@ -67,7 +70,7 @@
     pub stopped: BTreeMap<TaskId, u64>,
     pub ends: Vec<ListedEnd>,
     pub next_end: u64,
-    /// Until when placers can't reach the agent.
+    /// Until when placers can't reach the agent, nor the agent the store.
     pub cut: Duration,
     /// Former placers reach it nevertheless.
     pub is_cut_from_newest_only: bool,
@@ -86,6 +89,7 @@
             crashes: Vec::new(),
             generation: 0,
             term: 0,
+            newest_term: None,
             grant: Grant::default(),
             fence: 0,
             lease_until: Duration::ZERO,
@@ -117,18 +121,24 @@
     pub fn restart(&mut self, now: Duration) {
         self.forgot_at = Some(now.max(self.off_until));
         self.term = 0;
+        self.newest_term = None;
         self.grant = Grant::default();
         self.crashes.clear();
         self.exits_at = None;
     }
 
-    /// Learns the newest term if neither the agent nor its worker knows one.
-    pub fn learn_term(&mut self, newest: u64, now: Duration) {
-        if now >= self.off_until && self.term == 0 && self.fence == 0 {
-            self.term = newest;
+    /// Reads the newest term from the store, unless the agent is cut off.
+    pub fn read_term(&mut self, newest: u64, now: Duration) {
+        if now >= self.off_until.max(self.cut) {
+            self.newest_term.get_or_insert(newest);
         }
     }
 
+    /// Whether a placer that the agent obeys can't have been deposed before it started.
+    pub fn is_term_certain(&self, now: Duration) -> bool {
+        self.newest_term.is_some() || self.forgot_at.is_none_or(|started| now >= started + AUTHORITY_PERIOD)
+    }
+
     /// What the agent knows of the runs that the worker has when it crashes.
     pub fn crash_report(&self, name: &Name, now: Duration) -> CrashReport {
         let crashed = |((task, run), state): (&(TaskId, u64), &Run)| CrashedRun {
--- a/crates/cell/tests/walk/main.rs
+++ b/crates/cell/tests/walk/main.rs
@@ -4,7 +4,7 @@
 //! Placers, agents, workers and the store are modelled; every decision is made by the cell's own code. The test fails
 //! without any one of these safeguards: the wait for agents that haven't answered, the wait for a silent agent's
 //! lease, the confirmation after it, the bound on leases from the last renewal, the witness's promise and its first answer
-//! after a restart.
+//! after a restart, the wait of an agent that has just started for the newest term.
 //!
 //! A series that fails is shrunk and printed as an expression for [`Series`]. `CHERVILLEDGE_WALK=1000-1999` plays these
 //! seeds by hand.
@@ -66,7 +66,7 @@
         (1203, Event::TakeOver { former_cut_ms: 1_476, is_released: false, asks_witness: false }),
         (1216, Event::CutAgent { agent: 0, for_ms: 8_853, is_cut_from_newest_only: false }),
     ];
-    assert_eq!(World::play(&Series { seed: 5005, obeys_any_placer: false, events }), Ok(()));
+    assert_eq!(World::play(&Series { seed: 5005, events }), Ok(()));
 }
 
 /// A machine whose agent and worker have both started again knows no term, and a placer that was deposed may still reach it.
@@ -79,5 +79,5 @@
         (94, Event::Submit { job: 16, kind: Kind::Gang { members: 2 } }),
         (97, Event::RestartAgent { agent: 1 }),
     ];
-    assert_eq!(World::play(&Series { seed: 1084, obeys_any_placer: true, events }), Ok(()));
+    assert_eq!(World::play(&Series { seed: 1084, events }), Ok(()));
 }
--- a/crates/cell/tests/walk/placer.rs
+++ b/crates/cell/tests/walk/placer.rs
@@ -8,7 +8,7 @@
 use chervilledge_cell::cell::writes::Batch;
 use chervilledge_cell::cell::{Action, Cell};
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::worker::{EndKind, Life, StartOrder};
+use chervilledge_cell::worker::{EndKind, Life, Refusal, StartOrder};
 use chervilledge_policy::id::Name;
 use rand::Rng;
 
@@ -53,8 +53,8 @@
         let placer = &mut self.placers[position];
         for (agent_name, agent) in &mut self.agents {
             let is_cut = now < agent.cut && !(agent.is_cut_from_newest_only && placer.term < newest);
-            let is_reached =
-                !is_cut && now >= agent.off_until && agent.term <= placer.term && agent.fence <= placer.term;
+            let obeyed = agent.term.max(agent.fence).max(agent.newest_term.unwrap_or_default());
+            let is_reached = !is_cut && now >= agent.off_until && obeyed <= placer.term;
             if !is_reached {
                 if placer.links.remove(agent_name).is_some() {
                     placer.cell.agent_silent(agent_name);
@@ -188,6 +188,10 @@
             placer.cell.run_absent(agent_name, task, run, now);
             return;
         }
+        if !agent.is_term_certain(now) {
+            placer.cell.run_refused(agent_name, task, run, Refusal::Late, now);
+            return;
+        }
         agent.running.insert((task, run), state);
         let capacity = agent.millicores;
         let running: Vec<TaskId> = agent.running.keys().map(|(task, _)| *task).collect();
--- a/crates/cell/tests/walk/series.rs
+++ b/crates/cell/tests/walk/series.rs
@@ -141,15 +141,13 @@
 #[derive(Clone)]
 pub struct Series {
     pub seed: u64,
-    /// An agent that starts together with its worker obeys any placer, else only the newest ones.
-    pub obeys_any_placer: bool,
     pub events: Vec<(u32, Event)>,
 }
 
 impl fmt::Debug for Series {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, obeys_any_placer, .. } = self;
-        writeln!(f, "Series {{ seed: {seed}, obeys_any_placer: {obeys_any_placer}, events: vec![")?;
+        let Self { seed, .. } = self;
+        writeln!(f, "Series {{ seed: {seed}, events: vec![")?;
         let mut events = self.events.clone();
         events.sort_by_key(|(step, _)| *step);
         for event in events {
@@ -214,10 +212,9 @@
     })
 }
 
-/// Series of a seed and of events that were drawn. Agents in them know the newest term, since a machine that starts again
-/// and obeys a deposed placer is an open fault of its own.
+/// Series of a seed and of events that were drawn.
 const fn drawn(seed: u64, events: Vec<(u32, Event)>) -> Series {
-    Series { seed, obeys_any_placer: false, events }
+    Series { seed, events }
 }
 
 /// Plays the series of a seed; fails with the shortest series that still fails.
--- a/crates/cell/tests/walk/world.rs
+++ b/crates/cell/tests/walk/world.rs
@@ -41,8 +41,6 @@
     /// When a term was last renewed in the store.
     pub heartbeat: Duration,
     pub seed: u64,
-    /// See [`Series`].
-    obeys_any_placer: bool,
     /// Events that are left, the next one last.
     events: Vec<(u32, Event)>,
     /// Number of the present step.
@@ -94,7 +92,6 @@
             read_by_witness: None,
             heartbeat: now,
             seed: series.seed,
-            obeys_any_placer: series.obeys_any_placer,
             events,
             step_number: 0,
             now,
@@ -364,9 +361,7 @@
         self.advance_machines();
         self.advance_runs();
         self.cancel_jobs();
-        if !self.obeys_any_placer {
-            self.agents.values_mut().for_each(|agent| agent.learn_term(self.store.term, self.now));
-        }
+        self.agents.values_mut().for_each(|agent| agent.read_term(self.store.term, self.now));
         for position in 0..self.placers.len() {
             self.read(position);
             self.link(position);
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -11,6 +11,7 @@
 mod reports;
 mod retirement;
 mod row;
+mod terms;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -37,6 +38,7 @@
 use self::reports::OtherReport;
 use self::retirement::Retirement;
 pub use self::retirement::retire;
+use self::terms::NewestTerm;
 use crate::clock::whole_ms;
 use crate::message::{FromAgent, HEARTBEAT_INTERVAL, ToAgent};
 use crate::metrics::Metrics;
@@ -119,6 +121,8 @@
         /// Result.
         result: OrderOutcome,
     },
+    /// The newest term in the store.
+    NewestTerm(u64),
     /// Requests a dump of the state.
     Dump(RpcReplyPort<Value>),
     /// Announces that the process stops.
@@ -255,8 +259,9 @@
 pub struct State {
     context: Context,
     myself: ActorRef<Message>,
-    /// Highest term seen so far.
+    /// Highest term of a placer that was obeyed.
     term: u64,
+    newest_term: NewestTerm,
     link: Option<(u64, Sender<FromAgent>)>,
     /// Links whose placer hasn't sent its term yet.
     unidentified_links: Map<u64, Sender<FromAgent>>,
@@ -348,10 +353,14 @@
     async fn pre_start(&self, myself: ActorRef<Message>, args: Context) -> Result<State, ActorProcessingErr> {
         let context = args;
         let now = context.clock.now();
-        let tasks = vec![tokio::spawn(tick(myself.clone()))];
+        let tasks = vec![
+            tokio::spawn(tick(myself.clone())),
+            tokio::spawn(terms::read_newest(Arc::clone(&context.store), myself.clone())),
+        ];
         Ok(State {
             myself,
             term: 0,
+            newest_term: NewestTerm::unknown(now),
             link: None,
             unidentified_links: Map::default(),
             inventory_due: None,
@@ -408,6 +417,7 @@
             Message::Started { run, life, sent, result } => state.handle_start_outcome(run, &life, sent, result, now),
             Message::Stopped { run, life, result } => state.handle_stop_outcome(run, &life, result, now),
             Message::Paced { run, percent, result } => state.handle_pace_outcome(run, percent, result),
+            Message::NewestTerm(term) => state.handle_newest_term(term, now),
             Message::Dump(reply) => drop(reply.send(state.dump(now))),
             Message::Retire { within, idle } => state.retire(within, idle, now),
         }
@@ -436,6 +446,7 @@
         }
         self.announce_if_due(now);
         self.expire_silent_worker(now);
+        self.release_held_starts(now);
         self.repeat_pending_starts(now);
         self.send_pending_stops(now);
         self.report_progress(now);
@@ -565,6 +576,7 @@
     fn dump(&self, now: Duration) -> Value {
         json!({
             "term": self.term,
+            "is_term_certain": self.newest_term.is_certain(now),
             "is_linked": self.link.is_some(),
             "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
             "worker": self.tracked.as_ref().map(|tracked| tracked.worker.life.worker.to_string()),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -61,6 +61,7 @@
         self.unidentified_links.remove(&link);
         if self.link.as_ref().is_some_and(|(number, _)| *number == link) {
             self.link = None;
+            self.newest_term.forget_held(None);
             self.inventory_due = None;
             self.unlinked_since = now;
             self.announce_due = now + super::row::ANNOUNCE_AFTER;
@@ -101,14 +102,17 @@
 
     fn handle_hello(&mut self, link: u64, term: u64, version: Option<&Name>, now: Duration) {
         let Some(sender) = self.unidentified_links.remove(&link) else { return };
-        if term < self.term {
-            log::info!(event = "placer_refused", link = link, term = term, obeyed_term = self.term; "");
-            sender.post(FromAgent::Superseded { term: self.term });
+        let newest = self.term.max(self.newest_term.known());
+        if term < newest {
+            log::info!(event = "placer_refused", link = link, term = term, obeyed_term = newest; "");
+            sender.post(FromAgent::Superseded { term: newest });
             return;
         }
         log::info!(event = "placer_obeyed", link = link, term = term, former_term = self.term; "");
         self.term = term;
         self.link = Some((link, sender));
+        // Orders of a previous link never start.
+        self.newest_term.forget_held(None);
         self.placer_knows_crashes = rows::knows_crashes(version);
         self.request_inventory(now);
         self.grant_request_due = now;
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -31,7 +31,8 @@
             Some(_) if self.is_evacuated() => Some(Refusal::Evacuated),
             Some(tracked) if tracked.is_silent() => Some(Refusal::Late),
             Some(_) if !self.grant.holds(now) => Some(Refusal::Late),
-            Some(_) => None,
+            Some(_) if self.newest_term.holds_starts(now) => return self.newest_term.hold(life, order),
+            Some(_) => self.term_refusal(now),
         };
         if refusal == Some(Refusal::Evacuated) {
             self.context.metrics.start_refused_evacuated();
@@ -184,6 +185,7 @@
     }
 
     pub(super) fn stop(&mut self, life: &Life, run: RunId, now: Duration) {
+        self.newest_term.forget_held(Some(run));
         // A start meant for a previous incarnation may have been executed by a later one with the same name.
         let may_run_here = |tracked: &TrackedWorker| {
             tracked.worker.life.worker == life.worker && tracked.worker.life.born_unix_ms >= life.born_unix_ms
@@ -299,6 +301,7 @@
             .chain(self.pending_stops.keys())
             .chain(self.acknowledged_starts.keys())
             .copied()
+            .chain(self.newest_term.held_runs())
             .collect()
     }
 
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -2,18 +2,22 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use chervilledge_cell::authority::{AUTHORITY_PERIOD, lapse_after};
 use chervilledge_cell::job::TaskId;
-use chervilledge_cell::worker::{End, EndKind, Life, RunReport};
+use chervilledge_cell::worker::{End, EndKind, Life, Refusal, RunReport};
 use chervilledge_scheduler::agent::{self, Message};
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
-use chervilledge_scheduler::rows::AGENT_PREFIX;
+use chervilledge_scheduler::rows::{self, AGENT_PREFIX};
 use chervilledge_scheduler::store::Table;
 use chervilledge_scheduler::worker::{OrderOutcome, PollError, PollResponse, StartOutcome};
 use rstest::rstest;
-use support::Fault;
-use support::agent::{Link, idle_poll, life, link, spawn, spawn_without_report, task};
+use support::agent::{
+    Link, RunningAgent, Script, idle_poll, life, link, spawn, spawn_named, spawn_without_report, task,
+};
+use support::{Fault, MemoryStore};
 
 /// Lease that the placer's end of a link grants.
 const LEASE: Duration = Duration::from_secs(5);
@@ -372,3 +376,85 @@
     };
     placer.wait_for("a lease beyond the one at the stop", |_| is_renewed().then_some(())).await;
 }
+
+/// Starts an agent under a store in which a placer of term 2 has claimed the cell, but which answers nothing yet if it is
+/// silent.
+async fn spawn_after_claim(fault: Fault) -> RunningAgent {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let placer =
+        rows::Placer { term: 2, holder: Some("entry-2".into()), address: SocketAddr::from(([127, 0, 0, 1], 1)) };
+    rows.write(Table::Cell, rows::PLACER_KEY, Some(rows::encode(&placer)));
+    rows.set_fault(fault);
+    let agent = spawn_named("agent-1", rows).await;
+    agent.report(life());
+    agent
+}
+
+/// An agent that started again together with its worker obeyed a deposed placer, so that a task ran twice.
+#[rstest]
+#[tokio::test]
+async fn an_agent_that_has_just_started_obeys_a_deposed_placer(#[values(true, false)] is_store_silent: bool) {
+    let agent = spawn_after_claim(if is_store_silent { Fault::Silent } else { Fault::None }).await;
+    let superseded = |message| match message {
+        FromAgent::Started { .. } => panic!("a start by a deposed placer"),
+        FromAgent::Superseded { term } => Some(term),
+        _ => None,
+    };
+    let mut deposed = link(&agent, 1).await;
+    if is_store_silent {
+        let refusal = |message| match message {
+            FromAgent::Started { .. } => panic!("a start by a placer that may have been deposed"),
+            FromAgent::Refused { refusal, .. } => Some(refusal),
+            _ => None,
+        };
+        deposed.inventory().await;
+        deposed.start(task(1), 1);
+        assert_eq!(deposed.wait_for("a refusal", refusal).await, Refusal::Late);
+        agent.rows.set_fault(Fault::None);
+    }
+    assert_eq!(deposed.wait_for("the newer term", superseded).await, 2);
+    let mut successor = link(&agent, 2).await;
+    successor.inventory().await;
+    successor.start(task(1), 10_001);
+    let start = |script: &Script| script.starts == [(task(1), 10_001, 2)];
+    successor.serve_until(&agent.worker, "a start by the successor alone", start).await;
+}
+
+/// Without an answer of the store, an agent starts tasks again once a placer that was deposed before it started can't act.
+#[tokio::test]
+async fn an_agent_that_starts_in_an_outage_takes_orders_when_former_placers_have_ended() {
+    let started = Instant::now();
+    let agent = spawn_after_claim(Fault::Silent).await;
+    let mut placer = link(&agent, 2).await;
+    placer.inventory().await;
+    let mut run = 0;
+    loop {
+        run += 1;
+        placer.start(task(run), run);
+        let answer = |message| match message {
+            FromAgent::Started { .. } => Some(true),
+            FromAgent::Refused { .. } => Some(false),
+            _ => None,
+        };
+        if placer.wait_for("an answer", answer).await {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let waited = started.elapsed();
+    assert!(waited >= AUTHORITY_PERIOD, "a former placer may still act: {waited:?}");
+    assert!(waited < lapse_after(AUTHORITY_PERIOD) + LEASE, "no start for {waited:?}");
+}
+
+/// An order to start that waits for the newest term must not be carried out after the order to stop that follows it.
+#[tokio::test]
+async fn a_start_that_waits_for_the_newest_term_follows_its_stop() {
+    let agent = spawn_after_claim(Fault::Slow(Duration::from_millis(500))).await;
+    let mut placer = link(&agent, 2).await;
+    placer.inventory().await;
+    placer.start(task(1), 1);
+    placer.sender.post(ToAgent::Stop { life: life(), task: task(1), run: 1 });
+    placer.start(task(2), 2);
+    placer.serve_until(&agent.worker, "a start", |script| !script.starts.is_empty()).await;
+    assert_eq!(agent.worker.change(|script| script.starts.clone()), [(task(2), 2, 2)]);
+}
