--- a/review/9/case.py
+++ b/review/9/case.py
@@ -38,8 +38,6 @@
         elif event["kind"] == "run_started" and crashes >= CRASHES:
             starts_after += 1
     print(f"state: {state}; crashes under the task: {crashes}; starts after the third: {starts_after}")
-    if not has_trouble:
-        return HELD if state == "completed" else BROKEN
     return BROKEN if starts_after >= STARTS else HELD
 
 
--- a/review/stand-2/stand_ins.py
+++ b/review/stand-2/stand_ins.py
@@ -34,6 +34,8 @@
 
 # Exit statuses of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Longest play of a case; with the start and the end it stays below 120 s.
+PLAY_MAX_S = 100
 
 
 def now():
@@ -572,7 +574,7 @@
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await deployment.start()
-            return await asyncio.wait_for(play(deployment, has_trouble), 110)
+            return await asyncio.wait_for(play(deployment, has_trouble), PLAY_MAX_S)
         except (Exception, asyncio.CancelledError) as error:
             print(f"the case couldn't run: {error!r}", file=sys.stderr)
             return NOT_RUN
