Take no overtaken answer for a restart of the worker

What callers saw: nothing; each such answer made the agent poll without a cursor.

Cause: the worker's clock in the answer to a start was compared with a reading that had been taken after the start was carried out.

--- a/crates/cell/src/grant.rs
+++ b/crates/cell/src/grant.rs
@@ -46,10 +46,11 @@
 /// Whether a reading of `worker_ms`, in answer to a call sent at `sent`, is possible after an earlier reading of the
 /// same clock.
 ///
-/// The clock starts again in the worker's next life.
+/// The clock starts again in the worker's next life. The call may have been answered before the reading was taken.
 #[must_use]
 pub fn is_clock_continued(reading: ClockReading, worker_ms: u64, sent: Duration) -> bool {
     let passed = sent.saturating_sub(reading.received).mul_f64(CLOCK_MARGIN);
-    let least = Duration::from_millis(reading.worker_ms) + passed;
+    let overtaken = reading.received.saturating_sub(sent).div_f64(CLOCK_MARGIN);
+    let least = (Duration::from_millis(reading.worker_ms) + passed).saturating_sub(overtaken);
     Duration::from_millis(worker_ms.saturating_add(1)) >= least
 }
--- a/crates/cell/tests/malformed.rs
+++ b/crates/cell/tests/malformed.rs
@@ -167,6 +167,15 @@
     assert!(is_clock_continued(reading, u64::MAX, Duration::from_secs(1)));
 }
 
+/// Each answer that a poll had overtaken looked like a restart of the worker.
+#[test]
+fn an_answer_that_a_reading_has_overtaken_is_no_sign_of_a_restart() {
+    let reading = ClockReading { worker_ms: 5_000, received: Duration::from_millis(900) };
+    let sent = Duration::from_millis(860);
+    assert!(is_clock_continued(reading, 4_965, sent));
+    assert!(!is_clock_continued(reading, 4_900, sent));
+}
+
 fn odd_key(rng: &mut SmallRng) -> TaskKey {
     TaskKey { occurrence: small(rng), step: small(rng), index: small(rng) }
 }
