Grant no lease to the next life of a worker by the clock of the former one

Cause: a lease ends at a time of the worker's clock, which starts anew with each life, and a call names the worker but not its life. A call that was computed for the former life therefore grants the next one the longest lease that it accepts (10 s), while agent and placer count on 5 s. The placer gave the silent agent up after 5.5 s and started its tasks elsewhere. Such calls: the poll that confirms the next life, polls after a failed one, starts while the worker is away, polls that wait and are in flight at the crash. A cursor is in the same position.

Change: - A worker that may have restarted gets no lease and no cursor, and starts wait, until a poll has shown its life; that poll doesn't wait. - A poll that waits carries neither; a poll that is answered at once carries them when there is a newer grant or something to settle. - The agent records calls with a lease that the former life hasn't answered and tells the placer until when such a lease may last; the placer takes the runs of a silent agent for ended only after that. - The agent stops runs that go on after the end of its grant.

Inventories have the optional foreign_lease_ms, so the version is 0.8.0.

Three former tests asked for a lease or a cursor in the last poll, which may wait now: they ask for one in a window instead (agent.rs, witnesses.rs), and the_next_life_of_a_worker_is_not_told_to_forget_ends settles a further end.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -376,6 +376,8 @@
     pub(crate) worker: Option<Worker>,
     /// Latest time at which the worker's lease can end, by the leases granted so far.
     pub(crate) lease_until: Duration,
+    /// The same by leases that were meant for former lives of the worker.
+    pub(crate) foreign_lease_until: Duration,
     pub(crate) load: Load,
     /// Number of serving runs on the worker, by image.
     pub(crate) serving: Map<Name, u32>,
--- a/crates/cell/src/cell/agents.rs
+++ b/crates/cell/src/cell/agents.rs
@@ -43,6 +43,8 @@
     pub is_empty: bool,
     /// Whether runs that aren't listed may have ended on the worker; the whole inventory follows.
     pub is_partial: bool,
+    /// Time for which runs may go on without a grant, under a lease that was meant for a former life of the worker.
+    pub foreign_lease: Option<Duration>,
 }
 
 impl Cell {
@@ -89,7 +91,7 @@
     /// Agents without a link, and how long leases may still run on their workers.
     pub fn unlinked_leases(&self, now: Duration) -> impl Iterator<Item = (Name, Duration)> {
         let unlinked = self.agents.iter().filter(|(_, agent)| agent.contact != Contact::Linked);
-        unlinked.map(move |(name, agent)| (Arc::clone(name), agent.lease_until.saturating_sub(now)))
+        unlinked.map(move |(name, agent)| (Arc::clone(name), agent.leases_end().saturating_sub(now)))
     }
 
     fn limit_former_leases(&mut self, end: Duration) {
@@ -123,6 +125,9 @@
         for crash in &inventory.crashes {
             self.worker_had_crashed(name, crash, now);
         }
+        if let (Some(agent), Some(left)) = (self.agents.get_mut(name), inventory.foreign_lease) {
+            agent.foreign_lease_until = agent.foreign_lease_until.max(now + left);
+        }
         let Some(worker) = inventory.worker else {
             if inventory.is_empty {
                 self.worker_gone(name, now);
@@ -271,7 +276,7 @@
     fn agents_without_lease(&self, at: Duration) -> Vec<Name> {
         self.agents
             .iter()
-            .filter(|(_, agent)| agent.lease_until <= at)
+            .filter(|(_, agent)| agent.leases_end() <= at)
             .filter(|(name, agent)| match agent.contact {
                 Contact::Silent => true,
                 Contact::Unheard => self.unresolved.contains(*name),
@@ -378,12 +383,18 @@
         }
     }
 
+    /// Latest time at which the worker's lease can end.
+    fn leases_end(&self) -> Duration {
+        self.lease_until.max(self.foreign_lease_until)
+    }
+
     fn new(lease_until: Duration) -> Self {
         Self {
             contact: Contact::Unheard,
             is_retiring: false,
             worker: None,
             lease_until,
+            foreign_lease_until: Duration::ZERO,
             load: Load::default(),
             serving: Map::default(),
             headrooms: Map::default(),
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -236,6 +236,7 @@
             crashes: Vec::new(),
             is_empty: false,
             is_partial: false,
+            foreign_lease: None,
         }
     }
 }
--- a/crates/cell/tests/takeover.rs
+++ b/crates/cell/tests/takeover.rs
@@ -268,3 +268,25 @@
     world.cell.lapse_agents(Some(world.now), world.now);
     assert_eq!(world.cell.unresolved(), 0);
 }
+
+/// A lease that was meant for a former life of the worker outlasts those that the placer has granted.
+#[test]
+fn a_task_does_not_run_elsewhere_while_a_lease_of_a_former_life_may_last() {
+    let mut world = World::with_workers(2, MILLICORES);
+    let agent = name("agent-0");
+    let foreign_lease = Some(Duration::from_secs(9));
+    let whole = Inventory { foreign_lease, ..world.inventory(&agent, MILLICORES) };
+    world.cell.agent_linked(&agent, whole, world.now);
+    world.submit_plain(1, 20);
+    world.place();
+    let on_agent = world.all_running().iter().filter(|(name, ..)| *name == agent).count();
+    assert!(on_agent > 0);
+    world.cell.grant(&agent, world.now + LEASE, world.now);
+    world.cell.agent_silent(&agent);
+    world.advance_ms(8_900);
+    world.cell.lapse_agents(Some(world.now), world.now);
+    assert!(!world.cell.is_lapsed(&agent));
+    world.advance_ms(200);
+    world.cell.lapse_agents(Some(world.now), world.now);
+    assert!(world.cell.is_lapsed(&agent));
+}
--- a/crates/cell/tests/walk/agent.rs
+++ b/crates/cell/tests/walk/agent.rs
@@ -211,6 +211,7 @@
             crashes: self.crashes.clone(),
             is_empty: is_down,
             is_partial: self.has_more_ends(),
+            foreign_lease: None,
         }
     }
 }
--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -4,6 +4,7 @@
 //! grants. A worker that restarts keeps its name and becomes a new incarnation, identified by its `Life`.
 
 mod crashes;
+mod leases;
 mod links;
 mod looks;
 mod orders;
@@ -35,6 +36,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use self::leases::LeaseCalls;
 use self::reports::OtherReport;
 use self::retirement::Retirement;
 pub use self::retirement::retire;
@@ -89,8 +91,10 @@
         term: u64,
         /// When the call was sent.
         sent: Duration,
-        /// Response.
-        response: Result<PollResponse, PollError>,
+        /// Whether it carried a lease.
+        has_lease: bool,
+        /// Response, and the cursor in the request.
+        response: Result<(u64, PollResponse), PollError>,
     },
     /// An order to start has finished.
     Started {
@@ -165,6 +169,8 @@
     lease_until: Duration,
     /// Runs that ended up to this position are durable, and the worker may forget them.
     cursor: u64,
+    /// Position up to which the worker has answered that it forgets ends; never above `cursor`.
+    forgotten: u64,
     /// Latest end that was reported to the placer.
     reported_end: u64,
     /// Ends that aren't settled yet, as far as the worker lists them.
@@ -212,9 +218,14 @@
         self.failed_polls >= SILENT_POLLS
     }
 
-    /// Records that the worker may have restarted.
+    /// Records that the worker may have restarted, which the next poll shows.
     fn mark_maybe_restarted(&mut self, now: Duration) {
         self.maybe_restarted_since = Some(now);
+        // One in flight that waits may be answered much later.
+        if self.is_polling && self.unwatched_since.is_none() {
+            self.is_polling = false;
+            self.poll_due = now;
+        }
     }
 }
 
@@ -280,6 +291,9 @@
     other_report: Option<OtherReport>,
     /// Previous incarnation of the worker, while the placer still counts on it.
     previous_life: Option<Life>,
+    lease_calls: LeaseCalls,
+    /// Latest end of the leases that calls meant for former lives may have granted.
+    foreign_lease_until: Duration,
     /// Time from which a worker that has ended, or was never known, can't run anything any more.
     empty_at: Duration,
     pending_starts: Map<RunId, PendingStart>,
@@ -377,6 +391,8 @@
             tracked: None,
             other_report: None,
             previous_life: None,
+            lease_calls: LeaseCalls::default(),
+            foreign_lease_until: Duration::ZERO,
             empty_at: now + lapse_after(LEASE_MAX),
             pending_starts: Map::default(),
             unanswered: Map::default(),
@@ -423,8 +439,17 @@
             }
             Message::Unlinked(link) => state.handle_link_closed(link, now),
             Message::FromPlacer { link, message } => state.handle_placer_message(link, *message, now),
-            Message::Polled { life, term, sent, response } => state.handle_poll(&life, term, sent, response, now),
-            Message::Started { run, life, sent, result } => state.handle_start_outcome(run, &life, sent, result, now),
+            Message::Polled { life, term, sent, has_lease, response } => {
+                if has_lease {
+                    state.end_lease_poll(&life, sent, &response, now);
+                }
+                state.handle_poll(&life, term, sent, response, now);
+            }
+            Message::Started { run, life, sent, result } => {
+                let is_doubtful = state.check_for_restart(&life, sent, result, now);
+                state.end_lease_start(sent, result, is_doubtful, now);
+                state.handle_start_outcome(run, &life, result, is_doubtful, now);
+            }
             Message::Stopped { run, life, result } => state.handle_stop_outcome(run, &life, result, now),
             Message::Paced { run, percent, result } => state.handle_pace_outcome(run, percent, result),
             Message::NewestTerm(term) => state.handle_newest_term(term, now),
@@ -542,7 +567,7 @@
             .as_ref()
             .is_some_and(|tracked| tracked.is_silent() && now >= tracked.lease_until + LEASE_SLACK);
         // A worker that never had a lease from this agent may have one from an earlier start of the agent.
-        if is_over && now >= self.empty_at {
+        if is_over && now >= self.empty_at.max(self.foreign_lease_until) {
             self.handle_worker_end("silent", now);
         }
     }
@@ -571,15 +596,17 @@
 
     /// End of a lease to send to the worker now, on its own clock; records that it was sent.
     ///
-    /// A silent worker gets none: extending its lease would only prolong the wait for its end.
+    /// A silent worker gets none: extending its lease would only prolong the wait for its end. Neither does one that may
+    /// have restarted: the lease is computed from the clock of the former life.
     fn offer_lease(&mut self, now: Duration) -> Option<u64> {
         let until = self.grant.until;
-        let tracked = self.tracked.as_mut().filter(|tracked| !tracked.is_silent())?;
+        let tracked = self.tracked.as_mut().filter(|tracked| !tracked.is_silent() && !tracked.is_doubtful())?;
         if !self.grant.holds(now) {
             return None;
         }
         let end = lease_end_ms(tracked.reading?, until)?;
         tracked.lease_until = tracked.lease_until.max(until);
+        self.lease_calls.add(&tracked.worker.life, now);
         Some(end)
     }
 
@@ -589,6 +616,7 @@
             "is_term_certain": self.newest_term.is_certain(now),
             "is_linked": self.link.is_some(),
             "granted_for_ms": whole_ms(self.grant.until.saturating_sub(now)),
+            "foreign_lease_for_ms": whole_ms(self.foreign_lease_until.saturating_sub(now)),
             "worker": self.tracked.as_ref().map(|tracked| tracked.worker.life.worker.to_string()),
             "stops_in_ms": self.stops_in(now).map(whole_ms),
             "is_evacuated": self.is_evacuated(),
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -134,6 +134,7 @@
         let starting = self.unconfirmed_runs();
         let version = Some(Name::from(VERSION));
         let crashes = self.crashes.iter().cloned().collect();
+        let foreign_lease = self.foreign_lease_left(now);
         let message = match &mut self.tracked {
             Some(tracked) => {
                 self.previous_life = None;
@@ -150,6 +151,7 @@
                     version,
                     crashes,
                     is_partial: tracked.has_more_ends,
+                    foreign_lease,
                 }
             }
             None => FromAgent::Inventory {
@@ -162,6 +164,7 @@
                 version,
                 crashes,
                 is_partial: false,
+                foreign_lease,
             },
         };
         match &self.tracked {
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -8,6 +8,7 @@
 use chervilledge_cell::worker::{Life, RunReport, Worker};
 use chervilledge_policy::capacity::Resources;
 
+use super::leases::LATE_CALL_BOUND;
 use super::{Message, State};
 use crate::message::FromAgent;
 use crate::worker::{PollError, PollRequest, PollResponse};
@@ -27,47 +28,74 @@
 
 impl State {
     /// Polls the worker when a poll is due, unless one is in flight that suffices.
+    ///
+    /// A poll that waits is likely to be in flight when the worker crashes, and its next life may execute it. So it carries
+    /// neither a lease nor a cursor; these are sent with a poll that is answered at once.
     pub(super) fn poll_if_due(&mut self, now: Duration) {
-        let is_colocated = self.is_colocated();
-        let is_urgent = self.inventory_due.is_some()
-            || self.other_report.is_some()
-            || self.pending_stops.values().any(|stopping| stopping.acknowledged_at.is_some());
+        let wait = self.poll_wait(now);
         let Some(tracked) = &self.tracked else { return };
         if tracked.is_polling || now < tracked.poll_due || self.term == 0 {
             return;
         }
-        let wait = if is_urgent || !tracked.ends.is_empty() || tracked.maybe_restarted_since.is_some() {
-            Duration::ZERO
-        } else if is_colocated {
-            COLOCATED_POLL_WAIT
-        } else {
-            IDLE_POLL_WAIT
-        };
-        let lease_end_ms = self.offer_lease(now);
+        let lease_end_ms = if wait.is_zero() { self.offer_lease(now) } else { None };
         let (Some(target), Some(tracked)) = (self.target(), self.tracked.as_mut()) else { return };
         tracked.is_polling = true;
         if !wait.is_zero() {
             tracked.unwatched_since = None;
         }
         // The numbering of ends restarts with each incarnation.
-        let cursor = if tracked.maybe_restarted_since.is_some() { 0 } else { tracked.cursor };
+        let cursor = if wait.is_zero() && !tracked.is_doubtful() { tracked.cursor } else { 0 };
         let request = PollRequest { cursor, lease_end_ms, wait };
         let (life, term) = (tracked.worker.life.clone(), self.term);
         let call = (self.context.calls.poll)((target, request));
         let myself = self.myself.clone();
         tokio::spawn(async move {
-            let response = call.await;
+            let response = call.await.map(|response| (cursor, response));
             // The agent may have ended.
-            drop(myself.cast(Message::Polled { life, term, sent: now, response }));
+            drop(myself.cast(Message::Polled { life, term, sent: now, has_lease: lease_end_ms.is_some(), response }));
         });
     }
 
+    /// How long the next poll waits for the end of a run; zero if something is to be sent or learnt at once.
+    fn poll_wait(&self, now: Duration) -> Duration {
+        let Some(tracked) = &self.tracked else { return Duration::ZERO };
+        let is_urgent = self.inventory_due.is_some()
+            || self.other_report.is_some()
+            || self.pending_stops.values().any(|stopping| stopping.acknowledged_at.is_some())
+            || !tracked.ends.is_empty()
+            || tracked.is_doubtful();
+        let has_newer_grant = self.grant.holds(now) && self.grant.until > tracked.lease_until;
+        let may_outlive_grant = self.has_grant_ended(now) && !tracked.running.is_empty();
+        if is_urgent || has_newer_grant || may_outlive_grant || tracked.cursor > tracked.forgotten {
+            return Duration::ZERO;
+        }
+        let wait = if self.is_colocated() { COLOCATED_POLL_WAIT } else { IDLE_POLL_WAIT };
+        // The poll after it shows whether runs have outlived the grant.
+        if self.grant.holds(now) { wait.min(self.grant.until.saturating_sub(now)) } else { wait }
+    }
+
+    /// Records the result of a poll that carried a lease.
+    pub(super) fn end_lease_poll(
+        &mut self,
+        life: &Life,
+        sent: Duration,
+        response: &Result<(u64, PollResponse), PollError>,
+        now: Duration,
+    ) {
+        let executed_until = match response {
+            Ok((_, response)) if response.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => Some(now),
+            Ok(_) | Err(PollError::Fenced | PollError::NotThere | PollError::OtherLife) => None,
+            Err(PollError::Unknown) => Some(sent + LATE_CALL_BOUND),
+        };
+        self.lease_calls.end(sent, executed_until);
+    }
+
     pub(super) fn handle_poll(
         &mut self,
         life: &Life,
         term: u64,
         sent: Duration,
-        response: Result<PollResponse, PollError>,
+        response: Result<(u64, PollResponse), PollError>,
         now: Duration,
     ) {
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return };
@@ -76,7 +104,7 @@
         let result = if response.is_ok() { "done" } else { "failed" };
         self.context.metrics.worker_poll(result, now.saturating_sub(sent));
         match response {
-            Ok(PollResponse { clock_ms, born_unix_ms: Some(born_unix_ms), .. })
+            Ok((_, PollResponse { clock_ms, born_unix_ms: Some(born_unix_ms), .. }))
                 if born_unix_ms != life.born_unix_ms =>
             {
                 let (worker, address) = (tracked.worker.clone(), tracked.address);
@@ -90,10 +118,13 @@
                 self.confirm_worker(true);
                 self.apply_other_report(now);
             }
-            Ok(response) => {
+            Ok((cursor, response)) => {
+                tracked.forgotten = tracked.forgotten.max(cursor);
                 self.confirm_worker(response.born_unix_ms.is_some());
                 self.reject_other_report(sent);
                 self.apply_poll(response, term, sent, now);
+                self.stop_runs_without_grant(sent, now);
+                self.repeat_pending_starts(now);
             }
             Err(error) => self.handle_poll_failure(error, now),
         }
@@ -116,6 +147,7 @@
     }
 
     fn apply_poll(&mut self, response: PollResponse, term: u64, sent: Duration, now: Duration) {
+        let outlives_grant = self.has_grant_ended(sent) && !response.running.is_empty();
         let Some(tracked) = &mut self.tracked else { return };
         tracked.failed_polls = 0;
         tracked.refused_connections = 0;
@@ -124,11 +156,17 @@
         tracked.reading = Some(ClockReading { worker_ms: response.clock_ms, received: now });
         tracked.running = response.running;
         let cursor = tracked.cursor;
+        // Another response may have overtaken this one, or the worker hasn't forgotten them.
+        let is_forgotten = response.ends.iter().all(|end| end.number > cursor);
+        if !is_forgotten {
+            tracked.forgotten = 0;
+        }
         tracked.ends = response.ends.into_iter().filter(|end| end.number > cursor).collect();
         tracked.ends.sort_unstable_by_key(|end| end.number);
         tracked.has_more_ends = response.has_more_ends;
         let has_more_ends = response.has_more_ends;
-        tracked.poll_due = if tracked.ends.is_empty() { now } else { now + UNSETTLED_PAUSE };
+        let is_answered_at_once = !tracked.ends.is_empty() || !is_forgotten || outlives_grant;
+        tracked.poll_due = if is_answered_at_once { now + UNSETTLED_PAUSE } else { now };
         self.acknowledged_starts.retain(|_, taken| taken.at > sent);
         self.clear_ended();
         // A run that isn't listed may have ended as done.
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -7,6 +7,7 @@
 use chervilledge_cell::worker::{Life, Refusal, StartOrder};
 use chervilledge_policy::id::Name;
 
+use super::leases::LATE_CALL_BOUND;
 use super::{AcknowledgedStart, Message, PendingStart, PendingStop, RunId, State, TrackedWorker};
 use crate::clock::whole_ms;
 use crate::message::FromAgent;
@@ -17,8 +18,6 @@
 const START_PATIENCE: Duration = Duration::from_secs(3);
 /// Minimum interval between two calls for one order; a call that gets no answer takes longer than a broken connection.
 const ORDER_RETRY: Duration = Duration::from_millis(250);
-/// Time after which an unanswered order can no longer be executed: users state twelve seconds, plus a margin.
-const LATE_START_BOUND: Duration = Duration::from_secs(15);
 
 impl State {
     pub(super) fn start(&mut self, life: &Life, order: StartOrder, now: Duration) {
@@ -68,8 +67,12 @@
         self.send_to_placer(FromAgent::Refused { task: run.0, run: run.1, refusal });
     }
 
-    /// Sends an attempt at a start; returns whether the worker may be called.
+    /// Sends an attempt at a start, as soon as it is certain which incarnation takes it; returns whether the worker may be
+    /// called.
     fn send_start(&mut self, run: RunId, now: Duration) -> bool {
+        if self.tracked.as_ref().is_some_and(TrackedWorker::is_doubtful) {
+            return true;
+        }
         let (Some(target), Some(lease_end)) = (self.target(), self.offer_lease(now)) else { return false };
         let Some(life) = self.tracked.as_ref().map(|tracked| tracked.worker.life.clone()) else { return false };
         let Some(starting) = self.pending_starts.get_mut(&run) else { return false };
@@ -98,15 +101,17 @@
     pub(super) fn repeat_pending_starts(&mut self, now: Duration) {
         let may_start =
             !self.is_evacuated() && self.tracked.as_ref().is_some_and(|tracked| tracked.worker.leaves_in.is_none());
-        let due: Vec<(RunId, Duration)> = self
+        let due: Vec<(RunId, Duration, u32)> = self
             .pending_starts
             .iter()
             .filter(|(_, starting)| !starting.is_calling && now >= starting.due)
-            .map(|(run, starting)| (*run, starting.since))
+            .map(|(run, starting)| (*run, starting.since, starting.attempts))
             .collect();
-        for (run, since) in due {
+        for (run, since, attempts) in due {
             if may_start && now.saturating_sub(since) < START_PATIENCE {
                 self.send_start(run, now);
+            } else if attempts == 0 {
+                self.refuse(run, Refusal::Late);
             } else {
                 // An attempt may still be executed.
                 self.ensure_absent(run, now);
@@ -118,11 +123,10 @@
         &mut self,
         run: RunId,
         life: &Life,
-        sent: Duration,
         result: StartOutcome,
+        is_doubtful: bool,
         now: Duration,
     ) {
-        let is_doubtful = self.check_for_restart(life, sent, result, now);
         let is_present = self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life == *life);
         let Some(starting) = self.pending_starts.get_mut(&run).filter(|_| is_present) else { return };
         starting.is_calling = false;
@@ -150,8 +154,24 @@
         }
     }
 
+    /// Records the result of a start, which carries a lease.
+    pub(super) fn end_lease_start(&mut self, sent: Duration, result: StartOutcome, is_doubtful: bool, now: Duration) {
+        let executed_until = match result {
+            StartOutcome::Running { .. } => Some(now).filter(|_| is_doubtful),
+            StartOutcome::Unknown => Some(sent + LATE_CALL_BOUND),
+            StartOutcome::Refused(_) | StartOutcome::Outdated | StartOutcome::OtherLife => None,
+        };
+        self.lease_calls.end(sent, executed_until);
+    }
+
     /// Detects a response to a start that another incarnation of the worker may have given; returns whether it may.
-    fn check_for_restart(&mut self, life: &Life, sent: Duration, result: StartOutcome, now: Duration) -> bool {
+    pub(super) fn check_for_restart(
+        &mut self,
+        life: &Life,
+        sent: Duration,
+        result: StartOutcome,
+        now: Duration,
+    ) -> bool {
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return true };
         let is_doubtful = match result {
             StartOutcome::Running { clock_ms: Some(clock_ms) } => {
@@ -175,10 +195,10 @@
 
     /// Drops unanswered starts that can no longer be executed.
     pub(super) fn prune_unanswered(&mut self, now: Duration) {
-        self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_START_BOUND);
+        self.unanswered.retain(|_, at| now.saturating_sub(*at) < LATE_CALL_BOUND);
     }
 
-    fn ensure_absent(&mut self, run: RunId, now: Duration) {
+    pub(super) fn ensure_absent(&mut self, run: RunId, now: Duration) {
         self.pending_starts.remove(&run);
         self.pending_stops.entry(run).or_insert_with(|| PendingStop::new(now));
         self.send_pending_stops(now);
--- a/crates/scheduler/src/agent/reports.rs
+++ b/crates/scheduler/src/agent/reports.rs
@@ -74,6 +74,9 @@
             if self.other_report.is_none() {
                 tracked.is_polling = false;
             }
+            if is_same_worker {
+                tracked.mark_maybe_restarted(now);
+            }
             self.keep_other_report(report, now);
         } else if is_same_worker {
             let clock_ms = report.clock_ms.unwrap_or_default();
@@ -172,6 +175,7 @@
     ) {
         log::info!(event = "worker_registered", worker = &*worker.life.worker,
             born_unix_ms = worker.life.born_unix_ms, address:% = address; "");
+        self.add_foreign_leases(&worker.life, now);
         self.tracked = Some(TrackedWorker {
             cold_until: now + worker.cold_for,
             worker,
@@ -181,6 +185,7 @@
             reading,
             lease_until: Duration::ZERO,
             cursor: 0,
+            forgotten: 0,
             reported_end: 0,
             ends: Vec::new(),
             has_more_ends: false,
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -117,6 +117,11 @@
         /// are listed are settled. Versions before 0.5.0 don't tell.
         #[serde(default)]
         is_partial: bool,
+        /// Time for which runs may go on without a grant, under a lease that was meant for a former life of the worker.
+        /// Versions before 0.8.0 don't tell.
+        #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+        #[serde(default, rename = "foreign_lease_ms")]
+        foreign_lease: Option<Duration>,
     },
     /// The agent obeys a newer term.
     Superseded {
--- a/crates/scheduler/src/placer/links.rs
+++ b/crates/scheduler/src/placer/links.rs
@@ -101,10 +101,22 @@
 
     pub(super) fn handle_agent_message(&mut self, agent: &Name, message: FromAgent, now: Duration) {
         match message {
-            FromAgent::Inventory { worker, running, starting, ends, is_empty, asked, version, crashes, is_partial } => {
+            FromAgent::Inventory {
+                worker,
+                running,
+                starting,
+                ends,
+                is_empty,
+                asked,
+                version,
+                crashes,
+                is_partial,
+                foreign_lease,
+            } => {
                 self.agent_versions.insert(Arc::clone(agent), version);
                 self.log_versions();
-                let inventory = Inventory { worker, running, starting, ends, crashes, is_empty, is_partial };
+                let inventory =
+                    Inventory { worker, running, starting, ends, crashes, is_empty, is_partial, foreign_lease };
                 self.handle_inventory(agent, inventory, now);
                 self.send_grant(agent, asked, now);
             }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// Longest lease of a worker where the agent's settings don't tell: the users' `max_hold_ms`.
+const fn worker_lease_max() -> Duration {
+    Duration::from_secs(10)
+}
+
 /// Settings of an agent.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -75,6 +80,10 @@
     pub name: Name,
     /// Address on which links are accepted.
     pub links_address: SocketAddr,
+    /// Longest lease that the worker grants to its runs.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "worker_lease_max", rename = "worker_lease_max_ms")]
+    pub worker_lease_max: Duration,
     /// Time that a serving run has to stay over its latency target for users to count it as harmed.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "latency_harm_after_ms")]
--- a/crates/scheduler/tests/agent.rs
+++ b/crates/scheduler/tests/agent.rs
@@ -223,11 +223,13 @@
     agent.worker.wait_for("a poll of the next incarnation", |script| script.polls.len() > first).await;
     assert_eq!(agent.worker.change(|script| script.polls[first].cursor), 0);
     // It turns out to be the same incarnation.
+    let end = End { number: 2, task: task(3), run: 1, kind: EndKind::Done, checkpoint: "".into() };
+    agent.worker.change(|script| script.poll = Ok(PollResponse { ends: vec![end], ..idle_poll() }));
+    let is_next_end = |message| matches!(message, FromAgent::Ends { ends, .. } if ends[0].number == 2).then_some(());
+    placer.wait_for("the next end", is_next_end).await;
+    placer.sender.post(ToAgent::Settle { life: life(), cursor: 2 });
     agent.worker.change(|script| script.poll = Ok(idle_poll()));
-    agent
-        .worker
-        .wait_for("ends are settled again", |script| script.polls.last().is_some_and(|ask| ask.cursor == 1))
-        .await;
+    agent.worker.wait_for("ends are settled again", |script| script.polls.iter().any(|ask| ask.cursor == 2)).await;
 }
 
 /// No placer finds a worker without a row, and a successor would start its tasks elsewhere at once.
@@ -369,12 +371,11 @@
     let actor = agent.actor.clone();
     let _retirement = tokio::spawn(async move { agent::retire(&actor, Duration::from_mins(10)).await });
     let stopping_since = Instant::now();
-    let is_renewed = || {
-        let has_lease =
-            agent.worker.change(|script| script.polls.last().is_some_and(|poll| poll.lease_end_ms.is_some()));
-        has_lease && stopping_since.elapsed() > LEASE + Duration::from_secs(1)
-    };
-    placer.wait_for("a lease beyond the one at the stop", |_| is_renewed().then_some(())).await;
+    let is_late = |_| (stopping_since.elapsed() > LEASE + Duration::from_secs(1)).then_some(());
+    placer.wait_for("the end of the lease at the stop", is_late).await;
+    let polls = agent.worker.change(|script| script.polls.len());
+    let has_lease = |script: &Script| script.polls[polls..].iter().any(|poll| poll.lease_end_ms.is_some());
+    placer.serve_until(&agent.worker, "a lease beyond the one at the stop", has_lease).await;
 }
 
 /// Starts an agent under a store in which a placer of term 2 has claimed the cell, but which answers nothing yet if it is
--- a/crates/scheduler/tests/compatibility.rs
+++ b/crates/scheduler/tests/compatibility.rs
@@ -34,7 +34,8 @@
 const SAMPLES_ENV: &str = "CHERVILLEDGE_SAMPLES";
 
 /// Samples that the version in production wrote, and those before it.
-const RELEASED: [&str; 6] = [
+const RELEASED: [&str; 7] = [
+    include_str!("samples/0.7.0.txt"),
     include_str!("samples/0.6.0.txt"),
     include_str!("samples/0.5.0.txt"),
     include_str!("samples/0.4.0.txt"),
@@ -56,7 +57,8 @@
     "to-entry/renew-term",
 ];
 /// What each of these versions doesn't know.
-const UNKNOWN: [&[&[&str]]; 6] = [
+const UNKNOWN: [&[&[&str]]; 7] = [
+    &[],
     &[],
     &[],
     &[&SINCE_0_5],
@@ -316,6 +318,7 @@
         asked: Duration::from_nanos(1_234_567),
         version: Some(name("0.2.0")),
         crashes: vec![crash_report()],
+        foreign_lease: Some(Duration::from_millis(9_400)),
     }
 }
 
--- a/crates/scheduler/tests/placer.rs
+++ b/crates/scheduler/tests/placer.rs
@@ -546,6 +546,7 @@
             asked: Duration::ZERO,
             version: None,
             crashes: Vec::new(),
+            foreign_lease: None,
         });
         link
     }
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -48,6 +48,8 @@
     /// Duration of a poll after the worker has composed its response.
     pub poll_delay: Duration,
     pub starts: Vec<(TaskId, u64, u64)>,
+    /// Ends of the leases that the starts carried, on the worker's clock.
+    pub start_leases_ms: Vec<u64>,
     pub stops: Vec<(TaskId, u64, u64)>,
     pub polls: Vec<PollRequest>,
     /// Ordered paces, in percent.
@@ -95,8 +97,9 @@
     fn calls(&self) -> Calls {
         let (starts, stops, polls, paces) = (self.clone(), self.clone(), self.clone(), self.clone());
         Calls {
-            start: Box::new(move |(target, order, _)| {
+            start: Box::new(move |(target, order, lease_end_ms)| {
                 let (answer, is_lost) = starts.change(|script| {
+                    script.start_leases_ms.push(lease_end_ms);
                     script.starts.push((order.task, order.run, target.term));
                     (script.start, script.loses_order())
                 });
@@ -190,6 +193,7 @@
         other_polls: BTreeMap::new(),
         poll_delay: Duration::ZERO,
         starts: Vec::new(),
+        start_leases_ms: Vec::new(),
         stops: Vec::new(),
         polls: Vec::new(),
         paces: Vec::new(),
@@ -199,6 +203,7 @@
         settings: settings::Agent {
             name: Arc::from(name),
             links_address: address,
+            worker_lease_max: Duration::from_secs(10),
             latency_harm_after: Duration::from_secs(4),
             stop_timeout: Duration::from_secs(6),
         },
--- a/crates/scheduler/tests/witnesses.rs
+++ b/crates/scheduler/tests/witnesses.rs
@@ -10,7 +10,7 @@
 use chervilledge_link::connection;
 use chervilledge_policy::collections::Map;
 use chervilledge_scheduler::entry::Entry;
-use chervilledge_scheduler::message::{FromEntry, LINK_TIMEOUT, ToEntry};
+use chervilledge_scheduler::message::{FromEntry, HEARTBEAT_INTERVAL, LINK_TIMEOUT, ToEntry};
 use chervilledge_scheduler::placer::{self, Context};
 use chervilledge_scheduler::roster::Roster;
 use chervilledge_scheduler::rows::{self, HEARTBEAT_KEY, PLACER_KEY, WITNESSES_KEY};
@@ -60,13 +60,12 @@
     agent.report(agent::life());
     let witnesses = || stored::<rows::Witnesses>(&rows, WITNESSES_KEY).map_or(0, |witnesses| witnesses.members.len());
     wait_for("witnesses", || witnesses() == (entries - 1).min(2)).await;
-    let has_lease =
-        || agent.worker.change(|script| script.polls.last().is_some_and(|poll| poll.lease_end_ms.is_some()));
+    let has_lease = || agent.worker.change(|script| script.polls.iter().any(|poll| poll.lease_end_ms.is_some()));
     wait_for("a lease", has_lease).await;
     rows.set_fault(Fault::Silent);
     tokio::time::sleep(Duration::from_secs(8)).await;
     agent.worker.change(|script| script.polls.clear());
-    agent.worker.wait_for("a poll", |script| !script.polls.is_empty()).await;
+    tokio::time::sleep(2 * HEARTBEAT_INTERVAL).await;
     assert_eq!(has_lease(), is_renewed);
 }
 
