Write an agent's row again after it was out of touch for long

Cause: a placer deletes the row of an agent that it hasn't reached for 6 s, under the condition that the row is unchanged. The deletion may take effect late. An agent that resumes and gets a link before it never wrote its row again, so the row went while the agent was in use, and a successor started its tasks elsewhere at once.

Evidence: agent-3 suspended from 35.27 to 44.12, linked at 44.15, rows_expired with outcome Unknown at 45.12, no agent_row; entry-1 claims at 47.53 and never names agent-3; run 1 placed there at 47.74, run 10001 elsewhere at 49.86.

Ruled out: a lease of a former life (none was recorded at agent-3 then), and a job taken for fresh (its row is older than the end of the former placer).

Change: after a pause, or when a placer opens a link after 4.1 s without one, the agent writes its row even with a link, until that has succeeded. The condition of the deletion then fails.

The test failed before.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -127,6 +127,8 @@
     },
     /// The newest term in the store.
     NewestTerm(u64),
+    /// The agent's row has been written.
+    Announced,
     /// Requests a dump of the state.
     Dump(RpcReplyPort<Value>),
     /// Announces that the process stops.
@@ -328,6 +330,8 @@
     active_at: Duration,
     /// End of the last pause of the process in which its row may have been deleted.
     resumed_at: Option<Duration>,
+    /// A placer may have ordered the deletion of the row, which may take effect late, and spares only a newer one.
+    is_row_doubtful: bool,
     retirement: Option<Retirement>,
     /// Latest write of the agent's row, and whether it leaves one.
     row_write: Option<(bool, JoinHandle<()>)>,
@@ -415,6 +419,7 @@
             announce_due: now,
             active_at: now,
             resumed_at: None,
+            is_row_doubtful: false,
             retirement: None,
             row_write: None,
             tasks,
@@ -453,6 +458,7 @@
             Message::Stopped { run, life, result } => state.handle_stop_outcome(run, &life, result, now),
             Message::Paced { run, percent, result } => state.handle_pace_outcome(run, percent, result),
             Message::NewestTerm(term) => state.handle_newest_term(term, now),
+            Message::Announced => state.is_row_doubtful = false,
             Message::Dump(reply) => drop(reply.send(state.dump(now))),
             Message::Retire { within, idle } => state.retire(within, idle, now),
         }
--- a/crates/scheduler/src/agent/links.rs
+++ b/crates/scheduler/src/agent/links.rs
@@ -109,6 +109,9 @@
             return;
         }
         log::info!(event = "placer_obeyed", link = link, term = term, former_term = self.term; "");
+        if self.link.is_none() {
+            self.check_row_after(now.saturating_sub(self.unlinked_since), now);
+        }
         self.term = term;
         self.link = Some((link, sender));
         // Orders of a previous link never start.
--- a/crates/scheduler/src/agent/row.rs
+++ b/crates/scheduler/src/agent/row.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::State;
+use super::{Message, State};
 use crate::clock::whole_ms;
 use crate::message::{AGENT_ROW_RETENTION, LINK_TIMEOUT};
 use crate::rows::{self, AGENT_PREFIX, Process};
@@ -23,7 +23,7 @@
         if paused >= AGENT_ROW_RETENTION {
             log::warn!(event = "agent_was_paused", paused_ms = whole_ms(paused); "");
             self.resumed_at = Some(now);
-            self.announce_due = now;
+            self.doubt_row(now);
         }
     }
 
@@ -35,9 +35,23 @@
         self.announce_due = if has_resumed { now } else { now + ANNOUNCE_AFTER };
     }
 
-    /// Publishes the agent's link address when it has a worker and no placer has connected for some time.
+    /// Records that a placer opens a link, perhaps after it has ordered the deletion of the row.
+    pub(super) fn check_row_after(&mut self, unlinked: Duration, now: Duration) {
+        if unlinked + LINK_TIMEOUT >= AGENT_ROW_RETENTION {
+            self.doubt_row(now);
+        }
+    }
+
+    fn doubt_row(&mut self, now: Duration) {
+        self.is_row_doubtful = true;
+        self.announce_due = now;
+    }
+
+    /// Publishes the agent's link address when it has a worker and no placer has connected for some time, or the row may
+    /// be deleted.
     pub(super) fn announce_if_due(&mut self, now: Duration) {
-        if now < self.announce_due || self.link.is_some() || self.tracked.is_none() {
+        let needs_row = self.link.is_none() || self.is_row_doubtful;
+        if now < self.announce_due || !needs_row || self.tracked.is_none() {
             return;
         }
         self.announce(now);
@@ -61,23 +75,31 @@
         }
         let key = Arc::from(format!("{AGENT_PREFIX}{}", self.context.settings.name));
         let change = Change { table: Table::Cell, key, value };
-        self.row_write = Some((is_present, tokio::spawn(write_row(Arc::clone(&self.context.store), change))));
+        let (store, myself) = (Arc::clone(&self.context.store), self.myself.clone());
+        let write = async move {
+            if write_row(store, change).await && is_present {
+                // The agent may have ended.
+                drop(myself.cast(Message::Announced));
+            }
+        };
+        self.row_write = Some((is_present, tokio::spawn(write)));
     }
 }
 
-/// Writes or deletes the agent's row, in a limited number of attempts.
-async fn write_row(store: Handle, change: Change) {
+/// Writes or deletes the agent's row, in a limited number of attempts; returns whether that is done.
+async fn write_row(store: Handle, change: Change) -> bool {
     for _ in 0..ANNOUNCE_ATTEMPTS {
         if let Ok(conditions) = row_conditions(&store, &change).await {
             let transaction = Transaction { conditions, changes: vec![change.clone()] };
             let outcome = (store.commit)(transaction).await;
             log::info!(event = "agent_row", is_present = change.value.is_some(), outcome:? = outcome; "");
             if matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_)) {
-                return;
+                return true;
             }
         }
         tokio::time::sleep(ANNOUNCE_RETRY).await;
     }
+    false
 }
 
 /// Conditions of a write of the agent's row.
--- a/crates/scheduler/tests/paused_agents.rs
+++ b/crates/scheduler/tests/paused_agents.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use chervilledge_cell::job::{Job, JobId, Step};
+use chervilledge_scheduler::message::AGENT_ROW_RETENTION;
 use chervilledge_scheduler::rows;
 use chervilledge_scheduler::store::Table;
 use support::agent::{self, RunningAgent, life};
@@ -55,6 +56,35 @@
     }
 }
 
+/// A placer deletes the row of an agent that it hasn't reached for long, and the deletion may take effect late.
+#[tokio::test]
+async fn a_late_deletion_of_its_row_hides_an_agent_that_is_linked_again() {
+    let rows = MemoryStore::with_fault(Fault::None);
+    let agent = agent::spawn_named("agent-1", rows.clone()).await;
+    agent.report(life());
+    let mut placer = agent::link(&agent, 1).await;
+    placer.inventory().await;
+    let is_written = async {
+        while !rows.has(Table::Cell, ROW) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, is_written).await.expect("a row");
+    let known = rows.revision(Table::Cell, ROW);
+    rows.set_fault(Fault::Refuse);
+    drop(placer);
+    // Between the agent's announcements, each of which is attempted for 2 s.
+    tokio::time::sleep(AGENT_ROW_RETENTION.saturating_sub(Duration::from_millis(500))).await;
+    rows.set_fault(Fault::None);
+    let mut placer = agent::link(&agent, 1).await;
+    placer.inventory().await;
+    let written_again = tokio::time::timeout(
+        LOST_AFTER,
+        placer.wait_for("a new row", |_| (rows.revision(Table::Cell, ROW) > known).then_some(())),
+    );
+    assert!(written_again.await.is_ok(), "a deletion of the row that the placer knows takes effect");
+}
+
 /// An agent whose row was deleted meanwhile waited for a placer for 3 s before it wrote the row again.
 #[tokio::test]
 async fn a_lasting_task_waits_beside_the_worker_of_an_agent_that_was_paused() {
