Take no empty grant for one that has ended

What callers would have seen since: all runs on a worker stopped after each restart of its agent.

Cause: a placer answers with a lease of no length while it awaits the agent's inventory. The agent took that for a grant that has ended and stopped the runs that its worker listed.

Found on reading again; the test failed before. A grant of no length is no grant now.

--- a/crates/cell/src/grant.rs
+++ b/crates/cell/src/grant.rs
@@ -8,14 +8,18 @@
 /// Lease granted by a placer, on the agent's own clock.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Grant {
-    /// Latest time at which the worker's lease may end.
+    /// Latest time at which the worker's lease may end; zero before the first grant.
     pub until: Duration,
 }
 
 impl Grant {
     /// Extends the grant by a `lease` that was requested at `asked`; an older grant never shortens it.
+    ///
+    /// A placer that doesn't know the runs on the worker grants a lease of no length. That ends none, and isn't a grant.
     pub fn extend(&mut self, asked: Duration, lease: Duration) {
-        self.until = self.until.max(asked + lease);
+        if !lease.is_zero() {
+            self.until = self.until.max(asked + lease);
+        }
     }
 
     /// Whether the grant covers `now`.
--- a/crates/scheduler/tests/former_life.rs
+++ b/crates/scheduler/tests/former_life.rs
@@ -8,7 +8,7 @@
 use chervilledge_scheduler::message::{FromAgent, ToAgent};
 use chervilledge_scheduler::worker::{PollError, PollResponse, StartOutcome};
 use rstest::rstest;
-use support::agent::{Link, RunningAgent, Script, idle_poll, life, link, spawn, task};
+use support::agent::{Link, RunningAgent, Script, idle_poll, life, link, link_without_grants, spawn, task};
 
 /// Longest lease that the worker grants.
 const WORKER_LEASE_MAX: Duration = Duration::from_secs(10);
@@ -163,3 +163,15 @@
         LastCall::TakenByNextLife => assert!(lease > Some(WORKER_LEASE_MAX), "{lease:?}"),
     }
 }
+
+/// An agent that has just started took the empty grant of a placer that awaits its inventory for one that has ended.
+#[tokio::test]
+async fn runs_are_stopped_when_an_agent_starts_again_beside_them() {
+    let agent = spawn().await;
+    agent.worker.change(|script| script.poll = Ok(PollResponse { running: vec![running(1)], ..idle_poll() }));
+    let mut placer = link_without_grants(&agent, 1).await;
+    assert_eq!(placer.inventory().await, vec![(task(1), 1)]);
+    let until = Instant::now() + Duration::from_secs(1);
+    placer.wait_for("empty grants", |_| (Instant::now() > until).then_some(())).await;
+    assert_eq!(agent.worker.change(|script| script.stops.clone()), Vec::new());
+}
--- a/crates/scheduler/tests/support/agent.rs
+++ b/crates/scheduler/tests/support/agent.rs
@@ -257,6 +257,8 @@
 pub struct Link {
     pub sender: Sender<ToAgent>,
     receiver: Receiver,
+    /// Lease that it grants.
+    lease: Duration,
 }
 
 /// Opens a link under the given term.
@@ -268,7 +270,12 @@
 pub async fn link_of_version(agent: &RunningAgent, term: u64, version: Option<&str>) -> Link {
     let (sender, receiver) = connection::connect::<ToAgent>(agent.address, NO_SECRET).await.expect("link");
     sender.post(ToAgent::Hello { term, version: version.map(Name::from) });
-    Link { sender, receiver }
+    Link { sender, receiver, lease: LEASE }
+}
+
+/// Opens a link of a placer that grants leases of no length, as one does that doesn't know the runs on the worker.
+pub async fn link_without_grants(agent: &RunningAgent, term: u64) -> Link {
+    Link { lease: Duration::ZERO, ..link(agent, term).await }
 }
 
 impl Link {
@@ -278,7 +285,7 @@
             loop {
                 let message = self.receiver.receive::<FromAgent>(LINK_TIMEOUT).await.expect("message");
                 if let FromAgent::Ask { asked, .. } | FromAgent::Inventory { asked, .. } = &message {
-                    self.sender.post(ToAgent::Grant { asked: *asked, lease: LEASE });
+                    self.sender.post(ToAgent::Grant { asked: *asked, lease: self.lease });
                 }
                 if let Some(chosen) = choose(message) {
                     return chosen;
