Carry the request with the result of a poll

No change of a decision: the cursor and whether a lease was sent are read from the request instead of a flag and a pair.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -47,7 +47,7 @@
 use crate::settings;
 use crate::settings::LEASE_MAX;
 use crate::store::Handle;
-use crate::worker::{Calls, OrderOutcome, PollError, PollResponse, Report, StartOutcome, Target};
+use crate::worker::{Calls, OrderOutcome, PollError, PollRequest, PollResponse, Report, StartOutcome, Target};
 
 /// Interval of the checks that depend only on time.
 const TICK: Duration = Duration::from_millis(100);
@@ -91,10 +91,10 @@
         term: u64,
         /// When the call was sent.
         sent: Duration,
-        /// Whether it carried a lease.
-        has_lease: bool,
-        /// Response, and the cursor in the request.
-        response: Result<(u64, PollResponse), PollError>,
+        /// What was sent.
+        request: PollRequest,
+        /// Response.
+        response: Result<PollResponse, PollError>,
     },
     /// An order to start has finished.
     Started {
@@ -293,6 +293,7 @@
     other_report: Option<OtherReport>,
     /// Previous incarnation of the worker, while the placer still counts on it.
     previous_life: Option<Life>,
+    /// Calls from which the worker's next life may get a lease.
     lease_calls: LeaseCalls,
     /// Latest end of the leases that calls meant for former lives may have granted.
     foreign_lease_until: Duration,
@@ -444,10 +445,13 @@
             }
             Message::Unlinked(link) => state.handle_link_closed(link, now),
             Message::FromPlacer { link, message } => state.handle_placer_message(link, *message, now),
-            Message::Polled { life, term, sent, has_lease, response } => {
-                if has_lease {
+            Message::Polled { life, term, sent, request, response } => {
+                if request.lease_end_ms.is_some() {
                     state.end_lease_poll(&life, sent, &response, now);
                 }
+                if response.is_ok() {
+                    state.note_forgotten(&life, request.cursor);
+                }
                 state.handle_poll(&life, term, sent, response, now);
             }
             Message::Started { run, life, sent, result } => {
--- a/crates/scheduler/src/agent/leases.rs
+++ b/crates/scheduler/src/agent/leases.rs
@@ -18,7 +18,7 @@
 /// Time before the end of a grant from which the leases under it have ended, unless the worker's clock is slow.
 const LAPSE_MARGIN: Duration = Duration::from_millis(100);
 
-/// Calls with a lease that the life that they were meant for hasn't answered.
+/// Calls with a lease that may still be executed by another life than the one that they were meant for.
 #[derive(Debug, Default)]
 pub(super) struct LeaseCalls {
     /// Life that the latest call was meant for.
@@ -35,8 +35,8 @@
         *self.pending.entry(sent).or_default() += 1;
     }
 
-    /// Records the result of the call sent at `sent`; `executed_until` is when it may be executed at the latest by another
-    /// life, `None` if no other life can have executed it.
+    /// Records the result of the call sent at `sent`; `executed_until` is the latest time at which another life may execute
+    /// it, `None` if none can.
     pub(super) fn end(&mut self, sent: Duration, executed_until: Option<Duration>) {
         if let Some(count) = self.pending.get_mut(&sent) {
             *count -= 1;
@@ -58,7 +58,7 @@
 }
 
 impl TrackedWorker {
-    /// Whether another incarnation may answer the calls to this one. Those carry nothing then that depends on its state.
+    /// Whether another incarnation may answer the calls to this one, which carry nothing then that holds for one only.
     pub(super) const fn is_doubtful(&self) -> bool {
         self.maybe_restarted_since.is_some()
     }
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -50,9 +50,9 @@
         let call = (self.context.calls.poll)((target, request));
         let myself = self.myself.clone();
         tokio::spawn(async move {
-            let response = call.await.map(|response| (cursor, response));
+            let response = call.await;
             // The agent may have ended.
-            drop(myself.cast(Message::Polled { life, term, sent: now, has_lease: lease_end_ms.is_some(), response }));
+            drop(myself.cast(Message::Polled { life, term, sent: now, request, response }));
         });
     }
 
@@ -79,23 +79,30 @@
         &mut self,
         life: &Life,
         sent: Duration,
-        response: &Result<(u64, PollResponse), PollError>,
+        response: &Result<PollResponse, PollError>,
         now: Duration,
     ) {
         let executed_until = match response {
-            Ok((_, response)) if response.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => Some(now),
+            Ok(response) if response.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) => Some(now),
             Ok(_) | Err(PollError::Fenced | PollError::NotThere | PollError::OtherLife) => None,
             Err(PollError::Unknown) => Some(sent + LATE_CALL_BOUND),
         };
         self.lease_calls.end(sent, executed_until);
     }
 
+    /// Records that the worker has answered a poll with this cursor.
+    pub(super) fn note_forgotten(&mut self, life: &Life, cursor: u64) {
+        if let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) {
+            tracked.forgotten = tracked.forgotten.max(cursor);
+        }
+    }
+
     pub(super) fn handle_poll(
         &mut self,
         life: &Life,
         term: u64,
         sent: Duration,
-        response: Result<(u64, PollResponse), PollError>,
+        response: Result<PollResponse, PollError>,
         now: Duration,
     ) {
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return };
@@ -104,7 +111,7 @@
         let result = if response.is_ok() { "done" } else { "failed" };
         self.context.metrics.worker_poll(result, now.saturating_sub(sent));
         match response {
-            Ok((_, PollResponse { clock_ms, born_unix_ms: Some(born_unix_ms), .. }))
+            Ok(PollResponse { clock_ms, born_unix_ms: Some(born_unix_ms), .. })
                 if born_unix_ms != life.born_unix_ms =>
             {
                 let (worker, address) = (tracked.worker.clone(), tracked.address);
@@ -118,8 +125,7 @@
                 self.confirm_worker(true);
                 self.apply_other_report(now);
             }
-            Ok((cursor, response)) => {
-                tracked.forgotten = tracked.forgotten.max(cursor);
+            Ok(response) => {
                 self.confirm_worker(response.born_unix_ms.is_some());
                 self.reject_other_report(sent);
                 self.apply_poll(response, term, sent, now);
