Keep the worker that an agent tracks in a module of its own

The results of polls and starts are handled in one call each again, and the bound of late calls is an Option instead of a zero that means none.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -13,20 +13,20 @@
 mod retirement;
 mod row;
 mod terms;
+mod tracked;
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chervilledge_caller::budget::{self, Budget, Limits};
 use chervilledge_cell::authority::{LEASE_SLACK, lapse_after};
 use chervilledge_cell::evacuation::EvacuatedDomains;
-use chervilledge_cell::grant::{ClockReading, Grant, lease_end_ms};
+use chervilledge_cell::grant::{Grant, lease_end_ms};
 use chervilledge_cell::interference::Interference;
 use chervilledge_cell::job::TaskId;
 use chervilledge_cell::pace::Paces;
-use chervilledge_cell::worker::{CrashReport, End, Life, RunReport, RunTraits, Worker};
+use chervilledge_cell::worker::{CrashReport, Life, RunTraits};
 use chervilledge_link::connection::Sender;
 use chervilledge_policy::clock::Clock;
 use chervilledge_policy::collections::Map;
@@ -41,6 +41,7 @@
 use self::retirement::Retirement;
 pub use self::retirement::retire;
 use self::terms::NewestTerm;
+use self::tracked::{Identity, TrackedWorker};
 use crate::clock::whole_ms;
 use crate::message::{FromAgent, HEARTBEAT_INTERVAL, ToAgent};
 use crate::metrics::Metrics;
@@ -52,9 +53,6 @@
 /// Interval of the checks that depend only on time.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Consecutive failed polls from which a worker counts as silent; a single one may have been lost.
-const SILENT_POLLS: u32 = 2;
-
 /// Task and number of a run.
 type RunId = (TaskId, u64);
 
@@ -155,82 +153,6 @@
     pub metrics: Arc<Metrics>,
 }
 
-/// Worker with its reported and polled state.
-#[derive(Debug)]
-struct TrackedWorker {
-    worker: Worker,
-    address: SocketAddr,
-    /// Number of the latest report that was applied.
-    sequence: u64,
-    /// Number of the latest report below `sequence`, and when it was received.
-    outdated_report: Option<(u64, Duration)>,
-    /// When the worker stops being slow after its start, according to its latest report.
-    cold_until: Duration,
-    reading: Option<ClockReading>,
-    /// Latest end of the leases that were sent to the worker.
-    lease_until: Duration,
-    /// Runs that ended up to this position are durable, and the worker may forget them.
-    cursor: u64,
-    /// Position up to which the worker has answered that it forgets ends; never above `cursor`.
-    forgotten: u64,
-    /// Latest end that was reported to the placer.
-    reported_end: u64,
-    /// Ends that aren't settled yet, as far as the worker lists them.
-    ends: Vec<End>,
-    /// Whether there may be further ends.
-    has_more_ends: bool,
-    running: Vec<RunReport>,
-    /// Progress as last reported to the placer.
-    reported_progress: Map<RunId, (u32, u32, Name)>,
-    /// Consecutive failed polls.
-    failed_polls: u32,
-    /// Consecutive refused connections.
-    refused_connections: u32,
-    /// When the first call failed since the last successful poll.
-    failing_since: Option<Duration>,
-    /// What shows that this incarnation is the worker beside the agent.
-    identity: Identity,
-    /// Since when the worker may have restarted. Nothing is settled until a poll confirms the incarnation.
-    maybe_restarted_since: Option<Duration>,
-    is_polling: bool,
-    poll_due: Duration,
-    /// Since when no poll has waited for the ends of runs, so that a run may have ended unseen.
-    unwatched_since: Option<Duration>,
-}
-
-/// Evidence of an incarnation.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Identity {
-    /// Its report alone, which another writer may have sent.
-    Reported,
-    /// It answers polls, without telling when it started.
-    Answers,
-    /// It answers polls and tells when it started.
-    AnswersWithStart,
-}
-
-impl TrackedWorker {
-    /// Whether this incarnation has answered a poll of this agent.
-    fn is_confirmed(&self) -> bool {
-        self.identity != Identity::Reported
-    }
-
-    /// Whether the worker has left polls unanswered.
-    const fn is_silent(&self) -> bool {
-        self.failed_polls >= SILENT_POLLS
-    }
-
-    /// Records that the worker may have restarted, which the next poll shows.
-    fn mark_maybe_restarted(&mut self, now: Duration) {
-        self.maybe_restarted_since = Some(now);
-        // One in flight that waits may be answered much later.
-        if self.is_polling && self.unwatched_since.is_none() {
-            self.is_polling = false;
-            self.poll_due = now;
-        }
-    }
-}
-
 /// Order to start that the worker hasn't answered yet.
 #[derive(Debug)]
 struct PendingStart {
@@ -446,19 +368,9 @@
             Message::Unlinked(link) => state.handle_link_closed(link, now),
             Message::FromPlacer { link, message } => state.handle_placer_message(link, *message, now),
             Message::Polled { life, term, sent, request, response } => {
-                if request.lease_end_ms.is_some() {
-                    state.end_lease_poll(&life, sent, &response, now);
-                }
-                if response.is_ok() {
-                    state.note_forgotten(&life, request.cursor);
-                }
-                state.handle_poll(&life, term, sent, response, now);
-            }
-            Message::Started { run, life, sent, result } => {
-                let is_doubtful = state.check_for_restart(&life, sent, result, now);
-                state.end_lease_start(sent, result, is_doubtful, now);
-                state.handle_start_outcome(run, &life, result, is_doubtful, now);
+                state.handle_poll(&life, term, sent, request, response, now);
             }
+            Message::Started { run, life, sent, result } => state.handle_start_outcome(run, &life, sent, result, now),
             Message::Stopped { run, life, result } => state.handle_stop_outcome(run, &life, result, now),
             Message::Paced { run, percent, result } => state.handle_pace_outcome(run, percent, result),
             Message::NewestTerm(term) => state.handle_newest_term(term, now),
--- a/crates/scheduler/src/agent/leases.rs
+++ b/crates/scheduler/src/agent/leases.rs
@@ -10,7 +10,7 @@
 use chervilledge_cell::authority::lapse_after;
 use chervilledge_cell::worker::Life;
 
-use super::{State, TrackedWorker};
+use super::State;
 use crate::clock::whole_ms;
 
 /// Time after which an unanswered call can no longer be executed: users state twelve seconds, plus a margin.
@@ -26,7 +26,7 @@
     /// Number of calls without a result, by the time at which they were sent.
     pending: BTreeMap<Duration, usize>,
     /// Until when a call may be executed that got no answer.
-    unanswered_until: Duration,
+    unanswered_until: Option<Duration>,
 }
 
 impl LeaseCalls {
@@ -44,23 +44,17 @@
                 self.pending.remove(&sent);
             }
         }
-        self.unanswered_until = self.unanswered_until.max(executed_until.unwrap_or_default());
+        self.unanswered_until = self.unanswered_until.max(executed_until);
     }
 
-    /// Until when `life` may execute calls that were meant for former lives of the same worker.
-    fn executed_until(&self, life: &Life) -> Duration {
-        if self.life.as_ref().is_none_or(|former| former.worker != life.worker || former == life) {
-            return Duration::ZERO;
+    /// Until when `life` may execute calls that were meant for former lives of the same worker; `None` if there are none.
+    fn executed_until(&self, life: &Life) -> Option<Duration> {
+        let former = self.life.as_ref()?;
+        if former.worker != life.worker || former == life {
+            return None;
         }
         let pending_until = self.pending.last_key_value().map(|(sent, _)| *sent + LATE_CALL_BOUND);
-        self.unanswered_until.max(pending_until.unwrap_or_default())
-    }
-}
-
-impl TrackedWorker {
-    /// Whether another incarnation may answer the calls to this one, which carry nothing then that holds for one only.
-    pub(super) const fn is_doubtful(&self) -> bool {
-        self.maybe_restarted_since.is_some()
+        pending_until.max(self.unanswered_until)
     }
 }
 
@@ -68,10 +62,7 @@
     /// Extends the bound of the leases on the worker, of which another life begins, by those of calls meant for its former
     /// lives.
     pub(super) fn add_foreign_leases(&mut self, life: &Life, now: Duration) {
-        let executed_until = self.lease_calls.executed_until(life);
-        if executed_until.is_zero() {
-            return;
-        }
+        let Some(executed_until) = self.lease_calls.executed_until(life) else { return };
         let until = executed_until + lapse_after(self.context.settings.worker_lease_max);
         if until > self.foreign_lease_until && until > now {
             self.foreign_lease_until = until;
--- a/crates/scheduler/src/agent/looks.rs
+++ b/crates/scheduler/src/agent/looks.rs
@@ -75,7 +75,7 @@
     }
 
     /// Records the result of a poll that carried a lease.
-    pub(super) fn end_lease_poll(
+    fn end_lease_poll(
         &mut self,
         life: &Life,
         sent: Duration,
@@ -90,21 +90,18 @@
         self.lease_calls.end(sent, executed_until);
     }
 
-    /// Records that the worker has answered a poll with this cursor.
-    pub(super) fn note_forgotten(&mut self, life: &Life, cursor: u64) {
-        if let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) {
-            tracked.forgotten = tracked.forgotten.max(cursor);
-        }
-    }
-
     pub(super) fn handle_poll(
         &mut self,
         life: &Life,
         term: u64,
         sent: Duration,
+        request: PollRequest,
         response: Result<PollResponse, PollError>,
         now: Duration,
     ) {
+        if request.lease_end_ms.is_some() {
+            self.end_lease_poll(life, sent, &response, now);
+        }
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return };
         tracked.is_polling = false;
         tracked.unwatched_since.get_or_insert(now);
@@ -126,6 +123,7 @@
                 self.apply_other_report(now);
             }
             Ok(response) => {
+                tracked.forgotten = tracked.forgotten.max(request.cursor);
                 self.confirm_worker(response.born_unix_ms.is_some());
                 self.reject_other_report(sent);
                 self.apply_poll(response, term, sent, now);
--- a/crates/scheduler/src/agent/orders.rs
+++ b/crates/scheduler/src/agent/orders.rs
@@ -123,10 +123,12 @@
         &mut self,
         run: RunId,
         life: &Life,
+        sent: Duration,
         result: StartOutcome,
-        is_doubtful: bool,
         now: Duration,
     ) {
+        let is_doubtful = self.check_for_restart(life, sent, result, now);
+        self.end_lease_start(sent, result, is_doubtful, now);
         let is_present = self.tracked.as_ref().is_some_and(|tracked| tracked.worker.life == *life);
         let Some(starting) = self.pending_starts.get_mut(&run).filter(|_| is_present) else { return };
         starting.is_calling = false;
@@ -155,7 +157,7 @@
     }
 
     /// Records the result of a start, which carries a lease.
-    pub(super) fn end_lease_start(&mut self, sent: Duration, result: StartOutcome, is_doubtful: bool, now: Duration) {
+    fn end_lease_start(&mut self, sent: Duration, result: StartOutcome, is_doubtful: bool, now: Duration) {
         let executed_until = match result {
             StartOutcome::Running { .. } => Some(now).filter(|_| is_doubtful),
             StartOutcome::Unknown => Some(sent + LATE_CALL_BOUND),
@@ -165,13 +167,7 @@
     }
 
     /// Detects a response to a start that another incarnation of the worker may have given; returns whether it may.
-    pub(super) fn check_for_restart(
-        &mut self,
-        life: &Life,
-        sent: Duration,
-        result: StartOutcome,
-        now: Duration,
-    ) -> bool {
+    fn check_for_restart(&mut self, life: &Life, sent: Duration, result: StartOutcome, now: Duration) -> bool {
         let Some(tracked) = self.tracked.as_mut().filter(|tracked| tracked.worker.life == *life) else { return true };
         let is_doubtful = match result {
             StartOutcome::Running { clock_ms: Some(clock_ms) } => {
