--- a/crates/cell/tests/lasting_series.rs
+++ b/crates/cell/tests/lasting_series.rs
@@ -8,12 +8,12 @@
 
 use chervilledge_cell::cell::{Action, Inventory, Note};
 use chervilledge_cell::job::{JobId, Step, TaskId, TaskKey};
-use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, Refusal, RunReport, Worker};
+use chervilledge_cell::worker::{EndKind, Life, Refusal, RunReport, Worker};
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use support::{WorkerRuns, World, job, name, step, urgent_job, worker};
+use support::{WorkerRuns, World, crash_report, job, name, step, urgent_job, worker};
 
 const WORKERS: usize = 8;
 const MILLICORES: u64 = 16_000;
@@ -112,14 +112,8 @@
             return;
         }
         let now = self.world.now;
-        let runs = std::mem::take(&mut self.world.workers.entry(Arc::clone(agent)).or_default().running);
-        let crashed = |run: &(TaskId, u64)| CrashedRun {
-            task: run.0,
-            run: run.1,
-            age: now.saturating_sub(self.started_at[run]),
-            is_unconfirmed: false,
-        };
-        let report = CrashReport { life: self.present(agent).life, runs: runs.keys().map(crashed).collect() };
+        let (life, runs) = (self.present(agent).life, self.world.kill_runs(agent));
+        let report = crash_report(life, runs, &self.started_at, |_| false, now);
         self.world.cell.worker_crashed(agent, &report, now);
         self.world.cell.worker_gone(agent, now);
         self.crash_at.remove(agent);
--- a/crates/cell/tests/support/crashing.rs
+++ b/crates/cell/tests/support/crashing.rs
@@ -8,12 +8,12 @@
 use chervilledge_cell::crashes::SUSPECT_AGE_MAX;
 use chervilledge_cell::job::{Job, JobId, JobState, Step, TaskId};
 use chervilledge_cell::progress::Progress;
-use chervilledge_cell::worker::{CrashReport, CrashedRun, EndKind, Life, RunReport, Worker};
+use chervilledge_cell::worker::{CrashReport, EndKind, Life, RunReport, Worker};
 use chervilledge_policy::id::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{LEASE, WorkerRuns, World, configuration, name, step, worker};
+use super::{LEASE, WorkerRuns, World, configuration, crash_report, name, step, worker};
 
 /// Users' limit on the starts of a task that crashes each of its workers: three crashes, and fewer than three starts
 /// after them.
@@ -116,14 +116,8 @@
 
     pub fn crash(&mut self, agent: &Name) {
         let now = self.world.now;
-        let runs = std::mem::take(&mut self.world.workers.entry(Arc::clone(agent)).or_default().running);
-        let crashed = |run: &(TaskId, u64)| CrashedRun {
-            task: run.0,
-            run: run.1,
-            age: now.saturating_sub(self.started_at[run]),
-            is_unconfirmed: !self.is_answered(run.0),
-        };
-        let report = CrashReport { life: self.present(agent).life, runs: runs.keys().map(crashed).collect() };
+        let (life, runs) = (self.present(agent).life, self.world.kill_runs(agent));
+        let report = crash_report(life, runs, &self.started_at, |task| !self.is_answered(task), now);
         self.due.remove(agent);
         if self.are_reported {
             self.unsettled.entry(Arc::clone(agent)).or_default().push(report.clone());
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use chervilledge_cell::cell::{Action, Cell, Inventory};
 use chervilledge_cell::configuration::{Configuration, Limits, Queue, Service};
 use chervilledge_cell::job::{Job, JobId, Step, TaskId, Terms};
-use chervilledge_cell::worker::{End, EndKind, Life, RunReport, StartOrder, Worker};
+use chervilledge_cell::worker::{CrashReport, CrashedRun, End, EndKind, Life, RunReport, StartOrder, Worker};
 use chervilledge_policy::capacity::Resources;
 use chervilledge_policy::collections::Map;
 use chervilledge_policy::id::Name;
@@ -23,6 +23,23 @@
 pub const URGENT_QUEUE: &str = "checks";
 pub const SERVICE: &str = "portal";
 
+/// Report of a crash `now` under runs, with the times of their starts.
+pub fn crash_report(
+    life: Life,
+    runs: Vec<(TaskId, u64)>,
+    started_at: &BTreeMap<(TaskId, u64), Duration>,
+    is_unconfirmed: impl Fn(TaskId) -> bool,
+    now: Duration,
+) -> CrashReport {
+    let crashed = |(task, run): (TaskId, u64)| CrashedRun {
+        task,
+        run,
+        age: now.saturating_sub(started_at[&(task, run)]),
+        is_unconfirmed: is_unconfirmed(task),
+    };
+    CrashReport { life, runs: runs.into_iter().map(crashed).collect() }
+}
+
 /// Runs and ends of a simulated worker.
 #[derive(Debug, Default)]
 pub struct WorkerRuns {
@@ -217,6 +234,11 @@
         settled
     }
 
+    /// Removes the runs on a worker that crashes, and returns them.
+    pub fn kill_runs(&mut self, agent: &Name) -> Vec<(TaskId, u64)> {
+        std::mem::take(&mut self.workers.entry(Arc::clone(agent)).or_default().running).into_keys().collect()
+    }
+
     /// Report of an agent to a new placer.
     pub fn inventory(&self, agent: &Name, millicores: u64) -> Inventory {
         let runs = &self.workers[agent];
