--- a/review/stand-3/src/cluster.rs
+++ b/review/stand-3/src/cluster.rs
@@ -114,19 +114,6 @@
         }
     }
 
-    /// Memory of its machine, in MB.
-    pub fn memory_limit_mb(&self) -> u64 {
-        if self.role == "entry" { ENTRY_MEMORY_MB } else { AGENT_MEMORY_MB }
-    }
-
-    /// Anonymous memory that the process holds, in MB, without what it maps of files; `None` if it doesn't run.
-    pub fn memory_mb(&self) -> Option<u64> {
-        let id = lock(&self.child).as_ref()?.id();
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
-        line.split_whitespace().nth(1)?.parse::<u64>().ok().map(|kilobytes| kilobytes / 1_024)
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&self) {
         let mut running = lock(&self.child);
@@ -141,7 +128,7 @@
 pub struct Cluster {
     _store: Store,
     pub entries: Vec<Node>,
-    pub agents: Vec<Node>,
+    _agents: Vec<Node>,
     pub workers: Vec<Worker>,
     pub record: Record,
     client: Client,
@@ -183,7 +170,14 @@
                 .push(Worker::bind(&format!("w-{number}"), shape, agent.callers, gangs.clone(), record.clone()).await);
             agents.push(agent);
         }
-        Self { _store: store, entries: entry_nodes, agents, workers, record, client: chervilledge_client::open(BOUNDS) }
+        Self {
+            _store: store,
+            entries: entry_nodes,
+            _agents: agents,
+            workers,
+            record,
+            client: chervilledge_client::open(BOUNDS),
+        }
     }
 
     /// Sends a request of a client, and records it with its answer.
--- a/review/stand-3/src/crashing_jobs.rs
+++ b/review/stand-3/src/crashing_jobs.rs
@@ -9,8 +9,8 @@
 
 use crate::Verdict;
 use crate::cluster::Places;
-use crate::ordinary;
 use crate::record::Record;
+use crate::site;
 
 /// Jobs that last, and how many of them crash their workers.
 const JOBS: u64 = 20;
@@ -19,10 +19,23 @@
 const TASKS: u64 = 6;
 /// Time from the start of such a task to the crash.
 const CRASH_AFTER_MS: u64 = 4_000;
-const WATCH: Duration = Duration::from_secs(75);
+/// Short jobs of one task beside them, one after the other; what becomes of them is told and not judged.
+const SHORT_JOBS: u64 = 30;
+const SHORT_PAUSE: Duration = Duration::from_millis(1_500);
+const SHORT_WORK_MS: u64 = 8_000;
+/// Time after the last of these.
+const WATCH: Duration = Duration::from_secs(30);
+
+/// First identifiers of the two kinds of jobs.
+const LASTING: u64 = 0x2000;
+const SHORT: u64 = 0x3000;
+
+fn path_of(id: u64) -> String {
+    format!("{}{id:016x}", site::QUEUE)
+}
 
 pub async fn run(places: &Places, record: Record, has_trouble: bool) -> Verdict {
-    let cluster = ordinary::start(places, &record).await?;
+    let cluster = site::start(places, &record).await?;
     for number in 0..JOBS {
         let mut spec = json!({"cpu": 1_000, "mem_mb": 1_024, "lasts": true});
         let is_crashing = number >= JOBS - CRASHING;
@@ -33,16 +46,30 @@
         let step = json!({"count": TASKS, "cpu": 1_000, "mem_mb": 1_024, "estimate_ms": 400, "long_running": true,
                           "image": image, "target_ms": 45, "max_unavailable": 1});
         let body = json!({"spec": spec.to_string(), "steps": [step]});
-        let path = format!("{}{:016x}", ordinary::QUEUE, 0x2000 + number);
-        cluster.call(usize::try_from(number % 4).unwrap_or(0), Method::POST, &path, Some(&body)).await;
+        let to = usize::try_from(number % 4).unwrap_or(0);
+        cluster.call(to, Method::POST, &path_of(LASTING + number), Some(&body)).await;
         sleep(Duration::from_millis(50)).await;
     }
+    for number in 0..SHORT_JOBS {
+        let spec = json!({"work_ms": SHORT_WORK_MS, "cpu": 1_000, "mem_mb": 1_024}).to_string();
+        let step = json!({"count": 1, "cpu": 1_000, "mem_mb": 1_024, "estimate_ms": SHORT_WORK_MS});
+        let body = json!({"spec": spec, "steps": [step]});
+        let to = usize::try_from(number % 4).unwrap_or(0);
+        cluster.call_as("short", to, Method::POST, &path_of(SHORT + number), Some(&body)).await;
+        sleep(SHORT_PAUSE).await;
+    }
     sleep(WATCH).await;
+    let mut states: BTreeMap<String, u64> = BTreeMap::new();
+    for number in 0..SHORT_JOBS {
+        let answer = cluster.call_as("short", 0, Method::GET, &path_of(SHORT + number), None).await;
+        let state = answer.map_or_else(|| "no answer".to_owned(), |(_, content)| content["state"].to_string());
+        *states.entry(state).or_default() += 1;
+    }
     for number in JOBS - CRASHING..JOBS {
-        cluster.call(0, Method::GET, &format!("{}{:016x}", ordinary::QUEUE, 0x2000 + number), None).await;
+        cluster.call(0, Method::GET, &path_of(LASTING + number), None).await;
     }
     let (broken, innocent) = started_again(&record);
-    println!("{innocent} runs of other jobs were killed by the crashes");
+    println!("{innocent} runs of other jobs were killed by the crashes; states of the short jobs: {states:?}");
     Ok(broken)
 }
 
--- a/review/stand-3/src/late_order.rs
+++ b/review/stand-3/src/late_order.rs
@@ -9,8 +9,8 @@
 
 use crate::Verdict;
 use crate::cluster::Places;
-use crate::ordinary;
 use crate::record::Record;
+use crate::site;
 
 /// Jobs of one task each, so that every worker gets some.
 const JOBS: u64 = 44;
@@ -27,7 +27,7 @@
 const WATCH: Duration = Duration::from_secs(35);
 
 pub async fn run(places: &Places, record: Record, has_trouble: bool) -> Verdict {
-    let cluster = ordinary::start(places, &record).await?;
+    let cluster = site::start(places, &record).await?;
     let sick = &cluster.workers[SICK];
     if has_trouble {
         sick.delay_next_start(LATE);
@@ -36,7 +36,7 @@
         let spec = json!({"work_ms": WORK_MS, "cpu": 2_000, "mem_mb": 1_024}).to_string();
         let step = json!({"count": 1, "cpu": 2_000, "mem_mb": 1_024, "estimate_ms": WORK_MS});
         let body = json!({"spec": spec, "steps": [step]});
-        let path = format!("{}{:016x}", ordinary::QUEUE, 0xb000 + number);
+        let path = format!("{}{:016x}", site::QUEUE, 0xb000 + number);
         cluster.call(usize::try_from(number % 4).unwrap_or(0), Method::POST, &path, Some(&body)).await;
         sleep(Duration::from_millis(20)).await;
     }
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -5,11 +5,9 @@
 mod cluster;
 mod crashing_jobs;
 mod door;
-mod large_gangs;
-mod large_jobs;
 mod late_order;
-mod ordinary;
 mod record;
+mod site;
 #[path = "../../../platform/tests/soak/store.rs"]
 #[allow(dead_code)]
 mod store;
@@ -43,9 +41,7 @@
     let script = async {
         match name.as_str() {
             "crashing-jobs" => crashing_jobs::run(&places, record.clone(), has_trouble).await,
-            "large-gangs" => large_gangs::run(&places, record.clone(), has_trouble).await,
             "late-order" => late_order::run(&places, record.clone(), has_trouble).await,
-            "large-jobs" => large_jobs::run(&places, record.clone(), has_trouble).await,
             other => Err(format!("no script {other}")),
         }
     };
--- a/review/stand-3/src/record.rs
+++ b/review/stand-3/src/record.rs
@@ -37,10 +37,6 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn now_ms(&self) -> u64 {
-        u64::try_from(self.lock().began.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
     pub fn add(&self, who: &str, what: &str, details: Value) {
         let mut inner = self.lock();
         let at_ms = u64::try_from(inner.began.elapsed().as_millis()).unwrap_or(u64::MAX);
