Review case 12: an agent that restarts doesn't know its predecessor's starts

As case 11, and the agent beside the worker is killed for 0.5 s before the crash. The start without an answer was known to it alone; the next life of the worker carries it out beside the task's second run.

--- a/review/stand-3/src/cluster.rs
+++ b/review/stand-3/src/cluster.rs
@@ -118,6 +118,7 @@
     pub fn kill(&self) {
         let mut running = lock(&self.child);
         if let Some(mut child) = running.take() {
+            self.record.add(&self.name, "ended", json!({"pid": child.id()}));
             drop(child.kill());
             drop(child.wait());
         }
@@ -128,7 +129,7 @@
 pub struct Cluster {
     _store: Store,
     pub entries: Vec<Node>,
-    _agents: Vec<Node>,
+    pub agents: Vec<Node>,
     pub workers: Vec<Worker>,
     pub record: Record,
     client: Client,
@@ -170,14 +171,7 @@
                 .push(Worker::bind(&format!("w-{number}"), shape, agent.callers, gangs.clone(), record.clone()).await);
             agents.push(agent);
         }
-        Self {
-            _store: store,
-            entries: entry_nodes,
-            _agents: agents,
-            workers,
-            record,
-            client: chervilledge_client::open(BOUNDS),
-        }
+        Self { _store: store, entries: entry_nodes, agents, workers, record, client: chervilledge_client::open(BOUNDS) }
     }
 
     /// Sends a request of a client, and records it with its answer.
--- a/review/stand-3/src/late_order.rs
+++ b/review/stand-3/src/late_order.rs
@@ -1,4 +1,5 @@
-//! A worker leaves one order to start unanswered, crashes, and is back under its id when it carries the order out.
+//! A worker leaves one order to start unanswered, crashes, and is back under its id when it carries the order out. In a second
+//! form its agent is killed before the crash, and starts again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,10 +24,12 @@
 /// Time from the unanswered order to the crash, and until the worker is back.
 const CRASH_AFTER: Duration = Duration::from_millis(1_200);
 const DARK: Duration = Duration::from_millis(2_500);
+/// Time for which a killed agent is away.
+const AGENT_AWAY: Duration = Duration::from_millis(500);
 /// Time for the tasks to end, those included that start again.
 const WATCH: Duration = Duration::from_secs(35);
 
-pub async fn run(places: &Places, record: Record, has_trouble: bool) -> Verdict {
+pub async fn run(places: &Places, record: Record, has_trouble: bool, kills_agent: bool) -> Verdict {
     let cluster = site::start(places, &record).await?;
     let sick = &cluster.workers[SICK];
     if has_trouble {
@@ -45,6 +48,11 @@
             return Err("the worker got no order".to_owned());
         }
         sleep(CRASH_AFTER).await;
+        if kills_agent {
+            cluster.agents[SICK].kill();
+            sleep(AGENT_AWAY).await;
+            cluster.agents[SICK].start();
+        }
         sick.crash(DARK);
     }
     sleep(WATCH).await;
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -41,7 +41,8 @@
     let script = async {
         match name.as_str() {
             "crashing-jobs" => crashing_jobs::run(&places, record.clone(), has_trouble).await,
-            "late-order" => late_order::run(&places, record.clone(), has_trouble).await,
+            "late-order" => late_order::run(&places, record.clone(), has_trouble, false).await,
+            "late-order-agent" => late_order::run(&places, record.clone(), has_trouble, true).await,
             other => Err(format!("no script {other}")),
         }
     };
