--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -19,6 +19,7 @@
 
 use cluster::Places;
 use record::Record;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Result of a script: the rule held, or how it was broken; an error if the script couldn't run.
 pub type Verdict = Result<Vec<String>, String>;
@@ -26,6 +27,18 @@
 /// Longest time that a script takes.
 const TIME_MAX: Duration = Duration::from_secs(115);
 
+/// Waits for a signal that asks the script to end.
+async fn asked_to_end() -> &'static str {
+    let [mut terminate, mut interrupt, mut hangup] =
+        [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()]
+            .map(|kind| signal(kind).expect("signals can be received"));
+    tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+        _ = hangup.recv() => "SIGHUP",
+    }
+}
+
 #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
 async fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -46,7 +59,12 @@
             other => Err(format!("no script {other}")),
         }
     };
-    let verdict = tokio::time::timeout(TIME_MAX, script).await.unwrap_or_else(|_| Err("out of time".to_owned()));
+    // The processes end with the script's state, also when the script is asked to end.
+    let verdict = tokio::select! {
+        verdict = script => verdict,
+        () = tokio::time::sleep(TIME_MAX) => Err("out of time".to_owned()),
+        name = asked_to_end() => Err(format!("ended by {name}")),
+    };
     cluster::clean(&places);
     match verdict {
         Ok(broken) if broken.is_empty() => {
